repo: set down the shape: charts, actors, typed messages

Cause: every later part has to be built in one shape: lifecycles as state charts that code interprets, and actors that own their state and talk by typed messages.

--- /dev/null
+++ b/internal/actor/reply.go
@@ -0,0 +1,50 @@
+package actor
+
+import "context"
+
+// Reply carries one answer back to the sender of a message.
+type Reply[T any] struct{ ch chan T }
+
+// NewReply returns a Reply with room for its answer, so that Put never waits.
+func NewReply[T any]() Reply[T] { return Reply[T]{ch: make(chan T, 1)} }
+
+// Put stores the answer. Answers after the first are dropped, and so is an
+// answer to a zero Reply.
+func (r Reply[T]) Put(v T) {
+	select {
+	case r.ch <- v:
+	default:
+	}
+}
+
+// Get waits for the answer, or for the end of ctx.
+func (r Reply[T]) Get(ctx context.Context) (T, error) {
+	select {
+	case v := <-r.ch:
+		return v, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
+
+// C is the channel on which the answer arrives, for use in a select.
+func (r Reply[T]) C() <-chan T { return r.ch }
+
+// Ask sends the message that build makes from a new Reply and waits for the
+// answer. It returns ErrStopped if the actor ends first.
+func Ask[M, T any](ctx context.Context, to Address[M], build func(Reply[T]) M) (T, error) {
+	var zero T
+	r := NewReply[T]()
+	if err := to.Send(ctx, build(r)); err != nil {
+		return zero, err
+	}
+	select {
+	case v := <-r.ch:
+		return v, nil
+	case <-to.done:
+		return zero, ErrStopped
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/actor/timers.go
@@ -0,0 +1,104 @@
+package actor
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Timers is a set of deadlines by key that share one runtime timer. It
+// belongs to one actor and is not safe for concurrent use.
+type Timers[K comparable] struct {
+	heap  deadlineHeap[K]
+	index map[K]*deadline[K]
+	timer *time.Timer
+	armed time.Time // when the runtime timer fires; zero when it is stopped
+}
+
+type deadline[K comparable] struct {
+	key K
+	at  time.Time
+	pos int
+}
+
+// NewTimers returns an empty set.
+func NewTimers[K comparable]() *Timers[K] {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return &Timers[K]{index: map[K]*deadline[K]{}, timer: t}
+}
+
+// Set arms or moves the deadline of key.
+func (t *Timers[K]) Set(key K, at time.Time) {
+	if d, ok := t.index[key]; ok {
+		d.at = at
+		heap.Fix(&t.heap, d.pos)
+	} else {
+		d = &deadline[K]{key: key, at: at}
+		t.index[key] = d
+		heap.Push(&t.heap, d)
+	}
+	t.arm()
+}
+
+// Clear removes the deadline of key, if any.
+func (t *Timers[K]) Clear(key K) {
+	if d, ok := t.index[key]; ok {
+		delete(t.index, key)
+		heap.Remove(&t.heap, d.pos)
+	}
+}
+
+// Len returns the number of armed deadlines.
+func (t *Timers[K]) Len() int { return len(t.heap) }
+
+// C fires when a deadline may be due; call Pop until it returns false.
+func (t *Timers[K]) C() <-chan time.Time { return t.timer.C }
+
+// Pop removes and returns a key whose deadline is not after now.
+func (t *Timers[K]) Pop(now time.Time) (K, bool) {
+	if len(t.heap) == 0 || t.heap[0].at.After(now) {
+		t.armed = time.Time{}
+		t.arm()
+		var zero K
+		return zero, false
+	}
+	d := heap.Pop(&t.heap).(*deadline[K])
+	delete(t.index, d.key)
+	return d.key, true
+}
+
+// Stop releases the runtime timer.
+func (t *Timers[K]) Stop() { t.timer.Stop() }
+
+func (t *Timers[K]) arm() {
+	if len(t.heap) == 0 {
+		return
+	}
+	next := t.heap[0].at
+	if !t.armed.IsZero() && !next.Before(t.armed) {
+		return // fires early enough; Pop arms it again
+	}
+	t.armed = next
+	t.timer.Reset(time.Until(next))
+}
+
+type deadlineHeap[K comparable] []*deadline[K]
+
+func (h deadlineHeap[K]) Len() int           { return len(h) }
+func (h deadlineHeap[K]) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h deadlineHeap[K]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].pos, h[j].pos = i, j
+}
+func (h *deadlineHeap[K]) Push(x any) {
+	d := x.(*deadline[K])
+	d.pos = len(*h)
+	*h = append(*h, d)
+}
+func (h *deadlineHeap[K]) Pop() any {
+	old := *h
+	d := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return d
+}
--- /dev/null
+++ b/internal/entry/lifecycle.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"github.com/bambooscale/bambooscale/charts"
+	"github.com/bambooscale/bambooscale/internal/chart"
+)
+
+// States of charts/request.scxml.
+const (
+	stNew chart.State = iota
+	stQueued
+	stOffered
+	stStarted
+	stAnswering
+	stAsking
+	stDone
+	stRefused
+	stUnknown
+	stFailed
+	stAborted
+	stCancelled
+)
+
+// Events of charts/request.scxml.
+const (
+	evAdmit chart.Event = iota
+	evRefuse
+	evOffer
+	evStarted
+	evNotStarted
+	evResponse
+	evComplete
+	evFailed
+	evLinkLost
+	evEnded
+	evRunning
+	evForgotten
+	evExpire
+	evCancel
+)
+
+// effect is what a step of the lifecycle asks its owner to do.
+type effect uint8
+
+const (
+	effEnqueue effect = iota
+	effSendHead
+	effRequeue
+	effQueryOutcome
+	effQueryLater
+	effCancelExchange
+	effRelease
+	effAnswerNotRun
+	effAnswerRun
+	effAnswerUnknown
+	effAbort
+)
+
+// maxEffects bounds the effects of one step; no transition has more actions.
+const maxEffects = 4
+
+// lifecycle is the state of one request without its sockets. Steps are pure:
+// they record effects, which the request's actor carries out.
+type lifecycle struct {
+	state      chart.State
+	idempotent bool
+	replayable bool // the whole body so far is buffered
+	answered   bool // response bytes may have reached the caller
+	budget     bool // the retry budget allows one more try
+	effects    [maxEffects]effect
+	pending    int
+}
+
+func (l *lifecycle) emit(e effect) {
+	l.effects[l.pending] = e
+	l.pending++
+}
+
+// step feeds an event and returns the effects to carry out, in order. The
+// slice is valid until the next step. ok is false when the state ignores the
+// event.
+func (l *lifecycle) step(e chart.Event) (effects []effect, ok bool) {
+	l.pending = 0
+	ok = requestChart.Step(l, &l.state, e)
+	return l.effects[:l.pending], ok
+}
+
+var requestChart = chart.MustCompile(charts.Files, RequestBinding())
+
+// RequestBinding binds charts/request.scxml. It is exported for the checks
+// that explore the chart.
+func RequestBinding() chart.Binding[lifecycle] {
+	emit := func(e effect) func(*lifecycle) { return func(l *lifecycle) { l.emit(e) } }
+	return chart.Binding[lifecycle]{
+		Chart: "request",
+		States: []string{"new", "queued", "offered", "started", "answering", "asking",
+			"done", "refused", "unknown", "failed", "aborted", "cancelled"},
+		Events: []string{"admit", "refuse", "offer", "started", "notStarted", "response", "complete",
+			"failed", "linkLost", "ended", "running", "forgotten", "expire", "cancel"},
+		Guards: map[string]func(*lifecycle) bool{
+			// The request was never started, so a second offer runs it once.
+			"mayRequeue": func(l *lifecycle) bool { return l.replayable && l.budget },
+			// The first exchange has ended; only an idempotent request may run again.
+			"mayRepeat": func(l *lifecycle) bool {
+				return l.idempotent && l.replayable && l.budget && !l.answered
+			},
+		},
+		Actions: map[string]func(*lifecycle){
+			"enqueue": emit(effEnqueue), "sendHead": emit(effSendHead), "requeue": emit(effRequeue),
+			"queryOutcome": emit(effQueryOutcome), "queryLater": emit(effQueryLater),
+			"cancelExchange": emit(effCancelExchange), "release": emit(effRelease),
+			"answerNotRun": emit(effAnswerNotRun), "answerRun": emit(effAnswerRun),
+			"answerUnknown": emit(effAnswerUnknown), "abort": emit(effAbort),
+		},
+	}
+}
--- /dev/null
+++ b/internal/entry/lifecycle_test.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/chart"
+)
+
+// Guards against a second run of a non-idempotent request whose first run may
+// have happened, and against "not run" for a request that may have run.
+func TestOutcomeAfterALostLink(t *testing.T) {
+	cases := []struct {
+		name   string
+		l      lifecycle
+		events []chart.Event
+		want   effect
+		state  chart.State
+	}{
+		{"tombstone allows a second offer", lifecycle{replayable: true, budget: true},
+			[]chart.Event{evAdmit, evOffer, evLinkLost, evNotStarted}, effRequeue, stQueued},
+		{"tombstone without a buffered body", lifecycle{budget: true},
+			[]chart.Event{evAdmit, evOffer, evLinkLost, evNotStarted}, effAnswerNotRun, stRefused},
+		{"ended, not idempotent", lifecycle{replayable: true, budget: true},
+			[]chart.Event{evAdmit, evOffer, evStarted, evLinkLost, evEnded}, effAnswerRun, stFailed},
+		{"ended, idempotent", lifecycle{replayable: true, budget: true, idempotent: true},
+			[]chart.Event{evAdmit, evOffer, evStarted, evLinkLost, evEnded}, effRequeue, stQueued},
+		{"still running, idempotent: no second copy", lifecycle{replayable: true, budget: true, idempotent: true},
+			[]chart.Event{evAdmit, evOffer, evStarted, evLinkLost, evRunning}, effQueryLater, stAsking},
+		{"forgotten", lifecycle{replayable: true, budget: true, idempotent: true},
+			[]chart.Event{evAdmit, evOffer, evLinkLost, evForgotten}, effAnswerUnknown, stUnknown},
+		{"no reply by the deadline", lifecycle{replayable: true, budget: true},
+			[]chart.Event{evAdmit, evOffer, evLinkLost, evExpire}, effAnswerUnknown, stUnknown},
+		{"failure after the response began", lifecycle{replayable: true, budget: true, idempotent: true},
+			[]chart.Event{evAdmit, evOffer, evStarted, evResponse, evFailed}, effAbort, stAborted},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := c.l
+			var last []effect
+			for _, e := range c.events {
+				effects, ok := l.step(e)
+				require.True(t, ok, "event %s in state %s", requestChart.EventName(e), requestChart.Name(l.state))
+				last = effects
+			}
+			require.Equal(t, []effect{c.want}, last)
+			require.Equal(t, requestChart.Name(c.state), requestChart.Name(l.state))
+		})
+	}
+}
--- /dev/null
+++ b/internal/finding/finding.go
@@ -0,0 +1,57 @@
+// Package finding collects defects of an input together with the place of
+// each, so that a file or request is reported on once, with every defect.
+package finding
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one defect of an input.
+type Finding struct {
+	Source string `json:"source"`          // file name, or the name of the request field's document
+	Line   int    `json:"line,omitempty"`  // 1-based; 0 when the source has no lines
+	Where  string `json:"where,omitempty"` // section and key, element or field
+	Text   string `json:"text"`            // what is wrong and what to do
+}
+
+// String formats a finding as "source:line: where: text".
+func (f Finding) String() string {
+	var b strings.Builder
+	b.WriteString(f.Source)
+	if f.Line > 0 {
+		fmt.Fprintf(&b, ":%d", f.Line)
+	}
+	b.WriteString(": ")
+	if f.Where != "" {
+		b.WriteString(f.Where)
+		b.WriteString(": ")
+	}
+	b.WriteString(f.Text)
+	return b.String()
+}
+
+// List is the findings of one input. It is an error when it is not empty.
+type List []Finding
+
+// Add appends a finding.
+func (l *List) Add(source string, line int, where, format string, args ...any) {
+	*l = append(*l, Finding{Source: source, Line: line, Where: where, Text: fmt.Sprintf(format, args...)})
+}
+
+// Err returns the list as an error, or nil when it is empty.
+func (l List) Err() error {
+	if len(l) == 0 {
+		return nil
+	}
+	return l
+}
+
+// Error returns one finding a line.
+func (l List) Error() string {
+	lines := make([]string, len(l))
+	for i, f := range l {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/msg/control.go
@@ -0,0 +1,127 @@
+// Package msg defines the typed messages between the processes of the system.
+// It does not know how they are encoded.
+package msg
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Control is a message on the control stream of a link.
+type Control interface{ isControl() }
+
+// AgentHello is the first message of an agent on a link.
+type AgentHello struct {
+	Worker  model.Worker
+	Boot    model.Boot
+	Cell    model.Cell
+	Region  model.Region
+	Version model.ConfigVersion // configuration in force at the agent
+}
+
+// EntryHello is the first message of an entry on a link.
+type EntryHello struct {
+	Entry      model.EntryID
+	Boot       model.Boot
+	DataCentre model.DataCentre
+	Version    model.ConfigVersion
+	Generation uint64 // incarnation of the link, chosen by the entry; higher after each reconnect
+}
+
+// Heartbeat is sent when nothing else was sent for a heartbeat interval.
+type Heartbeat struct{}
+
+// BackendState announces a backend server and each change of its state. An
+// agent reports it to each entry when a link comes up and on every change.
+type BackendState struct {
+	Backend     model.BackendID
+	Service     model.Service
+	State       string // state name of charts/backend.scxml
+	Slots       int
+	Connections int
+}
+
+// CreditGrant lends credits to an entry. Count may be more than one.
+type CreditGrant struct {
+	Backend    model.BackendID
+	Generation uint64
+	Count      int
+}
+
+// CreditRecall asks an entry to return idle credits.
+type CreditRecall struct {
+	Backend    model.BackendID
+	Generation uint64
+	Count      int
+}
+
+// CreditReturn gives idle credits back.
+type CreditReturn struct {
+	Backend    model.BackendID
+	Generation uint64
+	Count      int
+}
+
+// Demand reports the queue of one service at an entry. The newest replaces
+// all earlier ones.
+type Demand struct {
+	Service  model.Service
+	Queued   int
+	Short    int           // queued requests of short classes
+	Tightest time.Duration // time left for the queued request with the earliest deadline; 0 when none is queued
+}
+
+// OutcomeQuery asks what became of a request that was sent over a link that
+// was lost.
+type OutcomeQuery struct{ ID model.RequestID }
+
+// OutcomeReply answers OutcomeQuery. Before replying ExchangeNotStarted the
+// agent records a tombstone, so the request can no longer start.
+type OutcomeReply struct {
+	ID    model.RequestID
+	State ExchangeState
+}
+
+// ExchangeState is what an agent knows of a request.
+type ExchangeState uint8
+
+// States of an exchange, as reported by OutcomeReply.
+const (
+	ExchangeForgotten  ExchangeState = iota // no record: it may or may not have run
+	ExchangeNotStarted                      // it did not start and never will
+	ExchangeStarted                         // it is running at the backend server
+	ExchangeFinished                        // it was started and has ended
+)
+
+// DrainBackend asks an agent to drain its backend server.
+type DrainBackend struct{ Backend model.BackendID }
+
+// ConfigDelta carries configuration changes in version order. Applying it
+// needs the version From; a receiver at another version sends ConfigRequest.
+type ConfigDelta struct {
+	From, To model.ConfigVersion
+	Full     bool // the changes are the whole configuration at To
+	Changes  []model.ConfigChange
+}
+
+// ConfigRequest asks the peer for the changes after Have. Both sides may ask.
+type ConfigRequest struct{ Have model.ConfigVersion }
+
+// ConfigApplied reports the version in force at the sender.
+type ConfigApplied struct{ Version model.ConfigVersion }
+
+func (*AgentHello) isControl()    {}
+func (*EntryHello) isControl()    {}
+func (*Heartbeat) isControl()     {}
+func (*BackendState) isControl()  {}
+func (*CreditGrant) isControl()   {}
+func (*CreditRecall) isControl()  {}
+func (*CreditReturn) isControl()  {}
+func (*Demand) isControl()        {}
+func (*OutcomeQuery) isControl()  {}
+func (*OutcomeReply) isControl()  {}
+func (*DrainBackend) isControl()  {}
+func (*ConfigDelta) isControl()   {}
+func (*ConfigRequest) isControl() {}
+func (*ConfigApplied) isControl() {}
--- /dev/null
+++ b/internal/msg/task.go
@@ -0,0 +1,126 @@
+package msg
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Command is the part that every command of a controller to an agent has. An
+// agent refuses a command whose epoch is lower than the highest it has seen
+// for the cell.
+type Command struct {
+	Cell  model.Cell
+	Epoch model.Epoch
+}
+
+// CellClaim announces a new owner of the cell. The agent adopts the epoch and
+// replies with Inventory.
+type CellClaim struct{ Command }
+
+// LeaseRenew renews the leases of every attempt of the cell on the agent for
+// TTL from its receipt.
+type LeaseRenew struct {
+	Command
+	Sequence uint64
+	TTL      time.Duration
+	// LongTTL is the TTL for long-running attempts, which have a longer hold.
+	LongTTL time.Duration
+}
+
+// StartTask starts an attempt. Starting an attempt that is known already has
+// no effect but a repeated TaskReport.
+type StartTask struct {
+	Command
+	Attempt    model.AttemptID
+	Spec       model.JobSpec
+	Checkpoint string // object name to resume from; empty: from the beginning
+	TTL        time.Duration
+}
+
+// StopTask stops an attempt. An unknown attempt is recorded as stopped and
+// can no longer start. The agent replies with TaskReport.
+type StopTask struct {
+	Command
+	Attempt model.AttemptID
+}
+
+// CheckpointTask asks for a checkpoint; the agent replies with TaskReport.
+type CheckpointTask struct {
+	Command
+	Attempt model.AttemptID
+}
+
+// ThrottleTask limits an attempt to a share of its processor time.
+type ThrottleTask struct {
+	Command
+	Attempt model.AttemptID
+	Percent int // 100 removes the limit
+}
+
+// TaskAck acknowledges the final TaskReport of an attempt; the agent forgets
+// the attempt.
+type TaskAck struct {
+	Command
+	Attempt model.AttemptID
+}
+
+// TaskReport is the state of one attempt. Final reports are repeated until
+// acknowledged.
+type TaskReport struct {
+	Attempt    model.AttemptID
+	Epoch      model.Epoch // highest epoch known to the agent
+	State      model.TaskState
+	Checkpoint string // newest checkpoint object of this attempt
+	Result     string // result object; set when State is TaskDone
+	Reason     string // why it failed or was stopped
+	Usage      model.Usage
+	RanFor     time.Duration
+}
+
+// Inventory lists every attempt of a cell that the agent knows. It answers
+// CellClaim and precedes reports on a new link.
+type Inventory struct {
+	Cell     model.Cell
+	Epoch    model.Epoch
+	Attempts []TaskReport
+}
+
+// LeaseAck answers LeaseRenew.
+type LeaseAck struct {
+	Cell     model.Cell
+	Epoch    model.Epoch
+	Sequence uint64
+}
+
+// UsageReport carries the measured usage of a worker, which lags.
+type UsageReport struct {
+	Worker   model.WorkerID
+	Capacity model.Resources
+	Used     model.Resources
+	Age      time.Duration
+	Tasks    []TaskReport
+	Services []ServiceUsage
+}
+
+// ServiceUsage is what an agent measured at its backend server since the last
+// report.
+type ServiceUsage struct {
+	Service  model.Service
+	Class    model.Class
+	Requests int
+	P99      time.Duration
+	Busy     float64 // mean share of slots in use, 0 to 1
+}
+
+func (*CellClaim) isControl()      {}
+func (*LeaseRenew) isControl()     {}
+func (*StartTask) isControl()      {}
+func (*StopTask) isControl()       {}
+func (*CheckpointTask) isControl() {}
+func (*ThrottleTask) isControl()   {}
+func (*TaskAck) isControl()        {}
+func (*TaskReport) isControl()     {}
+func (*Inventory) isControl()      {}
+func (*LeaseAck) isControl()       {}
+func (*UsageReport) isControl()    {}
--- /dev/null
+++ b/internal/shape/shape.go
@@ -0,0 +1,164 @@
+// Package shape checks the structural rules of docs/design.md section 3 on
+// the source tree: shared state only in the actor package, decisions free of
+// transport and encoding, imports only of lower layers, and every lifecycle
+// in a chart that code interprets.
+package shape
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path"
+	"strconv"
+	"strings"
+
+	"github.com/bambooscale/bambooscale/internal/finding"
+)
+
+// Module is the path prefix of the project's own imports.
+const Module = "github.com/bambooscale/bambooscale/"
+
+// layers lists the packages from low to high. A package may import only
+// packages of lower layers. An entry ending in "/" covers what is below it.
+var layers = [][]string{
+	{"charts", "internal/finding", "internal/event"},
+	{"internal/chart", "internal/model", "internal/labels", "internal/actor"},
+	{"internal/msg"},
+	{"internal/policy/", "internal/wire"},
+	{"internal/link", "internal/platform", "internal/metrics", "internal/settings"},
+	{"internal/entry", "internal/agent", "internal/tasks", "internal/control", "internal/configstore"},
+	{"internal/operator", "internal/standin", "internal/report"},
+	{"internal/daemon", "internal/command"},
+	{"cmd/", "internal/shape", "internal/faultproxy", "internal/history", "internal/measure", "internal/explore", "test"},
+}
+
+// Check reads every Go file below fsys that is neither a test nor generated.
+func Check(fsys fs.FS) (finding.List, error) {
+	c := &checker{fset: token.NewFileSet(), charts: map[string]bool{}}
+	err := fs.WalkDir(fsys, ".", func(name string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() {
+			if base := path.Base(name); name != "." && (base == "testdata" || base == "tools" || strings.HasPrefix(base, ".")) {
+				return fs.SkipDir
+			}
+			return nil
+		}
+		return c.file(fsys, name)
+	})
+	c.checkCharts()
+	return c.found, err
+}
+
+type checker struct {
+	fset   *token.FileSet
+	found  finding.List
+	charts map[string]bool // chart file name to "bound by code"
+	bound  []string
+}
+
+func (c *checker) file(fsys fs.FS, name string) error {
+	if strings.HasSuffix(name, ".scxml") {
+		c.charts[strings.TrimSuffix(path.Base(name), ".scxml")] = false
+		return nil
+	}
+	if !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") || strings.HasSuffix(name, ".pb.go") {
+		return nil
+	}
+	raw, err := fs.ReadFile(fsys, name)
+	if err != nil {
+		return err
+	}
+	f, err := parser.ParseFile(c.fset, name, raw, parser.SkipObjectResolution)
+	if err != nil {
+		c.found.Add(name, 0, "", "does not parse: %v", err)
+		return nil
+	}
+	c.imports(name, f)
+	ast.Inspect(f, func(n ast.Node) bool { c.node(name, n); return true })
+	return nil
+}
+
+func (c *checker) line(n ast.Node) int { return c.fset.Position(n.Pos()).Line }
+
+func (c *checker) imports(name string, f *ast.File) {
+	dir := path.Dir(name)
+	for _, spec := range f.Imports {
+		imp, _ := strconv.Unquote(spec.Path.Value)
+		if why := forbiddenImport(dir, imp); why != "" {
+			c.found.Add(name, c.line(spec), imp, "%s", why)
+		}
+	}
+}
+
+func forbiddenImport(dir, imp string) string {
+	switch {
+	case (imp == "sync" || imp == "sync/atomic") && dir != "internal/actor":
+		return "goroutines share state only through internal/actor"
+	case strings.HasPrefix(imp, "google.golang.org/protobuf") && !strings.HasPrefix(dir, "internal/wire"):
+		return "encoding belongs to internal/wire"
+	case strings.HasPrefix(dir, "internal/policy/") && (imp == "net" || strings.HasPrefix(imp, "net/") || imp == "os"):
+		return "decisions do no input or output"
+	}
+	if own, ok := strings.CutPrefix(imp, Module); ok {
+		return forbiddenLayer(dir, own)
+	}
+	return ""
+}
+
+func forbiddenLayer(dir, imp string) string {
+	from, to := layerOf(dir), layerOf(imp)
+	switch {
+	case from < 0:
+		return "package " + dir + " has no layer; add it to internal/shape and docs/design.md"
+	case to < 0:
+		return "package " + imp + " has no layer; add it to internal/shape and docs/design.md"
+	case strings.HasPrefix(dir, "internal/policy/") && strings.HasPrefix(imp, "internal/policy/"):
+		return ""
+	case strings.HasPrefix(imp, dir+"/") || strings.HasPrefix(dir, imp+"/"):
+		return "" // a package and its own subpackages
+	case from <= to:
+		return "package " + dir + " may import only lower layers than its own"
+	}
+	return ""
+}
+
+func layerOf(dir string) int {
+	for i, names := range layers {
+		for _, n := range names {
+			if dir == n || strings.HasPrefix(dir, strings.TrimSuffix(n, "/")+"/") {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+func (c *checker) node(name string, n ast.Node) {
+	switch n := n.(type) {
+	case *ast.SelectorExpr:
+		if id, ok := n.X.(*ast.Ident); ok && id.Name == "time" && n.Sel.Name == "Sleep" {
+			c.found.Add(name, c.line(n), "time.Sleep", "wait on a timer and the context, as actor.Sleep does")
+		}
+	case *ast.KeyValueExpr:
+		key, ok := n.Key.(*ast.Ident)
+		lit, isLit := n.Value.(*ast.BasicLit)
+		if ok && isLit && key.Name == "Chart" && lit.Kind == token.STRING {
+			v, _ := strconv.Unquote(lit.Value)
+			c.bound = append(c.bound, v)
+		}
+	}
+}
+
+func (c *checker) checkCharts() {
+	for _, b := range c.bound {
+		c.charts[b] = true
+	}
+	for name, bound := range c.charts {
+		if !bound {
+			c.found.Add("charts/"+name+".scxml", 0, "", "no code interprets this chart")
+		}
+	}
+}
