rows, model: name the table's rows and the status types

Cause: the operators' API, the controller and the configuration store write and read the same rows; their keys and values need one definition.

--- /dev/null
+++ b/internal/model/status.go
@@ -0,0 +1,62 @@
+package model
+
+import "time"
+
+// ServiceStatus is what one entry knows of a service.
+type ServiceStatus struct {
+	Service  Service         `json:"service"`
+	Queued   int             `json:"queued"`
+	Running  int             `json:"running"`
+	Credits  int             `json:"credits"` // idle
+	Refused  int64           `json:"refused"` // since the entry started
+	Backends []BackendStatus `json:"backends"`
+	Classes  []ClassStatus   `json:"classes,omitempty"`
+}
+
+// ClassStatus is what one entry measured for a class of requests.
+type ClassStatus struct {
+	Class  Class         `json:"class"`
+	Tenant Tenant        `json:"tenant,omitempty"`
+	Queued int           `json:"queued"`
+	Long   bool          `json:"long"`
+	P50    time.Duration `json:"p50Ns"`
+	P99    time.Duration `json:"p99Ns"`
+	P999   time.Duration `json:"p999Ns"`
+}
+
+// BackendStatus is what one entry knows of a backend server.
+type BackendStatus struct {
+	Backend    BackendID  `json:"backend"`
+	Worker     WorkerID   `json:"worker"`
+	DataCentre DataCentre `json:"dataCentre"`
+	State      string     `json:"state"` // state name of charts/backend.scxml
+	Slots      int        `json:"slots"`
+	Credits    int        `json:"credits"` // idle at this entry
+	Running    int        `json:"running"` // sent by this entry
+}
+
+// CellStatus is what the controller of a cell, or a standby, knows.
+type CellStatus struct {
+	Cell    Cell           `json:"cell"`
+	State   string         `json:"state"` // state name of charts/cell.scxml
+	Epoch   Epoch          `json:"epoch"`
+	Owner   EntryID        `json:"owner"`
+	Phases  map[Phase]int  `json:"phases,omitempty"` // number of jobs by phase
+	Workers []WorkerStatus `json:"workers,omitempty"`
+}
+
+// WorkerStatus is what a controller knows of a worker.
+type WorkerStatus struct {
+	Worker   WorkerID  `json:"worker"`
+	State    string    `json:"state"` // state name of charts/worker.scxml
+	Reason   string    `json:"reason,omitempty"`
+	Capacity Resources `json:"capacity"`
+	Charged  Resources `json:"charged"`
+	Tasks    int       `json:"tasks"`
+}
+
+// AppliedVersion is the configuration version in force at a daemon.
+type AppliedVersion struct {
+	Daemon  string        `json:"daemon"`
+	Version ConfigVersion `json:"version"`
+}
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -26,9 +26,9 @@
 	{"internal/chart", "internal/model", "internal/labels", "internal/actor"},
 	{"internal/msg"},
 	{"internal/policy/", "internal/wire"},
-	{"internal/link", "internal/platform", "internal/metrics", "internal/settings"},
+	{"internal/link", "internal/platform", "internal/rows", "internal/metrics", "internal/settings"},
 	{"internal/entry", "internal/agent", "internal/tasks", "internal/control", "internal/configstore"},
-	{"internal/operator", "internal/standin", "internal/report"},
+	{"internal/operator", "internal/standin"},
 	{"internal/daemon", "internal/command"},
 	{"cmd/", "internal/shape", "internal/faultproxy", "internal/history", "internal/measure", "internal/explore", "test"},
 }
