entry, agent: add the request path on typed messages

Cause: the whole path caller, entry, agent, backend server has to exist thin before it is deepened.

A backend server's slots are bounded at the agent; queues stay at the entry.

--- /dev/null
+++ b/internal/agent/actor.go
@@ -0,0 +1,45 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Address is the address of a slots actor.
+type Address = actor.Address[Message]
+
+// mailbox is the room for messages to the slots actor; senders wait when it
+// is full.
+const mailbox = 1024
+
+// SpawnSlots starts the actor that owns the slots of the host's backend
+// server. dc is the host's data centre.
+func SpawnSlots(g *actor.Group, dc model.DataCentre) Address {
+	return actor.Spawn(g, actor.Spec[Message]{Name: "slots", Mailbox: mailbox,
+		Run: func(ctx context.Context, in <-chan Message) error {
+			return runSlots(ctx, newSlots(dc), in)
+		}})
+}
+
+func runSlots(ctx context.Context, s *slots, in <-chan Message) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	defer s.timers.Stop()
+	for {
+		select {
+		case m := <-in:
+			s.handle(m)
+		case <-s.timers.C():
+			for k, ok := s.timers.Pop(time.Now()); ok; k, ok = s.timers.Pop(time.Now()) {
+				s.expire(k)
+			}
+		case <-ticker.C:
+			s.tick()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/exchanges.go
@@ -0,0 +1,294 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/lend"
+)
+
+// begin accepts or refuses a request that has arrived.
+func (s *slots) begin(m begin) {
+	rec := s.records.get(m.head.ID)
+	if rec == nil { // the sequence number is older than the records kept
+		m.reply <- verdict{refused: msg.RefusedCancelled}
+		return
+	}
+	if rec.state != exNew { // a tombstone, or a duplicate
+		m.reply <- verdict{refused: msg.RefusedCancelled}
+		return
+	}
+	rec.reply, rec.cancel = m.reply, m.cancel
+	rec.entry, rec.class, rec.long, rec.began = m.entry, m.head.Class, m.head.Long, s.now
+	rec.refusal = s.refusal(m, rec)
+	exchangeChart.Step(rec, &rec.state, exBegin)
+	if exchangeChart.Final(rec.state) {
+		s.records.retire(rec, s.now)
+		return
+	}
+	s.waiting = append(s.waiting, rec)
+	if d, _, ok := exchangeChart.Timeout(rec.state); ok {
+		s.timers.Set(timerKey{kind: timerAccepted, id: rec.id}, s.now.Add(d))
+	}
+}
+
+// refusal spends a credit of the link's generation for rec, or says why not.
+func (s *slots) refusal(m begin, rec *exchangeRecord) msg.RefusedReason {
+	b := s.borrower(m.entry, m.head.Generation)
+	if b == nil {
+		return msg.RefusedNoCredit
+	}
+	c := s.find(b, crLent)
+	if c == nil {
+		c = s.find(b, crRecalled)
+	}
+	if c == nil {
+		return msg.RefusedNoCredit
+	}
+	b.Recent++
+	if s.backend.state != beReady && s.backend.state != beSuspect && s.backend.state != beDraining {
+		s.giveBack(c)
+		return msg.RefusedDraining
+	}
+	if rec.long && s.longFree() <= 0 {
+		s.giveBack(c)
+		return msg.RefusedNoCredit
+	}
+	creditChart.Step(c, &c.state, crSpend)
+	rec.credit = c
+	return 0
+}
+
+func (s *slots) giveBack(c *credit) {
+	creditChart.Step(c, &c.state, crReturn)
+	c.borrower = nil
+}
+
+// startWaiting starts accepted requests while slots are free. Invariant: at
+// most Slots exchanges are running or settling.
+func (s *slots) startWaiting() {
+	for len(s.waiting) > 0 && s.busy() < s.backend.Slots {
+		rec := s.waiting[0]
+		rec.address = s.backend.Address
+		rec.began = s.now
+		s.stepWaiting(rec, exStart)
+		s.running[rec.id] = rec
+	}
+}
+
+// busy counts the slots in use at the backend server.
+func (s *slots) busy() int {
+	n := len(s.running)
+	for i := range s.credits {
+		if s.credits[i].state == crSettling {
+			n++
+		}
+	}
+	return n
+}
+
+// stepWaiting steps a request that may be waiting and removes it from the
+// queue when it left that state.
+func (s *slots) stepWaiting(rec *exchangeRecord, e chart.Event) {
+	before := rec.state
+	if !exchangeChart.Step(rec, &rec.state, e) || rec.state == before {
+		return
+	}
+	if before == exAccepted {
+		s.timers.Clear(timerKey{kind: timerAccepted, id: rec.id})
+		for i, w := range s.waiting {
+			if w == rec {
+				s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+				break
+			}
+		}
+	}
+	if exchangeChart.Final(rec.state) {
+		s.release(rec, crRelease)
+		s.records.retire(rec, s.now)
+	}
+}
+
+func (s *slots) release(rec *exchangeRecord, e chart.Event) {
+	c := rec.credit
+	if c == nil {
+		return
+	}
+	c.borrower = nil
+	creditChart.Step(c, &c.state, e)
+	if d, _, ok := creditChart.Timeout(c.state); ok {
+		for i := range s.credits {
+			if &s.credits[i] == c {
+				s.timers.Set(timerKey{kind: timerSettle, index: i}, s.now.Add(d))
+			}
+		}
+	}
+}
+
+func (s *slots) cancelled(id model.RequestID) {
+	rec := s.records.byID[id]
+	if rec == nil {
+		return
+	}
+	if rec.state == exStarted && rec.cancel != nil {
+		rec.cancel()
+		return
+	}
+	rec.refusal = msg.RefusedCancelled
+	s.stepWaiting(rec, exCancel)
+}
+
+func (s *slots) ended(m ended) {
+	rec := s.running[m.id]
+	if rec == nil {
+		return
+	}
+	delete(s.running, m.id)
+	event, how := exEnded, crRelease
+	if m.unreached {
+		event = exUnreached
+	} else {
+		s.classes.Finished(rec.class, m.ran)
+		s.mean += (float64(m.ran) - s.mean) * meanSmoothing
+	}
+	if m.early {
+		how = crSettle
+	}
+	exchangeChart.Step(rec, &rec.state, event)
+	s.release(rec, how)
+	s.records.retire(rec, s.now)
+}
+
+const meanSmoothing = 0.05
+
+// longRunning counts the requests that run and belong to a long class or have
+// outlived their class.
+func (s *slots) longRunning() int {
+	n := 0
+	for _, r := range s.running {
+		if r.long || s.classes.Aged(r.class, s.now.Sub(r.began)) {
+			n++
+		}
+	}
+	for _, r := range s.waiting {
+		if r.long {
+			n++
+		}
+	}
+	return n
+}
+
+// longFree is how many more long requests may start: half of the slots are
+// kept for short ones.
+func (s *slots) longFree() int { return max(1, s.backend.Slots/2) - s.longRunning() }
+
+// linkRTT is assumed for the look-ahead: between data centres it is 3 ms.
+const linkRTT = 3 * time.Millisecond
+
+// lend carries out the plan of package lend.
+func (s *slots) lend() {
+	look := lend.LookAhead(s.backend.Slots, linkRTT, time.Duration(s.mean))
+	s.flat = s.flat[:0]
+	for _, b := range s.borrowers {
+		s.count(b)
+		s.flat = append(s.flat, b.Borrower)
+	}
+	state := lend.Slots{Total: s.backend.Slots - s.withoutBorrower(), LookAhead: look, Open: s.backend.open}
+	s.grants = lend.Plan(state, s.flat, s.grants[:0])
+	for i, b := range s.borrowers {
+		b.Granted = s.flat[i].Granted
+	}
+	for _, g := range s.grants {
+		s.carryOut(s.borrowers[g.Borrower], g.Count)
+	}
+	s.tellLong()
+}
+
+// withoutBorrower counts the credits that no entry accounts for: those that
+// settle, and those of exchanges whose link was lost.
+func (s *slots) withoutBorrower() int {
+	n := 0
+	for i := range s.credits {
+		if c := &s.credits[i]; c.borrower == nil && c.state != crFree {
+			n++
+		}
+	}
+	return n
+}
+
+// resize makes room for more credits. There is no need to shrink, because the
+// plan bounds what is lent.
+func (s *slots) resize(n int) {
+	if n <= len(s.credits) {
+		return
+	}
+	grown := make([]credit, n)
+	copy(grown, s.credits)
+	moved := map[*credit]*credit{}
+	for i := range s.credits {
+		moved[&s.credits[i]] = &grown[i]
+	}
+	for _, r := range s.records.byID {
+		if r.credit != nil {
+			r.credit = moved[r.credit]
+		}
+	}
+	s.credits = grown
+}
+
+func (s *slots) count(b *borrower) {
+	b.Idle, b.Running, b.Recalled = 0, 0, 0
+	for i := range s.credits {
+		c := &s.credits[i]
+		if c.borrower != b {
+			continue
+		}
+		switch c.state {
+		case crLent:
+			b.Idle++
+		case crRecalled:
+			b.Idle++
+			b.Recalled++
+		case crSpent:
+			b.Running++
+		}
+	}
+}
+
+func (s *slots) carryOut(b *borrower, count int) {
+	if count < 0 {
+		for range -count {
+			if c := s.find(b, crLent); c != nil {
+				creditChart.Step(c, &c.state, crRecall)
+			}
+		}
+		b.out.TrySend(&msg.CreditRecall{Backend: s.backend.Backend, Generation: b.generation, Count: -count})
+		return
+	}
+	granted := 0
+	for range count {
+		if c := s.find(nil, crFree); c != nil {
+			c.borrower = b
+			creditChart.Step(c, &c.state, crLend)
+			granted++
+		}
+	}
+	b.longSent = s.longFree()
+	b.out.TrySend(&msg.CreditGrant{Backend: s.backend.Backend, Generation: b.generation, Count: granted, Long: b.longSent})
+}
+
+// tellLong tells the entries how many long requests may start, when it changed.
+func (s *slots) tellLong() {
+	if s.backend.Backend == "" {
+		return
+	}
+	free := s.longFree()
+	for _, b := range s.borrowers {
+		if b.longSent != free {
+			b.longSent = free
+			b.out.TrySend(&msg.CreditGrant{Backend: s.backend.Backend, Generation: b.generation, Long: free})
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/lifecycle.go
@@ -0,0 +1,123 @@
+// Package agent is the authority for the backend server on its host: its
+// slots and connections, its announcements and its drain. It knows nothing of
+// placement.
+package agent
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/charts"
+	"github.com/bambooscale/bambooscale/internal/chart"
+)
+
+// States and events of charts/exchange.scxml.
+const (
+	exNew chart.State = iota
+	exAccepted
+	exStarted
+	exRefused
+	exFinished
+)
+
+const (
+	exBegin chart.Event = iota
+	exStart
+	exCancel
+	exQuery
+	exExpire
+	exWithdraw
+	exUnreached
+	exEnded
+)
+
+const (
+	// A request waits at the agent only for the look-ahead, so a wait this
+	// long means that the backend server is stuck; the entry tries elsewhere.
+	acceptedBound = 2 * time.Second
+	// Backend servers announce themselves every announceInterval.
+	announceInterval = 2 * time.Second
+	suspectAfter     = 3 * announceInterval
+	downAfter        = 7 * announceInterval // after suspect: 10 announcements in all
+	// Guarantee G7 allows 3 s from the drain to the last start; the rest is
+	// for the message and the connection.
+	startBound = 2500 * time.Millisecond
+	// The backend server is on the same host; it notices a closed connection
+	// well within this time.
+	settleTime = 20 * time.Millisecond
+)
+
+var exchangeChart = chart.MustCompile(charts.Files, chart.Binding[exchangeRecord]{
+	Chart:  "exchange",
+	States: []string{"new", "accepted", "started", "refused", "finished"},
+	Events: []string{"begin", "start", "cancel", "query", "expire", "withdraw", "unreached", "ended"},
+	Guards: map[string]func(*exchangeRecord) bool{
+		"allowed": func(r *exchangeRecord) bool { return r.refusal == 0 },
+	},
+	Actions: map[string]func(*exchangeRecord){
+		"start":  func(r *exchangeRecord) { r.tell(verdict{start: true}) },
+		"refuse": func(r *exchangeRecord) { r.tell(verdict{refused: r.refusal}) },
+	},
+	Delays: map[string]time.Duration{"acceptedBound": acceptedBound},
+})
+
+// States and events of charts/credit.scxml.
+const (
+	crFree chart.State = iota
+	crLent
+	crRecalled
+	crSpent
+	crSettling
+)
+
+const (
+	crLend chart.Event = iota
+	crSpend
+	crRecall
+	crReturn
+	crKeep
+	crVoid
+	crRelease
+	crSettle
+	crSettled
+)
+
+var creditChart = chart.MustCompile(charts.Files, chart.Binding[credit]{
+	Chart:  "credit",
+	States: []string{"free", "lent", "recalled", "spent", "settling"},
+	Events: []string{"lend", "spend", "recall", "return", "keep", "void", "release", "settle", "settled"},
+	Delays: map[string]time.Duration{"settleTime": settleTime},
+})
+
+// States and events of charts/backend.scxml.
+const (
+	beAbsent chart.State = iota
+	beReady
+	beSuspect
+	beDown
+	beDraining
+	beFinishing
+	beLeft
+)
+
+const (
+	beAnnounce chart.Event = iota
+	beReplaced
+	beDrain
+	beSilence
+	beIdle
+)
+
+var backendChart = chart.MustCompile(charts.Files, chart.Binding[backend]{
+	Chart:  "backend",
+	States: []string{"absent", "ready", "suspect", "down", "draining", "finishing", "left"},
+	Events: []string{"announce", "replaced", "drain", "silence", "idle"},
+	Actions: map[string]func(*backend){
+		"rearm":         func(b *backend) { b.rearm = true },
+		"open":          func(b *backend) { b.open = true },
+		"close":         func(b *backend) { b.open = false },
+		"refuseWaiting": func(b *backend) { b.refuseWaiting = true },
+	},
+	Delays: map[string]time.Duration{
+		"suspectAfter": suspectAfter, "downAfter": downAfter, "startBound": startBound,
+	},
+})
--- /dev/null
+++ b/internal/agent/slots.go
@@ -0,0 +1,306 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/peer"
+	"github.com/bambooscale/bambooscale/internal/policy/dispatch"
+	"github.com/bambooscale/bambooscale/internal/policy/lend"
+)
+
+// credit is one unit of what the agent lends.
+type credit struct {
+	state    chart.State
+	borrower *borrower
+}
+
+// borrower is an entry with a link.
+type borrower struct {
+	lend.Borrower
+	generation uint64
+	out        peer.Out
+	longSent   int // last Long that the entry was told
+}
+
+// backend is the backend server of the host.
+type backend struct {
+	Announce
+	state         chart.State
+	rearm         bool // the state's timeout starts again
+	open          bool // credits may be lent
+	refuseWaiting bool
+}
+
+// timerKey names a deadline of the slots actor.
+type timerKey struct {
+	kind  timerKind
+	id    model.RequestID
+	index int
+}
+
+type timerKind uint8
+
+const (
+	timerBackend timerKind = iota
+	timerAccepted
+	timerSettle
+)
+
+// slots is the state of the slots actor.
+type slots struct {
+	dataCentre model.DataCentre
+	backend    backend
+	credits    []credit
+	borrowers  []*borrower
+	records    records
+	waiting    []*exchangeRecord // accepted, first come first served
+	running    map[model.RequestID]*exchangeRecord
+	classes    *dispatch.Classes
+	mean       float64 // of all classes, nanoseconds
+	timers     *actor.Timers[timerKey]
+	now        time.Time
+	grants     []lend.Grant // scratch
+	flat       []lend.Borrower
+}
+
+func newSlots(dc model.DataCentre) *slots {
+	return &slots{
+		dataCentre: dc, records: newRecords(), classes: dispatch.NewClasses(),
+		running: map[model.RequestID]*exchangeRecord{}, timers: actor.NewTimers[timerKey](),
+	}
+}
+
+// handle processes one message, then lends what became free.
+func (s *slots) handle(m Message) {
+	s.now = time.Now()
+	switch m := m.(type) {
+	case EntryUp:
+		s.entryUp(m)
+	case EntryDown:
+		s.entryDown(m)
+	case FromEntry:
+		s.fromEntry(m)
+	case Announce:
+		s.announce(m)
+	case Drain:
+		s.stepBackend(beDrain)
+	case begin:
+		s.begin(m)
+	case cancelled:
+		s.cancelled(m.id)
+	case ended:
+		s.ended(m)
+	case StatusQuery:
+		m.Reply.Put(s.status())
+	}
+	s.settle()
+}
+
+// settle starts what can start and lends what is free.
+func (s *slots) settle() {
+	s.startWaiting()
+	if len(s.running)+len(s.waiting) == 0 {
+		s.stepBackend(beIdle)
+	}
+	s.lend()
+}
+
+func (s *slots) expire(k timerKey) {
+	s.now = time.Now()
+	switch k.kind {
+	case timerBackend:
+		s.stepBackend(beSilence)
+	case timerAccepted:
+		if rec := s.records.byID[k.id]; rec != nil {
+			rec.refusal = msg.RefusedDown
+			s.stepWaiting(rec, exExpire)
+		}
+	case timerSettle:
+		creditChart.Step(&s.credits[k.index], &s.credits[k.index].state, crSettled)
+	}
+	s.settle()
+}
+
+// tick fades the traffic by which idle slots are divided.
+func (s *slots) tick() {
+	s.now = time.Now()
+	for _, b := range s.borrowers {
+		b.Recent /= 2
+	}
+	s.settle()
+}
+
+func (s *slots) stepBackend(e chart.Event) {
+	b, before := &s.backend, s.backend.state
+	b.rearm, b.refuseWaiting = false, false
+	if !backendChart.Step(b, &b.state, e) {
+		return
+	}
+	if b.rearm || b.state != before {
+		s.timers.Clear(timerKey{kind: timerBackend})
+		if d, _, ok := backendChart.Timeout(b.state); ok {
+			s.timers.Set(timerKey{kind: timerBackend}, s.now.Add(d))
+		}
+	}
+	if b.refuseWaiting {
+		s.refuseWaiting()
+	}
+	if b.state != before {
+		s.reportBackend()
+	}
+}
+
+func (s *slots) announce(m Announce) {
+	event := beAnnounce
+	if s.backend.Instance != "" && m.Instance != s.backend.Instance {
+		event = beReplaced
+	}
+	s.backend.Announce = m
+	s.resize(2 * m.Slots) // the look-ahead is at most the slots
+	s.stepBackend(event)
+}
+
+func (s *slots) refuseWaiting() {
+	for len(s.waiting) > 0 {
+		rec := s.waiting[0]
+		rec.refusal = msg.RefusedDraining
+		s.stepWaiting(rec, exWithdraw)
+	}
+}
+
+func (s *slots) reportBackend() {
+	for _, b := range s.borrowers {
+		s.sendBackend(b)
+	}
+}
+
+func (s *slots) sendBackend(b *borrower) {
+	if s.backend.Backend == "" {
+		return
+	}
+	b.out.TrySend(&msg.BackendState{
+		Backend: s.backend.Backend, Service: s.backend.Service, State: backendChart.Name(s.backend.state),
+		Slots: s.backend.Slots, Connections: s.backend.Connections,
+	})
+}
+
+func (s *slots) entryUp(m EntryUp) {
+	s.entryDown(EntryDown{Entry: m.Hello.Entry, Generation: m.Hello.Generation})
+	b := &borrower{generation: m.Hello.Generation, out: m.Out, longSent: -1}
+	b.Entry, b.Near = m.Hello.Entry, m.Hello.DataCentre == s.dataCentre
+	s.borrowers = append(s.borrowers, b)
+	s.sendBackend(b)
+}
+
+// entryDown voids the idle credits of a link. Spent credits stay with their
+// exchanges until those have ended at the backend server.
+func (s *slots) entryDown(m EntryDown) {
+	for i, b := range s.borrowers {
+		if b.Entry != m.Entry || b.generation > m.Generation {
+			continue
+		}
+		for k := range s.credits {
+			if c := &s.credits[k]; c.borrower == b {
+				creditChart.Step(c, &c.state, crVoid)
+				c.borrower = nil
+			}
+		}
+		s.borrowers = append(s.borrowers[:i], s.borrowers[i+1:]...)
+		return
+	}
+}
+
+func (s *slots) borrower(entry model.EntryID, generation uint64) *borrower {
+	for _, b := range s.borrowers {
+		if b.Entry == entry && b.generation == generation {
+			return b
+		}
+	}
+	return nil
+}
+
+func (s *slots) fromEntry(m FromEntry) {
+	b := s.borrower(m.Entry, m.Generation)
+	if b == nil {
+		return
+	}
+	switch m := m.Msg.(type) {
+	case *msg.Demand:
+		b.Queued, b.Tightest, b.Granted = m.Queued, m.Tightest, 0
+	case *msg.CreditReturn:
+		if m.Generation == b.generation {
+			s.returned(b, m.Count)
+		}
+	case *msg.OutcomeQuery:
+		s.query(b, m.ID)
+	case *msg.DrainBackend:
+		s.stepBackend(beDrain)
+	}
+}
+
+// returned takes back the credits with which an entry answered a recall. The
+// recalled ones that it did not return were spent meanwhile; the heads of
+// those requests are on their way and take any credit of the entry.
+func (s *slots) returned(b *borrower, count int) {
+	defer s.keep(b)
+	for range count {
+		c := s.find(b, crRecalled)
+		if c == nil {
+			c = s.find(b, crLent)
+		}
+		if c == nil {
+			return
+		}
+		creditChart.Step(c, &c.state, crReturn)
+		c.borrower = nil
+	}
+}
+
+func (s *slots) keep(b *borrower) {
+	for c := s.find(b, crRecalled); c != nil; c = s.find(b, crRecalled) {
+		creditChart.Step(c, &c.state, crKeep)
+	}
+}
+
+func (s *slots) find(b *borrower, state chart.State) *credit {
+	for i := range s.credits {
+		if c := &s.credits[i]; c.borrower == b && c.state == state {
+			return c
+		}
+	}
+	return nil
+}
+
+// query answers what became of a request. One that has not started is
+// refused first, so that the answer stays true.
+func (s *slots) query(b *borrower, id model.RequestID) {
+	reply := &msg.OutcomeReply{ID: id, State: msg.ExchangeForgotten}
+	if rec := s.records.get(id); rec != nil {
+		if rec.refusal == 0 {
+			rec.refusal = msg.RefusedCancelled
+		}
+		s.stepWaiting(rec, exQuery)
+		reply.State = rec.outcome()
+	}
+	b.out.TrySend(reply)
+}
+
+func (s *slots) status() Status {
+	st := Status{
+		Backend: s.backend.Backend, Service: s.backend.Service, State: backendChart.Name(s.backend.state),
+		Slots: s.backend.Slots, Running: len(s.running), Waiting: len(s.waiting), Long: s.longRunning(),
+	}
+	for i := range s.credits {
+		switch s.credits[i].state {
+		case crLent, crRecalled:
+			st.Lent++
+		case crSettling:
+			st.Settling++
+		}
+	}
+	return st
+}
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/bambooscale/bambooscale/charts"
 	"github.com/bambooscale/bambooscale/internal/chart"
 )
@@ -13,6 +15,7 @@
 	stStarted
 	stAnswering
 	stAsking
+	stExpiring
 	stDone
 	stRefused
 	stUnknown
@@ -37,6 +40,8 @@
 	evForgotten
 	evExpire
 	evCancel
+	evGiveUp
+	evAskAgain
 )
 
 // effect is what a step of the lifecycle asks its owner to do.
@@ -59,6 +64,15 @@
 // maxEffects bounds the effects of one step; no transition has more actions.
 const maxEffects = 4
 
+// maxTries bounds the offers of one request.
+const maxTries = 4
+
+const (
+	// An agent applies the request's deadline itself and refuses shortly
+	// after it; this adds the way back and a busy host.
+	refusalBound = 500 * time.Millisecond
+)
+
 // lifecycle is the state of one request without its sockets. Steps are pure:
 // they record effects, which the request's actor carries out.
 type lifecycle struct {
@@ -66,7 +80,8 @@
 	idempotent bool
 	replayable bool // the whole body so far is buffered
 	answered   bool // response bytes may have reached the caller
-	budget     bool // the retry budget allows one more try
+	ran        bool // an earlier exchange was started and has ended
+	tries      int  // offers so far
 	effects    [maxEffects]effect
 	pending    int
 }
@@ -93,24 +108,35 @@
 	emit := func(e effect) func(*lifecycle) { return func(l *lifecycle) { l.emit(e) } }
 	return chart.Binding[lifecycle]{
 		Chart: "request",
-		States: []string{"new", "queued", "offered", "started", "answering", "asking",
+		States: []string{"new", "queued", "offered", "started", "answering", "asking", "expiring",
 			"done", "refused", "unknown", "failed", "aborted", "cancelled"},
 		Events: []string{"admit", "refuse", "offer", "started", "notStarted", "response", "complete",
-			"failed", "linkLost", "ended", "running", "forgotten", "expire", "cancel"},
+			"failed", "linkLost", "ended", "running", "forgotten", "expire", "cancel", "giveUp", "askAgain"},
 		Guards: map[string]func(*lifecycle) bool{
 			// The request was never started, so a second offer runs it once.
-			"mayRequeue": func(l *lifecycle) bool { return l.replayable && l.budget },
+			"mayRequeue": func(l *lifecycle) bool { return l.replayable && l.tries < maxTries },
 			// The first exchange has ended; only an idempotent request may run again.
 			"mayRepeat": func(l *lifecycle) bool {
-				return l.idempotent && l.replayable && l.budget && !l.answered
+				return l.idempotent && l.replayable && l.tries < maxTries && !l.answered
 			},
 		},
 		Actions: map[string]func(*lifecycle){
 			"enqueue": emit(effEnqueue), "sendHead": emit(effSendHead), "requeue": emit(effRequeue),
 			"queryOutcome": emit(effQueryOutcome), "queryLater": emit(effQueryLater),
 			"cancelExchange": emit(effCancelExchange), "release": emit(effRelease),
-			"answerNotRun": emit(effAnswerNotRun), "answerRun": emit(effAnswerRun),
-			"answerUnknown": emit(effAnswerUnknown), "abort": emit(effAbort),
+			"answerRun": emit(effAnswerRun), "answerUnknown": emit(effAnswerUnknown), "abort": emit(effAbort),
+			"answerNotRun": func(l *lifecycle) {
+				if l.ran { // an earlier exchange of an idempotent request did run
+					l.emit(effAnswerRun)
+					return
+				}
+				l.emit(effAnswerNotRun)
+			},
+			"repeat": func(l *lifecycle) {
+				l.ran = true
+				l.emit(effRequeue)
+			},
 		},
+		Delays: map[string]time.Duration{"refusalBound": refusalBound},
 	}
 }
--- a/internal/entry/lifecycle_test.go
+++ b/internal/entry/lifecycle_test.go
@@ -18,21 +18,25 @@
 		want   effect
 		state  chart.State
 	}{
-		{"tombstone allows a second offer", lifecycle{replayable: true, budget: true},
+		{"tombstone allows a second offer", lifecycle{replayable: true},
 			[]chart.Event{evAdmit, evOffer, evLinkLost, evNotStarted}, effRequeue, stQueued},
-		{"tombstone without a buffered body", lifecycle{budget: true},
+		{"tombstone without a buffered body", lifecycle{},
 			[]chart.Event{evAdmit, evOffer, evLinkLost, evNotStarted}, effAnswerNotRun, stRefused},
-		{"ended, not idempotent", lifecycle{replayable: true, budget: true},
+		{"ended, not idempotent", lifecycle{replayable: true},
 			[]chart.Event{evAdmit, evOffer, evStarted, evLinkLost, evEnded}, effAnswerRun, stFailed},
-		{"ended, idempotent", lifecycle{replayable: true, budget: true, idempotent: true},
+		{"ended, idempotent", lifecycle{replayable: true, idempotent: true},
 			[]chart.Event{evAdmit, evOffer, evStarted, evLinkLost, evEnded}, effRequeue, stQueued},
-		{"still running, idempotent: no second copy", lifecycle{replayable: true, budget: true, idempotent: true},
+		{"still running, idempotent: no second copy", lifecycle{replayable: true, idempotent: true},
 			[]chart.Event{evAdmit, evOffer, evStarted, evLinkLost, evRunning}, effQueryLater, stAsking},
-		{"forgotten", lifecycle{replayable: true, budget: true, idempotent: true},
+		{"refused after an idempotent request ran once", lifecycle{replayable: true, idempotent: true},
+			[]chart.Event{evAdmit, evOffer, evStarted, evFailed, evRefuse}, effAnswerRun, stRefused},
+		{"refused at the deadline", lifecycle{replayable: true},
+			[]chart.Event{evAdmit, evOffer, evExpire, evNotStarted}, effAnswerNotRun, stRefused},
+		{"forgotten", lifecycle{replayable: true, idempotent: true},
 			[]chart.Event{evAdmit, evOffer, evLinkLost, evForgotten}, effAnswerUnknown, stUnknown},
-		{"no reply by the deadline", lifecycle{replayable: true, budget: true},
+		{"no reply by the deadline", lifecycle{replayable: true},
 			[]chart.Event{evAdmit, evOffer, evLinkLost, evExpire}, effAnswerUnknown, stUnknown},
-		{"failure after the response began", lifecycle{replayable: true, budget: true, idempotent: true},
+		{"failure after the response began", lifecycle{replayable: true, idempotent: true},
 			[]chart.Event{evAdmit, evOffer, evStarted, evResponse, evFailed}, effAbort, stAborted},
 	}
 	for _, c := range cases {
--- /dev/null
+++ b/internal/entry/routing.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Header fields with which callers steer a request, and the prefix of all.
+const (
+	headerPrefix   = "Bambooscale-"
+	headerService  = "Bambooscale-Service"
+	headerTenant   = "Bambooscale-Tenant"
+	headerDeadline = "Bambooscale-Deadline-Ms"
+)
+
+// DefaultDeadline bounds a request whose class has no deadline of its own.
+const DefaultDeadline = 30 * time.Second
+
+// maxNameBytes bounds names that callers choose.
+const maxNameBytes = 63
+
+// DefaultClass is the class of requests that match no class of the
+// configuration.
+const DefaultClass model.Class = "default"
+
+// ClassRule is a class of requests of one service.
+type ClassRule struct {
+	Name       model.Class
+	PathPrefix string
+	Deadline   time.Duration // 0: DefaultDeadline
+	Long       *bool         // nil: learned
+	// Idempotent lists the methods that are idempotent for this class; nil
+	// means those of RFC 9110.
+	Idempotent map[string]bool
+}
+
+// ServiceRule is a service that callers may address.
+type ServiceRule struct {
+	Name          model.Service
+	DefaultTenant model.Tenant
+	Classes       []ClassRule // the longest matching prefix wins
+}
+
+// RoutingTable is an immutable set of services.
+type RoutingTable struct {
+	Services map[model.Service]ServiceRule
+	Default  model.Service // for requests that name none; may be empty
+}
+
+// route is where a request belongs.
+type route struct {
+	service  model.Service
+	tenant   model.Tenant
+	class    ClassRule
+	deadline time.Duration
+}
+
+// find returns the route of r. known tells whether a service that the table
+// does not list exists because a backend server announced it.
+func (t *RoutingTable) find(r *http.Request) (route, bool) {
+	rule, ok := t.service(r)
+	if !ok {
+		return route{}, false
+	}
+	rt := route{service: rule.Name, tenant: rule.DefaultTenant, class: rule.class(r.URL.Path)}
+	if name := r.Header.Get(headerTenant); name != "" && len(name) <= maxNameBytes {
+		rt.tenant = model.Tenant(name)
+	}
+	if rt.tenant == "" {
+		rt.tenant = model.Tenant(rule.Name)
+	}
+	rt.deadline = rt.class.Deadline
+	if rt.deadline <= 0 {
+		rt.deadline = DefaultDeadline
+	}
+	return rt, true
+}
+
+func (t *RoutingTable) service(r *http.Request) (ServiceRule, bool) {
+	if name := r.Header.Get(headerService); name != "" {
+		rule, ok := t.Services[model.Service(name)]
+		return rule, ok
+	}
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	if net.ParseIP(host) == nil {
+		label, _, _ := strings.Cut(host, ".")
+		if rule, ok := t.Services[model.Service(label)]; ok {
+			return rule, true
+		}
+	}
+	rule, ok := t.Services[t.Default]
+	return rule, ok
+}
+
+func (s *ServiceRule) class(path string) ClassRule {
+	best := ClassRule{Name: DefaultClass}
+	for _, c := range s.Classes {
+		if strings.HasPrefix(path, c.PathPrefix) && len(c.PathPrefix) >= len(best.PathPrefix) {
+			best = c
+		}
+	}
+	return best
+}
+
+// idempotent reports whether a request of the class may run more than once.
+func (c *ClassRule) idempotent(method string) bool {
+	if c.Idempotent != nil {
+		return c.Idempotent[method]
+	}
+	return model.Idempotent(method)
+}
--- a/internal/msg/control.go
+++ b/internal/msg/control.go
@@ -42,11 +42,13 @@
 	Connections int
 }
 
-// CreditGrant lends credits to an entry. Count may be more than one.
+// CreditGrant lends credits to an entry. Count may be more than one, or zero
+// when only Long changed.
 type CreditGrant struct {
 	Backend    model.BackendID
 	Generation uint64
 	Count      int
+	Long       int // how many of the entry's credits may be spent on long classes; replaces the last value
 }
 
 // CreditRecall asks an entry to return idle credits.
--- /dev/null
+++ b/internal/policy/lend/lend.go
@@ -0,0 +1,193 @@
+// Package lend decides which entry gets the free slots of a backend server,
+// and from whom idle credits are recalled. It is pure.
+package lend
+
+import (
+	"math"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Borrower is an entry as the agent sees it.
+type Borrower struct {
+	Entry model.EntryID
+	Near  bool // in the agent's data centre
+	Idle  int  // credits lent and not known to be spent
+	// Running counts spent credits whose exchange has not ended.
+	Running  int
+	Recalled int           // credits asked back and not yet returned or spent
+	Queued   int           // from the newest demand report
+	Tightest time.Duration // time left of the tightest queued request; 0: none
+	// Granted counts the credits granted since the newest demand report: the
+	// report does not know of them yet.
+	Granted int
+	// Recent is a fading count of requests, for dividing idle slots.
+	Recent float64
+}
+
+// need is how many more requests the entry could start than it has credits.
+func (b *Borrower) need() int { return b.Queued - b.Granted }
+
+// Slots is the state of a backend server's slots.
+type Slots struct {
+	Total     int
+	LookAhead int // credits lent beyond Total while requests queue at entries
+	Open      bool
+}
+
+// Grant gives credits to, or recalls them from, the borrower at an index.
+type Grant struct {
+	Borrower int
+	Count    int // negative: recall
+}
+
+// Plan appends to out the grants and recalls for the current state. The
+// borrowers are changed as if they had been carried out.
+func Plan(s Slots, borrowers []Borrower, out []Grant) []Grant {
+	if !s.Open || len(borrowers) == 0 {
+		return recallAll(borrowers, out)
+	}
+	free := s.Total - lent(borrowers)
+	queued := anyNeed(borrowers)
+	if queued {
+		free += s.LookAhead
+	}
+	for ; free > 0; free-- {
+		i := neediest(borrowers)
+		if i < 0 {
+			break
+		}
+		out = grant(borrowers, out, i)
+	}
+	if queued {
+		return recallFor(borrowers, out, free)
+	}
+	return spread(s, borrowers, free, out)
+}
+
+func lent(borrowers []Borrower) int {
+	n := 0
+	for i := range borrowers {
+		n += borrowers[i].Idle + borrowers[i].Running
+	}
+	return n
+}
+
+func anyNeed(borrowers []Borrower) bool {
+	for i := range borrowers {
+		if borrowers[i].need() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func grant(borrowers []Borrower, out []Grant, i int) []Grant {
+	borrowers[i].Idle++
+	borrowers[i].Granted++
+	for k := range out {
+		if out[k].Borrower == i && out[k].Count > 0 {
+			out[k].Count++
+			return out
+		}
+	}
+	return append(out, Grant{Borrower: i, Count: 1})
+}
+
+// neediest returns the borrower with the earliest deadline among those with
+// unmet need; within the same 10 ms the longer queue goes first, then the
+// near one.
+func neediest(borrowers []Borrower) int {
+	best := -1
+	for i := range borrowers {
+		if borrowers[i].need() <= 0 {
+			continue
+		}
+		if best < 0 || before(&borrowers[i], &borrowers[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+const deadlineGrain = 10 * time.Millisecond
+
+func before(a, b *Borrower) bool {
+	// Deadlines far apart decide; similar ones leave it to the queue, so that
+	// entries with equal traffic get equal shares.
+	if d := a.Tightest/deadlineGrain - b.Tightest/deadlineGrain; d < -5 || d > 5 {
+		return d < 0
+	}
+	if a.need() != b.need() {
+		return a.need() > b.need()
+	}
+	return a.Near && !b.Near
+}
+
+// recallFor asks back idle credits of entries without a queue while others
+// wait for more than the free slots.
+func recallFor(borrowers []Borrower, out []Grant, free int) []Grant {
+	wanted := 0
+	for i := range borrowers {
+		wanted += max(0, borrowers[i].need())
+	}
+	wanted -= free
+	for i := range borrowers {
+		b := &borrowers[i]
+		if wanted <= 0 {
+			break
+		}
+		if b.Queued > 0 {
+			continue
+		}
+		if n := min(wanted, b.Idle-b.Recalled); n > 0 {
+			b.Recalled += n
+			wanted -= n
+			out = append(out, Grant{Borrower: i, Count: -n})
+		}
+	}
+	return out
+}
+
+// spread lends free slots in advance, in proportion to recent use, so that a
+// request at a quiet time finds a credit at its entry.
+func spread(s Slots, borrowers []Borrower, free int, out []Grant) []Grant {
+	total := 0.0
+	for i := range borrowers {
+		total += borrowers[i].Recent + 1
+	}
+	for ; free > 0; free-- {
+		best, gap := -1, math.Inf(-1)
+		for i := range borrowers {
+			b := &borrowers[i]
+			share := float64(s.Total) * (b.Recent + 1) / total
+			if g := share - float64(b.Idle+b.Running); g > gap {
+				best, gap = i, g
+			}
+		}
+		out = grant(borrowers, out, best)
+		borrowers[best].Granted-- // not an answer to a demand report
+	}
+	return out
+}
+
+func recallAll(borrowers []Borrower, out []Grant) []Grant {
+	for i := range borrowers {
+		b := &borrowers[i]
+		if n := b.Idle - b.Recalled; n > 0 {
+			b.Recalled += n
+			out = append(out, Grant{Borrower: i, Count: -n})
+		}
+	}
+	return out
+}
+
+// LookAhead returns how many requests may wait at the agent, so that a slot
+// is not idle for the round trip rtt between two requests of mean length.
+func LookAhead(slots int, rtt, mean time.Duration) int {
+	if mean <= 0 {
+		return 0
+	}
+	return min(slots, int(math.Ceil(float64(slots)*float64(rtt)/float64(mean))))
+}
