wire: carry the long permits of a credit grant

Cause: an entry has to know how many long requests an agent still starts. Change: field long of Credit.

--- /dev/null
+++ b/cmd/bambooscaled/main.go
@@ -0,0 +1,4 @@
+// Command bambooscaled is the daemon of bambooscale.
+package main
+
+func main() {}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -49,7 +49,7 @@
 	case *msg.BackendState:
 		p.Kind = &pb.Control_BackendState{BackendState: backendStateToProto(m)}
 	case *msg.CreditGrant:
-		p.Kind = &pb.Control_CreditGrant{CreditGrant: creditToProto(m.Backend, m.Generation, m.Count)}
+		p.Kind = &pb.Control_CreditGrant{CreditGrant: grantToProto(m)}
 	case *msg.CreditRecall:
 		p.Kind = &pb.Control_CreditRecall{CreditRecall: creditToProto(m.Backend, m.Generation, m.Count)}
 	case *msg.CreditReturn:
@@ -88,7 +88,7 @@
 	case *pb.Control_BackendState:
 		return backendStateFromProto(k.BackendState), nil
 	case *pb.Control_CreditGrant:
-		return (*msg.CreditGrant)(creditFromProto(k.CreditGrant)), nil
+		return grantFromProto(k.CreditGrant), nil
 	case *pb.Control_CreditRecall:
 		return (*msg.CreditRecall)(creditFromProto(k.CreditRecall)), nil
 	case *pb.Control_CreditReturn:
@@ -157,8 +157,19 @@
 	return &pb.Credit{Backend: string(backend), Generation: generation, Count: int64(count)}
 }
 
-func creditFromProto(p *pb.Credit) *msg.CreditGrant {
-	return &msg.CreditGrant{
+func grantToProto(m *msg.CreditGrant) *pb.Credit {
+	p := creditToProto(m.Backend, m.Generation, m.Count)
+	p.Long = int64(m.Long)
+	return p
+}
+
+func grantFromProto(p *pb.Credit) *msg.CreditGrant {
+	c := creditFromProto(p)
+	return &msg.CreditGrant{Backend: c.Backend, Generation: c.Generation, Count: c.Count, Long: int(p.GetLong())}
+}
+
+func creditFromProto(p *pb.Credit) *msg.CreditReturn {
+	return &msg.CreditReturn{
 		Backend: model.BackendID(p.GetBackend()), Generation: p.GetGeneration(), Count: int(p.GetCount()),
 	}
 }
