--- /dev/null
+++ b/internal/platform/http_table.go
@@ -0,0 +1,82 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+)
+
+// HTTPTable is a client of the table service. Any goroutine may use it.
+type HTTPTable struct{ http *httpClient }
+
+var _ Table = (*HTTPTable)(nil)
+
+// NewHTTPTable returns a client; it does not connect yet.
+func NewHTTPTable(c HTTPConfig) *HTTPTable { return &HTTPTable{newHTTPClient(c)} }
+
+// Close closes idle connections.
+func (t *HTTPTable) Close() { t.http.close() }
+
+// Commit implements Table.
+func (t *HTTPTable) Commit(ctx context.Context, txn Txn) (Revision, error) {
+	body, err := json.Marshal(txn)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrRefused, err)
+	}
+	r, err := t.http.do(ctx, http.MethodPost, "/v1/txn", body)
+	if err != nil {
+		return 0, err
+	}
+	var a struct {
+		Revision Revision `json:"revision"`
+		Failed   []string `json:"failed"`
+	}
+	switch r.status {
+	case http.StatusOK:
+		if err := json.Unmarshal(r.body, &a); err != nil || a.Revision == 0 {
+			return 0, fmt.Errorf("%w: malformed answer to a commit", ErrUnknown)
+		}
+		return a.Revision, nil
+	case http.StatusConflict:
+		if err := json.Unmarshal(r.body, &a); err != nil || len(a.Failed) == 0 {
+			return 0, fmt.Errorf("%w: malformed answer to a commit", ErrUnknown)
+		}
+		return 0, &ConflictError{Keys: a.Failed}
+	}
+	return 0, r.failure()
+}
+
+// Read implements Table.
+func (t *HTTPTable) Read(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := t.get(ctx, "/v1/rows/"+url.PathEscape(key), &row)
+	return row, err
+}
+
+// Scan implements Table.
+func (t *HTTPTable) Scan(ctx context.Context, prefix string, after Revision) ([]Row, Revision, error) {
+	var a struct {
+		Rows     []Row    `json:"rows"`
+		Revision Revision `json:"revision"`
+	}
+	q := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(uint64(after), 10)}}
+	err := t.get(ctx, "/v1/rows?"+q.Encode(), &a)
+	return a.Rows, a.Revision, err
+}
+
+func (t *HTTPTable) get(ctx context.Context, path string, v any) error {
+	r, err := t.http.do(ctx, http.MethodGet, path, nil)
+	if err == nil && r.status != http.StatusOK {
+		err = r.failure()
+	}
+	if err != nil {
+		return readFailure(err)
+	}
+	if err := json.Unmarshal(r.body, v); err != nil {
+		return fmt.Errorf("%w: malformed answer to a read: %v", ErrUnavailable, err)
+	}
+	return nil
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -45,10 +45,13 @@
 
 // Errors of the table service and the object store. ErrUnavailable: the
 // operation certainly had no effect. ErrUnknown: it may have taken effect.
+// ErrRefused: the service does not accept such an operation, so it had no
+// effect and must not be repeated.
 var (
 	ErrUnavailable = errors.New("platform service is unavailable")
 	ErrUnknown     = errors.New("outcome of the operation at the platform service is unknown")
 	ErrNotFound    = errors.New("not found")
+	ErrRefused     = errors.New("refused by the platform service as invalid")
 )
 
 // ConflictError says which preconditions of a transaction failed. Nothing of
@@ -62,7 +65,8 @@
 // Table is the transactional table service.
 type Table interface {
 	// Commit applies a transaction. The error is a *ConflictError,
-	// ErrUnavailable, ErrUnknown or the context's error (then it is unknown).
+	// ErrUnavailable, ErrRefused, ErrUnknown or the context's error (then it is
+	// unknown).
 	Commit(ctx context.Context, t Txn) (Revision, error)
 	// Read returns a row, or ErrNotFound or ErrUnavailable.
 	Read(ctx context.Context, key string) (Row, error)
@@ -71,7 +75,9 @@
 	Scan(ctx context.Context, prefix string, after Revision) ([]Row, Revision, error)
 }
 
-// Objects is the object store.
+// Objects is the object store. Errors of Put and Delete are ErrUnavailable,
+// ErrUnknown, ErrRefused or the context's error; writing the same content
+// again is harmless.
 type Objects interface {
 	Put(ctx context.Context, name string, data []byte) error
 	Get(ctx context.Context, name string) ([]byte, error) // ErrNotFound, ErrUnavailable
