standin: simulate table, object store, worker and backend server

Cause: the clients, agents and controllers need the systems that they meet, with their limits and faults.

Change: four simulators, each an actor that owns its state, usable inside the process or over HTTP. Limits are token buckets with the rates of design section 1.3 and a burst of a quarter of a second. Lifecycles of a worker's task and of the backend server's announcements are charts. The backend server holds back the last byte of a response until its slot is free, so that no client can use the slot earlier; an overlap with a request or connection that the client has cancelled is counted apart from violations.

--- /dev/null
+++ b/internal/standin/announce.go
@@ -0,0 +1,52 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+)
+
+// announcer posts announcements to an agent.
+type announcer struct {
+	base   string
+	body   []byte
+	client *http.Client
+}
+
+func newAnnouncer(c BackendConfig) announcer {
+	body, err := json.Marshal(Announcement{c.Service, c.Address, c.Slots, c.Connections, c.Class})
+	if err != nil {
+		panic(err) // the type can always be encoded
+	}
+	// An agent that is slow must not delay the next announcement.
+	client := &http.Client{Timeout: announceInterval, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	return announcer{c.Agent, body, client}
+}
+
+// post sends an announcement in a goroutine of its own. If the agent accepts
+// it, then is sent to the backend server's actor.
+func (s *backendState) post(path string, then message[*backendState]) {
+	if s.Agent == "" {
+		return
+	}
+	a, self := s.announce, s.self
+	actor.Go(s.group, "announcement", func(ctx context.Context) error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, a.base+path, bytes.NewReader(a.body))
+		if err != nil {
+			return err
+		}
+		req.Header.Set("Content-Type", "application/json")
+		resp, err := a.client.Do(req)
+		if err != nil {
+			return nil // repeated after the interval
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode/100 == 2 && then != nil {
+			_ = self.Send(ctx, then)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,202 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/charts"
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/chart"
+)
+
+const (
+	// Limits of a backend server in docs/design.md section 1.1.
+	DefaultSlots       = 8
+	DefaultConnections = 64
+
+	announceInterval = 2 * time.Second
+	// A request above the slots waits this long for a cancelled one to end: a
+	// backend server notices a closed connection later than the client that
+	// closed it. Only such an overlap is not counted as a violation.
+	cancelGrace = 50 * time.Millisecond
+	// maxRecords bounds the log; later requests are only counted.
+	maxRecords = 1 << 20
+)
+
+// BackendConfig describes a simulated backend server.
+type BackendConfig struct {
+	Service     string
+	Class       string
+	Address     string // where the agent reaches it
+	Agent       string // base URL to announce to; empty: no announcements
+	Slots       int    // 0: DefaultSlots
+	Connections int    // 0: DefaultConnections
+}
+
+// Announcement is the body of POST /v1/announce and POST /v1/drain.
+type Announcement struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Class       string `json:"class,omitempty"`
+}
+
+// Fault is what a backend server does wrong with a request. A request asks
+// for it with the query parameter fault, or BackendControl sets it.
+type Fault string
+
+// Faults of a backend server.
+const (
+	FaultReset    Fault = "reset"    // the connection is reset in the middle of the response
+	FaultTruncate Fault = "truncate" // the connection is closed in order before the declared length
+	FaultHang     Fault = "hang"     // the request runs, but is never answered
+	FaultError    Fault = "error"    // status 500 after the request took effect
+)
+
+// BackendControl is the body of POST /control.
+type BackendControl struct {
+	Announce *bool `json:"announce,omitempty"` // start or stop the announcements
+	Drain    bool  `json:"drain,omitempty"`
+	Fault    Fault `json:"fault"` // of the next Count requests
+	Count    int   `json:"count"` // -1: all
+	DelayMs  int64 `json:"delayMs"`
+}
+
+// BackendState answers GET /control.
+type BackendState struct {
+	State       string `json:"state"` // state name of charts/standin-backend.scxml
+	Running     int    `json:"running"`
+	Connections int    `json:"connections"`
+	MaxRunning  int    `json:"maxRunning"`
+	MaxConns    int    `json:"maxConnections"`
+	Requests    int    `json:"requests"`
+	// Violations of the limits, each answered with 503 or a closed connection.
+	SlotViolations       int `json:"slotViolations"`
+	ConnectionViolations int `json:"connectionViolations"`
+	// Overlaps with a cancelled request that the server had not yet noticed.
+	CancelOverlaps int `json:"cancelOverlaps"`
+	// Connections accepted while another one was just being closed.
+	ConnectionOverlaps int `json:"connectionOverlaps"`
+	// Requests that arrived after the drain was accepted.
+	AfterDrain int `json:"afterDrain"`
+}
+
+// Record is one request, for a history checker. Times are in nanoseconds
+// since the Unix epoch.
+type Record struct {
+	Key      string `json:"key"` // the request's header X-Request-Key
+	Method   string `json:"method"`
+	URI      string `json:"uri"`
+	Started  int64  `json:"started"`
+	Finished int64  `json:"finished"`      // 0 while it runs
+	End      string `json:"end,omitempty"` // complete, cancelled, failed or refused
+}
+
+// States of charts/standin-backend.scxml.
+const (
+	backendSilent chart.State = iota
+	backendAnnouncing
+	backendDraining
+	backendDrained
+)
+
+// Events of charts/standin-backend.scxml.
+const (
+	backendAnnounce chart.Event = iota
+	backendDrain
+	backendRepeat
+	backendSilence
+	backendAccepted
+)
+
+// backendChart is set in init because its actions step the chart themselves.
+var backendChart *chart.Machine[backendState]
+
+func init() { backendChart = chart.MustCompile(charts.Files, BackendBinding()) }
+
+// BackendBinding binds charts/standin-backend.scxml. It is exported for the
+// checks that explore the chart.
+func BackendBinding() chart.Binding[backendState] {
+	return chart.Binding[backendState]{
+		Chart:  "standin-backend",
+		States: []string{"silent", "announcing", "draining", "drained"},
+		Events: []string{"announce", "drain", "repeat", "silence", "accepted"},
+		Actions: map[string]func(*backendState){
+			"sendAnnouncement": func(s *backendState) { s.post("/v1/announce", nil) },
+			"sendDrain":        func(s *backendState) { s.post("/v1/drain", drainAcceptedMsg{}) },
+		},
+		Delays: map[string]time.Duration{"announceInterval": announceInterval},
+	}
+}
+
+// Backend simulates a backend server with a fixed number of slots and
+// connections. The limits are enforced and each violation is counted.
+type Backend struct {
+	to actor.Address[message[*backendState]]
+}
+
+// backendState is owned by the backend server's actor.
+type backendState struct {
+	BackendConfig
+	group    *actor.Group
+	self     actor.Address[message[*backendState]]
+	later    *later
+	clock    clock
+	announce announcer
+	state    chart.State
+	timer    uint64
+	control  BackendControl
+	counts   BackendState
+	values   map[string]int64 // of /count
+	records  []Record
+	running  map[uint64]*admission
+	waiting  []*admission // above the slots, for at most cancelGrace
+	lastID   uint64
+
+	overflow      *backendReply[bool] // connection above the limit that waits for another to close
+	overflowTimer uint64
+}
+
+// NewBackend starts a backend server in g. It begins to announce itself at
+// once if the configuration names an agent.
+func NewBackend(g *actor.Group, c BackendConfig) *Backend {
+	if c.Slots == 0 {
+		c.Slots = DefaultSlots
+	}
+	if c.Connections == 0 {
+		c.Connections = DefaultConnections
+	}
+	s := &backendState{BackendConfig: c, group: g, later: newLater(), clock: newClock(), announce: newAnnouncer(c),
+		state: backendChart.Initial(), values: map[string]int64{}, running: map[uint64]*admission{}}
+	to := spawn(g, "backend server "+c.Address, s.later, s)
+	_ = to.Send(g.Context(), backendSelfMsg{to})
+	return &Backend{to}
+}
+
+// backendSelfMsg is the first message; it gives the actor its own address.
+type backendSelfMsg struct {
+	to actor.Address[message[*backendState]]
+}
+
+func (m backendSelfMsg) handle(s *backendState) {
+	s.self = m.to
+	if s.Agent != "" {
+		s.step(backendAnnounce)
+	}
+}
+
+// step feeds an event to the chart and arms the timeout of the state that it
+// enters.
+func (s *backendState) step(e chart.Event) {
+	if !backendChart.Step(s, &s.state, e) {
+		return
+	}
+	s.later.cancel(s.timer)
+	if d, event, ok := backendChart.Timeout(s.state); ok {
+		s.timer = s.later.after(d, func() { s.step(event) })
+	}
+}
+
+type drainAcceptedMsg struct{}
+
+func (drainAcceptedMsg) handle(s *backendState) { s.step(backendAccepted) }
--- /dev/null
+++ b/internal/standin/backend_http.go
@@ -0,0 +1,183 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+)
+
+// KeyHeader carries the key under which a request appears in the log.
+const KeyHeader = "X-Request-Key"
+
+const (
+	maxSleep  = 24 * time.Hour
+	chunkSize = 32 << 10
+)
+
+// Log returns the requests in the order of their arrival.
+func (b *Backend) Log(ctx context.Context) ([]Record, error) {
+	return ask(ctx, b.to, func(r backendReply[[]Record]) message[*backendState] { return recordsMsg{r} })
+}
+
+// Control sets faults, starts or stops announcements, or drains.
+func (b *Backend) Control(ctx context.Context, c BackendControl) (BackendState, error) {
+	return b.control(ctx, &c)
+}
+
+// State returns the state and the counters.
+func (b *Backend) State(ctx context.Context) (BackendState, error) { return b.control(ctx, nil) }
+
+func (b *Backend) control(ctx context.Context, c *BackendControl) (BackendState, error) {
+	return ask(ctx, b.to, func(r backendReply[BackendState]) message[*backendState] { return backendControlMsg{c, r} })
+}
+
+// Serve serves requests on l until ctx ends. It counts the connections, which
+// Handler alone does not. Connections for /control count as well; ServeControl
+// serves it on a listener of its own.
+func (b *Backend) Serve(ctx context.Context, l net.Listener) error {
+	return serve(ctx, &countingListener{l, b}, &http.Server{Handler: b.Handler()})
+}
+
+// ServeControl serves only /control on l until ctx ends.
+func (b *Backend) ServeControl(ctx context.Context, l net.Listener) error {
+	mux := http.NewServeMux()
+	b.handleControl(mux)
+	return serve(ctx, l, &http.Server{Handler: mux})
+}
+
+// Handler returns the backend server's HTTP interface:
+//
+//	/echo            the request's body; method, path and query are in the
+//	                 headers X-Echo-Method and X-Echo-Uri
+//	/sleep?ms=N      answers after N ms
+//	/count?key=K     POST adds 1 and returns the count, GET returns it
+//	/bytes?n=N       N bytes
+//
+// Every path takes the parameter fault (see Fault). GET /control/log returns
+// the log.
+func (b *Backend) Handler() http.Handler {
+	control := http.NewServeMux()
+	b.handleControl(control)
+	serve := map[string]http.HandlerFunc{
+		"echo": b.exchange(serveEcho), "sleep": b.exchange(serveSleep),
+		"count": b.exchange(b.serveCount), "bytes": b.exchange(serveBytes),
+	}
+	// A ServeMux would redirect paths such as /echo//a, which are to be
+	// echoed as they are.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+		if h, ok := serve[name]; ok {
+			h(w, r)
+			return
+		}
+		control.ServeHTTP(w, r)
+	})
+}
+
+func (b *Backend) handleControl(mux *http.ServeMux) {
+	mux.HandleFunc("/control", serveControl(b.control))
+	mux.HandleFunc("GET /control/log", serveValue(b.Log))
+}
+
+// exchange runs a request in a slot. The response's last byte is held back
+// until the slot is free again.
+func (b *Backend) exchange(serve func(*heldWriter, *http.Request) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		record := Record{Key: r.Header.Get(KeyHeader), Method: r.Method, URI: r.RequestURI}
+		v, err := ask(context.WithoutCancel(r.Context()), b.to, func(reply backendReply[verdict]) message[*backendState] {
+			return beginMsg{record, Fault(r.URL.Query().Get("fault")), reply}
+		})
+		if err != nil || v.refused {
+			http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+			return
+		}
+		held := &heldWriter{w: w, status: http.StatusOK, fault: v.fault}
+		how := held.run(r, v, serve)
+		_, _ = ask(context.Background(), b.to, func(reply backendReply[struct{}]) message[*backendState] {
+			return endMsg{v.id, how, reply}
+		})
+		held.finish(how)
+	}
+}
+
+func serveEcho(w *heldWriter, r *http.Request) error {
+	if err := http.NewResponseController(w.w).EnableFullDuplex(); err != nil {
+		return err
+	}
+	h := w.w.Header()
+	h.Set("X-Echo-Method", r.Method)
+	h.Set("X-Echo-Uri", r.RequestURI)
+	if t := r.Header.Get("Content-Type"); t != "" {
+		h.Set("Content-Type", t)
+	}
+	w.declare(r.ContentLength)
+	_, err := io.CopyBuffer(struct{ io.Writer }{w}, r.Body, make([]byte, chunkSize))
+	return err
+}
+
+// discard reads the request's body to its end: net/http notices a client that
+// has left only after that.
+func discard(r *http.Request) error {
+	_, err := io.Copy(io.Discard, r.Body)
+	return err
+}
+
+func serveSleep(w *heldWriter, r *http.Request) error {
+	ms, err := strconv.ParseInt(r.URL.Query().Get("ms"), 10, 64)
+	if err != nil || ms < 0 || time.Duration(ms) > maxSleep/time.Millisecond {
+		return w.fail(http.StatusBadRequest, "ms: not a duration in milliseconds")
+	}
+	if err := discard(r); err != nil {
+		return err
+	}
+	if !actor.Sleep(r.Context(), time.Duration(ms)*time.Millisecond) {
+		return r.Context().Err()
+	}
+	return w.text("slept " + strconv.FormatInt(ms, 10) + " ms\n")
+}
+
+func (b *Backend) serveCount(w *heldWriter, r *http.Request) error {
+	m := countMsg{key: r.URL.Query().Get("key")}
+	switch r.Method {
+	case http.MethodPost:
+		m.add = 1
+	case http.MethodGet, http.MethodHead:
+	default:
+		return w.fail(http.StatusMethodNotAllowed, "use POST or GET")
+	}
+	if err := discard(r); err != nil {
+		return err
+	}
+	n, err := ask(context.WithoutCancel(r.Context()), b.to, func(reply backendReply[int64]) message[*backendState] {
+		m.reply = reply
+		return m
+	})
+	if err != nil {
+		return err
+	}
+	return w.text(strconv.FormatInt(n, 10) + "\n")
+}
+
+func serveBytes(w *heldWriter, r *http.Request) error {
+	n, err := strconv.ParseInt(r.URL.Query().Get("n"), 10, 64)
+	if err != nil || n < 0 {
+		return w.fail(http.StatusBadRequest, "n: not a number of bytes")
+	}
+	w.declare(n)
+	chunk := make([]byte, chunkSize)
+	for i := range chunk {
+		chunk[i] = 'a' + byte(i%26)
+	}
+	for n > 0 && err == nil {
+		k := min(n, chunkSize)
+		_, err = w.Write(chunk[:k])
+		n -= k
+	}
+	return err
+}
--- /dev/null
+++ b/internal/standin/backend_response.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+)
+
+// heldWriter writes a response except for its last byte, and applies the
+// request's fault.
+type heldWriter struct {
+	w        http.ResponseWriter
+	status   int
+	fault    Fault
+	declared int64 // length of the body; 0 if it is empty or unknown
+	written  int64
+	last     []byte // the byte that is held back
+	started  bool
+}
+
+// run serves the request and says how it ended.
+func (h *heldWriter) run(r *http.Request, v verdict, serve func(*heldWriter, *http.Request) error) string {
+	ctx := r.Context()
+	if v.delayMs > 0 && !actor.Sleep(ctx, time.Duration(v.delayMs)*time.Millisecond) {
+		return endCancelled
+	}
+	err := serve(h, r)
+	if err == nil && h.fault == FaultHang {
+		<-ctx.Done()
+	}
+	switch {
+	case ctx.Err() != nil:
+		return endCancelled
+	case err != nil || h.fault != "":
+		return endFailed
+	}
+	return endComplete
+}
+
+// declare announces the length of the body, if it is known.
+func (h *heldWriter) declare(n int64) {
+	if n >= 0 && h.fault != FaultError {
+		h.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+		h.declared = n
+	}
+}
+
+// text writes a short body.
+func (h *heldWriter) text(s string) error {
+	h.declare(int64(len(s)))
+	_, err := h.Write([]byte(s))
+	return err
+}
+
+// fail answers with an error status.
+func (h *heldWriter) fail(status int, s string) error {
+	h.status = status
+	return h.text(s + "\n")
+}
+
+// Write implements io.Writer.
+func (h *heldWriter) Write(p []byte) (int, error) {
+	if len(p) == 0 || h.silent() {
+		return len(p), nil
+	}
+	rest := append(h.last, p[:len(p)-1]...)
+	if err := h.send(rest); err != nil {
+		return 0, err
+	}
+	h.last = append(h.last[:0], p[len(p)-1])
+	return len(p), nil
+}
+
+// silent reports whether the fault suppresses the rest of the body: all of it,
+// or its second half.
+func (h *heldWriter) silent() bool {
+	switch h.fault {
+	case FaultHang, FaultError:
+		return true
+	case FaultReset, FaultTruncate:
+		return h.written > 0 && h.written >= h.declared/2
+	}
+	return false
+}
+
+func (h *heldWriter) send(p []byte) error {
+	if !h.started {
+		h.started = true
+		h.w.WriteHeader(h.status)
+	}
+	n, err := h.w.Write(p)
+	h.written += int64(n)
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		return nil // the response to a HEAD request
+	}
+	return err
+}
+
+// finish sends the last byte, or what the fault demands. A response that is
+// not complete ends with its connection.
+func (h *heldWriter) finish(how string) {
+	switch {
+	case how == endComplete && len(h.last) > 0:
+		if h.send(h.last) != nil {
+			panic(http.ErrAbortHandler)
+		}
+	case how == endComplete:
+	case h.fault == FaultError:
+		http.Error(h.w, "simulated error", http.StatusInternalServerError)
+	case h.fault == FaultReset:
+		h.reset()
+	default:
+		_ = http.NewResponseController(h.w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// reset sends what was written and then resets the connection.
+func (h *heldWriter) reset() {
+	control := http.NewResponseController(h.w)
+	_ = control.Flush()
+	conn, _, err := control.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if l, ok := conn.(interface{ SetLinger(int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// countingListener counts connections and closes those above the limit.
+type countingListener struct {
+	net.Listener
+	b *Backend
+}
+
+func (l *countingListener) count(open bool) bool {
+	ok, err := ask(context.Background(), l.b.to, func(r backendReply[bool]) message[*backendState] { return connMsg{open, r} })
+	return ok && err == nil
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.count(true) {
+			counted := &countedConn{c, l, make(chan struct{}, 1)}
+			counted.open <- struct{}{}
+			return counted, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// countedConn is a counted connection. It may be closed more than once and by
+// any goroutine; open holds one token until the first Close.
+type countedConn struct {
+	net.Conn
+	l    *countingListener
+	open chan struct{}
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	select {
+	case <-c.open:
+		c.l.count(false)
+	default:
+	}
+	return err
+}
+
+// SetLinger makes Close reset the connection if sec is 0.
+func (c *countedConn) SetLinger(sec int) error {
+	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return t.SetLinger(sec)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/backend_test.go
@@ -0,0 +1,150 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func startBackend(t *testing.T, c BackendConfig) (b *Backend, address string) {
+	g := group(t)
+	b = NewBackend(g, c)
+	return b, listen(t, g, b.Serve)
+}
+
+// eventually polls a condition that another goroutine or process fulfils.
+func eventually(t *testing.T, condition func() bool) {
+	require.Eventually(t, condition, 10*time.Second, time.Millisecond)
+}
+
+func (b *Backend) mustState(t *testing.T) BackendState {
+	s, err := b.State(t.Context())
+	require.NoError(t, err)
+	return s
+}
+
+// Guards against a ninth request that goes unnoticed, and against responses
+// that a client sees before their slot is free.
+func TestSlotsAreCounted(t *testing.T) {
+	b, address := startBackend(t, BackendConfig{Slots: 2})
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for range 200 {
+		resp, err := client.Get("http://" + address + "/bytes?n=100000")
+		require.NoError(t, err)
+		n, err := io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.EqualValues(t, 100000, n)
+		require.Zero(t, b.mustState(t).Running)
+	}
+	for range 2 {
+		go func() {
+			resp, err := client.Get("http://" + address + "/sleep?ms=3600000")
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		}()
+	}
+	eventually(t, func() bool { return b.mustState(t).Running == 2 })
+	resp, err := client.Get("http://" + address + "/echo")
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, 1, b.mustState(t).SlotViolations)
+	log, err := b.Log(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, "refused", log[202].End)
+}
+
+// Guards against connections above the limit that go unnoticed, and against
+// closed ones that stay counted.
+func TestConnectionsAreCounted(t *testing.T) {
+	b, address := startBackend(t, BackendConfig{Connections: 2})
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	first := dial()
+	dial()
+	_, err := dial().Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Equal(t, 1, b.mustState(t).ConnectionViolations)
+	require.NoError(t, first.Close())
+	eventually(t, func() bool { return b.mustState(t).Connections == 1 })
+}
+
+// Guards against responses that are altered, and faults that look like a
+// complete response.
+func TestBackendResponses(t *testing.T) {
+	b, address := startBackend(t, BackendConfig{})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	send := func(method, uri, body string) (string, error) {
+		req, err := http.NewRequest(method, "http://"+address+uri, strings.NewReader(body))
+		require.NoError(t, err)
+		req.Header.Set(KeyHeader, uri)
+		resp, err := client.Do(req)
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		raw, err := io.ReadAll(resp.Body)
+		return resp.Header.Get("X-Echo-Method") + resp.Header.Get("X-Echo-Uri") + string(raw), err
+	}
+	big := strings.Repeat("0123456789", 200_000)
+	got, err := send("PUT", "/echo//a%2Fb?c=d&e", big)
+	require.NoError(t, err)
+	require.Equal(t, "PUT/echo//a%2Fb?c=d&e"+big, got)
+	for _, want := range []string{"1\n", "2\n"} {
+		got, err = send("POST", "/count?key=k", "ignored")
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	got, err = send("GET", "/count?key=k", "")
+	require.NoError(t, err)
+	require.Equal(t, "2\n", got)
+	for _, f := range []Fault{FaultReset, FaultTruncate} {
+		for _, n := range []string{"1", "10", "1000000"} {
+			got, err = send("GET", "/bytes?n="+n+"&fault="+string(f), "")
+			require.Error(t, err, f)
+			require.Less(t, len(got), 1000000)
+		}
+	}
+	log, err := b.Log(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, "/count?key=k", log[1].Key)
+	require.Equal(t, "complete", log[1].End)
+	require.Equal(t, "failed", log[len(log)-1].End)
+}
+
+// Guards against a backend server that does not announce itself, or goes on
+// after it was told to drain.
+func TestBackendAnnouncesAndDrains(t *testing.T) {
+	g := group(t)
+	paths := make(chan string, 100)
+	agent := listen(t, g, (&recorder{paths}).serve)
+	b, _ := startBackend(t, BackendConfig{Service: "permit-desk", Address: "127.0.0.1:1", Agent: "http://" + agent})
+	want := `{"service":"permit-desk","address":"127.0.0.1:1","slots":8,"connections":64}`
+	require.Equal(t, "/v1/announce "+want, <-paths)
+	_, err := b.Control(t.Context(), BackendControl{Drain: true})
+	require.NoError(t, err)
+	require.Equal(t, "/v1/drain "+want, <-paths)
+	eventually(t, func() bool { return b.mustState(t).State == "drained" })
+}
+
+// recorder is an agent that records what is posted to it.
+type recorder struct{ paths chan string }
+
+func (r *recorder) serve(ctx context.Context, l net.Listener) error {
+	return serve(ctx, l, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		raw, _ := io.ReadAll(req.Body)
+		r.paths <- req.URL.Path + " " + string(raw)
+	})})
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooscale/bambooscale/internal/platform"
+)
+
+// maxTxnRows is the largest number of rows that a transaction may write.
+const maxTxnRows = 128
+
+// Committed is a transaction that took effect.
+type Committed struct {
+	Revision platform.Revision `json:"revision"`
+	platform.Txn
+}
+
+// store holds the rows of a table.
+type store struct {
+	revision platform.Revision
+	rows     map[string]platform.Row // deleted rows stay as tombstones
+	changes  []change                // in revision order; superseded entries are skipped
+	history  []Committed
+}
+
+type change struct {
+	revision platform.Revision
+	key      string
+}
+
+func newStore() *store { return &store{rows: map[string]platform.Row{}} }
+
+// version returns 0 for an absent or deleted row.
+func (s *store) version(key string) platform.Revision {
+	if r := s.rows[key]; !r.Deleted {
+		return r.Version
+	}
+	return 0
+}
+
+func (s *store) commit(t platform.Txn) (platform.Revision, error) {
+	if err := checkShape(t); err != nil {
+		return 0, err
+	}
+	var failed []string
+	for _, c := range t.Checks {
+		if s.version(c.Key) != c.Version && !slices.Contains(failed, c.Key) {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return 0, &platform.ConflictError{Keys: failed}
+	}
+	s.revision++
+	t.Puts = slices.Clone(t.Puts)
+	for i, p := range t.Puts {
+		t.Puts[i].Value = slices.Clone(p.Value)
+		s.set(platform.Row{Key: p.Key, Value: t.Puts[i].Value, Version: s.revision})
+	}
+	for _, key := range t.Deletes {
+		if s.version(key) != 0 {
+			s.set(platform.Row{Key: key, Version: s.revision, Deleted: true})
+		}
+	}
+	s.history = append(s.history, Committed{s.revision, t})
+	s.compact()
+	return s.revision, nil
+}
+
+// checkShape refuses a transaction that is too large or writes a row twice.
+func checkShape(t platform.Txn) error {
+	written := map[string]bool{}
+	for _, p := range t.Puts {
+		written[p.Key] = true
+	}
+	for _, key := range t.Deletes {
+		written[key] = true
+	}
+	switch n := len(t.Puts) + len(t.Deletes); {
+	case n > maxTxnRows:
+		return errors.Wrapf(platform.ErrRefused, "%d rows, at most %d", n, maxTxnRows)
+	case n != len(written):
+		return errors.Wrap(platform.ErrRefused, "a row is written twice")
+	}
+	return nil
+}
+
+func (s *store) set(r platform.Row) {
+	s.rows[r.Key] = r
+	s.changes = append(s.changes, change{r.Version, r.Key})
+}
+
+// compact drops superseded changes once they are the majority.
+func (s *store) compact() {
+	if len(s.changes) < 2*len(s.rows)+1024 {
+		return
+	}
+	s.changes = slices.DeleteFunc(s.changes, func(c change) bool { return s.rows[c.key].Version != c.revision })
+}
+
+func (s *store) read(key string) (platform.Row, error) {
+	if s.version(key) == 0 {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return s.rows[key], nil
+}
+
+// scan returns the rows with the prefix that changed after a revision, in the
+// order of their last change.
+func (s *store) scan(prefix string, after platform.Revision) []platform.Row {
+	first := sort.Search(len(s.changes), func(i int) bool { return s.changes[i].revision > after })
+	var rows []platform.Row
+	for _, c := range s.changes[first:] {
+		r := s.rows[c.key]
+		if r.Version == c.revision && strings.HasPrefix(c.key, prefix) && !(r.Deleted && after == 0) {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/standin/table_test.go
@@ -0,0 +1,146 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/platform"
+)
+
+// listen serves on a free loopback port until the test ends and returns the
+// address.
+func listen(t *testing.T, g *actor.Group, serve func(context.Context, net.Listener) error) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	actor.Go(g, "server", func(ctx context.Context) error { return serve(ctx, l) })
+	return l.Addr().String()
+}
+
+func group(t *testing.T) *actor.Group {
+	g := actor.NewGroup(t.Context(), func(e actor.Exit) { t.Errorf("%s: %v", e.Actor, e.Err) })
+	t.Cleanup(g.Stop)
+	return g
+}
+
+func put(key, value string, checks ...platform.Check) platform.Txn {
+	return platform.Txn{Operation: key, Checks: checks, Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+}
+
+// Guards against a client and a service that disagree on transactions,
+// preconditions, tombstones, escaped keys or the meaning of an error.
+func TestTableOverHTTP(t *testing.T) {
+	g := group(t)
+	service := NewTable(g, StoreFaults{})
+	table := platform.NewHTTPTable(platform.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
+	defer table.Close()
+	ctx := t.Context()
+
+	rev, err := table.Commit(ctx, put("job/a b/1%2F", "x"))
+	require.NoError(t, err)
+	row, err := table.Read(ctx, "job/a b/1%2F")
+	require.NoError(t, err)
+	require.Equal(t, platform.Row{Key: "job/a b/1%2F", Value: []byte("x"), Version: rev}, row)
+
+	_, err = table.Commit(ctx, put("z", "z", platform.Check{Key: "job/a b/1%2F"}, platform.Check{Key: "other"}))
+	var conflict *platform.ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, []string{"job/a b/1%2F"}, conflict.Keys)
+	_, err = table.Read(ctx, "z")
+	require.ErrorIs(t, err, platform.ErrNotFound)
+
+	_, err = table.Commit(ctx, platform.Txn{Operation: "d", Deletes: []string{"job/a b/1%2F"}})
+	require.NoError(t, err)
+	rows, upTo, err := table.Scan(ctx, "job/", rev)
+	require.NoError(t, err)
+	require.Equal(t, rev+1, upTo)
+	require.Equal(t, []platform.Row{{Key: "job/a b/1%2F", Version: rev + 1, Deleted: true}}, rows)
+
+	_, err = table.Commit(ctx, platform.Txn{Operation: "twice", Deletes: []string{"a", "a"}})
+	require.ErrorIs(t, err, platform.ErrRefused)
+
+	require.NoError(t, service.SetFaults(ctx, StoreFaults{LoseAnswers: 1}))
+	_, err = table.Commit(ctx, put("lost", "1"))
+	require.ErrorIs(t, err, platform.ErrUnknown)
+	_, err = table.Read(ctx, "lost")
+	require.NoError(t, err, "the write took effect")
+
+	require.NoError(t, service.SetFaults(ctx, StoreFaults{Outage: true}))
+	_, err = table.Commit(ctx, put("out", "1"))
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+
+	history, err := service.History(ctx, 0)
+	require.NoError(t, err)
+	require.Len(t, history, 3)
+	require.Equal(t, "lost", history[2].Operation)
+}
+
+// Guards against a client that takes a refused connection for an unknown
+// outcome, or a timeout for a known one.
+func TestClientSaysWhatWasSent(t *testing.T) {
+	g := group(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := platform.NewHTTPTable(platform.HTTPConfig{URL: "http://" + l.Addr().String()})
+	require.NoError(t, l.Close())
+	_, err = closed.Commit(t.Context(), put("a", "a"))
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+
+	service := NewTable(g, StoreFaults{DelayMs: time.Hour.Milliseconds()})
+	slow := platform.NewHTTPTable(platform.HTTPConfig{URL: "http://" + listen(t, g, service.Serve), Timeout: 50 * time.Millisecond})
+	_, err = slow.Commit(t.Context(), put("a", "a"))
+	require.ErrorIs(t, err, platform.ErrUnknown)
+	_, err = slow.Read(t.Context(), "a")
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// Guards against stand-ins that accept more than the platform does.
+func TestTableLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := group(t)
+		table := NewTable(g, StoreFaults{})
+		counts := func() (writes, reads int) {
+			for range 1000 {
+				if _, err := table.Commit(t.Context(), put("a", "a")); err == nil {
+					writes++
+				}
+				for range 5 {
+					if _, err := table.Read(t.Context(), "a"); err == nil {
+						reads++
+					}
+				}
+			}
+			return writes, reads
+		}
+		writes, reads := counts()
+		require.Equal(t, []int{DefaultWritesPerSecond / burstShare, DefaultReadsPerSecond / burstShare}, []int{writes, reads})
+		actor.Sleep(t.Context(), 100*time.Millisecond)
+		writes, reads = counts()
+		require.Equal(t, []int{DefaultWritesPerSecond / 10, DefaultReadsPerSecond / 10}, []int{writes, reads})
+	})
+}
+
+// Guards against objects that are lost, altered or not deleted.
+func TestObjectsOverHTTP(t *testing.T) {
+	g := group(t)
+	service := NewObjects(g, StoreFaults{})
+	objects := platform.NewHTTPObjects(platform.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
+	defer objects.Close()
+	ctx := t.Context()
+	require.NoError(t, objects.Put(ctx, "result/a/1", []byte("data")))
+	require.NoError(t, objects.Put(ctx, "empty", nil))
+	data, err := objects.Get(ctx, "result/a/1")
+	require.NoError(t, err)
+	require.Equal(t, "data", string(data))
+	require.NoError(t, objects.Delete(ctx, "result/a/1"))
+	_, err = objects.Get(ctx, "result/a/1")
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	names, err := service.Names(ctx)
+	require.NoError(t, err)
+	require.Equal(t, []string{"empty"}, names)
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,238 @@
+package standin
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+)
+
+const (
+	// DefaultUsageLag is the smallest delay of usage reports in
+	// docs/design.md section 1.3.
+	DefaultUsageLag = 10 * time.Second
+	// An ended task is remembered this long, so that a repeated start has no
+	// effect and an agent that was away learns the outcome.
+	keepEnded         = 10 * time.Minute
+	objectRetryDelay  = 200 * time.Millisecond
+	objectCallTimeout = 5 * time.Second
+)
+
+// Errors of a worker's tasks.
+var (
+	ErrNoTask = errors.New("the worker knows no such task")
+	ErrEnded  = errors.New("the task has ended")
+)
+
+// WorkerConfig describes a simulated worker.
+type WorkerConfig struct {
+	ID       model.WorkerID
+	Capacity model.Resources
+	UsageLag time.Duration // 0: DefaultUsageLag
+	Objects  platform.Objects
+}
+
+// TaskSpec is the body of POST /v1/tasks.
+type TaskSpec struct {
+	ID string `json:"id"`
+	model.Resources
+	LeaseMs          int64  `json:"leaseMs"`
+	Program          string `json:"program"`
+	Checkpoint       string `json:"checkpoint,omitempty"` // object to resume from
+	ResultName       string `json:"resultName,omitempty"`
+	CheckpointPrefix string `json:"checkpointPrefix,omitempty"`
+}
+
+// TaskView is a task as GET /v1/tasks reports it.
+type TaskView struct {
+	ID         string          `json:"id"`
+	State      model.TaskState `json:"state"`
+	Reason     string          `json:"reason,omitempty"`
+	Checkpoint string          `json:"checkpoint,omitempty"` // newest that this task wrote
+	Result     string          `json:"result,omitempty"`     // object name, once it is done
+	Step       int             `json:"step"`
+	Steps      int             `json:"steps"`
+	Percent    int             `json:"percent"`
+	LeaseMs    int64           `json:"leaseMs"` // remaining
+	RanMs      int64           `json:"ranMs"`
+	Usage      *UsageView      `json:"usage,omitempty"` // absent until the first measurement is old enough
+}
+
+// UsageView is a measured consumption of some time ago.
+type UsageView struct {
+	model.Resources
+	AgeMs int64 `json:"ageMs"`
+}
+
+// WorkerView answers GET /v1/worker.
+type WorkerView struct {
+	ID       model.WorkerID  `json:"id"`
+	Capacity model.Resources `json:"capacity"`
+	Usage    UsageView       `json:"usage"`
+	Tasks    int             `json:"tasks"` // that have not ended
+}
+
+// WorkerFaults are the faults of a worker.
+type WorkerFaults struct {
+	Outage     bool   `json:"outage"`     // the HTTP interface answers 503; tasks and leases go on
+	FailAll    bool   `json:"failAll"`    // every task fails when it starts
+	UsageLagMs *int64 `json:"usageLagMs"` // absent: as configured
+}
+
+// WorkerState answers GET /control.
+type WorkerState struct {
+	Faults       WorkerFaults `json:"faults"`
+	Overcommits  int          `json:"overcommits"`  // starts that exceeded the declared capacity
+	RepeatStarts int          `json:"repeatStarts"` // starts of a known task, which had no effect
+	Expired      int          `json:"expired"`
+}
+
+// Span is one run of a task, for a history checker. Times are in nanoseconds
+// since the Unix epoch.
+type Span struct {
+	Task       string          `json:"task"`
+	Started    int64           `json:"started"`
+	Ended      int64           `json:"ended"` // 0 while it runs
+	State      model.TaskState `json:"state"`
+	Reason     string          `json:"reason,omitempty"`
+	FromStep   int             `json:"fromStep"`
+	ToStep     int             `json:"toStep"`
+	Declared   model.Resources `json:"declared"`
+	Overcommit bool            `json:"overcommit,omitempty"`
+}
+
+// Worker simulates a host that runs tasks under leases. It starts whatever it
+// is given, whether it fits or not.
+type Worker struct {
+	to actor.Address[message[*workerState]]
+}
+
+// workerState is owned by the worker's actor.
+type workerState struct {
+	WorkerConfig
+	group   *actor.Group
+	self    actor.Address[message[*workerState]]
+	objects platform.Objects
+	later   *later
+	clock   clock
+	faults  WorkerFaults
+	counts  WorkerState
+	tasks   map[string]*task
+	spans   []Span
+}
+
+// NewWorker starts a worker in g.
+func NewWorker(g *actor.Group, c WorkerConfig) *Worker {
+	if c.UsageLag == 0 {
+		c.UsageLag = DefaultUsageLag
+	}
+	s := &workerState{WorkerConfig: c, group: g, objects: c.Objects, later: newLater(), clock: newClock(), tasks: map[string]*task{}}
+	to := spawn(g, "worker "+string(c.ID), s.later, s)
+	_ = to.Send(g.Context(), workerSelfMsg{to})
+	return &Worker{to}
+}
+
+// workerSelfMsg is the first message; it gives the actor its own address.
+type workerSelfMsg struct {
+	to actor.Address[message[*workerState]]
+}
+
+func (m workerSelfMsg) handle(s *workerState) { s.self = m.to }
+
+// retry runs an operation of the object store in a goroutine of its own until
+// it succeeds, finds that the object does not exist, or ctx ends; then it
+// sends the message to the worker.
+func (s *workerState) retry(ctx context.Context, op func(context.Context) (message[*workerState], error)) {
+	self := s.self
+	actor.Go(s.group, "worker's object access", func(context.Context) error {
+		for {
+			limited, cancel := context.WithTimeout(ctx, objectCallTimeout)
+			m, err := op(limited)
+			cancel()
+			if err == nil || errors.Is(err, platform.ErrNotFound) {
+				_ = self.Send(ctx, m)
+				return nil
+			}
+			if !actor.Sleep(ctx, objectRetryDelay) {
+				return nil
+			}
+		}
+	})
+}
+
+// lag is the delay of usage reports.
+func (s *workerState) lag() time.Duration {
+	if ms := s.faults.UsageLagMs; ms != nil {
+		return time.Duration(*ms) * time.Millisecond
+	}
+	return s.UsageLag
+}
+
+// openSpan records the start of a task and whether it fits.
+func (s *workerState) openSpan(t *task, fromStep int) {
+	total := t.spec.Resources
+	for _, o := range s.tasks {
+		if o != t && o.live() {
+			total = total.Add(o.spec.Resources)
+		}
+	}
+	over := !total.Fits(s.Capacity)
+	if over {
+		s.counts.Overcommits++
+	}
+	t.span = len(s.spans)
+	s.spans = append(s.spans, Span{Task: t.spec.ID, Started: s.clock.now(), State: model.TaskRunning,
+		FromStep: fromStep, Declared: t.spec.Resources, Overcommit: over})
+}
+
+func (s *workerState) closeSpan(t *task) {
+	if t.span < 0 {
+		return // it never started
+	}
+	span := &s.spans[t.span]
+	span.Ended, span.State, span.Reason = s.clock.now(), t.reported(), t.reason
+	span.ToStep = t.program.stepAt(t.ran)
+}
+
+// reported is the state as the interface has it.
+func (t *task) reported() model.TaskState {
+	switch t.state {
+	case taskDone:
+		return model.TaskDone
+	case taskFailed:
+		return model.TaskFailed
+	case taskStopped:
+		return model.TaskStopped
+	}
+	return model.TaskRunning
+}
+
+func (t *task) view() TaskView {
+	t.progress()
+	v := TaskView{ID: t.spec.ID, State: t.reported(), Reason: t.reason, Checkpoint: t.checkpoint,
+		Step: t.program.stepAt(t.ran), Steps: t.program.Steps, Percent: t.percent, RanMs: t.ran.Milliseconds()}
+	if v.State == model.TaskDone {
+		v.Result = t.spec.ResultName
+	}
+	if t.live() {
+		v.LeaseMs = time.Until(t.leased).Milliseconds()
+	}
+	if r, ok := t.usageAt(time.Now().Add(-t.w.lag())); ok {
+		v.Usage = &UsageView{r, t.w.lag().Milliseconds()}
+	}
+	return v
+}
+
+func (s *workerState) views() []TaskView {
+	list := make([]TaskView, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		list = append(list, t.view())
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/internal/standin/worker_messages.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/chart"
+)
+
+type workerReply[T any] = actor.Reply[answer[T]]
+
+type startMsg struct {
+	spec    TaskSpec
+	program Program
+	reply   workerReply[TaskView]
+}
+
+func (m startMsg) handle(s *workerState) {
+	t, known := s.tasks[m.spec.ID]
+	if known {
+		s.counts.RepeatStarts++
+	} else {
+		t = s.newTask(m.spec, m.program)
+		s.openSpan(t, 0)
+		t.renew(m.spec.LeaseMs)
+		t.step(taskStart)
+	}
+	m.reply.Put(answer[TaskView]{value: t.view()})
+}
+
+func (s *workerState) newTask(spec TaskSpec, p Program) *task {
+	t := &task{w: s, spec: spec, program: p, state: taskChart.Initial(), percent: 100, began: time.Now(), span: -1}
+	t.ctx, t.cancel = context.WithCancel(s.group.Context())
+	s.tasks[spec.ID] = t
+	return t
+}
+
+// renew lets the lease end the given time from now, on the worker's clock.
+func (t *task) renew(ms int64) {
+	d := time.Duration(ms) * time.Millisecond
+	t.w.later.cancel(t.lease)
+	t.leased = time.Now().Add(d)
+	t.lease = t.w.later.after(max(d, time.Nanosecond), func() {
+		if t.step(taskExpire) {
+			t.w.counts.Expired++
+		}
+	})
+}
+
+// commandMsg is a command to a task that was started: an event of its chart,
+// or a renewal of its lease.
+type commandMsg struct {
+	id      string
+	event   chart.Event
+	renewMs int64 // if positive: renew, no event
+	percent int   // of taskThrottle
+	reply   workerReply[TaskView]
+}
+
+func (m commandMsg) handle(s *workerState) {
+	t, known := s.tasks[m.id]
+	switch {
+	case !known && m.event == taskStop && m.renewMs == 0:
+		t = s.newTask(TaskSpec{ID: m.id}, Program{Steps: 1}) // recorded, so that a start that arrives later has no effect
+	case !known:
+		m.reply.Put(answer[TaskView]{err: ErrNoTask})
+		return
+	}
+	m.reply.Put(t.command(m))
+}
+
+func (t *task) command(m commandMsg) answer[TaskView] {
+	switch {
+	case m.renewMs > 0 && t.live():
+		t.renew(m.renewMs)
+	case m.renewMs > 0:
+		return answer[TaskView]{t.view(), ErrEnded}
+	case m.event == taskThrottle && t.state == taskRunning:
+		t.progress()
+		t.percent = m.percent
+		t.step(taskThrottle)
+	case m.event == taskThrottle && t.live():
+		t.percent = m.percent // applies when it runs
+	case !t.step(m.event) && m.event != taskStop:
+		return answer[TaskView]{t.view(), ErrEnded}
+	}
+	return answer[TaskView]{value: t.view()}
+}
+
+// checkpointMsg asks for a checkpoint; it is answered when it is stored.
+type checkpointMsg struct {
+	id    string
+	reply workerReply[TaskView]
+}
+
+func (m checkpointMsg) handle(s *workerState) {
+	t, known := s.tasks[m.id]
+	if !known {
+		m.reply.Put(answer[TaskView]{err: ErrNoTask})
+		return
+	}
+	if !t.step(taskCheckpoint) {
+		m.reply.Put(answer[TaskView]{t.view(), ErrEnded})
+		return
+	}
+	t.waiting = append(t.waiting, m.reply)
+}
+
+type loadedMsg struct {
+	id   string
+	step int
+	ok   bool
+}
+
+func (m loadedMsg) handle(s *workerState) {
+	t, known := s.tasks[m.id]
+	switch {
+	case !known || t.state != taskLoading:
+	case !m.ok:
+		t.step(taskMissing)
+	default:
+		t.ran = t.program.until(m.step)
+		s.spans[t.span].FromStep = m.step
+		t.step(taskLoaded)
+	}
+}
+
+type savedMsg struct {
+	id, name string
+	number   int
+}
+
+func (m savedMsg) handle(s *workerState) {
+	t, known := s.tasks[m.id]
+	if !known || !t.live() {
+		return
+	}
+	t.checkpoint = m.name
+	if m.number == t.saves {
+		t.answerWaiting(nil)
+	}
+}
+
+type writtenMsg struct{ id string }
+
+func (m writtenMsg) handle(s *workerState) {
+	if t, known := s.tasks[m.id]; known {
+		t.step(taskWritten)
+	}
+}
+
+type tasksMsg struct{ reply workerReply[[]TaskView] }
+
+func (m tasksMsg) handle(s *workerState) { m.reply.Put(answer[[]TaskView]{value: s.views()}) }
+
+type infoMsg struct{ reply workerReply[WorkerView] }
+
+func (m infoMsg) handle(s *workerState) {
+	v := WorkerView{ID: s.ID, Capacity: s.Capacity, Usage: UsageView{AgeMs: s.lag().Milliseconds()}}
+	for _, t := range s.tasks {
+		if r, ok := t.usageAt(time.Now().Add(-s.lag())); ok {
+			v.Usage.Resources = v.Usage.Add(r)
+		}
+		if t.live() {
+			v.Tasks++
+		}
+	}
+	m.reply.Put(answer[WorkerView]{value: v})
+}
+
+type workerControlMsg struct {
+	faults *WorkerFaults
+	reply  workerReply[WorkerState]
+}
+
+func (m workerControlMsg) handle(s *workerState) {
+	if m.faults != nil {
+		s.faults = *m.faults
+	}
+	state := s.counts
+	state.Faults = s.faults
+	m.reply.Put(answer[WorkerState]{value: state})
+}
+
+type spansMsg struct{ reply workerReply[[]Span] }
+
+func (m spansMsg) handle(s *workerState) {
+	m.reply.Put(answer[[]Span]{value: append([]Span{}, s.spans...)})
+}
