settings: read and document the INI file from one table of keys

Cause: a daemon needs its addresses, role and limits, and an operator needs every mistake of a file at once. Change: one table of keys gives type, default, need and meaning; it checks the file and writes the reference. ini.v1 keeps no line numbers and ends at the first broken line, so lines are indexed beside it and broken ones are reported and left out. [agent] config says whether tasks may start without a configuration; [agent] labels is added.

--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,213 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// anyRole marks a key that every role needs.
+const anyRole Role = "*"
+
+// key is one row of the table that checks and documents the settings.
+type key struct {
+	section, name string
+	def           string // text of the default; empty: none
+	needed        Role   // role that needs the key set; anyRole, or empty for optional
+	meaning       string
+	value
+}
+
+// value ties a key to its field and its type.
+type value struct {
+	typ   string
+	set   func(*Settings, string) error
+	empty func(*Settings) bool
+}
+
+// of makes a value of the type that parse reads, kept in field.
+func of[T any](typ string, parse func(string) (T, error), isEmpty func(T) bool, field func(*Settings) *T) value {
+	return value{
+		typ: typ,
+		set: func(s *Settings, text string) error {
+			v, err := parse(text)
+			if err == nil {
+				*field(s) = v
+			}
+			return err
+		},
+		empty: func(s *Settings) bool { return isEmpty(*field(s)) },
+	}
+}
+
+func zero[T comparable](v T) bool { var z T; return v == z }
+
+func text[T ~string](field func(*Settings) *T) value {
+	return of("text", parseText[T], zero[T], field)
+}
+
+func list[T ~string](field func(*Settings) *[]T) value {
+	return of("comma-separated list", parseList[T], func(v []T) bool { return len(v) == 0 }, field)
+}
+
+func address(field func(*Settings) *string) value {
+	return of("host:port", parseAddress, zero[string], field)
+}
+
+func size(field func(*Settings) *model.Bytes) value {
+	return of("size, such as 64KiB or 10MiB", parseBytes, zero[model.Bytes], field)
+}
+
+// keys is every key of the file, in the order of the reference.
+var keys = func() []key {
+	table := append(daemonKeys(), entryKeys()...)
+	return append(append(table, agentKeys()...), tlsKeys()...)
+}()
+
+func daemonKeys() []key {
+	return []key{
+		{"daemon", "role", "", anyRole, "What the process does: `entry` serves callers and operators, `agent` is the authority for one worker.",
+			of("entry or agent", parseRole, zero[Role], func(s *Settings) *Role { return &s.Daemon.Role })},
+		{"daemon", "id", "", anyRole, "Name of the process: the entry's id, or the worker's id for an agent. It is unique in the system.",
+			text(func(s *Settings) *string { return &s.Daemon.ID })},
+		{"daemon", "data-centre", "", anyRole, "Data centre of the host.",
+			text(func(s *Settings) *model.DataCentre { return &s.Daemon.DataCentre })},
+		{"daemon", "region", "default", "", "Region of the host. Agents connect to the entries of their region only.",
+			text(func(s *Settings) *model.Region { return &s.Daemon.Region })},
+		{"daemon", "log-level", "info", "", "Lowest level that is logged.",
+			of("debug, info, warn or error", parseLevel, func(l logLevel) bool { return false }, func(s *Settings) *logLevel { return &s.Daemon.LogLevel })},
+		{"daemon", "table", "", RoleEntry, "Base URL of the table service.",
+			of("URL", parseURL, isNil, func(s *Settings) *urlValue { return &s.Daemon.Table })},
+		{"daemon", "objects", "", RoleEntry, "Base URL of the object store.",
+			of("URL", parseURL, isNil, func(s *Settings) *urlValue { return &s.Daemon.Objects })},
+	}
+}
+
+func entryKeys() []key {
+	return []key{
+		{"entry", "listen", "127.0.0.1:8080", RoleEntry, "Address on which callers are served.",
+			address(func(s *Settings) *string { return &s.Entry.Listen })},
+		{"entry", "agents-listen", "127.0.0.1:8083", RoleEntry, "Address on which agents connect.",
+			address(func(s *Settings) *string { return &s.Entry.AgentsListen })},
+		{"entry", "operator-listen", "127.0.0.1:8081", RoleEntry, "Address of the operators' API.",
+			address(func(s *Settings) *string { return &s.Entry.OperatorListen })},
+		{"entry", "operator-token", "", "", "Bearer token that the operators' API requires. Without it the API is open to everyone who can connect.",
+			text(func(s *Settings) *string { return &s.Entry.OperatorToken })},
+		{"entry", "cells", "", "", "Cells whose ownership this entry contends for.",
+			list(func(s *Settings) *[]model.Cell { return &s.Entry.Cells })},
+		{"entry", "default-cell", "", "", "Cell of jobs that are submitted without one; by default the first of `cells`.",
+			text(func(s *Settings) *model.Cell { return &s.Entry.DefaultCell })},
+		{"entry", "default-service", "", "", "Service of requests that name none; by default they are answered 404.",
+			text(func(s *Settings) *model.Service { return &s.Entry.DefaultService })},
+		{"entry", "max-body", "10MiB", "", "Largest body of a caller's request; larger ones are answered 413.",
+			size(func(s *Settings) *model.Bytes { return &s.Entry.MaxBody })},
+		{"entry", "max-header", "64KiB", "", "Largest header of a caller's request; larger ones are answered 431.",
+			size(func(s *Settings) *model.Bytes { return &s.Entry.MaxHeader })},
+		{"entry", "max-callers", "10000", "", "Largest number of callers' connections open at the same time.",
+			of("number", parseCount, zero[int], func(s *Settings) *int { return &s.Entry.MaxCallers })},
+		{"entry", "request-deadline", "30s", "", "Deadline of requests whose class has no `deadline-ms` label.",
+			of("duration, such as 500ms or 30s", parseDuration, isZeroDuration, func(s *Settings) *durationValue { return &s.Entry.RequestDeadline })},
+	}
+}
+
+func agentKeys() []key {
+	return []key{
+		{"agent", "entries", "", RoleAgent, "Addresses of entries to connect to first; the table lists the others.",
+			of("list of host:port", parseAddresses, func(v []string) bool { return len(v) == 0 }, func(s *Settings) *[]string { return &s.Agent.Entries })},
+		{"agent", "cell", "", RoleAgent, "Cell that schedules the worker.",
+			text(func(s *Settings) *model.Cell { return &s.Agent.Cell })},
+		{"agent", "rack", "", "", "Rack of the worker.",
+			text(func(s *Settings) *model.Rack { return &s.Agent.Rack })},
+		{"agent", "announce-listen", "127.0.0.1:8082", RoleAgent, "Address on which the backend server of the host announces itself.",
+			address(func(s *Settings) *string { return &s.Agent.AnnounceListen })},
+		{"agent", "worker", "", "", "Base URL of the host's worker; without it the host runs no tasks.",
+			of("URL", parseURL, isNil, func(s *Settings) *urlValue { return &s.Agent.Worker })},
+		{"agent", "processors", "", "", "Processors that tasks may use; by default what the worker reports.",
+			of("cores, such as 32 or 500m", parseCPU, zero[model.MilliCPU], func(s *Settings) *model.MilliCPU { return &s.Agent.Capacity.CPU })},
+		{"agent", "memory", "", "", "Memory that tasks may use; by default what the worker reports.",
+			size(func(s *Settings) *model.Bytes { return &s.Agent.Capacity.Memory })},
+		{"agent", "accelerators", "", "", "Accelerators that tasks may use; by default what the worker reports.",
+			of("number", parseAccelerators, zero[int64], func(s *Settings) *int64 { return &s.Agent.Capacity.Accelerators })},
+		{"agent", "labels", "", "", "Labels that the worker announces; labels set by operators take precedence.",
+			of("list of key=value", parseLabels, func(v labelsValue) bool { return len(v) == 0 }, func(s *Settings) *labelsValue { return &s.Agent.Labels })},
+		{"agent", "config", "required", "", "`required`: no task starts before the agent holds a configuration. `optional`: tasks start without one.",
+			of("required or optional", parseRequired, func(bool) bool { return false }, func(s *Settings) *bool { return &s.Agent.ConfigRequired })},
+	}
+}
+
+func tlsKeys() []key {
+	return []key{
+		{"tls", "certificate", "", "", "File with the process's certificate in PEM; links between processes then use mutual TLS.",
+			text(func(s *Settings) *string { return &s.TLS.Certificate })},
+		{"tls", "key", "", "", "File with the certificate's private key in PEM.",
+			text(func(s *Settings) *string { return &s.TLS.Key })},
+		{"tls", "authority", "", "", "File with the certificates, in PEM, that sign the peers' certificates.",
+			text(func(s *Settings) *string { return &s.TLS.Authority })},
+	}
+}
+
+func lookup(where string) *key {
+	for i := range keys {
+		if place(keys[i].section, keys[i].name) == where {
+			return &keys[i]
+		}
+	}
+	return nil
+}
+
+// nearest returns the place of the known key with the smallest edit distance.
+func nearest(where string) string {
+	best, least := "", len(where)+100
+	for _, k := range keys {
+		known := place(k.section, k.name)
+		if d := distance(where, known); d < least {
+			best, least = known, d
+		}
+	}
+	return best
+}
+
+// distance is the Levenshtein distance of two ASCII strings.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := diagonal
+			if a[i-1] != b[j-1] {
+				cost++
+			}
+			diagonal = row[j]
+			row[j] = min(cost, row[j]+1, row[j-1]+1)
+		}
+	}
+	return row[len(b)]
+}
+
+// Reference returns the settings reference in Markdown.
+func Reference() string {
+	var b strings.Builder
+	section := ""
+	for _, k := range keys {
+		if k.section != section {
+			section = k.section
+			fmt.Fprintf(&b, "\n### [%s]\n\n| key | type | default | meaning |\n| --- | --- | --- | --- |\n", section)
+		}
+		def := "none"
+		switch {
+		case k.def != "":
+			def = "`" + k.def + "`"
+		case k.needed == anyRole:
+			def = "must be set"
+		case k.needed != "":
+			def = "must be set for role " + string(k.needed)
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", k.name, k.typ, def, k.meaning)
+	}
+	return strings.TrimPrefix(b.String(), "\n")
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,203 @@
+// Package settings reads the INI file of bambooscaled. One table of keys
+// checks the file and documents it.
+package settings
+
+import (
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/ini.v1"
+
+	"github.com/bambooscale/bambooscale/internal/finding"
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Role is what a bambooscaled process does.
+type Role string
+
+// Roles of a process.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Settings is a checked settings file.
+type Settings struct {
+	Daemon Daemon
+	Entry  Entry
+	Agent  Agent
+	TLS    TLS
+}
+
+// Daemon is the [daemon] section, which every role reads.
+type Daemon struct {
+	Role       Role
+	ID         string
+	DataCentre model.DataCentre
+	Region     model.Region
+	LogLevel   log.Level
+	Table      *url.URL // nil: not set
+	Objects    *url.URL // nil: not set
+}
+
+// Entry is the [entry] section.
+type Entry struct {
+	Listen          string
+	AgentsListen    string
+	OperatorListen  string
+	OperatorToken   string
+	Cells           []model.Cell
+	DefaultCell     model.Cell
+	DefaultService  model.Service
+	MaxBody         model.Bytes
+	MaxHeader       model.Bytes
+	MaxCallers      int
+	RequestDeadline time.Duration
+}
+
+// Agent is the [agent] section.
+type Agent struct {
+	Entries        []string
+	Cell           model.Cell
+	Rack           model.Rack
+	AnnounceListen string
+	Worker         *url.URL // nil: the host runs no tasks
+	Capacity       model.Resources
+	Labels         model.Labels
+	ConfigRequired bool
+}
+
+// TLS is the [tls] section: file names. All three are set, or none.
+type TLS struct{ Certificate, Key, Authority string }
+
+// Enabled reports whether links between processes use mutual TLS.
+func (t TLS) Enabled() bool { return t.Certificate != "" }
+
+// Load reads and checks a file. The error is a finding.List with every
+// finding, unless the file cannot be read.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(filepath.Base(path), raw)
+}
+
+// Parse checks settings held in memory; source names them in findings.
+func Parse(source string, raw []byte) (*Settings, error) {
+	r := reader{source: source, places: map[string]int{}, faulty: map[string]bool{}}
+	readable := r.scan(string(raw))
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreContinuation: true, IgnoreInlineComment: true}, []byte(readable))
+	if err != nil {
+		r.found.Add(source, 0, "", "not an INI file: %v", err)
+		return nil, r.found
+	}
+	s := r.values(file)
+	r.together(s)
+	if err := r.found.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// reader collects the findings of one file.
+type reader struct {
+	source string
+	found  finding.List
+	places map[string]int  // "[section] key" to its line
+	faulty map[string]bool // places of values that do not parse
+}
+
+func place(section, key string) string { return "[" + section + "] " + key }
+
+func (r *reader) add(where, format string, args ...any) {
+	r.found.Add(r.source, r.places[where], where, format, args...)
+}
+
+// scan notes the line of each key, because ini.v1 does not keep lines, and
+// reports lines that are neither section, key nor comment. It returns the text
+// without these lines: ini.v1 ends at the first of them.
+func (r *reader) scan(text string) string {
+	section, readable := "", make([]string, 0, 64)
+	for i, line := range strings.Split(text, "\n") {
+		line, n := strings.TrimSpace(line), i+1
+		switch {
+		case line == "" || line[0] == '#' || line[0] == ';':
+			continue
+		case line[0] == '[' && strings.HasSuffix(line, "]"):
+			section = strings.TrimSpace(line[1 : len(line)-1])
+		case line[0] == '[':
+			r.found.Add(r.source, n, line, "section is not closed with ]")
+			continue
+		case strings.IndexAny(line, "=:") <= 0:
+			r.found.Add(r.source, n, line, "expected key = value")
+			continue
+		default:
+			r.scanKey(section, line, n)
+		}
+		readable = append(readable, line)
+	}
+	return strings.Join(readable, "\n")
+}
+
+func (r *reader) scanKey(section, line string, n int) {
+	end := strings.IndexAny(line, "=:")
+	where := place(section, strings.TrimSpace(line[:end]))
+	if first, twice := r.places[where]; twice {
+		r.found.Add(r.source, n, where, "is set twice; first in line %d", first)
+		return
+	}
+	r.places[where] = n
+	switch {
+	case section == "":
+		r.add(where, "stands before the first section")
+	case lookup(where) == nil:
+		r.add(where, "unknown key; the nearest known key is %s", nearest(where))
+	}
+}
+
+// values parses every key of the table, set or default.
+func (r *reader) values(file *ini.File) *Settings {
+	s := &Settings{}
+	for _, k := range keys {
+		text := k.def
+		if file.Section(k.section).HasKey(k.name) {
+			text = file.Section(k.section).Key(k.name).String()
+		}
+		if text == "" {
+			continue
+		}
+		if err := k.set(s, text); err != nil {
+			r.faulty[place(k.section, k.name)] = true
+			r.add(place(k.section, k.name), "%v", err)
+		}
+	}
+	return s
+}
+
+// together checks what concerns more than one key.
+func (r *reader) together(s *Settings) {
+	for _, k := range keys {
+		where := place(k.section, k.name)
+		needed := k.needed == anyRole || (k.needed != "" && k.needed == s.Daemon.Role)
+		if needed && k.empty(s) && !r.faulty[where] {
+			r.add(where, "must be set: %s", k.meaning)
+		}
+	}
+	set := 0
+	for _, f := range []string{s.TLS.Certificate, s.TLS.Key, s.TLS.Authority} {
+		if f != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		r.add("[tls]", "set certificate, key and authority, or none of them")
+	}
+	if s.Daemon.Role == RoleEntry && s.Entry.DefaultCell == "" && len(s.Entry.Cells) > 0 {
+		s.Entry.DefaultCell = s.Entry.Cells[0]
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,91 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+const goodEntry = `; an entry
+[daemon]
+role = entry
+id = entry-1
+data-centre = dip-shed
+table = http://127.0.0.1:9001
+objects = http://127.0.0.1:9002
+[entry]
+listen = 10.0.0.1:8080
+cells = dip-shed, braid-hall
+max-body = 2MiB
+request-deadline = 750ms
+`
+
+// Guards against a key that is read into the wrong field or loses its default.
+func TestParseFillsFieldsAndDefaults(t *testing.T) {
+	s, err := Parse("settings.ini", []byte(goodEntry))
+	require.NoError(t, err)
+	require.Equal(t, RoleEntry, s.Daemon.Role)
+	require.Equal(t, model.DataCentre("dip-shed"), s.Daemon.DataCentre)
+	require.Equal(t, "127.0.0.1:9001", s.Daemon.Table.Host)
+	require.Equal(t, "10.0.0.1:8080", s.Entry.Listen)
+	require.Equal(t, "127.0.0.1:8081", s.Entry.OperatorListen)
+	require.Equal(t, []model.Cell{"dip-shed", "braid-hall"}, s.Entry.Cells)
+	require.Equal(t, model.Cell("dip-shed"), s.Entry.DefaultCell)
+	require.Equal(t, model.Bytes(2<<20), s.Entry.MaxBody)
+	require.Equal(t, 750*time.Millisecond, s.Entry.RequestDeadline)
+	require.False(t, s.TLS.Enabled())
+}
+
+// Guards against a check that stops at the first finding, loses its line, or
+// does not help with a misspelt key.
+func TestParseReportsEveryFinding(t *testing.T) {
+	_, err := Parse("settings.ini", []byte(`[daemon]
+role = entry
+rubbish
+[entry]
+listen = 10.0.0.1
+lissten = 10.0.0.1:1
+max-callers = -3
+max-callers = 4
+[agent]
+processors = many
+memory = 60XB
+[tls
+`))
+	require.Error(t, err)
+	for _, want := range []string{
+		"settings.ini:3: rubbish: expected key = value",
+		"settings.ini:5: [entry] listen: missing port",
+		"settings.ini:6: [entry] lissten: unknown key; the nearest known key is [entry] listen",
+		"settings.ini:8: [entry] max-callers: is set twice; first in line 7",
+		"settings.ini:10: [agent] processors: ",
+		"settings.ini:11: [agent] memory: ",
+		"settings.ini:12: [tls: section is not closed with ]",
+		"settings.ini: [daemon] id: must be set",
+	} {
+		require.Contains(t, err.Error(), want)
+	}
+}
+
+// Guards against an incomplete file that starts a daemon.
+func TestParseRequiresWhatTheRoleNeeds(t *testing.T) {
+	_, err := Parse("a.ini", []byte("[daemon]\nrole = agent\n[tls]\nkey = k\n"))
+	require.Error(t, err)
+	for _, want := range []string{"[daemon] id: must be set", "[agent] entries: must be set", "[agent] cell: must be set", "[tls]: set certificate, key and authority"} {
+		require.Contains(t, err.Error(), want)
+	}
+	require.NotContains(t, err.Error(), "[daemon] table")
+}
+
+// Guards against a key that is checked but not documented.
+func TestReferenceListsEveryKey(t *testing.T) {
+	ref := Reference()
+	for _, k := range keys {
+		require.Equal(t, 1, strings.Count(ref, "| `"+k.name+"` | "+k.typ+" |"), k.name)
+		require.NotEmpty(t, k.meaning)
+	}
+}
