configstore: accept, distribute and apply versioned labels and selectors

Cause: operators' edits must take effect within seconds everywhere, never revert, and be known as accepted or not although responses are lost. The row of a removed item stays, so that a later edit based on a version before the removal conflicts.

--- /dev/null
+++ b/internal/configstore/edit.go
@@ -0,0 +1,230 @@
+package configstore
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooscale/bambooscale/internal/finding"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
+)
+
+// maxChanges bounds an edit: each change is one row, and a transaction of the
+// table has at most 128 rows.
+const maxChanges = 100
+
+// maxName bounds the length in bytes of names and edit ids.
+const maxName = 253
+
+// Edit is a change of the configuration that is accepted or refused as a
+// whole. Base is the version that its author read. ID is chosen by the
+// author; sending the same edit again with the same ID has no further effect.
+type Edit struct {
+	ID      string              `json:"id"`
+	Author  string              `json:"author,omitempty"`
+	Base    model.ConfigVersion `json:"base"`
+	Changes []Change            `json:"changes"`
+}
+
+// Change sets or removes one item.
+type Change struct {
+	Key  model.ConfigKey   `json:"key"`
+	Item *model.ConfigItem `json:"item,omitempty"` // nil removes the item
+}
+
+// Accepted is the result of an edit that is known to be committed.
+type Accepted struct {
+	Version  model.ConfigVersion `json:"version"`
+	Repeated bool                `json:"repeated,omitempty"` // it had been accepted before
+}
+
+// ConflictError says that a key of an edit was changed after the version that
+// its author read. Nothing of the edit took effect.
+type ConflictError struct {
+	Key     model.ConfigKey     `json:"key"`
+	Base    model.ConfigVersion `json:"base"`    // version that the author read
+	Version model.ConfigVersion `json:"version"` // of the other change
+	Author  string              `json:"author"`  // of the other change
+}
+
+func (e *ConflictError) Error() string {
+	by := e.Author
+	if by == "" {
+		by = "an unnamed author"
+	}
+	return fmt.Sprintf("%s was changed by %s in version %d, after version %d on which the edit is based; read it again and repeat the edit",
+		e.Key, by, e.Version, e.Base)
+}
+
+// Check holds the syntax checks of labels and selectors.
+type Check struct {
+	Labels   func(model.Labels) finding.List
+	Selector func(string) error
+}
+
+// Validate returns every finding of an edit. Positions are names of fields.
+func (c Check) Validate(e Edit) finding.List {
+	var found finding.List
+	add := func(where, format string, args ...any) { found.Add("edit", 0, where, format, args...) }
+	if e.ID == "" || !plainName(e.ID) {
+		add("id", "must be 1 to %d printable characters without spaces", maxName)
+	}
+	if e.Author != "" && !plainName(e.Author) {
+		add("author", "must be at most %d printable characters without spaces", maxName)
+	}
+	if len(e.Changes) == 0 || len(e.Changes) > maxChanges {
+		add("changes", "has %d changes; 1 to %d are allowed", len(e.Changes), maxChanges)
+	}
+	seen := map[model.ConfigKey]int{}
+	for i, change := range e.Changes {
+		where := fmt.Sprintf("changes[%d]", i)
+		if first, twice := seen[change.Key]; twice {
+			add(where+".key", "%s is also changed by changes[%d]", change.Key, first)
+		}
+		seen[change.Key] = i
+		found = append(found, c.change(where, change)...)
+	}
+	return found
+}
+
+func (c Check) change(where string, ch Change) finding.List {
+	var found finding.List
+	add := func(field, format string, args ...any) { found.Add("edit", 0, where+field, format, args...) }
+	if !knownKind(ch.Key.Kind) {
+		add(".key.kind", "unknown kind %q; use service, class, team, worker, backend, job or selector", ch.Key.Kind)
+	}
+	if ch.Key.Name == "" || !plainName(ch.Key.Name) {
+		add(".key.name", "must be 1 to %d printable characters without spaces", maxName)
+	}
+	if ch.Item == nil {
+		return found
+	}
+	if ch.Key.Kind == model.KindSelector {
+		return append(found, c.selector(where+".item", *ch.Item)...)
+	}
+	if ch.Item.Selector != nil {
+		add(".item.selector", "only items of kind selector have a selector")
+	}
+	for _, f := range c.Labels(ch.Item.Labels) {
+		add(".item.labels", "%s", labelFinding(f))
+	}
+	for label, value := range ch.Item.Labels {
+		if err := checkValue(ch.Key.Kind, label, value); err != nil {
+			add(".item.labels."+label, "%v", err)
+		}
+	}
+	return found
+}
+
+func labelFinding(f finding.Finding) string {
+	if f.Where == "" {
+		return f.Text
+	}
+	return f.Where + ": " + f.Text
+}
+
+func (c Check) selector(where string, item model.ConfigItem) finding.List {
+	var found finding.List
+	add := func(field, format string, args ...any) { found.Add("edit", 0, where+field, format, args...) }
+	if len(item.Labels) > 0 {
+		add(".labels", "a selector has no labels")
+	}
+	s := item.Selector
+	if s == nil {
+		add(".selector", "is missing")
+		return found
+	}
+	syntax := func(field, text string) {
+		if text == "" {
+			add(field, "is missing")
+		} else if err := c.Selector(text); err != nil {
+			add(field, "%v", err)
+		}
+	}
+	syntax(".selector.subject", s.Subject)
+	switch s.Kind {
+	case model.MayShare, model.MustStayApart:
+		syntax(".selector.object", s.Object)
+	case model.YieldsFirst:
+		if s.Object != "" {
+			add(".selector.object", "is unused by %s; remove it", s.Kind)
+		}
+	default:
+		add(".selector.kind", "unknown kind %q; use %s, %s or %s", s.Kind, model.MayShare, model.MustStayApart, model.YieldsFirst)
+	}
+	return found
+}
+
+func knownKind(k model.ConfigKind) bool {
+	switch k {
+	case model.KindService, model.KindClass, model.KindTeam, model.KindWorker, model.KindBackend, model.KindJob, model.KindSelector:
+		return true
+	}
+	return false
+}
+
+func plainName(s string) bool {
+	for _, r := range s {
+		if r <= ' ' || r == 0x7f {
+			return false
+		}
+	}
+	return len(s) <= maxName
+}
+
+// tableState is what an edit is decided on: the head and its keys' rows.
+type tableState struct {
+	head    model.ConfigVersion
+	headRow platform.Revision // 0: absent
+	keys    []keyState        // in the order of the edit's changes
+}
+
+// keyState is the newest change of one key.
+type keyState struct {
+	row    platform.Revision // 0: absent
+	change model.ConfigChange
+}
+
+// errFuture says that an edit's base is newer than the configuration.
+var errFuture = errors.New("the edit is based on a version that does not exist")
+
+// plan returns the transaction that makes an edit, or the conflict that
+// refuses it. It is pure.
+func plan(e Edit, now tableState) (platform.Txn, rows.ConfigLog, error) {
+	if e.Base > now.head {
+		return platform.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errFuture, e.Base, now.head)
+	}
+	for i, k := range now.keys {
+		if k.change.Version > e.Base {
+			return platform.Txn{}, rows.ConfigLog{}, &ConflictError{Key: e.Changes[i].Key, Base: e.Base,
+				Version: k.change.Version, Author: k.change.Author}
+		}
+	}
+	next := now.head + 1
+	log := rows.ConfigLog{Version: next, Edit: e.ID, Author: e.Author}
+	t := platform.Txn{
+		Operation: fmt.Sprintf("config/%s/%d", e.ID, next),
+		Checks:    []platform.Check{{Key: rows.ConfigHeadKey, Version: now.headRow}},
+		Puts:      []platform.Put{{Key: rows.ConfigHeadKey, Value: rows.Encode(rows.ConfigHead{Version: next})}},
+	}
+	for i, c := range e.Changes {
+		change := model.ConfigChange{Version: next, Key: c.Key, Item: c.Item, Author: e.Author}
+		key := rows.ConfigKey(c.Key)
+		t.Checks = append(t.Checks, platform.Check{Key: key, Version: now.keys[i].row})
+		// The row of a removed item stays, so that a later edit that is based
+		// on a version before the removal conflicts with it.
+		t.Puts = append(t.Puts, platform.Put{Key: key, Value: rows.Encode(change)})
+		log.Changes = append(log.Changes, change)
+	}
+	t.Puts = append(t.Puts, platform.Put{Key: rows.ConfigLogKey(next), Value: rows.Encode(log)})
+	return t, log, nil
+}
+
+// findingOf returns an error as the only finding of an edit's field.
+func findingOf(where string, err error) finding.List {
+	var found finding.List
+	found.Add("edit", 0, where, "%v", err)
+	return found
+}
--- /dev/null
+++ b/internal/configstore/node.go
@@ -0,0 +1,266 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+)
+
+// Update is what subscribers receive when a newer version is in force, or
+// the state of the configuration changed.
+type Update struct {
+	Snapshot *Snapshot
+	State    string // state name of charts/config.scxml
+}
+
+// Status is what a daemon knows of the configuration's distribution.
+type Status struct {
+	Daemon  string                 `json:"daemon"`
+	Version model.ConfigVersion    `json:"version"`
+	State   string                 `json:"state"`
+	Daemons []model.AppliedVersion `json:"daemons"` // itself and its linked peers
+}
+
+// message is what a node receives.
+type message interface{ handle(n *node) }
+
+type (
+	// linkUp announces a link, whose peer has this version in force.
+	linkUp struct {
+		peer    string
+		version model.ConfigVersion
+		to      actor.Address[msg.Control]
+	}
+	linkDown struct {
+		peer string
+		to   actor.Address[msg.Control]
+	}
+	fromPeer struct {
+		peer string
+		m    msg.Control
+	}
+	subscribe struct{ deliver func(Update) bool }
+	askUpdate struct{ answer actor.Reply[Update] }
+	askStatus struct{ answer actor.Reply[Status] }
+)
+
+// retryInterval is how often deliveries to full mailboxes are repeated.
+const retryInterval = 250 * time.Millisecond
+
+// node is the actor that holds a daemon's configuration. On an entry its
+// source is the table and it distributes to agents; on an agent its sources
+// are the entries, to which it reports the version in force.
+type node struct {
+	name    string
+	log     log.Interface
+	now     func() time.Time
+	source  actor.Address[pollNow] // zero on agents
+	isEntry bool
+
+	life      lifecycle
+	deadline  time.Time // of the state's timeout; zero: none
+	snapshot  *Snapshot
+	journal   journal
+	incoming  *msg.ConfigDelta // what the current step may install
+	peers     map[string]*peer
+	receivers []*receiver
+	deltas    map[model.ConfigVersion]*msg.ConfigDelta // by start; for the version in force
+	whole     *msg.ConfigDelta                         // for the version in force; nil: not built
+	pollError error                                    // of the latest poll that failed
+}
+
+// peer is a linked daemon. sent is the version that it needs nothing before:
+// what an entry delivered to the agent, or what an agent reported.
+type peer struct {
+	to      actor.Address[msg.Control]
+	version model.ConfigVersion // in force at the peer
+	sent    model.ConfigVersion
+}
+
+// receiver is a subscriber in this process.
+type receiver struct {
+	deliver func(Update) bool
+	behind  bool
+	slow    bool // reported as slow since its latest update
+}
+
+func newNode(name string, isEntry bool, l log.Interface) *node {
+	return &node{name: name, isEntry: isEntry, log: l, now: time.Now, snapshot: &Snapshot{},
+		peers: map[string]*peer{}, deltas: map[model.ConfigVersion]*msg.ConfigDelta{}}
+}
+
+func (n *node) run(ctx context.Context, in <-chan message) error {
+	tick := time.NewTicker(retryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-in:
+			m.handle(n)
+		case <-tick.C:
+			n.expire()
+			n.distribute()
+			n.publish()
+		}
+	}
+}
+
+// expire feeds the state's timeout; the tick is precise enough for it.
+func (n *node) expire() {
+	if _, e, ok := configChart.Timeout(n.life.state); ok && !n.deadline.IsZero() && !n.now().Before(n.deadline) {
+		n.step(e)
+	}
+}
+
+// step feeds an event to the lifecycle and carries out its effects.
+func (n *node) step(e chart.Event) {
+	before, held := n.life.state, n.life.held
+	n.life.peerAhead = n.anyAhead()
+	requested, installed := false, false
+	for _, eff := range n.life.step(e) {
+		switch eff {
+		case effInstall:
+			n.install()
+			installed = true
+		case effRequest:
+			n.request()
+			requested = true
+		}
+	}
+	if n.life.state != before || requested {
+		n.arm()
+	}
+	if n.life.state == stStale && before == stCurrent {
+		event.Log(n.log, event.ConfigStale, log.Fields{"version": uint64(n.snapshot.version), "error": fmt.Sprint(n.pollError)})
+	}
+	if installed || n.life.state != before || n.life.held != held {
+		n.changed()
+	}
+}
+
+func (n *node) arm() {
+	n.deadline = time.Time{}
+	if d, _, ok := configChart.Timeout(n.life.state); ok {
+		n.deadline = n.now().Add(d)
+	}
+}
+
+func (n *node) install() {
+	d := n.incoming
+	held := n.snapshot.version
+	n.snapshot = n.snapshot.apply(d)
+	n.journal.note(held, d)
+	clear(n.deltas)
+	n.whole = nil
+	event.Log(n.log, event.ConfigInstalled, log.Fields{"version": uint64(n.snapshot.version), "changes": len(d.Changes)})
+}
+
+// request asks the sources: the table, and every peer that is ahead.
+func (n *node) request() {
+	n.source.TrySend(pollNow{})
+	for _, p := range n.peers {
+		if p.version > n.snapshot.version {
+			p.to.TrySend(&msg.ConfigRequest{Have: n.snapshot.version})
+		}
+	}
+}
+
+func (n *node) anyAhead() bool {
+	for _, p := range n.peers {
+		if p.version > n.snapshot.version {
+			return true
+		}
+	}
+	return false
+}
+
+// offer considers a delta. Only a higher version is ever installed.
+func (n *node) offer(d *msg.ConfigDelta, authority bool) {
+	n.life.authority, n.incoming = authority, d
+	switch n.snapshot.fit(d) {
+	case fitNewer:
+		n.step(evNewer)
+	case fitGap:
+		event.Log(n.log, event.ConfigGap, log.Fields{"held": uint64(n.snapshot.version), "from": uint64(d.From)})
+		n.step(evGap)
+	case fitSame:
+		if authority {
+			n.step(evConfirmed)
+		}
+	}
+}
+
+// changed tells everyone after a change.
+func (n *node) changed() {
+	for _, r := range n.receivers {
+		r.behind = true
+	}
+	n.publish()
+	n.distribute()
+}
+
+func (n *node) publish() {
+	if !n.life.held {
+		return
+	}
+	u := n.update()
+	for _, r := range n.receivers {
+		if !r.behind {
+			continue
+		}
+		if r.deliver(u) {
+			r.behind, r.slow = false, false
+		} else if !r.slow {
+			r.slow = true
+			event.Log(n.log, event.ConfigReceiverSlow, log.Fields{"version": uint64(n.snapshot.version)})
+		}
+	}
+}
+
+func (n *node) update() Update { return Update{Snapshot: n.snapshot, State: n.life.name()} }
+
+// distribute sends each peer what it lacks. A full mailbox is tried again at
+// the next tick.
+func (n *node) distribute() {
+	if !n.life.held {
+		return
+	}
+	for _, p := range n.peers {
+		if p.sent >= n.snapshot.version {
+			continue
+		}
+		var m msg.Control = &msg.ConfigApplied{Version: n.snapshot.version}
+		if n.isEntry {
+			m = n.deltaFrom(p.sent)
+		}
+		if p.to.TrySend(m) {
+			p.sent = n.snapshot.version
+		}
+	}
+}
+
+// deltaFrom returns what a daemon at version have lacks. Peers at the same
+// version share one delta.
+func (n *node) deltaFrom(have model.ConfigVersion) *msg.ConfigDelta {
+	if d, ok := n.deltas[have]; ok {
+		return d
+	}
+	if changes, ok := n.journal.since(have); ok {
+		d := &msg.ConfigDelta{From: have, To: n.snapshot.version, Changes: changes}
+		n.deltas[have] = d
+		return d
+	}
+	if n.whole == nil {
+		n.whole = n.snapshot.full()
+	}
+	return n.whole
+}
--- /dev/null
+++ b/internal/configstore/poller.go
@@ -0,0 +1,158 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
+)
+
+const (
+	// pollInterval leaves most of the 5 s in which an edit is in effect to a
+	// slow store.
+	pollInterval = 500 * time.Millisecond
+	// maxPollDelay bounds the backoff while the table is away.
+	maxPollDelay = 4 * time.Second
+	pollTimeout  = 3 * time.Second
+)
+
+// pollNow asks the poller to look at once; All to load everything again.
+type pollNow struct{ all bool }
+
+// poller reads the configuration's rows and tells the node what it finds.
+type poller struct {
+	table  platform.Table
+	node   actor.Address[message]
+	log    log.Interface
+	loaded model.ConfigVersion
+	rev    platform.Revision // the log is read up to this revision
+	known  bool              // loaded and rev are set
+}
+
+func (p *poller) run(ctx context.Context, in <-chan pollNow) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	delay := pollInterval
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-in:
+			p.known = p.known && !now.all
+		case <-timer.C:
+		}
+		if err := p.poll(ctx); err != nil {
+			delay = min(2*delay, maxPollDelay)
+			p.tell(ctx, &pollFailed{err: err})
+		} else {
+			delay = pollInterval
+		}
+		timer.Reset(delay - delay/8 + rand.N(delay/4)) // entries started together poll apart
+	}
+}
+
+func (p *poller) tell(ctx context.Context, m message) { _ = p.node.Send(ctx, m) }
+
+func (p *poller) poll(ctx context.Context) error {
+	reading, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	head, _, err := readRow[rows.ConfigHead](reading, p.table, rows.ConfigHeadKey)
+	switch {
+	case err != nil:
+		return err
+	case !p.known:
+		return p.loadAll(ctx, reading, head.Version)
+	case head.Version > p.loaded:
+		return p.loadLog(ctx, reading)
+	}
+	p.tell(ctx, &polled{version: p.loaded})
+	return nil
+}
+
+// loadAll reads every item. Items that were removed still have rows, so the
+// newest change among the rows is the version at the scan's revision.
+func (p *poller) loadAll(ctx, reading context.Context, head model.ConfigVersion) error {
+	found, rev, err := p.table.Scan(reading, rows.ConfigKeyPrefix, 0)
+	if err != nil {
+		return err
+	}
+	d := &msg.ConfigDelta{Full: true, To: head}
+	for _, row := range found {
+		if row.Deleted {
+			continue
+		}
+		change, err := rows.Decode[model.ConfigChange](row.Value)
+		if err != nil {
+			event.Log(p.log, event.ConfigRowMalformed, log.Fields{"row": row.Key, "error": err.Error()})
+			continue
+		}
+		d.To = max(d.To, change.Version)
+		if change.Item != nil {
+			d.Changes = append(d.Changes, change)
+		}
+	}
+	p.loaded, p.rev, p.known = d.To, rev, true
+	p.tell(ctx, &polled{version: d.To, delta: d})
+	return nil
+}
+
+// loadLog reads the edits after the version loaded. When one is missing it
+// loads everything at the next poll.
+func (p *poller) loadLog(ctx, reading context.Context) error {
+	found, rev, err := p.table.Scan(reading, rows.ConfigLogPrefix, p.rev)
+	if err != nil {
+		return err
+	}
+	var edits []rows.ConfigLog
+	for _, row := range found {
+		entry, err := rows.Decode[rows.ConfigLog](row.Value)
+		if row.Deleted || (err == nil && entry.Version <= p.loaded) {
+			continue
+		}
+		if err != nil {
+			event.Log(p.log, event.ConfigRowMalformed, log.Fields{"row": row.Key, "error": err.Error()})
+			continue
+		}
+		edits = append(edits, entry)
+	}
+	sort.Slice(edits, func(i, j int) bool { return edits[i].Version < edits[j].Version })
+	if want, ok := contiguous(p.loaded, edits); !ok {
+		p.known = false
+		return fmt.Errorf("%s is missing", rows.ConfigLogKey(want))
+	}
+	p.rev = rev
+	d := deltaOf(edits)
+	p.loaded = d.To
+	p.tell(ctx, &polled{version: d.To, delta: d})
+	return nil
+}
+
+// contiguous reports whether edits are the versions after a version without a
+// gap, or the first that is missing.
+func contiguous(after model.ConfigVersion, edits []rows.ConfigLog) (model.ConfigVersion, bool) {
+	for _, e := range edits {
+		if after++; e.Version != after {
+			return after, false
+		}
+	}
+	return after + 1, len(edits) > 0
+}
+
+// deltaOf returns contiguous edits as one delta.
+func deltaOf(edits []rows.ConfigLog) *msg.ConfigDelta {
+	d := &msg.ConfigDelta{From: edits[0].Version - 1, To: edits[len(edits)-1].Version}
+	for _, e := range edits {
+		d.Changes = append(d.Changes, e.Changes...)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/configstore/properties.go
@@ -0,0 +1,200 @@
+package configstore
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Labels that the system itself reads. Every other label only serves
+// selectors.
+const (
+	LabelService           = "service"            // class: the service it belongs to; without it, every service
+	LabelDeadline          = "deadline-ms"        // class: default deadline of its requests
+	LabelPathPrefix        = "path-prefix"        // class: comma-separated path prefixes of its requests
+	LabelLong              = "long"               // class: true when its requests are long from the start
+	LabelIdempotentMethods = "idempotent-methods" // class, service: comma-separated; replaces those of RFC 9110
+	LabelWeight            = "weight"             // class: share against other classes, 1 by default
+	LabelDefaultTenant     = "default-tenant"     // service: tenant of requests that name none
+	LabelQuotaCPU          = "quota-cpu"          // team: milli-CPU
+	LabelQuotaMemory       = "quota-memory"       // team: bytes
+	LabelQuotaAccelerators = "quota-accelerators" // team
+)
+
+// ClassProperties is what the labels of a class say.
+type ClassProperties struct {
+	Class             model.Class
+	Service           model.Service // empty: every service
+	Deadline          time.Duration // 0: not set
+	PathPrefixes      []string
+	Long              bool
+	IdempotentMethods []string // nil: not set
+	Weight            int
+	Labels            model.Labels
+}
+
+// ServiceProperties is what the labels of a service say.
+type ServiceProperties struct {
+	DefaultTenant     model.Tenant
+	IdempotentMethods []string // nil: not set
+	Labels            model.Labels
+}
+
+// Class returns the properties of a class; a class without labels has the
+// defaults.
+func (s *Snapshot) Class(c model.Class) ClassProperties {
+	return classProperties(c, s.Labels(model.KindClass, string(c)))
+}
+
+// Classes returns the classes of a service, those with the longest path
+// prefix first, so that the first class with a matching prefix is the most
+// specific.
+func (s *Snapshot) Classes(service model.Service) []ClassProperties {
+	var list []ClassProperties
+	for _, k := range s.Keys(model.KindClass) {
+		if p := s.Class(model.Class(k.Name)); p.Service == "" || p.Service == service {
+			list = append(list, p)
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].longest() > list[j].longest() })
+	return list
+}
+
+func (p ClassProperties) longest() int {
+	n := 0
+	for _, prefix := range p.PathPrefixes {
+		n = max(n, len(prefix))
+	}
+	return n
+}
+
+// ClassOf returns the class of a request path: the one with the longest
+// matching prefix.
+func ClassOf(classes []ClassProperties, path string) (class ClassProperties, ok bool) {
+	best := -1
+	for _, c := range classes {
+		for _, prefix := range c.PathPrefixes {
+			if len(prefix) > best && strings.HasPrefix(path, prefix) {
+				class, ok, best = c, true, len(prefix)
+			}
+		}
+	}
+	return class, ok
+}
+
+// Service returns the properties of a service.
+func (s *Snapshot) Service(name model.Service) ServiceProperties {
+	l := s.Labels(model.KindService, string(name))
+	return ServiceProperties{
+		DefaultTenant:     model.Tenant(l[LabelDefaultTenant]),
+		IdempotentMethods: splitList(l[LabelIdempotentMethods]),
+		Labels:            l,
+	}
+}
+
+// Quota returns the quota of a team. A dimension without a label is
+// unlimited, which is math.MaxInt64; ok is false when no dimension is limited.
+func (s *Snapshot) Quota(t model.Team) (quota model.Resources, ok bool) {
+	l := s.Labels(model.KindTeam, string(t))
+	const unlimited = 1<<63 - 1
+	read := func(key string) int64 {
+		n, err := strconv.ParseInt(l[key], 10, 64)
+		if err != nil || n < 0 {
+			return unlimited
+		}
+		ok = true
+		return n
+	}
+	quota = model.Resources{CPU: model.MilliCPU(read(LabelQuotaCPU)), Memory: model.Bytes(read(LabelQuotaMemory)),
+		Accelerators: read(LabelQuotaAccelerators)}
+	return quota, ok
+}
+
+// Quotas returns the quotas of the teams that have one.
+func (s *Snapshot) Quotas() map[model.Team]model.Resources {
+	quotas := map[model.Team]model.Resources{}
+	for _, k := range s.Keys(model.KindTeam) {
+		if q, ok := s.Quota(model.Team(k.Name)); ok {
+			quotas[model.Team(k.Name)] = q
+		}
+	}
+	return quotas
+}
+
+// NamedSelector is a selector item with its name.
+type NamedSelector struct {
+	Name string
+	model.Selector
+}
+
+// Selectors returns the selectors of a kind, or of every kind when kind is
+// empty, sorted by name.
+func (s *Snapshot) Selectors(kind model.SelectorKind) []NamedSelector {
+	var list []NamedSelector
+	for _, k := range s.Keys(model.KindSelector) {
+		if sel := s.items[k].Selector; sel != nil && (kind == "" || sel.Kind == kind) {
+			list = append(list, NamedSelector{Name: k.Name, Selector: *sel})
+		}
+	}
+	return list
+}
+
+func classProperties(c model.Class, l model.Labels) ClassProperties {
+	p := ClassProperties{Class: c, Service: model.Service(l[LabelService]), Weight: 1, Labels: l,
+		PathPrefixes: splitList(l[LabelPathPrefix]), IdempotentMethods: splitList(l[LabelIdempotentMethods])}
+	if ms, err := strconv.ParseInt(l[LabelDeadline], 10, 32); err == nil {
+		p.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	p.Long, _ = strconv.ParseBool(l[LabelLong])
+	if w, err := strconv.Atoi(l[LabelWeight]); err == nil {
+		p.Weight = w
+	}
+	return p
+}
+
+func splitList(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// checkValue reports what is wrong with the value of a label that the system
+// reads on things of this kind, or nil.
+func checkValue(kind model.ConfigKind, label, value string) error {
+	number := func(low, high int64) error {
+		if n, err := strconv.ParseInt(value, 10, 64); err != nil || n < low || n > high {
+			return fmt.Errorf("%q is not a whole number from %d to %d", value, low, high)
+		}
+		return nil
+	}
+	switch {
+	case kind == model.KindClass && label == LabelDeadline:
+		return number(1, 24*3600*1000)
+	case kind == model.KindClass && label == LabelWeight:
+		return number(1, 1000)
+	case kind == model.KindClass && label == LabelLong:
+		if value != "true" && value != "false" {
+			return fmt.Errorf("%q is neither true nor false", value)
+		}
+	case kind == model.KindClass && label == LabelPathPrefix:
+		for _, p := range strings.Split(value, ",") {
+			if !strings.HasPrefix(p, "/") {
+				return fmt.Errorf("path prefix %q does not begin with /", p)
+			}
+		}
+	case (kind == model.KindClass || kind == model.KindService) && label == LabelIdempotentMethods:
+		for _, m := range strings.Split(value, ",") {
+			if m == "" || strings.ToUpper(m) != m {
+				return fmt.Errorf("%q is not an upper-case HTTP method", m)
+			}
+		}
+	case kind == model.KindTeam && (label == LabelQuotaCPU || label == LabelQuotaMemory || label == LabelQuotaAccelerators):
+		return number(0, 1<<62)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/configstore/snapshot.go
@@ -0,0 +1,175 @@
+// Package configstore holds the versioned labels and selectors: it accepts
+// edits, distributes them to daemons and applies them there.
+package configstore
+
+import (
+	"maps"
+	"sort"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+)
+
+// Item is a configuration item and the edit that set it.
+type Item struct {
+	model.ConfigItem
+	Version model.ConfigVersion `json:"version"`
+	Author  string              `json:"author,omitempty"`
+}
+
+// Snapshot is the whole configuration at one version. It is immutable: what
+// its methods return is shared and must not be modified. The zero Snapshot is
+// the empty configuration, version 0.
+type Snapshot struct {
+	version model.ConfigVersion
+	items   map[model.ConfigKey]Item
+}
+
+// NewSnapshot returns a snapshot of the items given. Tests of other packages
+// use it; daemons receive their snapshots.
+func NewSnapshot(version model.ConfigVersion, items map[model.ConfigKey]model.ConfigItem) *Snapshot {
+	s := &Snapshot{version: version, items: make(map[model.ConfigKey]Item, len(items))}
+	for k, item := range items {
+		s.items[k] = Item{ConfigItem: item, Version: version}
+	}
+	return s
+}
+
+// Version returns the version of the newest edit in s.
+func (s *Snapshot) Version() model.ConfigVersion { return s.version }
+
+// Len returns the number of items.
+func (s *Snapshot) Len() int { return len(s.items) }
+
+// Item returns the item of a key.
+func (s *Snapshot) Item(k model.ConfigKey) (Item, bool) {
+	item, ok := s.items[k]
+	return item, ok
+}
+
+// Labels returns the labels of a thing, or nil.
+func (s *Snapshot) Labels(kind model.ConfigKind, name string) model.Labels {
+	return s.items[model.ConfigKey{Kind: kind, Name: name}].Labels
+}
+
+// Keys lists the keys of a kind, or of every kind when kind is empty, sorted.
+func (s *Snapshot) Keys(kind model.ConfigKind) []model.ConfigKey {
+	var keys []model.ConfigKey
+	for k := range s.items {
+		if kind == "" || k.Kind == kind {
+			keys = append(keys, k)
+		}
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].String() < keys[j].String() })
+	return keys
+}
+
+// fit says how a delta relates to a snapshot.
+type fit uint8
+
+const (
+	fitOlder fit = iota // nothing new, and the sender is behind
+	fitSame             // the sender is at the same version
+	fitNewer            // can be applied
+	fitGap              // changes before it are missing
+)
+
+func (s *Snapshot) fit(d *msg.ConfigDelta) fit {
+	switch {
+	case d.To < s.version:
+		return fitOlder
+	case d.To == s.version:
+		return fitSame
+	case !d.Full && d.From > s.version:
+		return fitGap
+	}
+	return fitNewer
+}
+
+// apply returns the snapshot after a delta that fits as newer.
+func (s *Snapshot) apply(d *msg.ConfigDelta) *Snapshot {
+	next := &Snapshot{version: d.To}
+	if d.Full || s.items == nil {
+		next.items = make(map[model.ConfigKey]Item, len(d.Changes))
+	} else {
+		next.items = maps.Clone(s.items)
+	}
+	for _, c := range d.Changes {
+		if !d.Full && c.Version <= s.version {
+			continue // the delta starts before what is held
+		}
+		if c.Item == nil {
+			delete(next.items, c.Key)
+			continue
+		}
+		next.items[c.Key] = Item{ConfigItem: *c.Item, Version: c.Version, Author: c.Author}
+	}
+	return next
+}
+
+// full returns s as one delta.
+func (s *Snapshot) full() *msg.ConfigDelta {
+	d := &msg.ConfigDelta{To: s.version, Full: true, Changes: make([]model.ConfigChange, 0, len(s.items))}
+	for k, item := range s.items {
+		value := item.ConfigItem
+		d.Changes = append(d.Changes, model.ConfigChange{Version: item.Version, Key: k, Item: &value, Author: item.Author})
+	}
+	sort.Slice(d.Changes, func(i, j int) bool {
+		a, b := d.Changes[i], d.Changes[j]
+		return a.Version < b.Version || (a.Version == b.Version && a.Key.String() < b.Key.String())
+	})
+	return d
+}
+
+// maxJournal bounds the journal: 1,000 edits are seven hours at the target
+// of 3,300 a day, so a daemon that was away for longer gets everything.
+const maxJournal = 1000
+
+// journal keeps the newest changes, so that daemons get only what they lack.
+type journal struct {
+	base    model.ConfigVersion // changes after this version are all kept
+	version model.ConfigVersion // of the newest change
+	edits   []edition
+}
+
+// edition is the changes of one version.
+type edition struct {
+	version model.ConfigVersion
+	changes []model.ConfigChange
+}
+
+// note records a delta that was applied to a snapshot at version held.
+func (j *journal) note(held model.ConfigVersion, d *msg.ConfigDelta) {
+	if d.Full || held != j.version {
+		*j = journal{base: d.To, version: d.To}
+		return
+	}
+	for _, c := range d.Changes {
+		if c.Version <= held {
+			continue
+		}
+		if last := len(j.edits) - 1; last >= 0 && j.edits[last].version == c.Version {
+			j.edits[last].changes = append(j.edits[last].changes, c)
+			continue
+		}
+		j.edits = append(j.edits, edition{version: c.Version, changes: []model.ConfigChange{c}})
+	}
+	j.version = d.To
+	if extra := len(j.edits) - maxJournal; extra > 0 {
+		j.base = j.edits[extra-1].version
+		j.edits = append([]edition(nil), j.edits[extra:]...)
+	}
+}
+
+// since returns the changes after a version; ok is false when some of them
+// are no longer kept.
+func (j *journal) since(have model.ConfigVersion) (changes []model.ConfigChange, ok bool) {
+	if have < j.base || have > j.version {
+		return nil, false
+	}
+	i := sort.Search(len(j.edits), func(i int) bool { return j.edits[i].version > have })
+	for _, e := range j.edits[i:] {
+		changes = append(changes, e.changes...)
+	}
+	return changes, true
+}
--- /dev/null
+++ b/internal/configstore/table_test.go
@@ -0,0 +1,125 @@
+package configstore
+
+import (
+	"context"
+	"strings"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/platform"
+)
+
+// fault is what happens to one operation of the fake table.
+type fault uint8
+
+const (
+	healthy   fault = iota
+	away            // no effect, and the client knows it
+	lostAfter       // takes effect, but the response is lost
+	lostFirst       // has no effect, and the client does not know it
+)
+
+// fakeTable is an actor, so that tests may use it from any goroutine.
+type fakeTable struct{ addr actor.Address[func(*tableData)] }
+
+type tableData struct {
+	rev     platform.Revision
+	rows    map[string]platform.Row
+	commits []fault // of the next commits, in order
+	reads   fault   // of every read
+	before  func(*tableData)
+}
+
+func newFakeTable(g *actor.Group) fakeTable {
+	d := &tableData{rows: map[string]platform.Row{}}
+	return fakeTable{actor.Spawn(g, actor.Spec[func(*tableData)]{Name: "table", Mailbox: 16,
+		Run: func(ctx context.Context, in <-chan func(*tableData)) error {
+			for {
+				select {
+				case f := <-in:
+					f(d)
+				case <-ctx.Done():
+					return nil
+				}
+			}
+		}})}
+}
+
+// do runs f in the table's goroutine.
+func (t fakeTable) do(ctx context.Context, f func(*tableData)) error {
+	_, err := actor.Ask(ctx, t.addr, func(r actor.Reply[bool]) func(*tableData) {
+		return func(d *tableData) { f(d); r.Put(true) }
+	})
+	return err
+}
+
+func (t fakeTable) Commit(ctx context.Context, x platform.Txn) (rev platform.Revision, err error) {
+	if e := t.do(ctx, func(d *tableData) { rev, err = d.commit(x) }); e != nil {
+		return 0, e
+	}
+	return rev, err
+}
+
+func (d *tableData) commit(x platform.Txn) (platform.Revision, error) {
+	if f := d.before; f != nil {
+		d.before = nil
+		f(d)
+	}
+	kind := healthy
+	if len(d.commits) > 0 {
+		kind, d.commits = d.commits[0], d.commits[1:]
+	}
+	if kind == away {
+		return 0, platform.ErrUnavailable
+	} else if kind == lostFirst {
+		return 0, platform.ErrUnknown
+	}
+	var failed []string
+	for _, c := range x.Checks {
+		if d.rows[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return 0, &platform.ConflictError{Keys: failed}
+	}
+	d.rev++
+	for _, p := range x.Puts {
+		d.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: d.rev}
+	}
+	if kind == lostAfter {
+		return 0, platform.ErrUnknown
+	}
+	return d.rev, nil
+}
+
+func (t fakeTable) Read(ctx context.Context, key string) (row platform.Row, err error) {
+	if e := t.do(ctx, func(d *tableData) {
+		var ok bool
+		if row, ok = d.rows[key]; !ok {
+			err = platform.ErrNotFound
+		}
+		if d.reads == away {
+			err = platform.ErrUnavailable
+		}
+	}); e != nil {
+		return row, e
+	}
+	return row, err
+}
+
+func (t fakeTable) Scan(ctx context.Context, prefix string, after platform.Revision) (found []platform.Row, rev platform.Revision, err error) {
+	if e := t.do(ctx, func(d *tableData) {
+		rev = d.rev
+		for k, row := range d.rows {
+			if strings.HasPrefix(k, prefix) && row.Version > after {
+				found = append(found, row)
+			}
+		}
+		if d.reads == away {
+			err = platform.ErrUnavailable
+		}
+	}); e != nil {
+		return nil, 0, e
+	}
+	return found, rev, err
+}
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -77,7 +77,7 @@
 // ConfigKey is the key of the newest model.ConfigChange of a configuration item.
 func ConfigKey(k model.ConfigKey) string { return ConfigKeyPrefix + k.String() }
 
-// ConfigLogKey is the key of the model.ConfigChange with this version. The
+// ConfigLogKey is the key of the ConfigLog with this version. The
 // version is padded so that keys sort in version order.
 func ConfigLogKey(v model.ConfigVersion) string {
 	return ConfigLogPrefix + fmt.Sprintf("%020d", uint64(v))
