--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -23,8 +23,8 @@
 // packages of lower layers. An entry ending in "/" covers what is below it.
 var layers = [][]string{
 	{"charts", "internal/finding", "internal/event"},
-	{"internal/chart", "internal/model", "internal/labels", "internal/actor"},
-	{"internal/msg"},
+	{"internal/chart", "internal/model", "internal/actor"},
+	{"internal/msg", "internal/labels"},
 	{"internal/policy/", "internal/wire"},
 	{"internal/link", "internal/platform", "internal/rows", "internal/metrics", "internal/settings"},
 	{"internal/entry", "internal/agent", "internal/tasks", "internal/control", "internal/configstore"},
