policy/place: plan, verify, explain and choose victims

Selectors are compiled to bit sets; a worker whose revision is unchanged is not derived again.

Measured: go test -race ./internal/policy/... passes.

--- /dev/null
+++ b/internal/policy/place/rules.go
@@ -0,0 +1,170 @@
+package place
+
+import (
+	"math/bits"
+	"slices"
+
+	"github.com/bambooscale/bambooscale/internal/finding"
+	"github.com/bambooscale/bambooscale/internal/labels"
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Rules are the compiled selectors of a configuration. They are immutable.
+type Rules struct {
+	source []NamedSelector
+	list   []rule
+	share  ruleSet // the rules of kind may-share
+	apart  ruleSet // the rules of kind must-stay-apart
+	yields []labels.Selector
+	found  finding.List
+}
+
+type rule struct {
+	name            string
+	kind            model.SelectorKind
+	subject, object labels.Selector
+	// hosts: the object may also select hosts. A selector that requires no
+	// label would match every host, so it selects work only.
+	hosts bool
+}
+
+// CompileRules parses selectors. A selector that does not parse is left out
+// and is a finding.
+func CompileRules(selectors []NamedSelector) (*Rules, finding.List) {
+	r := &Rules{source: selectors}
+	for _, s := range selectors {
+		if defects := labels.ValidateSelector(s.Selector); len(defects) > 0 {
+			for _, d := range defects {
+				r.found.Add("selector/"+s.Name, 0, d.Where, "%s", d.Text)
+			}
+			continue
+		}
+		subject, _ := labels.Parse(s.Subject)
+		object, _ := labels.Parse(s.Object)
+		if s.Kind == model.YieldsFirst {
+			r.yields = append(r.yields, subject)
+			continue
+		}
+		r.list = append(r.list, rule{s.Name, s.Kind, subject, object, object.Positive()})
+	}
+	r.share, r.apart = newRuleSet(len(r.list)), newRuleSet(len(r.list))
+	for i := range r.list {
+		if r.list[i].kind == model.MayShare {
+			r.share.add(i)
+		} else {
+			r.apart.add(i)
+		}
+	}
+	return r, r.found
+}
+
+// same reports whether the rules were compiled from equal selectors.
+func (r *Rules) same(selectors []NamedSelector) bool {
+	if r == nil || len(r.source) != len(selectors) {
+		return false
+	}
+	for i := range selectors {
+		if r.source[i] != selectors[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// yieldRank is the index of the first yields-first selector that matches, or
+// their number: lower yields earlier.
+func (r *Rules) yieldRank(l model.Labels) int {
+	for i, s := range r.yields {
+		if s.Matches(l) {
+			return i
+		}
+	}
+	return len(r.yields)
+}
+
+// profile is what the rules say of one piece of work.
+type profile struct {
+	subject, object ruleSet // rules whose subject or object selects the work
+}
+
+func (r *Rules) profile(l model.Labels) profile {
+	p := profile{newRuleSet(len(r.list)), newRuleSet(len(r.list))}
+	r.fill(&p, l)
+	return p
+}
+
+// fill overwrites a profile of the same rules.
+func (r *Rules) fill(p *profile, l model.Labels) {
+	clear(p.subject)
+	clear(p.object)
+	for i := range r.list {
+		if r.list[i].subject.Matches(l) {
+			p.subject.add(i)
+		}
+		if r.list[i].object.Matches(l) {
+			p.object.add(i)
+		}
+	}
+}
+
+// host returns the rules whose object selects a host with these labels.
+func (r *Rules) host(l model.Labels) ruleSet {
+	set := newRuleSet(len(r.list))
+	for i := range r.list {
+		if r.list[i].hosts && r.list[i].object.Matches(l) {
+			set.add(i)
+		}
+	}
+	return set
+}
+
+// occupancy is what the rules say of all the work on a worker.
+type occupancy struct {
+	host                             ruleSet
+	anySubject, anyObject, allObject ruleSet
+}
+
+func (r *Rules) occupancy(host ruleSet) occupancy {
+	o := occupancy{host, newRuleSet(len(r.list)), newRuleSet(len(r.list)), newRuleSet(len(r.list))}
+	for i := range o.allObject {
+		o.allObject[i] = ^uint64(0)
+	}
+	return o
+}
+
+func (o *occupancy) clone() occupancy {
+	return occupancy{o.host, slices.Clone(o.anySubject), slices.Clone(o.anyObject), slices.Clone(o.allObject)}
+}
+
+func (o *occupancy) add(p profile) {
+	for i := range o.host {
+		o.anySubject[i] |= p.subject[i]
+		o.anyObject[i] |= p.object[i]
+		o.allObject[i] &= p.object[i]
+	}
+}
+
+// conflict returns the reason why work may not join a worker's work, and the
+// index of the rule. May-share: the work on a worker that the rule's object
+// selects may share it with anybody; elsewhere the subject shares only with
+// work that the object selects. Both kinds bind whichever piece came first.
+func (r *Rules) conflict(o *occupancy, p *profile) (Reason, int) {
+	for i := range o.host {
+		apart := r.apart[i] & (p.subject[i]&(o.anyObject[i]|o.host[i]) | o.anySubject[i]&p.object[i])
+		if apart != 0 {
+			return ReasonMustStayApart, i*64 + bits.TrailingZeros64(apart)
+		}
+		share := r.share[i] &^ o.host[i] & (p.subject[i]&^o.allObject[i] | o.anySubject[i]&^p.object[i])
+		if share != 0 {
+			return ReasonMayShare, i*64 + bits.TrailingZeros64(share)
+		}
+	}
+	return ReasonNone, -1
+}
+
+// ruleSet is a set of rule indexes.
+type ruleSet []uint64
+
+func newRuleSet(rules int) ruleSet { return make(ruleSet, (rules+63)/64) }
+
+func (s ruleSet) add(i int) { s[i/64] |= 1 << (i % 64) }
--- a/internal/policy/place/types.go
+++ b/internal/policy/place/types.go
@@ -1,8 +1,12 @@
 // Package place decides which worker runs which task. It is pure: a plan is a
-// function of a snapshot, which the caller verifies and applies.
+// function of a snapshot and of the rounds that the planner has seen, which
+// the caller verifies and applies.
 package place
 
 import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/finding"
 	"github.com/bambooscale/bambooscale/internal/model"
 )
 
@@ -25,20 +29,28 @@
 	State WorkerState
 	// Charged is what the ledger counts: for each attempt that runs, stops or
 	// has an unknown outcome, the larger of declared and measured size, plus
-	// the backend server's reservation.
+	// Reserved.
 	Charged  model.Resources
-	Tasks    []Task         // attempts charged to the worker
-	Services []model.Labels // labels of the services with a backend server here
+	Reserved model.Resources // of the backend server, included in Charged
+	Tasks    []Task          // attempts charged to the worker
+	Services []model.Labels  // labels of the services with a backend server here
+	// Revision changes whenever another field changes. The planner keeps what
+	// it derived from a worker while the revision is the same; 0 makes it
+	// derive everything again.
+	Revision uint64
 }
 
 // Task is an attempt charged to a worker.
 type Task struct {
-	Attempt model.AttemptID
-	Team    model.Team
-	Class   model.Class
-	Labels  model.Labels // job labels with "team" and "class" added
-	Size    model.Resources
-	Urgent  bool
+	Attempt     model.AttemptID
+	Team        model.Team
+	Class       model.Class
+	Labels      model.Labels // job labels with "team" and "class" added
+	Size        model.Resources
+	Urgent      bool
+	LongRunning bool
+	Stopping    bool          // it was told to stop, or its outcome is unknown
+	LostWork    time.Duration // work that an eviction now would lose
 }
 
 // Job is a job that waits for a place.
@@ -49,6 +61,13 @@
 	Waiting uint64 // submission order: lower was submitted earlier
 }
 
+// Claim keeps room on a worker for an urgent job whose victims are stopping.
+type Claim struct {
+	Job    model.JobID
+	Worker model.WorkerID
+	Size   model.Resources
+}
+
 // Snapshot is the input of a plan. The planner does not modify it.
 type Snapshot struct {
 	Workers   []Worker
@@ -56,6 +75,7 @@
 	Selectors []NamedSelector
 	Quotas    map[model.Team]model.Resources // a team without an entry has no quota
 	TeamUse   map[model.Team]model.Resources
+	Claims    []Claim
 }
 
 // NamedSelector is a selector of the configuration.
@@ -64,38 +84,38 @@
 	model.Selector
 }
 
-// Assignment places a job on a worker.
+// Assignment places a job on a worker. It carries what Verify needs.
 type Assignment struct {
 	Job    model.JobID
 	Worker model.WorkerID
+	Team   model.Team
 	Size   model.Resources
+	Labels model.Labels
 }
 
-// Reason says why a worker was not chosen for a job, or why a job waits.
-type Reason uint8
-
-// Reasons.
-const (
-	ReasonNone Reason = iota
-	ReasonResources
-	ReasonWorkerState
-	ReasonMayShare
-	ReasonMustStayApart
-	ReasonQuota
-	ReasonImpossible // fits no worker even when it is empty
-	ReasonRound      // the round placed the limit of tasks
-)
-
 // Verdict is the result for one job that was not placed.
 type Verdict struct {
 	Job      model.JobID
 	Reason   Reason
 	Selector string // name of the selector, for selector reasons
-	Workers  map[Reason]int
+	// Workers counts the workers by reason; verdicts share it, so it is
+	// read-only.
+	Workers map[Reason]int
+	Rounds  int            // number of rounds in which the job found no place
+	Kept    model.WorkerID // the worker kept free for the job, if any
 }
 
 // Plan is the result of a round.
 type Plan struct {
 	Assignments []Assignment
 	Waiting     []Verdict
+	Findings    finding.List // selectors that do not parse; they are not applied
+}
+
+// Rejection is what one worker means for a job. ReasonNone: it would take it.
+type Rejection struct {
+	Worker   model.WorkerID
+	Reason   Reason
+	Selector string
+	Text     string
 }
--- /dev/null
+++ b/internal/policy/place/verify.go
@@ -0,0 +1,117 @@
+package place
+
+import (
+	"fmt"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// TeamBudget is a team's use and quota at the time of a verification.
+type TeamBudget struct {
+	Use     model.Resources
+	Quota   model.Resources
+	Limited bool // the team has a quota
+}
+
+// Verify checks an assignment against the newest state of its worker and
+// team. claimed is the room on the worker that claims keep for other jobs.
+func Verify(w Worker, a Assignment, rules *Rules, team TeamBudget, claimed model.Resources) Reason {
+	if w.ID != a.Worker {
+		return ReasonGone
+	}
+	b := budget{team.Use, team.Quota, team.Limited}
+	if !b.allows(a.Size) {
+		return ReasonQuota
+	}
+	v := newView(&w, rules)
+	v.claimed = claimed
+	p := rules.profile(a.Labels)
+	reason, _ := v.check(rules, &p, a.Size, v.available())
+	return reason
+}
+
+// Explain says for each worker whether it would take the job now. It is nil
+// when the job does not wait in the snapshot.
+func Explain(s Snapshot, job model.JobID) []Rejection { return New(Options{}).Explain(s, job) }
+
+// Explain is the function of that name with the workers that the planner
+// keeps for other jobs.
+func (p *Planner) Explain(s Snapshot, job model.JobID) []Rejection {
+	var j *Job
+	for i := range s.Jobs {
+		if s.Jobs[i].Spec.ID == job {
+			j = &s.Jobs[i]
+		}
+	}
+	if j == nil {
+		return nil
+	}
+	rules, _ := CompileRules(s.Selectors)
+	profile := rules.profile(j.Labels)
+	quota, limited := s.Quotas[j.Spec.Team]
+	team := budget{s.TeamUse[j.Spec.Team], quota, limited}
+	out := make([]Rejection, 0, len(s.Workers))
+	for i := range s.Workers {
+		out = append(out, p.explain(&s, &s.Workers[i], j, rules, &profile, &team))
+	}
+	return out
+}
+
+func (p *Planner) explain(s *Snapshot, w *Worker, j *Job, rules *Rules, profile *profile, team *budget) Rejection {
+	v := newView(w, rules)
+	for _, c := range s.Claims {
+		if c.Worker == w.ID && c.Job != j.Spec.ID {
+			v.claimed = v.claimed.Add(c.Size)
+		}
+	}
+	r := Rejection{Worker: w.ID}
+	reason, rule := v.check(rules, profile, j.Size, v.available())
+	holder, kept := p.keptFor(w.ID)
+	switch {
+	case !j.Size.Fits(v.empty):
+		r.Reason = ReasonImpossible
+		r.Text = fmt.Sprintf("needs %s, the empty worker has %s", amounts(j.Size), amounts(v.empty))
+	case !team.allows(j.Size):
+		r.Reason = ReasonQuota
+		r.Text = fmt.Sprintf("team %s uses %s of %s; the job needs %s", j.Spec.Team, amounts(team.use), amounts(team.quota), amounts(j.Size))
+	case reason == ReasonNone && kept && holder != j.Spec.ID && !j.Spec.Urgent:
+		r.Reason = ReasonKept
+		r.Text = fmt.Sprintf("the worker is kept free for job %s, which has waited %d rounds", holder, p.waits[holder].rounds)
+	default:
+		r.Reason = reason
+		if rule >= 0 {
+			r.Selector = rules.list[rule].name
+		}
+		r.Text = v.text(reason, r.Selector, j.Size)
+	}
+	return r
+}
+
+func (p *Planner) keptFor(w model.WorkerID) (model.JobID, bool) {
+	for id, wait := range p.waits {
+		if wait.kept == w {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+func (v *view) text(reason Reason, selector string, size model.Resources) string {
+	switch reason {
+	case ReasonWorkerState:
+		if v.state == WorkerProbation {
+			return "the worker is in probation and takes one task at a time"
+		}
+		return fmt.Sprintf("the worker is %s", v.state)
+	case ReasonResources:
+		return fmt.Sprintf("needs %s, free are %s", amounts(size), amounts(v.available()))
+	case ReasonMayShare, ReasonMustStayApart:
+		return fmt.Sprintf("selector %s (%s) excludes the work on the worker", selector, reason)
+	}
+	return "would take the job"
+}
+
+func amounts(r model.Resources) string {
+	const mebibyte = 1 << 20
+	return fmt.Sprintf("%d mCPU, %d MiB, %d accelerators", r.CPU, r.Memory/mebibyte, r.Accelerators)
+}
--- /dev/null
+++ b/internal/policy/place/view.go
@@ -0,0 +1,124 @@
+package place
+
+import (
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// view is what the planner derives from one worker.
+type view struct {
+	id       model.WorkerID
+	revision uint64
+	seen     uint64 // round in which the worker was last in the snapshot
+	capacity model.Resources
+	empty    model.Resources // capacity without the backend server's reservation
+	free     model.Resources
+	claimed  model.Resources // part of free that claims keep
+	state    WorkerState
+	tasks    int
+	services occupancy // of the services, which stay
+	work     occupancy // of the services and tasks
+	rack, dc int       // indexes of the domains in planner.domains
+	classes  []int
+	kept     bool // for a job that waited too long
+}
+
+// available is the room for a job without a claim.
+func (v *view) available() model.Resources { return v.free.Sub(v.claimed) }
+
+// accepts reports whether the state of the worker allows one more task.
+func (v *view) accepts() bool {
+	return v.state == WorkerReady || v.state == WorkerProbation && v.tasks == 0
+}
+
+// newView derives everything but the domains and classes.
+func newView(w *Worker, r *Rules) *view {
+	v := &view{
+		id: w.ID, revision: w.Revision, capacity: w.Capacity, empty: w.Capacity.Sub(w.Reserved),
+		free: w.Capacity.Sub(w.Charged), state: w.State, tasks: len(w.Tasks),
+		services: r.occupancy(r.host(w.Labels)),
+	}
+	p := r.profile(nil)
+	for i := range w.Services {
+		r.fill(&p, w.Services[i])
+		v.services.add(p)
+	}
+	v.work = v.services.clone()
+	for i := range w.Tasks {
+		r.fill(&p, w.Tasks[i].Labels)
+		v.work.add(p)
+	}
+	return v
+}
+
+// check is the filter that Plan, Verify and Explain share. room is what the
+// job may use. The second result is the index of the rule, or -1.
+func (v *view) check(r *Rules, p *profile, size, room model.Resources) (Reason, int) {
+	if !v.accepts() {
+		return ReasonWorkerState, -1
+	}
+	if !size.Fits(room) {
+		return ReasonResources, -1
+	}
+	return r.conflict(&v.work, p)
+}
+
+// domains numbers racks and data centres and counts each class's tasks in
+// them, for the spread score.
+type domains struct {
+	index   map[string]int
+	classes map[classKey]int
+	counts  [][]int32 // by class, then by domain
+	totals  []int32   // by class
+}
+
+type classKey struct {
+	team  model.Team
+	class model.Class
+}
+
+func newDomains() *domains {
+	return &domains{index: map[string]int{}, classes: map[classKey]int{}}
+}
+
+func (d *domains) domain(kind, name string) int {
+	key := kind + "/" + name
+	i, ok := d.index[key]
+	if !ok {
+		i = len(d.index)
+		d.index[key] = i
+	}
+	return i
+}
+
+func (d *domains) class(team model.Team, class model.Class) int {
+	key := classKey{team, class}
+	i, ok := d.classes[key]
+	if !ok {
+		i = len(d.classes)
+		d.classes[key] = i
+		d.counts = append(d.counts, nil)
+		d.totals = append(d.totals, 0)
+	}
+	return i
+}
+
+// add changes the count of a class on a worker by n.
+func (d *domains) add(v *view, class int, n int32) {
+	row := d.counts[class]
+	for len(row) < len(d.index) {
+		row = append(row, 0)
+	}
+	row[v.rack] += n
+	row[v.dc] += n
+	d.counts[class] = row
+	d.totals[class] += n
+}
+
+// share is the part of the class's tasks in a domain, between 0 and 1.
+func (d *domains) share(class, domain int) float64 {
+	row := d.counts[class]
+	if domain >= len(row) || d.totals[class] == 0 {
+		return 0
+	}
+	return float64(row[domain]) / float64(d.totals[class])
+}
