policy/place: add the ledger of charged attempts

Change: Ledger charges the larger of declared size and measured peak from the reservation until the end is certain, also while an attempt stops or its outcome is unknown. Reserve verifies and is the only way to charge an attempt that does not already run; Adopt takes over found attempts.

--- /dev/null
+++ b/internal/policy/place/ledger.go
@@ -0,0 +1,242 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Ledger charges attempts to the workers of a cell. An attempt is charged
+// with the larger of its declared size and its measured peak from its
+// reservation until its end is certain: also while it stops and while its
+// outcome is unknown. The controller is its only owner.
+type Ledger struct {
+	accounts map[model.WorkerID]*account
+	charges  map[model.AttemptID]*account
+	teams    map[model.Team]model.Resources
+	order    []model.WorkerID // ascending
+	snapshot []Worker
+}
+
+// account is one worker with its charged attempts.
+type account struct {
+	Worker
+	gone bool // removed, but attempts may still run there
+}
+
+// NewLedger returns a ledger without workers.
+func NewLedger() *Ledger {
+	return &Ledger{accounts: map[model.WorkerID]*account{}, charges: map[model.AttemptID]*account{}, teams: map[model.Team]model.Resources{}}
+}
+
+// SetWorker adds a worker or replaces what is known of it. reserved is kept
+// for its backend server; services are the labels of the services it has.
+func (l *Ledger) SetWorker(w model.Worker, reserved model.Resources, services []model.Labels) {
+	a := l.accounts[w.ID]
+	if a == nil {
+		a = &account{}
+		l.accounts[w.ID] = a
+		at, _ := slices.BinarySearch(l.order, w.ID)
+		l.order = slices.Insert(l.order, at, w.ID)
+	}
+	a.gone = false
+	a.Worker.Worker, a.Services = w, services
+	a.Charged = a.Charged.Sub(a.Reserved).Add(reserved)
+	a.Reserved = reserved
+	a.Revision++
+}
+
+// SetState records whether a worker may get new tasks.
+func (l *Ledger) SetState(id model.WorkerID, s WorkerState) {
+	if a := l.accounts[id]; a != nil && a.State != s {
+		a.State = s
+		a.Revision++
+	}
+}
+
+// RemoveWorker removes a worker. Its attempts stay charged to their teams
+// until they are released.
+func (l *Ledger) RemoveWorker(id model.WorkerID) {
+	if a := l.accounts[id]; a != nil {
+		a.gone = true
+		l.collect(a)
+	}
+}
+
+// collect forgets a removed worker without attempts.
+func (l *Ledger) collect(a *account) {
+	if !a.gone || len(a.Tasks) > 0 {
+		return
+	}
+	delete(l.accounts, a.ID)
+	if at, ok := slices.BinarySearch(l.order, a.ID); ok {
+		l.order = slices.Delete(l.order, at, at+1)
+	}
+}
+
+// Policy is the configuration and claims that a reservation is checked with.
+type Policy struct {
+	Rules  *Rules
+	Quotas map[model.Team]model.Resources
+	Claims []Claim
+}
+
+// Reserve verifies an assignment against the present state and charges the
+// task when the result is ReasonNone. It is the only way to charge an attempt
+// that does not already run.
+func (l *Ledger) Reserve(a Assignment, t Task, p Policy) Reason {
+	account := l.accounts[a.Worker]
+	if account == nil || account.gone {
+		return ReasonGone
+	}
+	if l.charges[t.Attempt] != nil {
+		return ReasonNone // a repeated reservation is the same one
+	}
+	var claimed model.Resources
+	for _, c := range p.Claims {
+		if c.Worker == a.Worker && c.Job != a.Job {
+			claimed = claimed.Add(c.Size)
+		}
+	}
+	quota, limited := p.Quotas[t.Team]
+	a.Size, a.Labels = t.Size, t.Labels
+	if reason := Verify(account.Worker, a, p.Rules, TeamBudget{l.teams[t.Team], quota, limited}, claimed); reason != ReasonNone {
+		return reason
+	}
+	l.charge(account, t)
+	return ReasonNone
+}
+
+// Adopt charges an attempt that was found on a worker, whether it fits or
+// not. It returns false when the worker is not known.
+func (l *Ledger) Adopt(worker model.WorkerID, t Task) bool {
+	a := l.accounts[worker]
+	if a != nil && l.charges[t.Attempt] == nil {
+		l.charge(a, t)
+	}
+	return a != nil
+}
+
+func (l *Ledger) charge(a *account, t Task) {
+	t.Size = t.Size.Max(model.Resources{})
+	a.Tasks = append(a.Tasks, t)
+	l.charges[t.Attempt] = a
+	l.add(a, t.Team, t.Size)
+}
+
+func (l *Ledger) add(a *account, team model.Team, size model.Resources) {
+	a.Charged = a.Charged.Add(size)
+	l.teams[team] = l.teams[team].Add(size)
+	a.Revision++
+}
+
+// Report records a measured use of an attempt and raises its charge if the
+// use is a new peak. A charge never falls: the next measurement is late, and
+// the use may return.
+func (l *Ledger) Report(id model.AttemptID, u model.Usage) {
+	a, t := l.find(id)
+	if t == nil {
+		return
+	}
+	if peak := t.Size.Max(u.Resources); peak != t.Size {
+		l.add(a, t.Team, peak.Sub(t.Size))
+		t.Size = peak
+	}
+}
+
+// Progress records the work that an eviction of the attempt would now lose.
+func (l *Ledger) Progress(id model.AttemptID, lost time.Duration) {
+	if _, t := l.find(id); t != nil {
+		t.LostWork = lost
+	}
+}
+
+// Stopping records that an attempt was told to stop or that its outcome is
+// unknown. It stays charged.
+func (l *Ledger) Stopping(id model.AttemptID) {
+	if a, t := l.find(id); t != nil && !t.Stopping {
+		t.Stopping = true
+		a.Revision++
+	}
+}
+
+// Release ends the charge of an attempt whose end is certain, and returns
+// the charge, which is the size to plan the job's next attempt with. ok is
+// false when the attempt is not charged.
+func (l *Ledger) Release(id model.AttemptID) (size model.Resources, ok bool) {
+	a, t := l.find(id)
+	if t == nil {
+		return model.Resources{}, false
+	}
+	team, size := t.Team, t.Size
+	a.Tasks = slices.DeleteFunc(a.Tasks, func(t Task) bool { return t.Attempt == id })
+	delete(l.charges, id)
+	l.add(a, team, model.Resources{}.Sub(size))
+	if l.teams[team] == (model.Resources{}) {
+		delete(l.teams, team)
+	}
+	l.collect(a)
+	return size, true
+}
+
+func (l *Ledger) find(id model.AttemptID) (*account, *Task) {
+	a := l.charges[id]
+	if a == nil {
+		return nil, nil
+	}
+	for i := range a.Tasks {
+		if a.Tasks[i].Attempt == id {
+			return a, &a.Tasks[i]
+		}
+	}
+	return nil, nil
+}
+
+// Workers returns the workers for a snapshot in the order of their ids. The
+// slices belong to the ledger: they are valid until its next change.
+func (l *Ledger) Workers() []Worker {
+	l.snapshot = l.snapshot[:0]
+	for _, id := range l.order {
+		if a := l.accounts[id]; !a.gone {
+			l.snapshot = append(l.snapshot, a.Worker)
+		}
+	}
+	return l.snapshot
+}
+
+// Worker returns one worker under the conditions of Workers.
+func (l *Ledger) Worker(id model.WorkerID) (Worker, bool) {
+	a := l.accounts[id]
+	if a == nil || a.gone {
+		return Worker{}, false
+	}
+	return a.Worker, true
+}
+
+// TeamUse returns the charges by team. The map belongs to the ledger.
+func (l *Ledger) TeamUse() map[model.Team]model.Resources { return l.teams }
+
+// Overload is a worker whose charges exceed its capacity because tasks use
+// more than they declared.
+type Overload struct {
+	Worker model.WorkerID
+	Excess model.Resources // positive where the capacity is exceeded, else 0
+}
+
+// Overloads lists the overloaded workers, the greatest part of the capacity
+// first.
+func (l *Ledger) Overloads() []Overload {
+	var out []Overload
+	for _, id := range l.order {
+		a := l.accounts[id]
+		if !a.Charged.Fits(a.Capacity) {
+			out = append(out, Overload{id, a.Charged.Sub(a.Capacity).Max(model.Resources{})})
+		}
+	}
+	slices.SortStableFunc(out, func(x, y Overload) int {
+		return cmp.Compare(dominant(y.Excess, l.accounts[y.Worker].Capacity), dominant(x.Excess, l.accounts[x.Worker].Capacity))
+	})
+	return out
+}
