--- /dev/null
+++ b/internal/daemon/check.go
@@ -0,0 +1,15 @@
+package daemon
+
+import (
+	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/labels"
+)
+
+// configCheck is the syntax that edits of the configuration must have.
+var configCheck = configstore.Check{
+	Labels: labels.Validate,
+	Selector: func(text string) error {
+		_, err := labels.Parse(text)
+		return err
+	},
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,79 @@
+// Package daemon assembles the actors of a process by its role. It holds no
+// policy and no state of its own.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// NewGroup returns the root group of a process. Failed actors are logged.
+func NewGroup(ctx context.Context, l log.Interface) *actor.Group {
+	return actor.NewGroup(ctx, func(e actor.Exit) {
+		event.Log(l, event.ActorFailed, log.Fields{"actor": e.Actor, "error": e.Err.Error(), "restart": e.Restart})
+	})
+}
+
+// newBoot draws the number of this incarnation of the process.
+func newBoot() model.Boot {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails
+	return model.Boot(binary.BigEndian.Uint64(b[:]))
+}
+
+const (
+	// A caller that is slower than this with its header is cut off.
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// serve starts an HTTP server on l in g. The returned function stops it in
+// order: it accepts nothing new and waits for what runs.
+func serve(g *actor.Group, name string, l net.Listener, h http.Handler, maxHeader int) (shutdown func(context.Context) error) {
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: nil,
+	}
+	actor.Go(g, name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		if err := s.Serve(l); err != http.ErrServerClosed && ctx.Err() == nil {
+			return err
+		}
+		return nil
+	})
+	return s.Shutdown
+}
+
+const (
+	pauseCheck = 500 * time.Millisecond
+	// pauseBound is the gap between two checks above which the process counts
+	// as paused.
+	pauseBound = 2 * time.Second
+)
+
+// watchPauses logs gaps in the process's own running time. The owners of
+// leases detect them for themselves.
+func watchPauses(g *actor.Group, l log.Interface) {
+	actor.Go(g, "pause watch", func(ctx context.Context) error {
+		last := time.Now()
+		for actor.Sleep(ctx, pauseCheck) {
+			now := time.Now()
+			if gap := now.Sub(last); gap > pauseBound {
+				event.Log(l, event.PauseDetected, log.Fields{"gap_ms": gap.Milliseconds()})
+			}
+			last = now
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/daemon/routing.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/entry"
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// routing derives the services and classes of requests from the labels in
+// force.
+func routing(s *configstore.Snapshot, fallback model.Service) *entry.RoutingTable {
+	t := &entry.RoutingTable{Services: map[model.Service]entry.ServiceRule{}, Default: fallback}
+	t.Shared = classRules(s.Classes(""), nil)
+	for _, k := range s.Keys(model.KindService) {
+		name := model.Service(k.Name)
+		p := s.Service(name)
+		t.Services[name] = entry.ServiceRule{
+			Name: name, DefaultTenant: p.DefaultTenant,
+			Classes: classRules(s.Classes(name), p.IdempotentMethods),
+		}
+	}
+	return t
+}
+
+func classRules(classes []configstore.ClassProperties, methods []string) []entry.ClassRule {
+	rules := make([]entry.ClassRule, 0, len(classes))
+	for _, c := range classes {
+		r := entry.ClassRule{Name: c.Class, PathPrefixes: c.PathPrefixes, Deadline: c.Deadline}
+		if c.Long {
+			r.Long = &c.Long
+		}
+		own := c.IdempotentMethods
+		if own == nil {
+			own = methods
+		}
+		r.Idempotent = set(own)
+		rules = append(rules, r)
+	}
+	return rules
+}
+
+// set returns nil for a nil list: the methods of RFC 9110 apply then.
+func set(list []string) map[string]bool {
+	if list == nil {
+		return nil
+	}
+	m := make(map[string]bool, len(list))
+	for _, v := range list {
+		m[v] = true
+	}
+	return m
+}
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
@@ -37,7 +38,8 @@
 	services map[model.Service]*service
 	agents   map[model.WorkerID]*agent
 	asking   map[model.RequestID]askOutcome
-	rules    *RoutingTable
+	rules    *RoutingTable // by configuration
+	table    *actor.Value[RoutingTable]
 }
 
 // agent is a linked agent.
@@ -86,17 +88,19 @@
 }
 
 // SpawnDispatcher starts the actor that owns the queues and credits of an
-// entry.
-func SpawnDispatcher(g *actor.Group, self Self, rules *RoutingTable) Address {
+// entry. It publishes to table the services that requests may address: those
+// of the rules and those that a backend server has announced.
+func SpawnDispatcher(g *actor.Group, self Self, rules *RoutingTable, table *actor.Value[RoutingTable]) Address {
+	table.Set(rules)
 	return actor.Spawn(g, actor.Spec[Message]{Name: "dispatcher", Mailbox: mailbox,
 		Run: func(ctx context.Context, in <-chan Message) error {
-			return newDispatcher(self, rules).run(ctx, in)
+			return newDispatcher(self, rules, table).run(ctx, in)
 		}})
 }
 
-func newDispatcher(self Self, rules *RoutingTable) *dispatcher {
+func newDispatcher(self Self, rules *RoutingTable, table *actor.Value[RoutingTable]) *dispatcher {
 	return &dispatcher{
-		self: self, rules: rules,
+		self: self, rules: rules, table: table,
 		services: map[model.Service]*service{}, agents: map[model.WorkerID]*agent{},
 		asking: map[model.RequestID]askOutcome{},
 	}
@@ -169,6 +173,7 @@
 	}
 	d.services[name] = s
 	d.applyRule(s)
+	d.publish()
 	return s
 }
 
@@ -177,10 +182,27 @@
 	for _, s := range d.services {
 		d.applyRule(s)
 	}
+	d.publish()
+}
+
+// publish adds the services that only announcements name to the configured
+// ones.
+func (d *dispatcher) publish() {
+	all := &RoutingTable{Services: maps.Clone(d.rules.Services), Default: d.rules.Default}
+	for name := range d.services {
+		if _, ok := all.Services[name]; !ok {
+			all.Services[name] = ServiceRule{Name: name, Classes: d.rules.Shared}
+		}
+	}
+	d.table.Set(all)
 }
 
 func (d *dispatcher) applyRule(s *service) {
-	for _, c := range d.rules.Services[s.name].Classes {
+	rule, ok := d.rules.Services[s.name]
+	if !ok {
+		rule.Classes = d.rules.Shared
+	}
+	for _, c := range rule.Classes {
 		if c.Long != nil {
 			s.classes.SetLong(c.Name, *c.Long)
 		}
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -29,10 +29,10 @@
 
 // ClassRule is a class of requests of one service.
 type ClassRule struct {
-	Name       model.Class
-	PathPrefix string
-	Deadline   time.Duration // 0: DefaultDeadline
-	Long       *bool         // nil: learned
+	Name         model.Class
+	PathPrefixes []string
+	Deadline     time.Duration // 0: DefaultDeadline
+	Long         *bool         // nil: learned
 	// Idempotent lists the methods that are idempotent for this class; nil
 	// means those of RFC 9110.
 	Idempotent map[string]bool
@@ -48,6 +48,7 @@
 // RoutingTable is an immutable set of services.
 type RoutingTable struct {
 	Services map[model.Service]ServiceRule
+	Shared   []ClassRule   // classes of services that have no rule of their own
 	Default  model.Service // for requests that name none; may be empty
 }
 
@@ -59,8 +60,7 @@
 	deadline time.Duration
 }
 
-// find returns the route of r. known tells whether a service that the table
-// does not list exists because a backend server announced it.
+// find returns the route of r, or false when it names no known service.
 func (t *RoutingTable) find(r *http.Request) (route, bool) {
 	rule, ok := t.service(r)
 	if !ok {
@@ -100,10 +100,12 @@
 }
 
 func (s *ServiceRule) class(path string) ClassRule {
-	best := ClassRule{Name: DefaultClass}
+	best, length := ClassRule{Name: DefaultClass}, -1
 	for _, c := range s.Classes {
-		if strings.HasPrefix(path, c.PathPrefix) && len(c.PathPrefix) >= len(best.PathPrefix) {
-			best = c
+		for _, prefix := range c.PathPrefixes {
+			if len(prefix) > length && strings.HasPrefix(path, prefix) {
+				best, length = c, len(prefix)
+			}
 		}
 	}
 	return best
