link: connect over yamux, and in memory

Entries and agents need links for control messages and requests. Over TCP a link is one yamux session after an exchange of preambles with the protocol version; the agent dials and opens the control stream, the entry opens a stream per request. The first error is the cause that every method of the link returns, so garbage and another version are told from a lost peer. In memory, links have a delay, jitter, cuts and resets per direction and run in virtual time; messages are encoded there too, so that two processes in one test share no memory.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,14 +10,18 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/wire"
 )
 
 // Errors of connections and streams. ErrMalformed and ErrVersion end the
-// connection but never the process.
+// connection but never the process. Test with errors.Is.
 var (
 	ErrClosed    = errors.New("link is closed")
-	ErrMalformed = errors.New("malformed frame")
-	ErrVersion   = errors.New("unsupported protocol version")
+	ErrReset     = errors.New("stream was reset")
+	ErrMalformed = wire.ErrMalformed
+	ErrVersion   = wire.ErrVersion
+	// ErrTooLarge is returned by Send, which then has sent nothing.
+	ErrTooLarge = wire.ErrTooLarge
 )
 
 // Conn is one side of a link. One goroutine may call Send, another Receive,
@@ -50,8 +54,12 @@
 	Close() error
 }
 
-// Listener accepts connections from agents.
+// Listener accepts connections from agents. Close leaves the accepted
+// connections open.
 type Listener interface {
+	// Accept waits for the next connection. It returns an error only when the
+	// listener or ctx has ended: a connection whose handshake failed is
+	// returned too, and its methods return the typed error.
 	Accept(ctx context.Context) (Conn, error)
 	Addr() string
 	Close() error
--- /dev/null
+++ b/internal/link/listen.go
@@ -0,0 +1,123 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/msg"
+)
+
+const (
+	// maxHandshakes bounds the sockets in a handshake; further ones wait in
+	// the kernel's accept queue.
+	maxHandshakes = 256
+	// acceptRetry is the pause after a failed accept, such as for lack of
+	// file descriptors.
+	acceptRetry = 50 * time.Millisecond
+)
+
+// Listen listens on a TCP address. The listener and its links end with g.
+func Listen(g *actor.Group, address string, cfg Config) (Listener, error) {
+	sock, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	l := &tcpListener{
+		links: g, group: g.Sub(), cfg: cfg, sock: sock,
+		accepted: make(chan Conn), room: make(chan struct{}, maxHandshakes),
+	}
+	actor.Go(l.group, "link-closer", func(ctx context.Context) error {
+		<-ctx.Done()
+		_ = sock.Close()
+		return nil
+	})
+	actor.Go(l.group, "link-acceptor", l.run)
+	return l, nil
+}
+
+// tcpListener's acceptor owns the listening socket; each accepted socket has
+// an actor of its own for its handshake.
+type tcpListener struct {
+	links    *actor.Group // parent of the links, which outlive the listener
+	group    *actor.Group
+	cfg      Config
+	sock     net.Listener
+	accepted chan Conn
+	room     chan struct{}
+}
+
+func (l *tcpListener) run(ctx context.Context) error {
+	for {
+		select {
+		case l.room <- struct{}{}:
+		case <-ctx.Done():
+			return nil
+		}
+		sock, err := l.sock.Accept()
+		if err != nil {
+			<-l.room
+			if ctx.Err() != nil || !actor.Sleep(ctx, acceptRetry) {
+				return nil
+			}
+			continue
+		}
+		actor.Go(l.group, "link-handshake", func(ctx context.Context) error {
+			defer func() { <-l.room }()
+			l.handshake(ctx, sock)
+			return nil
+		})
+	}
+}
+
+func (l *tcpListener) handshake(ctx context.Context, sock net.Conn) {
+	limited, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	var c Conn
+	if mux, control, err := acceptHandshake(limited, sock); err != nil {
+		remote := sock.RemoteAddr().String()
+		c = failedConn{remote: remote, err: fmt.Errorf("link from %s: %w", remote, err)}
+	} else {
+		c = newMuxConn(l.links, sock.RemoteAddr(), mux, control)
+	}
+	select {
+	case l.accepted <- c:
+	case <-ctx.Done():
+		_ = c.Close()
+	}
+}
+
+func (l *tcpListener) Accept(ctx context.Context) (Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.group.Context().Done():
+		return nil, errors.Wrapf(ErrClosed, "listener %s", l.Addr())
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *tcpListener) Addr() string { return l.sock.Addr().String() }
+
+func (l *tcpListener) Close() error {
+	l.group.Stop()
+	return nil
+}
+
+// failedConn stands for an accepted connection whose handshake failed.
+type failedConn struct {
+	remote string
+	err    error
+}
+
+func (c failedConn) Send(msg.Control) error                       { return c.err }
+func (c failedConn) Receive() (msg.Control, error)                { return nil, c.err }
+func (c failedConn) OpenStream(context.Context) (Stream, error)   { return nil, c.err }
+func (c failedConn) AcceptStream(context.Context) (Stream, error) { return nil, c.err }
+func (c failedConn) Close() error                                 { return nil }
+func (c failedConn) RemoteAddr() string                           { return c.remote }
--- /dev/null
+++ b/internal/link/memory.go
@@ -0,0 +1,248 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+)
+
+// ErrRefused is returned by a Dial in memory to a name where none listens.
+var ErrRefused = errors.New("connection refused")
+
+// Any stands for every process in the paths of a Memory.
+const Any = "*"
+
+// Memory is a network in memory for tests in virtual time. Processes are
+// known by name; a listener's address is its process's name. Each direction
+// between two processes is a path with a delay of its own. Links behave as
+// over TCP: in order and without loss. What is sent on a path that is cut
+// stays in bounded buffers, unseen by either side, and arrives once the path
+// is healed, unless the link was closed meanwhile.
+type Memory struct {
+	group *actor.Group
+	net   actor.Address[netMessage]
+}
+
+// NewMemory returns a network without delays. The seed determines the jitter.
+func NewMemory(ctx context.Context, seed uint64) *Memory {
+	g := actor.NewGroup(ctx, nil)
+	n := &network{
+		group: g, seed: seed, listeners: map[string]*memListener{}, delays: map[path]delay{}, cuts: map[path]bool{},
+		dials: map[path]uint64{},
+	}
+	return &Memory{group: g, net: actor.Spawn(g, actor.Spec[netMessage]{Name: "memory-network", Mailbox: 16, Run: n.run})}
+}
+
+// Close ends every link and listener and waits for the actors.
+func (m *Memory) Close() { m.group.Stop() }
+
+// Listen starts to accept links to the process named.
+func (m *Memory) Listen(name string) (Listener, error) {
+	l := &memListener{name: name, accepted: make(chan *memConn, memBacklog)}
+	l.ctx, l.cancel = context.WithCancel(m.group.Context())
+	if err := m.ask(setListener{l}); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+// Dialer returns a dialer for the process named.
+func (m *Memory) Dialer(name string) Dialer { return memDialer{net: m, name: name} }
+
+// SetDelay sets the one-way delay from one process to another, one of which
+// or both may be Any. Jitter is added, evenly distributed from 0 to jitter;
+// the order on a link is kept.
+func (m *Memory) SetDelay(from, to string, d, jitter time.Duration) {
+	_ = m.ask(setDelay{path{from, to}, delay{d, jitter}})
+}
+
+// Cut stops delivery from one process to another. When it returns, nothing
+// more arrives.
+func (m *Memory) Cut(from, to string) { _ = m.ask(setCut{path{from, to}, true}) }
+
+// CutBoth stops delivery in both directions.
+func (m *Memory) CutBoth(a, b string) {
+	m.Cut(a, b)
+	m.Cut(b, a)
+}
+
+// Heal undoes the Cut with the same arguments.
+func (m *Memory) Heal(from, to string) { _ = m.ask(setCut{path{from, to}, false}) }
+
+// HealBoth undoes CutBoth.
+func (m *Memory) HealBoth(a, b string) {
+	m.Heal(a, b)
+	m.Heal(b, a)
+}
+
+// Reset ends every link between two processes at once, on both sides.
+func (m *Memory) Reset(a, b string) { _ = m.ask(resetLinks{a, b}) }
+
+// ask waits until the network's actor has made a change.
+func (m *Memory) ask(c change) error {
+	err, stopped := actor.Ask(m.group.Context(), m.net, func(r actor.Reply[error]) netMessage {
+		return netMessage{change: c, done: r}
+	})
+	if stopped != nil {
+		return stopped
+	}
+	return err
+}
+
+// netMessage asks the network's actor for a change of its state.
+type netMessage struct {
+	change change
+	done   actor.Reply[error]
+}
+
+// change is one of the types below.
+type change interface{ apply(*network) error }
+
+type (
+	setListener struct{ listener *memListener }
+	setDelay    struct {
+		path  path
+		delay delay
+	}
+	setCut struct {
+		path path
+		cut  bool
+	}
+	resetLinks struct{ a, b string }
+	dialLink   struct {
+		path  path
+		reply actor.Reply[*memConn]
+	}
+)
+
+func (c setListener) apply(n *network) error { return n.listen(c.listener) }
+func (c setDelay) apply(n *network) error    { n.delays[c.path] = c.delay; return n.update() }
+func (c setCut) apply(n *network) error      { n.cuts[c.path] = c.cut; return n.update() }
+func (c resetLinks) apply(n *network) error  { return n.reset(c.a, c.b) }
+func (c dialLink) apply(n *network) error    { return n.connect(c.path, c.reply) }
+
+type path struct{ from, to string }
+
+type delay struct{ fixed, jitter time.Duration }
+
+// quality is what a pipe knows of its path.
+type quality struct {
+	delay
+	cut bool
+}
+
+// network is the state of the network's actor.
+type network struct {
+	group     *actor.Group
+	seed      uint64
+	listeners map[string]*memListener
+	delays    map[path]delay
+	cuts      map[path]bool
+	dials     map[path]uint64 // number of links made, for their seeds
+	links     []memLink
+}
+
+// memLink is the network's record of a link: its two ends, each with the pipe
+// that leads away from it.
+type memLink struct{ ends [2]*memConn }
+
+func (n *network) run(ctx context.Context, in <-chan netMessage) error {
+	for {
+		select {
+		case m := <-in:
+			m.done.Put(m.change.apply(n))
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (n *network) listen(l *memListener) error {
+	if old := n.listeners[l.name]; old != nil && old.ctx.Err() == nil {
+		return fmt.Errorf("listen on %s: name is in use", l.name)
+	}
+	n.listeners[l.name] = l
+	return nil
+}
+
+// connect makes a link. Its dialling end becomes usable when the answer to its
+// first packet has arrived.
+func (n *network) connect(p path, reply actor.Reply[*memConn]) error {
+	l := n.listeners[p.to]
+	if l == nil || l.ctx.Err() != nil {
+		return fmt.Errorf("dial %s: %w", p.to, ErrRefused)
+	}
+	n.dials[p]++
+	a, b := newMemPair(n.group.Context(), p.from, p.to)
+	a.out = n.pipe(p, b)
+	b.out = n.pipe(path{p.to, p.from}, a)
+	n.prune()
+	n.links = append(n.links, memLink{ends: [2]*memConn{a, b}})
+	reply.Put(a)
+	return a.put(packet{kind: packetConnect, listener: l})
+}
+
+func (n *network) pipe(p path, dst *memConn) actor.Address[pipeMessage] {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d", p.from, p.to, n.dials[p])
+	pi := &pipe{dst: dst, quality: n.quality(p), rand: rand.New(rand.NewPCG(n.seed, h.Sum64()))}
+	return actor.Spawn(n.group, actor.Spec[pipeMessage]{Name: "memory-pipe", Mailbox: 16, Run: pi.run})
+}
+
+// quality returns the delay of the most specific rule for p, and whether any
+// rule cuts it.
+func (n *network) quality(p path) quality {
+	var q quality
+	rules := []path{p, {p.from, Any}, {Any, p.to}, {Any, Any}}
+	for i := len(rules) - 1; i >= 0; i-- {
+		if d, ok := n.delays[rules[i]]; ok {
+			q.delay = d
+		}
+		q.cut = q.cut || n.cuts[rules[i]]
+	}
+	return q
+}
+
+// update tells every pipe the quality of its path and waits until it applies.
+func (n *network) update() error {
+	n.prune()
+	for _, l := range n.links {
+		for _, end := range l.ends {
+			q := n.quality(path{end.local, end.remote})
+			_, _ = actor.Ask(n.group.Context(), end.out, func(r actor.Reply[struct{}]) pipeMessage {
+				return pipeMessage{quality: &q, applied: r}
+			})
+		}
+	}
+	return nil
+}
+
+func (n *network) reset(a, b string) error {
+	for _, l := range n.links {
+		x, y := l.ends[0], l.ends[1]
+		if (x.local == a && y.local == b) || (x.local == b && y.local == a) {
+			x.end("connection reset")
+			y.end("connection reset")
+		}
+	}
+	n.prune()
+	return nil
+}
+
+// prune forgets the links of which both ends have ended.
+func (n *network) prune() {
+	kept := n.links[:0]
+	for _, l := range n.links {
+		if l.ends[0].ctx.Err() == nil || l.ends[1].ctx.Err() == nil {
+			kept = append(kept, l)
+		}
+	}
+	clear(n.links[len(kept):])
+	n.links = kept
+}
--- /dev/null
+++ b/internal/link/mux.go
@@ -0,0 +1,195 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/wire"
+)
+
+const (
+	acceptBacklog = 256 // streams; far above the credits of one backend server
+	// Heartbeats on the control stream detect a silent peer after 4 s. yamux's
+	// own pings cover a peer whose owner does not send heartbeats.
+	keepAliveInterval = 10 * time.Second
+	// writeTimeout bounds the wait for the socket, not for a stream's window.
+	writeTimeout = 4 * time.Second
+	// closeTimeout frees a stream that the peer does not close in turn.
+	closeTimeout = 30 * time.Second
+)
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.AcceptBacklog = acceptBacklog
+	c.KeepAliveInterval = keepAliveInterval
+	c.ConnectionWriteTimeout = writeTimeout
+	c.StreamCloseTimeout = closeTimeout
+	c.StreamOpenTimeout = 0 // costs a goroutine per stream; the keep-alive covers it
+	c.LogOutput = io.Discard
+	return c
+}
+
+// muxConn is a Conn over one yamux session. Its actor owns the session and
+// with it the socket; the first error becomes the cause of ctx.
+type muxConn struct {
+	remote  string
+	mux     *yamux.Session
+	control *yamux.Stream
+	in      reader
+	out     writer
+	group   *actor.Group
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	done    <-chan struct{}
+}
+
+func newMuxConn(g *actor.Group, remote net.Addr, mux *yamux.Session, control *yamux.Stream) *muxConn {
+	c := &muxConn{remote: remote.String(), mux: mux, control: control, group: g.Sub()}
+	c.in = reader{src: control, limit: wire.MaxControl}
+	c.out = writer{dst: control}
+	c.ctx, c.cancel = context.WithCancelCause(c.group.Context())
+	c.done = actor.Go(c.group, "link", func(context.Context) error {
+		select {
+		case <-c.ctx.Done():
+		case <-mux.CloseChan():
+			_ = c.fail(io.EOF)
+		}
+		_ = mux.Close()
+		c.group.Cancel()
+		return nil
+	})
+	return c
+}
+
+// fail ends the link for the reason err, unless it has ended already, and
+// returns the error with which it ended.
+func (c *muxConn) fail(err error) error {
+	if c.ctx.Err() != nil {
+		return c.ended()
+	}
+	if c.mux.IsClosed() && !isProtocol(err) {
+		err = shutdownError(c.mux)
+	}
+	if !isProtocol(err) && !isClosed(err) {
+		err = fmt.Errorf("%w: %v", ErrClosed, err)
+	}
+	c.cancel(fmt.Errorf("link with %s: %w", c.remote, err))
+	return c.ended()
+}
+
+// ended returns the error with which the link ended.
+func (c *muxConn) ended() error {
+	err := context.Cause(c.ctx)
+	if isProtocol(err) || isClosed(err) {
+		return err
+	}
+	return fmt.Errorf("link with %s: %w", c.remote, ErrClosed) // the group was stopped
+}
+
+func isProtocol(err error) bool {
+	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrVersion)
+}
+
+func isClosed(err error) bool { return errors.Is(err, ErrClosed) }
+
+// shutdownError returns why a closed session ended. yamux reports it from
+// AcceptStream, after the streams that were not accepted.
+func shutdownError(mux *yamux.Session) error {
+	err := yamux.ErrSessionShutdown
+	for range acceptBacklog + 1 {
+		if _, e := mux.AcceptStream(); e != nil && !errors.Is(e, yamux.ErrSessionShutdown) {
+			return muxError(e)
+		}
+	}
+	return fmt.Errorf("%w: %v", ErrClosed, err)
+}
+
+func muxError(err error) error {
+	for _, broken := range []error{
+		yamux.ErrInvalidVersion, yamux.ErrInvalidMsgType, yamux.ErrUnexpectedFlag, yamux.ErrRecvWindowExceeded,
+		yamux.ErrDuplicateStream,
+	} {
+		if errors.Is(err, broken) {
+			return fmt.Errorf("%w: %v", ErrMalformed, err)
+		}
+	}
+	return fmt.Errorf("%w: %v", ErrClosed, err)
+}
+
+func (c *muxConn) Send(m msg.Control) error {
+	err := c.out.control(m)
+	if err == nil || errors.Is(err, ErrTooLarge) {
+		return err
+	}
+	return c.fail(err)
+}
+
+func (c *muxConn) Receive() (msg.Control, error) {
+	payload, err := c.in.next()
+	if err != nil {
+		return nil, c.fail(err)
+	}
+	m, err := wire.DecodeControl(payload)
+	if err != nil {
+		return nil, c.fail(err)
+	}
+	return m, nil
+}
+
+// OpenStream runs yamux's OpenStream in an actor of its own, because that
+// waits without a context while the peer accepts no streams.
+func (c *muxConn) OpenStream(ctx context.Context) (Stream, error) {
+	if c.ctx.Err() != nil {
+		return nil, c.ended()
+	}
+	opened := make(chan *yamux.Stream)
+	failed := make(chan error, 1)
+	actor.Go(c.group, "open-stream", func(context.Context) error {
+		s, err := c.mux.OpenStream()
+		if err != nil {
+			failed <- err
+			return nil
+		}
+		select {
+		case opened <- s:
+		case <-ctx.Done():
+			_ = s.Close()
+		}
+		return nil
+	})
+	select {
+	case s := <-opened:
+		return c.stream(s), nil
+	case err := <-failed:
+		return nil, c.fail(err)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *muxConn) AcceptStream(ctx context.Context) (Stream, error) {
+	s, err := c.mux.AcceptStreamWithContext(ctx)
+	switch {
+	case err == nil:
+		return c.stream(s), nil
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	}
+	return nil, c.fail(err)
+}
+
+func (c *muxConn) Close() error {
+	c.cancel(fmt.Errorf("link with %s: %w by this process", c.remote, ErrClosed))
+	<-c.done
+	return nil
+}
+
+func (c *muxConn) RemoteAddr() string { return c.remote }
--- /dev/null
+++ b/internal/link/muxstream.go
@@ -0,0 +1,73 @@
+package link
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/wire"
+)
+
+// muxStream is a Stream over one yamux stream.
+type muxStream struct {
+	conn *muxConn
+	raw  *yamux.Stream
+	in   reader
+	out  writer
+}
+
+func (c *muxConn) stream(raw *yamux.Stream) *muxStream {
+	return &muxStream{conn: c, raw: raw, in: reader{src: raw, limit: wire.MaxFrame}, out: writer{dst: raw}}
+}
+
+func (s *muxStream) Send(f msg.Frame) error {
+	err := s.out.frame(f)
+	switch {
+	case err == nil, errors.Is(err, ErrTooLarge):
+		return err
+	case errors.Is(err, yamux.ErrConnectionWriteTimeout):
+		// Whether the bytes leave later is unknown, so the stream and the
+		// session's state no longer agree.
+		return s.conn.fail(err)
+	}
+	return s.ended(err)
+}
+
+func (s *muxStream) Receive() (msg.Frame, error) {
+	payload, err := s.in.next()
+	switch {
+	case isProtocol(err):
+		return nil, s.conn.fail(err)
+	case err != nil:
+		return nil, s.ended(err)
+	}
+	f, err := wire.DecodeFrame(payload)
+	if err != nil {
+		return nil, s.conn.fail(err)
+	}
+	return f, nil
+}
+
+// ended maps the error of a stream that has ended. yamux reports io.EOF on
+// each stream of a lost session, which must not pass for an orderly end.
+func (s *muxStream) ended(err error) error {
+	switch {
+	case s.conn.mux.IsClosed():
+		return s.conn.fail(err)
+	case errors.Is(err, yamux.ErrConnectionReset), errors.Is(err, io.ErrUnexpectedEOF):
+		return ErrReset
+	case errors.Is(err, yamux.ErrTimeout), errors.Is(err, yamux.ErrStreamClosed):
+		return ErrClosed // by Close
+	}
+	return err
+}
+
+// Close ends both directions. A Send or Receive that waits returns ErrClosed:
+// yamux's own Close wakes neither while the socket takes no bytes.
+func (s *muxStream) Close() error {
+	_ = s.raw.SetDeadline(time.Unix(1, 0))
+	return s.raw.Close()
+}
--- /dev/null
+++ b/internal/link/tcp_test.go
@@ -0,0 +1,281 @@
+package link
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/hashicorp/yamux"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rawDial connects to a listener without the link protocol.
+func rawDial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	sock, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = sock.Close() })
+	return sock
+}
+
+// rawAgent connects with a correct handshake and returns the control stream
+// and the session for sending arbitrary bytes.
+func rawAgent(t *testing.T, address string) (*yamux.Session, *yamux.Stream) {
+	t.Helper()
+	mux, control, err := dialHandshake(t.Context(), rawDial(t, address))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = mux.Close() })
+	return mux, control
+}
+
+func accept(t *testing.T, l Listener) Conn {
+	t.Helper()
+	c, err := l.Accept(t.Context())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// requireWorks sends a message each way on a link.
+func requireWorks(t *testing.T, p pair) {
+	t.Helper()
+	require.NoError(t, p.agent.Send(&msg.Heartbeat{}))
+	_, err := p.entry.Receive()
+	require.NoError(t, err)
+	entry, agent := openStream(t, p)
+	require.NoError(t, entry.Send(&msg.Started{}))
+	receiveFrame[*msg.Started](t, agent)
+	require.NoError(t, entry.Close())
+	require.NoError(t, agent.Close())
+}
+
+func envelope(version byte, payload ...byte) []byte {
+	b := binary.BigEndian.AppendUint32([]byte{version}, uint32(len(payload)))
+	return append(b, payload...)
+}
+
+// Guards against bytes of a peer that end the process or another link, or
+// that are not reported as what they are.
+func TestBadBytesEndOnlyTheirLink(t *testing.T) {
+	other := wire.Preamble()
+	other[len(other)-1]++
+	cases := map[string]struct {
+		bytes []byte
+		want  error
+	}{
+		"another protocol":     {[]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), ErrMalformed},
+		"another version":      {other, ErrVersion},
+		"a truncated preamble": {wire.Preamble()[:3], ErrMalformed},
+		"nothing":              {nil, ErrClosed},
+		"not yamux":            {append(wire.Preamble(), "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"...), ErrMalformed},
+	}
+	d, l := tcpEnds(t, Config{})
+	healthy := connect(t, d, l)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			sock := rawDial(t, l.Addr())
+			_, err := sock.Write(c.bytes)
+			require.NoError(t, err)
+			_ = sock.(*net.TCPConn).CloseWrite() // fails when the listener has reset the connection already
+			conn := accept(t, l)
+			_, err = conn.Receive()
+			require.ErrorIs(t, err, c.want)
+			require.ErrorIs(t, conn.Send(&msg.Heartbeat{}), c.want)
+			requireWorks(t, healthy)
+		})
+	}
+}
+
+// Guards against a malformed envelope on the control stream that is skipped,
+// that ends another link, or whose cause is lost.
+func TestMalformedControlEndsItsLink(t *testing.T) {
+	cases := map[string]struct {
+		bytes []byte
+		want  error
+	}{
+		"not protobuf":    {envelope(wire.Version, 0xff, 0xff), ErrMalformed},
+		"no kind":         {envelope(wire.Version), ErrMalformed},
+		"too long":        {[]byte{wire.Version, 0xff, 0xff, 0xff, 0xff}, ErrMalformed},
+		"another version": {envelope(wire.Version+1, 0), ErrVersion},
+		"end inside":      {envelope(wire.Version, 1, 2, 3)[:6], ErrClosed},
+	}
+	d, l := tcpEnds(t, Config{})
+	healthy := connect(t, d, l)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			mux, control := rawAgent(t, l.Addr())
+			conn := accept(t, l)
+			_, err := control.Write(c.bytes)
+			require.NoError(t, err)
+			require.NoError(t, control.Close())
+			_, err = conn.Receive()
+			require.ErrorIs(t, err, c.want)
+			_, err = conn.OpenStream(t.Context())
+			require.ErrorIs(t, err, c.want)
+			<-mux.CloseChan()
+			requireWorks(t, healthy)
+		})
+	}
+}
+
+// Guards against a malformed frame on a request stream that leaves its link
+// in use, or whose cause the control stream's receiver does not learn.
+func TestMalformedFrameEndsItsLink(t *testing.T) {
+	d, l := tcpEnds(t, Config{})
+	healthy := connect(t, d, l)
+	mux, _ := rawAgent(t, l.Addr())
+	conn := accept(t, l)
+	stream, err := conn.OpenStream(t.Context())
+	require.NoError(t, err)
+	raw, err := mux.AcceptStream()
+	require.NoError(t, err)
+	_, err = raw.Write(envelope(wire.Version, 0x7f))
+	require.NoError(t, err)
+	_, err = stream.Receive()
+	require.ErrorIs(t, err, ErrMalformed)
+	_, err = conn.Receive()
+	require.ErrorIs(t, err, ErrMalformed)
+	requireWorks(t, healthy)
+}
+
+// Guards against a stream that ends inside a frame and passes for an orderly
+// end, or takes its link with it.
+func TestStreamEndInsideAFrameIsAReset(t *testing.T) {
+	_, l := tcpEnds(t, Config{})
+	mux, control := rawAgent(t, l.Addr())
+	conn := accept(t, l)
+	stream, err := conn.OpenStream(t.Context())
+	require.NoError(t, err)
+	raw, err := mux.AcceptStream()
+	require.NoError(t, err)
+	_, err = raw.Write([]byte{wire.Version, 0, 0, 0, 9, 1})
+	require.NoError(t, err)
+	require.NoError(t, raw.Close())
+	_, err = stream.Receive()
+	require.ErrorIs(t, err, ErrReset)
+	b, err := wire.AppendControl(nil, &msg.Heartbeat{})
+	require.NoError(t, err)
+	_, err = control.Write(b)
+	require.NoError(t, err)
+	_, err = conn.Receive()
+	require.NoError(t, err)
+}
+
+// Guards against a dialer that does not tell a peer of another version from
+// one that speaks another protocol.
+func TestDialReportsWhatThePeerIs(t *testing.T) {
+	other := wire.Preamble()
+	other[len(other)-1]++
+	for want, greeting := range map[error]string{
+		ErrVersion: string(other), ErrMalformed: "HTTP/1.1 400 Bad Request\r\n\r\n", ErrClosed: "",
+	} {
+		sock, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		served := make(chan error, 1)
+		go func() {
+			c, err := sock.Accept()
+			if err == nil {
+				_, err = io.WriteString(c, greeting)
+				_, _ = io.CopyN(io.Discard, c, wire.PreambleSize)
+				_ = c.Close()
+			}
+			served <- err
+		}()
+		g := actor.NewGroup(t.Context(), nil)
+		_, err = NewDialer(g, Config{}).Dial(t.Context(), sock.Addr().String())
+		require.ErrorIs(t, err, want)
+		require.NoError(t, <-served)
+		require.NoError(t, sock.Close())
+		g.Stop()
+	}
+}
+
+// Guards against a peer that says nothing and holds up a dial after its
+// context has ended, or other connections of the listener.
+func TestSilentPeerHoldsUpNobody(t *testing.T) {
+	d, l := tcpEnds(t, Config{})
+	rawDial(t, l.Addr())
+	requireWorks(t, connect(t, d, l))
+
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = silent.Close() }()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		c, err := silent.Accept()
+		if err == nil {
+			_, _ = io.CopyN(io.Discard, c, wire.PreambleSize)
+			cancel()
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+		}
+	}()
+	_, err = d.Dial(ctx, silent.Addr().String())
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+// Guards against links that outlive the group of their process.
+func TestLinksEndWithTheirGroup(t *testing.T) {
+	g := actor.NewGroup(t.Context(), nil)
+	l, err := Listen(g, "127.0.0.1:0", Config{})
+	require.NoError(t, err)
+	p := connect(t, NewDialer(g, Config{}), l)
+	g.Stop()
+	_, err = p.entry.Receive()
+	require.ErrorIs(t, err, ErrClosed)
+	require.ErrorIs(t, p.agent.Send(&msg.Heartbeat{}), ErrClosed)
+}
+
+func benchmarkBody(b *testing.B, size int) {
+	g := actor.NewGroup(context.Background(), nil)
+	defer g.Stop()
+	l, err := Listen(g, "127.0.0.1:0", Config{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	agent, err := NewDialer(g, Config{}).Dial(b.Context(), l.Addr())
+	if err != nil {
+		b.Fatal(err)
+	}
+	entry, err := l.Accept(b.Context())
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := entry.OpenStream(b.Context())
+	if err != nil {
+		b.Fatal(err)
+	}
+	in, err := agent.AcceptStream(b.Context())
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() {
+		chunk := &msg.BodyChunk{Data: make([]byte, size)}
+		for out.Send(chunk) == nil {
+		}
+	}()
+	b.SetBytes(int64(size))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := in.Receive(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_ = agent.Close()
+	_ = entry.Close()
+	_ = l.Close()
+}
+
+// Guards against a higher cost of a body chunk.
+func BenchmarkBodyChunk1K(b *testing.B)   { benchmarkBody(b, 1<<10) }
+func BenchmarkBodyChunk32K(b *testing.B)  { benchmarkBody(b, 32<<10) }
+func BenchmarkBodyChunk256K(b *testing.B) { benchmarkBody(b, 256<<10) }
