--- a/internal/configstore/table_test.go
+++ b/internal/configstore/table_test.go
@@ -19,7 +19,9 @@
 )
 
 // fakeTable is an actor, so that tests may use it from any goroutine.
-type fakeTable struct{ addr actor.Address[func(*tableData)] }
+type fakeTable struct {
+	addr actor.Address[func(*tableData)]
+}
 
 type tableData struct {
 	rev     platform.Revision
