entry: answer 504 when a started request runs out of time

Cause: a request that was started and missed its deadline was answered 502; callers expect 504 for the lack of time, with outcome run. Change: the answer depends on the deadline.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -153,7 +153,7 @@
 		c.withdraw()
 		c.answerNotRun()
 	case effAnswerRun:
-		c.answer(http.StatusBadGateway, model.OutcomeRun, "the backend server did not complete its response")
+		c.answerRun()
 	case effAnswerUnknown:
 		c.answer(http.StatusGatewayTimeout, model.OutcomeUnknown, "it is not known whether the request was run")
 	case effAbort:
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// answerRun says that the request was run but its response cannot be had.
+func (c *call) answerRun() {
+	if time.Now().After(c.req.Deadline) {
+		c.answer(http.StatusGatewayTimeout, model.OutcomeRun, "the deadline passed before the response began")
+		return
+	}
+	c.answer(http.StatusBadGateway, model.OutcomeRun, "the backend server did not complete its response")
+}
+
 // answer writes a response of the system's own and ends the attempt.
 func (c *call) answer(status int, outcome model.Outcome, text string) {
 	if c.answered {
