standin: include tombstones in a scan from revision 0

Cause: a scan after revision 0 left deletions out, but platform.Table promises them after every revision. A poller whose first scan found an empty table missed a deletion.

Change: no exception for revision 0.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -109,14 +109,14 @@
 	return s.rows[key], nil
 }
 
-// scan returns the rows with the prefix that changed after a revision, in the
-// order of their last change.
+// scan returns the rows with the prefix that changed after a revision,
+// tombstones included, in the order of their last change.
 func (s *store) scan(prefix string, after platform.Revision) []platform.Row {
 	first := sort.Search(len(s.changes), func(i int) bool { return s.changes[i].revision > after })
 	var rows []platform.Row
 	for _, c := range s.changes[first:] {
 		r := s.rows[c.key]
-		if r.Version == c.revision && strings.HasPrefix(c.key, prefix) && !(r.Deleted && after == 0) {
+		if r.Version == c.revision && strings.HasPrefix(c.key, prefix) {
 			rows = append(rows, r)
 		}
 	}
