platform: follow rows with a poller

Cause: entries and controllers have to learn of changes of rows that others write, without a load on the store that grows in an outage.

Change: Poller scans a prefix at an interval with 20% jitter and sends the changes in the order of revisions to an actor, waiting for room in its mailbox. It backs off like the writer, scans at once when poked, and ends with its receiver. Its lifecycle is charts/poller.scxml.

--- /dev/null
+++ b/internal/platform/poller_chart.go
@@ -0,0 +1,135 @@
+package platform
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/charts"
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/event"
+)
+
+// pollJitter is the share of the interval by which a wait is longer or
+// shorter, so that the pollers of many processes do not keep in step.
+const pollJitter = 0.2
+
+// States of charts/poller.scxml.
+const (
+	psScanning chart.State = iota
+	psDelivering
+	psWaiting
+	psClosed
+)
+
+// Events of charts/poller.scxml.
+const (
+	peScanned chart.Event = iota
+	peFailed
+	peDelivered
+	peRefused
+	peDue
+	pePoke
+)
+
+var pollerChart = chart.MustCompile(charts.Files, PollerBinding())
+
+// PollerBinding binds charts/poller.scxml. It is exported for the checks that
+// explore the chart.
+func PollerBinding() chart.Binding[pollerCore] {
+	return chart.Binding[pollerCore]{
+		Chart:  "poller",
+		States: []string{"scanning", "delivering", "waiting", "closed"},
+		Events: []string{"scanned", "failed", "delivered", "refused", "due", "poke"},
+		Guards: map[string]func(*pollerCore) bool{
+			"regressed": func(p *pollerCore) bool { return p.scanned.UpTo < p.after },
+			"news":      func(p *pollerCore) bool { return p.scanned.First || len(p.scanned.Rows) > 0 },
+			"healthy":   func(p *pollerCore) bool { return p.backoff.Healthy() },
+		},
+		Actions: map[string]func(*pollerCore){
+			"accept": (*pollerCore).accept, "schedule": (*pollerCore).schedule,
+			"backOff": (*pollerCore).backOff, "reportRegress": (*pollerCore).reportRegress,
+		},
+	}
+}
+
+// pollerCore decides what a poller does. It is pure: it is told what happened
+// and when.
+type pollerCore struct {
+	prefix   string
+	interval time.Duration
+	backoff  *Backoff
+	state    chart.State
+	after    Revision // everything up to it was delivered
+	started  bool     // a scan has succeeded
+	wait     time.Duration
+	notices  []notice
+
+	// Set for the event that is being handled.
+	now     time.Time
+	scanned Changes
+	cause   error
+}
+
+func (p *pollerCore) step(e chart.Event, now time.Time) {
+	p.now = now
+	pollerChart.Step(p, &p.state, e)
+}
+
+// result handles the answer to a scan.
+func (p *pollerCore) result(rows []Row, upTo Revision, err error, now time.Time) {
+	if err != nil {
+		p.cause = err
+		p.step(peFailed, now)
+		return
+	}
+	p.scanned = Changes{Rows: inOrder(rows, p.after, upTo), After: p.after, UpTo: upTo, First: !p.started}
+	p.step(peScanned, now)
+}
+
+// inOrder returns the rows of the revisions after after and up to upTo in the
+// order of revisions. A row that was changed while the service scanned is part
+// of the next scan.
+func inOrder(rows []Row, after, upTo Revision) []Row {
+	rows = slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return r.Version <= after || r.Version > upTo })
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Key, b.Key))
+	})
+	return rows
+}
+
+// accept notes that everything up to the scan's revision is known.
+func (p *pollerCore) accept() {
+	ill := !p.backoff.Healthy()
+	p.wait = p.backoff.Success(p.now)
+	if ill && p.backoff.Healthy() {
+		p.notice(event.StoreRecovered, log.Fields{})
+	}
+	p.after, p.started = p.scanned.UpTo, true
+}
+
+// schedule waits for the interval, or longer while the service recovers.
+func (p *pollerCore) schedule() {
+	share := 1 - pollJitter + 2*pollJitter*p.backoff.random()
+	p.wait = max(p.wait, time.Duration(share*float64(p.interval)))
+}
+
+func (p *pollerCore) backOff() {
+	if p.backoff.Healthy() && p.cause != nil {
+		p.notice(event.StoreUnavailable, log.Fields{"error": p.cause.Error()})
+	}
+	p.wait = p.backoff.Failure(p.now)
+	p.schedule()
+}
+
+func (p *pollerCore) reportRegress() {
+	p.notice(event.PollRegressed, log.Fields{"revision": p.scanned.UpTo, "known": p.after})
+	p.cause = nil
+}
+
+func (p *pollerCore) notice(e event.Event, f log.Fields) {
+	f["prefix"] = p.prefix
+	p.notices = append(p.notices, notice{e, f})
+}
--- /dev/null
+++ b/internal/platform/poller_test.go
@@ -0,0 +1,130 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/standin"
+)
+
+const pollInterval = 500 * time.Millisecond
+
+// receive starts an actor that passes on what it is sent. Its mailbox has no
+// room, so that it is slow.
+func receive(g *actor.Group) (actor.Address[platform.Changes], <-chan platform.Changes) {
+	out := make(chan platform.Changes, 1000)
+	return actor.Spawn(g, actor.Spec[platform.Changes]{Name: "receiver", Run: func(ctx context.Context, in <-chan platform.Changes) error {
+		for {
+			select {
+			case c := <-in:
+				out <- c
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	}}), out
+}
+
+// withPoller runs f in virtual time with a poller of the rows "a/...".
+func withPoller(t *testing.T, f func(t *testing.T, table *standin.Table, p platform.Poller, got <-chan platform.Changes)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := group(t)
+		table := standin.NewTable(g, standin.StoreFaults{})
+		to, got := receive(g)
+		p := platform.SpawnPoller(g, platform.PollerConfig{Table: table, Prefix: "a/", Interval: pollInterval}, to,
+			func(c platform.Changes) platform.Changes { return c })
+		f(t, table, p, got)
+	})
+}
+
+func commit(t *testing.T, table *standin.Table, txn platform.Txn) {
+	_, err := table.Commit(t.Context(), txn)
+	require.NoError(t, err)
+}
+
+func put(keys ...string) (txn platform.Txn) {
+	for _, k := range keys {
+		txn.Puts = append(txn.Puts, platform.Put{Key: k, Value: []byte(k)})
+	}
+	return txn
+}
+
+// Guards against changes that are lost, repeated, out of order, or of other
+// rows, and against deletions that are not seen.
+func TestPollerDeliversInOrder(t *testing.T) {
+	withPoller(t, func(t *testing.T, table *standin.Table, _ platform.Poller, got <-chan platform.Changes) {
+		require.Equal(t, platform.Changes{First: true}, <-got, "an empty table is reported once")
+		commit(t, table, put("a/2", "b/1"))
+		commit(t, table, put("a/1", "a/0"))
+		commit(t, table, platform.Txn{Deletes: []string{"a/0"}})
+		start := time.Now()
+		c := <-got
+		require.LessOrEqual(t, time.Since(start), pollInterval*6/5)
+		require.Equal(t, platform.Changes{After: 0, UpTo: 3, Rows: []platform.Row{
+			{Key: "a/2", Value: []byte("a/2"), Version: 1}, {Key: "a/1", Value: []byte("a/1"), Version: 2},
+			{Key: "a/0", Version: 3, Deleted: true},
+		}}, c)
+		commit(t, table, put("b/2"))
+		commit(t, table, put("a/3"))
+		c = <-got
+		require.Equal(t, []any{"a/3", platform.Revision(5)}, []any{c.Rows[0].Key, c.UpTo})
+		require.Len(t, c.Rows, 1)
+	})
+}
+
+// Guards against a poller that calls an unavailable service at its usual
+// rate, or does not return to it.
+func TestPollerBacksOff(t *testing.T) {
+	withPoller(t, func(t *testing.T, table *standin.Table, p platform.Poller, got <-chan platform.Changes) {
+		<-got
+		require.NoError(t, table.SetFaults(t.Context(), standin.StoreFaults{Outage: true}))
+		before, err := table.State(t.Context())
+		require.NoError(t, err)
+		for range 600 {
+			p.Poke()
+			actor.Sleep(t.Context(), time.Second)
+		}
+		after, err := table.State(t.Context())
+		require.NoError(t, err)
+		require.LessOrEqual(t, after.Counters.Reads-before.Counters.Reads, 10+600/2, "the retry budget of 10 and one in 2 s")
+		require.NoError(t, table.SetFaults(t.Context(), standin.StoreFaults{}))
+		commit(t, table, put("a/1"))
+		start := time.Now()
+		require.Len(t, (<-got).Rows, 1)
+		require.LessOrEqual(t, time.Since(start), platform.MaxBackoff)
+	})
+}
+
+// Guards against a poke that is lost because a scan is under way.
+func TestPokeMakesThePollerScan(t *testing.T) {
+	withPoller(t, func(t *testing.T, table *standin.Table, p platform.Poller, got <-chan platform.Changes) {
+		<-got
+		synctest.Wait()
+		start := time.Now()
+		for i := range 10 {
+			commit(t, table, put(fmt.Sprint("a/", i)))
+			p.Poke()
+			require.Len(t, (<-got).Rows, 1)
+		}
+		require.Zero(t, time.Since(start))
+	})
+}
+
+// Guards against a poller that outlives its receiver.
+func TestPollerEndsWithItsReceiver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := group(t)
+		to := actor.Spawn(g, actor.Spec[platform.Changes]{Name: "receiver", Run: func(context.Context, <-chan platform.Changes) error { return nil }})
+		<-to.Done()
+		p := platform.SpawnPoller(g, platform.PollerConfig{Table: standin.NewTable(g, standin.StoreFaults{}), Interval: time.Second}, to,
+			func(c platform.Changes) platform.Changes { return c })
+		<-p.Done()
+	})
+}
