standin: serve HTTP in virtual time, tell idle tasks from ended ones

Cause: virtual-time tests cannot use sockets, so the backend server could not be tested in them; a task that loads its checkpoint was reported as ended; a long run keeps every committed transaction in memory.

ErrNotRunning replaces ErrEnded. RanMs is the time since the start of the task. The fault dropHistory stops the recording of transactions.

--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
 )
 
 func startBackend(t *testing.T, c BackendConfig) (b *Backend, address string) {
@@ -148,3 +151,43 @@
 		r.paths <- req.URL.Path + " " + string(raw)
 	})})
 }
+
+// Guards against a violation that is counted when a client cancels a request
+// and sends another before the server has noticed, and against a backend
+// server that cannot be used in virtual time.
+func TestCancelledRequestIsNoViolation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := group(t)
+		b := NewBackend(g, BackendConfig{Slots: 1})
+		l := NewMemoryListener()
+		actor.Go(g, "server", func(ctx context.Context) error { return b.Serve(ctx, l) })
+		client := &http.Client{Transport: &http.Transport{DialContext: l.Dial, DisableKeepAlives: true}}
+		ctx, cancel := context.WithCancel(t.Context())
+		get := func(ctx context.Context, uri string) (int, error) {
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://backend"+uri, nil)
+			require.NoError(t, err)
+			resp, err := client.Do(req)
+			if err != nil {
+				return 0, err
+			}
+			return resp.StatusCode, resp.Body.Close()
+		}
+		long := make(chan error)
+		go func() {
+			_, err := get(ctx, "/sleep?ms=3600000")
+			long <- err
+		}()
+		synctest.Wait()
+		go cancel()
+		status, err := get(t.Context(), "/echo")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		require.ErrorIs(t, <-long, context.Canceled)
+		synctest.Wait()
+		state := b.mustState(t)
+		require.Zero(t, state.SlotViolations)
+		require.Zero(t, state.Running)
+		require.Equal(t, 1, state.MaxRunning)
+		require.Zero(t, state.Connections)
+	})
+}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -31,6 +31,9 @@
 	LoseRequests    int `json:"loseRequests"`
 	WritesPerSecond int `json:"writesPerSecond"` // 0: the default, -1: no limit
 	ReadsPerSecond  int `json:"readsPerSecond"`  // 0: the default, -1: no limit
+	// Committed transactions are not kept for History. A long run needs it:
+	// 100 transactions a second of 50 rows are over 1 GB in 10 minutes.
+	DropHistory bool `json:"dropHistory"`
 }
 
 // Counters count the operations of a table service or an object store.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -42,7 +42,8 @@
 	return 0
 }
 
-func (s *store) commit(t platform.Txn) (platform.Revision, error) {
+// commit applies a transaction; keep adds it to the history.
+func (s *store) commit(t platform.Txn, keep bool) (platform.Revision, error) {
 	if err := checkShape(t); err != nil {
 		return 0, err
 	}
@@ -66,11 +67,19 @@
 			s.set(platform.Row{Key: key, Version: s.revision, Deleted: true})
 		}
 	}
-	s.history = append(s.history, Committed{s.revision, t})
+	if keep {
+		s.history = append(s.history, Committed{s.revision, t})
+	}
 	s.compact()
 	return s.revision, nil
 }
 
+// committedAfter returns the kept transactions after a revision.
+func (s *store) committedAfter(after platform.Revision) []Committed {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+	return slices.Clone(s.history[first:])
+}
+
 // checkShape refuses a transaction that is too large or writes a row twice.
 func checkShape(t platform.Txn) error {
 	written := map[string]bool{}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -35,7 +35,7 @@
 func (m commitMsg) handle(s *tableState) {
 	var rev platform.Revision
 	s.write(func() (err error) {
-		rev, err = s.commit(m.txn)
+		rev, err = s.commit(m.txn, !s.Faults.DropHistory)
 		return err
 	}, func(err error) {
 		m.reply.Put(answer[platform.Revision]{rev, err})
@@ -98,8 +98,7 @@
 }
 
 func (m historyMsg) handle(s *tableState) {
-	first := min(int(m.after), len(s.history)) // revision n is at index n-1
-	m.reply.Put(answer[[]Committed]{value: s.history[first:len(s.history):len(s.history)]})
+	m.reply.Put(answer[[]Committed]{value: s.committedAfter(m.after)})
 }
 
 // Commit implements platform.Table.
--- a/internal/standin/table_test.go
+++ b/internal/standin/table_test.go
@@ -99,6 +99,26 @@
 	require.ErrorIs(t, err, platform.ErrUnavailable)
 }
 
+// Guards against a client whose errors keep the writer from reading back a
+// lost answer, or from repeating a refused call.
+func TestWriterOverHTTP(t *testing.T) {
+	g := group(t)
+	service := NewTable(g, StoreFaults{WritesPerSecond: 4, LoseAnswers: 2})
+	table := platform.NewHTTPTable(platform.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
+	defer table.Close()
+	w := platform.SpawnWriter(g, platform.WriterConfig{Table: table, Key: "writer/w"})
+	for _, key := range []string{"a", "b", "c"} {
+		_, err := w.Write(t.Context(), platform.Op{Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{{Key: key}}})
+		require.NoError(t, err)
+	}
+	history, err := service.History(t.Context(), 0)
+	require.NoError(t, err)
+	require.Len(t, history, 3)
+	state, err := service.State(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, 2, state.Counters.Lost)
+}
+
 // Guards against stand-ins that accept more than the platform does.
 func TestTableLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -25,8 +25,8 @@
 
 // Errors of a worker's tasks.
 var (
-	ErrNoTask = errors.New("the worker knows no such task")
-	ErrEnded  = errors.New("the task has ended")
+	ErrNoTask     = errors.New("the worker knows no such task")
+	ErrNotRunning = errors.New("the task does not run: it has ended, or is loading its checkpoint or writing its result")
 )
 
 // WorkerConfig describes a simulated worker.
@@ -58,8 +58,8 @@
 	Step       int             `json:"step"`
 	Steps      int             `json:"steps"`
 	Percent    int             `json:"percent"`
-	LeaseMs    int64           `json:"leaseMs"` // remaining
-	RanMs      int64           `json:"ranMs"`
+	LeaseMs    int64           `json:"leaseMs"`         // remaining
+	RanMs      int64           `json:"ranMs"`           // since its start, whatever its speed
 	Usage      *UsageView      `json:"usage,omitempty"` // absent until the first measurement is old enough
 }
 
@@ -215,12 +215,14 @@
 func (t *task) view() TaskView {
 	t.progress()
 	v := TaskView{ID: t.spec.ID, State: t.reported(), Reason: t.reason, Checkpoint: t.checkpoint,
-		Step: t.program.stepAt(t.ran), Steps: t.program.Steps, Percent: t.percent, RanMs: t.ran.Milliseconds()}
+		Step: t.program.stepAt(t.ran), Steps: t.program.Steps, Percent: t.percent, RanMs: time.Since(t.began).Milliseconds()}
 	if v.State == model.TaskDone {
 		v.Result = t.spec.ResultName
 	}
 	if t.live() {
 		v.LeaseMs = time.Until(t.leased).Milliseconds()
+	} else {
+		v.RanMs = t.ended.Sub(t.began).Milliseconds()
 	}
 	if r, ok := t.usageAt(time.Now().Add(-t.w.lag())); ok {
 		v.Usage = &UsageView{r, t.w.lag().Milliseconds()}
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -140,12 +140,12 @@
 	writeTask(rw, view, err)
 }
 
-// writeTask answers with a task's state; 409 says that it has ended.
+// writeTask answers with a task's state; 409 says that it does not run.
 func writeTask(rw http.ResponseWriter, view TaskView, err error) {
 	switch {
 	case err == nil:
 		writeJSON(rw, http.StatusOK, view)
-	case errors.Is(err, ErrEnded):
+	case errors.Is(err, ErrNotRunning):
 		writeJSON(rw, http.StatusConflict, view)
 	case errors.Is(err, ErrNoTask):
 		http.Error(rw, err.Error(), http.StatusNotFound)
--- a/internal/standin/worker_messages.go
+++ b/internal/standin/worker_messages.go
@@ -75,7 +75,7 @@
 	case m.renewMs > 0 && t.live():
 		t.renew(m.renewMs)
 	case m.renewMs > 0:
-		return answer[TaskView]{t.view(), ErrEnded}
+		return answer[TaskView]{t.view(), ErrNotRunning}
 	case m.event == taskThrottle && t.state == taskRunning:
 		t.progress()
 		t.percent = m.percent
@@ -83,7 +83,7 @@
 	case m.event == taskThrottle && t.live():
 		t.percent = m.percent // applies when it runs
 	case !t.step(m.event) && m.event != taskStop:
-		return answer[TaskView]{t.view(), ErrEnded}
+		return answer[TaskView]{t.view(), ErrNotRunning}
 	}
 	return answer[TaskView]{value: t.view()}
 }
@@ -101,7 +101,7 @@
 		return
 	}
 	if !t.step(taskCheckpoint) {
-		m.reply.Put(answer[TaskView]{t.view(), ErrEnded})
+		m.reply.Put(answer[TaskView]{t.view(), ErrNotRunning})
 		return
 	}
 	t.waiting = append(t.waiting, m.reply)
--- a/internal/standin/worker_task.go
+++ b/internal/standin/worker_task.go
@@ -219,7 +219,7 @@
 	t.w.later.cancel(t.due)
 	t.w.later.cancel(t.lease)
 	t.record(model.Resources{})
-	t.answerWaiting(ErrEnded)
+	t.answerWaiting(ErrNotRunning)
 	t.w.closeSpan(t)
 	t.w.later.after(keepEnded, func() { delete(t.w.tasks, t.spec.ID) })
 }
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -53,7 +53,7 @@
 		synctest.Wait()
 		require.Equal(t, model.TaskStopped, only(t, w).State)
 		_, err = w.Renew(t.Context(), "job/1", 15000)
-		require.ErrorIs(t, err, ErrEnded)
+		require.ErrorIs(t, err, ErrNotRunning)
 		log, err := w.Log(t.Context())
 		require.NoError(t, err)
 		require.Equal(t, 25*time.Second, time.Duration(log[0].Ended-log[0].Started))
