platform: check the writer's outcomes against the table's history

Cause: scripted tests cover known interleavings only.

Change: 40 seeded runs in virtual time of 2 successive writers with the same row and 150 operations each, under lost answers, lost requests, outages, delays beyond the call's timeout and callers that leave. Every outcome is compared with the committed transactions.

--- /dev/null
+++ b/internal/platform/writer_history_test.go
@@ -0,0 +1,125 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/standin"
+)
+
+// randomFaults draws the faults of the next seconds. A delay of 25 s lets a
+// transaction take effect after the writer has given up the call.
+func randomFaults(r *rand.Rand) standin.StoreFaults {
+	f := standin.StoreFaults{DelayMs: []int64{0, 0, 10, 500, 25_000}[r.IntN(5)]}
+	switch r.IntN(4) {
+	case 0:
+		f.Outage = true
+	case 1:
+		f.LoseAnswers = r.IntN(4)
+	case 2:
+		f.LoseRequests = r.IntN(4)
+	}
+	return f
+}
+
+// randomOp writes a unique value to some of a few rows, often under a
+// precondition that may fail.
+func randomOp(r *rand.Rand, id string) platform.Op {
+	var op platform.Op
+	for _, n := range r.Perm(8)[:1+r.IntN(2)] {
+		key := fmt.Sprint("row/", n)
+		op.Puts = append(op.Puts, platform.Put{Key: key, Value: []byte(id)})
+		if r.IntN(3) == 0 {
+			op.Checks = append(op.Checks, platform.Check{Key: key, Version: platform.Revision(r.IntN(3) * r.IntN(20))})
+		}
+	}
+	return op
+}
+
+// verify compares an outcome with the revisions at which the operation took
+// effect.
+func verify(t *testing.T, id string, got platform.WriteResult, effects []platform.Revision) {
+	var conflict *platform.ConflictError
+	switch {
+	case got.Err == nil:
+		require.Equal(t, []platform.Revision{got.Revision}, effects, "%s succeeded", id)
+	case errors.Is(got.Err, platform.ErrUnknown):
+		require.LessOrEqual(t, len(effects), 1, "%s: %v", id, got.Err)
+	case errors.As(got.Err, &conflict), errors.Is(got.Err, platform.ErrUnavailable):
+		require.Empty(t, effects, "%s: %v", id, got.Err)
+	default:
+		t.Errorf("%s: undocumented error %v", id, got.Err)
+	}
+}
+
+// Guards against outcomes that the committed transactions contradict: an
+// operation that took effect twice, or that was reported as done and had no
+// effect, or as without effect and had one. Answers, requests and whole calls
+// are lost, late transactions take effect after they were given up, callers
+// leave, and a successor takes over the writer's row.
+func TestOutcomesAgreeWithHistory(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkOutcomes(t, rand.New(rand.NewPCG(seed, 0))) })
+		})
+	}
+}
+
+func checkOutcomes(t *testing.T, r *rand.Rand) {
+	table := standin.NewTable(group(t), standin.StoreFaults{})
+	type outcome struct {
+		id string
+		platform.WriteResult
+	}
+	const lives, operations = 2, 150
+	outcomes := make(chan outcome, lives*operations)
+	for life := range lives {
+		g := group(t)
+		w := platform.SpawnWriter(g, platform.WriterConfig{Table: table, Key: "writer/w", Random: rand.New(rand.NewPCG(r.Uint64(), 0)).Float64})
+		for i := range operations {
+			if i%10 == 0 {
+				require.NoError(t, table.SetFaults(t.Context(), randomFaults(r)))
+			}
+			id := fmt.Sprint(life, "/", i)
+			op, patience := randomOp(r, id), time.Duration(1+r.IntN(120))*time.Second
+			go func() {
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				defer cancel()
+				rev, err := w.Write(ctx, op)
+				outcomes <- outcome{id, platform.WriteResult{Revision: rev, Err: err}}
+			}()
+			actor.Sleep(t.Context(), time.Duration(r.IntN(2000))*time.Millisecond)
+		}
+		g.Stop()
+	}
+	require.NoError(t, table.SetFaults(t.Context(), standin.StoreFaults{}))
+	actor.Sleep(t.Context(), time.Minute) // what is under way takes effect
+	effects := map[string][]platform.Revision{}
+	for _, c := range history(t, table) {
+		seen := map[string]bool{}
+		for _, p := range c.Puts {
+			if id := string(p.Value); p.Key != "writer/w" && !seen[id] {
+				seen[id] = true
+				effects[id] = append(effects[id], c.Revision)
+			}
+		}
+	}
+	done := 0
+	for range lives * operations {
+		o := <-outcomes
+		verify(t, o.id, o.WriteResult, effects[o.id])
+		if o.Err == nil {
+			done++
+		}
+	}
+	require.NotZero(t, done, "the run tests nothing")
+}
