--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -64,8 +64,10 @@
 // maxEffects bounds the effects of one step; no transition has more actions.
 const maxEffects = 4
 
-// maxTries bounds the offers of one request.
-const maxTries = 4
+// maxTries bounds the offers of one request. An agent refuses a long request
+// when two entries used the same permit, which may happen several times in a
+// row under load; with 4 tries such requests were refused late.
+const maxTries = 16
 
 const (
 	// An agent applies the request's deadline itself and refuses shortly
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -13,7 +13,7 @@
 func (c *call) answerNotRun() {
 	switch {
 	case c.refusal == dispatch.RefusedTimed || time.Now().After(c.req.Deadline):
-		c.answer(http.StatusGatewayTimeout, model.OutcomeNotRun, "the deadline passed before a slot was free")
+		c.answer(http.StatusGatewayTimeout, model.OutcomeNotRun, "no slot was free early enough to finish before the deadline")
 	case c.declined == msg.RefusedDeadline || c.declined == msg.RefusedCancelled:
 		c.answer(http.StatusGatewayTimeout, model.OutcomeNotRun, "the deadline passed before the request was started")
 	default:
--- a/internal/measure/load_test.go
+++ b/internal/measure/load_test.go
@@ -110,3 +110,20 @@
 }
 
 func share(part, whole []answer) float64 { return float64(len(part)) / float64(max(1, len(whole))) }
+
+// merge returns two loads in order of arrival.
+func merge(a, b []arrival) []arrival {
+	all := append(append([]arrival(nil), a...), b...)
+	sort.SliceStable(all, func(i, j int) bool { return all[i].at < all[j].at })
+	return all
+}
+
+// shift delays a load.
+func shift(load []arrival, by time.Duration) []arrival {
+	later := make([]arrival, len(load))
+	for i, a := range load {
+		later[i] = a
+		later[i].at += by
+	}
+	return later
+}
