operator: serve the operators' HTTP API

Cause: operators and scripts need jobs, configuration, status, explain and drain over plain HTTP, and must know whether what they asked was written. Invalid requests are answered with every finding. Result: go test -race -count=3 ./internal/operator ./internal/shape passes.

--- /dev/null
+++ b/internal/operator/jobhandlers.go
@@ -0,0 +1,171 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+)
+
+// JobView is a job as the API shows it.
+type JobView struct {
+	model.JobRow
+	Cell model.Cell `json:"cell"`
+}
+
+// cell returns the cell that a request names, or the default one.
+func (a *API) cell(r *http.Request) (model.Cell, error) {
+	cell := model.Cell(r.URL.Query().Get("cell"))
+	if cell == "" {
+		cell = a.DefaultCell
+	}
+	if !jobName(string(cell)) {
+		return "", oneFinding("query", 0, "cell", "name a cell; this entry has no default cell, or %q is not a cell's name", cell)
+	}
+	return cell, nil
+}
+
+func (a *API) submitJob(r *http.Request) (response, error) {
+	cell, err := a.cell(r)
+	if err != nil {
+		return response{}, err
+	}
+	var spec model.JobSpec
+	if err := decode(r, "job", &spec); err != nil {
+		return response{}, err
+	}
+	if err := checkSpec(spec, a.Labels).Err(); err != nil {
+		return response{}, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	row, created, err := a.jobs.submit(ctx, cell, spec)
+	fields := log.Fields{"cell": cell, "job": spec.ID, "team": spec.Team}
+	if err != nil {
+		if errors.Is(err, platform.ErrUnknown) {
+			event.Log(a.Log, event.OperatorJobUnknown, fields)
+		}
+		return response{}, err
+	}
+	status := http.StatusOK
+	if created {
+		status = http.StatusCreated
+		event.Log(a.Log, event.OperatorJobAccepted, fields)
+	}
+	return response{status: status, body: JobView{row, cell}}, nil
+}
+
+func (a *API) listJobs(r *http.Request) (response, error) {
+	cell, err := a.cell(r)
+	if err != nil {
+		return response{}, err
+	}
+	q := query{r: r}
+	limit := q.number("limit", 100, 1, maxPage)
+	phase, team := model.Phase(q.text("phase")), model.Team(q.text("team"))
+	matches := func(model.Labels) bool { return true }
+	if text := q.text("label"); text != "" {
+		if parsed, err := a.Selector(text); err != nil {
+			q.add("label", "%v", err)
+		} else {
+			matches = parsed
+		}
+	}
+	if err := q.found.Err(); err != nil {
+		return response{}, err
+	}
+	filter := func(j model.JobRow) bool {
+		return (phase == "" || j.Phase == phase) && (team == "" || j.Spec.Team == team) && matches(selectable(j.Spec))
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	answer, err := actor.Ask(ctx, a.index, func(rep actor.Reply[listAnswer]) listRequest {
+		return listRequest{ctx: ctx, cell: cell, filter: filter, after: model.JobID(q.text("after")), limit: int(limit), answer: rep}
+	})
+	if err == nil {
+		err = answer.err
+	}
+	return response{body: answer.page}, err
+}
+
+// selectable returns the labels of a job that selectors see.
+func selectable(s model.JobSpec) model.Labels {
+	l := maps.Clone(s.Labels)
+	if l == nil {
+		l = model.Labels{}
+	}
+	l["team"], l["class"] = string(s.Team), string(s.Class)
+	return l
+}
+
+// find returns the job that a request's path names.
+func (a *API) find(ctx context.Context, r *http.Request) (JobView, error) {
+	cell, err := a.cell(r)
+	if err != nil {
+		return JobView{}, err
+	}
+	id := r.PathValue("id")
+	if !jobName(id) {
+		return JobView{}, unknownJob(cell, model.JobID(id))
+	}
+	row, err := a.jobs.show(ctx, cell, model.JobID(id))
+	return JobView{row, cell}, err
+}
+
+func (a *API) showJob(r *http.Request) (response, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	view, err := a.find(ctx, r)
+	return response{body: view}, err
+}
+
+func (a *API) cancelJob(r *http.Request) (response, error) {
+	cell, err := a.cell(r)
+	if err != nil {
+		return response{}, err
+	}
+	id := model.JobID(r.PathValue("id"))
+	if !jobName(string(id)) {
+		return response{}, unknownJob(cell, id)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	row, err := a.jobs.cancel(ctx, cell, id)
+	if err != nil {
+		return response{}, err
+	}
+	event.Log(a.Log, event.OperatorCancelAsked, log.Fields{"cell": cell, "job": id})
+	status := http.StatusAccepted
+	if a.Final != nil && a.Final(row.Phase) {
+		status = http.StatusOK
+	}
+	return response{status: status, body: JobView{row, cell}}, nil
+}
+
+func (a *API) jobResult(r *http.Request) (response, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	view, err := a.find(ctx, r)
+	if err != nil {
+		return response{}, err
+	}
+	if view.Result == "" {
+		return response{}, fmt.Errorf("result of job %s, which is %s: %w", view.Spec.ID, view.Phase, platform.ErrNotFound)
+	}
+	data, err := a.Objects.Get(ctx, view.Result)
+	if err != nil {
+		return response{}, fmt.Errorf("object %s: %w", view.Result, err)
+	}
+	if data == nil {
+		data = []byte{}
+	}
+	return response{raw: data}, nil
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,148 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+)
+
+// Status is what one entry knows of the system.
+type Status struct {
+	Entry    model.EntryID         `json:"entry"`
+	Build    string                `json:"build"`
+	Problems []string              `json:"problems"` // what is wrong, most urgent first
+	Config   ConfigSummary         `json:"config"`
+	Services []model.ServiceStatus `json:"services"`
+	Cells    []model.CellStatus    `json:"cells"`
+}
+
+// ConfigSummary is the configuration in force at the entry.
+type ConfigSummary struct {
+	Version model.ConfigVersion `json:"version"`
+	State   string              `json:"state"`
+}
+
+func (a *API) status(r *http.Request) (response, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	s := Status{Entry: a.Entry, Build: a.Build, Services: []model.ServiceStatus{}, Cells: []model.CellStatus{}}
+	// A part that does not answer is a problem of its own and hides no other.
+	if u, err := a.Store.Current(ctx); err != nil {
+		s.Problems = append(s.Problems, "configuration does not answer: "+err.Error())
+	} else {
+		s.Config = ConfigSummary{Version: u.Snapshot.Version(), State: u.State}
+	}
+	if a.Services != nil {
+		if list, err := a.Services(ctx); err != nil {
+			s.Problems = append(s.Problems, "request dispatcher does not answer: "+err.Error())
+		} else {
+			s.Services = append(s.Services, list...)
+		}
+	}
+	if a.Cells != nil {
+		if list, err := a.Cells(ctx); err != nil {
+			s.Problems = append(s.Problems, "cell controllers do not answer: "+err.Error())
+		} else {
+			s.Cells = append(s.Cells, list...)
+		}
+	}
+	s.Problems = append(s.Problems, problems(s)...)
+	if s.Problems == nil {
+		s.Problems = []string{}
+	}
+	return response{body: s}, nil
+}
+
+// problems names what an operator should look at, most urgent first: what
+// callers notice, then what jobs notice, then what may become a problem.
+func problems(s Status) []string {
+	var urgent, later []string
+	for _, svc := range s.Services {
+		u, l := serviceProblems(svc)
+		urgent, later = append(urgent, u...), append(later, l...)
+	}
+	for _, c := range s.Cells {
+		u, l := cellProblems(c)
+		urgent, later = append(urgent, u...), append(later, l...)
+	}
+	switch s.Config.State {
+	case "empty":
+		urgent = append(urgent, "no configuration is held; work that needs one is refused")
+	case "stale":
+		later = append(later, fmt.Sprintf("configuration is stale at version %d: the table service is away", s.Config.Version))
+	}
+	return append(urgent, later...)
+}
+
+func serviceProblems(s model.ServiceStatus) (urgent, later []string) {
+	ready := 0
+	for _, b := range s.Backends {
+		if b.State == "ready" {
+			ready++
+			continue
+		}
+		later = append(later, fmt.Sprintf("service %s: backend server %s on %s is %s", s.Service, b.Backend, b.Worker, b.State))
+	}
+	if ready == 0 {
+		urgent = append(urgent, fmt.Sprintf("service %s has no ready backend server (%d requests queued)", s.Service, s.Queued))
+	} else if s.Queued > 0 && s.Credits == 0 {
+		later = append(later, fmt.Sprintf("service %s is saturated: %d requests queued, %d running", s.Service, s.Queued, s.Running))
+	}
+	return urgent, later
+}
+
+func cellProblems(c model.CellStatus) (urgent, later []string) {
+	if c.State == "holding" {
+		urgent = append(urgent, fmt.Sprintf("cell %s is holding: its controller cannot write its heartbeat, so no job is placed", c.Cell))
+	}
+	for _, w := range c.Workers {
+		if w.State == "ready" {
+			continue
+		}
+		text := fmt.Sprintf("cell %s: worker %s is %s", c.Cell, w.Worker, w.State)
+		if w.Reason != "" {
+			text += " (" + w.Reason + ")"
+		}
+		later = append(later, text)
+	}
+	if n := c.Phases["parked"]; n > 0 {
+		later = append(later, fmt.Sprintf("cell %s: %d jobs are parked; list them with: bambooctl job list --phase parked", c.Cell, n))
+	}
+	return urgent, later
+}
+
+func (a *API) explain(r *http.Request) (response, error) {
+	kind, name := r.PathValue("kind"), r.PathValue("name")
+	switch kind {
+	case "job", "class", "backend", "worker":
+	default:
+		return response{}, fmt.Errorf("kind %q; use job, class, backend or worker: %w", kind, platform.ErrNotFound)
+	}
+	if name == "" || a.Explain == nil {
+		return response{}, fmt.Errorf("%s %q: %w", kind, name, platform.ErrNotFound)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	v, err := a.Explain(ctx, kind, name)
+	return response{body: v}, err
+}
+
+func (a *API) drain(r *http.Request) (response, error) {
+	id := model.BackendID(r.PathValue("id"))
+	if a.Drain == nil {
+		return response{}, fmt.Errorf("backend server %q: %w", id, platform.ErrNotFound)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	if err := a.Drain(ctx, id); err != nil {
+		return response{}, err
+	}
+	event.Log(a.Log, event.OperatorDrainAsked, log.Fields{"backend": id})
+	return response{status: http.StatusAccepted, body: map[string]any{"backend": id, "draining": true}}, nil
+}
