command: add bambooctl

Cause: operators and scripts need jobs, labels, selectors, configuration, status, drains and explanations from the command line.

--- /dev/null
+++ b/internal/command/jobwait.go
@@ -0,0 +1,79 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"time"
+
+	"github.com/bambooscale/bambooscale/charts"
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/operator"
+)
+
+// jobPoll is how often a waiting command looks at the job.
+const jobPoll = time.Second
+
+// phaseParked is the phase in which a job waits for an operator; waiting for
+// it to end would last for ever.
+const phaseParked model.Phase = "parked"
+
+// jobEndedError says that a job ended in another way than done.
+type jobEndedError struct{ job operator.JobView }
+
+func (e *jobEndedError) Error() string {
+	return fmt.Sprintf("job %s is %s: %s", e.job.Spec.ID, e.job.Phase, dash(e.job.Reason))
+}
+
+// awaitJob waits until a job has ended. Every end but done is a failure.
+func (a *app) awaitJob(ctx context.Context, view operator.JobView, timeout time.Duration) error {
+	final, err := finalPhases(charts.Files)
+	if err != nil {
+		return err
+	}
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	for shown := model.Phase(""); ; {
+		if view.Phase != shown {
+			shown = view.Phase
+			a.progress("job %s is %s %s", view.Spec.ID, view.Phase, view.Reason)
+		}
+		if final[view.Phase] || (view.Phase == phaseParked && !view.Cancel) {
+			break
+		}
+		if !actor.Sleep(ctx, jobPoll) {
+			return failed(ExitFailure, "job %s has not ended yet; it is %s", view.Spec.ID, view.Phase)
+		}
+		err := a.client.get(ctx, jobPath(string(view.Spec.ID)), cellQuery(string(view.Cell)), &view)
+		if err != nil && exitCode(err) != ExitUnavailable {
+			return err
+		}
+	}
+	if err := a.showJobs([]operator.JobView{view}, view); err != nil {
+		return err
+	}
+	if view.Phase != "done" {
+		return &jobEndedError{view}
+	}
+	return nil
+}
+
+// finalPhases reads the final states of the job's chart.
+func finalPhases(fsys fs.FS) (map[model.Phase]bool, error) {
+	doc, err := chart.Parse(fsys, "job")
+	if err != nil {
+		return nil, err
+	}
+	final := map[model.Phase]bool{}
+	for _, s := range doc.States {
+		if s.Final {
+			final[model.Phase(s.ID)] = true
+		}
+	}
+	return final, nil
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -56,7 +56,7 @@
 }
 
 func size(field func(*Settings) *model.Bytes) value {
-	return of("size, such as 64KiB or 10MiB", parseBytes, zero[model.Bytes], field)
+	return of("size, such as 64KiB or 10MiB", ParseBytes, zero[model.Bytes], field)
 }
 
 // keys is every key of the file, in the order of the reference.
@@ -124,7 +124,7 @@
 		{"agent", "worker", "", "", "Base URL of the host's worker; without it the host runs no tasks.",
 			of("URL", parseURL, isNil, func(s *Settings) *urlValue { return &s.Agent.Worker })},
 		{"agent", "processors", "", "", "Processors that tasks may use; by default what the worker reports.",
-			of("cores, such as 32 or 500m", parseCPU, zero[model.MilliCPU], func(s *Settings) *model.MilliCPU { return &s.Agent.Capacity.CPU })},
+			of("cores, such as 32 or 500m", ParseCPU, zero[model.MilliCPU], func(s *Settings) *model.MilliCPU { return &s.Agent.Capacity.CPU })},
 		{"agent", "memory", "", "", "Memory that tasks may use; by default what the worker reports.",
 			size(func(s *Settings) *model.Bytes { return &s.Agent.Capacity.Memory })},
 		{"agent", "accelerators", "", "", "Accelerators that tasks may use; by default what the worker reports.",
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -103,7 +103,8 @@
 	{"KB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"TB", 1e12}, {"B", 1},
 }
 
-func parseBytes(s string) (model.Bytes, error) {
+// ParseBytes reads a positive size, such as 512, 64KiB or 125GB.
+func ParseBytes(s string) (model.Bytes, error) {
 	digits, factor := s, int64(1)
 	for _, u := range sizeUnits {
 		if d, ok := strings.CutSuffix(s, u.suffix); ok {
@@ -137,7 +138,8 @@
 	return n, nil
 }
 
-func parseCPU(s string) (model.MilliCPU, error) {
+// ParseCPU reads a positive number of processors, such as 32 or 500m.
+func ParseCPU(s string) (model.MilliCPU, error) {
 	digits, factor := s, int64(1000)
 	if d, ok := strings.CutSuffix(s, "m"); ok {
 		digits, factor = d, 1
