configstore: confirm the version to agents that had it first

Change: an entry sends each agent a delta for each version in force, which is empty when the agent has the version. Polling backs off to 2 s instead of 4 s, so that an edit made as soon as the table is back stays within 5 s.

--- a/internal/configstore/handle.go
+++ b/internal/configstore/handle.go
@@ -22,11 +22,7 @@
 )
 
 func (m *linkUp) handle(n *node) {
-	p := &peer{to: m.to, version: m.version}
-	if n.isEntry {
-		p.sent = m.version
-	}
-	n.peers[m.peer] = p
+	n.peers[m.peer] = &peer{to: m.to, version: m.version, held: m.version}
 	n.ahead(m.version)
 	if m.version == n.snapshot.version && !n.isEntry {
 		n.confirm()
@@ -66,9 +62,7 @@
 		n.offer(c, !n.isEntry)
 	case *msg.ConfigApplied:
 		p.version = c.Version
-		if n.isEntry {
-			p.sent = max(p.sent, c.Version) // another entry was faster
-		}
+		p.held = max(p.held, c.Version) // another entry may have been faster
 		n.ahead(c.Version)
 	case *msg.ConfigRequest:
 		n.answer(p, c)
@@ -94,11 +88,12 @@
 		n.ahead(c.Have)
 		return
 	}
-	if p.to.TrySend(n.deltaFrom(c.Have)) && n.isEntry {
-		p.sent = n.snapshot.version
-	} else if n.isEntry {
-		p.sent = c.Have
+	if !n.isEntry {
+		p.to.TrySend(n.deltaFrom(c.Have)) // an entry that misses it asks again
+		return
 	}
+	p.held = c.Have
+	n.tell(p)
 }
 
 func (m *polled) handle(n *node) {
--- a/internal/configstore/node.go
+++ b/internal/configstore/node.go
@@ -77,12 +77,13 @@
 	pollError error                                    // of the latest poll that failed
 }
 
-// peer is a linked daemon. sent is the version that it needs nothing before:
-// what an entry delivered to the agent, or what an agent reported.
+// peer is a linked daemon.
 type peer struct {
 	to      actor.Address[msg.Control]
-	version model.ConfigVersion // in force at the peer
-	sent    model.ConfigVersion
+	version model.ConfigVersion // in force at the peer, as far as it reported
+	held    model.ConfigVersion // entry: the agent has or was sent this version
+	told    model.ConfigVersion // entry: newest delta sent; agent: newest report sent
+	greeted bool                // told is set
 }
 
 // receiver is a subscriber in this process.
@@ -228,23 +229,32 @@
 
 func (n *node) update() Update { return Update{Snapshot: n.snapshot, State: n.life.name()} }
 
-// distribute sends each peer what it lacks. A full mailbox is tried again at
-// the next tick.
+// distribute tells each peer the version in force. A full mailbox is tried
+// again at the next tick.
 func (n *node) distribute() {
 	if !n.life.held {
 		return
 	}
 	for _, p := range n.peers {
-		if p.sent >= n.snapshot.version {
-			continue
-		}
-		var m msg.Control = &msg.ConfigApplied{Version: n.snapshot.version}
-		if n.isEntry {
-			m = n.deltaFrom(p.sent)
+		if !p.greeted || p.told < n.snapshot.version {
+			n.tell(p)
 		}
-		if p.to.TrySend(m) {
-			p.sent = n.snapshot.version
+	}
+}
+
+// tell sends an agent what it lacks, or an entry the version in force. An
+// agent that has the version already, from another entry, is sent an empty
+// delta: without it, it would not know that the version is the newest.
+func (n *node) tell(p *peer) {
+	var m msg.Control = &msg.ConfigApplied{Version: n.snapshot.version}
+	if n.isEntry {
+		if p.held > n.snapshot.version {
+			return
 		}
+		m = n.deltaFrom(p.held)
+	}
+	if p.to.TrySend(m) {
+		p.held, p.told, p.greeted = n.snapshot.version, n.snapshot.version, true
 	}
 }
 
--- a/internal/configstore/poller.go
+++ b/internal/configstore/poller.go
@@ -21,8 +21,10 @@
 	// pollInterval leaves most of the 5 s in which an edit is in effect to a
 	// slow store.
 	pollInterval = 500 * time.Millisecond
-	// maxPollDelay bounds the backoff while the table is away.
-	maxPollDelay = 4 * time.Second
+	// maxPollDelay bounds the backoff while the table is away. An edit that
+	// another entry writes as soon as the table is back is in effect here
+	// within 5 s, and a few entries are no burden at this rate.
+	maxPollDelay = 2 * time.Second
 	pollTimeout  = 3 * time.Second
 )
 
--- a/internal/configstore/table_test.go
+++ b/internal/configstore/table_test.go
@@ -16,6 +16,7 @@
 	away            // no effect, and the client knows it
 	lostAfter       // takes effect, but the response is lost
 	lostFirst       // has no effect, and the client does not know it
+	late            // arrives before the next commit, and the client does not know it
 )
 
 // fakeTable is an actor, so that tests may use it from any goroutine.
@@ -28,7 +29,9 @@
 	rows    map[string]platform.Row
 	commits []fault // of the next commits, in order
 	reads   fault   // of every read
-	before  func(*tableData)
+	onWay   *platform.Txn
+	draw    func() fault // chooses the fault of a commit; nil: the script above
+	drawn   func() fault // chooses the fault of a read
 }
 
 func newFakeTable(g *actor.Group) fakeTable {
@@ -62,46 +65,75 @@
 }
 
 func (d *tableData) commit(x platform.Txn) (platform.Revision, error) {
-	if f := d.before; f != nil {
-		d.before = nil
-		f(d)
+	if late := d.onWay; late != nil {
+		d.onWay = nil
+		_ = d.apply(*late)
 	}
 	kind := healthy
-	if len(d.commits) > 0 {
+	if d.draw != nil {
+		kind = d.draw()
+	} else if len(d.commits) > 0 {
 		kind, d.commits = d.commits[0], d.commits[1:]
 	}
-	if kind == away {
+	switch kind {
+	case away:
 		return 0, platform.ErrUnavailable
-	} else if kind == lostFirst {
+	case lostFirst:
 		return 0, platform.ErrUnknown
+	case late:
+		d.onWay = &x
+		return 0, platform.ErrUnknown
+	}
+	if err := d.apply(x); err != nil && kind != lostAfter {
+		return 0, err
+	}
+	if kind == lostAfter {
+		return 0, platform.ErrUnknown
+	}
+	return d.rev, nil
+}
+
+func (d *tableData) version(key string) platform.Revision {
+	if row := d.rows[key]; !row.Deleted {
+		return row.Version
 	}
+	return 0
+}
+
+func (d *tableData) apply(x platform.Txn) error {
 	var failed []string
 	for _, c := range x.Checks {
-		if d.rows[c.Key].Version != c.Version {
+		if d.version(c.Key) != c.Version {
 			failed = append(failed, c.Key)
 		}
 	}
 	if failed != nil {
-		return 0, &platform.ConflictError{Keys: failed}
+		return &platform.ConflictError{Keys: failed}
 	}
 	d.rev++
 	for _, p := range x.Puts {
 		d.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: d.rev}
 	}
-	if kind == lostAfter {
-		return 0, platform.ErrUnknown
+	for _, key := range x.Deletes {
+		d.rows[key] = platform.Row{Key: key, Version: d.rev, Deleted: true}
 	}
-	return d.rev, nil
+	return nil
+}
+
+func (d *tableData) reading() error {
+	if d.reads == away || (d.drawn != nil && d.drawn() == away) {
+		return platform.ErrUnavailable
+	}
+	return nil
 }
 
 func (t fakeTable) Read(ctx context.Context, key string) (row platform.Row, err error) {
 	if e := t.do(ctx, func(d *tableData) {
-		var ok bool
-		if row, ok = d.rows[key]; !ok {
+		if row = d.rows[key]; d.version(key) == 0 {
 			err = platform.ErrNotFound
 		}
-		if d.reads == away {
-			err = platform.ErrUnavailable
+		if away := d.reading(); away != nil {
+			err = away
 		}
 	}); e != nil {
 		return row, e
@@ -117,9 +149,7 @@
 				found = append(found, row)
 			}
 		}
-		if d.reads == away {
-			err = platform.ErrUnavailable
-		}
+		err = d.reading()
 	}); e != nil {
 		return nil, 0, e
 	}
