configstore: prune old edits and the rows of removed items

Change: an accepted edit removes the edit 10,000 versions before it from the log, with the rows of items that it removed and that were not set since. An edit of a key without a row that is based on a version before that is refused, because a removal in between is no longer known.

--- a/internal/configstore/configstore_test.go
+++ b/internal/configstore/configstore_test.go
@@ -154,6 +154,7 @@
 		"lost twice, then written":     {[]fault{lostFirst, lostAfter}, nil},
 		"away":                         {[]fault{away}, platform.ErrUnavailable},
 		"lost, then away for long":     {[]fault{lostFirst, away, away, away, away, away, away, away, away, away, away, away}, platform.ErrUnknown},
+		"request delayed":              {[]fault{late}, nil},
 		"every response lost for long": {[]fault{lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst}, platform.ErrUnknown},
 	}
 	for name, c := range cases {
@@ -272,6 +273,34 @@
 	})
 }
 
+// Guards against rows of old edits and removed items that grow without bound,
+// and against an edit that misses the removal of its item in a pruned row.
+func TestOldEditsArePruned(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		store := StartStore(w.g, StoreConfig{ID: "entry-2", Table: w.table, Check: check, Log: quiet, Keep: 3})
+		edit := func(id string, e Edit) {
+			_, err := store.Edit(t.Context(), e)
+			require.NoError(t, err, id)
+		}
+		edit("set", set("v1", 0, "gone", "1"))
+		edit("remove", Edit{ID: "v2", Base: 1, Changes: []Change{{Key: model.ConfigKey{Kind: model.KindWorker, Name: "gone"}}}})
+		for v := 2; v < 8; v++ {
+			edit("more", set(fmt.Sprint("v", v+1), model.ConfigVersion(v), "kept", "1"))
+		}
+		synctest.Wait()
+		require.NoError(t, w.table.do(t.Context(), func(d *tableData) {
+			require.Zero(t, d.version("config/key/worker/gone"))
+			require.NotZero(t, d.version("config/key/worker/kept"))
+			require.Zero(t, d.version("config/log/00000000000000000005"))
+			require.NotZero(t, d.version("config/log/00000000000000000006"))
+		}))
+		_, err := store.Edit(t.Context(), set("late", 1, "gone", "2"))
+		require.ErrorContains(t, err, "too old")
+		restarted := w.newStore("entry-3")
+		w.expect(restarted.Handle, 8, "current")
+	})
+}
+
 // Guards against an older or incomplete delta that is applied.
 func TestOnlyHigherVersionsApply(t *testing.T) {
 	change := func(v model.ConfigVersion, value string) model.ConfigChange {
--- a/internal/configstore/edit.go
+++ b/internal/configstore/edit.go
@@ -187,16 +187,27 @@
 	change model.ConfigChange
 }
 
+// keepVersions is how many versions the log and the rows of removed items are
+// kept: three days at the target of 3,300 edits a day.
+const keepVersions = 10_000
+
 // errFuture says that an edit's base is newer than the configuration.
 var errFuture = errors.New("the edit is based on a version that does not exist")
 
+// errTooOld says that it is no longer known whether a key without a row was
+// removed after an edit's base.
+var errTooOld = errors.New("the edit is based on a version that is too old; read the configuration again")
+
 // plan returns the transaction that makes an edit, or the conflict that
 // refuses it. It is pure.
-func plan(e Edit, now tableState) (platform.Txn, rows.ConfigLog, error) {
+func plan(e Edit, now tableState, keep model.ConfigVersion) (platform.Txn, rows.ConfigLog, error) {
 	if e.Base > now.head {
 		return platform.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errFuture, e.Base, now.head)
 	}
 	for i, k := range now.keys {
+		if k.row == 0 && now.head-e.Base > keep {
+			return platform.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errTooOld, e.Base, now.head)
+		}
 		if k.change.Version > e.Base {
 			return platform.Txn{}, rows.ConfigLog{}, &ConflictError{Key: e.Changes[i].Key, Base: e.Base,
 				Version: k.change.Version, Author: k.change.Author}
--- a/internal/configstore/editor.go
+++ b/internal/configstore/editor.go
@@ -47,6 +47,7 @@
 	table platform.Table
 	node  actor.Address[message]
 	log   log.Interface
+	keep  model.ConfigVersion // versions that stay in the log
 }
 
 func (w *editor) run(ctx context.Context, in <-chan editRequest) error {
@@ -62,6 +63,9 @@
 			accepted, err := w.perform(ctx, r.edit)
 			w.report(r.edit, accepted, err)
 			r.answer.Put(editAnswer{accepted, err})
+			if err == nil && !accepted.Repeated {
+				w.prune(ctx, accepted.Version)
+			}
 		}
 	}
 }
@@ -126,7 +130,7 @@
 	if err != nil {
 		return Accepted{}, len(a.open) > 0, unavailable(err)
 	}
-	txn, entry, err := plan(a.edit, now)
+	txn, entry, err := plan(a.edit, now, w.keep)
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
 		return w.conflicting(ctx, a, conflict)
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -76,6 +76,15 @@
 	Table platform.Table
 	Check Check
 	Log   log.Interface
+	// Keep is how many versions stay in the log; 0 means 10,000.
+	Keep model.ConfigVersion
+}
+
+func (c StoreConfig) keep() model.ConfigVersion {
+	if c.Keep == 0 {
+		return keepVersions
+	}
+	return c.Keep
 }
 
 // Store is the configuration of an entry, whose peers are agents. It also
@@ -93,7 +102,7 @@
 	p := &poller{table: c.Table, node: addr, log: c.Log}
 	poller := actor.Spawn(g, actor.Spec[pollNow]{Name: "config-poller", Mailbox: 1, Restart: actor.OnFailure, Run: p.run})
 	_ = addr.Send(g.Context(), &sourceIs{poller}) // fails only when the group has ended
-	w := &editor{table: c.Table, node: addr, log: c.Log}
+	w := &editor{table: c.Table, node: addr, log: c.Log, keep: c.keep()}
 	return &Store{Handle: Handle{addr}, table: c.Table, check: c.Check,
 		editor: actor.Spawn(g, actor.Spec[editRequest]{Name: "config-editor", Mailbox: editorMailbox, Restart: actor.OnFailure, Run: w.run})}
 }
@@ -119,9 +128,9 @@
 	return Accepted{}, fmt.Errorf("%w: edit %s did not end in time", platform.ErrUnknown, e.ID)
 }
 
-// refusal makes a base that does not exist a finding of the edit.
+// refusal makes a base that cannot be used a finding of the edit.
 func refusal(e Edit, err error) error {
-	if !errors.Is(err, errFuture) {
+	if !errors.Is(err, errFuture) && !errors.Is(err, errTooOld) {
 		return err
 	}
 	return findingOf("base", err)
