operator: ask other entries only for daemons that lag

Cause: while a client waited, every entry would send its whole list of daemons several times a second; 1,400 agents are about 80 KB. Change: waits ask with brief, which names laggards only, every 400 ms; the whole list is collected once at the end.

--- a/internal/operator/confighandlers.go
+++ b/internal/operator/confighandlers.go
@@ -39,8 +39,9 @@
 	Lagging []model.AppliedVersion `json:"lagging,omitempty"`
 }
 
-// waitInterval is how often a waiting request looks again.
-const waitInterval = 200 * time.Millisecond
+// waitInterval is how often a waiting request looks again, here and at the
+// other entries.
+const waitInterval = 400 * time.Millisecond
 
 func (a *API) showConfig(r *http.Request) (response, error) {
 	u, err := a.Store.Current(r.Context())
@@ -85,34 +86,46 @@
 
 // configStatus reports how far a version (by default the one in force here)
 // has got. With wait it answers when the version is in force everywhere, or
-// when the time is over.
+// when the time is over. Entries ask each other with local, and while they
+// wait with brief, which names only the daemons that lag: the whole list of a
+// region is 100 KB at the target size.
 func (a *API) configStatus(r *http.Request) (response, error) {
 	q := query{r: r}
 	version := model.ConfigVersion(q.number("version", 0, 0, 1<<63))
-	wait, local := q.duration("wait", maxWait), q.flag("local")
+	wait, local, brief := q.duration("wait", maxWait), q.flag("local"), q.flag("brief")
 	if err := q.found.Err(); err != nil {
 		return response{}, err
 	}
+	if version == 0 {
+		own, err := a.Store.Status(r.Context())
+		if err != nil {
+			return response{}, err
+		}
+		version = own.Version
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
-	for {
-		s, err := a.spread(r.Context(), version, local)
-		if err != nil || s.Applied || !actor.Sleep(ctx, waitInterval) {
-			return response{body: s}, err
+	for wait > 0 {
+		s, err := a.spread(r.Context(), version, local, true)
+		if err != nil {
+			return response{}, err
+		}
+		if s.Applied || !actor.Sleep(ctx, waitInterval) {
+			break
 		}
 	}
+	s, err := a.spread(r.Context(), version, local, brief)
+	return response{body: s}, err
 }
 
 // spread collects the versions in force at this entry, its agents and, unless
-// local, at the other entries and theirs.
-func (a *API) spread(ctx context.Context, version model.ConfigVersion, local bool) (ConfigStatus, error) {
+// local, at the other entries and theirs. A brief result lists only daemons
+// that lag.
+func (a *API) spread(ctx context.Context, version model.ConfigVersion, local, brief bool) (ConfigStatus, error) {
 	own, err := a.Store.Status(ctx)
 	if err != nil {
 		return ConfigStatus{}, err
 	}
-	if version == 0 {
-		version = own.Version
-	}
 	all := map[string]model.ConfigVersion{}
 	note := func(list []model.AppliedVersion) {
 		for _, d := range list {
@@ -127,11 +140,15 @@
 		}
 		for _, p := range peers {
 			if p.ID != a.Entry {
-				note(a.askPeer(ctx, p))
+				note(a.askPeer(ctx, p, version, brief))
 			}
 		}
 	}
-	return summary(version, all), nil
+	s := summary(version, all)
+	if brief {
+		s.Daemons = nil
+	}
+	return s, nil
 }
 
 // summary sorts daemons into those that have a version and those that lag.
@@ -153,21 +170,25 @@
 
 // askPeer returns the versions known at another entry. An entry that does not
 // answer is reported with version 0, so that it counts as lagging.
-func (a *API) askPeer(ctx context.Context, p Peer) []model.AppliedVersion {
-	s, err := a.peerStatus(ctx, p)
+func (a *API) askPeer(ctx context.Context, p Peer, version model.ConfigVersion, brief bool) []model.AppliedVersion {
+	s, err := a.peerStatus(ctx, p, version, brief)
 	if err != nil {
 		event.Log(a.Log, event.OperatorPeerSilent, log.Fields{"entry": p.ID, "error": err.Error()})
 		return []model.AppliedVersion{{Daemon: string(p.ID)}}
 	}
+	if brief {
+		return s.Lagging
+	}
 	return s.Daemons
 }
 
-func (a *API) peerStatus(ctx context.Context, p Peer) (s ConfigStatus, err error) {
+func (a *API) peerStatus(ctx context.Context, p Peer, version model.ConfigVersion, brief bool) (s ConfigStatus, err error) {
 	base := p.Operator
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/config/status?local=true", nil)
+	url := fmt.Sprintf("%s/v1/config/status?local=true&version=%d&brief=%t", base, version, brief)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return s, err
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -308,6 +308,33 @@
 	})
 }
 
+// Guards against a wait that ends while a daemon of another entry lags, or an
+// entry that does not answer counts as up to date.
+func TestConfigStatusAsksOtherEntries(t *testing.T) {
+	here, there := newFixture(t, "secret"), newFixture(t, "secret")
+	defer here.g.Stop()
+	defer there.g.Stop()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	there.api.Serve(there.g, ln)
+	here.store.status = configstore.Status{Version: 3, Daemons: []model.AppliedVersion{{Daemon: "entry-1", Version: 3}, {Daemon: "w1", Version: 3}}}
+	there.store.status = configstore.Status{Version: 3, Daemons: []model.AppliedVersion{{Daemon: "entry-2", Version: 3}, {Daemon: "w1", Version: 2}, {Daemon: "w2", Version: 1}}}
+	peers := []Peer{{ID: "entry-2", Operator: ln.Addr().String()}}
+	here.api.Peers = func(context.Context) ([]Peer, error) { return peers, nil }
+	for _, path := range []string{"/v1/config/status", "/v1/config/status?wait=1ms"} {
+		_, _, body := here.call("GET", path, "", "Authorization", "Bearer secret")
+		require.Len(t, body["daemons"], 4)
+		require.Equal(t, []any{map[string]any{"daemon": "w2", "version": 1.0}}, body["lagging"])
+	}
+	there.store.status.Daemons[2].Version = 3
+	_, _, body := here.call("GET", "/v1/config/status?wait=1m", "", "Authorization", "Bearer secret")
+	require.Equal(t, true, body["applied"])
+	peers = append(peers, Peer{ID: "entry-3", Operator: "http://127.0.0.1:1"})
+	_, _, body = here.call("GET", "/v1/config/status", "", "Authorization", "Bearer secret")
+	require.Equal(t, []any{map[string]any{"daemon": "entry-3", "version": 0.0}}, body["lagging"])
+	here.api.client.CloseIdleConnections()
+}
+
 // Guards against a status that hides what is wrong behind what is not.
 func TestStatusNamesProblemsFirst(t *testing.T) {
 	found := problems(Status{
