configstore: accept lists in the labels of classes and services

Cause: labels.Validate allows neither slashes nor commas in values, so no edit could set path-prefix or idempotent-methods. Change: these labels have their own checks and are left out of the general one. A commit that the table refuses as invalid is not counted as unknown. Findings of labels name the label in their position.

--- a/internal/configstore/edit.go
+++ b/internal/configstore/edit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -107,8 +108,8 @@
 	if ch.Item.Selector != nil {
 		add(".item.selector", "only items of kind selector have a selector")
 	}
-	for _, f := range c.Labels(ch.Item.Labels) {
-		add(".item.labels", "%s", labelFinding(f))
+	for _, f := range c.Labels(withoutLists(ch.Key.Kind, ch.Item.Labels)) {
+		add(strings.TrimSuffix(".item.labels."+f.Where, "."), "%s", f.Text)
 	}
 	for label, value := range ch.Item.Labels {
 		if err := checkValue(ch.Key.Kind, label, value); err != nil {
@@ -118,13 +119,6 @@
 	return found
 }
 
-func labelFinding(f finding.Finding) string {
-	if f.Where == "" {
-		return f.Text
-	}
-	return f.Where + ": " + f.Text
-}
-
 func (c Check) selector(where string, item model.ConfigItem) finding.List {
 	var found finding.List
 	add := func(field, format string, args ...any) { found.Add("edit", 0, where+field, format, args...) }
--- a/internal/configstore/editor.go
+++ b/internal/configstore/editor.go
@@ -145,7 +145,7 @@
 		return Accepted{Version: entry.Version}, false, nil
 	case errors.As(err, &failed):
 		return Accepted{}, true, fmt.Errorf("%w: other edits were accepted first: %v", platform.ErrUnavailable, err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRefused):
 		return Accepted{}, len(a.open) > 0, err
 	}
 	a.open = append(a.open, entry.Version)
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -108,8 +108,8 @@
 }
 
 // Edit makes an edit. Errors: a finding.List when it is invalid,
-// *ConflictError, platform.ErrUnavailable when it certainly had no effect,
-// and platform.ErrUnknown when that could not be determined.
+// *ConflictError, platform.ErrUnavailable or ErrRefused when it certainly had
+// no effect, and platform.ErrUnknown when that could not be determined.
 func (s *Store) Edit(ctx context.Context, e Edit) (Accepted, error) {
 	found := s.check.Validate(e)
 	if err := found.Err(); err != nil {
