--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -66,7 +66,7 @@
 
 func (e *remoteError) exitCode() int {
 	switch e.Status {
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		return ExitUsage
 	case http.StatusConflict:
 		return ExitConflict
--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -56,8 +56,8 @@
 	f.StringVarP(&s.file, "file", "f", "", "file with the job as JSON, - for standard input; flags replace its fields")
 	f.StringVar(&s.cell, "cell", "", "cell that runs the job (default: the entry's default cell)")
 	f.StringVar((*string)(&s.spec.ID), "id", "", "job's id (default: a random one, which is printed)")
-	f.StringVar((*string)(&s.spec.Team), "team", "", "owner of the job")
-	f.StringVar((*string)(&s.spec.Class), "class", "", "class of the job")
+	f.StringVar((*string)(&s.spec.Team), "team", "", "owner of the job (default: \"default\")")
+	f.StringVar((*string)(&s.spec.Class), "class", "", "class of the job (default: \"default\")")
 	f.StringVar(&s.cpu, "cpu", "", "processors, such as 2 or 500m")
 	f.StringVar(&s.memory, "memory", "", "memory, such as 512MiB")
 	f.Int64Var(&s.spec.Resources.Accelerators, "accelerators", 0, "accelerators")
@@ -119,6 +119,12 @@
 		}
 		spec.Labels[k] = v
 	}
+	if spec.Team == "" {
+		spec.Team = "default"
+	}
+	if spec.Class == "" {
+		spec.Class = "default"
+	}
 	if spec.ID == "" {
 		spec.ID = model.JobID("job-" + strings.ToLower(rand.Text()[:12]))
 	}
--- a/internal/operator/encode.go
+++ b/internal/operator/encode.go
@@ -86,6 +86,9 @@
 	case errors.Is(err, platform.ErrUnknown), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		body.Outcome = model.OutcomeUnknown.String()
 		return http.StatusServiceUnavailable, body
+	case errors.Is(err, platform.ErrRefused):
+		body.Outcome = model.OutcomeNotRun.String()
+		return http.StatusUnprocessableEntity, body
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, actor.ErrStopped):
 		body.Outcome = model.OutcomeNotRun.String()
 		return http.StatusServiceUnavailable, body
--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -75,9 +75,9 @@
 		case err == nil:
 			return nil
 		case errors.As(err, &conflict):
-		case errors.Is(err, platform.ErrUnavailable) && !unknown:
+		case noEffect(err) && !unknown:
 			return err
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !noEffect(err):
 			unknown = true
 		}
 		row, found, readErr := j.read(ctx, key)
@@ -94,6 +94,11 @@
 	}
 }
 
+// noEffect reports whether an error says that a commit had no effect.
+func noEffect(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRefused)
+}
+
 // fate makes an error say whether the write may have taken effect.
 func fate(unknown bool, err error) error {
 	if unknown {
@@ -140,9 +145,9 @@
 			return row, unknownJob(cell, id)
 		case done:
 			return row, nil
-		case errors.Is(err, platform.ErrUnavailable) && !unknown:
+		case noEffect(err) && !unknown:
 			return row, err
-		case !errors.As(err, &conflict) && !errors.Is(err, platform.ErrUnavailable):
+		case !errors.As(err, &conflict) && !noEffect(err):
 			unknown = true
 		}
 		if try == maxTries || !actor.Sleep(ctx, delay) {
