--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/spf13/cobra"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
@@ -23,82 +24,11 @@
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/operator"
 	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/standin"
 )
 
-// memoryTable is a table without faults, owned by one actor.
-type memoryTable struct {
-	addr actor.Address[func(*memoryRows)]
-}
-
-type memoryRows struct {
-	rev  platform.Revision
-	rows map[string]platform.Row
-}
-
-func newMemoryTable(g *actor.Group) memoryTable {
-	data := &memoryRows{rows: map[string]platform.Row{}}
-	return memoryTable{actor.Spawn(g, actor.Spec[func(*memoryRows)]{Name: "table", Mailbox: 8, Run: func(ctx context.Context, in <-chan func(*memoryRows)) error {
-		for {
-			select {
-			case f := <-in:
-				f(data)
-			case <-ctx.Done():
-				return nil
-			}
-		}
-	}})}
-}
-
-func (t memoryTable) do(ctx context.Context, f func(*memoryRows)) error {
-	_, err := actor.Ask(ctx, t.addr, func(r actor.Reply[bool]) func(*memoryRows) {
-		return func(data *memoryRows) { f(data); r.Put(true) }
-	})
-	return err
-}
-
-func (t memoryTable) Commit(ctx context.Context, x platform.Txn) (rev platform.Revision, err error) {
-	if e := t.do(ctx, func(data *memoryRows) {
-		for _, c := range x.Checks {
-			if data.rows[c.Key].Version != c.Version {
-				err = &platform.ConflictError{Keys: []string{c.Key}}
-				return
-			}
-		}
-		data.rev++
-		for _, p := range x.Puts {
-			data.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: data.rev}
-		}
-	}); e != nil {
-		return 0, e
-	}
-	return rev, err
-}
-
-func (t memoryTable) Read(ctx context.Context, key string) (row platform.Row, err error) {
-	if e := t.do(ctx, func(data *memoryRows) {
-		var ok bool
-		if row, ok = data.rows[key]; !ok {
-			err = platform.ErrNotFound
-		}
-	}); e != nil {
-		return row, e
-	}
-	return row, err
-}
-
-func (t memoryTable) Scan(ctx context.Context, prefix string, after platform.Revision) (found []platform.Row, rev platform.Revision, err error) {
-	err = t.do(ctx, func(data *memoryRows) {
-		rev = data.rev
-		for k, row := range data.rows {
-			if strings.HasPrefix(k, prefix) && row.Version > after {
-				found = append(found, row)
-			}
-		}
-	})
-	return found, rev, err
-}
-
-// system is an entry's operators' API on loopback.
+// system is an entry's operators' API on loopback, with a simulated table
+// behind its HTTP client.
 type system struct {
 	t      *testing.T
 	url    string
@@ -109,7 +39,8 @@
 func newSystem(t *testing.T) *system {
 	g := actor.NewGroup(context.Background(), nil)
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
-	table := newMemoryTable(g)
+	tables := httptest.NewServer(standin.NewTable(g, standin.StoreFaults{}).Handler())
+	table := platform.NewHTTPTable(platform.HTTPConfig{URL: tables.URL})
 	check := configstore.Check{Labels: func(model.Labels) finding.List { return nil }, Selector: func(string) error { return nil }}
 	s := &system{t: t, store: configstore.StartStore(g, configstore.StoreConfig{ID: "entry-1", Table: table, Check: check, Log: quiet})}
 	api := operator.New(g, operator.Config{Entry: "entry-1", Build: "test", DefaultCell: "dip-shed", Table: table, Store: s.store, Log: quiet,
@@ -122,7 +53,7 @@
 	})
 	server := httptest.NewServer(api.Handler())
 	s.url = server.URL
-	t.Cleanup(func() { server.Close(); g.Stop() })
+	t.Cleanup(func() { server.Close(); g.Stop(); table.Close(); tables.Close() })
 	return s
 }
 
@@ -257,3 +188,19 @@
 	require.NoError(t, err)
 	require.Equal(t, map[model.Phase]bool{"done": true, "failed": true}, final)
 }
+
+// Guards against a command that the operations page does not describe.
+func TestPageHasEveryCommand(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	var walk func(c *cobra.Command)
+	walk = func(c *cobra.Command) {
+		for _, sub := range c.Commands() {
+			walk(sub)
+		}
+		if !c.HasSubCommands() {
+			require.Contains(t, string(page), "| `"+strings.TrimPrefix(c.CommandPath(), "bambooctl "))
+		}
+	}
+	walk((&app{}).root())
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -367,3 +368,12 @@
 	f.g.Stop()
 	<-ended
 }
+
+// Guards against a path that the operations page does not describe.
+func TestPageHasEveryPath(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	for _, r := range (&API{}).routes() {
+		require.Contains(t, string(page), r.method+" "+strings.ReplaceAll(r.path, "...", ""))
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -89,3 +90,15 @@
 		require.NotEmpty(t, k.meaning)
 	}
 }
+
+// Guards against an operations page whose reference is out of date.
+func TestPageHasTheReference(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	const begin, end = "<!-- settings reference: begin -->\n", "<!-- settings reference: end -->"
+	_, after, ok := strings.Cut(string(page), begin)
+	require.True(t, ok)
+	got, _, ok := strings.Cut(after, end)
+	require.True(t, ok)
+	require.Equal(t, Reference(), got, "replace it by the output of: bambooctl settings reference")
+}
