operator: leave drained backend servers out of the problems

Cause: a backend server or worker that an operator drained was named as a problem, and a cell without a controller was not. Change: draining, finishing and left are expected; a cell without an owner is an urgent problem. Result: go test -race -count=2 ./internal/operator passes.

--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -80,11 +80,17 @@
 	return append(urgent, later...)
 }
 
+// expected lists the states of backend servers and workers that are no
+// problem: in service, or taken out of it by an operator.
+var expected = map[string]bool{"ready": true, "draining": true, "finishing": true, "left": true}
+
 func serviceProblems(s model.ServiceStatus) (urgent, later []string) {
 	ready := 0
 	for _, b := range s.Backends {
 		if b.State == "ready" {
 			ready++
+		}
+		if expected[b.State] {
 			continue
 		}
 		later = append(later, fmt.Sprintf("service %s: backend server %s on %s is %s", s.Service, b.Backend, b.Worker, b.State))
@@ -101,8 +107,11 @@
 	if c.State == "holding" {
 		urgent = append(urgent, fmt.Sprintf("cell %s is holding: its controller cannot write its heartbeat, so no job is placed", c.Cell))
 	}
+	if c.Owner == "" {
+		urgent = append(urgent, fmt.Sprintf("cell %s has no controller, so no job is placed", c.Cell))
+	}
 	for _, w := range c.Workers {
-		if w.State == "ready" {
+		if expected[w.State] {
 			continue
 		}
 		text := fmt.Sprintf("cell %s: worker %s is %s", c.Cell, w.Worker, w.State)
