metrics: measure requests in an actor

Cause: the entry reports the end of a request from each caller's goroutine, but Requests belongs to one actor. Change: StartRequests returns a function that any goroutine may call; it puts the observation into an actor's mailbox or drops and counts it. Result: go test -race -count=2 ./internal/metrics passes.

--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -23,11 +23,11 @@
 	return w.Body.String()
 }
 
-func inRegistry(t *testing.T, run func(t *testing.T, r *Registry)) {
+func inRegistry(t *testing.T, run func(t *testing.T, g *actor.Group, r *Registry)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := actor.NewGroup(t.Context(), func(e actor.Exit) { t.Error(e.Err) })
 		r := Start(g)
-		run(t, r)
+		run(t, g, r)
 		g.Stop()
 	})
 }
@@ -35,11 +35,11 @@
 // Guards against buckets that are not cumulative, a missing sum or count, and
 // values that are added again at each scrape.
 func TestPrometheusText(t *testing.T) {
-	inRegistry(t, func(t *testing.T, r *Registry) {
-		q := NewRequests(r, "wick-orders")
-		q.Observe("stock", `a"b`, "done", 3*time.Millisecond)
-		q.Observe("stock", `a"b`, "done", 700*time.Millisecond)
-		q.Observe("stock", `a"b`, "done", time.Hour)
+	inRegistry(t, func(t *testing.T, g *actor.Group, r *Registry) {
+		observe := StartRequests(g, r)
+		for _, took := range []time.Duration{3 * time.Millisecond, 700 * time.Millisecond, time.Hour} {
+			observe(Observation{"wick-orders", "stock", `a"b`, "done", took})
+		}
 		r.Scope("link").Gauge("peers").Update(3)
 		r.Scope("link").Timer("round_trip_seconds").Record(time.Millisecond)
 		scrape(t, r)
@@ -66,7 +66,7 @@
 
 // Guards against a caller that exhausts the memory with tenant names.
 func TestTenantsAreBounded(t *testing.T) {
-	inRegistry(t, func(t *testing.T, r *Registry) {
+	inRegistry(t, func(t *testing.T, g *actor.Group, r *Registry) {
 		q := NewRequests(r, "s")
 		for i := range 5 * maxTenants {
 			q.Observe("c", fmt.Sprint("tenant-", i), "done", time.Millisecond)
--- a/internal/metrics/requests.go
+++ b/internal/metrics/requests.go
@@ -1,11 +1,54 @@
 package metrics
 
 import (
+	"context"
 	"time"
 
 	tally "github.com/uber-go/tally/v4"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
 )
 
+// observations is the capacity of the mailbox between the callers'
+// connections and the actor that measures. Above it observations are dropped
+// and counted, so that measuring never delays a request.
+const observations = 4096
+
+// Observation is the end of one request.
+type Observation struct {
+	Service, Class, Tenant string
+	Outcome                string // a short constant word, such as done, refused or failed
+	Took                   time.Duration
+}
+
+// StartRequests starts an actor that measures the requests of all services.
+// The function that it returns may be called by any goroutine and never waits.
+func StartRequests(g *actor.Group, r *Registry) func(Observation) {
+	addr := actor.Spawn(g, actor.Spec[Observation]{Name: "request-metrics", Mailbox: observations, Restart: actor.OnFailure,
+		Run: func(ctx context.Context, in <-chan Observation) error {
+			services := map[string]*Requests{}
+			for {
+				select {
+				case <-ctx.Done():
+					return nil
+				case o := <-in:
+					q, ok := services[o.Service]
+					if !ok {
+						q = NewRequests(r, o.Service)
+						services[o.Service] = q
+					}
+					q.Observe(o.Class, o.Tenant, o.Outcome, o.Took)
+				}
+			}
+		}})
+	dropped := r.Scope("metrics").Counter("dropped_observations")
+	return func(o Observation) {
+		if !addr.TrySend(o) {
+			dropped.Inc(1)
+		}
+	}
+}
+
 // maxTenants bounds the tenants of one service that are measured apart; the
 // tenant is a caller's header, so its values are unbounded.
 const maxTenants = 200
