--- a/internal/configstore/edit.go
+++ b/internal/configstore/edit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -107,8 +108,8 @@
 	if ch.Item.Selector != nil {
 		add(".item.selector", "only items of kind selector have a selector")
 	}
-	for _, f := range c.Labels(ch.Item.Labels) {
-		add(".item.labels", "%s", labelFinding(f))
+	for _, f := range c.Labels(withoutLists(ch.Key.Kind, ch.Item.Labels)) {
+		add(strings.TrimSuffix(".item.labels."+f.Where, "."), "%s", f.Text)
 	}
 	for label, value := range ch.Item.Labels {
 		if err := checkValue(ch.Key.Kind, label, value); err != nil {
@@ -118,13 +119,6 @@
 	return found
 }
 
-func labelFinding(f finding.Finding) string {
-	if f.Where == "" {
-		return f.Text
-	}
-	return f.Where + ": " + f.Text
-}
-
 func (c Check) selector(where string, item model.ConfigItem) finding.List {
 	var found finding.List
 	add := func(field, format string, args ...any) { found.Add("edit", 0, where+field, format, args...) }
@@ -187,16 +181,27 @@
 	change model.ConfigChange
 }
 
+// keepVersions is how many versions the log and the rows of removed items are
+// kept: three days at the target of 3,300 edits a day.
+const keepVersions = 10_000
+
 // errFuture says that an edit's base is newer than the configuration.
 var errFuture = errors.New("the edit is based on a version that does not exist")
 
+// errTooOld says that it is no longer known whether a key without a row was
+// removed after an edit's base.
+var errTooOld = errors.New("the edit is based on a version that is too old; read the configuration again")
+
 // plan returns the transaction that makes an edit, or the conflict that
 // refuses it. It is pure.
-func plan(e Edit, now tableState) (platform.Txn, rows.ConfigLog, error) {
+func plan(e Edit, now tableState, keep model.ConfigVersion) (platform.Txn, rows.ConfigLog, error) {
 	if e.Base > now.head {
 		return platform.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errFuture, e.Base, now.head)
 	}
 	for i, k := range now.keys {
+		if k.row == 0 && now.head-e.Base > keep {
+			return platform.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errTooOld, e.Base, now.head)
+		}
 		if k.change.Version > e.Base {
 			return platform.Txn{}, rows.ConfigLog{}, &ConflictError{Key: e.Changes[i].Key, Base: e.Base,
 				Version: k.change.Version, Author: k.change.Author}
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -76,6 +76,15 @@
 	Table platform.Table
 	Check Check
 	Log   log.Interface
+	// Keep is how many versions stay in the log; 0 means 10,000.
+	Keep model.ConfigVersion
+}
+
+func (c StoreConfig) keep() model.ConfigVersion {
+	if c.Keep == 0 {
+		return keepVersions
+	}
+	return c.Keep
 }
 
 // Store is the configuration of an entry, whose peers are agents. It also
@@ -93,14 +102,14 @@
 	p := &poller{table: c.Table, node: addr, log: c.Log}
 	poller := actor.Spawn(g, actor.Spec[pollNow]{Name: "config-poller", Mailbox: 1, Restart: actor.OnFailure, Run: p.run})
 	_ = addr.Send(g.Context(), &sourceIs{poller}) // fails only when the group has ended
-	w := &editor{table: c.Table, node: addr, log: c.Log}
+	w := &editor{table: c.Table, node: addr, log: c.Log, keep: c.keep()}
 	return &Store{Handle: Handle{addr}, table: c.Table, check: c.Check,
 		editor: actor.Spawn(g, actor.Spec[editRequest]{Name: "config-editor", Mailbox: editorMailbox, Restart: actor.OnFailure, Run: w.run})}
 }
 
 // Edit makes an edit. Errors: a finding.List when it is invalid,
-// *ConflictError, platform.ErrUnavailable when it certainly had no effect,
-// and platform.ErrUnknown when that could not be determined.
+// *ConflictError, platform.ErrUnavailable or ErrRefused when it certainly had
+// no effect, and platform.ErrUnknown when that could not be determined.
 func (s *Store) Edit(ctx context.Context, e Edit) (Accepted, error) {
 	found := s.check.Validate(e)
 	if err := found.Err(); err != nil {
@@ -119,9 +128,9 @@
 	return Accepted{}, fmt.Errorf("%w: edit %s did not end in time", platform.ErrUnknown, e.ID)
 }
 
-// refusal makes a base that does not exist a finding of the edit.
+// refusal makes a base that cannot be used a finding of the edit.
 func refusal(e Edit, err error) error {
-	if !errors.Is(err, errFuture) {
+	if !errors.Is(err, errFuture) && !errors.Is(err, errTooOld) {
 		return err
 	}
 	return findingOf("base", err)
