--- a/internal/policy/place/ledger.go
+++ b/internal/policy/place/ledger.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// SetStarts records how many unproven attempts a worker has and may have.
+func (l *Ledger) SetStarts(id model.WorkerID, unproven, limit int) {
+	if a := l.accounts[id]; a != nil && (a.Unproven != unproven || a.MaxUnproven != limit) {
+		a.Unproven, a.MaxUnproven = unproven, limit
+		a.Revision++
+	}
+}
+
 // RemoveWorker removes a worker. Its attempts stay charged to their teams
 // until they are released.
 func (l *Ledger) RemoveWorker(id model.WorkerID) {
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -76,6 +76,11 @@
 	}
 	labelled := func(w Worker, l model.Labels) Worker { w.Worker.Labels = l; return w }
 	state := func(s WorkerState, w Worker) Worker { w.State = s; return w }
+	unproven := func(n, limit int) Worker {
+		w := on(quiet)
+		w.Unproven, w.MaxUnproven = n, limit
+		return w
+	}
 	shed, yard := model.Labels{"pool": "shed"}, model.Labels{"pool": "yard"}
 	cases := []struct {
 		name      string
@@ -91,6 +96,8 @@
 		{"suspect", state(WorkerSuspect, on(quiet)), waiting("j", small, noisy), nil, ReasonWorkerState},
 		{"draining", state(WorkerDraining, on(quiet)), waiting("j", small, noisy), nil, ReasonWorkerState},
 		{"quarantined", state(WorkerQuarantined, on(quiet)), waiting("j", small, noisy), nil, ReasonWorkerState},
+		{"unproven", unproven(2, 2), waiting("j", small, noisy), nil, ReasonUnproven},
+		{"one more unproven", unproven(2, 3), waiting("j", small, noisy), nil, ReasonNone},
 		{"probation, empty", state(WorkerProbation, host("w", size)), waiting("j", small, noisy), nil, ReasonNone},
 		{"probation, busy", state(WorkerProbation, on(quiet)), waiting("j", small, noisy), nil, ReasonWorkerState},
 		{"apart", on(quiet), waiting("j", small, noisy), apart("class=noisy", "class=quiet"), ReasonMustStayApart},
@@ -276,6 +283,20 @@
 	require.Empty(t, p.Plan(s).Assignments)
 }
 
+// Guards against a retry on the worker on which the job failed, and against a
+// job that waits for ever in a cell without another worker.
+func TestAvoid(t *testing.T) {
+	j := waiting("j", res(8, 8), nil)
+	j.Avoid = []model.WorkerID{"a"}
+	s := Snapshot{Workers: []Worker{host("a", res(16, 60)), host("b", res(16, 60), Task{Size: res(16, 60)})}, Jobs: []Job{j}}
+	p := New(Options{}).Plan(s)
+	require.Empty(t, p.Assignments)
+	require.Equal(t, map[Reason]int{ReasonAvoid: 1, ReasonResources: 1}, p.Waiting[0].Workers)
+	require.Equal(t, ReasonAvoid, Explain(s, "j")[0].Reason)
+	s.Workers = s.Workers[:1]
+	require.Len(t, New(Options{}).Plan(s).Assignments, 1)
+}
+
 // Guards against tasks of a class that all land in one rack although others
 // are as good.
 func TestSpread(t *testing.T) {
--- a/internal/policy/place/planner.go
+++ b/internal/policy/place/planner.go
@@ -162,6 +162,7 @@
 	old, _ := slices.BinarySearchFunc(p.byFree, v, byAvailable)
 	v.free = v.free.Sub(size)
 	v.tasks++
+	v.unproven++
 	v.revision = 0
 	v.work.add(p.scratch)
 	p.addClass(v, class)
--- a/internal/policy/place/reason.go
+++ b/internal/policy/place/reason.go
@@ -17,10 +17,12 @@
 	ReasonRound      // the round placed the limit of tasks
 	ReasonKept       // the worker is kept for a job that waited too long
 	ReasonGone       // the worker is not known
+	ReasonUnproven   // the worker must first prove that it can run what it has
+	ReasonAvoid      // the job failed on the worker
 )
 
 var reasonNames = [...]string{"none", "resources", "worker-state", "may-share", "must-stay-apart",
-	"quota", "impossible", "round", "kept", "gone"}
+	"quota", "impossible", "round", "kept", "gone", "unproven", "avoid"}
 
 // String is the reason's name in the operators' API.
 func (r Reason) String() string {
--- a/internal/policy/place/round.go
+++ b/internal/policy/place/round.go
@@ -73,12 +73,15 @@
 		r.wait(j, verdict)
 		return
 	}
-	if v := r.p.best(j); v != nil {
+	avoid := r.p.avoid(j)
+	if v := r.p.best(j, avoid); v != nil {
 		r.assign(j, b, v)
 		return
 	}
-	verdict := r.p.tally(j)
-	r.failed[key] = verdict
+	verdict := r.p.tally(j, avoid)
+	if len(avoid) == 0 {
+		r.failed[key] = verdict
+	}
 	r.wait(j, verdict)
 }
 
@@ -121,10 +124,24 @@
 	return len(p.byFree) > 0
 }
 
+// avoid returns the workers that the job avoids: none when they are the only
+// ones that could hold it.
+func (p *Planner) avoid(j *Job) []model.WorkerID {
+	if len(j.Avoid) == 0 {
+		return nil
+	}
+	for _, v := range p.byFree {
+		if j.Size.Fits(v.empty) && v.state != WorkerDown && !slices.Contains(j.Avoid, v.id) {
+			return j.Avoid
+		}
+	}
+	return nil
+}
+
 // best returns the cheapest of the first candidates that pass the filters, in
 // ascending order of free processors; nil when none passes. The profile of
 // the job is in scratch.
-func (p *Planner) best(j *Job) *view {
+func (p *Planner) best(j *Job, avoid []model.WorkerID) *view {
 	class := p.domains.class(j.Spec.Team, j.Spec.Class)
 	from, _ := slices.BinarySearchFunc(p.byFree, j.Size.CPU, func(v *view, cpu model.MilliCPU) int {
 		return cmp.Compare(v.available().CPU, cpu)
@@ -133,7 +150,7 @@
 	var least float64
 	found := 0
 	for _, v := range p.byFree[from:] {
-		if v.kept && !j.Spec.Urgent {
+		if v.kept && !j.Spec.Urgent || slices.Contains(avoid, v.id) {
 			continue
 		}
 		if reason, _ := v.check(p.rules, &p.scratch, j.Size, v.available()); reason != ReasonNone {
@@ -151,10 +168,13 @@
 
 // tally counts the workers by reason for a job that found no place, and gives
 // the most frequent one of those that accept tasks as the job's reason.
-func (p *Planner) tally(j *Job) Verdict {
+func (p *Planner) tally(j *Job, avoid []model.WorkerID) Verdict {
 	v := Verdict{Reason: ReasonWorkerState, Workers: map[Reason]int{}}
 	for _, w := range p.byFree {
 		reason, rule := p.reject(w, j.Spec.Urgent, j.Size)
+		if reason == ReasonNone && slices.Contains(avoid, w.id) {
+			reason = ReasonAvoid
+		}
 		n := v.Workers[reason] + 1
 		v.Workers[reason] = n
 		if reason == ReasonWorkerState {
--- a/internal/policy/place/types.go
+++ b/internal/policy/place/types.go
@@ -34,6 +34,9 @@
 	Reserved model.Resources // of the backend server, included in Charged
 	Tasks    []Task          // attempts charged to the worker
 	Services []model.Labels  // labels of the services with a backend server here
+	// Unproven attempts have neither ended nor run long enough to show that
+	// the worker can run tasks. There are at most MaxUnproven; 0 is no bound.
+	Unproven, MaxUnproven int
 	// Revision changes whenever another field changes. The planner keeps what
 	// it derived from a worker while the revision is the same; 0 makes it
 	// derive everything again.
@@ -59,6 +62,9 @@
 	Labels  model.Labels // spec labels with "team" and "class" added
 	Size    model.Resources
 	Waiting uint64 // submission order: lower was submitted earlier
+	// Avoid lists workers on which the job failed. They are used only when
+	// the job fits no other worker.
+	Avoid []model.WorkerID
 }
 
 // Claim keeps room on a worker for an urgent job whose victims are stopping.
--- a/internal/policy/place/verify.go
+++ b/internal/policy/place/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/bambooscale/bambooscale/internal/model"
 )
@@ -74,6 +75,8 @@
 	case !team.allows(j.Size):
 		r.Reason = ReasonQuota
 		r.Text = fmt.Sprintf("team %s uses %s of %s; the job needs %s", j.Spec.Team, amounts(team.use), amounts(team.quota), amounts(j.Size))
+	case reason == ReasonNone && slices.Contains(j.Avoid, w.ID):
+		r.Reason, r.Text = ReasonAvoid, "the job failed on the worker"
 	case reason == ReasonNone && kept && holder != j.Spec.ID && !j.Spec.Urgent:
 		r.Reason = ReasonKept
 		r.Text = fmt.Sprintf("the worker is kept free for job %s, which has waited %d rounds", holder, p.waits[holder].rounds)
@@ -105,6 +108,8 @@
 		return fmt.Sprintf("the worker is %s", v.state)
 	case ReasonResources:
 		return fmt.Sprintf("needs %s, free are %s", amounts(size), amounts(v.available()))
+	case ReasonUnproven:
+		return fmt.Sprintf("%d attempts on the worker have yet to prove that it can run tasks", v.unproven)
 	case ReasonMayShare, ReasonMustStayApart:
 		return fmt.Sprintf("selector %s (%s) excludes the work on the worker", selector, reason)
 	}
--- a/internal/policy/place/view.go
+++ b/internal/policy/place/view.go
@@ -15,6 +15,8 @@
 	claimed  model.Resources // part of free that claims keep
 	state    WorkerState
 	tasks    int
+	unproven int
+	proving  int       // bound of unproven, 0 for none
 	services occupancy // of the services, which stay
 	work     occupancy // of the services and tasks
 	rack, dc int       // indexes of the domains in planner.domains
@@ -35,6 +37,7 @@
 	v := &view{
 		id: w.ID, revision: w.Revision, capacity: w.Capacity, empty: w.Capacity.Sub(w.Reserved),
 		free: w.Capacity.Sub(w.Charged), state: w.State, tasks: len(w.Tasks),
+		unproven: w.Unproven, proving: w.MaxUnproven,
 		services: r.occupancy(r.host(w.Labels)),
 	}
 	p := r.profile(nil)
@@ -59,6 +62,9 @@
 	if !size.Fits(room) {
 		return ReasonResources, -1
 	}
+	if v.proving > 0 && v.unproven >= v.proving {
+		return ReasonUnproven, -1
+	}
 	return r.conflict(&v.work, p)
 }
 
