link: add optional mutual TLS

Links cross networks that others may use. With KeyFiles both sides show a certificate of the CA; the dialer recognises an entry by a DNS name in its certificate, because hosts are replaced and dialled by IP address. An actor holds the configuration in use; Reload replaces it for later handshakes, leaves links up and keeps the former keys when the files are unusable. A failed handshake gives ErrUntrusted, a peer without TLS ErrMalformed.

--- a/internal/link/listen.go
+++ b/internal/link/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"time"
@@ -77,12 +78,10 @@
 func (l *tcpListener) handshake(ctx context.Context, sock net.Conn) {
 	limited, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	var c Conn
-	if mux, control, err := acceptHandshake(limited, sock); err != nil {
+	c, err := l.link(limited, sock)
+	if err != nil {
 		remote := sock.RemoteAddr().String()
 		c = failedConn{remote: remote, err: fmt.Errorf("link from %s: %w", remote, err)}
-	} else {
-		c = newMuxConn(l.links, sock.RemoteAddr(), mux, control)
 	}
 	select {
 	case l.accepted <- c:
@@ -91,6 +90,18 @@
 	}
 }
 
+func (l *tcpListener) link(ctx context.Context, sock net.Conn) (Conn, error) {
+	sock, err := l.cfg.secure(ctx, sock, tls.Server)
+	if err != nil {
+		return nil, err
+	}
+	mux, control, err := acceptHandshake(ctx, sock)
+	if err != nil {
+		return nil, err
+	}
+	return newMuxConn(l.links, sock.RemoteAddr(), mux, control), nil
+}
+
 func (l *tcpListener) Accept(ctx context.Context) (Conn, error) {
 	select {
 	case c := <-l.accepted:
--- a/internal/link/tcp.go
+++ b/internal/link/tcp.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
@@ -17,7 +19,9 @@
 const handshakeTimeout = 5 * time.Second
 
 // Config holds the settings of the TCP links of a process.
-type Config struct{}
+type Config struct {
+	Keys *Keys // nil: links are not encrypted
+}
 
 // NewDialer returns a Dialer for TCP addresses. The links end with g.
 func NewDialer(g *actor.Group, cfg Config) Dialer { return &tcpDialer{group: g, cfg: cfg} }
@@ -35,6 +39,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if sock, err = d.cfg.secure(ctx, sock, tls.Client); err != nil {
+		return nil, fmt.Errorf("link to %s: %w", address, err)
+	}
 	mux, control, err := dialHandshake(ctx, sock)
 	if err != nil {
 		return nil, fmt.Errorf("link to %s: %w", address, err)
@@ -105,9 +112,5 @@
 	return nil
 }
 
-func handshakeError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		err = ctx.Err()
-	}
-	return fmt.Errorf("%w: handshake: %w", ErrClosed, err)
-}
+// isEnd reports whether a read ended because the peer closed the socket.
+func isEnd(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) }
--- /dev/null
+++ b/internal/link/tls_test.go
@@ -0,0 +1,198 @@
+package link
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+)
+
+// authority signs certificates for a test.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	tmpl := template("CA")
+	tmpl.IsCA, tmpl.BasicConstraintsValid, tmpl.KeyUsage = true, true, x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{cert, key}
+}
+
+func template(name string) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+}
+
+// write issues a certificate with a DNS name into dir, which then holds all
+// files that a process needs.
+func (a *authority) write(t *testing.T, dir, dnsName string) KeyFiles {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	tmpl := template("process")
+	tmpl.DNSNames = []string{dnsName}
+	tmpl.KeyUsage = x509.KeyUsageDigitalSignature
+	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+	f := KeyFiles{Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
+	for file, block := range map[string]*pem.Block{
+		f.Certificate: {Type: "CERTIFICATE", Bytes: der}, f.Key: {Type: "PRIVATE KEY", Bytes: keyDER},
+		f.CA: {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	} {
+		require.NoError(t, os.WriteFile(file, pem.EncodeToMemory(block), 0o600))
+	}
+	return f
+}
+
+type secured struct {
+	keys *Keys
+	dir  string
+}
+
+func (a *authority) process(t *testing.T, g *actor.Group, dnsName string) secured {
+	t.Helper()
+	dir := t.TempDir()
+	keys, err := LoadKeys(g, a.write(t, dir, dnsName))
+	require.NoError(t, err)
+	return secured{keys, dir}
+}
+
+func testGroup(t *testing.T) *actor.Group {
+	g := actor.NewGroup(context.Background(), nil)
+	t.Cleanup(g.Stop)
+	return g
+}
+
+// Guards against a link without encryption or verification between processes
+// that have keys, and against peers of another authority being let in.
+func TestMutualTLS(t *testing.T) {
+	g, ours, theirs := testGroup(t), newAuthority(t), newAuthority(t)
+	entry := ours.process(t, g, DefaultEntryName)
+	l, err := Listen(g, "127.0.0.1:0", Config{Keys: entry.keys})
+	require.NoError(t, err)
+	d := NewDialer(g, Config{Keys: ours.process(t, g, "agent").keys})
+	healthy := connect(t, d, l)
+	requireWorks(t, healthy)
+
+	refused := map[string]struct {
+		cfg  Config
+		want error
+	}{
+		"no TLS":            {Config{}, ErrMalformed},
+		"another authority": {Config{Keys: theirs.process(t, g, "agent").keys}, ErrUntrusted},
+	}
+	for name, c := range refused {
+		t.Run(name, func(t *testing.T) {
+			_, err := NewDialer(g, c.cfg).Dial(t.Context(), l.Addr())
+			require.Error(t, err)
+			_, err = accept(t, l).Receive()
+			require.ErrorIs(t, err, c.want)
+			requireWorks(t, healthy)
+		})
+	}
+}
+
+// Guards against an entry that accepts an agent which shows no certificate,
+// although it trusts the entry's.
+func TestClientCertificateIsRequired(t *testing.T) {
+	g, ours := testGroup(t), newAuthority(t)
+	l, err := Listen(g, "127.0.0.1:0", Config{Keys: ours.process(t, g, DefaultEntryName).keys})
+	require.NoError(t, err)
+	agent := ours.process(t, g, "agent")
+	config, err := agent.keys.ask(t.Context(), nil)
+	require.NoError(t, err)
+	bare := config.Clone()
+	bare.Certificates = nil
+	_, err = agent.keys.ask(t.Context(), bare)
+	require.NoError(t, err)
+	_, err = NewDialer(g, Config{Keys: agent.keys}).Dial(t.Context(), l.Addr())
+	require.Error(t, err)
+	_, err = accept(t, l).Receive()
+	require.ErrorIs(t, err, ErrUntrusted)
+}
+
+// Guards against an agent's certificate that is good enough to pass for an
+// entry.
+func TestAgentCannotPassForAnEntry(t *testing.T) {
+	g, ours := testGroup(t), newAuthority(t)
+	l, err := Listen(g, "127.0.0.1:0", Config{Keys: ours.process(t, g, "agent").keys})
+	require.NoError(t, err)
+	_, err = NewDialer(g, Config{Keys: ours.process(t, g, "agent").keys}).Dial(t.Context(), l.Addr())
+	require.ErrorIs(t, err, ErrUntrusted)
+}
+
+// Guards against a dialer with keys that falls back to a link without TLS.
+func TestDialerWithKeysRefusesPlainPeer(t *testing.T) {
+	g, ours := testGroup(t), newAuthority(t)
+	l, err := Listen(g, "127.0.0.1:0", Config{})
+	require.NoError(t, err)
+	_, err = NewDialer(g, Config{Keys: ours.process(t, g, "agent").keys}).Dial(t.Context(), l.Addr())
+	require.ErrorIs(t, err, ErrMalformed)
+}
+
+// Guards against a reload that drops links, keeps former keys in use for new
+// ones, or replaces good keys by unusable ones.
+func TestReloadKeepsLinks(t *testing.T) {
+	g, before, after := testGroup(t), newAuthority(t), newAuthority(t)
+	entry, agent := before.process(t, g, DefaultEntryName), before.process(t, g, "agent")
+	l, err := Listen(g, "127.0.0.1:0", Config{Keys: entry.keys})
+	require.NoError(t, err)
+	d := NewDialer(g, Config{Keys: agent.keys})
+	old := connect(t, d, l)
+
+	after.write(t, entry.dir, DefaultEntryName)
+	require.NoError(t, entry.keys.Reload(t.Context()))
+	requireWorks(t, old)
+	_, err = d.Dial(t.Context(), l.Addr())
+	require.ErrorIs(t, err, ErrUntrusted, "the agent still has the former CA")
+	_, err = accept(t, l).Receive()
+	require.Error(t, err)
+
+	after.write(t, agent.dir, "agent")
+	require.NoError(t, agent.keys.Reload(t.Context()))
+	requireWorks(t, connect(t, d, l))
+
+	require.NoError(t, os.WriteFile(filepath.Join(agent.dir, "key.pem"), []byte("not a key"), 0o600))
+	require.NoError(t, os.Remove(filepath.Join(agent.dir, "ca.pem")))
+	err = agent.keys.Reload(t.Context())
+	require.ErrorContains(t, err, "cert.pem: certificate: cannot be used")
+	require.ErrorContains(t, err, "ca.pem: CA: cannot be read")
+	requireWorks(t, connect(t, d, l))
+	requireWorks(t, old)
+}
+
+// Guards against a peer that stalls in the TLS handshake and holds up others.
+func TestStalledTLSHandshakeHoldsUpNobody(t *testing.T) {
+	g, ours := testGroup(t), newAuthority(t)
+	l, err := Listen(g, "127.0.0.1:0", Config{Keys: ours.process(t, g, DefaultEntryName).keys})
+	require.NoError(t, err)
+	_, err = io.WriteString(rawDial(t, l.Addr()), "\x16\x03\x01")
+	require.NoError(t, err)
+	requireWorks(t, connect(t, NewDialer(g, Config{Keys: ours.process(t, g, "agent").keys}), l))
+}
