--- /dev/null
+++ b/internal/policy/lease/lease_test.go
@@ -0,0 +1,62 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a holder that trusts its lease after the granter considers it
+// expired: delays of renewals and acknowledgements are arbitrary and the
+// clocks differ in rate by up to 1%.
+func TestHolderNeverOutlastsGranter(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Second, 20 * time.Second, time.Minute, time.Hour} {
+		for _, back := range []time.Duration{0, 3 * time.Second, 40 * time.Second} {
+			var g Grants
+			var h Holder
+			rate := func(at time.Duration) time.Duration { return at - at/100 } // the holder's clock is slow
+			now := time.Duration(0)
+			for range 5 {
+				seq := g.Renew(now, TTL, TTL)
+				sent := now
+				h.Receive(rate(now+delay), seq, TTL, TTL)
+				end := h.Until(false)
+				require.LessOrEqual(t, end, rate(g.Until(false)), "delay %v back %v sent %v", delay, back, sent)
+				now += delay + back + RenewEvery
+				g.Ack(seq)
+			}
+		}
+	}
+}
+
+// Guards against a renewal that was buffered while the holder was paused and
+// would confirm a lease that its granter gave up.
+func TestBufferedRenewalDoesNotConfirm(t *testing.T) {
+	var h Holder
+	h.Receive(1*time.Second, 1, TTL, TTL)
+	require.False(t, h.Valid(1*time.Second, false))
+	h.Receive(6*time.Second, 2, TTL, 2*TTL)
+	require.Equal(t, 31*time.Second, h.Until(false))
+	require.Equal(t, 61*time.Second, h.Until(true))
+	h.Suspect()
+	h.Receive(20*time.Second, 3, TTL, TTL)
+	require.False(t, h.Valid(20*time.Second, false), "3 may have been sent before the pause")
+	h.Receive(21*time.Second, 3, TTL, TTL)
+	require.False(t, h.Valid(21*time.Second, false), "a repetition proves nothing")
+	h.Receive(22*time.Second, 4, TTL, TTL)
+	require.Equal(t, 50*time.Second, h.Until(false))
+}
+
+// Guards against a granter that raises the sequence number without an
+// acknowledgement, on which the holder's count relies.
+func TestSequenceWaitsForAck(t *testing.T) {
+	var g Grants
+	require.Equal(t, uint64(1), g.Renew(0, TTL, TTL))
+	require.Equal(t, uint64(1), g.Renew(RenewEvery, TTL, TTL))
+	require.True(t, g.Ack(1))
+	require.False(t, g.Ack(1))
+	require.Equal(t, uint64(2), g.Renew(2*RenewEvery, 0, TTL))
+	require.Equal(t, RenewEvery+AttemptEnd(TTL), g.Until(false))
+	require.Equal(t, 2*RenewEvery+AttemptEnd(TTL), g.Until(true))
+}
