--- /dev/null
+++ b/internal/tasks/http_test.go
@@ -0,0 +1,48 @@
+package tasks
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Guards against requests that the worker's published interface does not
+// define, and against an error taken for a success.
+func TestHTTPWorkerSpeaksTheInterface(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tasks", func(w http.ResponseWriter, r *http.Request) {
+		var b map[string]any
+		_ = json.NewDecoder(r.Body).Decode(&b)
+		if b["id"] != "j/1" || b["milliCpu"] != 500.0 || b["leaseMs"] != 15000.0 || b["resultName"] != "result/j/1" {
+			http.Error(w, "unexpected body", http.StatusBadRequest)
+		}
+	})
+	mux.HandleFunc("POST /v1/tasks/{id}/checkpoint", func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewEncoder(w).Encode(CheckpointReply{Checkpoint: "checkpoint/" + r.PathValue("id") + "/1"})
+	})
+	mux.HandleFunc("POST /v1/tasks/{id}/stop", http.NotFound)
+	mux.HandleFunc("GET /v1/tasks", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(`{"tasks":[{"id":"j/1","state":"running","usage":{"milliCpu":7},"ageMs":10000},{"id":"other"}]}`))
+	})
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	w := NewHTTPWorker(srv.URL, srv.Client())
+	require.NoError(t, w.Start(t.Context(), StartRequest{Attempt: one, Resources: model.Resources{CPU: 500},
+		Lease: 15 * time.Second, ResultName: ResultName(one)}))
+	require.ErrorIs(t, w.Start(t.Context(), StartRequest{Attempt: one}), ErrRefused)
+	name, err := w.Checkpoint(t.Context(), one)
+	require.NoError(t, err)
+	require.Equal(t, CheckpointPrefix(one)+"1", name)
+	require.ErrorIs(t, w.Stop(t.Context(), one), ErrNoTask)
+	list, err := w.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []Task{{Attempt: one, State: model.TaskRunning,
+		Usage: model.Usage{Resources: model.Resources{CPU: 7}, Age: 10 * time.Second}}}, list)
+	require.Error(t, w.Throttle(t.Context(), one, 50))
+}
