--- /dev/null
+++ b/internal/control/attempt.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/lease"
+)
+
+// States of charts/attempt.scxml.
+const (
+	stReserved chart.State = iota
+	stStarting
+	stRunning
+	stUnknown
+	stCheckpointing
+	stStopping
+	stOver
+)
+
+// Events of charts/attempt.scxml.
+const (
+	evInherit chart.Event = iota
+	evCommitted
+	evRunning
+	evEnded
+	evStop
+	evEvict
+	evExpire
+	evAbsent
+	evSaved
+	evLate
+)
+
+const (
+	commandRetry       = 2 * time.Second
+	checkpointPatience = 30 * time.Second // an eviction without a new checkpoint resumes from the last one
+)
+
+// attempt is the live attempt of a job, or the last one.
+type attempt struct {
+	live     bool // charged to the worker
+	state    chart.State
+	deadline time.Duration // of the state's timeout; 0 when it has none
+	number   uint32
+	worker   model.WorkerID
+	report   msg.TaskReport // the newest
+}
+
+// AttemptBinding binds charts/attempt.scxml. It is exported for the checks
+// that explore the chart.
+func AttemptBinding() chart.Binding[job] {
+	return chart.Binding[job]{
+		Chart:  "attempt",
+		States: []string{"reserved", "starting", "running", "unknown", "checkpointing", "stopping", "over"},
+		Events: []string{"inherit", "committed", "running", "ended", "stop", "evict", "expire", "absent", "saved", "late"},
+		Guards: map[string]func(*job) bool{
+			"evicting": func(j *job) bool { return j.phase == stEvicting },
+		},
+		Actions: map[string]func(*job){
+			"sendStart": func(j *job) { j.core.sendStart(j) },
+			"sendStop": func(j *job) {
+				j.core.ledger.Stopping(j.attemptID())
+				j.command(&msg.StopTask{Command: j.core.command(), Attempt: j.attemptID()})
+			},
+			"sendCheckpoint": func(j *job) {
+				j.core.ledger.Stopping(j.attemptID())
+				j.command(&msg.CheckpointTask{Command: j.core.command(), Attempt: j.attemptID()})
+			},
+			"noteStarted": func(j *job) { j.core.stepJob(j, evJobStarted) },
+			"settle":      func(j *job) { j.core.settle(j) },
+			"lose":        func(j *job) { j.core.lose(j) },
+			"withdraw":    func(j *job) { j.core.release(j, evInterrupted) },
+		},
+		Delays: map[string]time.Duration{"commandRetry": commandRetry, "checkpointPatience": checkpointPatience},
+	}
+}
+
+func (c *Core) stepAttempt(j *job, e chart.Event) bool {
+	j.core = c
+	a := &j.attempt
+	if !a.live || !attemptChart.Step(j, &a.state, e) {
+		return false
+	}
+	a.deadline = 0
+	if d, _, ok := attemptChart.Timeout(a.state); ok && a.live {
+		a.deadline = c.now + d
+	}
+	return true
+}
+
+func (j *job) command(m msg.Control) { j.core.send(j.core.peers[j.attempt.worker], m) }
+
+// sendStart sends the committed attempt to its worker. An owner that cannot
+// write its heartbeat starts nothing; the command is sent when it can again.
+func (c *Core) sendStart(j *job) {
+	p := c.peers[j.attempt.worker]
+	if c.cell.state != stOwning || p.state != stReady {
+		return
+	}
+	c.send(p, &msg.StartTask{
+		Command: c.command(), Attempt: j.attemptID(), Spec: j.row.Spec, Checkpoint: j.row.Checkpoint, TTL: lease.TTL,
+	})
+}
+
+// settle ends an attempt by the final report of its agent.
+func (c *Core) settle(j *job) {
+	worker := j.attempt.worker
+	switch j.attempt.report.State {
+	case model.TaskDone:
+		c.opts.Health.Succeeded(c.now, worker, j.id)
+		c.release(j, evFinished)
+	case model.TaskFailed:
+		c.opts.Health.Failed(c.now, worker, j.id)
+		c.release(j, evFailed)
+	default:
+		c.release(j, evInterrupted)
+	}
+	c.rate(c.peers[worker])
+}
+
+// lose gives up an attempt whose lease has certainly expired.
+func (c *Core) lose(j *job) {
+	c.log(event.AttemptLost, map[string]any{"attempt": j.attemptID().String(), "worker": j.attempt.worker})
+	c.peers[j.attempt.worker].lost[j.attemptID()] = true
+	j.row.Reason = "the lease of attempt " + j.attemptID().String() + " expired"
+	c.release(j, evInterrupted)
+}
+
+// release ends the charge of the attempt and tells the job.
+func (c *Core) release(j *job, e chart.Event) {
+	j.attempt.live = false
+	c.peers[j.attempt.worker].attempts--
+	if size, ok := c.ledger.Release(j.attemptID()); ok {
+		j.size = j.size.Max(size)
+	}
+	c.planning = true
+	c.stepJob(j, e)
+}
--- /dev/null
+++ b/internal/control/batch.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// batchRows is the number of job rows in a transaction. The service allows
+// 128 rows, which include the epoch row and the writer's row.
+const batchRows = 120
+
+// batch groups the changed job rows into one transaction at a time.
+type batch struct {
+	queue  []model.JobID // changed, in the order of the change
+	flight []model.JobID // in the transaction under way
+	busy   bool
+}
+
+func (b *batch) reset() {
+	// A transaction under way is still answered, and is fenced by its epoch.
+	*b = batch{busy: b.busy}
+}
+
+// full reports whether the next transaction has no room for placements.
+func (b *batch) full() bool { return len(b.queue) >= batchRows }
+
+// write queues the row of a job after a change.
+func (c *Core) write(j *job) {
+	j.generation++
+	if !j.queued && j.written == 0 {
+		j.queued = true
+		c.batch.queue = append(c.batch.queue, j.id)
+	}
+}
+
+// flush starts the next transaction.
+func (c *Core) flush() {
+	b := &c.batch
+	if b.busy || len(b.queue) == 0 || !c.incumbent() || !c.loaded {
+		return
+	}
+	n := min(len(b.queue), batchRows)
+	b.flight = slices.Clone(b.queue[:n])
+	b.queue = slices.Delete(b.queue, 0, n)
+	b.busy = true
+	commit := Commit{Fence: c.cell.epochVersion}
+	for _, id := range b.flight {
+		j := c.jobs[id]
+		if j == nil {
+			continue // its row was deleted
+		}
+		j.queued = false
+		j.written = j.generation
+		j.row.Phase = model.Phase(jobChart.Name(j.phase))
+		commit.Writes = append(commit.Writes, JobRow{ID: id, Row: j.row, Version: j.version})
+	}
+	c.emit(commit)
+}
+
+func (c *Core) onCommitted(e Committed) {
+	if e.Fence != c.cell.epochVersion {
+		c.batch.busy = false // of an earlier ownership
+		return
+	}
+	c.landed(func(j *job) {
+		j.version = max(j.version, e.Revision)
+		j.committed = j.written
+	})
+}
+
+func (c *Core) onRejected(e Rejected) {
+	if e.Fence != c.cell.epochVersion || e.Fenced {
+		c.batch.busy, c.batch.flight = false, nil
+		if e.Fence == c.cell.epochVersion && c.incumbent() {
+			c.stepCell(evFenced)
+		}
+		return
+	}
+	fresh := map[model.JobID]JobRow{}
+	for _, r := range e.Rows {
+		fresh[r.ID] = r
+	}
+	c.landed(func(j *job) {
+		if r, ok := fresh[j.id]; ok {
+			j.version = 0 // a deleted row is written again
+			c.onRow(r)
+		}
+	})
+}
+
+// landed applies the outcome of the transaction to its jobs, runs what waited
+// for them and queues the rows that have to be written again.
+func (c *Core) landed(outcome func(*job)) {
+	b := &c.batch
+	flight := b.flight
+	b.busy, b.flight = false, nil
+	for _, id := range flight {
+		j := c.jobs[id]
+		if j == nil {
+			continue
+		}
+		outcome(j)
+		j.written = 0
+		c.runHooks(j)
+		if j.committed < j.generation && !j.queued {
+			j.queued = true
+			b.queue = append(b.queue, id)
+		}
+		if jobChart.Final(j.phase) && j.committed == j.generation {
+			c.finished[model.Phase(jobChart.Name(j.phase))]++
+			delete(c.jobs, id)
+		}
+	}
+}
+
+func (c *Core) runHooks(j *job) {
+	hooks := j.hooks
+	j.hooks = nil
+	for _, h := range hooks {
+		switch {
+		case h.generation > j.committed:
+			j.hooks = append(j.hooks, h)
+		case h.kind == hookAck:
+			if p := c.peers[h.worker]; p != nil {
+				c.acknowledge(p, j, model.AttemptID{Job: j.id, Number: h.attempt})
+			}
+		case h.attempt != j.attempt.number:
+		case h.kind == hookStart:
+			c.stepAttempt(j, evCommitted)
+		case h.kind == hookSaved:
+			c.stepAttempt(j, evSaved)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/charts.go
@@ -0,0 +1,29 @@
+package control
+
+import (
+	"github.com/bambooscale/bambooscale/charts"
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// The compiled charts. Their actions step each other's machines, which the
+// compiler takes for an initialization cycle, so init sets them.
+var (
+	cellChart    *chart.Machine[cell]
+	peerChart    *chart.Machine[peer]
+	jobChart     *chart.Machine[job]
+	attemptChart *chart.Machine[job]
+	// phaseState maps the phase in a row to its state. A row without a phase
+	// was just submitted.
+	phaseState = map[model.Phase]chart.State{"": stPending}
+)
+
+func init() {
+	cellChart = chart.MustCompile(charts.Files, CellBinding())
+	peerChart = chart.MustCompile(charts.Files, PeerBinding())
+	jobChart = chart.MustCompile(charts.Files, JobBinding())
+	attemptChart = chart.MustCompile(charts.Files, AttemptBinding())
+	for i, name := range JobBinding().States {
+		phaseState[model.Phase(name)] = chart.State(i)
+	}
+}
--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,258 @@
+package control
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/policy/lease"
+	"github.com/bambooscale/bambooscale/internal/policy/place"
+	"github.com/bambooscale/bambooscale/internal/rows"
+)
+
+const (
+	observeEvery = time.Second
+	scanEvery    = 250 * time.Millisecond // urgent work starts within 1.4 s
+	sweepEvery   = 500 * time.Millisecond // resolution of the attempts' timeouts
+	maxSleep     = time.Second            // bounds how late a pause is noticed
+	planEvery    = 20 * time.Millisecond  // bounds the transactions of a writer
+)
+
+// Options describe a controller. Planner and Health belong to its core.
+type Options struct {
+	Cell    model.Cell
+	Entry   model.EntryID
+	Boot    model.Boot
+	Address string // where agents reach the entry
+	Planner Planner
+	Health  Health
+}
+
+// Planner decides where waiting jobs run; place.Planner is one.
+type Planner interface {
+	Plan(s place.Snapshot) place.Plan
+	Explain(s place.Snapshot, job model.JobID) []place.Rejection
+}
+
+// Core decides for one cell that an entry contends for or owns. It is stepped
+// with events and returns effects; it does no input or output and has no
+// goroutine.
+type Core struct {
+	opts    Options
+	now     time.Duration
+	effects []Effect
+	cell    cell
+	peers   map[model.WorkerID]*peer
+	jobs    map[model.JobID]*job // that are not over
+	config  Configuration
+	rules   *place.Rules
+	ledger  *place.Ledger
+	batch   batch
+
+	loaded   bool // the job rows were read completely at this epoch
+	scanning bool
+	scanned  platform.Revision
+	planning bool                // something changed that a plan may use
+	finished map[model.Phase]int // jobs that are over
+
+	scanAt, sweepAt, renewAt, planAt time.Duration
+}
+
+// NewCore returns the core of a controller that watches its cell.
+func NewCore(opts Options) *Core {
+	if opts.Health == nil {
+		opts.Health = plainHealth{}
+	}
+	c := &Core{opts: opts, peers: map[model.WorkerID]*peer{}, cell: cell{deadline: lease.OwnerExpiry}}
+	c.rules, _ = place.CompileRules(nil)
+	c.reset()
+	return c
+}
+
+// reset drops what is known of jobs.
+func (c *Core) reset() {
+	c.jobs, c.finished = map[model.JobID]*job{}, map[model.Phase]int{}
+	c.ledger = place.NewLedger()
+	c.loaded, c.scanned, c.planning = false, 0, false
+	c.batch.reset()
+	for _, p := range c.sortedPeers() {
+		p.forget()
+		c.setWorker(p)
+	}
+}
+
+// Step handles an event at now, after every timer that was due. The effects
+// are to be carried out in order and are valid until the next step.
+func (c *Core) Step(now time.Duration, e Event) []Effect {
+	c.now, c.effects = now, nil
+	if _, paused := e.(Paused); paused {
+		c.onPaused()
+	}
+	c.timers()
+	switch e := e.(type) {
+	case PeerUp:
+		c.onPeerUp(e)
+	case PeerDown:
+		c.onPeerDown(e.Worker)
+	case Received:
+		c.receive(e.Worker, e.Msg)
+	case Configured:
+		c.configure(e.Config)
+	case Evicted:
+		c.evict(e.Job, e.Reason)
+	case Refreshed:
+		c.scanAt = c.now
+		c.scan()
+	default:
+		c.onStore(e)
+	}
+	c.work()
+	return c.effects
+}
+
+func (c *Core) onStore(e Event) {
+	switch e := e.(type) {
+	case Observed:
+		c.onObserved(e)
+	case Claimed:
+		c.onClaimed(e)
+	case Beaten:
+		c.onBeaten(e)
+	case Scanned:
+		c.onScanned(e)
+	case Committed:
+		c.onCommitted(e)
+	case Rejected:
+		c.onRejected(e)
+	}
+}
+
+// Next returns when the next timer is due. It is later than the last step: a
+// timer whose work waits for an answer is left out until the answer came.
+func (c *Core) Next() time.Duration {
+	next := c.now + maxSleep
+	due := func(at time.Duration, armed bool) {
+		if armed {
+			next = min(next, at)
+		}
+	}
+	due(c.cell.deadline, c.cell.deadline > 0)
+	due(c.cell.observeAt, c.cell.state == stWatching && !c.cell.observing)
+	if !c.incumbent() {
+		return next
+	}
+	due(c.cell.beatAt, !c.cell.beating)
+	due(c.scanAt, !c.scanning)
+	due(c.sweepAt, true)
+	due(c.renewAt, true)
+	due(c.planAt, c.mayPlan())
+	return next
+}
+
+// mayPlan reports whether a round would place something if it were due.
+func (c *Core) mayPlan() bool {
+	return c.cell.state == stOwning && c.loaded && c.planning && !c.batch.full()
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) log(e event.Event, fields map[string]any) {
+	fields["cell"] = c.opts.Cell
+	c.emit(Log{e, fields})
+}
+
+// incumbent reports whether this entry acts as the owner of the cell.
+func (c *Core) incumbent() bool { return c.cell.state == stOwning || c.cell.state == stHolding }
+
+func (c *Core) timers() {
+	c.cellTimers()
+	if !c.incumbent() {
+		return
+	}
+	if c.scanAt <= c.now {
+		c.scan()
+	}
+	if c.sweepAt <= c.now {
+		c.sweepAt = c.now + sweepEvery
+		c.sweep()
+	}
+	if c.renewAt <= c.now {
+		c.renewAt = c.now + lease.RenewEvery
+		for _, p := range c.sortedPeers() {
+			c.renew(p)
+		}
+	}
+}
+
+// work starts what the step made possible.
+func (c *Core) work() {
+	if c.mayPlan() && c.planAt <= c.now {
+		c.planAt = c.now + planEvery
+		c.plan()
+	}
+	c.flush()
+}
+
+// sweep runs the timeouts of peers and attempts and gives up the attempts
+// whose lease has certainly expired.
+func (c *Core) sweep() {
+	for _, p := range c.sortedPeers() {
+		if p.deadline > 0 && p.deadline <= c.now {
+			c.stepPeer(p, evRetry)
+		}
+		if p.state == stAway && p.attempts == 0 && c.now-p.awayAt > forgetPeer {
+			delete(c.peers, p.worker.ID)
+			c.ledger.RemoveWorker(p.worker.ID)
+		}
+	}
+	for _, j := range c.sortedJobs() {
+		a := &j.attempt
+		if !a.live {
+			continue
+		}
+		if p := c.peers[a.worker]; p.grants.Until(j.row.Spec.LongRunning) <= c.now {
+			c.stepAttempt(j, evExpire)
+		} else if a.deadline > 0 && a.deadline <= c.now {
+			c.stepAttempt(j, evLate)
+		}
+	}
+}
+
+func (c *Core) scan() {
+	if c.scanning {
+		return
+	}
+	c.scanAt = c.now + scanEvery
+	c.scanning = true
+	c.emit(Scan{Fence: c.cell.epochVersion, After: c.scanned})
+}
+
+func (c *Core) onScanned(e Scanned) {
+	c.scanning = false
+	switch {
+	case !c.incumbent():
+		return
+	case e.Fence != c.cell.epochVersion:
+		c.scan() // the rows were read before we claimed the cell
+		return
+	case e.Err != nil:
+		c.scanAt = c.now + time.Second
+		return
+	}
+	for _, r := range e.Rows {
+		c.onRow(r)
+	}
+	c.scanned = e.Through
+	if !c.loaded {
+		c.loaded = true
+		c.planning = true
+		for _, p := range c.sortedPeers() {
+			c.stepPeer(p, evOwned)
+		}
+	}
+}
+
+func (c *Core) beatRow() rows.CellBeat {
+	return rows.CellBeat{Owner: c.opts.Entry, Boot: c.opts.Boot, Counter: c.cell.counter}
+}
--- /dev/null
+++ b/internal/control/job.go
@@ -0,0 +1,221 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/policy/lease"
+	"github.com/bambooscale/bambooscale/internal/policy/place"
+)
+
+// States of charts/job.scxml.
+const (
+	stPending chart.State = iota
+	stPlaced
+	stJobRunning
+	stEvicting
+	stParked
+	stDone
+	stFailed
+	stCancelled
+)
+
+// Events of charts/job.scxml.
+const (
+	evPlace chart.Event = iota
+	evJobStarted
+	evFinished
+	evFailed
+	evInterrupted
+	evJobEvict
+	evCancel
+)
+
+// maxFailures is the number of failures, on whatever workers, after which a
+// job is given up.
+const maxFailures = 20
+
+// job is a job that is not over. Its row is ahead of the table while it waits
+// for its transaction; effects that depend on the row wait with it.
+type job struct {
+	id      model.JobID
+	row     model.JobRow // Phase is set when it is written
+	phase   chart.State
+	version platform.Revision // of the row in the table
+	order   uint64            // submission order
+	size    model.Resources   // measured peak, at least the declared size
+	verdict place.Verdict     // of the last plan that did not place it
+	attempt attempt
+
+	generation uint64 // number of changes of the row
+	written    uint64 // generation in the transaction under way; 0 when none
+	committed  uint64 // newest generation in the table
+	queued     bool   // in the batch's queue
+	hooks      []hook
+
+	core   *Core          // set during a step
+	target model.WorkerID // of a placement, set during a step
+}
+
+// hook is an effect that waits until a generation of the row is committed.
+type hook struct {
+	generation uint64
+	kind       hookKind
+	attempt    uint32
+	worker     model.WorkerID
+}
+
+type hookKind uint8
+
+const (
+	hookStart hookKind = iota // the attempt may be sent to its worker
+	hookSaved                 // the checkpoint may be resumed from
+	hookAck                   // the agent may forget the attempt
+)
+
+// JobBinding binds charts/job.scxml. It is exported for the checks that
+// explore the chart.
+func JobBinding() chart.Binding[job] {
+	return chart.Binding[job]{
+		Chart:  "job",
+		States: []string{"pending", "placed", "running", "evicting", "parked", "done", "failed", "cancelled"},
+		Events: []string{"place", "started", "finished", "failed", "interrupted", "evict", "cancel"},
+		Guards: map[string]func(*job) bool{
+			"cancelling": func(j *job) bool { return j.row.Cancel },
+			"exhausted":  func(j *job) bool { return j.row.Failures+1 >= maxFailures },
+			"parking":    func(j *job) bool { return j.core.opts.Health.Park(j.core.now, j.id) },
+		},
+		Actions: map[string]func(*job){
+			"assign":      (*job).assign,
+			"write":       func(j *job) { j.core.write(j) },
+			"awaitCommit": func(j *job) { j.await(hookStart) },
+			"finish":      func(j *job) { j.row.Result, j.row.Reason = j.attempt.report.Result, "" },
+			"countFailure": func(j *job) {
+				j.row.Failures++
+				j.row.Reason = j.attempt.report.Reason
+			},
+			"countEviction": func(j *job) { j.row.Evictions++ },
+			"evictAttempt":  func(j *job) { j.core.stepAttempt(j, evEvict) },
+			"stopAttempt":   func(j *job) { j.core.stepAttempt(j, evStop) },
+		},
+	}
+}
+
+func (c *Core) stepJob(j *job, e chart.Event) bool {
+	j.core = c
+	before := j.phase
+	if !jobChart.Step(j, &j.phase, e) {
+		return false
+	}
+	if j.phase == stParked && before != stParked {
+		c.log(event.JobParked, map[string]any{"job": j.id, "reason": j.row.Reason})
+	}
+	c.planning = c.planning || j.phase == stPending
+	return true
+}
+
+// assign numbers the attempt and charges nothing: the ledger has reserved it.
+func (j *job) assign() {
+	j.row.Attempt++
+	j.row.Worker, j.row.Reason = j.target, ""
+	j.attempt = attempt{live: true, state: attemptChart.Initial(), number: j.row.Attempt, worker: j.target}
+	j.core.peers[j.target].attempts++
+}
+
+func (j *job) await(kind hookKind) {
+	j.hooks = append(j.hooks, hook{j.generation, kind, j.attempt.number, j.attempt.worker})
+}
+
+func (j *job) attemptID() model.AttemptID {
+	return model.AttemptID{Job: j.id, Number: j.attempt.number}
+}
+
+// task is what the ledger charges for the attempt.
+func (c *Core) task(j *job, number uint32) place.Task {
+	s := j.row.Spec
+	return place.Task{
+		Attempt: model.AttemptID{Job: j.id, Number: number}, Team: s.Team, Class: s.Class,
+		Labels: c.jobLabels(s), Size: j.size, Urgent: s.Urgent, LongRunning: s.LongRunning,
+	}
+}
+
+// onRow takes over a row of the table. Only the cancel flag can differ from
+// what is known of a job, because every other change is ours.
+func (c *Core) onRow(r JobRow) {
+	j := c.jobs[r.ID]
+	switch {
+	case r.Deleted:
+		if j != nil && !j.attempt.live {
+			delete(c.jobs, r.ID)
+		}
+		return
+	case j == nil:
+		c.adopt(r)
+		return
+	}
+	j.version = max(j.version, r.Version)
+	if r.Row.Cancel && !j.row.Cancel {
+		j.row.Cancel = true
+		c.stepJob(j, evCancel)
+	}
+}
+
+// adopt creates the record of a job from its row.
+func (c *Core) adopt(r JobRow) {
+	phase, known := phaseState[r.Row.Phase]
+	switch {
+	case !known:
+		c.log(event.RowMalformed, map[string]any{"job": r.ID, "phase": r.Row.Phase})
+		return
+	case jobChart.Final(phase):
+		if !c.loaded { // later ones were counted when we wrote them
+			c.finished[r.Row.Phase]++
+		}
+		return
+	}
+	j := &job{id: r.ID, row: r.Row, phase: phase, version: r.Version, order: uint64(r.Version),
+		size: r.Row.Spec.Resources}
+	c.jobs[r.ID] = j
+	c.planning = true
+	if phase == stPlaced || phase == stJobRunning || phase == stEvicting {
+		c.inherit(j)
+	}
+	if j.row.Cancel {
+		c.stepJob(j, evCancel)
+	}
+}
+
+// inherit charges an attempt of a predecessor, which may run.
+func (c *Core) inherit(j *job) {
+	p := c.peer(j.row.Worker)
+	if p.grants.Until(false) == 0 {
+		p.grants.SetUntil(c.now+lease.SuccessorWait(false), c.now+lease.SuccessorWait(true))
+	}
+	j.attempt = attempt{live: true, state: attemptChart.Initial(), number: j.row.Attempt, worker: j.row.Worker}
+	p.attempts++
+	c.ledger.Adopt(p.worker.ID, c.task(j, j.row.Attempt))
+	c.stepAttempt(j, evInherit)
+}
+
+// evict starts the eviction of a job that has a task.
+func (c *Core) evict(id model.JobID, reason string) {
+	j := c.jobs[id]
+	if j == nil || c.cell.state != stOwning || !jobChart.Can(j, j.phase, evJobEvict) {
+		return
+	}
+	j.row.Reason = reason
+	c.stepJob(j, evJobEvict)
+}
+
+func (c *Core) sortedJobs() []*job {
+	list := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.id, b.id)) })
+	return list
+}
--- /dev/null
+++ b/internal/control/peer.go
@@ -0,0 +1,224 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/lease"
+	"github.com/bambooscale/bambooscale/internal/policy/place"
+)
+
+// States of charts/peer.scxml.
+const (
+	stAway chart.State = iota
+	stWaiting
+	stPeerClaiming
+	stReady
+)
+
+// Events of charts/peer.scxml.
+const (
+	evUp chart.Event = iota
+	evOwned
+	evDown
+	evRetry
+	evInventory
+	evForgotten
+)
+
+const (
+	claimRetry = 2 * time.Second
+	// forgetPeer is longer than a command can stay under way on a lost link.
+	forgetPeer = 10 * time.Minute
+	// leaseRounds is the number of acknowledged renewals after which an agent
+	// holds a valid lease: the second counts from the first acknowledgement.
+	leaseRounds = 2
+)
+
+// peer is what the controller knows of a worker and its agent.
+type peer struct {
+	worker    model.Worker
+	boot      model.Boot
+	state     chart.State
+	deadline  time.Duration // of the state's timeout; 0 when it has none
+	confirmed bool          // the agent refuses older epochs, or did before it restarted
+	claimed   model.Boot    // incarnation that was claimed while owning
+	grants    lease.Grants
+	attempts  int           // charged to the worker
+	awayAt    time.Duration // when the link was lost
+	rounds    int           // renewals acknowledged since the last inventory
+	// lost are attempts that were given up without a confirmed stop. The agent
+	// is told to stop them before its lease is renewed.
+	lost map[model.AttemptID]bool
+
+	core *Core // set during a step
+}
+
+// PeerBinding binds charts/peer.scxml. It is exported for the checks that
+// explore the chart.
+func PeerBinding() chart.Binding[peer] {
+	return chart.Binding[peer]{
+		Chart:  "peer",
+		States: []string{"away", "waiting", "claiming", "ready"},
+		Events: []string{"up", "owned", "down", "retry", "inventory", "forgotten"},
+		Guards: map[string]func(*peer) bool{"mayClaim": func(p *peer) bool { return p.core.mayClaim(p) }},
+		Actions: map[string]func(*peer){
+			"sendClaim": func(p *peer) { p.core.send(p, &msg.CellClaim{Command: p.core.command()}) },
+			"confirm":   func(p *peer) { p.core.confirm(p) },
+		},
+		Delays: map[string]time.Duration{"claimRetry": claimRetry},
+	}
+}
+
+func (c *Core) stepPeer(p *peer, e chart.Event) bool {
+	p.core = c
+	if !peerChart.Step(p, &p.state, e) {
+		return false
+	}
+	p.deadline = 0
+	if d, _, ok := peerChart.Timeout(p.state); ok {
+		p.deadline = c.now + d
+	}
+	c.rate(p)
+	return true
+}
+
+// mayClaim: only an owner claims agents. While holding, a successor may exist;
+// a restarted agent has forgotten its epoch and must not be renewed by us then.
+func (c *Core) mayClaim(p *peer) bool {
+	if !c.loaded {
+		return false
+	}
+	if c.cell.state == stOwning {
+		p.claimed = p.boot
+	}
+	return c.incumbent() && p.claimed == p.boot
+}
+
+func (c *Core) command() msg.Command {
+	return msg.Command{Cell: c.opts.Cell, Epoch: c.cell.owner.Epoch}
+}
+
+// send addresses an agent. Without a link the message is dropped; every
+// command is repeated until it is answered.
+func (c *Core) send(p *peer, m msg.Control) {
+	if p.state != stAway {
+		c.emit(Send{p.worker.ID, m})
+	}
+}
+
+func (c *Core) onPeerUp(e PeerUp) {
+	p := c.peer(e.Worker.ID)
+	p.worker, p.boot, p.rounds = e.Worker, e.Boot, 0
+	p.grants.Relink(c.now)
+	c.setWorker(p)
+	c.stepPeer(p, evUp)
+}
+
+func (c *Core) onPeerDown(id model.WorkerID) {
+	if p := c.peers[id]; p != nil {
+		c.stepPeer(p, evDown)
+		p.awayAt = c.now
+	}
+}
+
+// peer returns the record of a worker, which it creates.
+func (c *Core) peer(id model.WorkerID) *peer {
+	p := c.peers[id]
+	if p == nil {
+		p = &peer{worker: model.Worker{ID: id}, lost: map[model.AttemptID]bool{}}
+		c.peers[id] = p
+		c.setWorker(p)
+	}
+	return p
+}
+
+func (c *Core) setWorker(p *peer) {
+	w := p.worker
+	w.Labels = merged(w.Labels, c.config.Workers[w.ID])
+	c.ledger.SetWorker(w, model.Resources{}, nil)
+	c.rate(p)
+}
+
+// rate tells the ledger whether the worker may get tasks.
+func (c *Core) rate(p *peer) {
+	state := place.WorkerSuspect
+	switch {
+	case p.state == stAway:
+		state = place.WorkerDown
+	case p.state == stReady && p.rounds >= leaseRounds:
+		state = c.opts.Health.WorkerState(c.now, p.worker.ID)
+	}
+	c.ledger.SetState(p.worker.ID, state)
+	c.planning = c.planning || state == place.WorkerReady
+}
+
+func (p *peer) forget() {
+	p.confirmed, p.claimed, p.rounds, p.attempts, p.grants = false, 0, 0, 0, lease.Grants{}
+	p.lost = map[model.AttemptID]bool{}
+}
+
+// confirm notes that the agent refuses older epochs from now on.
+func (c *Core) confirm(p *peer) {
+	if p.confirmed {
+		p.grants.Extend(c.now, lease.TTL, lease.TTL)
+	} else {
+		p.grants.Reset(c.now)
+	}
+	p.confirmed, p.rounds = true, 0
+	c.renew(p)
+}
+
+// renew renews the leases of all attempts on an agent.
+func (c *Core) renew(p *peer) {
+	if p.state != stReady {
+		return
+	}
+	for _, id := range sortedAttempts(p.lost) {
+		c.send(p, &msg.StopTask{Command: c.command(), Attempt: id})
+	}
+	ttl, long := c.ttl(false), c.ttl(true)
+	if long > 0 {
+		seq, fresh := p.grants.Renew(c.now, ttl, long)
+		if !fresh {
+			p.rounds = 0 // an agent that does not answer gets no tasks
+			c.rate(p)
+		}
+		c.send(p, &msg.LeaseRenew{Command: c.command(), Sequence: seq, TTL: ttl, LongTTL: long})
+	}
+}
+
+func (c *Core) onLeaseAck(p *peer, m *msg.LeaseAck) {
+	if m.Epoch != c.cell.owner.Epoch || p.state != stReady || !p.grants.Ack(m.Sequence) {
+		return
+	}
+	p.rounds++
+	if p.rounds < leaseRounds {
+		c.renew(p)
+	}
+	c.rate(p)
+}
+
+func (c *Core) sortedPeers() []*peer {
+	list := make([]*peer, 0, len(c.peers))
+	for _, p := range c.peers {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *peer) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
+	return list
+}
+
+func sortedAttempts(set map[model.AttemptID]bool) []model.AttemptID {
+	list := make([]model.AttemptID, 0, len(set))
+	for id := range set {
+		list = append(list, id)
+	}
+	slices.SortFunc(list, func(a, b model.AttemptID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Number, b.Number))
+	})
+	return list
+}
--- /dev/null
+++ b/internal/control/reports.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+)
+
+func (c *Core) receive(worker model.WorkerID, m msg.Control) {
+	p := c.peers[worker]
+	if p == nil || !c.incumbent() || !c.loaded {
+		return // agents repeat what is not acknowledged
+	}
+	switch m := m.(type) {
+	case *msg.Inventory:
+		c.onInventory(p, m)
+	case *msg.LeaseAck:
+		c.onLeaseAck(p, m)
+	case *msg.TaskReport:
+		if m.Epoch == c.cell.owner.Epoch {
+			c.onReport(p, *m)
+		}
+	case *msg.UsageReport:
+		for _, t := range m.Tasks {
+			c.onUsage(p, t)
+		}
+	}
+}
+
+// onInventory compares the attempts of an agent with those charged to it. An
+// attempt that its agent does not know is stopped, which bars a start command
+// that is still under way.
+func (c *Core) onInventory(p *peer, m *msg.Inventory) {
+	if m.Epoch != c.cell.owner.Epoch {
+		return // it precedes the agent's adoption of our epoch
+	}
+	c.stepPeer(p, evInventory)
+	known := map[model.AttemptID]bool{}
+	for _, r := range m.Attempts {
+		known[r.Attempt] = true
+		c.onReport(p, r)
+	}
+	for _, j := range c.sortedJobs() {
+		if j.attempt.live && j.attempt.worker == p.worker.ID && !known[j.attemptID()] {
+			c.stepAttempt(j, evAbsent)
+		}
+	}
+}
+
+// onReport handles the state of one attempt. Only the live attempt of its job
+// counts; others are stopped if they run and acknowledged when they have ended.
+func (c *Core) onReport(p *peer, r msg.TaskReport) {
+	j := c.jobs[r.Attempt.Job]
+	ended := r.State != model.TaskRunning
+	if ended {
+		delete(p.lost, r.Attempt)
+	}
+	current := j != nil && j.attempt.live && j.attemptID() == r.Attempt && j.attempt.worker == p.worker.ID
+	switch {
+	case current:
+		j.attempt.report = r
+		c.saveCheckpoint(j, r.Checkpoint)
+		if ended {
+			c.stepAttempt(j, evEnded)
+		} else {
+			c.stepAttempt(j, evRunning)
+		}
+	case !ended:
+		p.lost[r.Attempt] = true
+		c.send(p, &msg.StopTask{Command: c.command(), Attempt: r.Attempt})
+	}
+	if ended {
+		c.acknowledge(p, j, r.Attempt)
+	}
+}
+
+// acknowledge lets the agent forget an attempt once its result is committed.
+func (c *Core) acknowledge(p *peer, j *job, id model.AttemptID) {
+	if j != nil && j.committed < j.generation {
+		j.hooks = append(j.hooks, hook{j.generation, hookAck, id.Number, p.worker.ID})
+		return
+	}
+	c.send(p, &msg.TaskAck{Command: c.command(), Attempt: id})
+}
+
+// saveCheckpoint records a new checkpoint; an eviction goes on when its name
+// is committed.
+func (c *Core) saveCheckpoint(j *job, name string) {
+	if name == "" || name == j.row.Checkpoint {
+		return
+	}
+	j.row.Checkpoint = name
+	c.write(j)
+	if j.attempt.state == stCheckpointing {
+		j.await(hookSaved)
+	}
+}
+
+func (c *Core) onUsage(p *peer, r msg.TaskReport) {
+	j := c.jobs[r.Attempt.Job]
+	if j == nil || !j.attempt.live || j.attemptID() != r.Attempt || j.attempt.worker != p.worker.ID {
+		return
+	}
+	c.ledger.Report(r.Attempt, r.Usage)
+	c.ledger.Progress(r.Attempt, r.RanFor)
+	c.saveCheckpoint(j, r.Checkpoint)
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"maps"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/policy/place"
+)
+
+// Explanation says why a job is where it is.
+type Explanation struct {
+	Job     model.JobID       `json:"job"`
+	Known   bool              `json:"known"` // false: over, or not of this cell, or this entry is not the owner
+	Phase   model.Phase       `json:"phase,omitempty"`
+	Attempt string            `json:"attempt,omitempty"` // state name of charts/attempt.scxml
+	Worker  model.WorkerID    `json:"worker,omitempty"`
+	Reason  string            `json:"reason,omitempty"`
+	Verdict *place.Verdict    `json:"verdict,omitempty"` // of the last plan
+	Workers []place.Rejection `json:"workers,omitempty"` // one for each worker, of a waiting job
+}
+
+// Status reports what is known of the cell.
+func (c *Core) Status() model.CellStatus {
+	s := model.CellStatus{
+		Cell: c.opts.Cell, State: cellChart.Name(c.cell.state), Epoch: c.cell.owner.Epoch, Owner: c.cell.owner.Owner,
+	}
+	if !c.incumbent() {
+		return s
+	}
+	s.Phases = maps.Clone(c.finished)
+	for _, j := range c.jobs {
+		s.Phases[model.Phase(jobChart.Name(j.phase))]++
+	}
+	for _, w := range c.ledger.Workers() {
+		s.Workers = append(s.Workers, model.WorkerStatus{
+			Worker: w.ID, State: w.State.String(), Reason: peerChart.Name(c.peers[w.ID].state),
+			Capacity: w.Capacity, Charged: w.Charged, Tasks: len(w.Tasks),
+		})
+	}
+	return s
+}
+
+// Explain reports why a job is where it is.
+func (c *Core) Explain(id model.JobID) Explanation {
+	e := Explanation{Job: id}
+	j := c.jobs[id]
+	if j == nil {
+		return e
+	}
+	e.Known, e.Phase, e.Reason = true, model.Phase(jobChart.Name(j.phase)), j.row.Reason
+	if j.attempt.live {
+		e.Attempt, e.Worker = attemptChart.Name(j.attempt.state), j.attempt.worker
+	}
+	if j.phase == stPending {
+		if j.verdict.Reason != place.ReasonNone {
+			e.Verdict = &j.verdict
+		}
+		e.Workers = c.opts.Planner.Explain(c.snapshot(), id)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/control/store.go
@@ -0,0 +1,251 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
+)
+
+const (
+	minBackoff  = 100 * time.Millisecond
+	maxBackoff  = 10 * time.Second
+	callTimeout = 5 * time.Second
+	// beatTimeout is below the time after which an unwritten heartbeat makes
+	// the owner hold, so that a lost response leaves time for another try.
+	beatTimeout = 2 * time.Second
+)
+
+// writerRow is the value of the row in which a writer records its last
+// operation.
+type writerRow struct {
+	Operation string `json:"operation"`
+}
+
+// writer commits transactions one at a time and answers only when the outcome
+// is certain. Each transaction checks and replaces the writer's own row, so
+// that one whose response was lost can be read back, and can no longer take
+// effect after the next one did.
+type writer struct {
+	table   platform.Table
+	log     log.Interface
+	key     string // of the writer's row
+	prefix  string // of operation ids
+	count   uint64
+	version platform.Revision // of the writer's row
+	known   bool              // version was read
+}
+
+// errFailed is the result of a transaction that certainly had no effect
+// because of the keys.
+type errFailed struct{ keys []string }
+
+func (e errFailed) Error() string { return "precondition failed for " + strings.Join(e.keys, ", ") }
+
+// commit returns the revision, an errFailed, or the context's error.
+func (w *writer) commit(ctx context.Context, checks []platform.Check, puts []platform.Put) (platform.Revision, error) {
+	w.count++
+	op := fmt.Sprintf("%s-%d", w.prefix, w.count)
+	puts = append(puts, platform.Put{Key: w.key, Value: rows.Encode(writerRow{op})})
+	for delay := minBackoff; ; delay = min(2*delay, maxBackoff) {
+		rev, done, err := w.try(ctx, op, checks, puts)
+		if done || ctx.Err() != nil {
+			return rev, errors.CombineErrors(err, ctx.Err())
+		}
+		if err == nil {
+			continue // only our own row had changed
+		}
+		event.Log(w.log, event.StoreRefused, log.Fields{"operation": op, "error": err.Error()})
+		if !actor.Sleep(ctx, jittered(delay)) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// try makes one attempt; done is false when it may be repeated.
+func (w *writer) try(ctx context.Context, op string, checks []platform.Check, puts []platform.Put) (rev platform.Revision, done bool, err error) {
+	if !w.known {
+		// Either the first transaction, or the fate of the last try is unknown.
+		row, err := w.readBack(ctx)
+		if err != nil {
+			return 0, false, err
+		}
+		if row.Operation == op {
+			return w.version, true, nil
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	own := platform.Check{Key: w.key, Version: w.version}
+	rev, err = w.table.Commit(bounded, platform.Txn{Operation: op, Checks: append(slices.Clone(checks), own), Puts: puts})
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		w.version = rev
+		return rev, true, nil
+	case errors.As(err, &conflict):
+		return w.conflict(ctx, op, conflict.Keys)
+	case !errors.Is(err, platform.ErrUnavailable):
+		w.known = false
+	}
+	return 0, false, err
+}
+
+// conflict tells a failed precondition from an earlier try of the same
+// transaction that took effect.
+func (w *writer) conflict(ctx context.Context, op string, keys []string) (platform.Revision, bool, error) {
+	if !slices.Contains(keys, w.key) {
+		return 0, true, errFailed{keys}
+	}
+	w.known = false
+	row, err := w.readBack(ctx)
+	switch {
+	case err != nil:
+		return 0, false, err
+	case row.Operation == op:
+		return w.version, true, nil
+	case len(keys) > 1:
+		return 0, true, errFailed{slices.DeleteFunc(slices.Clone(keys), func(k string) bool { return k == w.key })}
+	}
+	return 0, false, nil
+}
+
+func (w *writer) readBack(ctx context.Context) (writerRow, error) {
+	row, version, err := readRow[writerRow](ctx, w.table, w.key)
+	if err == nil {
+		w.version, w.known = version, true
+	}
+	return row, err
+}
+
+// readRow reads and decodes a row; version 0 means that it is absent.
+func readRow[T any](ctx context.Context, t platform.Table, key string) (v T, version platform.Revision, err error) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row, err := t.Read(bounded, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return v, 0, nil
+	}
+	if err != nil {
+		return v, 0, err
+	}
+	v, err = rows.Decode[T](row.Value)
+	return v, row.Version, err
+}
+
+// jittered spreads retries over half to one and a half times d.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// commitRows carries out a Commit effect.
+func (s *store) commitRows(ctx context.Context, f Commit) Event {
+	checks := []platform.Check{{Key: rows.CellEpochKey(s.cell), Version: f.Fence}}
+	var puts []platform.Put
+	for _, r := range f.Writes {
+		key := rows.JobKey(s.cell, r.ID)
+		checks = append(checks, platform.Check{Key: key, Version: r.Version})
+		puts = append(puts, platform.Put{Key: key, Value: rows.Encode(r.Row)})
+	}
+	rev, err := s.writer.commit(ctx, checks, puts)
+	var failed errFailed
+	switch {
+	case err == nil:
+		return Committed{Fence: f.Fence, Revision: rev}
+	case !errors.As(err, &failed):
+		return nil // the actor ends
+	case slices.Contains(failed.keys, rows.CellEpochKey(s.cell)):
+		return Rejected{Fence: f.Fence, Fenced: true}
+	}
+	return s.rejected(ctx, f.Fence, failed.keys)
+}
+
+// rejected reads the present rows of the failed keys.
+func (s *store) rejected(ctx context.Context, fence platform.Revision, keys []string) Event {
+	r := Rejected{Fence: fence}
+	for _, key := range keys {
+		id := model.JobID(strings.TrimPrefix(key, rows.JobPrefix(s.cell)))
+		for delay := minBackoff; ; delay = min(2*delay, maxBackoff) {
+			row, version, err := readRow[model.JobRow](ctx, s.table, key)
+			if err == nil {
+				r.Rows = append(r.Rows, JobRow{ID: id, Row: row, Version: version, Deleted: version == 0})
+				break
+			}
+			if !actor.Sleep(ctx, jittered(delay)) {
+				return nil
+			}
+		}
+	}
+	return r
+}
+
+// claim carries out a Claim effect.
+func (s *store) claim(ctx context.Context, f Claim) Event {
+	key := rows.CellEpochKey(s.cell)
+	rev, err := s.writer.commit(ctx, []platform.Check{{Key: key, Version: f.Version}},
+		[]platform.Put{{Key: key, Value: rows.Encode(f.Epoch)}})
+	switch {
+	case err == nil:
+		return Claimed{Won: true, Version: rev}
+	case ctx.Err() != nil:
+		return nil
+	}
+	return Claimed{}
+}
+
+// beat carries out a Beat effect. It is tried once: the next heartbeat
+// replaces a lost one.
+func (s *store) beat(ctx context.Context, f Beat) Event {
+	bounded, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	fence := rows.CellEpochKey(s.cell)
+	op := fmt.Sprintf("%s-beat-%d", s.writer.prefix, f.Beat.Counter)
+	_, err := s.table.Commit(bounded, platform.Txn{
+		Operation: op,
+		Checks:    []platform.Check{{Key: fence, Version: f.Fence}},
+		Puts: []platform.Put{
+			{Key: rows.CellBeatKey(s.cell), Value: rows.Encode(f.Beat)},
+			{Key: s.writer.key + "/beat", Value: rows.Encode(writerRow{op})},
+		},
+	})
+	var conflict *platform.ConflictError
+	return Beaten{Fence: f.Fence, Sent: f.Sent, OK: err == nil, Fenced: errors.As(err, &conflict)}
+}
+
+// observe carries out an Observe effect.
+func (s *store) observe(ctx context.Context) Event {
+	epoch, version, err := readRow[rows.CellEpoch](ctx, s.table, rows.CellEpochKey(s.cell))
+	if err != nil {
+		return Observed{Err: err}
+	}
+	_, beat, err := readRow[rows.CellBeat](ctx, s.table, rows.CellBeatKey(s.cell))
+	return Observed{Err: err, Epoch: epoch, EpochVersion: version, BeatVersion: beat}
+}
+
+// scan carries out a Scan effect.
+func (s *store) scan(ctx context.Context, f Scan) Event {
+	bounded, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	found, through, err := s.table.Scan(bounded, rows.JobPrefix(s.cell), f.After)
+	e := Scanned{Fence: f.Fence, Err: err, Through: through}
+	for _, r := range found {
+		row := JobRow{ID: model.JobID(strings.TrimPrefix(r.Key, rows.JobPrefix(s.cell))), Version: r.Version, Deleted: r.Deleted}
+		if !r.Deleted {
+			if row.Row, err = rows.Decode[model.JobRow](r.Value); err != nil {
+				event.Log(s.log, event.RowMalformed, log.Fields{"key": r.Key, "error": err.Error()})
+				continue
+			}
+		}
+		e.Rows = append(e.Rows, row)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/control/world_test.go
@@ -0,0 +1,313 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/control"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/place"
+	"github.com/bambooscale/bambooscale/internal/tasks"
+)
+
+const cellName = "c1"
+
+// world is a cell in virtual time: entries, agents with their workers, links
+// and the table service.
+type world struct {
+	*testing.T
+	ctx     context.Context
+	table   *table
+	hosts   *hosts
+	entries map[model.EntryID]*entry
+	agents  map[model.WorkerID]*agent
+	boots   model.Boot
+}
+
+type entry struct {
+	id    model.EntryID
+	group *actor.Group
+	ctl   actor.Address[control.Message]
+	pause atomic.Pointer[chan struct{}] // when set, the planner waits for it: the owner is frozen
+	seen  *[]int                        // numbers of the events logged
+}
+
+type agent struct {
+	worker model.Worker
+	host   *host
+	group  *actor.Group
+	owner  actor.Address[tasks.Message]
+	boot   model.Boot
+	links  map[model.EntryID]*wire
+	pause  atomic.Pointer[chan struct{}] // when set, the next log entry waits for it
+}
+
+// wire is a link between an agent and an entry.
+type wire struct {
+	group              *actor.Group
+	toEntry, toAgent   actor.Address[msg.Control]
+	loseUp, loseDown   atomic.Bool
+	delayUp, delayDown atomic.Int64 // nanoseconds
+}
+
+// run runs a scenario with n workers of 4 slots each and the entries given.
+func run(t *testing.T, workers int, entries []model.EntryID, scenario func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := &world{T: t, ctx: ctx, table: newTable(t), entries: map[model.EntryID]*entry{}, agents: map[model.WorkerID]*agent{},
+			hosts: &hosts{t: t, live: map[model.JobID][]*task{}, saved: map[string]time.Duration{}, done: map[model.JobID]int{}}}
+		for i := range workers {
+			id := model.WorkerID(fmt.Sprintf("w%d", i+1))
+			a := &agent{host: w.hosts.host(id), worker: model.Worker{ID: id, Rack: model.Rack(id), Capacity: model.Resources{CPU: 4000, Memory: 4000}}}
+			w.agents[id] = a
+			w.startAgent(a)
+		}
+		for _, id := range entries {
+			w.startEntry(id)
+		}
+		scenario(w)
+		cancel()
+		for _, e := range w.entries {
+			e.group.Wait()
+		}
+		for _, a := range w.agents {
+			a.group.Wait()
+			for _, l := range a.links {
+				l.group.Wait()
+			}
+		}
+	})
+}
+
+func (w *world) startEntry(id model.EntryID) *entry {
+	w.boots++
+	e := &entry{id: id, group: actor.NewGroup(w.ctx, w.failed), seen: &[]int{}}
+	w.entries[id] = e
+	seen := e.seen
+	e.ctl = control.Start(e.group, control.Config{
+		Options:    control.Options{Cell: cellName, Entry: id, Boot: w.boots},
+		Table:      w.table,
+		NewPlanner: func() control.Planner { return &planner{entry: e, Planner: place.New(place.Options{})} },
+		Log: &log.Logger{Level: log.DebugLevel, Handler: log.HandlerFunc(func(l *log.Entry) error {
+			w.table.set(func() { *seen = append(*seen, l.Fields["event"].(int)) })
+			return nil
+		})},
+	})
+	for _, a := range w.agents {
+		w.connect(a, e)
+	}
+	return e
+}
+
+// planner freezes its owner on demand.
+type planner struct {
+	control.Planner
+	entry *entry
+}
+
+func (p *planner) Plan(s place.Snapshot) place.Plan {
+	if pause := p.entry.pause.Load(); pause != nil {
+		<-*pause
+	}
+	return p.Planner.Plan(s)
+}
+
+func (w *world) startAgent(a *agent) {
+	w.boots++
+	a.boot, a.group, a.links = w.boots, actor.NewGroup(w.ctx, w.failed), map[model.EntryID]*wire{}
+	a.owner = tasks.Start(a.group, tasks.Config{Worker: a.worker, Cell: cellName, Host: a.host,
+		Log: &log.Logger{Level: log.DebugLevel, Handler: log.HandlerFunc(func(l *log.Entry) error {
+			if pause := a.pause.Swap(nil); pause != nil {
+				<-*pause
+			}
+			return discard.New().HandleLog(l)
+		})}})
+	for _, e := range w.entries {
+		w.connect(a, e)
+	}
+}
+
+func (w *world) failed(x actor.Exit) { w.Errorf("actor %s failed: %v", x.Actor, x.Err) }
+
+// pump forwards the messages of one direction of a link.
+func pump(g *actor.Group, lose *atomic.Bool, delay *atomic.Int64, deliver func(context.Context, msg.Control)) actor.Address[msg.Control] {
+	return actor.Spawn(g, actor.Spec[msg.Control]{Name: "pump", Mailbox: 4096, Run: func(ctx context.Context, in <-chan msg.Control) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case m := <-in:
+				d := time.Duration(delay.Load())
+				if !lose.Load() && (d == 0 || actor.Sleep(ctx, d)) {
+					deliver(ctx, m)
+				}
+			}
+		}
+	}})
+}
+
+func (w *world) connect(a *agent, e *entry) {
+	l := &wire{group: actor.NewGroup(w.ctx, w.failed)}
+	owner, ctl, id := a.owner, e.ctl, a.worker.ID
+	l.toEntry = pump(l.group, &l.loseUp, &l.delayUp, func(ctx context.Context, m msg.Control) {
+		_ = ctl.Send(ctx, control.FromAgent{Worker: id, Msg: m})
+	})
+	l.toAgent = pump(l.group, &l.loseDown, &l.delayDown, func(ctx context.Context, m msg.Control) {
+		_ = owner.Send(ctx, tasks.FromEntry{Entry: e.id, Msg: m})
+	})
+	a.links[e.id] = l
+	_ = owner.Send(w.ctx, tasks.EntryUp{Entry: e.id, Link: l.toEntry})
+	_ = ctl.Send(w.ctx, control.AgentUp{Worker: a.worker, Cell: cellName, Boot: a.boot, Link: l.toAgent})
+}
+
+func (w *world) disconnect(a *agent, e *entry) {
+	l := a.links[e.id]
+	delete(a.links, e.id)
+	l.group.Stop()
+	_ = a.owner.Send(w.ctx, tasks.EntryDown{Entry: e.id, Link: l.toEntry})
+	_ = e.ctl.Send(w.ctx, control.AgentDown{Worker: a.worker.ID, Link: l.toAgent})
+}
+
+func (w *world) killEntry(id model.EntryID) {
+	e := w.entries[id]
+	e.group.Stop()
+	for _, a := range w.agents {
+		if a.links[id] != nil {
+			w.disconnect(a, e)
+		}
+	}
+	delete(w.entries, id)
+}
+
+func (w *world) killAgent(id model.WorkerID) {
+	a := w.agents[id]
+	a.group.Stop()
+	for _, e := range w.entries {
+		if a.links[e.id] != nil {
+			w.disconnect(a, e)
+		}
+	}
+}
+
+// freezeAgent freezes the owner of a host's attempts until thaw is called.
+func (w *world) freezeAgent(id model.WorkerID) (thaw func()) {
+	a := w.agents[id]
+	pause := make(chan struct{})
+	a.pause.Store(&pause)
+	_ = a.owner.Send(w.ctx, tasks.FromEntry{Entry: "x", Msg: &msg.CellClaim{Command: msg.Command{Cell: "other"}}})
+	return func() { close(pause) }
+}
+
+func (w *world) submit(work time.Duration, ids ...model.JobID) {
+	for _, id := range ids {
+		w.table.edit(id, func(r *model.JobRow) {
+			*r = model.JobRow{Phase: "pending", Spec: model.JobSpec{ID: id, Team: "t", Class: "b", Program: work.String(),
+				Resources: model.Resources{CPU: 1000, Memory: 1000}}}
+		})
+	}
+}
+
+func (w *world) pass(d time.Duration) { actor.Sleep(w.ctx, d) }
+
+// until waits for a condition, at most for d.
+func (w *world) until(d time.Duration, what string, cond func() bool) {
+	w.Helper()
+	for end := time.Now().Add(d); !cond(); w.pass(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			require.Fail(w, "not reached in time: "+what, "status %+v", w.status())
+		}
+	}
+}
+
+func (w *world) status() map[model.EntryID]model.CellStatus {
+	all := map[model.EntryID]model.CellStatus{}
+	for id, e := range w.entries {
+		bounded, cancel := context.WithTimeout(w.ctx, time.Second)
+		all[id], _ = actor.Ask(bounded, e.ctl, func(r actor.Reply[model.CellStatus]) control.Message { return control.StatusQuery{Reply: r} })
+		cancel()
+	}
+	return all
+}
+
+func (w *world) reaches(d time.Duration, phase model.Phase, ids ...model.JobID) {
+	w.Helper()
+	for _, id := range ids {
+		w.until(d, fmt.Sprintf("job %s %s, is %+v", id, phase, w.table.job(id)), func() bool { return w.table.job(id).Phase == phase })
+	}
+}
+
+func (w *world) owner() (owner *entry) {
+	w.until(time.Minute, "an owner", func() bool {
+		for id, s := range w.status() {
+			if s.State == "owning" {
+				owner = w.entries[id]
+			}
+		}
+		return owner != nil
+	})
+	return owner
+}
+
+func (w *world) logged(e *entry, ev event.Event) (n int) {
+	w.table.set(func() {
+		for _, id := range *e.seen {
+			if id == ev.ID {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// running counts the tasks that run on the workers.
+func (w *world) running() (n int) {
+	w.hosts.mu.Lock()
+	defer w.hosts.mu.Unlock()
+	for _, a := range w.agents {
+		for _, r := range a.host.runs {
+			r.settle()
+			if r.state == model.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// commits counts the transactions of controllers without their heartbeats.
+func (w *world) commits() (n int) {
+	w.table.set(func() {
+		for writer, count := range w.table.commits {
+			if !strings.Contains(writer, "-beat-") {
+				n += count
+			}
+		}
+	})
+	return n
+}
+
+// started counts the tasks that were started on the workers.
+func (w *world) started() int {
+	w.hosts.mu.Lock()
+	defer w.hosts.mu.Unlock()
+	return w.hosts.started
+}
+
+// done counts the completed runs of a job.
+func (w *world) done(id model.JobID) int {
+	w.hosts.mu.Lock()
+	defer w.hosts.mu.Unlock()
+	return w.hosts.done[id]
+}
--- /dev/null
+++ b/internal/event/control.go
@@ -0,0 +1,16 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of the controllers of cells: 300 to 399.
+var (
+	CellClaimed   = define(300, log.InfoLevel, "cell-claimed", "this entry became the owner of a cell", "nothing")
+	CellHolding   = define(301, log.WarnLevel, "cell-holding", "the owner of a cell cannot write its heartbeat; it places nothing and keeps running tasks", "check the table service")
+	CellResumed   = define(302, log.InfoLevel, "cell-resumed", "the owner of a cell writes its heartbeat again", "nothing")
+	CellLost      = define(303, log.WarnLevel, "cell-lost", "this entry is no longer the owner of a cell", "nothing if another entry has claimed it")
+	AttemptLost   = define(304, log.WarnLevel, "attempt-lost", "the lease of a task attempt has certainly expired; the job is placed again", "check the worker and its agent")
+	JobParked     = define(305, log.WarnLevel, "job-parked", "a job failed on several good workers and is parked", "look at the job's reason")
+	ControlPaused = define(306, log.WarnLevel, "control-paused", "the controller was paused; it places nothing until its heartbeat is written", "look for an overloaded or suspended host")
+	StoreRefused  = define(307, log.WarnLevel, "control-store-error", "an operation at the table service failed and is repeated", "check the table service")
+	RowMalformed  = define(308, log.ErrorLevel, "control-row-malformed", "a row of the table cannot be decoded and is ignored", "correct or delete the row")
+)
--- a/internal/policy/lease/lease.go
+++ b/internal/policy/lease/lease.go
@@ -57,17 +57,20 @@
 type Grants struct {
 	seq   uint64
 	acked bool
+	sent  time.Duration    // when seq was sent first
 	until [2]time.Duration // by kind of work: all attempts have certainly ended then
 }
 
-// Renew returns the sequence number of a renewal that is sent at now.
-func (g *Grants) Renew(now, ttl, longTTL time.Duration) uint64 {
-	if g.acked || g.seq == 0 {
+// Renew returns the sequence number of a renewal that is sent at now. A
+// repetition (fresh is false) extends nothing beyond the first sending, since
+// the holder counts both from the same acknowledgement.
+func (g *Grants) Renew(now, ttl, longTTL time.Duration) (seq uint64, fresh bool) {
+	if fresh = g.acked || g.seq == 0; fresh {
 		g.seq++
-		g.acked = false
+		g.acked, g.sent = false, now
 	}
-	g.Extend(now, ttl, longTTL)
-	return g.seq
+	g.Extend(g.sent, ttl, longTTL)
+	return g.seq, fresh
 }
 
 // Extend records that attempts may run for the given lengths from now.
@@ -79,10 +82,17 @@
 	}
 }
 
+// Relink abandons the renewal under way when the agent has a new link, so that
+// an acknowledgement which arrives late from the old one has no effect.
+func (g *Grants) Relink(now time.Duration) {
+	g.seq += 2
+	g.acked, g.sent = false, now
+}
+
 // Reset replaces the record after the agent confirmed a new epoch: no older
 // grant is renewed from now on, and the newest of them has at most TTL left.
 func (g *Grants) Reset(now time.Duration) {
-	*g = Grants{}
+	*g = Grants{seq: g.seq, acked: g.acked, sent: g.sent}
 	g.Extend(now, TTL, TTL)
 }
 
