control: judge workers and jobs, preempt for urgent jobs

Workers that fail everything kept getting tasks, and urgent jobs waited behind a full cell. The controller follows internal/policy/health and evicts the victims that internal/policy/place chooses.

--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -73,7 +73,7 @@
 			"noteStarted": func(j *job) { j.core.stepJob(j, evJobStarted) },
 			"settle":      func(j *job) { j.core.settle(j) },
 			"lose":        func(j *job) { j.core.lose(j) },
-			"withdraw":    func(j *job) { j.core.release(j, evInterrupted) },
+			"withdraw":    func(j *job) { j.core.release(j, evInterrupted, outcomeNone) },
 		},
 		Delays: map[string]time.Duration{"commandRetry": commandRetry, "checkpointPatience": checkpointPatience},
 	}
@@ -108,18 +108,14 @@
 
 // settle ends an attempt by the final report of its agent.
 func (c *Core) settle(j *job) {
-	worker := j.attempt.worker
 	switch j.attempt.report.State {
 	case model.TaskDone:
-		c.opts.Health.Succeeded(c.now, worker, j.id)
-		c.release(j, evFinished)
+		c.release(j, evFinished, outcomeDone)
 	case model.TaskFailed:
-		c.opts.Health.Failed(c.now, worker, j.id)
-		c.release(j, evFailed)
+		c.release(j, evFailed, outcomeFailed)
 	default:
-		c.release(j, evInterrupted)
+		c.release(j, evInterrupted, outcomeNone)
 	}
-	c.rate(c.peers[worker])
 }
 
 // lose gives up an attempt whose lease has certainly expired.
@@ -127,12 +123,13 @@
 	c.log(event.AttemptLost, map[string]any{"attempt": j.attemptID().String(), "worker": j.attempt.worker})
 	c.peers[j.attempt.worker].lost[j.attemptID()] = true
 	j.row.Reason = "the lease of attempt " + j.attemptID().String() + " expired"
-	c.release(j, evInterrupted)
+	c.release(j, evInterrupted, outcomeNone)
 }
 
 // release ends the charge of the attempt and tells the job.
-func (c *Core) release(j *job, e chart.Event) {
+func (c *Core) release(j *job, e chart.Event, o outcome) {
 	j.attempt.live = false
+	c.noteOutcome(j, o)
 	c.peers[j.attempt.worker].attempts--
 	if size, ok := c.ledger.Release(j.attemptID()); ok {
 		j.size = j.size.Max(size)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/policy/health"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 	"github.com/bambooscale/bambooscale/internal/rows"
@@ -128,6 +129,9 @@
 		opts.Planner = place.New(place.Options{})
 	}
 	id := fmt.Sprintf("control/%s/%s", cfg.Cell, cfg.Entry)
+	if opts.Health == nil {
+		opts.Health = health.New()
+	}
 	s := &store{table: cfg.Table, cell: cfg.Cell, log: cfg.Log, writer: &writer{
 		table: cfg.Table, log: cfg.Log, key: rows.WriterKey(id),
 		// Unique for each run, also after a restart within the process.
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -6,6 +6,7 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/policy/health"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 	"github.com/bambooscale/bambooscale/internal/rows"
@@ -19,14 +20,15 @@
 	planEvery    = 20 * time.Millisecond  // bounds the transactions of a writer
 )
 
-// Options describe a controller. Planner and Health belong to its core.
+// Options describe a controller. Planner and Health belong to its core; Start
+// fills them in.
 type Options struct {
 	Cell    model.Cell
 	Entry   model.EntryID
 	Boot    model.Boot
 	Address string // where agents reach the entry
 	Planner Planner
-	Health  Health
+	Health  *health.Tracker // nil: every worker is trusted
 }
 
 // Planner decides where waiting jobs run; place.Planner is one.
@@ -49,6 +51,7 @@
 	rules   *place.Rules
 	ledger  *place.Ledger
 	batch   batch
+	claims  map[model.JobID]claim // room that evictions make for urgent jobs
 
 	loaded   bool // the job rows were read completely at this epoch
 	scanning bool
@@ -61,9 +64,6 @@
 
 // NewCore returns the core of a controller that watches its cell.
 func NewCore(opts Options) *Core {
-	if opts.Health == nil {
-		opts.Health = plainHealth{}
-	}
 	c := &Core{opts: opts, peers: map[model.WorkerID]*peer{}, cell: cell{deadline: lease.OwnerExpiry}}
 	c.rules, _ = place.CompileRules(nil)
 	c.reset()
@@ -74,6 +74,7 @@
 func (c *Core) reset() {
 	c.jobs, c.finished = map[model.JobID]*job{}, map[model.Phase]int{}
 	c.ledger = place.NewLedger()
+	c.claims = map[model.JobID]claim{}
 	c.loaded, c.scanned, c.planning = false, 0, false
 	c.batch.reset()
 	for _, p := range c.sortedPeers() {
@@ -197,6 +198,7 @@
 // sweep runs the timeouts of peers and attempts and gives up the attempts
 // whose lease has certainly expired.
 func (c *Core) sweep() {
+	c.tickHealth()
 	for _, p := range c.sortedPeers() {
 		if p.deadline > 0 && p.deadline <= c.now {
 			c.stepPeer(p, evRetry)
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -1,28 +1,119 @@
 package control
 
 import (
-	"time"
-
+	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/policy/health"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 )
 
-// Health judges workers and jobs by the outcomes of attempts.
-type Health interface {
-	Succeeded(now time.Duration, w model.WorkerID, j model.JobID)
-	Failed(now time.Duration, w model.WorkerID, j model.JobID)
-	// WorkerState says whether a connected worker may get tasks.
-	WorkerState(now time.Duration, w model.WorkerID) place.WorkerState
-	// Park reports whether a job that just failed is to be parked.
-	Park(now time.Duration, j model.JobID) bool
+// outcome is how an attempt ended, for the health of its worker and job.
+type outcome uint8
+
+const (
+	outcomeNone outcome = iota // stopped, lost or withdrawn: nobody is to blame
+	outcomeDone
+	outcomeFailed
+)
+
+// noteLink tells the health policy about a link. A core without a tracker
+// trusts every worker.
+func (c *Core) noteLink(p *peer, up bool) {
+	if t := c.opts.Health; t != nil {
+		if up {
+			t.Add(c.now, p.worker.ID)
+		}
+		c.applyHealth(t.Link(c.now, p.worker.ID, up))
+	}
 }
 
-// plainHealth trusts every worker and parks nothing.
-type plainHealth struct{}
+func (c *Core) noteStart(j *job) {
+	if t := c.opts.Health; t != nil {
+		t.Started(c.now, j.attempt.worker, j.attemptID())
+		c.rate(c.peers[j.attempt.worker])
+	}
+}
+
+func (c *Core) noteOutcome(j *job, o outcome) {
+	t := c.opts.Health
+	if t == nil {
+		return
+	}
+	worker, id, class := j.attempt.worker, j.attemptID(), j.row.Spec.Class
+	switch o {
+	case outcomeDone:
+		c.applyHealth(t.Succeeded(c.now, worker, id, class))
+	case outcomeFailed:
+		c.applyHealth(t.Failed(c.now, worker, id, class))
+	default:
+		t.Stopped(worker, id)
+	}
+	c.rate(c.peers[worker])
+}
+
+// tickHealth runs the timeouts of the policy and applies the limits that
+// change with time alone.
+func (c *Core) tickHealth() {
+	if t := c.opts.Health; t != nil {
+		c.applyHealth(t.Tick(c.now))
+		for _, p := range c.sortedPeers() {
+			c.rate(p)
+		}
+	}
+}
+
+func (c *Core) applyHealth(changes []health.Change) {
+	for _, ch := range changes {
+		switch {
+		case ch.Park != "":
+			if j := c.jobs[ch.Park]; j != nil {
+				j.parked = ch.Reason
+			}
+		case c.peers[ch.Worker] != nil:
+			c.log(event.WorkerHealth, map[string]any{"worker": ch.Worker, "state": ch.State.String(), "reason": ch.Reason})
+			c.peers[ch.Worker].reason = ch.Reason
+			c.rate(c.peers[ch.Worker])
+		}
+	}
+}
+
+// rate tells the ledger whether the worker may get tasks: only with a
+// confirmed lease, and as far as the health policy trusts it.
+func (c *Core) rate(p *peer) {
+	state := place.WorkerSuspect
+	switch {
+	case p.state == stAway:
+		state = place.WorkerDown
+	case p.state == stReady && p.rounds >= leaseRounds:
+		state = c.trust(p.worker.ID)
+	}
+	if w, ok := c.ledger.Worker(p.worker.ID); ok && w.State != state {
+		c.ledger.SetState(p.worker.ID, state)
+		c.planning = c.planning || state == place.WorkerReady || state == place.WorkerProbation
+	}
+}
+
+func (c *Core) trust(id model.WorkerID) place.WorkerState {
+	t := c.opts.Health
+	if t == nil {
+		return place.WorkerReady
+	}
+	if unproven, limit := t.Starts(c.now, id); limit > 0 && unproven >= limit {
+		return place.WorkerSuspect
+	}
+	return t.State(id)
+}
+
+// avoid lists the workers on which a job failed.
+func (c *Core) avoid(id model.JobID) []model.WorkerID {
+	if t := c.opts.Health; t != nil {
+		return t.Avoid(id)
+	}
+	return nil
+}
 
-func (plainHealth) Succeeded(time.Duration, model.WorkerID, model.JobID) {}
-func (plainHealth) Failed(time.Duration, model.WorkerID, model.JobID)    {}
-func (plainHealth) Park(time.Duration, model.JobID) bool                 { return false }
-func (plainHealth) WorkerState(time.Duration, model.WorkerID) place.WorkerState {
-	return place.WorkerReady
+func (c *Core) forgetHealth(id model.JobID) {
+	if t := c.opts.Health; t != nil {
+		t.Forget(id)
+	}
 }
--- a/internal/control/job.go
+++ b/internal/control/job.go
@@ -50,6 +50,7 @@
 	size    model.Resources   // measured peak, at least the declared size
 	verdict place.Verdict     // of the last plan that did not place it
 	attempt attempt
+	parked  string // why the health policy parks it
 
 	generation uint64 // number of changes of the row
 	written    uint64 // generation in the transaction under way; 0 when none
@@ -87,7 +88,7 @@
 		Guards: map[string]func(*job) bool{
 			"cancelling": func(j *job) bool { return j.row.Cancel },
 			"exhausted":  func(j *job) bool { return j.row.Failures+1 >= maxFailures },
-			"parking":    func(j *job) bool { return j.core.opts.Health.Park(j.core.now, j.id) },
+			"parking":    func(j *job) bool { return j.parked != "" },
 		},
 		Actions: map[string]func(*job){
 			"assign":      (*job).assign,
@@ -97,6 +98,9 @@
 			"countFailure": func(j *job) {
 				j.row.Failures++
 				j.row.Reason = j.attempt.report.Reason
+				if j.parked != "" {
+					j.row.Reason = j.parked + ": " + j.row.Reason
+				}
 			},
 			"countEviction": func(j *job) { j.row.Evictions++ },
 			"evictAttempt":  func(j *job) { j.core.stepAttempt(j, evEvict) },
@@ -124,6 +128,7 @@
 	j.row.Worker, j.row.Reason = j.target, ""
 	j.attempt = attempt{live: true, state: attemptChart.Initial(), number: j.row.Attempt, worker: j.target}
 	j.core.peers[j.target].attempts++
+	j.core.noteStart(j)
 }
 
 func (j *job) await(kind hookKind) {
--- a/internal/control/peer.go
+++ b/internal/control/peer.go
@@ -9,7 +9,6 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
-	"github.com/bambooscale/bambooscale/internal/policy/place"
 )
 
 // States of charts/peer.scxml.
@@ -45,6 +44,7 @@
 	boot      model.Boot
 	state     chart.State
 	deadline  time.Duration // of the state's timeout; 0 when it has none
+	reason    string        // of its state of health
 	confirmed bool          // the agent refuses older epochs, or did before it restarted
 	claimed   model.Boot    // incarnation that was claimed while owning
 	grants    lease.Grants
@@ -115,12 +115,14 @@
 	p := c.peer(e.Worker.ID)
 	p.worker, p.boot, p.rounds = e.Worker, e.Boot, 0
 	p.grants.Relink(c.now)
+	c.noteLink(p, true)
 	c.setWorker(p)
 	c.stepPeer(p, evUp)
 }
 
 func (c *Core) onPeerDown(id model.WorkerID) {
 	if p := c.peers[id]; p != nil {
+		c.noteLink(p, false)
 		c.stepPeer(p, evDown)
 		p.awayAt = c.now
 	}
@@ -144,19 +146,6 @@
 	c.rate(p)
 }
 
-// rate tells the ledger whether the worker may get tasks.
-func (c *Core) rate(p *peer) {
-	state := place.WorkerSuspect
-	switch {
-	case p.state == stAway:
-		state = place.WorkerDown
-	case p.state == stReady && p.rounds >= leaseRounds:
-		state = c.opts.Health.WorkerState(c.now, p.worker.ID)
-	}
-	c.ledger.SetState(p.worker.ID, state)
-	c.planning = c.planning || state == place.WorkerReady
-}
-
 func (p *peer) forget() {
 	p.confirmed, p.claimed, p.rounds, p.attempts, p.grants = false, 0, 0, 0, lease.Grants{}
 	p.lost = map[model.AttemptID]bool{}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -44,12 +44,17 @@
 	}
 	for _, j := range c.sortedJobs() {
 		if j.phase == stPending {
-			s.Jobs = append(s.Jobs, place.Job{Spec: j.row.Spec, Labels: c.jobLabels(j.row.Spec), Size: j.size, Waiting: j.order})
+			s.Jobs = append(s.Jobs, c.waiting(j))
 		}
 	}
+	s.Claims = c.activeClaims()
 	return s
 }
 
+func (c *Core) waiting(j *job) place.Job {
+	return place.Job{Spec: j.row.Spec, Labels: c.jobLabels(j.row.Spec), Size: j.size, Waiting: j.order, Avoid: c.avoid(j.id)}
+}
+
 // plan places waiting jobs: each assignment is verified and reserved at the
 // newest state, and sent when its row is committed.
 func (c *Core) plan() {
@@ -59,7 +64,7 @@
 		return
 	}
 	plan := c.opts.Planner.Plan(s)
-	policy := place.Policy{Rules: c.rules, Quotas: c.config.Quotas}
+	policy := place.Policy{Rules: c.rules, Quotas: c.config.Quotas, Claims: s.Claims}
 	for _, a := range plan.Assignments {
 		j := c.jobs[a.Job]
 		if j == nil || c.peers[a.Worker] == nil || !jobChart.Can(j, j.phase, evPlace) {
@@ -76,7 +81,9 @@
 		}
 		j.target = a.Worker
 		c.stepJob(j, evPlace)
+		delete(c.claims, j.id)
 	}
+	c.preempt(plan.Waiting)
 	for _, v := range plan.Waiting {
 		c.wait(v)
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -33,7 +33,7 @@
 	}
 	for _, w := range c.ledger.Workers() {
 		s.Workers = append(s.Workers, model.WorkerStatus{
-			Worker: w.ID, State: w.State.String(), Reason: peerChart.Name(c.peers[w.ID].state),
+			Worker: w.ID, State: w.State.String(), Reason: c.peers[w.ID].reason,
 			Capacity: w.Capacity, Charged: w.Charged, Tasks: len(w.Tasks),
 		})
 	}
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -12,5 +12,7 @@
 	JobParked     = define(305, log.WarnLevel, "job-parked", "a job failed on several good workers and is parked", "look at the job's reason")
 	ControlPaused = define(306, log.WarnLevel, "control-paused", "the controller was paused; it places nothing until its heartbeat is written", "look for an overloaded or suspended host")
 	StoreRefused  = define(307, log.WarnLevel, "control-store-error", "an operation at the table service failed and is repeated", "check the table service")
+	WorkerHealth  = define(309, log.InfoLevel, "worker-health", "the state of a worker changed", "look at the worker if it is quarantined")
+	Preempted     = define(310, log.InfoLevel, "preempted", "tasks are evicted for an urgent job", "nothing; raise capacity or quotas if it is frequent")
 	RowMalformed  = define(308, log.ErrorLevel, "control-row-malformed", "a row of the table cannot be decoded and is ignored", "correct or delete the row")
 )
