--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// Events of charts/peer.scxml.
+// Events of charts/link.scxml.
 const (
 	evHello chart.Event = iota
 	evMessage
@@ -106,8 +106,8 @@
 	evFailed
 )
 
-var peerChart = chart.MustCompile(charts.Files, chart.Binding[session]{
-	Chart:  "peer",
+var linkChart = chart.MustCompile(charts.Files, chart.Binding[session]{
+	Chart:  "link",
 	States: []string{"greeting", "up", "closed"},
 	Events: []string{"hello", "message", "silence", "failed"},
 	Actions: map[string]func(*session){
@@ -137,16 +137,16 @@
 }
 
 func (s *session) serve(ctx context.Context, in <-chan msg.Control, failed actor.Reply[error], writerDone <-chan struct{}) error {
-	s.state = peerChart.Initial()
+	s.state = linkChart.Initial()
 	defer func() {
 		if s.wasUp {
 			s.handler.Down(s.err)
 		}
 	}()
-	d, _, _ := peerChart.Timeout(s.state)
+	d, _, _ := linkChart.Timeout(s.state)
 	silence := time.NewTimer(d)
 	defer silence.Stop()
-	for !peerChart.Final(s.state) && s.err == nil {
+	for !linkChart.Final(s.state) && s.err == nil {
 		event := evMessage
 		select {
 		case s.current = <-in:
@@ -161,8 +161,8 @@
 			s.err = ctx.Err()
 			return s.err
 		}
-		peerChart.Step(s, &s.state, event)
-		if d, _, ok := peerChart.Timeout(s.state); ok {
+		linkChart.Step(s, &s.state, event)
+		if d, _, ok := linkChart.Timeout(s.state); ok {
 			silence.Reset(d)
 		}
 	}
