daemon: run jobs, configuration, operators' API and metrics in dev

Cause: the parts were merged but no process assembled them.

Change: entries run a controller for each cell, the configuration store, the operators' API and metrics, and keep a row in the list of entries; agents run the owner of task attempts and follow the list.

--- a/cmd/bambooscaled/dev.go
+++ b/cmd/bambooscaled/dev.go
@@ -16,7 +16,7 @@
 const drainTime = time.Minute
 
 func devCommand() *cobra.Command {
-	c := daemon.DevConfig{Log: log.Log}
+	c := daemon.DevConfig{Log: log.Log, Build: version}
 	cmd := &cobra.Command{
 		Use:   "dev",
 		Short: "run a whole system in one process, with simulators of the platform, on loopback",
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"slices"
 
+	"github.com/bambooscale/bambooscale/internal/chart"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 )
@@ -59,3 +61,9 @@
 	}
 	return e
 }
+
+// Final reports whether a job in the phase is over.
+func Final(p model.Phase) bool {
+	i := slices.Index(JobBinding().States, string(p))
+	return i >= 0 && jobChart.Final(chart.State(i))
+}
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -11,10 +11,14 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/agent"
 	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/directory"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/peer"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/tasks"
 )
 
 // AgentConfig is what an agent process needs.
@@ -22,9 +26,11 @@
 	Worker   model.Worker
 	Cell     model.Cell
 	Region   model.Region
-	Entries  []string // addresses for agents
+	Entries  []string // addresses for agents, to connect to first
 	Announce net.Listener
 	Dialer   link.Dialer
+	Host     tasks.Worker   // nil: the host runs no tasks
+	Table    platform.Table // nil: only Entries are connected to
 	Log      log.Interface
 }
 
@@ -34,9 +40,14 @@
 	slots agent.Address
 }
 
-// maxBackendConnections bounds the connections to the backend server; the
-// slots bound them further.
-const maxBackendConnections = 64
+const (
+	// maxBackendConnections bounds the connections to the backend server; the
+	// slots bound them further.
+	maxBackendConnections = 64
+	// agentDirectoryInterval is how often an agent reads the list of entries:
+	// 6,900 agents make 115 reads/s of the 2,000 that the table handles.
+	agentDirectoryInterval = time.Minute
+)
 
 // StartAgent starts the actors of an agent in g.
 func StartAgent(g *actor.Group, c AgentConfig) *Agent {
@@ -55,14 +66,74 @@
 			return hello
 		},
 	}
-	for _, address := range c.Entries {
-		actor.Go(g, "entry link "+address, func(ctx context.Context) error { return links.Connect(ctx, address) })
+	if c.Host != nil {
+		owner := tasks.Start(g, tasks.Config{Worker: c.Worker, Cell: c.Cell, Host: c.Host, Log: c.Log})
+		links.Subscribers = append(links.Subscribers, agentTasks{g.Context(), owner})
+	}
+	connector := spawnConnector(g, links, c.Region, c.Entries)
+	if c.Table != nil {
+		directory.Follow(g, c.Table, agentDirectoryInterval, c.Log, func(list []rows.Entry) {
+			_ = connector.Send(g.Context(), list)
+		})
 	}
 	serve(g, "announce listener", c.Announce, agent.AnnounceHandler(a.slots, c.Worker.ID), http.DefaultMaxHeaderBytes)
 	watchPauses(g, c.Log)
 	return a
 }
 
+// spawnConnector starts the actor that keeps a link to each entry: those of
+// the settings, and the living ones of the region.
+func spawnConnector(g *actor.Group, links *agent.Links, region model.Region, seeds []string) actor.Address[[]rows.Entry] {
+	return actor.Spawn(g, actor.Spec[[]rows.Entry]{Name: "connector", Mailbox: 1,
+		Run: func(ctx context.Context, in <-chan []rows.Entry) error {
+			connected := map[string]*actor.Group{}
+			wanted := map[string]bool{}
+			for _, address := range seeds {
+				wanted[address] = true
+			}
+			for {
+				reconcile(g, links, connected, wanted)
+				select {
+				case list := <-in:
+					wanted = wantedEntries(list, region, seeds)
+				case <-ctx.Done():
+					return nil
+				}
+			}
+		}})
+}
+
+func wantedEntries(list []rows.Entry, region model.Region, seeds []string) map[string]bool {
+	wanted := map[string]bool{}
+	for _, address := range seeds {
+		wanted[address] = true
+	}
+	for _, e := range list {
+		if e.Region == region {
+			wanted[e.Address] = true
+		}
+	}
+	return wanted
+}
+
+// reconcile starts the links that are missing and ends those to entries that
+// have gone.
+func reconcile(g *actor.Group, links *agent.Links, connected map[string]*actor.Group, wanted map[string]bool) {
+	for address := range wanted {
+		if connected[address] == nil {
+			sub := g.Sub()
+			connected[address] = sub
+			actor.Go(sub, "entry link "+address, func(ctx context.Context) error { return links.Connect(ctx, address) })
+		}
+	}
+	for address, sub := range connected {
+		if !wanted[address] {
+			sub.Cancel()
+			delete(connected, address)
+		}
+	}
+}
+
 // drainCheck is how often a stopping agent looks whether it is idle.
 const drainCheck = 50 * time.Millisecond
 
@@ -92,14 +163,45 @@
 
 // The sends below fail only when the process ends.
 
+// EntryUp implements agent.Subscriber.
 func (s agentConfig) EntryUp(hello msg.EntryHello, out peer.Out) {
 	_ = s.handle.LinkUp(s.ctx, string(hello.Entry), hello.Version, out)
 }
 
+// EntryDown implements agent.Subscriber.
 func (s agentConfig) EntryDown(entry model.EntryID, out peer.Out) {
 	_ = s.handle.LinkDown(s.ctx, string(entry), out)
 }
 
+// FromEntry implements agent.Subscriber.
 func (s agentConfig) FromEntry(entry model.EntryID, m msg.Control) {
-	_ = s.handle.Deliver(s.ctx, string(entry), m)
+	switch m.(type) {
+	case *msg.ConfigDelta, *msg.ConfigRequest, *msg.ConfigApplied:
+		_ = s.handle.Deliver(s.ctx, string(entry), m)
+	}
+}
+
+// agentTasks passes commands of controllers to the owner of the attempts.
+type agentTasks struct {
+	ctx   context.Context
+	owner actor.Address[tasks.Message]
+}
+
+// EntryUp implements agent.Subscriber.
+func (s agentTasks) EntryUp(hello msg.EntryHello, out peer.Out) {
+	_ = s.owner.Send(s.ctx, tasks.EntryUp{Entry: hello.Entry, Boot: hello.Boot, Link: out})
+}
+
+// EntryDown implements agent.Subscriber.
+func (s agentTasks) EntryDown(entry model.EntryID, out peer.Out) {
+	_ = s.owner.Send(s.ctx, tasks.EntryDown{Entry: entry, Link: out})
+}
+
+// FromEntry implements agent.Subscriber.
+func (s agentTasks) FromEntry(entry model.EntryID, m msg.Control) {
+	switch m.(type) {
+	case *msg.ConfigDelta, *msg.ConfigRequest, *msg.ConfigApplied:
+	default:
+		_ = s.owner.Send(s.ctx, tasks.FromEntry{Entry: entry, Msg: m})
+	}
 }
--- /dev/null
+++ b/internal/daemon/cells.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/control"
+	"github.com/bambooscale/bambooscale/internal/entry"
+	"github.com/bambooscale/bambooscale/internal/labels"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/peer"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/policy/place"
+)
+
+// cells are the controllers of the cells that an entry contends for. The map
+// is not changed after start.
+type cells struct {
+	ctx         context.Context
+	controllers map[model.Cell]actor.Address[control.Message]
+}
+
+func startCells(g *actor.Group, names []model.Cell, self entry.Self, address string, table platform.Table, l log.Interface) *cells {
+	c := &cells{ctx: g.Context(), controllers: map[model.Cell]actor.Address[control.Message]{}}
+	for _, name := range names {
+		c.controllers[name] = control.Start(g, control.Config{
+			Options: control.Options{Cell: name, Entry: self.Entry, Boot: self.Boot, Address: address},
+			Table:   table, Log: l,
+		})
+	}
+	return c
+}
+
+// The sends below fail only when the process ends.
+
+// AgentUp implements entry.Subscriber.
+func (c *cells) AgentUp(hello msg.AgentHello, out peer.Out) {
+	_ = c.controllers[hello.Cell].Send(c.ctx, control.AgentUp{Worker: hello.Worker, Cell: hello.Cell, Boot: hello.Boot, Link: out})
+}
+
+// AgentDown implements entry.Subscriber.
+func (c *cells) AgentDown(hello msg.AgentHello, out peer.Out) {
+	_ = c.controllers[hello.Cell].Send(c.ctx, control.AgentDown{Worker: hello.Worker.ID, Link: out})
+}
+
+// FromAgent implements entry.Subscriber.
+func (c *cells) FromAgent(hello msg.AgentHello, m msg.Control) {
+	switch m.(type) {
+	case *msg.TaskReport, *msg.Inventory, *msg.LeaseAck, *msg.UsageReport:
+		_ = c.controllers[hello.Cell].Send(c.ctx, control.FromAgent{Worker: hello.Worker.ID, Msg: m})
+	}
+}
+
+// configure passes the configuration in force to every controller. It reports
+// whether all have taken it.
+func (c *cells) configure(s *configstore.Snapshot) bool {
+	m := control.ConfigChanged{Config: placementConfig(s)}
+	all := true
+	for _, to := range c.controllers {
+		all = to.TrySend(m) && all
+	}
+	return all
+}
+
+func placementConfig(s *configstore.Snapshot) control.Configuration {
+	c := control.Configuration{
+		Quotas: s.Quotas(),
+		Teams:  labelsOf[model.Team](s, model.KindTeam), Classes: labelsOf[model.Class](s, model.KindClass),
+		Jobs: labelsOf[model.JobID](s, model.KindJob), Workers: labelsOf[model.WorkerID](s, model.KindWorker),
+	}
+	for _, sel := range s.Selectors("") {
+		c.Selectors = append(c.Selectors, place.NamedSelector{Name: sel.Name, Selector: sel.Selector})
+	}
+	return c
+}
+
+func labelsOf[K ~string](s *configstore.Snapshot, kind model.ConfigKind) map[K]model.Labels {
+	m := map[K]model.Labels{}
+	for _, k := range s.Keys(kind) {
+		m[K(k.Name)] = s.Labels(kind, k.Name)
+	}
+	return m
+}
+
+func (c *cells) status(ctx context.Context) ([]model.CellStatus, error) {
+	var list []model.CellStatus
+	for _, to := range c.controllers {
+		st, err := actor.Ask(ctx, to, func(r actor.Reply[model.CellStatus]) control.Message {
+			return control.StatusQuery{Reply: r}
+		})
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, st)
+	}
+	return list, nil
+}
+
+// explainJob asks the controllers about a job; the one that knows it answers.
+func (c *cells) explainJob(ctx context.Context, id model.JobID) (any, error) {
+	for _, to := range c.controllers {
+		e, err := actor.Ask(ctx, to, func(r actor.Reply[control.Explanation]) control.Message {
+			return control.ExplainQuery{Job: id, Reply: r}
+		})
+		if err != nil {
+			return nil, err
+		}
+		if e.Known {
+			return e, nil
+		}
+	}
+	return nil, platform.ErrNotFound
+}
+
+// matcher parses a label selector for the operators' API.
+func matcher(text string) (func(model.Labels) bool, error) {
+	s, err := labels.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	return s.Matches, nil
+}
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 
 	"github.com/apex/log"
 
@@ -11,12 +12,14 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/settings"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/tasks"
 )
 
 // DevConfig are the options of a whole system in one process.
 type DevConfig struct {
 	Listen         string // for callers
 	OperatorListen string
+	Build          string // version of the program
 	Log            log.Interface
 }
 
@@ -57,7 +60,7 @@
 	objects := standin.NewObjects(g, standin.StoreFaults{})
 	d := &Dev{Callers: callers.Addr().String(), Operator: operator.Addr().String()}
 	d.entry = StartEntry(g, EntryConfig{
-		Settings: devSettings(), Table: table, Objects: objects,
+		Settings: devSettings(), Build: c.Build, Table: table, Objects: objects,
 		Callers: callers, Agents: agents, Operator: operator, Log: c.Log,
 	})
 	return d, d.startHost(g, c, agents.Addr(), objects)
@@ -69,7 +72,6 @@
 	s.Entry.Cells, s.Entry.DefaultCell = []model.Cell{devCell}, devCell
 	s.Entry.DefaultService = devService
 	s.Entry.MaxBody, s.Entry.MaxHeader, s.Entry.MaxCallers = 64<<20, 64<<10, 4096
-	s.Entry.RequestDeadline = 0 // the default of the entry
 	return s
 }
 
@@ -80,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	tasks, err := net.Listen("tcp", anyPort)
+	tasksListener, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return err
 	}
@@ -90,7 +92,7 @@
 	}
 	capacity := model.Resources{CPU: devCores, Memory: devMemory}
 	worker := standin.NewWorker(g, standin.WorkerConfig{ID: devWorker, Capacity: capacity, Objects: objects})
-	actor.Go(g, "simulated worker", func(ctx context.Context) error { return worker.Serve(ctx, tasks) })
+	actor.Go(g, "simulated worker", func(ctx context.Context) error { return worker.Serve(ctx, tasksListener) })
 	backend := standin.NewBackend(g, standin.BackendConfig{
 		Service: devService, Address: requests.Addr().String(), Agent: "http://" + announce.Addr().String(),
 	})
@@ -99,6 +101,7 @@
 		Worker: model.Worker{ID: devWorker, DataCentre: devDataCentre, Rack: "rack-1", Capacity: capacity},
 		Cell:   devCell, Entries: []string{entry}, Announce: announce,
 		Dialer: link.NewDialer(g, link.Config{}), Log: c.Log,
+		Host: tasks.NewHTTPWorker("http://"+tasksListener.Addr().String(), http.DefaultClient),
 	})
 	return nil
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -3,23 +3,28 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/apex/log"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/directory"
 	"github.com/bambooscale/bambooscale/internal/entry"
 	"github.com/bambooscale/bambooscale/internal/link"
+	"github.com/bambooscale/bambooscale/internal/metrics"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/peer"
 	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
 	"github.com/bambooscale/bambooscale/internal/settings"
 )
 
 // EntryConfig is what an entry process needs.
 type EntryConfig struct {
 	Settings *settings.Settings
+	Build    string // version of the program
 	Table    platform.Table
 	Objects  platform.Objects
 	Callers  net.Listener
@@ -28,6 +33,9 @@
 	Log      log.Interface
 }
 
+// directoryInterval is how often an entry reads the list of entries.
+const directoryInterval = 5 * time.Second
+
 // Entry is a running entry.
 type Entry struct {
 	shutdownCallers func(context.Context) error
@@ -39,27 +47,47 @@
 	self := entry.Self{Entry: model.EntryID(set.Daemon.ID), Boot: newBoot(), DataCentre: set.Daemon.DataCentre}
 	store := configstore.StartStore(g, configstore.StoreConfig{ID: self.Entry, Table: c.Table, Check: configCheck, Log: c.Log})
 	table := &actor.Value[entry.RoutingTable]{}
-	empty := routing(configstore.NewSnapshot(0, nil), set.Entry.DefaultService)
-	dispatcher := entry.SpawnDispatcher(g, self, empty, table)
+	dispatcher := entry.SpawnDispatcher(g, self, routing(configstore.NewSnapshot(0, nil), set), table)
+	controllers := startCells(g, set.Entry.Cells, self, c.Agents.Addr(), c.Table, c.Log)
 	// Subscribe fails only when the process ends.
 	_ = store.Subscribe(g.Context(), func(u configstore.Update) bool {
-		return dispatcher.TrySend(entry.Routing{Table: routing(u.Snapshot, set.Entry.DefaultService)})
+		return dispatcher.TrySend(entry.Routing{Table: routing(u.Snapshot, set)}) && controllers.configure(u.Snapshot)
 	})
-	startLinks(g, c, self, store, dispatcher)
+	startLinks(g, c, self, store, dispatcher, controllers)
+	registry := metrics.Start(g)
+	startOperator(g, c, &view{self: self, dispatcher: dispatcher, cells: controllers, entries: &actor.Value[[]rows.Entry]{}},
+		store, registry)
 	front := &entry.Frontend{
 		Dispatcher: dispatcher, Table: table.Get, MaxBody: int64(set.Entry.MaxBody),
-		Slots: make(chan struct{}, set.Entry.MaxCallers),
+		Slots: make(chan struct{}, set.Entry.MaxCallers), Observe: observer(metrics.StartRequests(g, registry)),
 	}
-	e := &Entry{}
-	e.shutdownCallers = serve(g, "callers listener", c.Callers, front, int(set.Entry.MaxHeader))
+	directory.Announce(g, c.Table, rows.Entry{
+		ID: self.Entry, Boot: self.Boot, Address: c.Agents.Addr(), Operator: c.Operator.Addr().String(),
+		DataCentre: self.DataCentre, Region: set.Daemon.Region,
+	})
 	watchPauses(g, c.Log)
-	return e
+	return &Entry{shutdownCallers: serve(g, "callers listener", c.Callers, front, int(set.Entry.MaxHeader))}
+}
+
+// observer turns the results of requests into measurements.
+func observer(record func(metrics.Observation)) func(entry.Result) {
+	return func(r entry.Result) {
+		outcome := "done"
+		switch {
+		case r.Status == 0:
+			outcome = "aborted"
+		case r.Own:
+			outcome = r.Outcome.String()
+		}
+		record(metrics.Observation{Service: string(r.Service), Class: string(r.Class), Tenant: string(r.Tenant),
+			Outcome: outcome, Took: r.Duration})
+	}
 }
 
-func startLinks(g *actor.Group, c EntryConfig, self entry.Self, store *configstore.Store, dispatcher entry.Address) {
+func startLinks(g *actor.Group, c EntryConfig, self entry.Self, store *configstore.Store, dispatcher entry.Address, controllers *cells) {
 	links := &entry.Links{
 		Self: self, Dispatcher: dispatcher, Log: c.Log,
-		Subscribers: []entry.Subscriber{entryConfig{g.Context(), store.Handle}},
+		Subscribers: []entry.Subscriber{entryConfig{g.Context(), store.Handle}, controllers},
 		Version: func() model.ConfigVersion {
 			u, err := store.Current(g.Context())
 			if err != nil {
@@ -83,14 +111,20 @@
 
 // The sends below fail only when the process ends.
 
+// AgentUp implements entry.Subscriber.
 func (s entryConfig) AgentUp(hello msg.AgentHello, out peer.Out) {
 	_ = s.handle.LinkUp(s.ctx, string(hello.Worker.ID), hello.Version, out)
 }
 
+// AgentDown implements entry.Subscriber.
 func (s entryConfig) AgentDown(hello msg.AgentHello, out peer.Out) {
 	_ = s.handle.LinkDown(s.ctx, string(hello.Worker.ID), out)
 }
 
+// FromAgent implements entry.Subscriber.
 func (s entryConfig) FromAgent(hello msg.AgentHello, m msg.Control) {
-	_ = s.handle.Deliver(s.ctx, string(hello.Worker.ID), m)
+	switch m.(type) {
+	case *msg.ConfigDelta, *msg.ConfigRequest, *msg.ConfigApplied:
+		_ = s.handle.Deliver(s.ctx, string(hello.Worker.ID), m)
+	}
 }
--- /dev/null
+++ b/internal/daemon/operator.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/control"
+	"github.com/bambooscale/bambooscale/internal/directory"
+	"github.com/bambooscale/bambooscale/internal/entry"
+	"github.com/bambooscale/bambooscale/internal/labels"
+	"github.com/bambooscale/bambooscale/internal/metrics"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/operator"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
+)
+
+// view answers the operators' questions about an entry.
+type view struct {
+	self       entry.Self
+	dispatcher entry.Address
+	cells      *cells
+	entries    *actor.Value[[]rows.Entry]
+}
+
+func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) {
+	set := c.Settings
+	directory.Follow(g, c.Table, directoryInterval, c.Log, func(list []rows.Entry) { v.entries.Set(&list) })
+	api := operator.New(g, operator.Config{
+		Entry: v.self.Entry, Build: c.Build, Token: set.Entry.OperatorToken, DefaultCell: set.Entry.DefaultCell,
+		Table: c.Table, Objects: c.Objects, Store: store, Log: c.Log,
+		Labels: labels.Validate, Selector: matcher, Final: control.Final,
+		Services: v.services, Cells: v.cells.status, Explain: v.explain, Drain: v.drain, Peers: v.peers,
+		Metrics: registry.Handler(),
+	})
+	api.Serve(g, c.Operator)
+}
+
+func (v *view) services(ctx context.Context) ([]model.ServiceStatus, error) {
+	return actor.Ask(ctx, v.dispatcher, func(r actor.Reply[[]model.ServiceStatus]) entry.Message {
+		return entry.StatusQuery{Reply: r}
+	})
+}
+
+func (v *view) drain(ctx context.Context, id model.BackendID) error {
+	found, err := actor.Ask(ctx, v.dispatcher, func(r actor.Reply[bool]) entry.Message {
+		return entry.DrainQuery{Backend: id, Reply: r}
+	})
+	if err == nil && !found {
+		return platform.ErrNotFound
+	}
+	return err
+}
+
+// peers lists the other living entries.
+func (v *view) peers(context.Context) ([]operator.Peer, error) {
+	var list []operator.Peer
+	if known := v.entries.Get(); known != nil {
+		for _, e := range *known {
+			if e.ID != v.self.Entry {
+				list = append(list, operator.Peer{ID: e.ID, Operator: e.Operator})
+			}
+		}
+	}
+	return list, nil
+}
+
+// explain says why a thing is in its state.
+func (v *view) explain(ctx context.Context, kind, name string) (any, error) {
+	switch kind {
+	case "job":
+		return v.cells.explainJob(ctx, model.JobID(name))
+	case "worker":
+		return v.explainWorker(ctx, model.WorkerID(name))
+	case "backend", "class":
+		services, err := v.services(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if kind == "class" {
+			return explainClass(services, model.Class(name))
+		}
+		return explainBackend(services, model.BackendID(name))
+	}
+	return nil, platform.ErrNotFound
+}
+
+func (v *view) explainWorker(ctx context.Context, id model.WorkerID) (any, error) {
+	list, err := v.cells.status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range list {
+		if i := slices.IndexFunc(c.Workers, func(w model.WorkerStatus) bool { return w.Worker == id }); i >= 0 {
+			return c.Workers[i], nil
+		}
+	}
+	return nil, platform.ErrNotFound
+}
+
+// backendExplanation says why a backend server gets the work that it gets.
+type backendExplanation struct {
+	model.BackendStatus
+	Service model.Service `json:"service"`
+	Queued  int           `json:"queued"`
+	Reason  string        `json:"reason"`
+}
+
+func explainBackend(services []model.ServiceStatus, id model.BackendID) (any, error) {
+	for _, s := range services {
+		for _, b := range s.Backends {
+			if b.Backend == id {
+				return backendExplanation{BackendStatus: b, Service: s.Service, Queued: s.Queued, Reason: backendReason(b, s)}, nil
+			}
+		}
+	}
+	return nil, platform.ErrNotFound
+}
+
+func backendReason(b model.BackendStatus, s model.ServiceStatus) string {
+	switch {
+	case b.State != "ready":
+		return "it is " + b.State + ": its agent lends no credits"
+	case b.Credits == 0 && b.Running == 0:
+		return "this entry holds no credit for it: other entries use its slots"
+	case b.Credits == 0:
+		return "every credit of this entry is in use"
+	case s.Queued == 0:
+		return "no request waits; it has idle credits"
+	}
+	return "the requests that wait belong to long classes, which may not use its free slots"
+}
+
+// classExplanation says how the requests of a class are treated.
+type classExplanation struct {
+	model.ClassStatus
+	Service model.Service `json:"service"`
+	Reason  string        `json:"reason"`
+}
+
+func explainClass(services []model.ServiceStatus, name model.Class) (any, error) {
+	for _, s := range services {
+		for _, c := range s.Classes {
+			if c.Class == name {
+				return classExplanation{ClassStatus: c, Service: s.Service, Reason: classReason(c, s)}, nil
+			}
+		}
+	}
+	return nil, platform.ErrNotFound
+}
+
+func classReason(c model.ClassStatus, s model.ServiceStatus) string {
+	credits := 0
+	for _, b := range s.Backends {
+		credits += b.Credits
+	}
+	switch {
+	case len(s.Backends) == 0:
+		return "no backend server of the service is linked: requests wait for one and are refused when they cannot start in time"
+	case c.Long:
+		return "it is long: it may use half of the slots, and none of one backend server in each data centre"
+	case credits == 0:
+		return "every slot is in use: a request is refused when it could not end before its deadline"
+	}
+	return "slots are free: requests start at once"
+}
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -4,12 +4,16 @@
 	"github.com/bambooscale/bambooscale/internal/configstore"
 	"github.com/bambooscale/bambooscale/internal/entry"
 	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/settings"
 )
 
 // routing derives the services and classes of requests from the labels in
 // force.
-func routing(s *configstore.Snapshot, fallback model.Service) *entry.RoutingTable {
-	t := &entry.RoutingTable{Services: map[model.Service]entry.ServiceRule{}, Default: fallback}
+func routing(s *configstore.Snapshot, set *settings.Settings) *entry.RoutingTable {
+	t := &entry.RoutingTable{
+		Services: map[model.Service]entry.ServiceRule{},
+		Default:  set.Entry.DefaultService, Deadline: set.Entry.RequestDeadline,
+	}
 	t.Shared = classRules(s.Classes(""), nil)
 	for _, k := range s.Keys(model.KindService) {
 		name := model.Service(k.Name)
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -192,13 +192,14 @@
 // publish adds the services that only announcements name to the configured
 // ones.
 func (d *dispatcher) publish() {
-	all := &RoutingTable{Services: maps.Clone(d.rules.Services), Default: d.rules.Default}
+	all := *d.rules
+	all.Services = maps.Clone(d.rules.Services)
 	for name := range d.services {
 		if _, ok := all.Services[name]; !ok {
 			all.Services[name] = ServiceRule{Name: name, Classes: d.rules.Shared}
 		}
 	}
-	d.table.Set(all)
+	d.table.Set(&all)
 }
 
 func (d *dispatcher) applyRule(s *service) {
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"strings"
@@ -50,6 +51,7 @@
 	Services map[model.Service]ServiceRule
 	Shared   []ClassRule   // classes of services that have no rule of their own
 	Default  model.Service // for requests that name none; may be empty
+	Deadline time.Duration // of classes without one of their own; 0: DefaultDeadline
 }
 
 // route is where a request belongs.
@@ -73,10 +75,7 @@
 	if rt.tenant == "" {
 		rt.tenant = model.Tenant(rule.Name)
 	}
-	rt.deadline = rt.class.Deadline
-	if rt.deadline <= 0 {
-		rt.deadline = DefaultDeadline
-	}
+	rt.deadline = cmp.Or(rt.class.Deadline, t.Deadline, DefaultDeadline)
 	return rt, true
 }
 
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -27,7 +27,7 @@
 	{"internal/msg", "internal/labels"},
 	{"internal/policy/", "internal/wire"},
 	{"internal/link", "internal/platform", "internal/rows", "internal/metrics", "internal/settings"},
-	{"internal/peer"},
+	{"internal/peer", "internal/directory"},
 	{"internal/entry", "internal/agent", "internal/tasks", "internal/control", "internal/configstore"},
 	{"internal/operator", "internal/standin"},
 	{"internal/daemon", "internal/command"},
--- a/internal/tasks/http.go
+++ b/internal/tasks/http.go
@@ -56,21 +56,29 @@
 	Checkpoint string `json:"checkpoint"`
 }
 
-// TaskList is the response of GET /v1/tasks.
-type TaskList struct {
-	Tasks []TaskEntry `json:"tasks"`
-}
-
-// TaskEntry is one task of a TaskList. AgeMs is the age of Usage.
+// TaskEntry is one task of the list that GET /v1/tasks answers. Usage is
+// absent until the first measurement is old enough.
 type TaskEntry struct {
 	ID         string          `json:"id"`
 	State      model.TaskState `json:"state"`
 	Checkpoint string          `json:"checkpoint,omitempty"`
 	Result     string          `json:"result,omitempty"`
 	Reason     string          `json:"reason,omitempty"`
-	Usage      model.Resources `json:"usage"`
-	AgeMs      int64           `json:"ageMs"`
-	RanForMs   int64           `json:"ranForMs"`
+	Usage      *TaskUsage      `json:"usage,omitempty"`
+	RanMs      int64           `json:"ranMs"`
+}
+
+// TaskUsage is a measured consumption of AgeMs ago.
+type TaskUsage struct {
+	model.Resources
+	AgeMs int64 `json:"ageMs"`
+}
+
+func (u *TaskUsage) usage() model.Usage {
+	if u == nil {
+		return model.Usage{}
+	}
+	return model.Usage{Resources: u.Resources, Age: time.Duration(u.AgeMs) * time.Millisecond}
 }
 
 // Start implements Worker.
@@ -106,20 +114,20 @@
 // List implements Worker. Tasks whose id is not that of an attempt are not
 // ours and are left out.
 func (w *HTTPWorker) List(ctx context.Context) ([]Task, error) {
-	var list TaskList
+	var list []TaskEntry
 	if err := w.call(ctx, http.MethodGet, "/v1/tasks", nil, &list); err != nil {
 		return nil, err
 	}
-	tasks := make([]Task, 0, len(list.Tasks))
-	for _, t := range list.Tasks {
+	tasks := make([]Task, 0, len(list))
+	for _, t := range list {
 		id, ok := model.ParseAttemptID(t.ID)
 		if !ok {
 			continue
 		}
 		tasks = append(tasks, Task{
 			Attempt: id, State: t.State, Checkpoint: t.Checkpoint, Result: t.Result, Reason: t.Reason,
-			Usage:  model.Usage{Resources: t.Usage, Age: time.Duration(t.AgeMs) * time.Millisecond},
-			RanFor: time.Duration(t.RanForMs) * time.Millisecond,
+			Usage:  t.Usage.usage(),
+			RanFor: time.Duration(t.RanMs) * time.Millisecond,
 		})
 	}
 	return tasks, nil
