bambooscaled: run roles from settings, and simulators as processes

Cause: only dev assembled the parts; tests and trials need processes.

The simulated backend server names its instance, so that a restart ends a drain.

--- a/cmd/bambooscaled/main.go
+++ b/cmd/bambooscaled/main.go
@@ -26,7 +26,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(devCommand(), eventsCommand(), versionCommand())
+	root.AddCommand(runCommand(), devCommand(), standinCommand(), eventsCommand(), versionCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/bambooscaled/run.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/spf13/cobra"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/daemon"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/link"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/settings"
+	"github.com/bambooscale/bambooscale/internal/tasks"
+)
+
+// shutdownTime bounds a graceful shutdown. Requests end by their own
+// deadlines before that; only very long ones are cut off.
+const shutdownTime = 30 * time.Minute
+
+func runCommand() *cobra.Command {
+	var file string
+	var check bool
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "run an entry or an agent with a settings file",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.Load(file)
+			if err != nil || check {
+				return err
+			}
+			return run(cmd, s)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "bambooscale.ini", "settings file")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings, print every finding and exit")
+	return cmd
+}
+
+// drainer stops a role in order.
+type drainer interface{ Drain(context.Context) error }
+
+func run(cmd *cobra.Command, s *settings.Settings) error {
+	log.SetLevel(s.Daemon.LogLevel)
+	g := daemon.NewGroup(context.WithoutCancel(cmd.Context()), log.Log)
+	defer g.Stop()
+	var d drainer
+	var err error
+	if s.Daemon.Role == settings.RoleEntry {
+		d, err = runEntry(cmd, g, s)
+	} else {
+		d, err = runAgent(cmd, g, s)
+	}
+	if err != nil {
+		return err
+	}
+	event.Log(log.Log, event.DaemonReady, log.Fields{"role": string(s.Daemon.Role), "id": s.Daemon.ID})
+	<-cmd.Context().Done()
+	event.Log(log.Log, event.DaemonStops, log.Fields{"id": s.Daemon.ID})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(cmd.Context()), shutdownTime)
+	defer cancel()
+	return d.Drain(ctx)
+}
+
+// linkConfig loads the keys for mutual TLS, if the settings name any, and
+// reads them again on SIGHUP.
+func linkConfig(g *actor.Group, s *settings.Settings) (link.Config, error) {
+	if !s.TLS.Enabled() {
+		return link.Config{}, nil
+	}
+	keys, err := link.LoadKeys(g, link.KeyFiles{Certificate: s.TLS.Certificate, Key: s.TLS.Key, CA: s.TLS.Authority})
+	if err != nil {
+		return link.Config{}, err
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	actor.Go(g, "key reload", func(ctx context.Context) error {
+		defer signal.Stop(hup)
+		for {
+			select {
+			case <-hup:
+				fields := log.Fields{"certificate": s.TLS.Certificate}
+				if err := keys.Reload(ctx); err != nil {
+					fields["error"] = err.Error()
+					event.Log(log.Log, event.KeysRejected, fields)
+					continue
+				}
+				event.Log(log.Log, event.KeysReloaded, fields)
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+	return link.Config{Keys: keys}, nil
+}
+
+func platformConfig(u *url.URL) platform.HTTPConfig { return platform.HTTPConfig{URL: u.String()} }
+
+func runEntry(cmd *cobra.Command, g *actor.Group, s *settings.Settings) (drainer, error) {
+	callers, err := net.Listen("tcp", s.Entry.Listen)
+	if err != nil {
+		return nil, err
+	}
+	operator, err := net.Listen("tcp", s.Entry.OperatorListen)
+	if err != nil {
+		return nil, err
+	}
+	links, err := linkConfig(g, s)
+	if err != nil {
+		return nil, err
+	}
+	agents, err := link.Listen(g, s.Entry.AgentsListen, links)
+	if err != nil {
+		return nil, err
+	}
+	e := daemon.StartEntry(g, daemon.EntryConfig{
+		Settings: s, Build: version,
+		Table:   platform.NewHTTPTable(platformConfig(s.Daemon.Table)),
+		Objects: platform.NewHTTPObjects(platformConfig(s.Daemon.Objects)),
+		Callers: callers, Agents: agents, Operator: operator, Log: log.Log,
+	})
+	fmt.Fprintf(cmd.OutOrStdout(), "ready callers=%s operators=%s agents=%s\n", callers.Addr(), operator.Addr(), agents.Addr())
+	return e, nil
+}
+
+func runAgent(cmd *cobra.Command, g *actor.Group, s *settings.Settings) (drainer, error) {
+	announce, err := net.Listen("tcp", s.Agent.AnnounceListen)
+	if err != nil {
+		return nil, err
+	}
+	links, err := linkConfig(g, s)
+	if err != nil {
+		return nil, err
+	}
+	c := daemon.AgentConfig{
+		Worker: model.Worker{ID: model.WorkerID(s.Daemon.ID), DataCentre: s.Daemon.DataCentre, Rack: s.Agent.Rack,
+			Capacity: s.Agent.Capacity, Labels: s.Agent.Labels},
+		Cell: s.Agent.Cell, Region: s.Daemon.Region, Entries: s.Agent.Entries,
+		Announce: announce, Dialer: link.NewDialer(g, links), Log: log.Log,
+	}
+	if s.Daemon.Table != nil {
+		c.Table = platform.NewHTTPTable(platformConfig(s.Daemon.Table))
+	}
+	if s.Agent.Worker != nil {
+		host := tasks.NewHTTPWorker(s.Agent.Worker.String(), http.DefaultClient)
+		if err := describeWorker(cmd.Context(), host, &c.Worker); err != nil {
+			return nil, err
+		}
+		c.Host = host
+	}
+	a := daemon.StartAgent(g, c)
+	fmt.Fprintf(cmd.OutOrStdout(), "ready announce=%s\n", announce.Addr())
+	return a, nil
+}
+
+// describeWorker fills in the capacity that the settings leave open. The
+// worker may start after its agent, so it is asked until it answers.
+func describeWorker(ctx context.Context, host tasks.Worker, w *model.Worker) error {
+	for w.Capacity.CPU == 0 || w.Capacity.Memory == 0 {
+		found, err := host.Describe(ctx)
+		if err == nil {
+			w.Capacity = fill(w.Capacity, found.Capacity)
+			break
+		}
+		log.WithError(err).Warn("the worker does not answer yet")
+		if !actor.Sleep(ctx, time.Second) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func fill(set, found model.Resources) model.Resources {
+	if set.CPU == 0 {
+		set.CPU = found.CPU
+	}
+	if set.Memory == 0 {
+		set.Memory = found.Memory
+	}
+	if set.Accelerators == 0 {
+		set.Accelerators = found.Accelerators
+	}
+	return set
+}
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"net/http"
 
@@ -17,7 +18,7 @@
 }
 
 func newAnnouncer(c BackendConfig) announcer {
-	body, err := json.Marshal(Announcement{c.Service, c.Address, c.Slots, c.Connections, c.Class})
+	body, err := json.Marshal(Announcement{c.Service, c.Address, c.Slots, c.Connections, c.Class, rand.Text()})
 	if err != nil {
 		panic(err) // the type can always be encoded
 	}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -39,6 +39,7 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Class       string `json:"class,omitempty"`
+	Instance    string `json:"instance"` // another one after each restart
 }
 
 // Fault is what a backend server does wrong with a request. A request asks
