chart: report defects of a file that panicked or passed

A fuzz target for chart files found that a transition or timeout inside a misplaced state panicked the parser. Reading the parser for the target showed three defects that were accepted: cond="!" without a guard, which compiled to a transition that is always taken; a second chart in the file; and more than 256 states or events, whose indexes wrapped around.

--- a/internal/chart/check.go
+++ b/internal/chart/check.go
@@ -6,6 +6,9 @@
 	"github.com/bambooscale/bambooscale/internal/finding"
 )
 
+// maxNames is the number of values of State and of Event.
+const maxNames = 256
+
 // Check reports the findings that need no binding: undefined initial state or
 // target, duplicate or unreachable state, wait state without a timeout, and a
 // final state with transitions.
@@ -25,6 +28,12 @@
 		d.checkState(s, index, &found)
 	}
 	d.checkReachable(index, &found)
+	if n := len(d.States); n > maxNames {
+		found.Add(d.File, 1, "scxml", "%d states, at most %d are supported", n, maxNames)
+	}
+	if n := len(d.Events()); n > maxNames {
+		found.Add(d.File, 1, "scxml", "%d events, at most %d are supported", n, maxNames)
+	}
 	return found
 }
 
--- a/internal/chart/document.go
+++ b/internal/chart/document.go
@@ -80,6 +80,7 @@
 	dec   *xml.Decoder
 	doc   *Document
 	found finding.List
+	root  bool // the root element was met
 	path  []string
 	text  strings.Builder
 }
@@ -140,7 +141,11 @@
 		p.add(name, "element <%s> must be inside <%s>, not <%s>", name, want, parent)
 		return
 	}
-	p.open(name, p.attributes(e, name))
+	attrs := p.attributes(e, name)
+	if (name == "transition" || name == "send") && len(p.doc.States) == 0 {
+		return // inside a misplaced state, which is a finding already
+	}
+	p.open(name, attrs)
 }
 
 // allowed lists the attributes of each element.
@@ -179,6 +184,10 @@
 func (p *parser) open(name string, attrs map[string]string) {
 	switch name {
 	case "scxml":
+		if p.root {
+			p.add(name, "a file holds one chart")
+		}
+		p.root = true
 		p.doc.Name, p.doc.Initial = attrs["name"], attrs["initial"]
 	case "state", "final":
 		if attrs["id"] == "" {
@@ -202,6 +211,9 @@
 	}
 	s := p.current()
 	cond := strings.TrimSpace(attrs["cond"])
+	if cond == "!" {
+		p.add("transition", "cond %q names no guard", cond)
+	}
 	s.Transitions = append(s.Transitions, TransitionNode{
 		Line: p.line(), Event: attrs["event"], Target: attrs["target"],
 		Cond: strings.TrimPrefix(cond, "!"), Negated: strings.HasPrefix(cond, "!"),
