wire, link: fuzz decoding and check every round trip

A rapid property checks that each message type survives encoding; another test fails when internal/msg has a type without it.

--- /dev/null
+++ b/internal/link/fuzz_test.go
@@ -0,0 +1,46 @@
+package link
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/wire"
+)
+
+// Guards against bytes on a stream that panic, that end in an error which is
+// not typed, or frames that are read differently from what was written.
+func FuzzStream(f *testing.F) {
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		in := reader{src: bytes.NewReader(stream), limit: wire.MaxFrame}
+		var again bytes.Buffer
+		out := writer{dst: &again}
+		var frames int
+		for {
+			payload, err := in.next()
+			if err == nil {
+				var frame msg.Frame
+				if frame, err = wire.DecodeFrame(payload); err == nil {
+					require.NoError(t, out.frame(frame))
+					frames++
+					continue
+				}
+			}
+			require.True(t, errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, ErrMalformed, ErrVersion), "%v", err)
+			break
+		}
+		in = reader{src: &again, limit: wire.MaxFrame}
+		for range frames {
+			payload, err := in.next()
+			require.NoError(t, err)
+			_, err = wire.DecodeFrame(payload)
+			require.NoError(t, err)
+		}
+		_, err := in.next()
+		require.Equal(t, io.EOF, err)
+	})
+}
--- a/internal/wire/model.go
+++ b/internal/wire/model.go
@@ -18,6 +18,14 @@
 	return out
 }
 
+// labelsFromProto turns an empty map into nil, as convert does with lists.
+func labelsFromProto(labels map[string]string) model.Labels {
+	if len(labels) == 0 {
+		return nil
+	}
+	return labels
+}
+
 func resourcesToProto(r model.Resources) *pb.Resources {
 	return &pb.Resources{MilliCpu: int64(r.CPU), MemoryBytes: int64(r.Memory), Accelerators: r.Accelerators}
 }
@@ -38,7 +46,7 @@
 func workerFromProto(p *pb.Worker) model.Worker {
 	return model.Worker{
 		ID: model.WorkerID(p.GetId()), DataCentre: model.DataCentre(p.GetDataCentre()), Rack: model.Rack(p.GetRack()),
-		Capacity: resourcesFromProto(p.GetCapacity()), Labels: p.GetLabels(),
+		Capacity: resourcesFromProto(p.GetCapacity()), Labels: labelsFromProto(p.GetLabels()),
 	}
 }
 
@@ -67,7 +75,7 @@
 
 func specFromProto(p *pb.JobSpec) model.JobSpec {
 	return model.JobSpec{
-		ID: model.JobID(p.GetId()), Team: model.Team(p.GetTeam()), Class: model.Class(p.GetClass()), Labels: p.GetLabels(),
+		ID: model.JobID(p.GetId()), Team: model.Team(p.GetTeam()), Class: model.Class(p.GetClass()), Labels: labelsFromProto(p.GetLabels()),
 		Resources: resourcesFromProto(p.GetResources()), Urgent: p.GetUrgent(), LongRunning: p.GetLongRunning(),
 		Program: p.GetProgram(),
 	}
@@ -96,7 +104,7 @@
 	if item == nil {
 		return c
 	}
-	c.Item = &model.ConfigItem{Labels: item.GetLabels()}
+	c.Item = &model.ConfigItem{Labels: labelsFromProto(item.GetLabels())}
 	if s := item.GetSelector(); s != nil {
 		c.Item.Selector = &model.Selector{Kind: model.SelectorKind(s.GetKind()), Subject: s.GetSubject(), Object: s.GetObject()}
 	}
--- /dev/null
+++ b/internal/wire/roundtrip_test.go
@@ -0,0 +1,178 @@
+package wire
+
+import (
+	"flag"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+)
+
+// TestMain fixes rapid's seed unless the command line sets one; rapid prints
+// the seed of a failure.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// generate lists every message type with a generator of its values.
+var generate = map[string]*rapid.Generator[any]{}
+
+func register[M any](name string) { generate[name] = message[M]() }
+
+func init() {
+	register[msg.AgentHello]("AgentHello")
+	register[msg.EntryHello]("EntryHello")
+	register[msg.Heartbeat]("Heartbeat")
+	register[msg.BackendState]("BackendState")
+	register[msg.CreditGrant]("CreditGrant")
+	register[msg.CreditRecall]("CreditRecall")
+	register[msg.CreditReturn]("CreditReturn")
+	register[msg.Demand]("Demand")
+	register[msg.OutcomeQuery]("OutcomeQuery")
+	register[msg.OutcomeReply]("OutcomeReply")
+	register[msg.DrainBackend]("DrainBackend")
+	register[msg.ConfigDelta]("ConfigDelta")
+	register[msg.ConfigRequest]("ConfigRequest")
+	register[msg.ConfigApplied]("ConfigApplied")
+	register[msg.CellClaim]("CellClaim")
+	register[msg.LeaseRenew]("LeaseRenew")
+	register[msg.StartTask]("StartTask")
+	register[msg.StopTask]("StopTask")
+	register[msg.CheckpointTask]("CheckpointTask")
+	register[msg.ThrottleTask]("ThrottleTask")
+	register[msg.TaskAck]("TaskAck")
+	register[msg.TaskReport]("TaskReport")
+	register[msg.Inventory]("Inventory")
+	register[msg.LeaseAck]("LeaseAck")
+	register[msg.UsageReport]("UsageReport")
+	register[msg.RequestHead]("RequestHead")
+	register[msg.BodyChunk]("BodyChunk")
+	register[msg.BodyEnd]("BodyEnd")
+	register[msg.Cancel]("Cancel")
+	register[msg.Started]("Started")
+	register[msg.Refused]("Refused")
+	register[msg.ResponseHead]("ResponseHead")
+	register[msg.Failed]("Failed")
+}
+
+// message generates pointers to values of M with any bytes in strings.
+func message[M any]() *rapid.Generator[any] {
+	text := rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 12), func(b []byte) string { return string(b) })
+	reason := rapid.Uint8Range(uint8(msg.RefusedNoCredit), uint8(msg.RefusedCancelled))
+	state := rapid.Uint8Range(uint8(msg.ExchangeForgotten), uint8(msg.ExchangeFinished))
+	g := rapid.MakeCustom[M](rapid.MakeConfig{
+		Kinds: map[reflect.Kind]*rapid.Generator[any]{reflect.String: text.AsAny()},
+		Types: map[reflect.Type]*rapid.Generator[any]{
+			reflect.TypeFor[msg.RefusedReason](): reason.AsAny(),
+			reflect.TypeFor[msg.ExchangeState](): state.AsAny(),
+		},
+	})
+	return rapid.Map(g, func(m M) any {
+		nilEmpty(reflect.ValueOf(&m).Elem())
+		return &m
+	})
+}
+
+// nilEmpty replaces empty lists and maps by nil: protobuf does not
+// distinguish them, and neither do the messages.
+func nilEmpty(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			nilEmpty(v.Field(i))
+		}
+	case reflect.Pointer:
+		if !v.IsNil() {
+			nilEmpty(v.Elem())
+		}
+	case reflect.Map:
+		if v.Len() == 0 {
+			v.SetZero()
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			nilEmpty(v.Index(i))
+		}
+		if v.Len() == 0 {
+			v.SetZero()
+		}
+	}
+}
+
+// Guards against a field that is not sent, or that arrives as another value.
+func TestEveryMessageSurvivesTheRoundTrip(t *testing.T) {
+	for name, g := range generate {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				m := g.Draw(t, "message")
+				require.Equal(t, m, roundTrip(t, m))
+			})
+		})
+	}
+}
+
+func roundTrip(t require.TestingT, m any) any {
+	if f, ok := m.(msg.Frame); ok {
+		head, body, err := AppendFrame([]byte("before"), f)
+		require.NoError(t, err)
+		got, err := DecodeFrame(payloadOf(t, append(head, body...)[len("before"):], MaxFrame))
+		require.NoError(t, err)
+		if c, ok := got.(*msg.BodyChunk); ok && len(c.Data) == 0 {
+			c.Data = nil
+		}
+		return got
+	}
+	b, err := AppendControl([]byte("before"), m.(msg.Control))
+	require.NoError(t, err)
+	got, err := DecodeControl(payloadOf(t, b[len("before"):], MaxControl))
+	require.NoError(t, err)
+	return got
+}
+
+// payloadOf checks that an envelope's header fits its payload.
+func payloadOf(t require.TestingT, b []byte, limit int) []byte {
+	n, err := PayloadSize(b[:HeaderSize], limit)
+	require.NoError(t, err)
+	require.Equal(t, len(b)-HeaderSize, n)
+	return b[HeaderSize:]
+}
+
+// Guards against a message type that is added to internal/msg without an
+// encoding, or without the test above.
+func TestEveryMessageHasAGenerator(t *testing.T) {
+	files, err := filepath.Glob("../msg/*.go")
+	require.NoError(t, err)
+	var declared, tested []string
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		require.NoError(t, err)
+		f, err := parser.ParseFile(token.NewFileSet(), file, raw, 0)
+		require.NoError(t, err)
+		for _, d := range f.Decls {
+			if fn, ok := d.(*ast.FuncDecl); ok && (fn.Name.Name == "isControl" || fn.Name.Name == "isFrame") {
+				receiver := fn.Recv.List[0].Type.(*ast.StarExpr).X.(*ast.Ident)
+				declared = append(declared, receiver.Name)
+			}
+		}
+	}
+	for name := range generate {
+		tested = append(tested, name)
+	}
+	sort.Strings(declared)
+	sort.Strings(tested)
+	require.Equal(t, strings.Join(declared, " "), strings.Join(tested, " "))
+}
