link: keep closed streams long enough for slow callers

yamux resets a stream 30 s after Close when the peer has not closed its side, and the peer then loses what it has not read. A slow caller of an entry may need longer for the last 256 KiB of a response, so the time is 5 minutes now. A write timeout met while receiving ends the link like one met while sending. Memory.Reset takes Any, for the crash of a process.

--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -23,7 +23,8 @@
 // between two processes is a path with a delay of its own. Links behave as
 // over TCP: in order and without loss. What is sent on a path that is cut
 // stays in bounded buffers, unseen by either side, and arrives once the path
-// is healed, unless the link was closed meanwhile.
+// is healed, unless the link was closed meanwhile. In a synctest bubble, Close
+// has to be called before the test ends.
 type Memory struct {
 	group *actor.Group
 	net   actor.Address[netMessage]
@@ -81,7 +82,8 @@
 	m.Heal(b, a)
 }
 
-// Reset ends every link between two processes at once, on both sides.
+// Reset ends every link between two processes at once, on both sides. Reset of
+// a name and Any is what the peers see of a crash.
 func (m *Memory) Reset(a, b string) { _ = m.ask(resetLinks{a, b}) }
 
 // ask waits until the network's actor has made a change.
@@ -226,7 +228,7 @@
 func (n *network) reset(a, b string) error {
 	for _, l := range n.links {
 		x, y := l.ends[0], l.ends[1]
-		if (x.local == a && y.local == b) || (x.local == b && y.local == a) {
+		if matches(x.local, a) && matches(y.local, b) || matches(x.local, b) && matches(y.local, a) {
 			x.end("connection reset")
 			y.end("connection reset")
 		}
@@ -235,6 +237,8 @@
 	return nil
 }
 
+func matches(name, pattern string) bool { return pattern == Any || name == pattern }
+
 // prune forgets the links of which both ends have ended.
 func (n *network) prune() {
 	kept := n.links[:0]
--- a/internal/link/memory_test.go
+++ b/internal/link/memory_test.go
@@ -165,5 +165,8 @@
 		require.NoError(t, other.agent.Send(grant(1)))
 		_, err = other.entry.Receive()
 		require.NoError(t, err)
+		m.Reset(Any, "agent")
+		_, err = other.entry.Receive()
+		require.ErrorIs(t, err, ErrClosed)
 	})
 }
--- a/internal/link/mux.go
+++ b/internal/link/mux.go
@@ -22,8 +22,10 @@
 	keepAliveInterval = 10 * time.Second
 	// writeTimeout bounds the wait for the socket, not for a stream's window.
 	writeTimeout = 4 * time.Second
-	// closeTimeout frees a stream that the peer does not close in turn.
-	closeTimeout = 30 * time.Second
+	// closeTimeout frees a stream that the peer does not close in turn. yamux
+	// then resets it and the peer loses what it has not read, so the time has
+	// to suffice for a slow caller to read the last window of a response.
+	closeTimeout = 5 * time.Minute
 )
 
 func muxConfig() *yamux.Config {
--- a/internal/link/muxstream.go
+++ b/internal/link/muxstream.go
@@ -25,13 +25,8 @@
 
 func (s *muxStream) Send(f msg.Frame) error {
 	err := s.out.frame(f)
-	switch {
-	case err == nil, errors.Is(err, ErrTooLarge):
+	if err == nil || errors.Is(err, ErrTooLarge) {
 		return err
-	case errors.Is(err, yamux.ErrConnectionWriteTimeout):
-		// Whether the bytes leave later is unknown, so the stream and the
-		// session's state no longer agree.
-		return s.conn.fail(err)
 	}
 	return s.ended(err)
 }
@@ -57,6 +52,10 @@
 	switch {
 	case s.conn.mux.IsClosed():
 		return s.conn.fail(err)
+	case errors.Is(err, yamux.ErrConnectionWriteTimeout):
+		// Whether the bytes leave later is unknown, so the two sides may no
+		// longer agree on the stream's state.
+		return s.conn.fail(err)
 	case errors.Is(err, yamux.ErrConnectionReset), errors.Is(err, io.ErrUnexpectedEOF):
 		return ErrReset
 	case errors.Is(err, yamux.ErrTimeout), errors.Is(err, yamux.ErrStreamClosed):
