standin, tasks: test the interfaces that the two sides agreed on

Cause: the simulated worker and the worker client had been written with different forms of GET /v1/tasks, and announcements now name the instance. Both tests checked the former text exactly and failed.

Change: the client's test answers the list as docs/operations.md has it, with the run time checked as well; the announcement's test still compares the whole text, and requires the instance, which is drawn at random.

Measured: both packages pass with -race.

--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -134,11 +135,15 @@
 	paths := make(chan string, 100)
 	agent := listen(t, g, (&recorder{paths}).serve)
 	b, _ := startBackend(t, BackendConfig{Service: "permit-desk", Address: "127.0.0.1:1", Agent: "http://" + agent})
-	want := `{"service":"permit-desk","address":"127.0.0.1:1","slots":8,"connections":64}`
-	require.Equal(t, "/v1/announce "+want, <-paths)
+	announced, ok := strings.CutPrefix(<-paths, "/v1/announce ")
+	require.True(t, ok)
+	var a Announcement
+	require.NoError(t, json.Unmarshal([]byte(announced), &a))
+	require.NotEmpty(t, a.Instance)
+	require.Equal(t, `{"service":"permit-desk","address":"127.0.0.1:1","slots":8,"connections":64,"instance":"`+a.Instance+`"}`, announced)
 	_, err := b.Control(t.Context(), BackendControl{Drain: true})
 	require.NoError(t, err)
-	require.Equal(t, "/v1/drain "+want, <-paths)
+	require.Equal(t, "/v1/drain "+announced, <-paths)
 	eventually(t, func() bool { return b.mustState(t).State == "drained" })
 }
 
--- a/internal/tasks/http_test.go
+++ b/internal/tasks/http_test.go
@@ -28,7 +28,7 @@
 	})
 	mux.HandleFunc("POST /v1/tasks/{id}/stop", http.NotFound)
 	mux.HandleFunc("GET /v1/tasks", func(w http.ResponseWriter, r *http.Request) {
-		_, _ = w.Write([]byte(`{"tasks":[{"id":"j/1","state":"running","usage":{"milliCpu":7},"ageMs":10000},{"id":"other"}]}`))
+		_, _ = w.Write([]byte(`[{"id":"j/1","state":"running","usage":{"milliCpu":7,"ageMs":10000},"ranMs":12000},{"id":"other"}]`))
 	})
 	srv := httptest.NewServer(mux)
 	defer srv.Close()
@@ -42,7 +42,7 @@
 	require.ErrorIs(t, w.Stop(t.Context(), one), ErrNoTask)
 	list, err := w.List(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, []Task{{Attempt: one, State: model.TaskRunning,
+	require.Equal(t, []Task{{Attempt: one, State: model.TaskRunning, RanFor: 12 * time.Second,
 		Usage: model.Usage{Resources: model.Resources{CPU: 7}, Age: 10 * time.Second}}}, list)
 	require.Error(t, w.Throttle(t.Context(), one, 50))
 }
