agent, entry: let a drain wait for credits, and renew write deadlines

Besides, the write deadline of a response stays on a connection that is kept alive, so a 404 or 503 after a pause of 30 s could not be written.

A drained agent lingers for 500 ms. Every call sets its write deadline first.

--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -58,6 +58,7 @@
 	Lent     int
 	Long     int
 	Settling int
+	Drained  bool // nothing runs, and nothing new can start
 }
 
 // begin asks for a slot for a request that has arrived.
--- a/internal/agent/slots.go
+++ b/internal/agent/slots.go
@@ -103,12 +103,32 @@
 // settle starts what can start and lends what is free.
 func (s *slots) settle() {
 	s.startWaiting()
-	if len(s.running)+len(s.waiting) == 0 {
+	if s.idle() {
 		s.stepBackend(beIdle)
 	}
 	s.lend()
 }
 
+// idle reports whether a drain is complete: nothing runs or waits, and no
+// entry holds a credit, with which a request may be on its way. After the
+// start bound such a request is refused, so credits no longer count.
+func (s *slots) idle() bool {
+	if len(s.running)+len(s.waiting) > 0 {
+		return false
+	}
+	return s.backend.state != beDraining || s.lent() == 0
+}
+
+func (s *slots) lent() int {
+	n := 0
+	for i := range s.credits {
+		if st := s.credits[i].state; st == crLent || st == crRecalled {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *slots) expire(k timerKey) {
 	s.now = time.Now()
 	switch k.kind {
@@ -294,13 +314,8 @@
 		Backend: s.backend.Backend, Service: s.backend.Service, State: backendChart.Name(s.backend.state),
 		Slots: s.backend.Slots, Running: len(s.running), Waiting: len(s.waiting), Long: s.longRunning(),
 	}
-	for i := range s.credits {
-		switch s.credits[i].state {
-		case crLent, crRecalled:
-			st.Lent++
-		case crSettling:
-			st.Settling++
-		}
-	}
+	st.Lent, st.Settling = s.lent(), s.busy()-len(s.running)
+	st.Drained = s.backend.state != beReady && s.backend.state != beSuspect &&
+		s.backend.state != beDraining && s.idle()
 	return st
 }
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -134,10 +134,16 @@
 	}
 }
 
-// drainCheck is how often a stopping agent looks whether it is idle.
-const drainCheck = 50 * time.Millisecond
+const (
+	// drainCheck is how often a stopping agent looks whether it is drained.
+	drainCheck = 50 * time.Millisecond
+	// A closed socket with unread data is reset, and what its peer has not
+	// read is lost: the entries get this time to read the last responses.
+	lingerTime = 500 * time.Millisecond
+)
 
-// Drain stops the flow of new requests and waits until none is running.
+// Drain stops the flow of new requests and waits until none is running or on
+// its way.
 func (a *Agent) Drain(ctx context.Context) error {
 	if err := a.slots.Send(ctx, agent.Drain{}); err != nil {
 		return err
@@ -146,9 +152,13 @@
 		st, err := actor.Ask(ctx, a.slots, func(r actor.Reply[agent.Status]) agent.Message {
 			return agent.StatusQuery{Reply: r}
 		})
-		if err != nil || st.Running+st.Waiting == 0 {
+		if err != nil {
 			return err
 		}
+		if st.Drained {
+			actor.Sleep(ctx, lingerTime)
+			return nil
+		}
 		if !actor.Sleep(ctx, drainCheck) {
 			return ctx.Err()
 		}
--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -47,6 +47,10 @@
 // caller's connection and exchanges messages with the dispatcher.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
+	// The deadline of the response before stays on a connection that is kept
+	// alive; without a new one an answer after a pause of 30 s would fail.
+	// Recorders in tests do not support deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(began.Add(writeTimeout))
 	select {
 	case f.Slots <- struct{}{}:
 		defer func() { <-f.Slots }()
