control: count the services of a worker for selectors

Cause: a selector that keeps a service and a class of jobs apart had no effect: the controller never learned which backend server runs on a worker.

Change: the state of backend servers reaches the controllers too; a worker's services carry the operators' labels and a "service" label.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -99,6 +99,7 @@
 	Classes   map[model.Class]model.Labels
 	Jobs      map[model.JobID]model.Labels
 	Workers   map[model.WorkerID]model.Labels
+	Services  map[model.Service]model.Labels
 }
 
 // Effect is an output of Core.
--- a/internal/control/peer.go
+++ b/internal/control/peer.go
@@ -36,6 +36,8 @@
 	// leaseRounds is the number of acknowledged renewals after which an agent
 	// holds a valid lease: the second counts from the first acknowledgement.
 	leaseRounds = 2
+	// backendLeft is the state of charts/backend.scxml after a drain.
+	backendLeft = "left"
 )
 
 // peer is what the controller knows of a worker and its agent.
@@ -49,6 +51,7 @@
 	claimed   model.Boot    // incarnation that was claimed while owning
 	grants    lease.Grants
 	attempts  int           // charged to the worker
+	service   model.Service // of the backend server on the worker; empty: none
 	awayAt    time.Duration // when the link was lost
 	rounds    int           // renewals acknowledged since the last inventory
 	// lost are attempts that were given up without a confirmed stop. The agent
@@ -142,10 +145,33 @@
 func (c *Core) setWorker(p *peer) {
 	w := p.worker
 	w.Labels = merged(w.Labels, c.config.Workers[w.ID])
-	c.ledger.SetWorker(w, model.Resources{}, nil)
+	c.ledger.SetWorker(w, model.Resources{}, c.serviceLabels(p))
 	c.rate(p)
 }
 
+// serviceLabels are the labels that selectors match the services on a worker
+// by.
+func (c *Core) serviceLabels(p *peer) []model.Labels {
+	if p.service == "" {
+		return nil
+	}
+	return []model.Labels{merged(c.config.Services[p.service], model.Labels{"service": string(p.service)})}
+}
+
+// onBackendState notes which service has a backend server on a worker. One
+// that is down keeps its place: it may return at any time.
+func (c *Core) onBackendState(p *peer, m *msg.BackendState) {
+	service := m.Service
+	if m.State == backendLeft {
+		service = ""
+	}
+	if service != p.service {
+		p.service = service
+		c.setWorker(p)
+		c.planning = true
+	}
+}
+
 func (p *peer) forget() {
 	p.confirmed, p.claimed, p.rounds, p.attempts, p.grants = false, 0, 0, 0, lease.Grants{}
 	p.lost = map[model.AttemptID]bool{}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -7,6 +7,10 @@
 
 func (c *Core) receive(worker model.WorkerID, m msg.Control) {
 	p := c.peers[worker]
+	if b, ok := m.(*msg.BackendState); ok && p != nil {
+		c.onBackendState(p, b) // sent once: it also counts before the cell is owned
+		return
+	}
 	if p == nil || !c.incumbent() || !c.loaded {
 		return // agents repeat what is not acknowledged
 	}
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -50,7 +50,7 @@
 // FromAgent implements entry.Subscriber.
 func (c *cells) FromAgent(hello msg.AgentHello, m msg.Control) {
 	switch m.(type) {
-	case *msg.TaskReport, *msg.Inventory, *msg.LeaseAck, *msg.UsageReport:
+	case *msg.TaskReport, *msg.Inventory, *msg.LeaseAck, *msg.UsageReport, *msg.BackendState:
 		_ = c.controllers[hello.Cell].Send(c.ctx, control.FromAgent{Worker: hello.Worker.ID, Msg: m})
 	}
 }
@@ -71,6 +71,7 @@
 		Quotas: s.Quotas(),
 		Teams:  labelsOf[model.Team](s, model.KindTeam), Classes: labelsOf[model.Class](s, model.KindClass),
 		Jobs: labelsOf[model.JobID](s, model.KindJob), Workers: labelsOf[model.WorkerID](s, model.KindWorker),
+		Services: labelsOf[model.Service](s, model.KindService),
 	}
 	for _, sel := range s.Selectors("") {
 		c.Selectors = append(c.Selectors, place.NamedSelector{Name: sel.Name, Selector: sel.Selector})
--- a/internal/entry/agentlink.go
+++ b/internal/entry/agentlink.go
@@ -14,7 +14,7 @@
 	"github.com/bambooscale/bambooscale/internal/peer"
 )
 
-// Subscriber gets what happens on agents' links and does not concern
+// Subscriber gets what happens on agents' links and does not only concern
 // requests, such as reports of tasks and configuration. Its methods are called
 // by the links' goroutines and must not block for long.
 type Subscriber interface {
@@ -109,15 +109,22 @@
 func (h *agentHandler) Receive(m msg.Control) {
 	switch m.(type) {
 	case *msg.Heartbeat:
-	case *msg.BackendState, *msg.CreditGrant, *msg.CreditRecall, *msg.OutcomeReply:
-		_ = h.links.Dispatcher.Send(h.ctx, FromAgent{Worker: h.hello.Worker.ID, Generation: h.generation, Msg: m})
-	default:
-		for _, s := range h.links.Subscribers {
-			s.FromAgent(h.hello, m)
-		}
+		return
+	case *msg.BackendState: // concerns requests and placement
+		h.dispatch(m)
+	case *msg.CreditGrant, *msg.CreditRecall, *msg.OutcomeReply:
+		h.dispatch(m)
+		return
+	}
+	for _, s := range h.links.Subscribers {
+		s.FromAgent(h.hello, m)
 	}
 }
 
+func (h *agentHandler) dispatch(m msg.Control) {
+	_ = h.links.Dispatcher.Send(h.ctx, FromAgent{Worker: h.hello.Worker.ID, Generation: h.generation, Msg: m})
+}
+
 // Down implements peer.Handler.
 func (h *agentHandler) Down(error) {
 	_ = h.links.Dispatcher.Send(h.ctx, AgentDown{Worker: h.hello.Worker.ID, Generation: h.generation})
