agent: report what the classes of a backend server use

Cause: placement cannot weigh the effect of tasks on a service, because no measurement of the service reaches the controllers.

Change: each second an agent reports for each class its arrivals, its mean time and the queue that waits for the backend server, and every 10 s its p99 and its share of the slots.

--- a/internal/agent/actor.go
+++ b/internal/agent/actor.go
@@ -16,11 +16,11 @@
 const mailbox = 1024
 
 // SpawnSlots starts the actor that owns the slots of the host's backend
-// server. dc is the host's data centre.
-func SpawnSlots(g *actor.Group, dc model.DataCentre) Address {
+// server.
+func SpawnSlots(g *actor.Group, host model.Worker) Address {
 	return actor.Spawn(g, actor.Spec[Message]{Name: "slots", Mailbox: mailbox,
 		Run: func(ctx context.Context, in <-chan Message) error {
-			return runSlots(ctx, newSlots(dc), in)
+			return runSlots(ctx, newSlots(host), in)
 		}})
 }
 
--- a/internal/agent/exchanges.go
+++ b/internal/agent/exchanges.go
@@ -29,6 +29,7 @@
 		return
 	}
 	s.waiting = append(s.waiting, rec)
+	s.usage.arrived(rec.class)
 	if d, _, ok := exchangeChart.Timeout(rec.state); ok {
 		s.timers.Set(timerKey{kind: timerAccepted, id: rec.id}, s.now.Add(d))
 	}
@@ -151,6 +152,7 @@
 		event = exUnreached
 	} else {
 		s.classes.Finished(rec.class, m.ran)
+		s.usage.ended(rec.class, m.ran)
 		s.mean += (float64(m.ran) - s.mean) * meanSmoothing
 	}
 	if m.early {
--- a/internal/agent/slots.go
+++ b/internal/agent/slots.go
@@ -61,15 +61,17 @@
 	running    map[model.RequestID]*exchangeRecord
 	classes    *dispatch.Classes
 	mean       float64 // of all classes, nanoseconds
+	usage      usage
+	worker     model.WorkerID
 	timers     *actor.Timers[timerKey]
 	now        time.Time
 	grants     []lend.Grant // scratch
 	flat       []lend.Borrower
 }
 
-func newSlots(dc model.DataCentre) *slots {
+func newSlots(host model.Worker) *slots {
 	return &slots{
-		dataCentre: dc, records: newRecords(), classes: dispatch.NewClasses(),
+		worker: host.ID, dataCentre: host.DataCentre, records: newRecords(), classes: dispatch.NewClasses(),
 		running: map[model.RequestID]*exchangeRecord{}, timers: actor.NewTimers[timerKey](),
 	}
 }
@@ -145,12 +147,14 @@
 	s.settle()
 }
 
-// tick fades the traffic by which idle slots are divided.
+// tick closes a second: it fades the traffic by which idle slots are divided,
+// and reports what the classes use.
 func (s *slots) tick() {
 	s.now = time.Now()
 	for _, b := range s.borrowers {
 		b.Recent /= 2
 	}
+	s.reportUsage()
 	s.settle()
 }
 
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -51,7 +51,7 @@
 
 // StartAgent starts the actors of an agent in g.
 func StartAgent(g *actor.Group, c AgentConfig) *Agent {
-	a := &Agent{group: g, slots: agent.SpawnSlots(g, c.Worker.DataCentre)}
+	a := &Agent{group: g, slots: agent.SpawnSlots(g, c.Worker)}
 	boot := newBoot()
 	applier := configstore.StartApplier(g, c.Worker.ID, c.Log)
 	links := &agent.Links{
--- a/internal/measure/cluster_test.go
+++ b/internal/measure/cluster_test.go
@@ -108,7 +108,7 @@
 
 func (c *cluster) startAgent(i int) {
 	worker := model.Worker{ID: model.WorkerID(agentName(i)), DataCentre: c.dataCentre(i)}
-	slots := agent.SpawnSlots(c.group, worker.DataCentre)
+	slots := agent.SpawnSlots(c.group, worker)
 	b := &fakeBackend{}
 	c.backends = append(c.backends, b)
 	links := &agent.Links{Dialer: c.net.Dialer(agentName(i)), Slots: slots, Transport: b, Log: discardLog(),
--- a/internal/msg/task.go
+++ b/internal/msg/task.go
@@ -100,17 +100,22 @@
 	Used     model.Resources
 	Age      time.Duration
 	Tasks    []TaskReport
-	Services []ServiceUsage
+	Services []ServiceUsage // empty in the reports about tasks
 }
 
-// ServiceUsage is what an agent measured at its backend server since the last
-// report.
+// ServiceUsage is what an agent measured at its backend server for one class.
+// Arrivals, Queued and Mean are of the last seconds, so that they announce a
+// rise in load before P99 shows its effect.
 type ServiceUsage struct {
 	Service  model.Service
 	Class    model.Class
-	Requests int
-	P99      time.Duration
-	Busy     float64 // mean share of slots in use, 0 to 1
+	Slots    int
+	Requests int           // in the window of P99
+	P99      time.Duration // of the time at the backend server in the last window; 0: too few requests
+	Busy     float64       // mean share of the slots that the class used in the window, 0 to 1
+	Arrivals float64       // requests per second
+	Queued   int           // waiting for this backend server, at the entries and here; all classes
+	Mean     time.Duration // of the time at the backend server
 }
 
 func (*CellClaim) isControl()      {}
--- a/internal/wire/task.go
+++ b/internal/wire/task.go
@@ -152,6 +152,7 @@
 		Services: convert(m.Services, func(s *msg.ServiceUsage) *pb.ServiceUsage {
 			return &pb.ServiceUsage{
 				Service: string(s.Service), Class: string(s.Class), Requests: int64(s.Requests), P99Ns: int64(s.P99), Busy: s.Busy,
+				Slots: int64(s.Slots), Arrivals: s.Arrivals, Queued: int64(s.Queued), MeanNs: int64(s.Mean),
 			}
 		}),
 	}
@@ -166,6 +167,8 @@
 			return msg.ServiceUsage{
 				Service: model.Service((*s).GetService()), Class: model.Class((*s).GetClass()),
 				Requests: int((*s).GetRequests()), P99: time.Duration((*s).GetP99Ns()), Busy: (*s).GetBusy(),
+				Slots: int((*s).GetSlots()), Arrivals: (*s).GetArrivals(), Queued: int((*s).GetQueued()),
+				Mean: time.Duration((*s).GetMeanNs()),
 			}
 		}),
 	}
