--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/policy/place"
+)
+
+// Clone returns an independent copy for an exploration of alternatives. The
+// planner and the health tracker are shared, so they must have no state.
+func (c *Core) Clone() *Core {
+	n := *c
+	n.effects = nil
+	n.cell.core = nil
+	n.finished = maps.Clone(c.finished)
+	n.claims = maps.Clone(c.claims)
+	n.batch.queue, n.batch.flight = slices.Clone(c.batch.queue), slices.Clone(c.batch.flight)
+	n.peers = make(map[model.WorkerID]*peer, len(c.peers))
+	n.jobs = make(map[model.JobID]*job, len(c.jobs))
+	n.ledger = place.NewLedger()
+	for id, p := range c.peers {
+		q := *p
+		q.core, q.lost = nil, maps.Clone(p.lost)
+		n.peers[id] = &q
+		n.ledger.SetWorker(q.worker, model.Resources{}, nil)
+		if w, ok := c.ledger.Worker(id); ok {
+			n.ledger.SetState(id, w.State)
+		}
+	}
+	for id, j := range c.jobs {
+		k := *j
+		k.core, k.hooks = nil, slices.Clone(j.hooks)
+		n.jobs[id] = &k
+		if k.attempt.live {
+			n.ledger.Adopt(k.attempt.worker, n.task(&k, k.attempt.number))
+		}
+	}
+	return &n
+}
+
+// Scale makes encodings of equivalent states equal: revisions and lease
+// sequence numbers matter only by their order and difference.
+type Scale struct {
+	Rank func(platform.Revision) int
+	Seq  func(w model.WorkerID, seq uint64) int64
+}
+
+// EachRevision calls f with the revisions that the state holds.
+func (c *Core) EachRevision(f func(platform.Revision)) {
+	f(c.cell.epochVersion)
+	f(c.cell.beatVersion)
+	f(c.scanned)
+	for _, j := range c.jobs {
+		f(j.version)
+	}
+}
+
+// Sequence returns the newest lease sequence number granted to a worker.
+func (c *Core) Sequence(w model.WorkerID) uint64 {
+	if p := c.peers[w]; p != nil {
+		return p.grants.Sequence()
+	}
+	return 0
+}
+
+// AppendState appends an encoding of the state that is equal for states with
+// the same future. Instants are relative to the last step.
+func (c *Core) AppendState(b []byte, s Scale) []byte {
+	e := encoder{b, c.now, s}
+	l := &c.cell
+	e.ints(int64(l.state), int64(l.owner.Epoch), int64(min(l.unchanged, witnesses)))
+	e.text(string(l.owner.Owner))
+	e.flags(l.observing, l.beating, c.loaded, c.scanning, c.planning, c.batch.busy)
+	e.revisions(l.epochVersion, l.beatVersion, c.scanned)
+	e.times(l.deadline, l.observeAt, l.beatAt, l.lastBeat, c.scanAt, c.sweepAt, c.renewAt, c.planAt)
+	for _, p := range c.sortedPeers() {
+		e.peer(p)
+	}
+	for _, j := range c.sortedJobs() {
+		e.job(j)
+	}
+	for _, id := range slices.Concat(c.batch.queue, []model.JobID{""}, c.batch.flight) {
+		e.text(string(id))
+	}
+	return e.b
+}
+
+// encoder appends values to a state's encoding.
+type encoder struct {
+	b     []byte
+	now   time.Duration
+	scale Scale
+}
+
+func (e *encoder) ints(values ...int64) {
+	for _, v := range values {
+		e.b = binary.AppendVarint(e.b, v)
+	}
+}
+
+func (e *encoder) text(s string) {
+	e.ints(int64(len(s)))
+	e.b = append(e.b, s...)
+}
+
+func (e *encoder) flags(values ...bool) {
+	for _, v := range values {
+		if v {
+			e.ints(1)
+		} else {
+			e.ints(0)
+		}
+	}
+}
+
+func (e *encoder) revisions(values ...platform.Revision) {
+	for _, v := range values {
+		e.ints(int64(e.scale.Rank(v)))
+	}
+}
+
+// times encodes instants relative to now; what is long past is all the same.
+func (e *encoder) times(values ...time.Duration) {
+	for _, v := range values {
+		if v != 0 {
+			v = max(v-e.now, -time.Hour)
+		}
+		e.ints(int64(v / time.Millisecond))
+	}
+}
+
+func (e *encoder) peer(p *peer) {
+	e.text(string(p.worker.ID))
+	e.ints(int64(p.state), int64(p.boot), int64(p.claimed), int64(min(p.rounds, leaseRounds)))
+	e.flags(p.confirmed, p.grants.Acked())
+	e.ints(e.scale.Seq(p.worker.ID, p.grants.Sequence()))
+	e.times(p.deadline, p.grants.Until(false), p.grants.Until(true))
+	for _, id := range sortedAttempts(p.lost) {
+		e.text(id.String())
+	}
+}
+
+func (e *encoder) job(j *job) {
+	e.text(string(j.id))
+	e.text(j.row.Checkpoint)
+	e.text(string(j.row.Worker))
+	e.ints(int64(j.phase), int64(j.row.Attempt), int64(j.row.Failures), int64(j.generation-j.committed))
+	e.flags(j.row.Cancel, j.queued, j.written > 0, j.attempt.live)
+	e.revisions(j.version)
+	if j.written > 0 {
+		e.ints(int64(j.generation - j.written))
+	}
+	a := &j.attempt
+	e.ints(int64(a.state), int64(a.number))
+	e.times(a.deadline)
+	e.text(string(a.worker))
+	e.text(string(a.report.State))
+	for _, h := range j.hooks {
+		e.ints(int64(h.kind), int64(j.generation-h.generation), int64(h.attempt))
+	}
+}
--- a/internal/policy/lease/lease.go
+++ b/internal/policy/lease/lease.go
@@ -161,3 +161,13 @@
 	}
 	return 0
 }
+
+// Sequence returns the number of the newest renewal.
+func (g *Grants) Sequence() uint64 { return g.seq }
+
+// Acked reports whether the newest renewal was acknowledged.
+func (g *Grants) Acked() bool { return g.acked }
+
+// State returns the newest sequence number received and when it was
+// acknowledged; basis is false if the lease may not count from then.
+func (h *Holder) State() (seq uint64, at time.Duration, basis bool) { return h.seq, h.ackAt, h.basis }
--- a/internal/tasks/commands.go
+++ b/internal/tasks/commands.go
@@ -61,7 +61,7 @@
 func (c *Core) attempt(id model.AttemptID) *hold {
 	h := c.holds[id]
 	if h == nil && len(c.holds) < maxAttempts {
-		h = &hold{id: id, state: holdChart.Initial(), spec: model.JobSpec{ID: id.Job}}
+		h = &hold{id: id, state: c.machine.Initial(), spec: model.JobSpec{ID: id.Job}}
 		c.holds[id] = h
 	}
 	return h
--- a/internal/tasks/core.go
+++ b/internal/tasks/core.go
@@ -30,6 +30,7 @@
 	lease   lease.Holder
 	holds   map[model.AttemptID]*hold
 	links   map[model.EntryID]bool
+	machine *chart.Machine[hold]
 	effects []Effect
 
 	// confirmBy is set after a pause: until then tasks wait for a renewal that
@@ -45,7 +46,10 @@
 
 // NewCore returns the core of the agent of a worker in a cell.
 func NewCore(worker model.Worker, cell model.Cell) *Core {
-	return &Core{worker: worker, cell: cell, holds: map[model.AttemptID]*hold{}, links: map[model.EntryID]bool{}}
+	return &Core{
+		worker: worker, cell: cell, machine: holdChart,
+		holds: map[model.AttemptID]*hold{}, links: map[model.EntryID]bool{},
+	}
 }
 
 // Step handles an event at now, after every timer that was due. The effects
@@ -92,7 +96,7 @@
 func (c *Core) step(h *hold, e chart.Event) bool {
 	h.core = c
 	before := h.state
-	if !holdChart.Step(h, &h.state, e) {
+	if !c.machine.Step(h, &h.state, e) {
 		return false
 	}
 	if h.state != before {
@@ -100,11 +104,11 @@
 	}
 	if h.state != before || e == evRetry {
 		h.deadline = 0
-		if d, _, ok := holdChart.Timeout(h.state); ok {
+		if d, _, ok := c.machine.Timeout(h.state); ok {
 			h.deadline = c.now + d
 		}
 	}
-	if holdChart.Final(h.state) {
+	if c.machine.Final(h.state) {
 		delete(c.holds, h.id)
 	}
 	return true
