control: visit only the jobs that a step concerns

Waiting jobs have their own index, others are filtered before they are sorted, and labels are computed once.

--- a/internal/control/batch.go
+++ b/internal/control/batch.go
@@ -110,7 +110,7 @@
 		if jobChart.Final(j.phase) && j.committed == j.generation {
 			c.finished[model.Phase(jobChart.Name(j.phase))]++
 			c.forgetHealth(id)
-			delete(c.jobs, id)
+			c.drop(id)
 		}
 	}
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -47,6 +47,7 @@
 	cell    cell
 	peers   map[model.WorkerID]*peer
 	jobs    map[model.JobID]*job // that are not over
+	pending map[model.JobID]*job // of these, the ones that wait for a place
 	config  Configuration
 	rules   *place.Rules
 	ledger  *place.Ledger
@@ -72,7 +73,7 @@
 
 // reset drops what is known of jobs.
 func (c *Core) reset() {
-	c.jobs, c.finished = map[model.JobID]*job{}, map[model.Phase]int{}
+	c.jobs, c.pending, c.finished = map[model.JobID]*job{}, map[model.JobID]*job{}, map[model.Phase]int{}
 	c.ledger = place.NewLedger()
 	c.claims = map[model.JobID]claim{}
 	c.loaded, c.scanned, c.planning = false, 0, false
@@ -208,14 +209,17 @@
 			c.ledger.RemoveWorker(p.worker.ID)
 		}
 	}
-	for _, j := range c.sortedJobs() {
+	expired := func(j *job) bool {
+		return c.peers[j.attempt.worker].grants.Until(j.row.Spec.LongRunning) <= c.now
+	}
+	due := func(j *job) bool {
 		a := &j.attempt
-		if !a.live {
-			continue
-		}
-		if p := c.peers[a.worker]; p.grants.Until(j.row.Spec.LongRunning) <= c.now {
+		return a.live && (a.deadline > 0 && a.deadline <= c.now || expired(j))
+	}
+	for _, j := range selected(c.jobs, due) {
+		if expired(j) {
 			c.stepAttempt(j, evExpire)
-		} else if a.deadline > 0 && a.deadline <= c.now {
+		} else {
 			c.stepAttempt(j, evLate)
 		}
 	}
--- a/internal/control/job.go
+++ b/internal/control/job.go
@@ -50,7 +50,8 @@
 	size    model.Resources   // measured peak, at least the declared size
 	verdict place.Verdict     // of the last plan that did not place it
 	attempt attempt
-	parked  string // why the health policy parks it
+	parked  string       // why the health policy parks it
+	labels  model.Labels // that selectors match its tasks by; nil: not computed
 
 	generation uint64 // number of changes of the row
 	written    uint64 // generation in the transaction under way; 0 when none
@@ -118,6 +119,7 @@
 	if j.phase == stParked && before != stParked {
 		c.log(event.JobParked, map[string]any{"job": j.id, "reason": j.row.Reason})
 	}
+	c.index(j)
 	c.planning = c.planning || j.phase == stPending
 	return true
 }
@@ -144,7 +146,7 @@
 	s := j.row.Spec
 	return place.Task{
 		Attempt: model.AttemptID{Job: j.id, Number: number}, Team: s.Team, Class: s.Class,
-		Labels: c.jobLabels(s), Size: j.size, Urgent: s.Urgent, LongRunning: s.LongRunning,
+		Labels: c.labelsOf(j), Size: j.size, Urgent: s.Urgent, LongRunning: s.LongRunning,
 	}
 }
 
@@ -155,7 +157,7 @@
 	switch {
 	case r.Deleted:
 		if j != nil && !j.attempt.live {
-			delete(c.jobs, r.ID)
+			c.drop(r.ID)
 		}
 		return
 	case j == nil:
@@ -185,6 +187,7 @@
 	j := &job{id: r.ID, row: r.Row, phase: phase, version: r.Version, order: uint64(r.Version),
 		size: r.Row.Spec.Resources}
 	c.jobs[r.ID] = j
+	c.index(j)
 	c.planning = true
 	if phase == stPlaced || phase == stJobRunning || phase == stEvicting {
 		c.inherit(j)
@@ -216,10 +219,29 @@
 	c.stepJob(j, evJobEvict)
 }
 
-func (c *Core) sortedJobs() []*job {
-	list := make([]*job, 0, len(c.jobs))
-	for _, j := range c.jobs {
-		list = append(list, j)
+// index keeps the set of waiting jobs, which every plan needs.
+func (c *Core) index(j *job) {
+	if j.phase == stPending {
+		c.pending[j.id] = j
+	} else {
+		delete(c.pending, j.id)
+	}
+}
+
+func (c *Core) drop(id model.JobID) {
+	delete(c.jobs, id)
+	delete(c.pending, id)
+}
+
+// selected returns the jobs of a set for which keep holds, by submission
+// order. Only those are sorted: a cell has thousands of jobs and a sweep
+// concerns few.
+func selected(set map[model.JobID]*job, keep func(*job) bool) []*job {
+	var list []*job
+	for _, j := range set {
+		if keep(j) {
+			list = append(list, j)
+		}
 	}
 	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.id, b.id)) })
 	return list
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -18,7 +18,14 @@
 	return sum
 }
 
-// jobLabels are the labels that selectors match a job's tasks by.
+// labelsOf are the labels that selectors match a job's tasks by.
+func (c *Core) labelsOf(j *job) model.Labels {
+	if j.labels == nil {
+		j.labels = c.jobLabels(j.row.Spec)
+	}
+	return j.labels
+}
+
 func (c *Core) jobLabels(s model.JobSpec) model.Labels {
 	l := model.Labels{}
 	for _, more := range []model.Labels{c.config.Teams[s.Team], c.config.Classes[s.Class], s.Labels, c.config.Jobs[s.ID]} {
@@ -34,6 +41,9 @@
 	for _, p := range c.sortedPeers() {
 		c.setWorker(p)
 	}
+	for _, j := range c.jobs {
+		j.labels = nil
+	}
 	c.planning = true
 }
 
@@ -42,17 +52,15 @@
 		Workers: c.ledger.Workers(), Selectors: c.config.Selectors,
 		Quotas: c.config.Quotas, TeamUse: c.ledger.TeamUse(),
 	}
-	for _, j := range c.sortedJobs() {
-		if j.phase == stPending {
-			s.Jobs = append(s.Jobs, c.waiting(j))
-		}
+	for _, j := range selected(c.pending, func(*job) bool { return true }) {
+		s.Jobs = append(s.Jobs, c.waiting(j))
 	}
 	s.Claims = c.activeClaims()
 	return s
 }
 
 func (c *Core) waiting(j *job) place.Job {
-	return place.Job{Spec: j.row.Spec, Labels: c.jobLabels(j.row.Spec), Size: j.size, Waiting: j.order, Avoid: c.avoid(j.id)}
+	return place.Job{Spec: j.row.Spec, Labels: c.labelsOf(j), Size: j.size, Waiting: j.order, Avoid: c.avoid(j.id)}
 }
 
 // plan places waiting jobs: each assignment is verified and reserved at the
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -21,7 +21,7 @@
 	n.claims = maps.Clone(c.claims)
 	n.batch.queue, n.batch.flight = slices.Clone(c.batch.queue), slices.Clone(c.batch.flight)
 	n.peers = make(map[model.WorkerID]*peer, len(c.peers))
-	n.jobs = make(map[model.JobID]*job, len(c.jobs))
+	n.jobs, n.pending = make(map[model.JobID]*job, len(c.jobs)), make(map[model.JobID]*job, len(c.pending))
 	n.ledger = place.NewLedger()
 	for id, p := range c.peers {
 		q := *p
@@ -36,6 +36,7 @@
 		k := *j
 		k.core, k.hooks = nil, slices.Clone(j.hooks)
 		n.jobs[id] = &k
+		n.index(&k)
 		if k.attempt.live {
 			n.ledger.Adopt(k.attempt.worker, n.task(&k, k.attempt.number))
 		}
@@ -81,7 +82,7 @@
 	for _, p := range c.sortedPeers() {
 		e.peer(p)
 	}
-	for _, j := range c.sortedJobs() {
+	for _, j := range selected(c.jobs, func(*job) bool { return true }) {
 		e.job(j)
 	}
 	for _, id := range slices.Concat(c.batch.queue, []model.JobID{""}, c.batch.flight) {
