--- a/internal/policy/lend/lend.go
+++ b/internal/policy/lend/lend.go
@@ -126,11 +126,11 @@
 }
 
 // recallFor asks back idle credits of entries without a queue while others
-// wait for more than the free slots.
+// wait for more than the free slots and the credits asked back already.
 func recallFor(borrowers []Borrower, out []Grant, free int) []Grant {
 	wanted := 0
 	for i := range borrowers {
-		wanted += max(0, borrowers[i].need())
+		wanted += max(0, borrowers[i].need()) - borrowers[i].Recalled
 	}
 	wanted -= free
 	for i := range borrowers {
