policy/dispatch: do not charge dropped requests; add property tests

Cause: a request that was dropped from the queue because it was too late was charged to its tenant as if it had been served. After 50 such drops a tenant got 0 of the next 20 slots.

Change: only requests that get a slot are charged. Property tests cover the order, fair shares, withdrawal, feasibility of admission, the profile's balance, the retry budget, class learning and the choice of an instance.

--- a/internal/policy/dispatch/queue.go
+++ b/internal/policy/dispatch/queue.go
@@ -214,13 +214,14 @@
 			return Request{}, false
 		}
 		r := n.req
-		hopeless := now.After(n.latest)
-		q.bands[n.band].take(n)
-		q.release(n)
-		if hopeless {
+		if now.After(n.latest) { // it gets no slot time, so its tenant is not charged
+			q.bands[n.band].remove(n)
+			q.release(n)
 			drop(r, RefusedTimed)
 			continue
 		}
+		q.bands[n.band].take(n)
+		q.release(n)
 		return r, true
 	}
 }
--- /dev/null
+++ b/internal/policy/dispatch/queue_test.go
@@ -0,0 +1,393 @@
+package dispatch
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// learned returns classes with known lengths.
+func learned(means map[model.Class]time.Duration) *Classes {
+	c := NewClasses()
+	for name, d := range means {
+		for range minSamples {
+			c.Finished(name, d)
+		}
+	}
+	return c
+}
+
+func request(key Key, tenant model.Tenant, deadline time.Duration) Request {
+	return Request{Key: key, Class: "read", Tenant: tenant, Arrived: epoch, Deadline: epoch.Add(deadline)}
+}
+
+func noDrop(t require.TestingT) func(Request, Refusal) {
+	return func(r Request, why Refusal) { assert.Fail(t, "dropped", "%v: %v", r, why) }
+}
+
+// Guards against requests that are lost, served twice, served after their
+// withdrawal, or served out of deadline order within a tenant and class.
+func TestQueueServesEachOnceInDeadlineOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Options{}, learned(map[model.Class]time.Duration{"read": 10 * time.Millisecond}))
+		queued := map[Key]Request{}
+		next := Key(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": func(t *rapid.T) {
+				next++
+				tenant := model.Tenant(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "tenant"))
+				r := request(next, tenant, time.Duration(rapid.IntRange(1, 600).Draw(t, "deadline"))*time.Second)
+				if q.Admit(epoch, r, Load{}, true) == Accepted {
+					queued[r.Key] = r
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				k := Key(rapid.Uint64Range(1, uint64(next)+1).Draw(t, "key"))
+				_, there := queued[k]
+				assert.Equal(t, there, q.Withdraw(k))
+				delete(queued, k)
+			},
+			"next": func(t *rapid.T) {
+				r, ok := q.Next(epoch, true, noDrop(t))
+				assert.Equal(t, len(queued) > 0, ok)
+				if !ok {
+					return
+				}
+				assert.Contains(t, queued, r.Key)
+				delete(queued, r.Key)
+				for _, o := range queued {
+					assert.False(t, o.Tenant == r.Tenant && o.Deadline.Before(r.Deadline), "%v before %v", r, o)
+				}
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, len(queued), q.Len())
+				var first time.Time
+				for _, r := range queued {
+					if first.IsZero() || r.Deadline.Before(first) {
+						first = r.Deadline
+					}
+				}
+				at, ok := q.Tightest()
+				assert.Equal(t, len(queued) > 0, ok)
+				assert.True(t, at.Equal(first), "tightest %v, want %v", at, first)
+			},
+		})
+	})
+}
+
+// Guards against a heavy tenant that crowds out a light one: while both wait,
+// their slot times differ by no more than one request of each.
+func TestTenantsShareSlotTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		means := map[model.Class]time.Duration{"read": 10 * time.Millisecond, "roster": 100 * time.Millisecond}
+		classes := learned(means)
+		classes.SetLong("roster", false)
+		q := NewQueue(Options{}, classes)
+		key := Key(0)
+		left := map[model.Tenant]int{}
+		for _, tenant := range []model.Tenant{"heavy", "light"} {
+			n := rapid.IntRange(5, 60).Draw(t, string(tenant))
+			for range n {
+				key++
+				r := request(key, tenant, time.Hour)
+				r.Class = rapid.SampledFrom([]model.Class{"read", "roster"}).Draw(t, "class")
+				require.Equal(t, Accepted, q.Admit(epoch, r, Load{}, true))
+				left[tenant]++
+			}
+		}
+		used := map[model.Tenant]time.Duration{}
+		for left["heavy"] > 0 && left["light"] > 0 {
+			r, ok := q.Next(epoch, true, noDrop(t))
+			require.True(t, ok)
+			left[r.Tenant]--
+			used[r.Tenant] += means[r.Class]
+			gap := used["heavy"] - used["light"]
+			assert.LessOrEqual(t, gap.Abs(), 2*means["roster"])
+		}
+	})
+}
+
+// Guards against a tenant that pays with its share for requests that were
+// dropped unserved, and so gets less than another one afterwards.
+func TestDroppedRequestsAreNotCharged(t *testing.T) {
+	q := NewQueue(Options{}, learned(map[model.Class]time.Duration{"read": 10 * time.Millisecond}))
+	for k := range Key(50) {
+		require.Equal(t, Accepted, q.Admit(epoch, request(k, "late", 20*time.Millisecond), Load{}, true))
+	}
+	for k := range Key(20) {
+		require.Equal(t, Accepted, q.Admit(epoch, request(100+k, "late", time.Hour), Load{}, true))
+		require.Equal(t, Accepted, q.Admit(epoch, request(200+k, "other", time.Hour), Load{}, true))
+	}
+	served := map[model.Tenant]int{}
+	dropped := 0
+	for range 20 {
+		r, ok := q.Next(epoch.Add(time.Second), true, func(Request, Refusal) { dropped++ })
+		require.True(t, ok)
+		served[r.Tenant]++
+	}
+	assert.Equal(t, 50, dropped)
+	assert.InDelta(t, served["late"], served["other"], 1)
+}
+
+// Guards against admission of more work than can start in time, and against
+// refusal of work for which there is room.
+func TestAdmissionIsFeasible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const mean = 10 * time.Millisecond
+		slots := rapid.IntRange(2, 64).Draw(t, "slots")
+		q := NewQueue(Options{}, learned(map[model.Class]time.Duration{"read": mean}))
+		load := Load{Sent: Count{Short: slots}, Started: Count{Short: slots}}
+		wait := time.Duration(rapid.IntRange(100, 2000).Draw(t, "wait")) * time.Millisecond
+		admitted, refused := 0, 0
+		for k := range Key(4 * int(wait/mean) * slots) {
+			if q.Admit(epoch, request(k, "a", wait), load, false) == Accepted {
+				admitted++
+			} else {
+				refused++
+			}
+			if refused > 10 {
+				break
+			}
+		}
+		// Each slot serves wait/mean requests until the deadline.
+		room := float64(slots) * float64(wait) / float64(mean)
+		assert.LessOrEqual(t, float64(admitted), min(room, defaultMaxQueued)+1)
+		assert.GreaterOrEqual(t, float64(admitted), min(0.3*room, defaultMaxQueued)-float64(8*slots)-1)
+	})
+}
+
+// Guards against a request that is admitted although its deadline leaves no
+// time to run it, and against a queue without a bound.
+func TestAdmissionBounds(t *testing.T) {
+	q := NewQueue(Options{MaxQueued: 3}, learned(map[model.Class]time.Duration{"read": 100 * time.Millisecond}))
+	assert.Equal(t, RefusedLate, q.Admit(epoch, request(1, "a", 50*time.Millisecond), Load{}, false))
+	busy := Load{Sent: Count{Short: 8}, Started: Count{Short: 8}}
+	for k := range Key(3) {
+		assert.Equal(t, Accepted, q.Admit(epoch, request(10+k, "a", time.Hour), busy, false))
+	}
+	assert.Equal(t, RefusedFull, q.Admit(epoch, request(20, "a", time.Hour), busy, false))
+}
+
+// Guards against short requests that wait behind long ones, and against long
+// ones that never run while short ones keep coming.
+func TestBandsShareAndMayLong(t *testing.T) {
+	q := NewQueue(Options{}, learned(map[model.Class]time.Duration{"read": 10 * time.Millisecond, "watch": time.Second}))
+	for k := range Key(500) {
+		require.Equal(t, Accepted, q.Admit(epoch, request(k, "a", time.Hour), Load{}, true))
+	}
+	for k := range Key(10) {
+		r := request(1000+k, "a", time.Hour)
+		r.Class = "watch"
+		require.Equal(t, Accepted, q.Admit(epoch, r, Load{}, true))
+	}
+	long := 0
+	for range 450 {
+		r, ok := q.Next(epoch, true, noDrop(t))
+		require.True(t, ok)
+		if r.Class == "watch" {
+			long++
+		}
+	}
+	assert.InDelta(t, 2, long, 1, "one second of long work for four of short work")
+	for r, ok := q.Next(epoch, false, noDrop(t)); ok; r, ok = q.Next(epoch, false, noDrop(t)) {
+		assert.Equal(t, model.Class("read"), r.Class)
+	}
+	assert.Positive(t, q.Len(), "long requests stay queued while no slot allows them")
+}
+
+// Guards against work that stays in the admission profile after its request
+// has left, or leaves it twice: admission would drift for ever.
+func TestProfileBalances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type entry struct {
+			due  int64
+			cost time.Duration
+		}
+		var p profile
+		var held []entry
+		now := int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += int64(rapid.IntRange(0, 300).Draw(t, "passed"))
+			p.advance(now)
+			if len(held) > 0 && rapid.Bool().Draw(t, "remove") {
+				i := rapid.IntRange(0, len(held)-1).Draw(t, "which")
+				p.remove(held[i].due, held[i].cost)
+				held = append(held[:i], held[i+1:]...)
+			} else {
+				e := entry{cost: time.Duration(rapid.IntRange(1, 1000).Draw(t, "cost"))}
+				e.due = p.add(now+int64(rapid.IntRange(-5, 400).Draw(t, "latest")), e.cost)
+				held = append(held, e)
+			}
+			var want, sum time.Duration
+			for _, e := range held {
+				want += e.cost
+			}
+			for _, w := range p.work {
+				assert.GreaterOrEqual(t, w, time.Duration(0))
+				sum += w
+			}
+			assert.Equal(t, want, sum)
+			assert.Equal(t, want, p.total)
+		}
+	})
+}
+
+// Guards against retries that add more than their share to the load.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b RetryBudget
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "request") {
+				b.Request()
+				requests++
+			} else if b.Take() {
+				retries++
+			}
+			assert.LessOrEqual(t, float64(retries), retryShare*float64(requests)+1e-9)
+		}
+	})
+}
+
+// Guards against classes whose length is learned wrong or not followed when
+// it drifts.
+func TestClassLearning(t *testing.T) {
+	c := NewClasses()
+	assert.False(t, c.Long("read"), "nothing is known yet")
+	for range minSamples {
+		c.Finished("read", 10*time.Millisecond)
+	}
+	assert.True(t, c.Long("watch"), "unknown beside a known class")
+	assert.False(t, c.Long("read"))
+	for range minSamples {
+		c.Finished("watch", time.Minute)
+		c.Finished("consent", 50*time.Millisecond)
+	}
+	assert.True(t, c.Long("watch"))
+	assert.False(t, c.Long("consent"))
+	assert.True(t, c.Aged("read", time.Second))
+	assert.False(t, c.Aged("read", 20*time.Millisecond))
+	for range 4 * halveAfter {
+		c.Finished("watch", 10*time.Millisecond)
+	}
+	assert.False(t, c.Long("watch"), "it has become short")
+	assert.InDelta(t, float64(10*time.Millisecond), float64(c.Mean("watch")), float64(time.Millisecond))
+	c.SetLong("read", true)
+	assert.True(t, c.Long("read"), "the configuration takes precedence")
+}
+
+// Guards against quantiles that leave the range of the samples by more than a
+// bucket, which is a factor of the square root of two.
+func TestQuantileOfSamples(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := rapid.SliceOfN(rapid.IntRange(1, 100_000), minSamples, 400).Draw(t, "ms")
+		c := NewClasses()
+		for _, v := range ms {
+			c.Finished("read", time.Duration(v)*time.Millisecond)
+		}
+		sort.Ints(ms)
+		for _, q := range []float64{0.5, 0.95} {
+			exact := float64(ms[min(len(ms)-1, max(0, int(q*float64(len(ms)))-1))])
+			upper := float64(ms[min(len(ms)-1, int(q*float64(len(ms)))+1)])
+			got := c.Quantile("read", q).Seconds() * 1000
+			assert.GreaterOrEqual(t, got, exact/1.5, "quantile %v", q)
+			assert.LessOrEqual(t, got, upper*1.5, "quantile %v", q)
+		}
+	})
+}
+
+// Guards against a choice without credit, and against one that a slower or
+// failing backend server wins over an equal one.
+func TestChoose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Candidate {
+			return Candidate{
+				Credits: rapid.IntRange(0, 3).Draw(t, "credits"), Running: rapid.IntRange(0, 8).Draw(t, "running"), Slots: 8,
+				RTT:      time.Duration(rapid.IntRange(0, 5).Draw(t, "rtt")) * time.Millisecond,
+				Slowness: rapid.Float64Range(0.5, 4).Draw(t, "slowness"), Failures: rapid.IntRange(0, 20).Draw(t, "failures"),
+			}
+		})).Draw(t, "candidates")
+		i := Choose(list, 10*time.Millisecond)
+		for k, c := range list {
+			if c.Credits == 0 {
+				continue
+			}
+			require.GreaterOrEqual(t, i, 0)
+			a := list[i]
+			better := c.RTT <= a.RTT && c.Running <= a.Running && c.Slowness <= a.Slowness && c.Failures < min(a.Failures, maxPenalised)
+			assert.False(t, better, "%d %+v is better than %d %+v", k, c, i, a)
+		}
+		if i >= 0 {
+			assert.Positive(t, list[i].Credits)
+		}
+	})
+}
+
+// steady is a queue of a given length and a set of instances in which one
+// request is dispatched for each that is admitted.
+type steady struct {
+	q    *Queue
+	list []Candidate
+	key  Key
+	now  time.Time
+	load Load
+}
+
+func newSteady(queued, instances int) *steady {
+	classes := learned(map[model.Class]time.Duration{"read": 10 * time.Millisecond, "consent": 25 * time.Millisecond})
+	s := &steady{q: NewQueue(Options{}, classes), list: make([]Candidate, instances), now: epoch}
+	for i := range s.list {
+		s.list[i] = Candidate{Credits: 1, Running: i % 8, Slots: 8, RTT: time.Millisecond, Slowness: 1}
+	}
+	n := 8 * instances
+	s.load = Load{Sent: Count{Short: n}, Started: Count{Short: n}}
+	for range queued {
+		s.admit(true)
+	}
+	return s
+}
+
+func (s *steady) admit(idle bool) {
+	s.key++
+	tenant := model.Tenant([]string{"a", "b", "c", "d"}[s.key%4])
+	s.q.Admit(s.now, Request{Key: s.key, Class: "read", Tenant: tenant, Arrived: s.now, Deadline: s.now.Add(time.Minute)}, s.load, idle)
+}
+
+func (s *steady) step() bool {
+	s.now = s.now.Add(time.Millisecond)
+	s.admit(false)
+	Choose(s.list, 10*time.Millisecond)
+	_, ok := s.q.Next(s.now, true, func(Request, Refusal) {})
+	return ok
+}
+
+// Guards against garbage for each request, which costs the entry host CPU.
+func TestDispatchAllocatesNothing(t *testing.T) {
+	s := newSteady(100, 690)
+	for range 1000 {
+		require.True(t, s.step())
+	}
+	assert.Zero(t, testing.AllocsPerRun(1000, func() { s.step() }))
+}
+
+// BenchmarkDispatch measures Admit, Choose and Next of one request.
+func BenchmarkDispatch(b *testing.B) {
+	for _, size := range []struct{ queued, instances int }{{10, 11}, {100, 11}, {1000, 11}, {9000, 11}, {100, 69}, {100, 690}} {
+		b.Run(fmt.Sprintf("queued=%d/instances=%d", size.queued, size.instances), func(b *testing.B) {
+			s := newSteady(size.queued, size.instances)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.step()
+			}
+		})
+	}
+}
