agent: refuse overtaken requests; return credits of refused heads

Cause: four faults in the agent's slots. A cancellation that overtook its request was ignored, so the request ran for nobody and a watcher held a slot for hours. A head that was refused for its tombstone, or that arrived after its deadline, used up a credit that the agent counted as lent for ever. A cancelled exchange was reported as ended before the backend server could notice, so an idempotent request might run twice at once.

Change: a cancellation of an unknown request leaves a tombstone (chart exchange); each refused head returns its credit; the slots actor always learns of a head; Finished and Failed are reported only after settleTime.

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -80,7 +80,10 @@
 
 func (x *exchange) serve(ctx context.Context, cancel func(), body *body) error {
 	reply := make(chan verdict, 1)
-	if err := x.slots.Send(ctx, begin{head: x.head, entry: x.entry, reply: reply, cancel: cancel}); err != nil {
+	// The slots actor must learn of the head even when its deadline has
+	// passed: the entry has spent a credit on it.
+	m := begin{head: x.head, entry: x.entry, reply: reply, cancel: cancel}
+	if err := x.slots.Send(context.WithoutCancel(ctx), m); err != nil {
 		return err
 	}
 	v, err := x.verdict(ctx, reply)
@@ -91,28 +94,37 @@
 		return x.stream.Send(&msg.Refused{Reason: v.refused})
 	}
 	x.begun = time.Now()
-	end := ended{id: x.head.ID}
-	defer func() {
-		end.ran = time.Since(x.begun)
-		// The slot must be given back even when the request's context ended.
-		_ = x.slots.Send(context.WithoutCancel(ctx), end)
-	}()
 	reached := false
 	resp, err := x.call(ctx, v.address, body, &reached)
 	switch {
 	case err != nil && !reached:
-		end.unreached = true
+		x.end(ctx, ended{unreached: true})
 		return x.stream.Send(&msg.Refused{Reason: msg.RefusedDown})
 	case err != nil:
-		end.early = true
-		_ = x.stream.Send(&msg.Failed{Reason: err.Error()})
-		return nil
+		return x.failed(ctx, err)
 	}
 	defer resp.Body.Close()
 	if err := x.respond(resp); err != nil {
-		end.early = true
-		_ = x.stream.Send(&msg.Failed{Reason: err.Error()})
+		resp.Body.Close()
+		return x.failed(ctx, err)
 	}
+	x.end(ctx, ended{})
+	return nil
+}
+
+// end gives the slot back, also when the request's context has ended.
+func (x *exchange) end(ctx context.Context, m ended) {
+	m.id, m.ran = x.head.ID, time.Since(x.begun)
+	_ = x.slots.Send(context.WithoutCancel(ctx), m)
+}
+
+// failed reports an incomplete exchange. The entry may then repeat the request
+// elsewhere, so the backend server first gets the time to notice that the
+// connection was closed.
+func (x *exchange) failed(ctx context.Context, err error) error {
+	x.end(ctx, ended{early: true})
+	actor.Sleep(ctx, settleTime)
+	_ = x.stream.Send(&msg.Failed{Reason: err.Error()})
 	return nil
 }
 
--- a/internal/agent/exchanges.go
+++ b/internal/agent/exchanges.go
@@ -12,11 +12,12 @@
 // begin accepts or refuses a request that has arrived.
 func (s *slots) begin(m begin) {
 	rec := s.records.get(m.head.ID)
-	if rec == nil { // the sequence number is older than the records kept
-		m.reply <- verdict{refused: msg.RefusedCancelled}
-		return
-	}
-	if rec.state != exNew { // a tombstone, or a duplicate
+	// Its sequence number is older than the records kept, or it has a
+	// tombstone or is a duplicate.
+	if rec == nil || rec.state != exNew {
+		if c := s.creditFor(m); c != nil { // the entry has spent it
+			s.giveBack(c)
+		}
 		m.reply <- verdict{refused: msg.RefusedCancelled}
 		return
 	}
@@ -36,18 +37,11 @@
 
 // refusal spends a credit of the link's generation for rec, or says why not.
 func (s *slots) refusal(m begin, rec *exchangeRecord) msg.RefusedReason {
-	b := s.borrower(m.entry, m.head.Generation)
-	if b == nil {
-		return msg.RefusedNoCredit
-	}
-	c := s.find(b, crLent)
-	if c == nil {
-		c = s.find(b, crRecalled)
-	}
+	c := s.creditFor(m)
 	if c == nil {
 		return msg.RefusedNoCredit
 	}
-	b.Recent++
+	c.borrower.Recent++
 	if s.backend.state != beReady && s.backend.state != beSuspect && s.backend.state != beDraining {
 		s.giveBack(c)
 		return msg.RefusedDraining
@@ -61,6 +55,19 @@
 	return 0
 }
 
+// creditFor returns the credit that the entry has spent on m, or nil when it
+// had none.
+func (s *slots) creditFor(m begin) *credit {
+	b := s.borrower(m.entry, m.head.Generation)
+	if b == nil {
+		return nil
+	}
+	if c := s.find(b, crLent); c != nil {
+		return c
+	}
+	return s.find(b, crRecalled)
+}
+
 func (s *slots) giveBack(c *credit) {
 	creditChart.Step(c, &c.state, crReturn)
 	c.borrower = nil
@@ -127,8 +134,10 @@
 	}
 }
 
+// cancelled ends a request, or keeps one from starting that has not arrived:
+// the message comes from another goroutine than begin and may overtake it.
 func (s *slots) cancelled(id model.RequestID) {
-	rec := s.records.byID[id]
+	rec := s.records.get(id)
 	if rec == nil {
 		return
 	}
@@ -155,6 +164,7 @@
 	}
 	if m.early {
 		how = crSettle
+		rec.settles = s.now.Add(settleTime)
 	}
 	exchangeChart.Step(rec, &rec.state, event)
 	s.release(rec, how)
--- a/internal/agent/records.go
+++ b/internal/agent/records.go
@@ -26,6 +26,7 @@
 	cancel  func()
 	credit  *credit
 	address string
+	settles time.Time // the backend server may run the request until then
 }
 
 func (r *exchangeRecord) tell(v verdict) {
@@ -91,11 +92,11 @@
 }
 
 // outcome is the state that an OutcomeReply reports.
-func (r *exchangeRecord) outcome() msg.ExchangeState {
-	switch r.state {
-	case exRefused:
+func (r *exchangeRecord) outcome(now time.Time) msg.ExchangeState {
+	switch {
+	case r.state == exRefused:
 		return msg.ExchangeNotStarted
-	case exFinished:
+	case r.state == exFinished && !now.Before(r.settles):
 		return msg.ExchangeFinished
 	}
 	return msg.ExchangeStarted
--- a/internal/agent/slots.go
+++ b/internal/agent/slots.go
@@ -284,7 +284,7 @@
 			rec.refusal = msg.RefusedCancelled
 		}
 		s.stepWaiting(rec, exQuery)
-		reply.State = rec.outcome()
+		reply.State = rec.outcome(s.now)
 	}
 	b.out.TrySend(reply)
 }
