entry: return unspent credits and permits; reserve instances once

Cause: an offer for which no stream could be opened used up a credit that the agent counted as lent; a request that left between assignment and offer kept its permit for long work; a repeated request that reached its deadline while queued stayed in the queue and was later given a credit that nobody used; a cancelled request left its outcome query behind. The search for the instance that is kept free of long work ran for each instance and request.

Change: such credits and permits are given back, the request is withdrawn, the query is forgotten, and the reserved instances are determined when the instances change.

The withdrawal and the forgotten query have no test of their own.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -106,6 +106,11 @@
 		return
 	}
 	c.stopAttempt()
+	if c.attempt.stream == nil { // the agent has heard nothing of the credit
+		c.send(unused{to: c.attempt.to, failed: true})
+		c.attempt = nil
+		return
+	}
 	f := finished{to: c.attempt.to, service: c.rt.service, class: c.rt.class.Name, failed: failed || c.outcomeFailed()}
 	if !c.started.IsZero() {
 		f.started, f.ran = true, time.Since(c.started)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -46,6 +46,7 @@
 	outcome  model.Outcome
 	own      bool
 	aborted  bool
+	asked    bool      // the dispatcher was asked for an outcome
 	started  time.Time // the agent's Started arrived
 }
 
@@ -142,6 +143,7 @@
 	case effSendHead:
 		c.offer()
 	case effQueryOutcome:
+		c.asked = true
 		c.send(askOutcome{id: c.id, worker: c.attempt.to.worker, boot: c.attempt.to.boot, call: c.inbox})
 	case effQueryLater:
 		c.again.Reset(queryInterval)
@@ -149,10 +151,14 @@
 		c.stopAttempt()
 	case effRelease:
 		c.withdraw()
+		if c.asked {
+			c.send(forget{id: c.id})
+		}
 	case effAnswerNotRun:
 		c.withdraw()
 		c.answerNotRun()
 	case effAnswerRun:
+		c.withdraw()
 		c.answerRun()
 	case effAnswerUnknown:
 		c.answer(http.StatusGatewayTimeout, model.OutcomeUnknown, "it is not known whether the request was run")
@@ -261,7 +267,7 @@
 // bodyFailed handles a request body that could not be read whole.
 func (c *call) bodyFailed(err error) {
 	outcome := model.OutcomeUnknown
-	if c.state == stQueued {
+	if c.state == stQueued && !c.ran {
 		outcome = model.OutcomeNotRun
 	}
 	answering := c.state == stAnswering
--- a/internal/entry/credits.go
+++ b/internal/entry/credits.go
@@ -49,6 +49,7 @@
 			break
 		}
 	}
+	s.reserve()
 	a.backend = nil
 }
 
@@ -105,6 +106,7 @@
 		a.backend = &instance{service: s, agent: a, slowness: 1,
 			Candidate: dispatch.Candidate{Backend: m.Backend, RTT: rtt}}
 		s.instances = append(s.instances, a.backend)
+		s.reserve()
 		d.reportDemand(s)
 	}
 	a.backend.state, a.backend.Slots = m.State, m.Slots
@@ -131,13 +133,22 @@
 	return a.backend
 }
 
-func (d *dispatcher) giveBack(to assignment) {
+// giveBack takes back a credit that was not spent, and with it the permit for
+// a long request: the agent, which knows nothing of the assignment, would not
+// report it again.
+func (d *dispatcher) giveBack(m unused) {
 	for _, s := range d.services {
-		s.leave(to.id)
+		s.leave(m.to.id)
 	}
-	if i := d.instanceOf(to); i != nil {
+	if i := d.instanceOf(m.to); i != nil {
 		i.Credits++
 		i.Running--
+		if m.to.long {
+			i.longFree++
+		}
+		if m.failed {
+			i.Failures++
+		}
 		d.dispatch(i.service)
 	}
 }
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -59,6 +59,7 @@
 	agent    *agent
 	state    string
 	longFree int
+	reserved bool    // kept free of long requests
 	slowness float64 // smoothed ratio of its slot times to the class means
 }
 
@@ -148,7 +149,7 @@
 		}
 		m.done.Put(struct{}{})
 	case unused:
-		d.giveBack(m.to)
+		d.giveBack(m)
 	case askOutcome:
 		d.askOutcome(m)
 	case forget:
@@ -322,23 +323,30 @@
 	return sum / time.Duration(len(names))
 }
 
-// longAllowed keeps one instance of each data centre free of long requests,
-// so that short ones always find a place nearby.
-func (s *service) longAllowed(i *instance) bool {
-	if i.longFree <= 0 {
-		return false
-	}
-	first, others := i, 0
-	for _, o := range s.instances {
-		if o.agent.worker.DataCentre != i.agent.worker.DataCentre {
-			continue
-		}
-		others++
-		if o.Backend < first.Backend {
-			first = o
+// longAllowed reports whether a long request may be sent to i.
+func (s *service) longAllowed(i *instance) bool { return i.longFree > 0 && !i.reserved }
+
+// reserve keeps one instance of each data centre that has several free of
+// long requests, so that short ones always find a place nearby. It is called
+// when the instances change: a search for each request cost the square of
+// their number.
+func (s *service) reserve() {
+	first := map[model.DataCentre]*instance{}
+	several := map[model.DataCentre]bool{}
+	for _, i := range s.instances {
+		dc := i.agent.worker.DataCentre
+		i.reserved = false
+		if f := first[dc]; f != nil {
+			several[dc] = true
+			if f.Backend < i.Backend {
+				continue
+			}
 		}
+		first[dc] = i
+	}
+	for dc, i := range first {
+		i.reserved = several[dc]
 	}
-	return others == 1 || first != i
 }
 
 func (d *dispatcher) assign(s *service, i *instance, r dispatch.Request, call chan<- callMessage) {
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -69,7 +69,10 @@
 }
 
 // unused gives back a credit that was assigned but not spent.
-type unused struct{ to assignment }
+type unused struct {
+	to     assignment
+	failed bool // no stream could be opened
+}
 
 // started says that a backend server was given the request.
 type started struct {
