policy/dispatch: admit requests before the first credit

An entry that had sent nothing took its speed as 0, so admission refused every request but the first of a tenant as late. A fresh entry, or one whose idle credits were lent to others, answered 503 although slots were lent to it as soon as the agents heard of its demand. Found by restarting an entry with real processes. The first guess is now at least one slot.

TestAdmitWithoutCreditsYet failed for request 1 before and passes now.

--- a/internal/policy/dispatch/queue.go
+++ b/internal/policy/dispatch/queue.go
@@ -160,7 +160,9 @@
 
 func (q *Queue) learnBand(band int, weight float64, sent, started int) {
 	if q.speed[band] < 1 {
-		q.speed[band] = float64(sent)
+		// An entry that has sent nothing yet has no credits: agents lend at
+		// least one once they hear of its demand. A speed of 0 refused all.
+		q.speed[band] = float64(max(sent, 1))
 		return
 	}
 	q.speed[band] += (float64(started) - q.speed[band]) * weight
