daemon: ask entries that have just started for their version

The list is now brought up to date from the table for each question, and an entry that has not read the list at all answers 503 instead of assuming that it is alone.

TestPeersIncludeNewEntries failed with the old list and passes now; tests of internal/operator and internal/daemon pass.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -72,8 +72,8 @@
 	}
 	connector := spawnConnector(g, links, c.Region, c.Entries)
 	if c.Table != nil {
-		directory.Follow(g, c.Table, agentDirectoryInterval, c.Log, func(list []rows.Entry) {
-			_ = connector.Send(g.Context(), list)
+		directory.Follow(g, c.Table, agentDirectoryInterval, c.Log, func(list directory.List) {
+			_ = connector.Send(g.Context(), list.Entries)
 		})
 	}
 	serve(g, "announce listener", c.Announce, agent.AnnounceHandler(a.slots, c.Worker.ID), http.DefaultMaxHeaderBytes)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -55,7 +55,7 @@
 	})
 	startLinks(g, c, self, store, dispatcher, controllers)
 	registry := metrics.Start(g)
-	startOperator(g, c, &view{self: self, dispatcher: dispatcher, cells: controllers, entries: &actor.Value[[]rows.Entry]{}},
+	startOperator(g, c, &view{self: self, dispatcher: dispatcher, cells: controllers, table: c.Table, entries: &actor.Value[directory.List]{}},
 		store, registry)
 	front := &entry.Frontend{
 		Dispatcher: dispatcher, Table: table.Get, MaxBody: int64(set.Entry.MaxBody),
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/configstore"
 	"github.com/bambooscale/bambooscale/internal/control"
@@ -14,7 +16,6 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/operator"
 	"github.com/bambooscale/bambooscale/internal/platform"
-	"github.com/bambooscale/bambooscale/internal/rows"
 )
 
 // view answers the operators' questions about an entry.
@@ -22,12 +23,13 @@
 	self       entry.Self
 	dispatcher entry.Address
 	cells      *cells
-	entries    *actor.Value[[]rows.Entry]
+	table      platform.Table
+	entries    *actor.Value[directory.List]
 }
 
 func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) {
 	set := c.Settings
-	directory.Follow(g, c.Table, directoryInterval, c.Log, func(list []rows.Entry) { v.entries.Set(&list) })
+	directory.Follow(g, c.Table, directoryInterval, c.Log, func(list directory.List) { v.entries.Set(&list) })
 	api := operator.New(g, operator.Config{
 		Entry: v.self.Entry, Build: c.Build, Token: set.Entry.OperatorToken, DefaultCell: set.Entry.DefaultCell,
 		Table: c.Table, Objects: c.Objects, Store: store, Log: c.Log,
@@ -54,14 +56,23 @@
 	return err
 }
 
-// peers lists the other living entries.
-func (v *view) peers(context.Context) ([]operator.Peer, error) {
+// peers lists the other living entries. It looks for new ones in the table:
+// with the list of up to directoryInterval ago, an edit was reported in effect
+// everywhere before an entry that had just started had it. While the table is
+// away the list stands: no entry can announce itself.
+func (v *view) peers(ctx context.Context) ([]operator.Peer, error) {
+	known := v.entries.Get()
+	if known == nil {
+		return nil, errors.Wrap(platform.ErrUnavailable, "the list of entries has not been read yet")
+	}
+	entries, err := known.Update(ctx, v.table)
+	if err != nil {
+		entries = known.Entries
+	}
 	var list []operator.Peer
-	if known := v.entries.Get(); known != nil {
-		for _, e := range *known {
-			if e.ID != v.self.Entry {
-				list = append(list, operator.Peer{ID: e.ID, Operator: e.Operator})
-			}
+	for _, e := range entries {
+		if e.ID != v.self.Entry {
+			list = append(list, operator.Peer{ID: e.ID, Operator: e.Operator})
 		}
 	}
 	return list, nil
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -42,9 +44,15 @@
 	})
 }
 
+// List is the living entries. Rows that changed after UpTo are not in it yet.
+type List struct {
+	Entries []rows.Entry
+	UpTo    platform.Revision
+}
+
 // Follow calls deliver, from one goroutine, with the living entries whenever
-// they change.
-func Follow(g *actor.Group, table platform.Table, interval time.Duration, l log.Interface, deliver func([]rows.Entry)) {
+// a row has changed or an entry has gone.
+func Follow(g *actor.Group, table platform.Table, interval time.Duration, l log.Interface, deliver func(List)) {
 	to := actor.Spawn(g, actor.Spec[platform.Changes]{Name: "entry directory", Mailbox: 4, Restart: actor.OnFailure,
 		Run: func(ctx context.Context, in <-chan platform.Changes) error {
 			return newFollower(interval, deliver).run(ctx, in)
@@ -56,7 +64,8 @@
 // follower judges which entries live by its own clock.
 type follower struct {
 	gone    time.Duration
-	deliver func([]rows.Entry)
+	deliver func(List)
+	upTo    platform.Revision
 	known   map[model.EntryID]*sighting
 }
 
@@ -65,7 +74,7 @@
 	changed time.Time
 }
 
-func newFollower(interval time.Duration, deliver func([]rows.Entry)) *follower {
+func newFollower(interval time.Duration, deliver func(List)) *follower {
 	return &follower{gone: max(goneAfter, 3*interval), deliver: deliver, known: map[model.EntryID]*sighting{}}
 }
 
@@ -75,6 +84,7 @@
 	for {
 		select {
 		case c := <-in:
+			f.upTo = c.UpTo
 			f.apply(time.Now(), c.Rows)
 		case <-check.C:
 			f.apply(time.Now(), nil)
@@ -84,18 +94,14 @@
 	}
 }
 
-// apply records changed rows and delivers the list if it is another one.
+// apply records changed rows and delivers the list if something has changed.
 func (f *follower) apply(now time.Time, changed []platform.Row) {
-	dirty := false
+	dirty := len(changed) > 0
 	for _, r := range changed {
 		e, err := rows.Decode[rows.Entry](r.Value)
 		if r.Deleted || err != nil || e.ID == "" {
 			continue // an entry's row is never deleted; what it does not hold, it does not list
 		}
-		old := f.known[e.ID]
-		if old == nil || old.entry.Address != e.Address || old.entry.Boot != e.Boot {
-			dirty = true
-		}
 		f.known[e.ID] = &sighting{entry: e, changed: now}
 	}
 	for id, s := range f.known {
@@ -105,8 +111,27 @@
 		}
 	}
 	if dirty {
-		f.deliver(f.list())
+		f.deliver(List{f.list(), f.upTo})
+	}
+}
+
+// Update adds the entries whose rows have changed since the list was read: they
+// live, and some may be new.
+func (l List) Update(ctx context.Context, table platform.Table) ([]rows.Entry, error) {
+	changed, _, err := table.Scan(ctx, rows.EntryPrefix, l.UpTo)
+	if err != nil {
+		return nil, err
+	}
+	entries := map[model.EntryID]rows.Entry{}
+	for _, e := range l.Entries {
+		entries[e.ID] = e
+	}
+	for _, r := range changed {
+		if e, err := rows.Decode[rows.Entry](r.Value); err == nil && e.ID != "" {
+			entries[e.ID] = e
+		}
 	}
+	return slices.Collect(maps.Values(entries)), nil
 }
 
 func (f *follower) list() []rows.Entry {
