--- a/internal/agent/slots_model_test.go
+++ b/internal/agent/slots_model_test.go
@@ -52,7 +52,7 @@
 }
 
 func newSlotsTest() *slotsTest {
-	x := &slotsTest{s: newSlots("east"), group: actor.NewGroup(context.Background(), nil),
+	x := &slotsTest{s: newSlots(model.Worker{DataCentre: "east"}), group: actor.NewGroup(context.Background(), nil),
 		entries: []*entrySide{{id: "a"}, {id: "b"}}}
 	x.announce()
 	for _, e := range x.entries {
--- a/internal/agent/slots_test.go
+++ b/internal/agent/slots_test.go
@@ -146,7 +146,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := actor.NewGroup(t.Context(), nil)
 		defer g.Stop()
-		slots := SpawnSlots(g, "east")
+		slots := SpawnSlots(g, model.Worker{DataCentre: "east"})
 		out := actor.Spawn(g, actor.Spec[msg.Control]{Name: "out", Mailbox: 4096,
 			Run: func(ctx context.Context, _ <-chan msg.Control) error { <-ctx.Done(); return nil }})
 		require.NoError(t, slots.Send(t.Context(), Announce{Backend: "svc@1", Address: "192.0.2.1:80", Slots: testSlots}))
