operator: explain jobs that are over, and name what to do in errors

Explain job of a job that is over, or that another entry controls, was answered with a bare "not found", and a renewal of a task that had just ended was logged as a worker error.

Explain falls back to the job's row and says that the job is over, or which entry owns its cell. Calls that fail because the task has ended are not logged. Errors for unknown things, addresses in use, a missing settings file and an entry that does not answer name the option to use. Numbers in explanations are shown as sent instead of in scientific notation.

Ran two entries, three agents and simulators as processes: explain of a finished job, of a running one at the standby entry, and of unknown names gave the texts above. go test of operator, tasks, command: ok.

--- a/cmd/bambooscaled/run.go
+++ b/cmd/bambooscaled/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"net/http"
 	"net/url"
@@ -37,7 +39,13 @@
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := settings.Load(file)
-			if err != nil || check {
+			switch {
+			case errors.Is(err, fs.ErrNotExist):
+				return fmt.Errorf("%w; name the settings file with --settings", err)
+			case err != nil:
+				return err
+			case check:
+				_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s is valid\n", file)
 				return err
 			}
 			return run(cmd, s)
@@ -105,14 +113,23 @@
 	return link.Config{Keys: keys}, nil
 }
 
+// listen opens a listener; its error names the setting with the address.
+func listen(setting, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", setting, err)
+	}
+	return l, nil
+}
+
 func platformConfig(u *url.URL) platform.HTTPConfig { return platform.HTTPConfig{URL: u.String()} }
 
 func runEntry(cmd *cobra.Command, g *actor.Group, s *settings.Settings) (drainer, error) {
-	callers, err := net.Listen("tcp", s.Entry.Listen)
+	callers, err := listen("[entry] listen", s.Entry.Listen)
 	if err != nil {
 		return nil, err
 	}
-	operator, err := net.Listen("tcp", s.Entry.OperatorListen)
+	operator, err := listen("[entry] operator-listen", s.Entry.OperatorListen)
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +139,7 @@
 	}
 	agents, err := link.Listen(g, s.Entry.AgentsListen, links)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("[entry] agents-listen: %w", err)
 	}
 	e := daemon.StartEntry(g, daemon.EntryConfig{
 		Settings: s, Build: version,
@@ -135,7 +152,7 @@
 }
 
 func runAgent(cmd *cobra.Command, g *actor.Group, s *settings.Settings) (drainer, error) {
-	announce, err := net.Listen("tcp", s.Agent.AnnounceListen)
+	announce, err := listen("[agent] announce-listen", s.Agent.AnnounceListen)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -109,7 +109,9 @@
 }
 
 func decodeAnswer(raw []byte, out any) error {
-	if err := json.Unmarshal(raw, out); err != nil {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber() // large numbers are shown as they were sent
+	if err := dec.Decode(out); err != nil {
 		return fmt.Errorf("the server's answer cannot be decoded: %w", err)
 	}
 	return nil
@@ -152,7 +154,10 @@
 // taken effect unless the connection could not be opened.
 func lost(method string, err error) error {
 	var op *net.OpError
-	if method == http.MethodGet || (errors.As(err, &op) && op.Op == "dial") {
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return failure{ExitUnavailable, fmt.Errorf("%w; name the operators' API of a running entry with --server or BAMBOOSCALE_SERVER", err)}
+	case method == http.MethodGet:
 		return failure{ExitUnavailable, err}
 	}
 	return failure{ExitUnknown, fmt.Errorf("the answer was lost, so it may have been done: %w", err)}
--- a/internal/command/jobwait.go
+++ b/internal/command/jobwait.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io/fs"
+	"strings"
 	"time"
 
 	"github.com/bambooscale/bambooscale/charts"
@@ -41,7 +42,7 @@
 	for shown := model.Phase(""); ; {
 		if view.Phase != shown {
 			shown = view.Phase
-			a.progress("job %s is %s %s", view.Spec.ID, view.Phase, view.Reason)
+			a.progress("%s", strings.TrimSpace(fmt.Sprintf("job %s is %s %s", view.Spec.ID, view.Phase, view.Reason)))
 		}
 		if final[view.Phase] || (view.Phase == phaseParked && !view.Cancel) {
 			break
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 
@@ -46,11 +47,11 @@
 func StartDev(g *actor.Group, c DevConfig) (*Dev, error) {
 	callers, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w; name another address for callers with --listen", err)
 	}
 	operator, err := net.Listen("tcp", c.OperatorListen)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w; name another address for operators with --operator-listen", err)
 	}
 	agents, err := link.Listen(g, anyPort, link.Config{})
 	if err != nil {
--- a/internal/operator/jobs_test.go
+++ b/internal/operator/jobs_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -126,3 +127,23 @@
 		require.Equal(f.t, "not-run", header.Get(model.OutcomeHeader))
 	})
 }
+
+// Guards against "not found" for a job that is over or that another entry
+// controls.
+func TestExplainJobByItsRow(t *testing.T) {
+	inFixture(t, "", func(f *fixture) {
+		f.api.Explain = func(context.Context, string, string) (any, error) { return nil, platform.ErrNotFound }
+		f.api.Cells = func(context.Context) ([]model.CellStatus, error) {
+			return []model.CellStatus{{Cell: "dip-shed", Owner: "entry-2"}}, nil
+		}
+		for phase, want := range map[model.Phase]string{"done": "it is over", "running": "entry entry-2 owns cell dip-shed"} {
+			f.table.rows["job/dip-shed/j1"] = platform.Row{Key: "job/dip-shed/j1", Version: 1, Value: rows.Encode(model.JobRow{Phase: phase})}
+			status, _, body := f.call("GET", "/v1/explain/job/j1", "")
+			require.Equal(f.t, 200, status)
+			require.Contains(f.t, body["reason"], want)
+		}
+		status, _, body := f.call("GET", "/v1/explain/job/none", "")
+		require.Equal(f.t, 404, status)
+		require.Contains(f.t, body["error"], "none")
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -217,7 +217,7 @@
 	}
 	event.Log(a.Log, event.OperatorTokenRefused, log.Fields{"remote": r.RemoteAddr, "path": r.URL.Path})
 	w.Header().Set("WWW-Authenticate", "Bearer")
-	writeJSON(w, http.StatusUnauthorized, errorBody{Error: "a valid bearer token is required"})
+	writeJSON(w, http.StatusUnauthorized, errorBody{Error: "a valid bearer token is required; bambooctl reads it from the variable BAMBOOSCALE_TOKEN"})
 	return false
 }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -6,10 +6,12 @@
 	"net/http"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
 )
 
 // Status is what one entry knows of the system.
@@ -139,7 +141,61 @@
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
 	v, err := a.Explain(ctx, kind, name)
-	return response{body: v}, err
+	switch {
+	case !errors.Is(err, platform.ErrNotFound):
+		return response{body: v}, err
+	case kind == "job":
+		return a.explainRow(ctx, r, model.JobID(name))
+	}
+	return response{}, fmt.Errorf("%s %q is not known to this entry; bambooctl status --all and backend list show what is: %w", kind, name, err)
+}
+
+// rowExplanation explains a job by its row, when no controller of this entry
+// has it in hand.
+type rowExplanation struct {
+	Job    model.JobID    `json:"job"`
+	Cell   model.Cell     `json:"cell"`
+	Phase  model.Phase    `json:"phase"`
+	Worker model.WorkerID `json:"worker,omitempty"`
+	Reason string         `json:"reason"`
+}
+
+func (a *API) explainRow(ctx context.Context, r *http.Request, id model.JobID) (response, error) {
+	cell, err := a.cell(r)
+	if err != nil {
+		return response{}, err
+	}
+	if !jobName(string(id)) {
+		return response{}, unknownJob(cell, id)
+	}
+	row, found, err := a.jobs.read(ctx, rows.JobKey(cell, id))
+	if err != nil || !found {
+		return response{}, errors.CombineErrors(err, unknownJob(cell, id))
+	}
+	e := rowExplanation{Job: id, Cell: cell, Phase: row.Phase, Worker: row.Worker}
+	switch {
+	case a.Final != nil && a.Final(row.Phase):
+		e.Reason = fmt.Sprintf("it is over: it is %s after %d attempts", row.Phase, row.Attempt)
+		if row.Reason != "" {
+			e.Reason += ": " + row.Reason
+		}
+	default:
+		e.Reason = a.otherOwner(ctx, cell)
+	}
+	return response{body: e}, nil
+}
+
+// otherOwner says where a job is explained that this entry does not control.
+func (a *API) otherOwner(ctx context.Context, cell model.Cell) string {
+	if a.Cells != nil {
+		list, err := a.Cells(ctx)
+		for _, c := range list {
+			if err == nil && c.Cell == cell && c.Owner != "" && c.Owner != a.Entry {
+				return fmt.Sprintf("entry %s owns cell %s; ask it with --server", c.Owner, cell)
+			}
+		}
+	}
+	return fmt.Sprintf("the controller of cell %s has not read the job yet, or this entry does not contend for the cell; repeat the command, or ask another entry with --server", cell)
 }
 
 func (a *API) drain(r *http.Request) (response, error) {
@@ -149,7 +205,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
-	if err := a.Drain(ctx, id); err != nil {
+	if err := a.Drain(ctx, id); errors.Is(err, platform.ErrNotFound) {
+		return response{}, fmt.Errorf("backend server %q is not known to this entry; bambooctl backend list shows those that are: %w", id, err)
+	} else if err != nil {
 		return response{}, err
 	}
 	event.Log(a.Log, event.OperatorDrainAsked, log.Fields{"backend": id})
--- a/internal/tasks/commands.go
+++ b/internal/tasks/commands.go
@@ -156,7 +156,7 @@
 	if h == nil {
 		return
 	}
-	if a.Err != nil {
+	if a.Err != nil && !a.over() {
 		c.emit(Log{event.TaskWorkerError, map[string]any{"call": a.Call.String(), "attempt": a.Attempt.String(), "error": a.Err.Error()}})
 	}
 	switch a.Call {
--- a/internal/tasks/core_test.go
+++ b/internal/tasks/core_test.go
@@ -203,3 +203,15 @@
 	s.do(Answer{Call: DidStop, Attempt: one, NoTask: true, Err: ErrNoTask})
 	require.Equal(t, model.TaskFailed, s.reported().State)
 }
+
+// Guards against a warning for a call whose task had just ended, and against
+// silence when the worker fails.
+func TestEndedTaskIsNoWorkerError(t *testing.T) {
+	for _, call := range []Call{DidRenew, DidCheckpoint, DidThrottle} {
+		s := newScript(t).running()
+		_, n := effect[Log](s.do(Answer{Call: call, Attempt: one, Err: ErrRefused, Refused: true}))
+		require.Zero(t, n, call.String())
+		_, n = effect[Log](s.do(Answer{Call: call, Attempt: one, Err: errors.New("timeout")}))
+		require.Equal(t, 1, n, call.String())
+	}
+}
--- a/internal/tasks/events.go
+++ b/internal/tasks/events.go
@@ -43,6 +43,18 @@
 	}
 )
 
+// over reports whether a call failed only because the task has ended at the
+// worker, which the next list shows.
+func (a Answer) over() bool {
+	switch a.Call {
+	case DidRenew, DidCheckpoint, DidThrottle:
+		return a.NoTask || a.Refused
+	case DidStop:
+		return a.NoTask
+	}
+	return false
+}
+
 // Call names a call to the worker.
 type Call uint8
 
