command: show a waiting job's workers as a table

Explain of a waiting job showed the reasons as numbers in a nested list. Reasons are encoded by name, and the workers are shown one a line.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -48,7 +48,7 @@
 		Selector: func(string) (func(model.Labels) bool, error) { return func(model.Labels) bool { return true }, nil },
 		Services: func(context.Context) ([]model.ServiceStatus, error) { return s.status, nil },
 		Explain: func(_ context.Context, kind, name string) (any, error) {
-			return map[string]any{"reason": "fits " + kind + " " + name, "workers": []string{"w1"}}, nil
+			return map[string]any{"reason": "fits " + kind + " " + name, "workers": []any{map[string]string{"worker": "w1", "reason": "quota", "text": "team at its quota"}}}, nil
 		},
 	})
 	server := httptest.NewServer(api.Handler())
@@ -157,7 +157,7 @@
 	require.Contains(t, out, "more; show them with --all")
 	require.Contains(t, s.run(ExitOK, "", "backend", "list", "--service", "s3"), "down")
 	require.Contains(t, s.run(ExitOK, "", "top", "--count", "1"), "3.0ms")
-	require.Contains(t, s.run(ExitOK, "", "explain", "job", "j1"), "reason: fits job j1")
+	require.Regexp(t, `reason: fits job j1\nWORKER +REASON +TEXT\nw1 +quota +team at its quota`, s.run(ExitOK, "", "explain", "job", "j1"))
 	s.run(ExitNotFound, "", "backend", "drain", "b1")
 }
 
--- a/internal/command/offline.go
+++ b/internal/command/offline.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io/fs"
-	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -18,23 +17,6 @@
 	"github.com/bambooscale/bambooscale/internal/settings"
 )
 
-func (a *app) explainCommand() *cobra.Command {
-	one := func(kind, short string) *cobra.Command {
-		return leaf(kind+" NAME", short, cobra.ExactArgs(1), func(ctx context.Context, args []string) error {
-			var v any
-			if err := a.client.get(ctx, "/v1/explain/"+kind+"/"+url.PathEscape(args[0]), nil, &v); err != nil {
-				return err
-			}
-			return a.show(v, func(t *table) { t.tree("", v) })
-		})
-	}
-	return a.group("explain", "Explain a decision",
-		one("job", "Why a job runs where it does, or waits"),
-		one("class", "How a class is served, and why its requests are refused"),
-		one("backend", "Why a backend server gets the work that it gets"),
-		one("worker", "Why a worker gets or does not get tasks"))
-}
-
 func (a *app) chartCommand() *cobra.Command {
 	dir := ""
 	files := func() fs.FS {
--- a/internal/policy/place/reason.go
+++ b/internal/policy/place/reason.go
@@ -32,6 +32,9 @@
 	return "unknown"
 }
 
+// MarshalText writes the reason's name.
+func (r Reason) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
 var stateNames = [...]string{"ready", "suspect", "down", "draining", "quarantined", "probation"}
 
 // String is the state's name, which is also its name in charts/worker.scxml.
--- a/internal/policy/place/types.go
+++ b/internal/policy/place/types.go
@@ -101,14 +101,14 @@
 
 // Verdict is the result for one job that was not placed.
 type Verdict struct {
-	Job      model.JobID
-	Reason   Reason
-	Selector string // name of the selector, for selector reasons
+	Job      model.JobID `json:"job"`
+	Reason   Reason      `json:"reason"`
+	Selector string      `json:"selector,omitempty"` // name of the selector, for selector reasons
 	// Workers counts the workers by reason; verdicts share it, so it is
 	// read-only.
-	Workers map[Reason]int
-	Rounds  int            // number of rounds in which the job found no place
-	Kept    model.WorkerID // the worker kept free for the job, if any
+	Workers map[Reason]int `json:"workers,omitempty"`
+	Rounds  int            `json:"rounds"`         // number of rounds in which the job found no place
+	Kept    model.WorkerID `json:"kept,omitempty"` // the worker kept free for the job, if any
 }
 
 // Plan is the result of a round.
@@ -120,8 +120,8 @@
 
 // Rejection is what one worker means for a job. ReasonNone: it would take it.
 type Rejection struct {
-	Worker   model.WorkerID
-	Reason   Reason
-	Selector string
-	Text     string
+	Worker   model.WorkerID `json:"worker"`
+	Reason   Reason         `json:"reason"`
+	Selector string         `json:"selector,omitempty"`
+	Text     string         `json:"text"`
 }
