daemon: apply classes of services that have no labels

A class with the label service= had no effect while the service itself had no labels: routing only listed the labelled services.

Routing lists the services that classes name as well.

--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -15,8 +15,7 @@
 		Default:  set.Entry.DefaultService, Deadline: set.Entry.RequestDeadline,
 	}
 	t.Shared = classRules(s.Classes(""), nil)
-	for _, k := range s.Keys(model.KindService) {
-		name := model.Service(k.Name)
+	for _, name := range configuredServices(s) {
 		p := s.Service(name)
 		t.Services[name] = entry.ServiceRule{
 			Name: name, DefaultTenant: p.DefaultTenant,
@@ -26,6 +25,21 @@
 	return t
 }
 
+// configuredServices lists the services that have labels or classes of their
+// own.
+func configuredServices(s *configstore.Snapshot) []model.Service {
+	var list []model.Service
+	for _, k := range s.Keys(model.KindService) {
+		list = append(list, model.Service(k.Name))
+	}
+	for _, k := range s.Keys(model.KindClass) {
+		if p := s.Class(model.Class(k.Name)); p.Service != "" {
+			list = append(list, p.Service)
+		}
+	}
+	return list
+}
+
 func classRules(classes []configstore.ClassProperties, methods []string) []entry.ClassRule {
 	rules := make([]entry.ClassRule, 0, len(classes))
 	for _, c := range classes {
