daemon: say that no backend server is ready in explain class

Explain class of a service whose only backend server had left claimed that every slot was in use. It now counts the ready backend servers. Seen in the tour of the README; go test of daemon: ok.

--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -152,13 +152,16 @@
 }
 
 func classReason(c model.ClassStatus, s model.ServiceStatus) string {
-	credits := 0
+	credits, ready := 0, 0
 	for _, b := range s.Backends {
 		credits += b.Credits
+		if b.State == "ready" {
+			ready++
+		}
 	}
 	switch {
-	case len(s.Backends) == 0:
-		return "no backend server of the service is linked: requests wait for one and are refused when they cannot start in time"
+	case ready == 0:
+		return "no backend server of the service is ready: requests wait for one and are refused when they cannot start in time"
 	case c.Long:
 		return "it is long: it may use half of the slots, and none of one backend server in each data centre"
 	case credits == 0:
