--- a/internal/chart/draw.go
+++ b/internal/chart/draw.go
@@ -26,6 +26,15 @@
 	return b.String()
 }
 
+// StateNames lists the states in document order.
+func (d *Document) StateNames() []string {
+	names := make([]string, 0, len(d.States))
+	for _, s := range d.States {
+		names = append(names, s.ID)
+	}
+	return names
+}
+
 func (t TransitionNode) label(s StateNode) string {
 	label := t.Event
 	if s.Timeout != nil && s.Timeout.Event == t.Event {
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -174,6 +174,8 @@
 	require.Contains(t, s.run(ExitOK, "", "chart", "draw", "config"), "[*] --> empty")
 	s.run(ExitOK, "", "chart", "check")
 	s.run(ExitNotFound, "", "chart", "draw", "none")
+	s.run(ExitUsage, "", "chart", "draw")
+	require.Contains(t, s.run(ExitOK, "", "chart", "draw", "--all"), "## writer")
 	dir := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "x.scxml"), []byte(`<scxml name="x" initial="a"><state id="b"/></scxml>`), 0o600))
 	require.Contains(t, s.run(ExitFailure, "", "chart", "check", "--dir", dir), `initial state "a" is not defined`)
