policy/interfere: learn pair effects, throttle, then stop

Cause: the harm that a batch class does to a service depends on the pair and the load and shows only in reports that lag by 10 s or more.

Change: for each service class a Bayesian regression of ln(p99/target) on the load and on load times each batch class's share of the host, with the class mean as prior. Samples are compared with the worst moment of their own window. The confidence bound follows the missed windows. Arrivals and queues at the entries lead; a rise that begins is taken to go as far as earlier ones.

--- /dev/null
+++ b/internal/policy/interfere/control.go
@@ -0,0 +1,382 @@
+package interfere
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// Task is a batch task on a host.
+type Task struct {
+	Attempt   model.AttemptID
+	Class     model.Class
+	CPU       model.MilliCPU
+	Percent   int // present throttle; 100 is none
+	YieldRank int // index of the first yields-first selector that matches
+	LostWork  time.Duration
+	Protected bool // urgent work: throttled last and never stopped
+	Stopping  bool // was told to stop; still runs
+}
+
+// Host is a worker with a service and batch tasks.
+type Host struct {
+	Worker   model.WorkerID
+	CPU      model.MilliCPU // capacity
+	Services []ServiceLoad
+	Tasks    []Task
+}
+
+// Step is what to do with a task.
+type Step uint8
+
+// Steps, from mild to severe.
+const (
+	StepThrottle       Step = iota // limit to Percent; 100 removes the limit
+	StepCheckpointStop             // checkpoint, commit, stop
+)
+
+// Action is one step for one task.
+type Action struct {
+	Attempt model.AttemptID
+	Step    Step
+	Percent int
+	Reason  string
+}
+
+// Options of a controller. Zero values take the defaults.
+type Options struct {
+	// Confidence is the number of standard deviations of the bound that a
+	// prediction must keep below the target at first. It then follows the
+	// missed windows.
+	Confidence float64
+	RelaxAfter time.Duration // a limit is raised after so long without need
+	StopAfter  time.Duration // a task is stopped after so long at its lowest limit
+}
+
+const (
+	defaultConfidence = 2
+	defaultRelaxAfter = time.Second
+	// missedWindows is the part of a service class's windows that may miss the
+	// target; with three classes a host stays below 1%.
+	missedWindows  = 0.005
+	confidenceGain = 0.2
+	leastBound     = 1
+	mostBound      = 4
+	// defaultStopAfter covers two reports that lag by 10 s each.
+	defaultStopAfter = 30 * time.Second
+	leastPercent     = 5
+	percentStep      = 5
+	// relaxMargin keeps a limit from swinging: it is raised only if the
+	// prediction then still is this much below the target.
+	relaxMargin = 0.01
+	// leastHarm is the effect up to which a batch class is left alone: less
+	// than 10% of the latency with the whole host at full load.
+	leastHarm = 0.1
+	// offsetGain is how fast a host's own offset follows its residuals.
+	offsetGain = 0.05
+	offsetMax  = 0.5
+)
+
+// Controller decides for the hosts of one cell. It has one owner.
+type Controller struct {
+	opts    Options
+	learner *Learner
+	hosts   map[model.WorkerID]*hostState
+	bounds  map[ServiceClass]float64 // confidence in standard deviations
+}
+
+type hostState struct {
+	loads    map[ServiceClass]*forecast
+	offsets  map[ServiceClass]float64 // how far the host is from the model
+	history  history
+	calm     time.Duration // since when every limit could be raised; 0: not now
+	pressure time.Duration // since when throttling is not enough; 0: it is
+}
+
+// New returns a controller that has learned nothing.
+func New(opts Options) *Controller {
+	opts.Confidence = cmp.Or(opts.Confidence, defaultConfidence)
+	opts.RelaxAfter = cmp.Or(opts.RelaxAfter, defaultRelaxAfter)
+	opts.StopAfter = cmp.Or(opts.StopAfter, defaultStopAfter)
+	return &Controller{opts: opts, learner: NewLearner(), hosts: map[model.WorkerID]*hostState{}, bounds: map[ServiceClass]float64{}}
+}
+
+// Learner gives read access to the effects.
+func (c *Controller) Learner() *Learner { return c.learner }
+
+func (c *Controller) host(id model.WorkerID) *hostState {
+	h := c.hosts[id]
+	if h == nil {
+		h = &hostState{loads: map[ServiceClass]*forecast{}, offsets: map[ServiceClass]float64{}}
+		c.hosts[id] = h
+	}
+	return h
+}
+
+// Remove forgets a worker; the effects stay.
+func (c *Controller) Remove(id model.WorkerID) { delete(c.hosts, id) }
+
+// Decide returns the steps for the tasks of a host, none when all may stay as
+// they are. The exposure that it sees is what later reports are compared
+// with, so it is called at least once a second while tasks run.
+func (c *Controller) Decide(now time.Duration, h Host) []Action {
+	state := c.host(h.Worker)
+	d := decision{c: c, state: state, host: &h, limits: make([]int, len(h.Tasks))}
+	for _, s := range h.Services {
+		f := state.loads[s.Service]
+		if f == nil {
+			f = &forecast{}
+			state.loads[s.Service] = f
+		}
+		d.loads = append(d.loads, f.update(now, s.Forecast()))
+	}
+	for i, t := range h.Tasks {
+		d.limits[i] = cmp.Or(t.Percent, 100)
+	}
+	state.history.add(now, &h, d.exposure())
+	enough := d.choose()
+	actions := append(d.throttle(now), d.stop(now, enough)...)
+	return actions
+}
+
+// Admit returns the limit in percent with which a task of a class may start
+// on a host without a service missing its target.
+func (c *Controller) Admit(h Host, t Task) int {
+	if c.Harm(h.Services, t.Class) <= leastHarm {
+		return 100
+	}
+	h.Tasks = append(slices.Clone(h.Tasks), t)
+	state := c.host(h.Worker)
+	d := decision{c: c, state: state, host: &h, limits: make([]int, len(h.Tasks))}
+	for _, s := range h.Services {
+		load := s.Forecast()
+		if f := state.loads[s.Service]; f != nil {
+			load = max(load, f.value)
+		}
+		d.loads = append(d.loads, load)
+	}
+	last := len(h.Tasks) - 1
+	for i, t := range h.Tasks {
+		d.limits[i] = cmp.Or(t.Percent, 100)
+	}
+	for d.limits[last] = 100; d.limits[last] > leastPercent && d.upper() > 0; {
+		d.limits[last] -= percentStep
+	}
+	return d.limits[last]
+}
+
+// decision is the work of one Decide call.
+type decision struct {
+	c      *Controller
+	state  *hostState
+	host   *Host
+	loads  []float64 // by service
+	limits []int     // percent by task
+	target []int     // chosen limits
+}
+
+// exposure is what the limits let each class use.
+func (d *decision) exposure() Exposure {
+	e := Exposure{}
+	for i, t := range d.host.Tasks {
+		e[t.Class] += float64(t.CPU) / float64(d.host.CPU) * float64(d.limits[i]) / 100
+	}
+	return e
+}
+
+// bound returns the confidence for a service class.
+func (c *Controller) bound(s ServiceClass) float64 {
+	if z, ok := c.bounds[s]; ok {
+		return z
+	}
+	return c.opts.Confidence
+}
+
+// calibrate moves the confidence so that the windows that miss the target
+// become as many as may: the deviation alone does not cover what the model
+// does not know.
+func (c *Controller) calibrate(s ServiceClass, missed bool) {
+	z := c.bound(s) - confidenceGain*missedWindows
+	if missed {
+		z += confidenceGain
+	}
+	c.bounds[s] = max(leastBound, min(mostBound, z))
+}
+
+// worst returns the largest of the services' predictions with sign standard
+// deviations of their confidence.
+func (d *decision) worst(sign float64) float64 {
+	e := d.exposure()
+	worst := -1e9
+	for i, s := range d.host.Services {
+		p := d.c.learner.Predict(s.Service, d.loads[i], e)
+		p.Mean += d.state.offsets[s.Service]
+		worst = max(worst, p.Mean+sign*d.c.bound(s.Service)*p.Deviation)
+	}
+	return worst
+}
+
+func (d *decision) upper() float64 {
+	return d.worst(1)
+}
+
+// choose sets target to the highest limits that keep the bound: tasks that
+// yield first, and among them the most harmful, give way first. It reports
+// whether the lowest limits suffice for the mean prediction.
+func (d *decision) choose() (enough bool) {
+	present := slices.Clone(d.limits)
+	for i := range d.limits {
+		d.limits[i] = 100
+	}
+	over := d.upper() > 0
+	for _, i := range d.order() {
+		if !over {
+			break
+		}
+		d.limits[i] = leastPercent
+		if over = d.upper() > 0; over {
+			continue
+		}
+		for d.limits[i]+percentStep <= 100 {
+			d.limits[i] += percentStep
+			if d.upper() > 0 {
+				d.limits[i] -= percentStep
+				break
+			}
+		}
+	}
+	d.target = slices.Clone(d.limits)
+	enough = !over || d.worst(-1) <= 0
+	copy(d.limits, present)
+	return enough
+}
+
+// order lists the tasks that harm a service, by who gives way first.
+func (d *decision) order() []int {
+	harm := map[model.Class]float64{}
+	for _, t := range d.host.Tasks {
+		if _, ok := harm[t.Class]; !ok {
+			harm[t.Class] = d.c.Harm(d.host.Services, t.Class)
+		}
+	}
+	order := make([]int, 0, len(d.host.Tasks))
+	for i, t := range d.host.Tasks {
+		if harm[t.Class] > leastHarm {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := d.host.Tasks[a], d.host.Tasks[b]
+		return cmp.Or(compareBool(x.Protected, y.Protected), cmp.Compare(x.YieldRank, y.YieldRank),
+			cmp.Compare(harm[y.Class], harm[x.Class]), cmp.Compare(x.LostWork, y.LostWork))
+	})
+	return order
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// Harm returns the greatest mean effect of a batch class on the services, 0
+// if it harms none.
+func (c *Controller) Harm(services []ServiceLoad, class model.Class) float64 {
+	harm := 0.0
+	for _, s := range services {
+		harm = max(harm, c.learner.Effect(s.Service, class).Mean)
+	}
+	return harm
+}
+
+// throttle lowers limits at once and raises them after a calm time.
+func (d *decision) throttle(now time.Duration) []Action {
+	var actions []Action
+	raise := false
+	for i, t := range d.host.Tasks {
+		switch {
+		case d.target[i] < d.limits[i]:
+			actions = append(actions, d.action(i, "the predicted p99 of a service on the host exceeds its target"))
+			d.limits[i] = d.target[i]
+		case d.target[i] > d.limits[i] && !t.Stopping:
+			raise = true
+		}
+	}
+	if len(actions) > 0 || !raise {
+		d.state.calm = 0
+		return actions
+	}
+	if d.state.calm == 0 {
+		d.state.calm = now
+	}
+	if now-d.state.calm < d.c.opts.RelaxAfter {
+		return nil
+	}
+	return d.raise()
+}
+
+// raise moves limits up to their target while the bound keeps a margin.
+func (d *decision) raise() []Action {
+	var actions []Action
+	for i, t := range d.host.Tasks {
+		if d.target[i] <= d.limits[i] || t.Stopping {
+			continue
+		}
+		before := d.limits[i]
+		d.limits[i] = d.target[i]
+		if d.upper() > -relaxMargin && len(d.host.Services) > 0 {
+			d.limits[i] = before
+			continue
+		}
+		actions = append(actions, d.action(i, "the services have room again"))
+	}
+	return actions
+}
+
+func (d *decision) action(i int, reason string) Action {
+	return Action{Attempt: d.host.Tasks[i].Attempt, Step: StepThrottle, Percent: d.target[i], Reason: reason}
+}
+
+// stop chooses one victim when the lowest limits have not been enough for a
+// time; after it, the time starts again.
+func (d *decision) stop(now time.Duration, enough bool) []Action {
+	for _, t := range d.host.Tasks {
+		if t.Stopping {
+			enough = true // wait for its effect
+		}
+	}
+	if enough {
+		d.state.pressure = 0
+		return nil
+	}
+	if d.state.pressure == 0 {
+		d.state.pressure = now
+	}
+	if now-d.state.pressure < d.c.opts.StopAfter {
+		return nil
+	}
+	victim := -1
+	for _, i := range d.order() {
+		if !d.host.Tasks[i].Protected && (victim < 0 || yieldsBefore(d.host.Tasks[i], d.host.Tasks[victim])) {
+			victim = i
+		}
+	}
+	if victim < 0 {
+		return nil
+	}
+	d.state.pressure = 0
+	return []Action{{Attempt: d.host.Tasks[victim].Attempt, Step: StepCheckpointStop,
+		Reason: fmt.Sprintf("a service on the host misses its target although harmful tasks are limited to %d%%", leastPercent)}}
+}
+
+// yieldsBefore orders victims: yields-first, then the least lost work.
+func yieldsBefore(a, b Task) bool {
+	return cmp.Or(cmp.Compare(a.YieldRank, b.YieldRank), cmp.Compare(a.LostWork, b.LostWork)) < 0
+}
