control: throttle and evict tasks that slow a service on their worker

Cause: the interference policy decided nothing in production.

Change: the controller learns from the agents' reports for classes with the label target-p99-ms, decides once a second for workers with such a service, sends limits (again every 10 s, because commands may be lost) and evicts through the usual path. A limit of a stale controller no longer changes what an agent remembers. P99 is reported once for each window.

--- a/internal/agent/usage.go
+++ b/internal/agent/usage.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// usageWindow is the time over which P99 is measured.
-	usageWindow = 10 * time.Second
 	// leastSamples in a window give a P99.
 	leastSamples = 20
 	// maxSamples of a window and class are kept, the first ones.
@@ -53,7 +51,7 @@
 
 func (u *usage) ended(name model.Class, ran time.Duration) {
 	c := u.class(name)
-	c.busy += min(ran, usageWindow)
+	c.busy += min(ran, msg.UsageWindow)
 	if len(c.ran) < maxSamples {
 		c.ran = append(c.ran, ran)
 	}
@@ -62,7 +60,7 @@
 // second closes the present second, and the window when it is complete.
 func (u *usage) second(slots int) {
 	u.ticks++
-	windowEnds := u.ticks >= int(usageWindow/time.Second)
+	windowEnds := u.ticks >= int(msg.UsageWindow/time.Second)
 	for name, c := range u.classes {
 		c.arrivals += (float64(c.arrived) - c.arrivals) * arrivalSmoothing
 		c.arrived = 0
@@ -89,7 +87,7 @@
 	}
 	c.last.Busy = 0
 	if slots > 0 {
-		c.last.Busy = min(1, c.busy.Seconds()/(usageWindow.Seconds()*float64(slots)))
+		c.last.Busy = min(1, c.busy.Seconds()/(msg.UsageWindow.Seconds()*float64(slots)))
 	}
 	c.ran, c.busy = c.ran[:0], 0
 	return c.quiet >= forgetAfter
@@ -111,6 +109,9 @@
 		u := c.last
 		u.Service, u.Class, u.Slots = s.backend.Service, name, s.backend.Slots
 		u.Arrivals, u.Queued, u.Mean = c.arrivals, queued, s.classes.Mean(name)
+		if s.usage.ticks != 0 {
+			u.P99 = 0 // of a window that was reported already
+		}
 		r.Services = append(r.Services, u)
 	}
 	slices.SortFunc(r.Services, func(a, b msg.ServiceUsage) int {
--- a/internal/configstore/properties.go
+++ b/internal/configstore/properties.go
@@ -18,6 +18,7 @@
 	LabelPathPrefix        = "path-prefix"        // class: comma-separated path prefixes of its requests
 	LabelLong              = "long"               // class: true when its requests are long from the start
 	LabelIdempotentMethods = "idempotent-methods" // class, service: comma-separated; replaces those of RFC 9110
+	LabelTargetP99         = "target-p99-ms"      // class: p99 at the backend server that tasks on its host must leave room for
 	LabelWeight            = "weight"             // class: share against other classes, 1 by default
 	LabelDefaultTenant     = "default-tenant"     // service: tenant of requests that name none
 	LabelQuotaCPU          = "quota-cpu"          // team: milli-CPU
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -48,6 +48,8 @@
 	number   uint32
 	worker   model.WorkerID
 	report   msg.TaskReport // the newest
+	percent  int            // processor limit that the agent was told; 0: none yet
+	limitAt  time.Duration  // when it was told
 }
 
 // AttemptBinding binds charts/attempt.scxml. It is exported for the checks
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -7,6 +7,7 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/health"
+	"github.com/bambooscale/bambooscale/internal/policy/interfere"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 	"github.com/bambooscale/bambooscale/internal/rows"
@@ -60,13 +61,16 @@
 	planning bool                // something changed that a plan may use
 	finished map[model.Phase]int // jobs that are over
 
-	scanAt, sweepAt, renewAt, planAt time.Duration
+	interference *interfere.Controller
+
+	scanAt, sweepAt, renewAt, planAt, limitAt time.Duration
 }
 
 // NewCore returns the core of a controller that watches its cell.
 func NewCore(opts Options) *Core {
 	c := &Core{opts: opts, peers: map[model.WorkerID]*peer{}, cell: cell{deadline: lease.OwnerExpiry}}
 	c.rules, _ = place.CompileRules(nil)
+	c.interference = interfere.New(interfere.Options{})
 	c.reset()
 	return c
 }
@@ -200,6 +204,7 @@
 // whose lease has certainly expired.
 func (c *Core) sweep() {
 	c.tickHealth()
+	c.limit()
 	for _, p := range c.sortedPeers() {
 		if p.deadline > 0 && p.deadline <= c.now {
 			c.stepPeer(p, evRetry)
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -145,6 +145,7 @@
 	state  model.TaskState
 	points int
 	newest string
+	limit  int // processor limit in percent; 0: none was set
 }
 
 // host is a fake worker.
@@ -238,7 +239,23 @@
 	return name, err
 }
 
-func (w *host) Throttle(context.Context, model.AttemptID, int) error { return nil }
+func (w *host) Throttle(_ context.Context, id model.AttemptID, percent int) error {
+	return w.on(id, func(r *task) { r.limit = percent })
+}
+
+// percent is the highest limit of a job's running tasks, 100 when none was set.
+func (h *hosts) percent(id model.JobID) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	highest := 0
+	for _, r := range h.live[id] {
+		if r.limit == 0 {
+			return 100
+		}
+		highest = max(highest, r.limit)
+	}
+	return highest
+}
 
 func (w *host) Stop(ctx context.Context, id model.AttemptID) error {
 	return w.on(id, func(r *task) {
--- /dev/null
+++ b/internal/control/interference.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/interfere"
+)
+
+const (
+	// limitEvery is how often the limits of tasks beside a service are decided.
+	limitEvery = time.Second
+	// limitRepeat is how often a limit is sent again: commands may be lost,
+	// and a restarted agent does not know it.
+	limitRepeat = 10 * time.Second
+	// A measurement of a service counts for this long.
+	loadMemory = 30 * time.Second
+	// labelTarget is the label of a class with the p99 to keep, in ms.
+	labelTarget = "target-p99-ms"
+)
+
+// serviceLoad is what a worker's agent last reported of a service class.
+type serviceLoad struct {
+	usage msg.ServiceUsage
+	at    time.Duration
+}
+
+// onServices learns from what an agent measured at its backend server. Only
+// classes with a target count.
+func (c *Core) onServices(p *peer, list []msg.ServiceUsage) {
+	for _, u := range list {
+		target, ok := c.target(u.Class)
+		if !ok {
+			continue
+		}
+		key := interfere.ServiceClass{Service: u.Service, Class: u.Class}
+		if p.loads == nil {
+			p.loads = map[interfere.ServiceClass]serviceLoad{}
+		}
+		p.loads[key] = serviceLoad{usage: u, at: c.now}
+		if u.P99 > 0 {
+			c.interference.Observe(interfere.Report{
+				Worker: p.worker.ID, Service: key, From: c.now - msg.UsageWindow, To: c.now, P99: u.P99, Target: target,
+			})
+		}
+	}
+}
+
+// target is the p99 that a class has to keep by its label.
+func (c *Core) target(class model.Class) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(c.config.Classes[class][labelTarget], 10, 32)
+	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
+}
+
+// limit throttles and evicts tasks that make a service on their worker miss
+// its target.
+func (c *Core) limit() {
+	if c.limitAt > c.now || c.cell.state != stOwning || !c.loaded {
+		return
+	}
+	c.limitAt = c.now + limitEvery
+	for _, p := range c.sortedPeers() {
+		if p.state == stReady && len(p.loads) > 0 {
+			c.limitWorker(p)
+		}
+	}
+}
+
+func (c *Core) limitWorker(p *peer) {
+	host := interfere.Host{Worker: p.worker.ID, CPU: p.worker.Capacity.CPU, Services: p.services(c.now)}
+	if len(host.Services) == 0 || host.CPU <= 0 {
+		return
+	}
+	for _, j := range c.tasksOn(p) {
+		t := c.interferenceTask(j)
+		if t.Percent == 0 {
+			t.Percent = c.interference.Admit(host, t)
+			c.setLimit(j, t.Percent)
+		}
+		host.Tasks = append(host.Tasks, t)
+	}
+	for _, a := range c.interference.Decide(c.now, host) {
+		j := c.jobs[a.Attempt.Job]
+		if j == nil || j.attemptID() != a.Attempt {
+			continue
+		}
+		if a.Step == interfere.StepCheckpointStop {
+			c.log(event.TaskEvicted, map[string]any{"job": j.id, "worker": p.worker.ID, "reason": a.Reason})
+			c.evict(j.id, a.Reason)
+			continue
+		}
+		c.setLimit(j, a.Percent)
+	}
+	c.repeatLimits(p)
+}
+
+// services lists the loads that are recent, in a fixed order.
+func (p *peer) services(now time.Duration) []interfere.ServiceLoad {
+	var list []interfere.ServiceLoad
+	for key, l := range p.loads {
+		if now-l.at > loadMemory {
+			delete(p.loads, key)
+			continue
+		}
+		list = append(list, interfere.ServiceLoad{
+			Service: key, Busy: l.usage.Busy, Arrivals: l.usage.Arrivals, Queued: float64(l.usage.Queued),
+			ServiceTime: l.usage.Mean, Slots: l.usage.Slots,
+		})
+	}
+	slices.SortFunc(list, func(a, b interfere.ServiceLoad) int {
+		return cmp.Or(cmp.Compare(a.Service.Service, b.Service.Service), cmp.Compare(a.Service.Class, b.Service.Class))
+	})
+	return list
+}
+
+// tasksOn lists the jobs whose attempts run on a worker.
+func (c *Core) tasksOn(p *peer) []*job {
+	w, _ := c.ledger.Worker(p.worker.ID)
+	var list []*job
+	for _, t := range w.Tasks {
+		if j := c.jobs[t.Attempt.Job]; j != nil && j.attempt.live && j.attemptID() == t.Attempt && j.attempt.state == stRunning {
+			list = append(list, j)
+		}
+	}
+	return list
+}
+
+func (c *Core) interferenceTask(j *job) interfere.Task {
+	t := interfere.Task{
+		Attempt: j.attemptID(), Class: j.row.Spec.Class, CPU: j.size.CPU, Percent: j.attempt.percent,
+		YieldRank: c.rules.YieldRank(c.jobLabels(j.row.Spec)), Protected: j.row.Spec.Urgent,
+	}
+	if w, ok := c.ledger.Worker(j.attempt.worker); ok {
+		for _, charged := range w.Tasks {
+			if charged.Attempt == t.Attempt {
+				t.LostWork, t.Stopping = charged.LostWork, charged.Stopping
+			}
+		}
+	}
+	return t
+}
+
+func (c *Core) setLimit(j *job, percent int) {
+	j.core = c
+	j.attempt.percent, j.attempt.limitAt = percent, c.now
+	j.command(&msg.ThrottleTask{Command: c.command(), Attempt: j.attemptID(), Percent: percent})
+}
+
+func (c *Core) repeatLimits(p *peer) {
+	for _, j := range c.tasksOn(p) {
+		if j.attempt.percent != 100 && c.now-j.attempt.limitAt > limitRepeat {
+			c.setLimit(j, j.attempt.percent)
+		}
+	}
+}
--- a/internal/control/peer.go
+++ b/internal/control/peer.go
@@ -8,6 +8,7 @@
 	"github.com/bambooscale/bambooscale/internal/chart"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/interfere"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 )
 
@@ -52,6 +53,7 @@
 	grants    lease.Grants
 	attempts  int           // charged to the worker
 	service   model.Service // of the backend server on the worker; empty: none
+	loads     map[interfere.ServiceClass]serviceLoad
 	awayAt    time.Duration // when the link was lost
 	rounds    int           // renewals acknowledged since the last inventory
 	// lost are attempts that were given up without a confirmed stop. The agent
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -24,6 +24,7 @@
 			c.onReport(p, *m)
 		}
 	case *msg.UsageReport:
+		c.onServices(p, m.Services)
 		for _, t := range m.Tasks {
 			c.onUsage(p, t)
 		}
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -14,5 +14,6 @@
 	StoreRefused  = define(307, log.WarnLevel, "control-store-error", "an operation at the table service failed and is repeated", "check the table service")
 	WorkerHealth  = define(309, log.InfoLevel, "worker-health", "the state of a worker changed", "look at the worker if it is quarantined")
 	Preempted     = define(310, log.InfoLevel, "preempted", "tasks are evicted for an urgent job", "nothing; raise capacity or quotas if it is frequent")
+	TaskEvicted   = define(311, log.InfoLevel, "task-evicted", "a task is evicted because a service on its worker misses its target although tasks are throttled", "raise the target, or keep the two apart with a selector, if it is frequent")
 	RowMalformed  = define(308, log.ErrorLevel, "control-row-malformed", "a row of the table cannot be decoded and is ignored", "correct or delete the row")
 )
--- a/internal/msg/task.go
+++ b/internal/msg/task.go
@@ -103,6 +103,9 @@
 	Services []ServiceUsage // empty in the reports about tasks
 }
 
+// UsageWindow is the time over which P99 and Busy of ServiceUsage are measured.
+const UsageWindow = 10 * time.Second
+
 // ServiceUsage is what an agent measured at its backend server for one class.
 // Arrivals, Queued and Mean are of the last seconds, so that they announce a
 // rise in load before P99 shows its effect.
@@ -111,7 +114,7 @@
 	Class    model.Class
 	Slots    int
 	Requests int           // in the window of P99
-	P99      time.Duration // of the time at the backend server in the last window; 0: too few requests
+	P99      time.Duration // of the time at the backend server in a window that has just ended; 0: none has, or too few requests
 	Busy     float64       // mean share of the slots that the class used in the window, 0 to 1
 	Arrivals float64       // requests per second
 	Queued   int           // waiting for this backend server, at the entries and here; all classes
--- a/internal/policy/place/preempt.go
+++ b/internal/policy/place/preempt.go
@@ -69,7 +69,7 @@
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(e.rules.yieldRank(a.Labels), e.rules.yieldRank(b.Labels)), cmp.Compare(long(a), long(b)),
+	return cmp.Or(cmp.Compare(e.rules.YieldRank(a.Labels), e.rules.YieldRank(b.Labels)), cmp.Compare(long(a), long(b)),
 		cmp.Compare(a.LostWork, b.LostWork), cmp.Compare(b.Size.CPU, a.Size.CPU), cmp.Compare(a.Attempt.Job, b.Attempt.Job))
 }
 
@@ -133,7 +133,7 @@
 func (e *evictor) harm(victims []Task) harm {
 	h := harm{rank: -1, count: len(victims)}
 	for _, t := range victims {
-		h.rank = max(h.rank, e.rules.yieldRank(t.Labels))
+		h.rank = max(h.rank, e.rules.YieldRank(t.Labels))
 		h.lost += int64(t.LostWork)
 		if t.LongRunning {
 			h.long++
--- a/internal/policy/place/rules.go
+++ b/internal/policy/place/rules.go
@@ -71,9 +71,9 @@
 	return true
 }
 
-// yieldRank is the index of the first yields-first selector that matches, or
+// YieldRank is the index of the first yields-first selector that matches, or
 // their number: lower yields earlier.
-func (r *Rules) yieldRank(l model.Labels) int {
+func (r *Rules) YieldRank(l model.Labels) int {
 	for i, s := range r.yields {
 		if s.Matches(l) {
 			return i
--- a/internal/tasks/commands.go
+++ b/internal/tasks/commands.go
@@ -32,7 +32,9 @@
 		c.command(from, m.Command, m.Attempt, evCheckpoint)
 	case *msg.ThrottleTask:
 		if h := c.holds[m.Attempt]; h != nil {
-			h.percent = m.Percent
+			if m.Cell == c.cell && m.Epoch >= c.epoch {
+				h.percent = m.Percent
+			}
 			c.command(from, m.Command, m.Attempt, evThrottle)
 		}
 	case *msg.TaskAck:
