policy/dispatch: admit bursts at an entry that has just started

Cause: admission took the slots that serve an entry from its requests in progress. An entry with none, as after a restart, refused all but the first request of a burst although the slots were idle: 783 of 840 requests.

Change: admission counts on at least one slot of each backend server, which lends one as soon as the entry has a queue.

Measured: TestColdEntryAdmitsABurst failed before; in TestFaultInEveryState (entry restarts) no request is refused.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -225,7 +225,7 @@
 		s.queue.Requeue(d.now, m.req)
 	} else {
 		s.budget.Request()
-		if why := s.queue.Admit(d.now, m.req, s.load, s.idle()); why != dispatch.Accepted {
+		if why := s.queue.Admit(d.now, m.req, s.inProgress(), s.idle()); why != dispatch.Accepted {
 			s.refuse(m.call, why)
 			return
 		}
@@ -242,6 +242,12 @@
 	tell(call, callMessage{kind: callRefused, refusal: why})
 }
 
+func (s *service) inProgress() dispatch.Load {
+	load := s.load
+	load.Instances = len(s.instances)
+	return load
+}
+
 // idle reports whether a credit is free and nobody waits for it.
 func (s *service) idle() bool {
 	if s.queue.Len() > 0 {
--- a/internal/policy/dispatch/queue.go
+++ b/internal/policy/dispatch/queue.go
@@ -37,7 +37,10 @@
 
 // Load is what an entry has in progress at the backend servers of a service:
 // the requests that it sent, and those of them that hold a slot.
-type Load struct{ Sent, Started Count }
+type Load struct {
+	Sent, Started Count
+	Instances     int // backend servers of the service
+}
 
 // Refusal says why a request is not queued or was dropped from the queue. A
 // refused request was never sent.
@@ -156,6 +159,11 @@
 	q.learned = now
 	q.learnBand(shortBand, weight, load.Sent.Short, load.Started.Short)
 	q.learnBand(longBand, weight, load.Sent.Long, load.Started.Long)
+	// An entry that has just started, or was idle, has nothing in progress, but
+	// each backend server lends it a slot as soon as it has a queue.
+	for i := range q.speed {
+		q.speed[i] = max(q.speed[i], float64(load.Instances))
+	}
 }
 
 func (q *Queue) learnBand(band int, weight float64, sent, started int) {
--- a/internal/policy/dispatch/queue_test.go
+++ b/internal/policy/dispatch/queue_test.go
@@ -177,6 +177,21 @@
 	assert.Equal(t, RefusedFull, q.Admit(epoch, request(20, "a", time.Hour), busy, false))
 }
 
+// Guards against an entry that refuses a burst because it has nothing in
+// progress yet, although the backend servers would lend it slots.
+func TestColdEntryAdmitsABurst(t *testing.T) {
+	q := NewQueue(Options{}, NewClasses())
+	for k := range Key(28) {
+		assert.Equal(t, Accepted, q.Admit(epoch, request(k, "a", 10*time.Second), Load{Instances: 3}, false))
+	}
+	for range 28 {
+		q.Next(epoch, true, noDrop(t))
+	}
+	for k := range Key(28) {
+		assert.Equal(t, Accepted, q.Admit(epoch.Add(time.Minute), request(k, "a", 70*time.Second), Load{Instances: 3}, false))
+	}
+}
+
 // Guards against short requests that wait behind long ones, and against long
 // ones that never run while short ones keep coming.
 func TestBandsShareAndMayLong(t *testing.T) {
