--- a/internal/measure/cluster_test.go
+++ b/internal/measure/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -63,18 +64,35 @@
 	d        deployment
 	group    *actor.Group
 	net      *link.Memory
-	entries  []*entry.Frontend
+	entries  []*actor.Value[entry.Frontend] // replaced at a restart
 	backends []*fakeBackend
+	// transport makes the backend server of an agent; nil: a fakeBackend.
+	transport func(i int) http.RoundTripper
+	boots     model.Boot // drawn so far
+	processes map[string]*process
+}
+
+// process is one entry or agent process, which may be killed and started again.
+type process struct {
+	group    *actor.Group
+	listener link.Listener // of an entry
+	slots    agent.Address // of an agent
 }
 
 func discardLog() log.Interface { return &log.Logger{Handler: discard.Default, Level: log.FatalLevel} }
 
 // newCluster must be called inside a synctest bubble.
 func newCluster(t *testing.T, d deployment, seed uint64) *cluster {
-	c := &cluster{t: t, d: d, group: actor.NewGroup(t.Context(), func(e actor.Exit) { t.Log(e.Actor, e.Err) })}
+	return newClusterWith(t, d, seed, nil)
+}
+
+func newClusterWith(t *testing.T, d deployment, seed uint64, transport func(i int) http.RoundTripper) *cluster {
+	c := &cluster{t: t, d: d, group: actor.NewGroup(t.Context(), func(e actor.Exit) { t.Log(e.Actor, e.Err) }),
+		transport: transport, processes: map[string]*process{}}
 	c.net = link.NewMemory(c.group.Context(), seed)
 	c.net.SetDelay(link.Any, link.Any, 50*time.Microsecond, 0)
 	for i := range d.entries {
+		c.entries = append(c.entries, &actor.Value[entry.Frontend]{})
 		c.startEntry(i)
 	}
 	for i := range d.instances {
@@ -84,6 +102,27 @@
 	return c
 }
 
+// process begins a process in a group of its own.
+func (c *cluster) process(name string) *process {
+	p := &process{group: c.group.Sub()}
+	c.processes[name] = p
+	c.boots++
+	return p
+}
+
+// kill ends a process and its connections at once.
+func (c *cluster) kill(name string) {
+	p := c.processes[name]
+	p.group.Cancel()
+	if p.listener != nil {
+		p.listener.Close()
+	}
+	for other := range c.processes {
+		c.net.Reset(name, other)
+	}
+	p.group.Wait()
+}
+
 func (c *cluster) dataCentre(i int) model.DataCentre {
 	return model.DataCentre(c.d.dataCentres[i%len(c.d.dataCentres)])
 }
@@ -92,43 +131,58 @@
 func agentName(i int) string { return "worker-" + string(rune('a'+i)) }
 
 func (c *cluster) startEntry(i int) {
-	self := entry.Self{Entry: model.EntryID(entryName(i)), Boot: model.Boot(i + 1), DataCentre: c.dataCentre(i)}
+	p := c.process(entryName(i))
+	self := entry.Self{Entry: model.EntryID(entryName(i)), Boot: c.boots, DataCentre: c.dataCentre(i)}
 	rules := &entry.RoutingTable{Default: c.d.service, Services: map[model.Service]entry.ServiceRule{
 		c.d.service: {Name: c.d.service, Classes: c.d.classes}}}
 	table := &actor.Value[entry.RoutingTable]{}
-	dispatcher := entry.SpawnDispatcher(c.group, self, rules, table)
+	dispatcher := entry.SpawnDispatcher(p.group, self, rules, table)
 	l, err := c.net.Listen(entryName(i))
 	require.NoError(c.t, err)
+	p.listener = l
 	links := &entry.Links{Self: self, Dispatcher: dispatcher, Log: discardLog(),
 		Version: func() model.ConfigVersion { return 0 }}
-	actor.Go(c.group, "agents listener", func(ctx context.Context) error { return links.Accept(ctx, l) })
-	c.entries = append(c.entries, &entry.Frontend{Dispatcher: dispatcher, Table: table.Get,
-		MaxBody: 1 << 20, Slots: make(chan struct{}, 1<<20)})
+	actor.Go(p.group, "agents listener", func(ctx context.Context) error { return links.Accept(ctx, l) })
+	c.entries[i].Set(&entry.Frontend{Dispatcher: dispatcher, Table: table.Get, MaxBody: 1 << 20,
+		Slots: make(chan struct{}, 1<<20)})
 }
 
 func (c *cluster) startAgent(i int) {
 	worker := model.Worker{ID: model.WorkerID(agentName(i)), DataCentre: c.dataCentre(i)}
-	slots := agent.SpawnSlots(c.group, worker.DataCentre)
-	b := &fakeBackend{}
-	c.backends = append(c.backends, b)
-	links := &agent.Links{Dialer: c.net.Dialer(agentName(i)), Slots: slots, Transport: b, Log: discardLog(),
-		Hello: func() *msg.AgentHello { return &msg.AgentHello{Worker: worker, Boot: model.Boot(100 + i)} }}
+	p := c.process(agentName(i))
+	slots, boot := agent.SpawnSlots(p.group, worker.DataCentre), c.boots
+	p.slots = slots
+	links := &agent.Links{Dialer: c.net.Dialer(agentName(i)), Slots: slots, Transport: c.backend(i), Log: discardLog(),
+		Hello: func() *msg.AgentHello { return &msg.AgentHello{Worker: worker, Boot: boot} }}
 	for e := range c.d.entries {
 		if c.dataCentre(e) != worker.DataCentre {
 			c.net.SetDelay(entryName(e), agentName(i), c.d.between, 0)
 			c.net.SetDelay(agentName(i), entryName(e), c.d.between, 0)
 		}
-		actor.Go(c.group, "entry link", func(ctx context.Context) error { return links.Connect(ctx, entryName(e)) })
+		actor.Go(p.group, "entry link", func(ctx context.Context) error { return links.Connect(ctx, entryName(e)) })
 	}
-	announce := agent.Announce{Backend: model.BackendID(string(c.d.service) + "@" + agentName(i)), Service: c.d.service,
-		Address: "192.0.2.1:80", Slots: c.d.slots, Connections: c.d.connections}
-	actor.Go(c.group, "backend server", func(ctx context.Context) error {
-		for slots.Send(ctx, announce) == nil && actor.Sleep(ctx, 2*time.Second) {
+	actor.Go(p.group, "backend server", func(ctx context.Context) error {
+		for slots.Send(ctx, c.announcement(i, 0)) == nil && actor.Sleep(ctx, 2*time.Second) {
 		}
 		return nil
 	})
 }
 
+// announcement is that of an instance of the backend server beside an agent.
+func (c *cluster) announcement(i, instance int) agent.Announce {
+	return agent.Announce{Backend: model.BackendID(string(c.d.service) + "@" + agentName(i)), Service: c.d.service,
+		Address: "192.0.2.1:80", Slots: c.d.slots, Connections: c.d.connections, Instance: fmt.Sprint(instance)}
+}
+
+func (c *cluster) backend(i int) http.RoundTripper {
+	if c.transport != nil {
+		return c.transport(i)
+	}
+	b := &fakeBackend{}
+	c.backends = append(c.backends, b)
+	return b
+}
+
 func (c *cluster) stop() {
 	c.group.Cancel()
 	c.net.Close()
@@ -222,7 +276,7 @@
 			time.Sleep(wait)
 		}
 		actor.Go(g, "caller", func(ctx context.Context) error {
-			answers[i] = c.request(ctx, c.entries[i%len(c.entries)], a)
+			answers[i] = c.request(ctx, c.entries[i%len(c.entries)].Get(), a)
 			return nil
 		})
 	}
