policy/dispatch: count on free slots before the first credit

With a class known to take 1 s, an entry with nothing in progress refused the seventh request as late although 24 slots were free: it guessed one slot. The first guess is now the slots of the ready backend servers; as before, it follows the requests that hold a slot from then on.

TestAdmitCountsOnFreeSlots failed at request 6 and passes now, as do the tests of internal/entry. Found by requests to an entry whose links had been cut.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -225,6 +225,7 @@
 		s.queue.Requeue(d.now, m.req)
 	} else {
 		s.budget.Request()
+		s.load.Slots = s.readySlots()
 		if why := s.queue.Admit(d.now, m.req, s.load, s.idle()); why != dispatch.Accepted {
 			s.refuse(m.call, why)
 			return
@@ -255,6 +256,16 @@
 	return false
 }
 
+func (s *service) readySlots() int {
+	n := 0
+	for _, i := range s.instances {
+		if i.state == "ready" {
+			n += i.Slots
+		}
+	}
+	return n
+}
+
 // tell sends to a request's actor, which has room for what it asked for.
 func tell(call chan<- callMessage, m callMessage) {
 	select {
--- a/internal/policy/dispatch/queue.go
+++ b/internal/policy/dispatch/queue.go
@@ -36,8 +36,12 @@
 }
 
 // Load is what an entry has in progress at the backend servers of a service:
-// the requests that it sent, and those of them that hold a slot.
-type Load struct{ Sent, Started Count }
+// the requests that it sent, and those of them that hold a slot. Slots is what
+// the ready backend servers have, for all entries.
+type Load struct {
+	Sent, Started Count
+	Slots         int
+}
 
 // Refusal says why a request is not queued or was dropped from the queue. A
 // refused request was never sent.
@@ -154,15 +158,20 @@
 func (q *Queue) learnSpeed(now time.Time, load Load) {
 	weight := 1 - math.Exp(-now.Sub(q.learned).Seconds()/speedMemory.Seconds())
 	q.learned = now
-	q.learnBand(shortBand, weight, load.Sent.Short, load.Started.Short)
-	q.learnBand(longBand, weight, load.Sent.Long, load.Started.Long)
+	q.learnBand(shortBand, weight, load.Slots, load.Sent.Short, load.Started.Short)
+	q.learnBand(longBand, weight, load.Slots/2, load.Sent.Long, load.Started.Long)
 }
 
-func (q *Queue) learnBand(band int, weight float64, sent, started int) {
+func (q *Queue) learnBand(band int, weight float64, slots, sent, started int) {
+	if q.speed[band] < 1 && sent == 0 {
+		// Without a request in progress nothing tells how many slots agents
+		// will lend once they hear of the demand. A guess of 0 refused every
+		// request, one of 1 those of a class that takes seconds.
+		q.speed[band] = float64(max(slots, 1))
+		return
+	}
 	if q.speed[band] < 1 {
-		// An entry that has sent nothing yet has no credits: agents lend at
-		// least one once they hear of its demand. A speed of 0 refused all.
-		q.speed[band] = float64(max(sent, 1))
+		q.speed[band] = float64(sent)
 		return
 	}
 	q.speed[band] += (float64(started) - q.speed[band]) * weight
--- a/internal/policy/dispatch/queue_test.go
+++ b/internal/policy/dispatch/queue_test.go
@@ -17,3 +17,17 @@
 		require.Equal(t, Accepted, q.Admit(now, r, Load{}, false), "request %d", n)
 	}
 }
+
+// Guards against an entry without credits refusing requests of a class that
+// takes seconds although the free slots of the backend servers suffice.
+func TestAdmitCountsOnFreeSlots(t *testing.T) {
+	classes := NewClasses()
+	for range minSamples {
+		classes.Finished("", time.Second)
+	}
+	q, now := NewQueue(Options{}, classes), time.Now()
+	for n := range 24 {
+		r := Request{Key: Key(n), Tenant: "tenant", Arrived: now, Deadline: now.Add(30 * time.Second)}
+		require.Equal(t, Accepted, q.Admit(now, r, Load{Slots: 24}, false), "request %d", n)
+	}
+}
