test: run scenarios of faults with real processes

Two entries, three agents and the simulators run as processes that are joined only by fault-injecting proxies; only the entries' questions to each other about configuration go directly. internal/history checks what callers, backend servers, workers and the table saw. A backend simulator can announce a proxy's address (--advertise).

--- a/cmd/bambooscaled/standin.go
+++ b/cmd/bambooscaled/standin.go
@@ -116,7 +116,9 @@
 	cmd := &cobra.Command{Use: "backend", Short: "simulate a backend server that announces itself to an agent", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return serveStandin(cmd, listen, func(g *actor.Group, address string) (server, error) {
-				c.Address = address
+				if c.Address == "" {
+					c.Address = address
+				}
 				return standin.NewBackend(g, c), nil
 			})
 		}}
@@ -124,6 +126,7 @@
 	f := cmd.Flags()
 	f.StringVar(&c.Service, "service", "permit-desk", "service of which it is an instance")
 	f.StringVar(&c.Agent, "agent", "", "URL of the agent to announce to")
+	f.StringVar(&c.Address, "advertise", "", "address to announce, such as a proxy's; by default the one that it listens on")
 	f.IntVar(&c.Slots, "slots", 0, "requests that it runs at once (default 8)")
 	f.IntVar(&c.Connections, "connections", 0, "connections that it accepts (default 64)")
 	return cmd
--- /dev/null
+++ b/internal/history/config.go
@@ -0,0 +1,104 @@
+package history
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/bambooscale/bambooscale/internal/rows"
+)
+
+// configInForce finds processes that do not have an accepted edit in force
+// within the bound. A process counts as live at a moment if it is seen with
+// some version; while a fault is in force, the bound starts at its end.
+func configInForce(h *History, found report) {
+	for process, views := range h.byProcess() {
+		for _, e := range h.Edits {
+			due := h.due(e.At)
+			if due == 0 {
+				continue // a fault lasts until the end
+			}
+			for _, v := range views {
+				if v.At > due && v.Version < e.Version && !newerElsewhere(views, v, e.Version) {
+					found("%s has version %d at %s more than %v after edit %s made version %d", process, v.Version, v.Via, configBound, e.ID, e.Version)
+					break
+				}
+			}
+		}
+	}
+}
+
+// due is the moment by which an edit accepted at a time is in force
+// everywhere; 0: never.
+func (h *History) due(at int64) int64 {
+	due := at + int64(configBound)
+	faults := append([]Interval{}, h.Faults...)
+	sort.Slice(faults, func(i, j int) bool { return faults[i].From < faults[j].From })
+	for _, f := range faults {
+		if f.From > due {
+			break
+		}
+		if f.Until == 0 {
+			return 0
+		}
+		due = max(due, f.Until+int64(recovery+configBound))
+	}
+	return due
+}
+
+// newerElsewhere reports whether another process had seen the version in force
+// before: a report can be late, as that of an entry without a link.
+func newerElsewhere(views []View, v View, version uint64) bool {
+	for _, o := range views {
+		if o.Via != v.Via && o.At <= v.At && o.Version >= version {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *History) byProcess() map[string][]View {
+	m := map[string][]View{}
+	for _, v := range h.Views {
+		m[v.Process] = append(m[v.Process], v)
+	}
+	for _, views := range m {
+		sort.SliceStable(views, func(i, j int) bool { return views[i].At < views[j].At })
+	}
+	return m
+}
+
+// configVersions finds versions that went back, at a process or in the table,
+// and accepted edits that are not in the table's log or share a version.
+func configVersions(h *History, found report) {
+	for process, views := range h.byProcess() {
+		newest := map[string]uint64{}
+		for _, v := range views {
+			// Version 0 is a process that has started and holds none yet.
+			if v.Version != 0 && v.Version < newest[v.Via] {
+				found("%s went from version %d back to %d at %s", process, newest[v.Via], v.Version, v.Via)
+			}
+			newest[v.Via] = max(newest[v.Via], v.Version)
+		}
+	}
+	head, logged := uint64(0), map[uint64]string{}
+	for _, c := range h.Commits {
+		for _, p := range c.Puts {
+			if v, ok := rows.ParseConfigLogKey(p.Key); ok {
+				logged[uint64(v)] += string(p.Value)
+			}
+			if p.Key != rows.ConfigHeadKey {
+				continue
+			}
+			row, err := rows.Decode[rows.ConfigHead](p.Value)
+			if err != nil || uint64(row.Version) < head {
+				found("the table's version went from %d to %d (%v)", head, row.Version, err)
+			}
+			head = uint64(row.Version)
+		}
+	}
+	for _, e := range h.Edits {
+		if !strings.Contains(logged[e.Version], `"`+e.ID+`"`) {
+			found("edit %s was accepted as version %d, which the table logs as %q", e.ID, e.Version, logged[e.Version])
+		}
+	}
+}
--- /dev/null
+++ b/test/edits_test.go
@@ -0,0 +1,78 @@
+package test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/history"
+	"github.com/bambooscale/bambooscale/internal/model"
+)
+
+// labelEdit is the body of an edit that sets one label.
+func labelEdit(id string, base uint64, kind, name, key, value string) map[string]any {
+	return map[string]any{"id": id, "author": "test", "base": base, "changes": []any{map[string]any{
+		"key":  model.ConfigKey{Kind: model.ConfigKind(kind), Name: name},
+		"item": model.ConfigItem{Labels: model.Labels{key: value}},
+	}}}
+}
+
+// sendEdit sends an edit once and records its acceptance.
+func (s *system) sendEdit(entry string, edit map[string]any) (accepted history.Edit, err error) {
+	var answer struct{ Version uint64 }
+	err = call(s.group.Context(), "http://"+s.addr("operator>"+entry)+"/v1/config", edit, &answer)
+	return history.Edit{ID: edit["id"].(string), Version: answer.Version, At: time.Now().UnixNano()}, err
+}
+
+// edit sets a label until the acceptance is known; repeating it is safe.
+func (s *system) edit(entry, id, kind, name, key, value string) error {
+	base, err := s.version(entry)
+	if err != nil {
+		return err
+	}
+	return waitUntil("edit "+id+" is accepted", func() (bool, error) {
+		accepted, err := s.sendEdit(entry, labelEdit(id, base, kind, name, key, value))
+		if err == nil {
+			s.record.Edits = append(s.record.Edits, accepted)
+		}
+		return err == nil, err
+	})
+}
+
+// verbRaceEdits sends two edits with the same base at the same time, one to
+// each entry: of the same key one is refused, of different keys none.
+func verbRaceEdits(s *system, a []string) error {
+	base, err := s.version("entry-1")
+	if err != nil {
+		return err
+	}
+	type outcome struct {
+		edit history.Edit
+		err  error
+	}
+	results := make(chan outcome, entryCount)
+	for n, e := range names("entry", entryCount) {
+		name := "raced"
+		if a[0] == "different" {
+			name += e
+		}
+		go func() {
+			id := fmt.Sprintf("race-%s-%d-%d", a[0], base, n)
+			edit, err := s.sendEdit(e, labelEdit(id, base, "team", name, "by", e))
+			results <- outcome{edit, err}
+		}()
+	}
+	want, accepted := map[string]int{"same": 1, "different": entryCount}[a[0]], 0
+	var last error
+	for range entryCount {
+		if r := <-results; r.err != nil {
+			last = r.err
+		} else {
+			accepted++
+			s.record.Edits = append(s.record.Edits, r.edit)
+		}
+	}
+	if accepted != want {
+		return fmt.Errorf("%d of %d edits were accepted, not %d: %v", accepted, entryCount, want, last)
+	}
+	return nil
+}
--- /dev/null
+++ b/test/main_test.go
@@ -0,0 +1,53 @@
+// Package test proves the guarantees with real processes: two entries, three
+// agents and the simulators of the platform, joined only through
+// fault-injecting proxies. The scenarios are in testdata.
+package test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var buildFlags, programs = []string(nil), ""
+
+// systems bounds the systems that run at once: each has 13 processes, which
+// with the race detector take about 0.7 GiB.
+var systems = make(chan struct{}, 3)
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "bambooscale-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	args := append(append([]string{"build"}, buildFlags...), "-o", dir+string(filepath.Separator), "../cmd/...")
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// Guards against a fault of one process, link or store that costs a caller,
+// a job or an edit one of the guarantees G1 to G9.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", programs+string(os.PathListSeparator)+env.Getenv("PATH"))
+			env.Values[systemKey{}] = &system{}
+			return nil
+		},
+		Cmds: verbs,
+	})
+}
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,113 @@
+package test
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// patience bounds every wait for a condition. It is far above any time that a
+// correct system takes, so that only a condition that never holds exceeds it.
+const patience = 90 * time.Second
+
+// process is a process that the test started.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	ready  map[string]string // addresses that it printed
+	log    string
+	exited chan struct{} // closed once it has ended
+	err    error         // valid after exited
+}
+
+// startProcess waits until the process prints its addresses.
+func startProcess(dir, name string, args ...string) (*process, error) {
+	p := &process{name: name, log: filepath.Join(dir, name+".log"), exited: make(chan struct{}), ready: map[string]string{}}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	p.cmd = exec.Command(filepath.Join(programs, "bambooscaled"), args...)
+	p.cmd.Stderr = out
+	// A data race found in a process must not pass as its normal exit.
+	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1", "GOMAXPROCS=2")
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	line := make(chan string, 1)
+	go func() {
+		defer out.Close()
+		r := bufio.NewReader(stdout)
+		text, _ := r.ReadString('\n')
+		line <- text
+		_, _ = r.WriteTo(out)
+		p.err = p.cmd.Wait()
+		close(p.exited)
+	}()
+	select {
+	case text := <-line:
+		return p, p.parseReady(text)
+	case <-time.After(patience):
+		p.kill()
+		return nil, fmt.Errorf("%s was not ready after %v", name, patience)
+	}
+}
+
+func (p *process) parseReady(text string) error {
+	fields := strings.Fields(text)
+	if len(fields) == 0 || fields[0] != "ready" {
+		p.kill()
+		raw, _ := os.ReadFile(p.log)
+		return fmt.Errorf("%s did not become ready: %q\n%s", p.name, text, raw)
+	}
+	for _, f := range fields[1:] {
+		key, value, _ := strings.Cut(f, "=")
+		p.ready[key] = value
+	}
+	return nil
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process, also a frozen one, and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// running reports whether the process has not ended.
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// waitUntil polls a condition until it holds or patience ends.
+func waitUntil(what string, condition func() (bool, error)) error {
+	deadline := time.After(patience)
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		ok, err := condition()
+		if ok {
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-deadline:
+			return fmt.Errorf("not so after %v: %s (last error: %v)", patience, what, err)
+		}
+	}
+}
