policy/dispatch: forget the speed when nothing is in progress

After a busy time the estimated speed followed the requests in progress to 0, so the next burst that found no idle credit was refused as late, although every slot was free. Found by requests after a drain with real processes.

TestAdmitAfterABusyTime failed at request 1 and passes now.

--- a/internal/policy/dispatch/queue.go
+++ b/internal/policy/dispatch/queue.go
@@ -163,7 +163,7 @@
 }
 
 func (q *Queue) learnBand(band int, weight float64, slots, sent, started int) {
-	if q.speed[band] < 1 && sent == 0 {
+	if sent == 0 {
 		// Without a request in progress nothing tells how many slots agents
 		// will lend once they hear of the demand. A guess of 0 refused every
 		// request, one of 1 those of a class that takes seconds.
--- a/internal/policy/dispatch/queue_test.go
+++ b/internal/policy/dispatch/queue_test.go
@@ -31,3 +31,17 @@
 		require.Equal(t, Accepted, q.Admit(now, r, Load{Slots: 24}, false), "request %d", n)
 	}
 }
+
+// Guards against an entry refusing every request after a busy time: nothing
+// was in progress any more, which the estimate took for no slots.
+func TestAdmitAfterABusyTime(t *testing.T) {
+	q, now := NewQueue(Options{}, NewClasses()), time.Now()
+	busy := Load{Sent: Count{Short: 24}, Started: Count{Short: 24}, Slots: 24}
+	admit := func(n int, load Load) {
+		r := Request{Key: Key(n), Tenant: "tenant", Arrived: now, Deadline: now.Add(30 * time.Second)}
+		require.Equal(t, Accepted, q.Admit(now, r, load, false), "request %d", n)
+	}
+	admit(0, busy)
+	now = now.Add(10 * time.Second)
+	admit(1, Load{Slots: 24})
+}
