--- a/test/verbs_test.go
+++ b/test/verbs_test.go
@@ -79,8 +79,8 @@
 	ts.Defer(func() {
 		s.finish()
 		<-systems
-		if s.failed {
-			ts.Logf("logs of the processes: %s", dir)
+		if s.failed || os.Getenv("BAMBOOSCALE_KEEP") != "" {
+			ts.Logf("logs of the processes and history: %s", dir)
 			return
 		}
 		_ = os.RemoveAll(dir)
@@ -306,6 +306,9 @@
 		return err
 	}
 	h.Settled = settled
+	if err := s.save(h); err != nil {
+		return err
+	}
 	if found := history.Check(h); len(found) > 0 {
 		return fmt.Errorf("%d violations:\n%s", len(found), strings.Join(found, "\n"))
 	}
