--- a/test/calls_test.go
+++ b/test/calls_test.go
@@ -94,16 +94,21 @@
 
 // submit submits a job until its acceptance is known; repeating it is safe.
 func (s *system) submit(entry, id, program string) error {
+	err := s.sendJob(entry, id, program)
+	if err == nil {
+		s.record.Accepted = append(s.record.Accepted, id)
+	}
+	return err
+}
+
+// sendJob does not change the system's state; any goroutine may use it.
+func (s *system) sendJob(entry, id, program string) error {
 	spec := model.JobSpec{ID: model.JobID(id), Team: "team-1", Class: "batch", Program: program,
 		Resources: model.Resources{CPU: 1000, Memory: 1 << 30}}
-	err := waitUntil("job "+id+" is accepted", func() (bool, error) {
+	return waitUntil("job "+id+" is accepted", func() (bool, error) {
 		err := call(s.group.Context(), "http://"+s.addr("operator>"+entry)+"/v1/jobs", spec, nil)
 		return err == nil, err
 	})
-	if err == nil {
-		s.record.Accepted = append(s.record.Accepted, id)
-	}
-	return err
 }
 
 // version is the configuration's version in force at an entry.
--- a/test/edits_test.go
+++ b/test/edits_test.go
@@ -23,19 +23,31 @@
 	return history.Edit{ID: edit["id"].(string), Version: answer.Version, At: time.Now().UnixNano()}, err
 }
 
-// edit sets a label until the acceptance is known; repeating it is safe.
+// edit sets a label until the acceptance is known.
 func (s *system) edit(entry, id, kind, name, key, value string) error {
-	base, err := s.version(entry)
-	if err != nil {
-		return err
+	accepted, err := s.acceptEdit(entry, id, kind, name, key, value)
+	if err == nil {
+		s.record.Edits = append(s.record.Edits, accepted)
 	}
-	return waitUntil("edit "+id+" is accepted", func() (bool, error) {
-		accepted, err := s.sendEdit(entry, labelEdit(id, base, kind, name, key, value))
+	return err
+}
+
+// acceptEdit repeats an edit, which is safe, until it is accepted. It does not
+// change the system's state; any goroutine may use it.
+func (s *system) acceptEdit(entry, id, kind, name, key, value string) (accepted history.Edit, err error) {
+	base, based := uint64(0), false
+	err = waitUntil("edit "+id+" is accepted", func() (bool, error) {
+		var err error
+		if !based {
+			base, err = s.version(entry)
+			based = err == nil
+		}
 		if err == nil {
-			s.record.Edits = append(s.record.Edits, accepted)
+			accepted, err = s.sendEdit(entry, labelEdit(id, base, kind, name, key, value))
 		}
 		return err == nil, err
 	})
+	return accepted, err
 }
 
 // verbRaceEdits sends two edits with the same base at the same time, one to
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -40,6 +40,7 @@
 // Guards against a fault of one process, link or store that costs a caller,
 // a job or an edit one of the guarantees G1 to G9.
 func TestScenarios(t *testing.T) {
+	t.Parallel()
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
 		RequireExplicitExec: true,
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -174,6 +174,9 @@
 
 // begin and end keep the times during which a fault is in force.
 func (s *system) begin(fault string) {
+	if _, ok := s.open[fault]; ok {
+		return
+	}
 	s.open[fault] = len(s.record.Faults)
 	s.record.Faults = append(s.record.Faults, history.Interval{Fault: fault, From: time.Now().UnixNano()})
 }
