bambooscaled: bound the agent's question to its worker

An agent whose settings leave the capacity open asked its worker without a time limit, so it never started when the answer was lost.

TestDescribeAsksASilentWorkerAgain failed with a deadlock and passes now.

--- a/cmd/bambooscaled/run.go
+++ b/cmd/bambooscaled/run.go
@@ -164,11 +164,16 @@
 	return a, nil
 }
 
+// describeTimeout bounds one question to the worker, whose answer may be lost.
+const describeTimeout = 5 * time.Second
+
 // describeWorker fills in the capacity that the settings leave open. The
 // worker may start after its agent, so it is asked until it answers.
 func describeWorker(ctx context.Context, host tasks.Worker, w *model.Worker) error {
 	for w.Capacity.CPU == 0 || w.Capacity.Memory == 0 {
-		found, err := host.Describe(ctx)
+		limited, cancel := context.WithTimeout(ctx, describeTimeout)
+		found, err := host.Describe(limited)
+		cancel()
 		if err == nil {
 			w.Capacity = fill(w.Capacity, found.Capacity)
 			break
--- /dev/null
+++ b/cmd/bambooscaled/run_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/tasks"
+)
+
+// silentWorker does not answer the first call.
+type silentWorker struct {
+	tasks.Worker
+	calls *int
+}
+
+func (w silentWorker) Describe(ctx context.Context) (model.Worker, error) {
+	*w.calls++
+	if *w.calls == 1 {
+		<-ctx.Done()
+		return model.Worker{}, ctx.Err()
+	}
+	return model.Worker{Capacity: model.Resources{CPU: 4000, Memory: 1 << 30}}, nil
+}
+
+// Guards against an agent that never starts because its worker's answer to
+// the first question was lost.
+func TestDescribeAsksASilentWorkerAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls, w := 0, model.Worker{}
+		require.NoError(t, describeWorker(t.Context(), silentWorker{calls: &calls}, &w))
+		require.Equal(t, model.MilliCPU(4000), w.Capacity.CPU)
+	})
+}
