--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -245,7 +245,7 @@
 
 func (s *service) inProgress() dispatch.Load {
 	load := s.load
-	load.Instances = len(s.instances)
+	load.Instances, load.Slots = len(s.instances), s.readySlots()
 	return load
 }
 
@@ -262,6 +262,16 @@
 	return false
 }
 
+func (s *service) readySlots() int {
+	n := 0
+	for _, i := range s.instances {
+		if i.state == "ready" {
+			n += i.Slots
+		}
+	}
+	return n
+}
+
 // tell sends to a request's actor, which has room for what it asked for.
 func tell(call chan<- callMessage, m callMessage) {
 	select {
