capacity: measure what links, tasks, items and edits cost

docs/CAPACITY.md needs measured slopes for the target size. The benchmarks run entries and agents as child processes that report their own processor time and memory, linked over loopback TCP through a counting proxy; the controller's core runs alone in virtual time; table operations are counted at the simulated table service in virtual time. Each quantity has three or more points, a linear fit and the standard error of its slope, which -record writes to slopes.json.

--- /dev/null
+++ b/internal/capacity/fleet_slopes_test.go
@@ -0,0 +1,153 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	bytesUnit  = "bytes"
+	bytesRate  = "bytes/s"
+	coreUnit   = "cores"
+	eachSecond = "1/s"
+)
+
+// Measures what an idle linked agent costs at an entry which owns its cell,
+// and what an agent itself costs.
+func BenchmarkLinkedAgents(b *testing.B) {
+	s := newSeries("linked agent", "BenchmarkLinkedAgents")
+	for _, n := range []int{50, 100, 200, 400} {
+		r, x := measure(b, setup{agents: n, entries: 1}), float64(n)
+		s.add("agents.entryLive", bytesUnit, x, r.entry.Live)
+		s.add("agents.entryHeld", bytesUnit, x, r.entry.Held)
+		s.add("agents.entryGoroutines", "goroutines", x, float64(r.entry.Goroutines))
+		s.add("agents.entryCPU", coreUnit, x, r.entryCPU)
+		s.add("agents.agentLive", bytesUnit, x, r.agent.Live)
+		s.add("agents.agentCPU", coreUnit, x, r.agentCPU)
+		s.add("agents.toEntry", bytesRate, x, r.toEntry)
+		s.add("agents.toAgent", bytesRate, x, r.toAgent)
+		s.add("agents.segmentsToEntry", eachSecond, x, r.upSegments)
+		s.add("agents.segmentsToAgent", eachSecond, x, r.dnSegments)
+		s.add("agents.reads", eachSecond, x, r.reads)
+		s.add("agents.writes", eachSecond, x, r.writes)
+	}
+	s.finish(b)
+}
+
+// Measures what each further link costs an agent, and each further entry
+// costs the table.
+func BenchmarkLinksOfAnAgent(b *testing.B) {
+	const agents = 50
+	s := newSeries("link of an agent", "BenchmarkLinksOfAnAgent")
+	for _, n := range []int{1, 2, 4, 6} {
+		r, x := measure(b, setup{agents: agents, entries: n}), float64(n)
+		s.add("links.agentLive", bytesUnit, x, r.agent.Live/agents)
+		s.add("links.agentCPU", coreUnit, x, r.agentCPU/agents)
+		s.add("links.toEntry", bytesRate, x, r.toEntry/agents)
+		s.add("links.toAgent", bytesRate, x, r.toAgent/agents)
+		s.add("links.segmentsToEntry", eachSecond, x, r.upSegments/agents)
+		s.add("links.segmentsToAgent", eachSecond, x, r.dnSegments/agents)
+		s.add("links.reads", eachSecond, x, r.reads)
+		s.add("links.writes", eachSecond, x, r.writes)
+	}
+	s.finish(b)
+}
+
+// Measures what each running task costs its agent, its controller and the link.
+func BenchmarkRunningTasks(b *testing.B) {
+	const agents = 50
+	s := newSeries("running task of an agent", "BenchmarkRunningTasks")
+	for _, n := range []int{0, 6, 12, 20} {
+		r, x := measure(b, setup{agents: agents, entries: 1, tasks: n}), float64(n)
+		s.add("tasks.entryLive", bytesUnit, x, r.entry.Live/agents)
+		s.add("tasks.entryCPU", coreUnit, x, r.entryCPU/agents)
+		s.add("tasks.agentLive", bytesUnit, x, r.agent.Live/agents)
+		s.add("tasks.agentCPU", coreUnit, x, r.agentCPU/agents)
+		s.add("tasks.toEntry", bytesRate, x, r.toEntry/agents)
+		s.add("tasks.toAgent", bytesRate, x, r.toAgent/agents)
+		s.add("tasks.writes", eachSecond, x, r.writes/agents)
+	}
+	s.finish(b)
+}
+
+// Measures what each configuration item costs each daemon.
+func BenchmarkConfigurationItems(b *testing.B) {
+	const agents = 20
+	s := newSeries("configuration item", "BenchmarkConfigurationItems")
+	for _, n := range []int{0, 1000, 2000, 4000} {
+		r, x := measure(b, setup{agents: agents, entries: 1, items: n}), float64(n)
+		s.add("items.entryLive", bytesUnit, x, r.entry.Live)
+		s.add("items.agentLive", bytesUnit, x, r.agent.Live/agents)
+	}
+	s.finish(b)
+}
+
+// Measures what each edit costs each daemon and the table.
+func BenchmarkEdits(b *testing.B) {
+	const agents = 50
+	s := newSeries("edit/s", "BenchmarkEdits")
+	for _, n := range []float64{0, 1, 2, 4} {
+		r := measure(b, setup{agents: agents, entries: 1, edits: n})
+		s.add("edits.entryCPU", coreUnit, n, r.entryCPU)
+		s.add("edits.agentCPU", coreUnit, n, r.agentCPU/agents)
+		s.add("edits.toEntry", bytesRate, n, r.toEntry/agents)
+		s.add("edits.toAgent", bytesRate, n, r.toAgent/agents)
+		s.add("edits.reads", eachSecond, n, r.reads)
+		s.add("edits.writes", eachSecond, n, r.writes)
+	}
+	s.finish(b)
+}
+
+// Measures what each queued request costs an entry: its caller's connection,
+// its goroutines and its place in the queue.
+func BenchmarkQueuedRequests(b *testing.B) {
+	s := newSeries("queued request", "BenchmarkQueuedRequests")
+	hang := serveHanging(b)
+	for _, n := range []int{0, 250, 500, 1000} {
+		const running = 8
+		r := measure(b, setup{agents: 1, entries: 1, begin: func(entry, agent sample) {
+			body := fmt.Sprintf(`{"service":"permit-desk","address":%q,"slots":8,"connections":64,"instance":"1"}`, hang)
+			reply, err := http.Post("http://"+agent.Announce[0]+"/v1/announce", "application/json", strings.NewReader(body))
+			require.NoError(b, err)
+			require.Less(b, reply.StatusCode, 300)
+			_ = reply.Body.Close()
+			pass(time.Second)
+			queue(b, entry.Callers[0], running+n)
+		}})
+		s.add("queue.entryLive", bytesUnit, float64(n), r.entry.Live)
+		s.add("queue.entryCPU", coreUnit, float64(n), r.entryCPU)
+	}
+	s.finish(b)
+}
+
+// serveHanging starts a backend server that never answers.
+func serveHanging(b *testing.B) string {
+	l := listen()
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })}
+	go func() { _ = server.Serve(l) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// queue opens requests that wait until the benchmark ends.
+func queue(b *testing.B, callers string, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &http.Client{Transport: &http.Transport{}}
+	b.Cleanup(func() { cancel(); client.CloseIdleConnections() })
+	for range n {
+		go func() {
+			r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+callers+"/sleep", nil)
+			r.Header.Set("Bambooscale-Deadline-Ms", "600000")
+			if reply, err := client.Do(r); err == nil {
+				b.Errorf("a request did not wait: status %d", reply.StatusCode)
+				_ = reply.Body.Close()
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/capacity/host_test.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/tasks"
+)
+
+// host is a worker whose tasks run until they are stopped.
+type host struct {
+	mu    sync.Mutex
+	tasks map[model.AttemptID]time.Time
+}
+
+func newHost() *host { return &host{tasks: map[model.AttemptID]time.Time{}} }
+
+func (h *host) running() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.tasks)
+}
+
+func (h *host) Start(_ context.Context, r tasks.StartRequest) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tasks[r.Attempt] = time.Now()
+	return nil
+}
+
+func (h *host) Stop(_ context.Context, id model.AttemptID) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.tasks, id)
+	return nil
+}
+
+func (h *host) List(context.Context) ([]tasks.Task, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []tasks.Task
+	for id, began := range h.tasks {
+		list = append(list, tasks.Task{Attempt: id, State: model.TaskRunning, RanFor: time.Since(began),
+			Usage: model.Usage{Resources: model.Resources{CPU: 900, Memory: 1 << 30}, Age: 10 * time.Second}})
+	}
+	return list, nil
+}
+
+func (h *host) Renew(context.Context, model.AttemptID, time.Duration) error { return nil }
+func (h *host) Checkpoint(_ context.Context, id model.AttemptID) (string, error) {
+	return tasks.CheckpointPrefix(id) + "1", nil
+}
+func (h *host) Throttle(context.Context, model.AttemptID, int) error { return nil }
+func (h *host) Describe(context.Context) (model.Worker, error)       { return model.Worker{}, nil }
+
+// jobRow is a job of a size that lets 24 of them run on a worker.
+func jobRow(i int) model.JobRow {
+	return model.JobRow{Phase: "pending", Spec: model.JobSpec{
+		ID: model.JobID(fmt.Sprintf("roster-%07d", i)), Team: model.Team(fmt.Sprintf("team-%03d", i%180)), Class: "roster-batch",
+		Labels:    model.Labels{"stage": "nightly", "school": fmt.Sprintf("s-%04d", i%1000)},
+		Resources: model.Resources{CPU: 1300, Memory: 4 << 30}, Program: "roster --grade 7 --term autumn",
+	}}
+}
+
+func item(i int) model.ConfigChange {
+	return model.ConfigChange{Version: 1, Key: model.ConfigKey{Kind: model.KindWorker, Name: fmt.Sprintf("host-%06d", i)},
+		Item: &model.ConfigItem{Labels: model.Labels{"pool": "permits", "maintenance": fmt.Sprintf("week-%02d", i%52)}}}
+}
+
+// seed writes the configuration and the jobs of a plan.
+func seed(ctx context.Context, table platform.Table, p plan) {
+	put := func(key string, v any) platform.Put { return platform.Put{Key: key, Value: rows.Encode(v)} }
+	var puts []platform.Put
+	for i := range p.Items {
+		puts = append(puts, put(rows.ConfigKey(item(i).Key), item(i)))
+	}
+	if p.Items > 0 {
+		puts = append(puts, put(rows.ConfigHeadKey, rows.ConfigHead{Version: 1}))
+	}
+	for i := range p.Jobs {
+		r := jobRow(p.FirstJob + i)
+		puts = append(puts, put(rows.JobKey(cellName, r.Spec.ID), r))
+	}
+	for n := 0; len(puts) > 0; n++ {
+		k := min(len(puts), 100)
+		if _, err := table.Commit(ctx, platform.Txn{Operation: fmt.Sprintf("seed-%d", n), Puts: puts[:k]}); err != nil {
+			panic(err)
+		}
+		puts = puts[k:]
+	}
+}
--- /dev/null
+++ b/internal/capacity/table_test.go
@@ -0,0 +1,205 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/control"
+	"github.com/bambooscale/bambooscale/internal/directory"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/standin"
+)
+
+const (
+	tableDelayMs = 10 // of each operation
+	tableWorkers = 40 // enough for the tasks of the highest rate
+	submitEvery  = 50 * time.Millisecond
+)
+
+// cellRun is one cell in virtual time: the controller's actors, the simulated
+// table service, and agents that answer at once.
+type cellRun struct {
+	ctx       context.Context
+	table     *standin.Table
+	control   actor.Address[control.Message]
+	submitted map[model.JobID]time.Time // owned by the submitting goroutine until it has ended
+	started   chan started
+}
+
+type started struct {
+	job model.JobID
+	at  time.Time
+}
+
+// cellCost is what a cell cost the table, without the submissions.
+type cellCost struct {
+	writes, reads float64 // for each second
+	waits         []time.Duration
+}
+
+// runCell starts rate tasks a second in a cell for d.
+func runCell(t *testing.T, rate int, d time.Duration) (cost cellCost) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		g := actor.NewGroup(ctx, nil)
+		r := &cellRun{ctx: ctx, submitted: map[model.JobID]time.Time{}, started: make(chan started, 1<<20),
+			table: standin.NewTable(g, standin.StoreFaults{DelayMs: tableDelayMs, ReadsPerSecond: -1, WritesPerSecond: -1, DropHistory: true})}
+		r.control = control.Start(g, control.Config{Options: control.Options{Cell: cellName, Entry: "entry-1", Boot: 1},
+			Table: r.table, Log: silent()})
+		for i := range tableWorkers {
+			r.startAgent(g, worker(i))
+		}
+		actor.Sleep(ctx, 10*time.Second)
+		before, _ := r.table.State(ctx)
+		writes := r.submit(rate, d)
+		after, _ := r.table.State(ctx)
+		cost.writes = float64(after.Counters.Writes-before.Counters.Writes-writes) / d.Seconds()
+		cost.reads = float64(after.Counters.Reads-before.Counters.Reads) / d.Seconds()
+		actor.Sleep(ctx, 5*time.Second)
+		cost.waits = r.waits()
+		cancel()
+		g.Wait()
+	})
+	return cost
+}
+
+// submit writes rows of urgent jobs and returns the number of its writes.
+func (r *cellRun) submit(rate int, d time.Duration) (writes int) {
+	count := 0
+	for i := range int(d / submitEvery) {
+		txn := platform.Txn{Operation: fmt.Sprintf("submit-%d", i)}
+		for due := rate * (i + 1) * int(submitEvery) / int(time.Second); count < due; count++ {
+			row := jobRow(count)
+			row.Spec.Urgent = true
+			r.submitted[row.Spec.ID] = time.Now()
+			txn.Puts = append(txn.Puts, platform.Put{Key: rows.JobKey(cellName, row.Spec.ID), Value: rows.Encode(row)})
+		}
+		if len(txn.Puts) > 0 {
+			_, _ = r.table.Commit(r.ctx, txn)
+			writes++
+			actor.Sleep(r.ctx, submitEvery-tableDelayMs*time.Millisecond)
+		} else {
+			actor.Sleep(r.ctx, submitEvery)
+		}
+	}
+	return writes
+}
+
+func (r *cellRun) waits() (list []time.Duration) {
+	for range len(r.started) {
+		s := <-r.started
+		list = append(list, s.at.Sub(r.submitted[s.job]))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list
+}
+
+// startAgent links an agent whose tasks end after taskLength.
+func (r *cellRun) startAgent(g *actor.Group, w model.Worker) {
+	reply := func(m msg.Control) { _ = r.control.Send(r.ctx, control.FromAgent{Worker: w.ID, Msg: m}) }
+	link := actor.Spawn(g, actor.Spec[msg.Control]{Name: "agent", Mailbox: 1024, Run: func(ctx context.Context, in <-chan msg.Control) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case m := <-in:
+				r.answer(g, m, reply)
+			}
+		}
+	}})
+	_ = r.control.Send(r.ctx, control.AgentUp{Worker: w, Cell: cellName, Boot: 1, Link: link})
+}
+
+func (r *cellRun) answer(g *actor.Group, m msg.Control, reply func(msg.Control)) {
+	switch m := m.(type) {
+	case *msg.CellClaim:
+		reply(&msg.Inventory{Cell: m.Cell, Epoch: m.Epoch})
+	case *msg.LeaseRenew:
+		reply(&msg.LeaseAck{Cell: m.Cell, Epoch: m.Epoch, Sequence: m.Sequence})
+	case *msg.StartTask:
+		r.started <- started{m.Attempt.Job, time.Now()}
+		report := msg.TaskReport{Attempt: m.Attempt, Epoch: m.Epoch, State: model.TaskRunning}
+		reply(&report)
+		done := report
+		done.State = model.TaskDone
+		actor.Go(g, "task", func(ctx context.Context) error {
+			if actor.Sleep(ctx, taskLength) {
+				reply(&done)
+			}
+			return nil
+		})
+	}
+}
+
+// quantile returns a quantile of an ascending list in seconds.
+func quantile(list []time.Duration, q float64) float64 {
+	return list[min(len(list)-1, int(q*float64(len(list))))].Seconds()
+}
+
+// Guards against a controller that writes a transaction for each task instead
+// of grouping them, or starts urgent work later than 1.4 s. With -record it
+// measures the slopes of the page; otherwise one short run is enough.
+func TestTableOperationsOfACell(t *testing.T) {
+	rates, d := []int{0, 20}, 5*time.Second
+	if *record {
+		rates, d = []int{0, 5, 20, 58, 116}, 30*time.Second
+	}
+	s := newTestSeries("task start/s", "TestTableOperationsOfACell")
+	for _, rate := range rates {
+		cost, x := runCell(t, rate, d), float64(rate)
+		s.add("cell.writes", eachSecond, x, cost.writes)
+		s.add("cell.reads", eachSecond, x, cost.reads)
+		if rate == 0 {
+			continue
+		}
+		require.Len(t, cost.waits, rate*int(d.Seconds()), "task starts")
+		s.add("cell.urgentP50", "s", x, quantile(cost.waits, 0.5))
+		s.add("cell.urgentP99", "s", x, quantile(cost.waits, 0.99))
+		require.Less(t, quantile(cost.waits, 1), 1.4, "seconds until urgent work started, at %d starts/s", rate)
+		require.Less(t, cost.writes, 100.0, "transactions/s at %d starts/s", rate)
+	}
+	if *record {
+		s.finish(t)
+	}
+}
+
+// Guards against agents that read the directory more often than the table
+// allows. With -record it measures the slope of the page.
+func TestTableOperationsOfAgents(t *testing.T) {
+	counts, d := []int{1, 10}, 10*time.Minute
+	if *record {
+		counts, d = []int{10, 100, 300}, time.Hour
+	}
+	s := newTestSeries("agent", "TestTableOperationsOfAgents")
+	for _, n := range counts {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			g := actor.NewGroup(ctx, nil)
+			table := standin.NewTable(g, standin.StoreFaults{ReadsPerSecond: -1})
+			for range n {
+				// The interval of internal/daemon's agentDirectoryInterval.
+				directory.Follow(g, table, time.Minute, silent(), func([]rows.Entry) {})
+			}
+			actor.Sleep(ctx, d)
+			state, _ := table.State(ctx)
+			reads := float64(state.Counters.Reads) / d.Seconds()
+			require.Less(t, reads, float64(n)*2000/6900, "reads/s of %d agents", n)
+			s.add("directory.reads", eachSecond, float64(n), reads)
+			cancel()
+			g.Wait()
+		})
+	}
+	if *record {
+		s.finish(t)
+	}
+}
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -31,7 +31,7 @@
 	{"internal/entry", "internal/agent", "internal/tasks", "internal/control", "internal/configstore"},
 	{"internal/operator", "internal/standin"},
 	{"internal/daemon", "internal/command"},
-	{"cmd/", "internal/shape", "internal/faultproxy", "internal/history", "internal/measure", "internal/explore", "test"},
+	{"cmd/", "internal/shape", "internal/faultproxy", "internal/history", "internal/measure", "internal/capacity", "internal/explore", "test"},
 }
 
 // Check reads every Go file below fsys that is neither a test nor generated.
