control: filter jobs before sorting them

At the target size a cell has 13,000, and a takeover receives 690 inventories: the actor computed for 3.7 s, longer than the 2 s after which it counts as paused. Test the condition first and sort what is left.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -208,14 +208,12 @@
 			c.ledger.RemoveWorker(p.worker.ID)
 		}
 	}
-	for _, j := range c.sortedJobs() {
-		a := &j.attempt
-		if !a.live {
-			continue
-		}
-		if p := c.peers[a.worker]; p.grants.Until(j.row.Spec.LongRunning) <= c.now {
+	expired := func(j *job) bool { return c.peers[j.attempt.worker].grants.Until(j.row.Spec.LongRunning) <= c.now }
+	late := func(j *job) bool { return j.attempt.deadline > 0 && j.attempt.deadline <= c.now }
+	for _, j := range c.jobsWhere(func(j *job) bool { return j.attempt.live && (expired(j) || late(j)) }) {
+		if expired(j) {
 			c.stepAttempt(j, evExpire)
-		} else if a.deadline > 0 && a.deadline <= c.now {
+		} else {
 			c.stepAttempt(j, evLate)
 		}
 	}
--- a/internal/control/job.go
+++ b/internal/control/job.go
@@ -216,10 +216,15 @@
 	c.stepJob(j, evJobEvict)
 }
 
-func (c *Core) sortedJobs() []*job {
-	list := make([]*job, 0, len(c.jobs))
+// jobsWhere returns the jobs that a condition holds for, in submission order.
+// The condition is tested before the sort, because a cell at the target size
+// has 13,000 jobs and most callers want few of them.
+func (c *Core) jobsWhere(holds func(*job) bool) []*job {
+	var list []*job
 	for _, j := range c.jobs {
-		list = append(list, j)
+		if holds(j) {
+			list = append(list, j)
+		}
 	}
 	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.id, b.id)) })
 	return list
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -42,10 +42,8 @@
 		Workers: c.ledger.Workers(), Selectors: c.config.Selectors,
 		Quotas: c.config.Quotas, TeamUse: c.ledger.TeamUse(),
 	}
-	for _, j := range c.sortedJobs() {
-		if j.phase == stPending {
-			s.Jobs = append(s.Jobs, c.waiting(j))
-		}
+	for _, j := range c.jobsWhere(func(j *job) bool { return j.phase == stPending }) {
+		s.Jobs = append(s.Jobs, c.waiting(j))
 	}
 	s.Claims = c.activeClaims()
 	return s
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -39,10 +39,11 @@
 		known[r.Attempt] = true
 		c.onReport(p, r)
 	}
-	for _, j := range c.sortedJobs() {
-		if j.attempt.live && j.attempt.worker == p.worker.ID && !known[j.attemptID()] {
-			c.stepAttempt(j, evAbsent)
-		}
+	absent := func(j *job) bool {
+		return j.attempt.live && j.attempt.worker == p.worker.ID && !known[j.attemptID()]
+	}
+	for _, j := range c.jobsWhere(absent) {
+		c.stepAttempt(j, evAbsent)
 	}
 }
 
