peer: shorten the queue of outbound messages to 256

Its 1024 places took 16 KiB of each link at both sides, the largest part of a link's heap at an entry by its profile. 256 holds the reports of demand that fall due in the 4 s until a peer counts as silent; credits are bounded by slots and the messages of controllers are repeated.

Measured with BenchmarkLinkedAgents, 50 to 400 agents, live bytes for each linked agent: at an entry 74,250 before and 60,710 after, at an agent with one link 153,500 before and 140,000 after.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,8 +22,10 @@
 	greetingTimeout   = 4 * time.Second
 	// outboundMessages is the room for messages that wait for the socket. A
 	// link whose peer reads slower than that is ended, because dropping single
-	// messages would leave the two sides with different views.
-	outboundMessages = 1024
+	// messages would leave the two sides with different views. It holds the 200
+	// reports of demand that fall due until a peer counts as silent; 1024 took
+	// 16 KiB of each link at both sides, a fifth of an entry's memory.
+	outboundMessages = 256
 )
 
 // Errors that end a link.
