entry: stop the dispatcher's tickers while nothing waits

The dispatcher woke 50 times a second to report the demand and 10 times to check the age of running requests, also without a request. The tickers now run only while a queue or its report, or a running request, is there; they start with the request that needs them.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -40,6 +40,8 @@
 	asking   map[model.RequestID]askOutcome
 	rules    *RoutingTable // by configuration
 	table    *actor.Value[RoutingTable]
+	queued   bool // a queue, or a report of one, may have to be reported
+	busy     bool // a running request may have to be checked for age
 }
 
 // agent is a linked agent.
@@ -109,22 +111,29 @@
 }
 
 func (d *dispatcher) run(ctx context.Context, in <-chan Message) error {
-	report := time.NewTicker(demandInterval)
+	report, age := newAlarm(demandInterval), newAlarm(ageInterval)
 	defer report.Stop()
-	age := time.NewTicker(ageInterval)
 	defer age.Stop()
 	for {
+		report.run(d.queued)
+		age.run(d.busy)
 		select {
 		case m := <-in:
 			d.now = time.Now()
 			d.handle(m)
 		case d.now = <-report.C:
 			d.now = time.Now()
+			d.queued = false
 			for _, s := range d.services {
 				d.reportDemand(s)
+				d.queued = d.queued || s.queue.Len() > 0 || s.demanded.queued > 0
 			}
 		case <-age.C:
 			d.now = time.Now()
+			d.busy = false
+			for _, s := range d.services {
+				d.busy = d.busy || len(s.running) > 0
+			}
 			d.age()
 		case <-ctx.Done():
 			return nil
@@ -231,6 +240,7 @@
 		}
 	}
 	s.calls[m.req.Key] = m.call
+	d.queued = true
 	d.dispatch(s)
 	if s.queue.Len() > 0 && d.now.Sub(s.reported) >= demandInterval {
 		d.reportDemand(s)
@@ -357,6 +367,7 @@
 	}
 	run := runningRequest{class: r.Class, long: long}
 	s.running[to.id] = run
+	d.busy = true
 	s.load.Sent.Add(long, 1)
 	tell(call, callMessage{kind: callAssigned, assigned: &to})
 }
