--- a/internal/capacity/table_test.go
+++ b/internal/capacity/table_test.go
@@ -188,7 +188,7 @@
 			table := standin.NewTable(g, standin.StoreFaults{ReadsPerSecond: -1})
 			for range n {
 				// The interval of internal/daemon's agentDirectoryInterval.
-				directory.Follow(g, table, time.Minute, silent(), func([]rows.Entry) {})
+				directory.Follow(g, table, time.Minute, silent(), func(directory.List) {})
 			}
 			actor.Sleep(ctx, d)
 			state, _ := table.State(ctx)
