load: measure a running system with an open loop

There was no tool to load a running system. bench load sends classes of requests by a seeded schedule with ramps, over connections that are actors of their own, and records HDR histograms from the intended start. Runs are bounded in requests and time. report writes one HTML page with SVG plots.

The page was parsed, not viewed in a browser.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +21,7 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/configstore"
 	"github.com/bambooscale/bambooscale/internal/finding"
+	"github.com/bambooscale/bambooscale/internal/load"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/operator"
@@ -206,3 +208,31 @@
 	}
 	walk((&app{}).root())
 }
+
+// Guards against a load run whose answers are miscounted, or whose report
+// needs the network or runs text of the plan as markup.
+func TestBenchLoadAndReport(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refused" {
+			w.Header().Set("Bambooscale-Outcome", "not-run")
+			w.WriteHeader(503)
+		}
+	}))
+	defer target.Close()
+	s := &system{t: t, url: "http://127.0.0.1:1"}
+	plan := `{"target":"` + target.URL + `","requests":60,"classes":[
+		{"name":"<b>reads","path":"/","phases":[{"seconds":0.3,"from":100}]},
+		{"name":"refused","path":"/refused","phases":[{"seconds":0.3,"from":100}]}]}`
+	out := s.run(ExitFailure, plan, "bench", "load", "-f", "-", "-o", "json")
+	raw := out[:strings.LastIndex(out, "}")+1]
+	var r load.Report
+	require.NoError(t, json.Unmarshal([]byte(raw), &r))
+	require.Equal(t, r.Classes[0].Sent, r.Classes[0].Statuses["200"])
+	require.Equal(t, r.Classes[1].Sent, r.Classes[1].Refused)
+	html := s.run(ExitOK, raw, "report", "-")
+	require.Contains(t, html, "&lt;b&gt;reads")
+	require.Equal(t, 6, strings.Count(html, "<svg"))
+	require.NotRegexp(t, `(src|href)=|<script`, html)
+	s.run(ExitUsage, "{}", "bench", "load", "-f", "-")
+	s.run(ExitUsage, "", "bench", "load", "--rate", "-1")
+}
--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strings"
 	"time"
 
@@ -88,7 +86,7 @@
 // resolve reads the file, then lets flags replace its fields.
 func (s *submission) resolve(stdin io.Reader) (spec model.JobSpec, err error) {
 	if s.file != "" {
-		if spec, err = readSpec(s.file, stdin); err != nil {
+		if err = readJSON(s.file, stdin, &spec); err != nil {
 			return spec, err
 		}
 	}
@@ -146,24 +144,6 @@
 	}
 }
 
-func readSpec(file string, stdin io.Reader) (spec model.JobSpec, err error) {
-	in := stdin
-	if file != "-" {
-		f, err := os.Open(file)
-		if err != nil {
-			return spec, err
-		}
-		defer f.Close()
-		in = f
-	}
-	dec := json.NewDecoder(in)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&spec); err != nil {
-		return spec, fmt.Errorf("%s: %w", file, err)
-	}
-	return spec, nil
-}
-
 func (a *app) jobList() *cobra.Command {
 	var cell, phase, team, label, after string
 	var limit int
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -170,7 +170,7 @@
 	for _, c := range s.Cells {
 		workers = append(workers, c.Workers...)
 	}
-	sort.SliceStable(workers, func(i, j int) bool { return load(workers[i]) > load(workers[j]) })
+	sort.SliceStable(workers, func(i, j int) bool { return charged(workers[i]) > charged(workers[j]) })
 	t.line("")
 	t.row("WORKER", "STATE", "TASKS", "CORES CHARGED", "MEMORY CHARGED", "ACCELERATORS CHARGED")
 	for _, w := range workers[:first(len(workers), topRows, false)] {
@@ -180,8 +180,8 @@
 	}
 }
 
-// load is the largest share charged in any dimension.
-func load(w model.WorkerStatus) float64 {
+// charged is the largest share charged in any dimension.
+func charged(w model.WorkerStatus) float64 {
 	share := func(used, size int64) float64 {
 		if size <= 0 {
 			return 0
--- /dev/null
+++ b/internal/load/html.go
@@ -0,0 +1,124 @@
+package load
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"strings"
+)
+
+//go:embed report.html
+var page string
+
+var pageTemplate = template.Must(template.New("report").Funcs(template.FuncMap{
+	"plots": plots, "ms": func(v float64) string { return fmt.Sprintf("%.1f", v) },
+}).Parse(page))
+
+// WriteHTML writes a report as one page that needs no other file.
+func (r Report) WriteHTML(w io.Writer) error { return pageTemplate.Execute(w, r) }
+
+// Size of a plot in pixels, and the margins for its labels.
+const (
+	plotWidth, plotHeight   = 460.0, 220.0
+	leftMargin, otherMargin = 56.0, 24.0
+)
+
+// line is one line of a plot.
+type line struct {
+	name, colour string
+	points       [][2]float64
+}
+
+// plot is a set of lines over one horizontal axis.
+type plot struct {
+	title, unit string
+	lines       []line
+	axis        func(x float64) string // label of a place on the horizontal axis
+	logarithmic bool                   // vertical axis
+}
+
+func plots(c ClassReport) []template.HTML {
+	over := func(value func(Window) float64) (points [][2]float64) {
+		for _, w := range c.Windows {
+			points = append(points, [2]float64{w.Second, value(w)})
+		}
+		return points
+	}
+	var curve [][2]float64
+	for _, p := range c.Curve {
+		if p.Percentile < 100 {
+			curve = append(curve, [2]float64{-math.Log10(1 - p.Percentile/100), p.Ms})
+		}
+	}
+	seconds := func(x float64) string { return fmt.Sprintf("%.0f s", x) }
+	return []template.HTML{
+		plot{"Latency over time", "ms", []line{
+			{"p50", "#1b6ca8", over(func(w Window) float64 { return w.Latency.P50 })},
+			{"p99", "#d98b00", over(func(w Window) float64 { return w.Latency.P99 })},
+			{"max", "#b3261e", over(func(w Window) float64 { return w.Latency.Max })},
+		}, seconds, true}.svg(),
+		plot{"Percentiles", "ms", []line{{"latency", "#1b6ca8", curve}},
+			func(x float64) string { return fmt.Sprintf("%.4g%%", 100*(1-math.Pow(10, -x))) }, true}.svg(),
+		plot{"Requests a window", "", []line{
+			{"done", "#2e7d32", over(func(w Window) float64 { return float64(w.Done) })},
+			{"refused", "#d98b00", over(func(w Window) float64 { return float64(w.Refused) })},
+			{"failed", "#b3261e", over(func(w Window) float64 { return float64(w.Failed) })},
+		}, seconds, false}.svg(),
+	}
+}
+
+// scale returns the largest x and y of the lines, and the smallest positive y.
+func (p plot) scale() (maxX, maxY, minY float64) {
+	minY = math.Inf(1)
+	for _, l := range p.lines {
+		for _, pt := range l.points {
+			maxX, maxY = max(maxX, pt[0]), max(maxY, pt[1])
+			if pt[1] > 0 {
+				minY = min(minY, pt[1])
+			}
+		}
+	}
+	if maxY == 0 {
+		maxY, minY = 1, 0.1
+	}
+	return max(maxX, 1e-9), maxY, min(minY, maxY/10)
+}
+
+// svg draws the plot. Every text in it is of this package or a number, so
+// that nothing has to be escaped.
+func (p plot) svg() template.HTML {
+	maxX, maxY, minY := p.scale()
+	right, bottom := plotWidth-otherMargin, plotHeight-otherMargin
+	x := func(v float64) float64 { return leftMargin + v/maxX*(right-leftMargin) }
+	y := func(v float64) float64 {
+		share := v / maxY
+		if p.logarithmic {
+			share = math.Log(max(v, minY)/minY) / math.Log(maxY/minY)
+		}
+		return bottom - share*(bottom-otherMargin)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, `<svg viewBox="0 0 %.0f %.0f" role="img"><text x="%.0f" y="14" class="title">%s</text>`, plotWidth, plotHeight, leftMargin, p.title)
+	for i := range 5 {
+		share := float64(i) / 4
+		v := share * maxY
+		if p.logarithmic {
+			v = minY * math.Pow(maxY/minY, share)
+		}
+		fmt.Fprintf(&b, `<path class="grid" d="M%.1f %.1fH%.1f"/><text x="%.1f" y="%.1f" text-anchor="end">%.3g %s</text>`,
+			leftMargin, y(v), right, leftMargin-4, y(v)+4, v, p.unit)
+		fmt.Fprintf(&b, `<text x="%.1f" y="%.1f" text-anchor="middle">%s</text>`, x(share*maxX), bottom+16, p.axis(share*maxX))
+	}
+	for i, l := range p.lines {
+		var points strings.Builder
+		for _, pt := range l.points {
+			fmt.Fprintf(&points, "%.1f,%.1f ", x(pt[0]), y(pt[1]))
+		}
+		fmt.Fprintf(&b, `<polyline points="%s" stroke="%s"/><text x="%.1f" y="14" fill="%s">%s</text>`,
+			points.String(), l.colour, right-55*float64(len(p.lines)-i)+20, l.colour, l.name)
+	}
+	b.WriteString("</svg>")
+	return template.HTML(b.String())
+}
--- /dev/null
+++ b/internal/load/http.go
@@ -0,0 +1,76 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"syscall"
+)
+
+// connection is a keep-alive connection to the target. It follows no redirect
+// and uses no proxy, so that it never reaches another address.
+type connection struct {
+	client  *http.Client
+	url     string
+	class   Class
+	payload []byte
+}
+
+// Dial returns the function that makes connections to the target of a plan.
+func Dial(target string) func(Class) Connection {
+	return func(c Class) Connection {
+		return &connection{
+			client: &http.Client{
+				Transport:     &http.Transport{MaxConnsPerHost: 1, DisableCompression: true},
+				CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			},
+			url: target + c.Path, class: c, payload: bytes.Repeat([]byte("x"), c.Bytes),
+		}
+	}
+}
+
+// Close implements Connection.
+func (c *connection) Close() { c.client.CloseIdleConnections() }
+
+// Send implements Connection. The answer counts when its body has been read.
+func (c *connection) Send(ctx context.Context) Answer {
+	req, err := http.NewRequestWithContext(ctx, c.class.Method, c.url, bytes.NewReader(c.payload))
+	if err != nil {
+		return Answer{Failure: "invalid request"}
+	}
+	for name, value := range map[string]string{"Bambooscale-Service": c.class.Service, "Bambooscale-Tenant": c.class.Tenant} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	if c.class.DeadlineMs > 0 {
+		req.Header.Set("Bambooscale-Deadline-Ms", strconv.Itoa(c.class.DeadlineMs))
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		return Answer{Failure: failure(err)}
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return Answer{Failure: failure(err)}
+	}
+	return Answer{Status: res.StatusCode, Outcome: res.Header.Get("Bambooscale-Outcome")}
+}
+
+// failure names the kind of an error, so that a report has few of them.
+func failure(err error) string {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return "timeout"
+	case errors.Is(err, context.Canceled):
+		return "cancelled"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "connection refused"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "connection closed"
+	}
+	return "other"
+}
