operator: serve diagnostics and profiles, and bundle them

An operator could not hand over the state of an entry with a report. The newest 500 log events are kept by an actor behind the log handler; GET /v1/diagnose answers with them, the settings without secrets and the runtime's figures; profiles are under /debug/pprof, behind the token or for the same host only. bambooctl diagnose writes all of it, with status, configuration and metrics, as tar.gz; an unreadable part is replaced by its error.

--- a/cmd/bambooscaled/dev.go
+++ b/cmd/bambooscaled/dev.go
@@ -31,6 +31,7 @@
 func runDev(cmd *cobra.Command, c daemon.DevConfig) error {
 	g := daemon.NewGroup(context.WithoutCancel(cmd.Context()), c.Log)
 	defer g.Stop()
+	c.Recent = keepRecent(g)
 	d, err := daemon.StartDev(g, c)
 	if err != nil {
 		return err
--- a/cmd/bambooscaled/run.go
+++ b/cmd/bambooscaled/run.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
 	"github.com/spf13/cobra"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
@@ -113,6 +114,13 @@
 	return link.Config{Keys: keys}, nil
 }
 
+// keepRecent keeps the newest log events of the process for diagnostics.
+func keepRecent(g *actor.Group) *daemon.Recent {
+	r := daemon.StartRecent(g, logfmt.New(os.Stderr))
+	log.SetHandler(r)
+	return r
+}
+
 // listen opens a listener; its error names the setting with the address.
 func listen(setting, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
@@ -125,6 +133,7 @@
 func platformConfig(u *url.URL) platform.HTTPConfig { return platform.HTTPConfig{URL: u.String()} }
 
 func runEntry(cmd *cobra.Command, g *actor.Group, s *settings.Settings) (drainer, error) {
+	recent := keepRecent(g) // before anything logs
 	callers, err := listen("[entry] listen", s.Entry.Listen)
 	if err != nil {
 		return nil, err
@@ -145,7 +154,7 @@
 		Settings: s, Build: version,
 		Table:   platform.NewHTTPTable(platformConfig(s.Daemon.Table)),
 		Objects: platform.NewHTTPObjects(platformConfig(s.Daemon.Objects)),
-		Callers: callers, Agents: agents, Operator: operator, Log: log.Log,
+		Callers: callers, Agents: agents, Operator: operator, Log: log.Log, Recent: recent,
 	})
 	fmt.Fprintf(cmd.OutOrStdout(), "ready callers=%s operators=%s agents=%s\n", callers.Addr(), operator.Addr(), agents.Addr())
 	return e, nil
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -1,10 +1,13 @@
 package command
 
 import (
+	"archive/tar"
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -236,3 +239,29 @@
 	s.run(ExitUsage, "{}", "bench", "load", "-f", "-")
 	s.run(ExitUsage, "", "bench", "load", "--rate", "-1")
 }
+
+// Guards against a bundle that is lost because one part cannot be read, or
+// that claims to be one when no part can.
+func TestDiagnose(t *testing.T) {
+	s := newSystem(t) // serves no metrics
+	file := filepath.Join(t.TempDir(), "b.tar.gz")
+	require.Contains(t, s.run(ExitOK, "", "diagnose", "--out", file), "6 of 7 parts")
+	f, err := os.Open(file)
+	require.NoError(t, err)
+	defer f.Close()
+	zip, err := gzip.NewReader(f)
+	require.NoError(t, err)
+	var names []string
+	for archive := tar.NewReader(zip); ; {
+		h, err := archive.Next()
+		if err == io.EOF {
+			break
+		}
+		require.NoError(t, err)
+		names = append(names, h.Name)
+	}
+	require.Contains(t, names, "bambooscale/goroutines.txt")
+	require.Contains(t, names, "bambooscale/metrics.txt.error")
+	s.url = "http://127.0.0.1:1"
+	s.run(ExitUnavailable, "", "diagnose", "--out", file+"2")
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -91,7 +91,7 @@
 func (a *app) root() *cobra.Command {
 	root := a.group("bambooctl", "Operate bambooscale: labels, selectors, jobs, drains and status",
 		a.jobCommand(), a.labelCommand(), a.selectorCommand(), a.configCommand(), a.statusCommand(), a.topCommand(),
-		a.backendCommand(), a.explainCommand(), a.benchCommand(), a.reportCommand(), a.chartCommand(), a.settingsCommand(), a.versionCommand())
+		a.backendCommand(), a.explainCommand(), a.benchCommand(), a.reportCommand(), a.diagnoseCommand(), a.chartCommand(), a.settingsCommand(), a.versionCommand())
 	root.Long = root.Short + ".\n\n" + exitCodesText
 	root.SilenceErrors, root.SilenceUsage = true, true
 	flags := root.PersistentFlags()
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -22,6 +22,7 @@
 	OperatorListen string
 	Build          string // version of the program
 	Log            log.Interface
+	Recent         *Recent // the newest log events; may be nil
 }
 
 // Dev is a whole system in one process: entry, agent, and simulators of the
@@ -62,7 +63,7 @@
 	d := &Dev{Callers: callers.Addr().String(), Operator: operator.Addr().String()}
 	d.entry = StartEntry(g, EntryConfig{
 		Settings: devSettings(), Build: c.Build, Table: table, Objects: objects,
-		Callers: callers, Agents: agents, Operator: operator, Log: c.Log,
+		Callers: callers, Agents: agents, Operator: operator, Log: c.Log, Recent: c.Recent,
 	})
 	return d, d.startHost(g, c, agents.Addr(), objects)
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -31,6 +31,7 @@
 	Agents   link.Listener
 	Operator net.Listener
 	Log      log.Interface
+	Recent   *Recent // the newest log events; may be nil
 }
 
 // directoryInterval is how often an entry reads the list of entries.
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -28,13 +28,17 @@
 func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) {
 	set := c.Settings
 	directory.Follow(g, c.Table, directoryInterval, c.Log, func(list []rows.Entry) { v.entries.Set(&list) })
-	api := operator.New(g, operator.Config{
+	config := operator.Config{
 		Entry: v.self.Entry, Build: c.Build, Token: set.Entry.OperatorToken, DefaultCell: set.Entry.DefaultCell,
 		Table: c.Table, Objects: c.Objects, Store: store, Log: c.Log,
 		Labels: labels.Validate, Selector: matcher, Final: control.Final,
 		Services: v.services, Cells: v.cells.status, Explain: v.explain, Drain: v.drain, Peers: v.peers,
-		Metrics: registry.Handler(),
-	})
+		Metrics: registry.Handler(), Settings: set.Public(),
+	}
+	if c.Recent != nil {
+		config.Recent = c.Recent.Events
+	}
+	api := operator.New(g, config)
 	api.Serve(g, c.Operator)
 }
 
--- /dev/null
+++ b/internal/daemon/recent_test.go
@@ -0,0 +1,33 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
+)
+
+// Guards against a ring that grows without bound, or keeps the oldest events.
+func TestRecentEventsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := actor.NewGroup(t.Context(), nil)
+		defer g.Stop()
+		r := StartRecent(g, discard.New())
+		l := &log.Logger{Handler: r, Level: log.InfoLevel}
+		for i := range 3 * recentEvents {
+			event.Log(l, event.LinkUp, log.Fields{"number": i})
+			synctest.Wait()
+		}
+		events, err := r.Events(t.Context())
+		require.NoError(t, err)
+		require.Len(t, events, recentEvents)
+		require.Equal(t, fmt.Sprint(3*recentEvents-1), events[recentEvents-1].Fields["number"])
+		require.Equal(t, fmt.Sprint(event.LinkUp.ID), events[0].Fields["event"])
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -77,7 +77,11 @@
 	Drain   func(context.Context, model.BackendID) error
 	Peers   func(context.Context) ([]Peer, error) // nil: there are no other entries
 	Metrics http.Handler                          // nil: not served
-	Health  func(context.Context) error           // nil: always healthy
+	// Settings are those of the process, without secrets, and Recent returns
+	// its newest log events; both are for diagnostics and may be nil.
+	Settings map[string]string
+	Recent   func(context.Context) ([]LoggedEvent, error)
+	Health   func(context.Context) error // nil: always healthy
 }
 
 // API is the operators' HTTP API.
@@ -150,6 +154,7 @@
 		{path: "/v1/config/history", method: "GET", handle: a.configHistory},
 		{path: "/v1/config/status", method: "GET", handle: a.configStatus},
 		{path: "/v1/status", method: "GET", handle: a.status},
+		{path: "/v1/diagnose", method: "GET", handle: a.diagnose},
 		{path: "/v1/explain/{kind}/{name...}", method: "GET", handle: a.explain},
 		{path: "/v1/backends/{id}/drain", method: "POST", handle: a.drain},
 		{path: "/healthz", method: "GET", handle: a.health, open: true},
@@ -172,6 +177,7 @@
 			writeJSON(w, http.StatusMethodNotAllowed, errorBody{Error: r.URL.Path + " allows " + allow})
 		})
 	}
+	a.profiles(mux)
 	if a.Metrics != nil {
 		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
 			if a.authorised(w, r) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -120,3 +120,21 @@
 		require.Contains(t, string(page), r.method+" "+strings.ReplaceAll(r.path, "...", ""))
 	}
 }
+
+// Guards against profiles or diagnostics for someone without the token, or
+// for another host when no token is set.
+func TestProfilesNeedTheToken(t *testing.T) {
+	inFixture(t, "secret", func(f *fixture) {
+		for _, path := range []string{"/debug/pprof/goroutine", "/v1/diagnose"} {
+			status, _, _ := f.call("GET", path, "")
+			require.Equal(f.t, 401, status, path)
+			status, _, _ = f.call("GET", path, "", "Authorization", "Bearer secret")
+			require.Equal(f.t, 200, status, path)
+		}
+	})
+	inFixture(t, "", func(f *fixture) {
+		status, _, body := f.call("GET", "/debug/pprof/goroutine", "") // from 192.0.2.1
+		require.Equal(f.t, 403, status)
+		require.Contains(f.t, body["error"], "operator-token")
+	})
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"strings"
 
 	"github.com/bambooscale/bambooscale/internal/model"
@@ -21,9 +22,40 @@
 
 // value ties a key to its field and its type.
 type value struct {
-	typ   string
-	set   func(*Settings, string) error
-	empty func(*Settings) bool
+	typ    string
+	set    func(*Settings, string) error
+	empty  func(*Settings) bool
+	shown  func(*Settings) string
+	secret bool // its value is never shown
+}
+
+// hidden marks a value as secret.
+func hidden(v value) value {
+	v.secret = true
+	return v
+}
+
+// Public returns the settings by key as text for diagnostics. Secrets, and
+// passwords in URLs, are replaced.
+func (s *Settings) Public() map[string]string {
+	m := map[string]string{}
+	for _, k := range keys {
+		switch {
+		case k.empty(s):
+		case k.secret:
+			m[place(k.section, k.name)] = "(secret)"
+		default:
+			m[place(k.section, k.name)] = k.shown(s)
+		}
+	}
+	return m
+}
+
+func shownText(v any) string {
+	if u, ok := v.(*url.URL); ok && u != nil {
+		return u.Redacted()
+	}
+	return fmt.Sprint(v)
 }
 
 // of makes a value of the type that parse reads, kept in field.
@@ -38,6 +70,7 @@
 			return err
 		},
 		empty: func(s *Settings) bool { return isEmpty(*field(s)) },
+		shown: func(s *Settings) string { return shownText(*field(s)) },
 	}
 }
 
@@ -93,7 +126,7 @@
 		{"entry", "operator-listen", "127.0.0.1:8081", RoleEntry, "Address of the operators' API.",
 			address(func(s *Settings) *string { return &s.Entry.OperatorListen })},
 		{"entry", "operator-token", "", "", "Bearer token that the operators' API requires. Without it the API is open to everyone who can connect.",
-			text(func(s *Settings) *string { return &s.Entry.OperatorToken })},
+			hidden(text(func(s *Settings) *string { return &s.Entry.OperatorToken }))},
 		{"entry", "cells", "", "", "Cells whose ownership this entry contends for.",
 			list(func(s *Settings) *[]model.Cell { return &s.Entry.Cells })},
 		{"entry", "default-cell", "", "", "Cell of jobs that are submitted without one; by default the first of `cells`.",
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -102,3 +103,13 @@
 	require.True(t, ok)
 	require.Equal(t, Reference(), got, "replace it by the output of: bambooctl settings reference")
 }
+
+// Guards against a token or a password in a diagnostics bundle.
+func TestPublicHidesSecrets(t *testing.T) {
+	s, err := Parse("s.ini", []byte("[daemon]\nrole = entry\nid = e\ndata-centre = d\ntable = http://u:pass-word@h:1\nobjects = http://h:2\n[entry]\noperator-token = to-ken\n"))
+	require.NoError(t, err)
+	text := fmt.Sprint(s.Public())
+	require.Contains(t, text, "h:1")
+	require.NotContains(t, text, "pass-word")
+	require.NotContains(t, text, "to-ken")
+}
