command: show refusals and evictions by tenant and class in top

top showed estimates of the dispatcher by class, with no tenants, no refusals and no evictions. The entry measures recent requests by class and tenant in an actor with two HDR windows of 15 s, bounded at 256 series; the controller counts evictions by team and class since it claimed the cell. Both are in GET /v1/status, and top shows them with slots and queues.

The fixture of the status test now has recent requests where it had class estimates, because top shows those; the bound of a screen is also checked for top.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -154,14 +154,16 @@
 	s := newSystem(t)
 	for i := range 20 {
 		s.status = append(s.status, model.ServiceStatus{Service: model.Service(fmt.Sprint("s", i)),
-			Backends: []model.BackendStatus{{Backend: "b1", State: "down"}}, Classes: []model.ClassStatus{{Class: "c", P99: 3e6}}})
+			Backends: []model.BackendStatus{{Backend: "b1", State: "down"}}, Recent: []model.RecentStatus{{Class: "c", Tenant: "t", P99: 3e6, Refused: 7}}})
 	}
 	out := s.run(ExitOK, "", "status")
 	require.LessOrEqual(t, strings.Count(out, "\n"), 24)
 	require.True(t, strings.HasPrefix(out, "! service s0 has no ready backend server"), out)
 	require.Contains(t, out, "more; show them with --all")
 	require.Contains(t, s.run(ExitOK, "", "backend", "list", "--service", "s3"), "down")
-	require.Contains(t, s.run(ExitOK, "", "top", "--count", "1"), "3.0ms")
+	out = s.run(ExitOK, "", "top", "--count", "1")
+	require.Regexp(t, `s\d+ +c +t +0 +7 +- +3.0ms`, out)
+	require.LessOrEqual(t, strings.Count(out, "\n"), 24)
 	require.Regexp(t, `reason: fits job j1\nWORKER +REASON +TEXT\nw1 +quota +team at its quota`, s.run(ExitOK, "", "explain", "job", "j1"))
 	s.run(ExitNotFound, "", "backend", "drain", "b1")
 }
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"os"
 	"sort"
 	"strings"
 	"time"
@@ -22,7 +21,6 @@
 	statusProblems = 8
 	statusServices = 5
 	statusCells    = 5
-	topRows        = 9
 )
 
 func (a *app) readStatus(ctx context.Context) (s operator.Status, err error) {
@@ -115,83 +113,6 @@
 	return dash(strings.Join(parts, ", "))
 }
 
-func (a *app) topCommand() *cobra.Command {
-	var interval time.Duration
-	var count int
-	c := leaf("top", "Show the slowest classes and the fullest workers, again and again", cobra.NoArgs, func(ctx context.Context, _ []string) error {
-		for i := 0; count == 0 || i < count; i++ {
-			if i > 0 && !actor.Sleep(ctx, interval) {
-				return nil
-			}
-			s, err := a.readStatus(ctx)
-			if err != nil {
-				return err
-			}
-			if a.output == "table" && terminal(a.stdout) {
-				fmt.Fprint(a.stdout, "\x1b[H\x1b[2J") // cursor home, clear the screen
-			}
-			if err := a.show(s, func(t *table) { drawTop(t, s) }); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	c.Flags().DurationVar(&interval, "interval", 2*time.Second, "time between two looks")
-	c.Flags().IntVar(&count, "count", 0, "number of looks; 0 has no limit")
-	return c
-}
-
-func terminal(w any) bool {
-	f, ok := w.(*os.File)
-	if !ok {
-		return false
-	}
-	info, err := f.Stat()
-	return err == nil && info.Mode()&os.ModeCharDevice != 0
-}
-
-func drawTop(t *table, s operator.Status) {
-	type classRow struct {
-		service model.Service
-		model.ClassStatus
-	}
-	var classes []classRow
-	for _, svc := range s.Services {
-		for _, c := range svc.Classes {
-			classes = append(classes, classRow{svc.Service, c})
-		}
-	}
-	sort.SliceStable(classes, func(i, j int) bool { return classes[i].P99 > classes[j].P99 })
-	t.row("SERVICE", "CLASS", "TENANT", "QUEUED", "LONG", "P50", "P99", "P99.9")
-	for _, c := range classes[:first(len(classes), topRows, false)] {
-		t.row(c.service, c.Class, dash(string(c.Tenant)), c.Queued, c.Long, millis(c.P50), millis(c.P99), millis(c.P999))
-	}
-	var workers []model.WorkerStatus
-	for _, c := range s.Cells {
-		workers = append(workers, c.Workers...)
-	}
-	sort.SliceStable(workers, func(i, j int) bool { return charged(workers[i]) > charged(workers[j]) })
-	t.line("")
-	t.row("WORKER", "STATE", "TASKS", "CORES CHARGED", "MEMORY CHARGED", "ACCELERATORS CHARGED")
-	for _, w := range workers[:first(len(workers), topRows, false)] {
-		t.row(w.Worker, w.State, w.Tasks, cores(w.Charged.CPU)+"/"+cores(w.Capacity.CPU),
-			gigabytes(w.Charged.Memory)+"/"+gigabytes(w.Capacity.Memory),
-			fmt.Sprintf("%d/%d", w.Charged.Accelerators, w.Capacity.Accelerators))
-	}
-}
-
-// charged is the largest share charged in any dimension.
-func charged(w model.WorkerStatus) float64 {
-	share := func(used, size int64) float64 {
-		if size <= 0 {
-			return 0
-		}
-		return float64(used) / float64(size)
-	}
-	return max(share(int64(w.Charged.CPU), int64(w.Capacity.CPU)), share(int64(w.Charged.Memory), int64(w.Capacity.Memory)),
-		share(w.Charged.Accelerators, w.Capacity.Accelerators))
-}
-
 func (a *app) backendCommand() *cobra.Command {
 	return a.group("backend", "List and drain backend servers", a.backendList(), a.backendDrain())
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/control"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
@@ -48,6 +49,10 @@
 		w.until(5*time.Second, "a second attempt", func() bool { return w.table.job("j").Attempt == 2 })
 		require.Equal(t, "checkpoint/j/1/1", w.table.job("j").Checkpoint)
 		require.Equal(t, uint32(1), w.table.job("j").Evictions)
+		status, err := actor.Ask(w.ctx, w.entries["a"].ctl, func(r actor.Reply[model.CellStatus]) control.Message { return control.StatusQuery{Reply: r} })
+		require.NoError(t, err)
+		require.Len(t, status.Evictions, 1)
+		require.Equal(t, 1, status.Evictions[0].Count)
 		w.reaches(35*time.Second, "done", "j") // the 30 s before the eviction are not repeated
 	})
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -58,6 +58,8 @@
 	scanned  platform.Revision
 	planning bool                // something changed that a plan may use
 	finished map[model.Phase]int // jobs that are over
+	// evictions counts by team and class since the cell was claimed.
+	evictions map[evictionKey]int
 
 	scanAt, sweepAt, renewAt, planAt time.Duration
 }
@@ -73,6 +75,7 @@
 // reset drops what is known of jobs.
 func (c *Core) reset() {
 	c.jobs, c.finished = map[model.JobID]*job{}, map[model.Phase]int{}
+	c.evictions = map[evictionKey]int{}
 	c.ledger = place.NewLedger()
 	c.claims = map[model.JobID]claim{}
 	c.loaded, c.scanned, c.planning = false, 0, false
--- a/internal/control/job.go
+++ b/internal/control/job.go
@@ -102,9 +102,12 @@
 					j.row.Reason = j.parked + ": " + j.row.Reason
 				}
 			},
-			"countEviction": func(j *job) { j.row.Evictions++ },
-			"evictAttempt":  func(j *job) { j.core.stepAttempt(j, evEvict) },
-			"stopAttempt":   func(j *job) { j.core.stepAttempt(j, evStop) },
+			"countEviction": func(j *job) {
+				j.row.Evictions++
+				j.core.evictions[evictionKey{j.row.Spec.Team, j.row.Spec.Class}]++
+			},
+			"evictAttempt": func(j *job) { j.core.stepAttempt(j, evEvict) },
+			"stopAttempt":  func(j *job) { j.core.stepAttempt(j, evStop) },
 		},
 	}
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -39,9 +40,26 @@
 			Capacity: w.Capacity, Charged: w.Charged, Tasks: len(w.Tasks),
 		})
 	}
+	s.Evictions = c.evictionStatus()
 	return s
 }
 
+type evictionKey struct {
+	team  model.Team
+	class model.Class
+}
+
+func (c *Core) evictionStatus() []model.EvictionStatus {
+	list := make([]model.EvictionStatus, 0, len(c.evictions))
+	for k, n := range c.evictions {
+		list = append(list, model.EvictionStatus{Team: k.team, Class: k.class, Count: n})
+	}
+	slices.SortFunc(list, func(a, b model.EvictionStatus) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Class, b.Class))
+	})
+	return list
+}
+
 // Explain reports why a job is where it is.
 func (c *Core) Explain(id model.JobID) Explanation {
 	e := Explanation{Job: id}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -56,11 +56,12 @@
 	})
 	startLinks(g, c, self, store, dispatcher, controllers)
 	registry := metrics.Start(g)
-	startOperator(g, c, &view{self: self, dispatcher: dispatcher, cells: controllers, entries: &actor.Value[[]rows.Entry]{}},
+	recent := metrics.StartWindows(g)
+	startOperator(g, c, &view{recent: recent, self: self, dispatcher: dispatcher, cells: controllers, entries: &actor.Value[[]rows.Entry]{}},
 		store, registry)
 	front := &entry.Frontend{
 		Dispatcher: dispatcher, Table: table.Get, MaxBody: int64(set.Entry.MaxBody),
-		Slots: make(chan struct{}, set.Entry.MaxCallers), Observe: observer(metrics.StartRequests(g, registry)),
+		Slots: make(chan struct{}, set.Entry.MaxCallers), Observe: observer(metrics.StartRequests(g, registry), recent.Observe),
 	}
 	directory.Announce(g, c.Table, rows.Entry{
 		ID: self.Entry, Boot: self.Boot, Address: c.Agents.Addr(), Operator: c.Operator.Addr().String(),
@@ -71,7 +72,7 @@
 }
 
 // observer turns the results of requests into measurements.
-func observer(record func(metrics.Observation)) func(entry.Result) {
+func observer(records ...func(metrics.Observation)) func(entry.Result) {
 	return func(r entry.Result) {
 		outcome := "done"
 		switch {
@@ -80,8 +81,10 @@
 		case r.Own:
 			outcome = r.Outcome.String()
 		}
-		record(metrics.Observation{Service: string(r.Service), Class: string(r.Class), Tenant: string(r.Tenant),
-			Outcome: outcome, Took: r.Duration})
+		for _, record := range records {
+			record(metrics.Observation{Service: string(r.Service), Class: string(r.Class), Tenant: string(r.Tenant),
+				Outcome: outcome, Took: r.Duration})
+		}
 	}
 }
 
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -21,6 +22,7 @@
 type view struct {
 	self       entry.Self
 	dispatcher entry.Address
+	recent     *metrics.Windows
 	cells      *cells
 	entries    *actor.Value[[]rows.Entry]
 }
@@ -43,9 +45,25 @@
 }
 
 func (v *view) services(ctx context.Context) ([]model.ServiceStatus, error) {
-	return actor.Ask(ctx, v.dispatcher, func(r actor.Reply[[]model.ServiceStatus]) entry.Message {
+	list, err := actor.Ask(ctx, v.dispatcher, func(r actor.Reply[[]model.ServiceStatus]) entry.Message {
 		return entry.StatusQuery{Reply: r}
 	})
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(list, func(a, b model.ServiceStatus) int { return cmp.Compare(a.Service, b.Service) })
+	recent, err := v.recent.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range recent {
+		i := slices.IndexFunc(list, func(s model.ServiceStatus) bool { return string(s.Service) == r.Service })
+		if i >= 0 {
+			list[i].Recent = append(list[i].Recent, model.RecentStatus{Class: model.Class(r.Class), Tenant: model.Tenant(r.Tenant),
+				Requests: r.Requests, Refused: r.Refused, P50: r.P50, P99: r.P99, P999: r.P999})
+		}
+	}
+	return list, nil
 }
 
 func (v *view) drain(ctx context.Context, id model.BackendID) error {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -76,3 +76,36 @@
 		require.Contains(t, text, `tenant="other"} `+fmt.Sprint(4*maxTenants))
 	})
 }
+
+// Guards against refusals counted as fast answers, tenants without bound, and
+// figures of the distant past.
+func TestRecentRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := actor.NewGroup(t.Context(), nil)
+		defer g.Stop()
+		w := StartWindows(g)
+		for range 98 {
+			w.Observe(Observation{"s", "c", "t", "done", 10 * time.Millisecond})
+		}
+		w.Observe(Observation{"s", "c", "t", "done", time.Second})
+		w.Observe(Observation{"s", "c", "t", "not-run", time.Microsecond})
+		list, err := w.Read(t.Context())
+		require.NoError(t, err)
+		require.Len(t, list, 1)
+		require.EqualValues(t, 100, list[0].Requests)
+		require.EqualValues(t, 1, list[0].Refused)
+		require.InDelta(t, 10, list[0].P50.Milliseconds(), 1)
+		require.InDelta(t, 1000, list[0].P999.Milliseconds(), 20)
+		for i := range 2 * maxWindowSeries {
+			w.Observe(Observation{"s", "c", fmt.Sprint(i), "done", time.Millisecond})
+			synctest.Wait()
+		}
+		list, err = w.Read(t.Context())
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(list), maxWindowSeries+1)
+		actor.Sleep(t.Context(), 3*windowLength)
+		list, err = w.Read(t.Context())
+		require.NoError(t, err)
+		require.Empty(t, list)
+	})
+}
--- a/internal/model/status.go
+++ b/internal/model/status.go
@@ -11,6 +11,19 @@
 	Refused  int64           `json:"refused"` // since the entry started
 	Backends []BackendStatus `json:"backends"`
 	Classes  []ClassStatus   `json:"classes,omitempty"`
+	Recent   []RecentStatus  `json:"recent,omitempty"`
+}
+
+// RecentStatus is what callers of a class and tenant got in the last 15 to
+// 30 s from one entry.
+type RecentStatus struct {
+	Class    Class         `json:"class"`
+	Tenant   Tenant        `json:"tenant"`
+	Requests int64         `json:"requests"`
+	Refused  int64         `json:"refused"`
+	P50      time.Duration `json:"p50Ns"`
+	P99      time.Duration `json:"p99Ns"`
+	P999     time.Duration `json:"p999Ns"`
 }
 
 // ClassStatus is what one entry measured for a class of requests.
@@ -43,6 +56,15 @@
 	Owner   EntryID        `json:"owner"`
 	Phases  map[Phase]int  `json:"phases,omitempty"` // number of jobs by phase
 	Workers []WorkerStatus `json:"workers,omitempty"`
+	// Evictions since the controller claimed the cell, the most first.
+	Evictions []EvictionStatus `json:"evictions,omitempty"`
+}
+
+// EvictionStatus counts evictions of a team's jobs of a class.
+type EvictionStatus struct {
+	Team  Team  `json:"team"`
+	Class Class `json:"class"`
+	Count int   `json:"count"`
 }
 
 // WorkerStatus is what a controller knows of a worker.
