--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -1,9 +1,13 @@
 package command
 
 import (
+	"archive/tar"
 	"bytes"
+	"compress/gzip"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -20,6 +24,7 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/configstore"
 	"github.com/bambooscale/bambooscale/internal/finding"
+	"github.com/bambooscale/bambooscale/internal/load"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/operator"
@@ -149,14 +154,16 @@
 	s := newSystem(t)
 	for i := range 20 {
 		s.status = append(s.status, model.ServiceStatus{Service: model.Service(fmt.Sprint("s", i)),
-			Backends: []model.BackendStatus{{Backend: "b1", State: "down"}}, Classes: []model.ClassStatus{{Class: "c", P99: 3e6}}})
+			Backends: []model.BackendStatus{{Backend: "b1", State: "down"}}, Recent: []model.RecentStatus{{Class: "c", Tenant: "t", P99: 3e6, Refused: 7}}})
 	}
 	out := s.run(ExitOK, "", "status")
 	require.LessOrEqual(t, strings.Count(out, "\n"), 24)
 	require.True(t, strings.HasPrefix(out, "! service s0 has no ready backend server"), out)
 	require.Contains(t, out, "more; show them with --all")
 	require.Contains(t, s.run(ExitOK, "", "backend", "list", "--service", "s3"), "down")
-	require.Contains(t, s.run(ExitOK, "", "top", "--count", "1"), "3.0ms")
+	out = s.run(ExitOK, "", "top", "--count", "1")
+	require.Regexp(t, `s\d+ +c +t +0 +7 +- +3.0ms`, out)
+	require.LessOrEqual(t, strings.Count(out, "\n"), 24)
 	require.Regexp(t, `reason: fits job j1\nWORKER +REASON +TEXT\nw1 +quota +team at its quota`, s.run(ExitOK, "", "explain", "job", "j1"))
 	s.run(ExitNotFound, "", "backend", "drain", "b1")
 }
@@ -206,3 +213,57 @@
 	}
 	walk((&app{}).root())
 }
+
+// Guards against a load run whose answers are miscounted, or whose report
+// needs the network or runs text of the plan as markup.
+func TestBenchLoadAndReport(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refused" {
+			w.Header().Set("Bambooscale-Outcome", "not-run")
+			w.WriteHeader(503)
+		}
+	}))
+	defer target.Close()
+	s := &system{t: t, url: "http://127.0.0.1:1"}
+	plan := `{"target":"` + target.URL + `","requests":60,"classes":[
+		{"name":"<b>reads","path":"/","phases":[{"seconds":0.3,"from":100}]},
+		{"name":"refused","path":"/refused","phases":[{"seconds":0.3,"from":100}]}]}`
+	out := s.run(ExitFailure, plan, "bench", "load", "-f", "-", "-o", "json")
+	raw := out[:strings.LastIndex(out, "}")+1]
+	var r load.Report
+	require.NoError(t, json.Unmarshal([]byte(raw), &r))
+	require.Equal(t, r.Classes[0].Sent, r.Classes[0].Statuses["200"])
+	require.Equal(t, r.Classes[1].Sent, r.Classes[1].Refused)
+	html := s.run(ExitOK, raw, "report", "-")
+	require.Contains(t, html, "&lt;b&gt;reads")
+	require.Equal(t, 6, strings.Count(html, "<svg"))
+	require.NotRegexp(t, `(src|href)=|<script`, html)
+	s.run(ExitUsage, "{}", "bench", "load", "-f", "-")
+	s.run(ExitUsage, "", "bench", "load", "--rate", "-1")
+}
+
+// Guards against a bundle that is lost because one part cannot be read, or
+// that claims to be one when no part can.
+func TestDiagnose(t *testing.T) {
+	s := newSystem(t) // serves no metrics
+	file := filepath.Join(t.TempDir(), "b.tar.gz")
+	require.Contains(t, s.run(ExitOK, "", "diagnose", "--out", file), "6 of 7 parts")
+	f, err := os.Open(file)
+	require.NoError(t, err)
+	defer f.Close()
+	zip, err := gzip.NewReader(f)
+	require.NoError(t, err)
+	var names []string
+	for archive := tar.NewReader(zip); ; {
+		h, err := archive.Next()
+		if err == io.EOF {
+			break
+		}
+		require.NoError(t, err)
+		names = append(names, h.Name)
+	}
+	require.Contains(t, names, "bambooscale/goroutines.txt")
+	require.Contains(t, names, "bambooscale/metrics.txt.error")
+	s.url = "http://127.0.0.1:1"
+	s.run(ExitUnavailable, "", "diagnose", "--out", file+"2")
+}
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -22,6 +23,7 @@
 type view struct {
 	self       entry.Self
 	dispatcher entry.Address
+	recent     *metrics.Windows
 	cells      *cells
 	table      platform.Table
 	entries    *actor.Value[directory.List]
@@ -30,20 +32,40 @@
 func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) {
 	set := c.Settings
 	directory.Follow(g, c.Table, directoryInterval, c.Log, func(list directory.List) { v.entries.Set(&list) })
-	api := operator.New(g, operator.Config{
+	config := operator.Config{
 		Entry: v.self.Entry, Build: c.Build, Token: set.Entry.OperatorToken, DefaultCell: set.Entry.DefaultCell,
 		Table: c.Table, Objects: c.Objects, Store: store, Log: c.Log,
 		Labels: labels.Validate, Selector: matcher, Final: control.Final,
 		Services: v.services, Cells: v.cells.status, Explain: v.explain, Drain: v.drain, Peers: v.peers,
-		Metrics: registry.Handler(),
-	})
+		Metrics: registry.Handler(), Settings: set.Public(),
+	}
+	if c.Recent != nil {
+		config.Recent = c.Recent.Events
+	}
+	api := operator.New(g, config)
 	api.Serve(g, c.Operator)
 }
 
 func (v *view) services(ctx context.Context) ([]model.ServiceStatus, error) {
-	return actor.Ask(ctx, v.dispatcher, func(r actor.Reply[[]model.ServiceStatus]) entry.Message {
+	list, err := actor.Ask(ctx, v.dispatcher, func(r actor.Reply[[]model.ServiceStatus]) entry.Message {
 		return entry.StatusQuery{Reply: r}
 	})
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(list, func(a, b model.ServiceStatus) int { return cmp.Compare(a.Service, b.Service) })
+	recent, err := v.recent.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range recent {
+		i := slices.IndexFunc(list, func(s model.ServiceStatus) bool { return string(s.Service) == r.Service })
+		if i >= 0 {
+			list[i].Recent = append(list[i].Recent, model.RecentStatus{Class: model.Class(r.Class), Tenant: model.Tenant(r.Tenant),
+				Requests: r.Requests, Refused: r.Refused, P50: r.P50, P99: r.P99, P999: r.P999})
+		}
+	}
+	return list, nil
 }
 
 func (v *view) drain(ctx context.Context, id model.BackendID) error {
