--- a/internal/link/envelope.go
+++ b/internal/link/envelope.go
@@ -8,10 +8,16 @@
 	"github.com/bambooscale/bambooscale/internal/wire"
 )
 
+// keepControl is the size in bytes up to which a control stream keeps its
+// buffers. The whole configuration is sent once to a new link, and its size
+// stayed with every link of an entry.
+const keepControl = 8 << 10
+
 // reader reads envelopes from one stream into a buffer that it reuses.
 type reader struct {
 	src    io.Reader
 	limit  int // bytes of payload
+	keep   int // bytes up to which the buffer is kept; 0: any size
 	header [wire.HeaderSize]byte
 	buf    []byte
 }
@@ -19,6 +25,9 @@
 // next returns the next payload, which is valid until the next call. It
 // returns io.EOF between envelopes and io.ErrUnexpectedEOF within one.
 func (r *reader) next() ([]byte, error) {
+	if r.keep > 0 && cap(r.buf) > r.keep {
+		r.buf = nil
+	}
 	if _, err := io.ReadFull(r.src, r.header[:]); err != nil {
 		return nil, err
 	}
@@ -72,7 +81,9 @@
 
 func (w *writer) control(m msg.Control) error {
 	b, err := wire.AppendControl(w.buf[:0], m)
-	w.buf = b
+	if w.buf = b; cap(b) > keepControl {
+		w.buf = nil
+	}
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/link/envelope_test.go
@@ -0,0 +1,35 @@
+package link
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/wire"
+)
+
+// Guards against control streams that keep the memory of the largest message
+// for as long as their link lives.
+func TestControlStreamsKeepNoLargeBuffer(t *testing.T) {
+	large := &msg.ConfigDelta{Full: true, To: 1}
+	for range 1000 {
+		large.Changes = append(large.Changes, model.ConfigChange{Version: 1, Key: model.ConfigKey{Kind: model.KindWorker, Name: "w"}})
+	}
+	var stream bytes.Buffer
+	w, r := writer{dst: &stream}, reader{src: &stream, limit: wire.MaxControl, keep: keepControl}
+	for _, m := range []msg.Control{large, &msg.Heartbeat{}, large, &msg.Heartbeat{}} {
+		require.NoError(t, w.control(m))
+		payload, err := r.next()
+		require.NoError(t, err)
+		got, err := wire.DecodeControl(payload)
+		require.NoError(t, err)
+		require.Equal(t, m, got)
+		require.LessOrEqual(t, cap(w.buf), keepControl)
+		if m != msg.Control(large) {
+			require.LessOrEqual(t, cap(r.buf), keepControl)
+		}
+	}
+}
--- a/internal/link/mux.go
+++ b/internal/link/mux.go
@@ -53,7 +53,7 @@
 
 func newMuxConn(g *actor.Group, remote net.Addr, mux *yamux.Session, control *yamux.Stream) *muxConn {
 	c := &muxConn{remote: remote.String(), mux: mux, control: control, group: g.Sub()}
-	c.in = reader{src: control, limit: wire.MaxControl}
+	c.in = reader{src: control, limit: wire.MaxControl, keep: keepControl}
 	c.out = writer{dst: control}
 	c.ctx, c.cancel = context.WithCancelCause(c.group.Context())
 	c.done = actor.Go(c.group, "link", func(context.Context) error {
