capacity, docs: compute the capacity page from the slopes

The tables of docs/CAPACITY.md are generated from slopes.json, and a test compares them with the page, recomputes the recorded fits from their points and checks that every quantity used was measured.

Measured: every benchmark of the package was run on loopback with other load on the machine; a first run of BenchmarkQueuedRequests was discarded because its requests reached the default deadline.

--- a/internal/capacity/child_test.go
+++ b/internal/capacity/child_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -30,6 +31,8 @@
 	cellName = "cairo-nasr-1"
 	region   = "cairo"
 	loopback = "127.0.0.1:0"
+
+	queueDeadline = 10 * time.Minute
 )
 
 // plan is what a child process runs.
@@ -112,6 +115,7 @@
 		s.Daemon.ID, s.Daemon.DataCentre, s.Daemon.Region = fmt.Sprintf("entry-%d", i+1), "cairo-nasr", region
 		s.Entry.Cells, s.Entry.DefaultCell, s.Entry.DefaultService = []model.Cell{cellName}, cellName, "permit-desk"
 		s.Entry.MaxBody, s.Entry.MaxHeader, s.Entry.MaxCallers = 64<<20, 64<<10, 65536
+		s.Entry.RequestDeadline = queueDeadline // a queued request waits for the whole run
 		daemon.StartEntry(g, daemon.EntryConfig{Settings: s, Build: "capacity", Table: table,
 			Objects: standin.NewObjects(g, standin.StoreFaults{}), Callers: caller, Agents: links, Operator: operator, Log: silent()})
 		agents = append(agents, links.Addr())
--- a/internal/capacity/fleet_slopes_test.go
+++ b/internal/capacity/fleet_slopes_test.go
@@ -143,7 +143,6 @@
 	for range n {
 		go func() {
 			r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+callers+"/sleep", nil)
-			r.Header.Set("Bambooscale-Deadline-Ms", "600000")
 			if reply, err := client.Do(r); err == nil {
 				b.Errorf("a request did not wait: status %d", reply.StatusCode)
 				_ = reply.Body.Close()
--- /dev/null
+++ b/internal/capacity/page_test.go
@@ -0,0 +1,51 @@
+package capacity
+
+import (
+	"flag"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const pageFile = "../../docs/CAPACITY.md"
+
+var write = flag.Bool("write", false, "write the tables into docs/CAPACITY.md")
+
+var generated = regexp.MustCompile(`(?s)<!-- table (\w+) -->\n.*?<!-- end -->\n`)
+
+// Guards against a page whose tables do not follow from the recorded slopes,
+// or that lacks one.
+func TestPageFollowsFromSlopes(t *testing.T) {
+	raw, err := os.ReadFile(pageFile)
+	require.NoError(t, err)
+	s := loadSlopes(t)
+	seen := map[string]bool{}
+	want := generated.ReplaceAllStringFunc(string(raw), func(part string) string {
+		name := generated.FindStringSubmatch(part)[1]
+		require.Contains(t, tables, name)
+		seen[name] = true
+		return "<!-- table " + name + " -->\n\n" + tables[name](s) + "\n<!-- end -->\n"
+	})
+	require.Len(t, seen, len(tables))
+	if *write {
+		require.NoError(t, os.WriteFile(pageFile, []byte(want), 0o644))
+		return
+	}
+	require.Equal(t, want, string(raw), "run: go test -run TestPageFollowsFromSlopes ./internal/capacity -write")
+}
+
+// Guards against a calculation that names a quantity which nobody measured: a
+// missing one would count as zero.
+func TestEveryQuantityOfThePageIsMeasured(t *testing.T) {
+	s := loadSlopes(t)
+	used := regexp.MustCompile(`s\["([a-zA-Z0-9.]+)"\]`)
+	for _, file := range []string{"target_test.go", "tables_test.go"} {
+		raw, err := os.ReadFile(file)
+		require.NoError(t, err)
+		for _, m := range used.FindAllStringSubmatch(string(raw), -1) {
+			require.Contains(t, s, m[1])
+		}
+	}
+}
--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"flag"
+	"fmt"
 	"math"
 	"os"
 	"testing"
@@ -32,6 +33,16 @@
 // at returns the fitted value.
 func (s slope) at(x float64) float64 { return s.Base + s.Slope*x }
 
+// measured returns the point at x, for a quantity that is not linear.
+func (s slope) measured(x float64) float64 {
+	for _, p := range s.Points {
+		if p[0] == x {
+			return p[1]
+		}
+	}
+	panic(fmt.Sprintf("no point at %g %s", x, s.Per))
+}
+
 // fit computes the least-squares line through the points.
 func (s *slope) fit() {
 	n := float64(len(s.Points))
@@ -102,7 +113,7 @@
 		q.fit()
 		b.Logf("%s: %v + %v per %s, error %v %s, points %v", name, q.Base, q.Slope, q.Per, q.Error, q.Unit, q.Points)
 	}
-	if !*record {
+	if !*record || b.Failed() {
 		return
 	}
 	all := loadSlopes(b)
--- /dev/null
+++ b/internal/capacity/target_test.go
@@ -0,0 +1,158 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/wire"
+)
+
+// The target size of docs/design.md section 1.4, and the assumptions of
+// docs/CAPACITY.md where the target leaves a number open.
+const (
+	targetWorkers     = 6900
+	targetCentres     = 10
+	targetRegions     = 5
+	targetTasks       = 19_000 + 110_000
+	targetStarts      = 580.0
+	targetJobsPerDay  = 46_000
+	targetEditsPerDay = 3300
+	targetRestarts    = 1500 // all in the bad hour
+
+	entriesPerCentre = 3
+	cellsPerCentre   = 1
+	configItems      = 7500 // 6,900 workers, 180 teams, services, classes and selectors
+	waitingJobs      = 2000 // for each cell
+	queuedRequests   = 1000 // for each entry
+	peakEdits        = 10   // times the daily mean
+
+	budgetCPU       = 0.016
+	budgetMemory    = 128e6
+	budgetBytes     = 11e3
+	budgetWrites    = 400.0
+	budgetReads     = 2000.0
+	secondsPerDay   = 86_400.0
+	secondsPerHour  = 3600.0
+	watchReads      = 2.0 // two rows a second for each cell that an entry watches
+	packetHeaders   = 52  // TCP with timestamps, and IP; once for the segment and once for its acknowledgement
+	muxHeader       = 12
+	rowsPerTxn      = 120.0
+	editLinks       = 50  // agents of BenchmarkEdits; its time is taken to grow with them
+	heartbeatsASide = 1.0 // for each second
+)
+
+// layout is how the target is split up.
+type layout struct {
+	workersPerCell, tasksPerCell, tasksPerWorker float64
+	entries, cells                               float64
+	linksPerAgent, linksPerEntry                 float64
+	startsPerCell, edits                         float64
+}
+
+func targetLayout() layout {
+	l := layout{entries: targetCentres * entriesPerCentre, cells: targetCentres * cellsPerCentre}
+	l.workersPerCell = targetWorkers / l.cells
+	l.tasksPerWorker = float64(targetTasks) / targetWorkers
+	l.tasksPerCell = targetTasks / l.cells
+	l.linksPerAgent = l.entries / targetRegions
+	l.linksPerEntry = targetWorkers / targetRegions
+	l.startsPerCell = targetStarts / l.cells
+	l.edits = targetEditsPerDay / secondsPerDay
+	return l
+}
+
+// cost is what a daemon costs.
+type cost struct{ memory, held, cpu, bytes, packets, messages float64 }
+
+// agentCost is the cost of an agent with its share of the tasks.
+func agentCost(s map[string]slope, l layout) (c cost) {
+	c.memory = s["agents.agentLive"].Base + s["links.agentLive"].at(l.linksPerAgent) +
+		s["tasks.agentLive"].Slope*l.tasksPerWorker + s["items.agentLive"].Slope*configItems
+	c.held = c.memory * heldRatio(s)
+	c.cpu = s["links.agentCPU"].at(l.linksPerAgent) + s["tasks.agentCPU"].Slope*l.tasksPerWorker +
+		s["edits.agentCPU"].Slope*l.edits
+	c.bytes = s["links.toEntry"].at(l.linksPerAgent) + s["links.toAgent"].at(l.linksPerAgent) +
+		s["tasks.toEntry"].Slope*l.tasksPerWorker + s["edits.toAgent"].Slope*l.edits
+	c.messages = s["links.segmentsToEntry"].at(l.linksPerAgent) + s["links.segmentsToAgent"].at(l.linksPerAgent)
+	c.packets = c.bytes + 2*packetHeaders*c.messages
+	return c
+}
+
+// entryCost is the cost of an entry; as the owner it controls a cell.
+func entryCost(s map[string]slope, l layout, owner bool) (c cost) {
+	links := l.linksPerEntry
+	c.memory = s["agents.entryLive"].at(links) + s["items.entryLive"].Slope*configItems + s["queue.entryLive"].Slope*queuedRequests
+	c.cpu = s["agents.entryCPU"].at(links) + s["edits.entryCPU"].Slope*l.edits*links/editLinks
+	c.bytes = links * (s["links.toEntry"].Slope + s["links.toAgent"].Slope + s["edits.toAgent"].Slope*l.edits)
+	c.messages = links * (s["links.segmentsToEntry"].Slope + s["links.segmentsToAgent"].Slope)
+	if owner {
+		c.memory += s["tasks.entryLive"].Slope*l.tasksPerCell + s["jobs.waitingLive"].Slope*waitingJobs
+		// The time for the tasks' usage reports, tasks.entryCPU, is below its error.
+		c.cpu += s["starts.controllerCPU"].at(l.startsPerCell)
+		c.bytes += s["tasks.toEntry"].Slope*l.tasksPerCell + l.workersPerCell*
+			(s["agents.toEntry"].Slope+s["agents.toAgent"].Slope-s["links.toEntry"].Slope-s["links.toAgent"].Slope)
+		c.messages += l.workersPerCell * (s["agents.segmentsToEntry"].Slope + s["agents.segmentsToAgent"].Slope -
+			s["links.segmentsToEntry"].Slope - s["links.segmentsToAgent"].Slope)
+	}
+	c.held = c.memory * heldRatio(s)
+	c.packets = c.bytes + 2*packetHeaders*c.messages
+	return c
+}
+
+// heldRatio is the memory that the runtime holds of the system for each live
+// byte.
+func heldRatio(s map[string]slope) float64 {
+	return s["agents.entryHeld"].Slope / s["agents.entryLive"].Slope
+}
+
+// heartbeatBytes is the size of a heartbeat on the wire.
+func heartbeatBytes() float64 {
+	b, err := wire.AppendControl(nil, &msg.Heartbeat{})
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(b) + muxHeader)
+}
+
+// configBytes is the size of the whole configuration on the wire.
+func configBytes() float64 {
+	d := &msg.ConfigDelta{Full: true, To: 1}
+	for i := range configItems {
+		d.Changes = append(d.Changes, item(i))
+	}
+	b, err := wire.AppendControl(nil, d)
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(b))
+}
+
+func fits(ok bool) string {
+	if ok {
+		return "fits"
+	}
+	return "**does not fit**"
+}
+
+func line(cells ...string) string { return "| " + strings.Join(cells, " | ") + " |\n" }
+
+func header(cells ...string) string {
+	return line(cells...) + "|" + strings.Repeat(" --- |", len(cells)) + "\n"
+}
+
+func num(v float64) string {
+	switch {
+	case v >= 10_000:
+		return fmt.Sprintf("%.0fk", v/1000)
+	case v >= 100:
+		return fmt.Sprintf("%.0f", v)
+	case v >= 1:
+		return fmt.Sprintf("%.1f", v)
+	}
+	return fmt.Sprintf("%.2g", v)
+}
+
+func mega(v float64) string    { return fmt.Sprintf("%.1f MB", v/1e6) }
+func percent(v float64) string { return fmt.Sprintf("%.2f%%", 100*v) }
+func kilo(v float64) string    { return fmt.Sprintf("%.2f KB/s", v/1e3) }
