--- a/internal/policy/place/order.go
+++ b/internal/policy/place/order.go
@@ -24,7 +24,7 @@
 type teamQueue struct {
 	team  model.Team
 	jobs  []*Job
-	ratio float64 // dominant share of the use in the quota, in steps of fairStep
+	ratio float64 // use relative to quota, in whole steps of fairStep
 	*budget
 }
 
@@ -82,11 +82,13 @@
 		q.jobs = append(q.jobs, j)
 	}
 	earlier := func(a, b *Job) int { return cmp.Compare(a.Waiting, b.Waiting) }
+	step := fairStep(order, whole)
+	ratio := func(q *teamQueue) float64 { return math.Round(q.relative(whole) / step) }
 	for _, q := range order {
 		if !slices.IsSortedFunc(q.jobs, earlier) {
 			slices.SortStableFunc(q.jobs, earlier)
 		}
-		q.ratio = q.relative(whole)
+		q.ratio = ratio(q)
 	}
 	heap.Init(&order)
 	for len(order) > 0 {
@@ -98,19 +100,30 @@
 			heap.Pop(&order)
 			continue
 		}
-		q.ratio = q.relative(whole)
+		q.ratio = ratio(q)
 		heap.Fix(&order, 0)
 	}
 }
 
-// fairStep is the difference of use relative to quota that counts. Within a
-// step the submission order decides; without steps old large jobs lost their
-// turn to young small ones of other teams, and packing lost 1.6%.
-const fairStep = 0.1
+// leastFairStep is the step of use relative to quota while the cell is empty.
+const leastFairStep = 0.05
 
+// relative returns the use relative to the quota, or to the whole cell.
 func (b *budget) relative(whole model.Resources) float64 {
 	if b.limited {
-		whole = b.quota
+		return dominant(b.use, b.quota)
 	}
-	return math.Floor(dominant(b.use, whole) / fairStep)
+	return dominant(b.use, whole)
+}
+
+// fairStep returns the difference of use relative to quota that counts: the
+// mean of the teams, so that a team is ahead or behind when it is half a mean
+// from the others. Without steps old large jobs lost their turn to young
+// small ones of other teams, and packing lost 1.6%.
+func fairStep(teams teamHeap, whole model.Resources) float64 {
+	sum := 0.0
+	for _, q := range teams {
+		sum += q.relative(whole)
+	}
+	return max(leastFairStep, sum/float64(max(1, len(teams))))
 }
--- a/internal/policy/place/planner.go
+++ b/internal/policy/place/planner.go
@@ -22,7 +22,7 @@
 	workersForEachKept  = 32
 	// keptShare is the part of the time for which workers are kept. Kept all
 	// the time, one of 11 workers cost 3% of the throughput.
-	keptShare = 0.25
+	keptShare = 0.1
 )
 
 // Planner plans the rounds of one cell. It remembers what it derived from the
--- a/internal/policy/place/round.go
+++ b/internal/policy/place/round.go
@@ -169,24 +169,29 @@
 // tally counts the workers by reason for a job that found no place, and gives
 // the most frequent one of those that accept tasks as the job's reason.
 func (p *Planner) tally(j *Job, avoid []model.WorkerID) Verdict {
-	v := Verdict{Reason: ReasonWorkerState, Workers: map[Reason]int{}}
+	var counts, rules [len(reasonNames)]int
 	for _, w := range p.byFree {
 		reason, rule := p.reject(w, j.Spec.Urgent, j.Size)
 		if reason == ReasonNone && slices.Contains(avoid, w.id) {
 			reason = ReasonAvoid
 		}
-		n := v.Workers[reason] + 1
-		v.Workers[reason] = n
-		if reason == ReasonWorkerState {
-			continue
+		counts[reason]++
+		rules[reason] = rule
+	}
+	v := Verdict{Reason: ReasonWorkerState, Workers: map[Reason]int{}}
+	most := 0
+	for i, n := range counts {
+		reason := Reason(i)
+		if n > 0 {
+			v.Workers[reason] = n
 		}
-		if v.Reason == ReasonWorkerState || n > v.Workers[v.Reason] || reason == v.Reason {
-			v.Reason = reason
-			if v.Selector = ""; rule >= 0 {
-				v.Selector = p.rules.list[rule].name
-			}
+		if reason != ReasonWorkerState && n > most {
+			most, v.Reason = n, reason
 		}
 	}
+	if v.Reason == ReasonMayShare || v.Reason == ReasonMustStayApart {
+		v.Selector = p.rules.list[rules[v.Reason]].name
+	}
 	return v
 }
 
