--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -9,7 +9,7 @@
 	CellResumed   = define(302, log.InfoLevel, "cell-resumed", "the owner of a cell writes its heartbeat again", "nothing")
 	CellLost      = define(303, log.WarnLevel, "cell-lost", "this entry is no longer the owner of a cell", "nothing if another entry has claimed it")
 	AttemptLost   = define(304, log.WarnLevel, "attempt-lost", "the lease of a task attempt has certainly expired; the job is placed again", "check the worker and its agent")
-	JobParked     = define(305, log.WarnLevel, "job-parked", "a job failed on several good workers and is parked", "look at the job's reason")
+	JobParked     = define(305, log.WarnLevel, "job-parked", "a job failed on several good workers, or too often, and is parked", "look at the job's reason")
 	ControlPaused = define(306, log.WarnLevel, "control-paused", "the controller was paused; it places nothing until its heartbeat is written", "look for an overloaded or suspended host")
 	StoreRefused  = define(307, log.WarnLevel, "control-store-error", "an operation at the table service failed and is repeated", "check the table service")
 	WorkerHealth  = define(309, log.InfoLevel, "worker-health", "the state of a worker changed", "look at the worker if it is quarantined")
