--- /dev/null
+++ b/internal/command/applyfile.go
@@ -0,0 +1,133 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/finding"
+	"github.com/bambooscale/bambooscale/internal/labels"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/operator"
+)
+
+// configFile is labels and selectors in the form that config show --output
+// json writes; version and author of an item are ignored.
+type configFile struct {
+	Version json.RawMessage   `json:"version"`
+	State   json.RawMessage   `json:"state"`
+	Items   []json.RawMessage `json:"items"`
+}
+
+var fileCheck = configstore.Check{
+	Labels: labels.Validate,
+	Selector: func(text string) error {
+		_, err := labels.Parse(text)
+		return err
+	},
+}
+
+func readAll(file string, stdin io.Reader) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(stdin)
+	}
+	return os.ReadFile(file)
+}
+
+// readConfigFile returns the items of a file. The error is a finding.List
+// with every finding and its line, unless the file cannot be read.
+func readConfigFile(file string, stdin io.Reader) ([]configstore.Change, error) {
+	raw, err := readAll(file, stdin)
+	if err != nil {
+		return nil, err
+	}
+	var found finding.List
+	var content configFile
+	if err := decodeStrictly(raw, &content); err != nil {
+		found.Add(file, 0, "", "%v", err)
+		return nil, found
+	}
+	var changes []configstore.Change
+	lines := map[model.ConfigKey]int{}
+	offset := 0
+	for i, item := range content.Items {
+		offset += bytes.Index(raw[offset:], item)
+		line := 1 + bytes.Count(raw[:offset], []byte("\n"))
+		offset += len(item)
+		var view operator.ItemView
+		if err := decodeStrictly(item, &view); err != nil {
+			found.Add(file, line, fmt.Sprintf("items[%d]", i), "%v", err)
+			continue
+		}
+		change := configstore.Change{Key: view.Key, Item: &view.ConfigItem}
+		if first, twice := lines[view.Key]; twice {
+			found.Add(file, line, view.Key.String(), "is also set in line %d", first)
+		}
+		lines[view.Key] = line
+		found = append(found, checkItem(file, line, change)...)
+		changes = append(changes, change)
+	}
+	return changes, found.Err()
+}
+
+func decodeStrictly(raw []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	return dec.Decode(v)
+}
+
+func checkItem(file string, line int, change configstore.Change) finding.List {
+	list := fileCheck.Validate(configstore.Edit{ID: "check", Changes: []configstore.Change{change}})
+	for i, f := range list {
+		where := strings.TrimPrefix(strings.TrimPrefix(f.Where, "changes[0]"), ".item")
+		list[i].Source, list[i].Line, list[i].Where = file, line, change.Key.String()+where
+	}
+	return list
+}
+
+// difference is what an edit would change of one item.
+type difference struct {
+	Key model.ConfigKey   `json:"key"`
+	Old *model.ConfigItem `json:"old,omitempty"`
+	New *model.ConfigItem `json:"new,omitempty"`
+}
+
+// differences compares the newest configuration with the wanted items. Items
+// that are not wanted are removed only with prune.
+func differences(view operator.ConfigView, wanted []configstore.Change, prune bool) []difference {
+	old := map[model.ConfigKey]*model.ConfigItem{}
+	for i := range view.Items {
+		old[view.Items[i].Key] = &view.Items[i].ConfigItem
+	}
+	list := []difference{}
+	kept := map[model.ConfigKey]bool{}
+	for _, w := range wanted {
+		kept[w.Key] = true
+		if before := old[w.Key]; before == nil || itemText(*before) != itemText(*w.Item) {
+			list = append(list, difference{w.Key, before, w.Item})
+		}
+	}
+	for _, item := range view.Items {
+		if prune && !kept[item.Key] {
+			list = append(list, difference{item.Key, old[item.Key], nil})
+		}
+	}
+	return list
+}
+
+func drawDifferences(t *table, list []difference) {
+	for _, d := range list {
+		switch {
+		case d.Old == nil:
+			t.line("+ %s %s", d.Key, itemText(*d.New))
+		case d.New == nil:
+			t.line("- %s %s", d.Key, itemText(*d.Old))
+		default:
+			t.line("~ %s %s -> %s", d.Key, itemText(*d.Old), itemText(*d.New))
+		}
+	}
+}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -267,3 +267,28 @@
 	s.url = "http://127.0.0.1:1"
 	s.run(ExitUnavailable, "", "diagnose", "--out", file+"2")
 }
+
+// Guards against a file that is applied in part, loses items, or is refused
+// with its first defect only.
+func TestConfigApply(t *testing.T) {
+	s := newSystem(t)
+	s.run(ExitOK, "", "label", "set", "team", "wicks", "quota-cpu=4000")
+	s.run(ExitOK, "", "label", "set", "team", "braids", "quota-cpu=1000")
+	file := filepath.Join(t.TempDir(), "c.json")
+	require.NoError(t, os.WriteFile(file, []byte(s.run(ExitOK, "", "config", "show", "-o", "json")), 0o600))
+	require.Contains(t, s.run(ExitOK, "", "config", "apply", "-f", file), "0 items differ")
+	wanted := `{"items": [
+		{"key": {"kind": "team", "name": "wicks"}, "labels": {"quota-cpu": "8000"}},
+		{"key": {"kind": "selector", "name": "apart"}, "selector": {"kind": "must-stay-apart", "subject": "class=a", "object": "class=b"}}]}`
+	out := s.run(ExitOK, wanted, "config", "diff", "-f", "-", "--prune")
+	require.Contains(t, out, "~ team/wicks quota-cpu=4000 -> quota-cpu=8000\n+ selector/apart")
+	require.Contains(t, out, "- team/braids quota-cpu=1000")
+	require.Contains(t, s.run(ExitOK, wanted, "config", "apply", "-f", "-", "--dry-run"), "2 items differ; nothing was changed")
+	require.Contains(t, s.run(ExitOK, wanted, "config", "apply", "-f", "-"), "2 changes accepted as version 3")
+	s.run(ExitOK, "", "label", "show", "team", "braids")
+	s.run(ExitConflict, strings.Replace(wanted, "8000", "9000", 1), "config", "apply", "-f", "-", "--base", "1")
+	out = s.run(ExitUsage, strings.NewReplacer("8000", "many", "class=b", "class in (", `"team"`, `"host"`).Replace(wanted), "config", "apply", "-f", "-")
+	require.Contains(t, out, "-:2: host/wicks.key.kind")
+	require.Contains(t, out, "-:3: selector/apart.selector.object")
+	s.run(ExitUsage, "{", "config", "apply", "-f", "-")
+}
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -49,8 +49,8 @@
 }
 
 func (a *app) configCommand() *cobra.Command {
-	return a.group("config", "Show the configuration, its history and how far it has got",
-		a.configShow(), a.configHistory(), a.configStatus())
+	return a.group("config", "Show and apply the configuration, its history and how far it has got",
+		a.configShow(), a.configHistory(), a.configStatus(), a.configDiff(), a.configApply())
 }
 
 func (a *app) configShow() *cobra.Command {
