bambooscaled: reload log level and token on SIGHUP

A change of the log level or of the operators' token needed a restart, and SIGHUP ended a process without keys. The settings file is read again on SIGHUP: both take effect at once, event 106 names the changed keys that need a restart, and with an invalid file event 107 has the findings and the old settings stay. The level is applied in the log handler, because the logger's own level may not be changed while it logs.

--- /dev/null
+++ b/cmd/bambooscaled/reload.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/daemon"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/settings"
+)
+
+// reloadSettings reads the settings file again on SIGHUP. Log level and
+// operators' token take effect at once; an invalid file changes nothing.
+func reloadSettings(g *actor.Group, file string, started *settings.Settings, recent *daemon.Recent, d drainer) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	actor.Go(g, "settings reload", func(ctx context.Context) error {
+		defer signal.Stop(hup)
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-hup:
+				reload(file, started, recent, d)
+			}
+		}
+	})
+}
+
+func reload(file string, started *settings.Settings, recent *daemon.Recent, d drainer) {
+	next, err := settings.Load(file)
+	if err != nil {
+		event.Log(log.Log, event.SettingsRejected, log.Fields{"file": file, "findings": err.Error()})
+		return
+	}
+	if e, ok := d.(*daemon.Entry); ok {
+		e.SetOperatorToken(next.Entry.OperatorToken)
+	}
+	fields := log.Fields{"file": file}
+	if keys := started.NeedRestart(next); len(keys) > 0 {
+		fields["need_restart"] = strings.Join(keys, ", ")
+	}
+	recent.SetLevel(log.InfoLevel) // whoever raises the level still sees that it was read
+	event.Log(log.Log, event.SettingsReloaded, fields)
+	recent.SetLevel(next.Daemon.LogLevel)
+}
--- a/cmd/bambooscaled/run.go
+++ b/cmd/bambooscaled/run.go
@@ -49,7 +49,7 @@
 				_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s is valid\n", file)
 				return err
 			}
-			return run(cmd, s)
+			return run(cmd, file, s)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "bambooscale.ini", "settings file")
@@ -60,20 +60,23 @@
 // drainer stops a role in order.
 type drainer interface{ Drain(context.Context) error }
 
-func run(cmd *cobra.Command, s *settings.Settings) error {
-	log.SetLevel(s.Daemon.LogLevel)
+func run(cmd *cobra.Command, file string, s *settings.Settings) error {
+	log.SetLevel(log.DebugLevel) // the handler drops lower levels than the one set
 	g := daemon.NewGroup(context.WithoutCancel(cmd.Context()), log.Log)
 	defer g.Stop()
+	recent := keepRecent(g) // before anything logs
+	recent.SetLevel(s.Daemon.LogLevel)
 	var d drainer
 	var err error
 	if s.Daemon.Role == settings.RoleEntry {
-		d, err = runEntry(cmd, g, s)
+		d, err = runEntry(cmd, g, s, recent)
 	} else {
 		d, err = runAgent(cmd, g, s)
 	}
 	if err != nil {
 		return err
 	}
+	reloadSettings(g, file, s, recent, d)
 	event.Log(log.Log, event.DaemonReady, log.Fields{"role": string(s.Daemon.Role), "id": s.Daemon.ID})
 	<-cmd.Context().Done()
 	event.Log(log.Log, event.DaemonStops, log.Fields{"id": s.Daemon.ID})
@@ -132,8 +135,7 @@
 
 func platformConfig(u *url.URL) platform.HTTPConfig { return platform.HTTPConfig{URL: u.String()} }
 
-func runEntry(cmd *cobra.Command, g *actor.Group, s *settings.Settings) (drainer, error) {
-	recent := keepRecent(g) // before anything logs
+func runEntry(cmd *cobra.Command, g *actor.Group, s *settings.Settings, recent *daemon.Recent) (drainer, error) {
 	callers, err := listen("[entry] listen", s.Entry.Listen)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -15,6 +15,7 @@
 	"github.com/bambooscale/bambooscale/internal/metrics"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/operator"
 	"github.com/bambooscale/bambooscale/internal/peer"
 	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
@@ -40,8 +41,12 @@
 // Entry is a running entry.
 type Entry struct {
 	shutdownCallers func(context.Context) error
+	api             *operator.API
 }
 
+// SetOperatorToken replaces the token of the operators' API.
+func (e *Entry) SetOperatorToken(token string) { e.api.SetToken(token) }
+
 // StartEntry starts the actors of an entry in g.
 func StartEntry(g *actor.Group, c EntryConfig) *Entry {
 	set := c.Settings
@@ -57,7 +62,7 @@
 	startLinks(g, c, self, store, dispatcher, controllers)
 	registry := metrics.Start(g)
 	recent := metrics.StartWindows(g)
-	startOperator(g, c, &view{recent: recent, self: self, dispatcher: dispatcher, cells: controllers, entries: &actor.Value[[]rows.Entry]{}},
+	api := startOperator(g, c, &view{recent: recent, self: self, dispatcher: dispatcher, cells: controllers, entries: &actor.Value[[]rows.Entry]{}},
 		store, registry)
 	front := &entry.Frontend{
 		Dispatcher: dispatcher, Table: table.Get, MaxBody: int64(set.Entry.MaxBody),
@@ -68,7 +73,7 @@
 		DataCentre: self.DataCentre, Region: set.Daemon.Region,
 	})
 	watchPauses(g, c.Log)
-	return &Entry{shutdownCallers: serve(g, "callers listener", c.Callers, front, int(set.Entry.MaxHeader))}
+	return &Entry{api: api, shutdownCallers: serve(g, "callers listener", c.Callers, front, int(set.Entry.MaxHeader))}
 }
 
 // observer turns the results of requests into measurements.
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -27,7 +27,7 @@
 	entries    *actor.Value[[]rows.Entry]
 }
 
-func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) {
+func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) *operator.API {
 	set := c.Settings
 	directory.Follow(g, c.Table, directoryInterval, c.Log, func(list []rows.Entry) { v.entries.Set(&list) })
 	config := operator.Config{
@@ -42,6 +42,7 @@
 	}
 	api := operator.New(g, config)
 	api.Serve(g, c.Operator)
+	return api
 }
 
 func (v *view) services(ctx context.Context) ([]model.ServiceStatus, error) {
--- a/internal/daemon/recent.go
+++ b/internal/daemon/recent.go
@@ -22,8 +22,9 @@
 // Recent keeps the newest log events of a process in an actor. It is a log
 // handler that passes each event on to the next one.
 type Recent struct {
-	next log.Handler
-	addr actor.Address[recentMessage]
+	next  log.Handler
+	level *actor.Value[log.Level] // lower ones are dropped
+	addr  actor.Address[recentMessage]
 }
 
 // recentMessage is an event to keep, or the question for all of them.
@@ -34,7 +35,7 @@
 
 // StartRecent starts the actor in g.
 func StartRecent(g *actor.Group, next log.Handler) *Recent {
-	return &Recent{next: next, addr: actor.Spawn(g, actor.Spec[recentMessage]{Name: "recent events", Mailbox: recentMailbox, Run: keepRecent})}
+	return &Recent{next: next, level: &actor.Value[log.Level]{}, addr: actor.Spawn(g, actor.Spec[recentMessage]{Name: "recent events", Mailbox: recentMailbox, Run: keepRecent})}
 }
 
 func keepRecent(ctx context.Context, in <-chan recentMessage) error {
@@ -56,8 +57,15 @@
 	}
 }
 
+// SetLevel sets the lowest level that is logged. It may be called while the
+// process logs, unlike log.SetLevel.
+func (r *Recent) SetLevel(l log.Level) { r.level.Set(&l) }
+
 // HandleLog implements log.Handler. It never waits for the actor.
 func (r *Recent) HandleLog(e *log.Entry) error {
+	if lowest := r.level.Get(); lowest != nil && e.Level < *lowest {
+		return nil
+	}
 	fields := make(map[string]string, len(e.Fields))
 	for k, v := range e.Fields {
 		text := fmt.Sprint(v)
--- a/internal/operator/diagnose.go
+++ b/internal/operator/diagnose.go
@@ -54,7 +54,7 @@
 				return
 			}
 			host, _, _ := net.SplitHostPort(r.RemoteAddr)
-			if ip := net.ParseIP(host); a.Token == "" && (ip == nil || !ip.IsLoopback()) {
+			if ip := net.ParseIP(host); !a.token.Get().required && (ip == nil || !ip.IsLoopback()) {
 				writeJSON(w, http.StatusForbidden, errorBody{Error: "set [entry] operator-token to read profiles from another host"})
 				return
 			}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -90,19 +90,31 @@
 	jobs   jobs
 	index  actor.Address[listRequest]
 	client *http.Client // to other entries
-	token  [sha256.Size]byte
+	token  *actor.Value[token]
 }
 
 // New starts the API's actors in g. The API serves nothing until its Handler
 // is used or Serve is called.
 func New(g *actor.Group, c Config) *API {
-	a := &API{Config: c, client: &http.Client{Timeout: 3 * time.Second}, token: sha256.Sum256([]byte(c.Token))}
+	a := &API{Config: c, client: &http.Client{Timeout: 3 * time.Second}, token: &actor.Value[token]{}}
+	a.SetToken(c.Token)
 	a.jobs = jobs{table: c.Table, final: c.Final}
 	ix := &jobIndex{table: c.Table, cells: map[model.Cell]*cellJobs{}}
 	a.index = actor.Spawn(g, actor.Spec[listRequest]{Name: "job-index", Mailbox: 16, Restart: actor.OnFailure, Run: ix.run})
 	return a
 }
 
+// token is the digest of the bearer token in use.
+type token struct {
+	digest   [sha256.Size]byte
+	required bool
+}
+
+// SetToken replaces the token; requests that come later need the new one.
+func (a *API) SetToken(text string) {
+	a.token.Set(&token{digest: sha256.Sum256([]byte(text)), required: text != ""})
+}
+
 // Serve serves the API on a listener until the group ends.
 func (a *API) Serve(g *actor.Group, ln net.Listener) <-chan struct{} {
 	server := &http.Server{
@@ -213,12 +225,13 @@
 // authorised compares digests, so that neither the token's content nor its
 // length shows in the time that it takes.
 func (a *API) authorised(w http.ResponseWriter, r *http.Request) bool {
-	if a.Token == "" {
+	want := a.token.Get()
+	if !want.required {
 		return true
 	}
 	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	digest := sha256.Sum256([]byte(given))
-	if ok && subtle.ConstantTimeCompare(digest[:], a.token[:]) == 1 {
+	if ok && subtle.ConstantTimeCompare(digest[:], want.digest[:]) == 1 {
 		return true
 	}
 	event.Log(a.Log, event.OperatorTokenRefused, log.Fields{"remote": r.RemoteAddr, "path": r.URL.Path})
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -138,3 +138,14 @@
 		require.Contains(f.t, body["error"], "operator-token")
 	})
 }
+
+// Guards against an old token that stays valid, or a race with requests.
+func TestTokenIsReplaced(t *testing.T) {
+	inFixture(t, "old", func(f *fixture) {
+		f.api.SetToken("new")
+		status, _, _ := f.call("GET", "/v1/status", "", "Authorization", "Bearer old")
+		require.Equal(f.t, 401, status)
+		status, _, _ = f.call("GET", "/v1/status", "", "Authorization", "Bearer new")
+		require.Equal(f.t, 200, status)
+	})
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -113,3 +113,14 @@
 	require.NotContains(t, text, "pass-word")
 	require.NotContains(t, text, "to-ken")
 }
+
+// Guards against a changed key that silently waits for a restart.
+func TestNeedRestart(t *testing.T) {
+	parse := func(extra string) *Settings {
+		s, err := Parse("s.ini", []byte("[daemon]\nrole = entry\nid = e\ndata-centre = d\ntable = http://h:1\nobjects = http://h:2\n"+extra))
+		require.NoError(t, err)
+		return s
+	}
+	require.Empty(t, parse("").NeedRestart(parse("log-level = warn\n[entry]\noperator-token = t\n")))
+	require.Equal(t, []string{"[daemon] region", "[entry] max-callers"}, parse("").NeedRestart(parse("region = x\n[entry]\nmax-callers = 7\n")))
+}
