--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -29,7 +29,7 @@
 	entries    *actor.Value[directory.List]
 }
 
-func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) {
+func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) *operator.API {
 	set := c.Settings
 	directory.Follow(g, c.Table, directoryInterval, c.Log, func(list directory.List) { v.entries.Set(&list) })
 	config := operator.Config{
@@ -44,6 +44,7 @@
 	}
 	api := operator.New(g, config)
 	api.Serve(g, c.Operator)
+	return api
 }
 
 func (v *view) services(ctx context.Context) ([]model.ServiceStatus, error) {
