policy/dispatch: learn the slots only while requests wait

Admission took the requests in progress for the slots that an entry gets. The estimate now follows them only while other requests of the band wait, and starts from the ready slots.

--- a/internal/policy/dispatch/queue.go
+++ b/internal/policy/dispatch/queue.go
@@ -163,11 +163,11 @@
 }
 
 func (q *Queue) learnBand(band int, weight float64, slots, sent, started int) {
-	if sent == 0 {
-		// Without a request in progress nothing tells how many slots agents
-		// will lend once they hear of the demand. A guess of 0 refused every
-		// request, one of 1 those of a class that takes seconds.
-		q.speed[band] = float64(max(slots, 1))
+	if sent == 0 || q.bands[band].size == 0 {
+		// The requests in progress tell how many slots there are only while
+		// others wait. Taken for the slots, they refused bursts although most
+		// slots were free: agents lend them once they hear of the demand.
+		q.speed[band] = float64(max(slots, sent, 1))
 		return
 	}
 	if q.speed[band] < 1 {
--- a/internal/policy/dispatch/queue_test.go
+++ b/internal/policy/dispatch/queue_test.go
@@ -45,3 +45,25 @@
 	now = now.Add(10 * time.Second)
 	admit(1, Load{Slots: 24})
 }
+
+// Guards against a burst after a busy time being refused because the requests
+// in progress are taken for all the slots there are, while most are free.
+func TestAdmitWithFewInProgress(t *testing.T) {
+	classes := NewClasses()
+	for range minSamples {
+		classes.Finished("", 5*time.Second)
+	}
+	q, now := NewQueue(Options{}, classes), time.Now()
+	admit := func(n int, load Load) {
+		r := Request{Key: Key(n), Tenant: "tenant", Arrived: now, Deadline: now.Add(30 * time.Second)}
+		require.Equal(t, Accepted, q.Admit(now, r, load, false), "request %d", n)
+	}
+	busy := Count{Short: 16}
+	admit(0, Load{Sent: busy, Started: busy, Slots: 16})
+	require.True(t, q.Withdraw(0))
+	now = now.Add(10 * time.Second)
+	for n := range 8 {
+		admit(n+1, Load{Sent: Count{Short: 2}, Slots: 16})
+		now = now.Add(time.Millisecond)
+	}
+}
