--- a/test/random_test.go
+++ b/test/random_test.go
@@ -53,7 +53,9 @@
 	l := &load{s: s, results: make(chan func(), 1<<16)}
 	require.NoError(t, l.run(t, moments(plan(rand.New(rand.NewPCG(seed, 0)), s.linkNames(), duration)), duration))
 	require.NoError(t, l.settle())
-	require.NoError(t, s.checkHistory(true))
+	err = s.checkHistory(true)
+	t.Log(s.summary)
+	require.NoError(t, err)
 }
 
 func (s *system) linkNames() (list []string) {
--- a/test/record_test.go
+++ b/test/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -28,3 +29,27 @@
 	}
 	return os.WriteFile(filepath.Join(s.dir, "history.json"), raw, 0o644)
 }
+
+// summary counts what a history holds, so that a run without findings can be
+// told from one in which nothing happened.
+func summary(h history.History) string {
+	answers, attempts, resumed := map[string]int{}, 0, 0
+	for _, c := range h.Calls {
+		switch {
+		case c.Error != "":
+			answers["broken"]++
+		default:
+			answers[strings.TrimSpace(fmt.Sprintf("%d %s", c.Status, c.Outcome))]++
+		}
+	}
+	for _, w := range h.Workers {
+		attempts += len(w.Spans)
+		for _, s := range w.Spans {
+			if s.FromStep > 0 {
+				resumed++
+			}
+		}
+	}
+	return fmt.Sprintf("calls %v; %d jobs accepted, %d runs of attempts, %d of them resumed; %d edits; %d transactions; %d faults",
+		answers, len(h.Accepted), attempts, resumed, len(h.Edits), len(h.Commits), len(h.Faults))
+}
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -33,6 +33,7 @@
 	past     []history.Call
 	record   history.History // what is known before the logs are collected
 	open     map[string]int  // fault in force to its index in record.Faults
+	summary  string          // of the history, once it was checked
 	watchers []chan chan []history.View
 	marks    map[string]string
 	failed   bool             // until the history has been checked
--- a/test/verbs_test.go
+++ b/test/verbs_test.go
@@ -212,6 +212,7 @@
 		return err
 	}
 	h.Settled = settled
+	s.summary = summary(h)
 	if err := s.save(h); err != nil {
 		return err
 	}
