policy/dispatch: compare a class with the other classes only

Cause: the median of a class itself counted as that of the quickest class, so a quick class with a long tail, as on a busy host, became long and got half of the slots; with one class nothing waits behind it. One run of BenchmarkPath on a busy machine was answered 503, probably for this reason.

Change: a class is long by comparison with the quickest other class.

--- a/internal/policy/dispatch/estimate.go
+++ b/internal/policy/dispatch/estimate.go
@@ -23,7 +23,7 @@
 	// Quantiles of fewer samples say too little about the tail.
 	minSamples = 20
 	// A class is long when its 95% quantile is this many times the median of
-	// the service's quickest class.
+	// the quickest other class of the service.
 	longRatio = 20
 	// A running request of more than this many times the 95% quantile of its
 	// class counts as long.
@@ -86,8 +86,10 @@
 	}
 	quickest, others := time.Duration(math.MaxInt64), false
 	for n, o := range c.byName {
-		if o.count >= minSamples {
-			others = others || n != name
+		// Its own median does not count: a host that is busy for a moment gives
+		// a quick class a long tail, and nothing waits behind a sole class.
+		if o.count >= minSamples && n != name {
+			others = true
 			quickest = min(quickest, o.quantile(0.5))
 		}
 	}
@@ -95,7 +97,7 @@
 	if s == nil {
 		return others
 	}
-	return s.quantile(0.95) > longRatio*quickest
+	return others && s.quantile(0.95) > longRatio*quickest
 }
 
 // Aged reports whether a request of the class that has run for d counts as
--- a/internal/policy/dispatch/queue_test.go
+++ b/internal/policy/dispatch/queue_test.go
@@ -300,6 +300,20 @@
 	assert.True(t, c.Long("read"), "the configuration takes precedence")
 }
 
+// Guards against a sole class that counts as long, and so gets only half of
+// the slots, because its slot times vary on a busy host.
+func TestSoleClassIsNotLong(t *testing.T) {
+	c := NewClasses()
+	for i := range 100 {
+		d := 200 * time.Microsecond
+		if i%10 == 0 {
+			d = 20 * time.Millisecond
+		}
+		c.Finished("default", d)
+	}
+	assert.False(t, c.Long("default"))
+}
+
 // Guards against quantiles that leave the range of the samples by more than a
 // bucket, which is a factor of the square root of two.
 func TestQuantileOfSamples(t *testing.T) {
