measure: repeat announcements in BenchmarkPath

Cause: the backend server announced itself once, so runs of more than 6 s found it suspect and ended with 504.

--- a/internal/measure/path_test.go
+++ b/internal/measure/path_test.go
@@ -37,8 +37,13 @@
 		Version: func() model.ConfigVersion { return 0 }}
 	actor.Go(g, "agents listener", func(ctx context.Context) error { return links.Accept(ctx, l) })
 	slots := agent.SpawnSlots(g, "x")
-	require.NoError(b, slots.Send(g.Context(), agent.Announce{Backend: "svc@w", Service: "svc",
-		Address: server.Listener.Addr().String(), Slots: 8, Connections: 64}))
+	announce := agent.Announce{Backend: "svc@w", Service: "svc", Address: server.Listener.Addr().String(), Slots: 8, Connections: 64}
+	// Without repetition the backend server is suspect after 6 s and gets no more work.
+	actor.Go(g, "announcements", func(ctx context.Context) error {
+		for slots.Send(ctx, announce) == nil && actor.Sleep(ctx, 2*time.Second) {
+		}
+		return nil
+	})
 	out := &agent.Links{Dialer: link.NewDialer(g, link.Config{}), Slots: slots, Transport: agent.NewTransport(64), Log: discardLog(),
 		Hello: func() *msg.AgentHello {
 			return &msg.AgentHello{Worker: model.Worker{ID: "w", DataCentre: "x"}, Boot: 2}
