--- a/internal/tasks/http.go
+++ b/internal/tasks/http.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooscale/bambooscale/internal/model"
 )
 
@@ -51,26 +53,19 @@
 	Percent int `json:"percent"`
 }
 
-// CheckpointReply is the response of POST /v1/tasks/{id}/checkpoint.
-type CheckpointReply struct {
-	Checkpoint string `json:"checkpoint"`
-}
-
-// TaskList is the response of GET /v1/tasks.
-type TaskList struct {
-	Tasks []TaskEntry `json:"tasks"`
-}
-
-// TaskEntry is one task of a TaskList. AgeMs is the age of Usage.
+// TaskEntry is a task in the response of GET /v1/tasks, which is a list, and
+// of the calls that concern one task.
 type TaskEntry struct {
 	ID         string          `json:"id"`
 	State      model.TaskState `json:"state"`
 	Checkpoint string          `json:"checkpoint,omitempty"`
 	Result     string          `json:"result,omitempty"`
 	Reason     string          `json:"reason,omitempty"`
-	Usage      model.Resources `json:"usage"`
-	AgeMs      int64           `json:"ageMs"`
-	RanForMs   int64           `json:"ranForMs"`
+	RanMs      int64           `json:"ranMs"`
+	Usage      struct {
+		model.Resources
+		AgeMs int64 `json:"ageMs"`
+	} `json:"usage"` // zero until the worker has measured
 }
 
 // Start implements Worker.
@@ -88,7 +83,7 @@
 
 // Checkpoint implements Worker.
 func (w *HTTPWorker) Checkpoint(ctx context.Context, id model.AttemptID) (string, error) {
-	var reply CheckpointReply
+	var reply TaskEntry
 	err := w.call(ctx, http.MethodPost, taskPath(id, "checkpoint"), struct{}{}, &reply)
 	return reply.Checkpoint, err
 }
@@ -100,26 +95,30 @@
 
 // Stop implements Worker.
 func (w *HTTPWorker) Stop(ctx context.Context, id model.AttemptID) error {
-	return w.call(ctx, http.MethodPost, taskPath(id, "stop"), struct{}{}, nil)
+	err := w.call(ctx, http.MethodPost, taskPath(id, "stop"), struct{}{}, nil)
+	if errors.Is(err, ErrRefused) {
+		return nil // the task had ended
+	}
+	return err
 }
 
 // List implements Worker. Tasks whose id is not that of an attempt are not
 // ours and are left out.
 func (w *HTTPWorker) List(ctx context.Context) ([]Task, error) {
-	var list TaskList
+	var list []TaskEntry
 	if err := w.call(ctx, http.MethodGet, "/v1/tasks", nil, &list); err != nil {
 		return nil, err
 	}
-	tasks := make([]Task, 0, len(list.Tasks))
-	for _, t := range list.Tasks {
+	tasks := make([]Task, 0, len(list))
+	for _, t := range list {
 		id, ok := model.ParseAttemptID(t.ID)
 		if !ok {
 			continue
 		}
 		tasks = append(tasks, Task{
 			Attempt: id, State: t.State, Checkpoint: t.Checkpoint, Result: t.Result, Reason: t.Reason,
-			Usage:  model.Usage{Resources: t.Usage, Age: time.Duration(t.AgeMs) * time.Millisecond},
-			RanFor: time.Duration(t.RanForMs) * time.Millisecond,
+			Usage:  model.Usage{Resources: t.Usage.Resources, Age: time.Duration(t.Usage.AgeMs) * time.Millisecond},
+			RanFor: time.Duration(t.RanMs) * time.Millisecond,
 		})
 	}
 	return tasks, nil
@@ -166,6 +165,7 @@
 	switch {
 	case status == http.StatusNotFound:
 		return fmt.Errorf("%s: %w", what, ErrNoTask)
+	// The worker refuses with 4xx; 409 says that the task does not run.
 	case status >= 400 && status < 500:
 		return fmt.Errorf("%s: status %d: %s: %w", what, status, bytes.TrimSpace(raw), ErrRefused)
 	case status >= 300:
