control: reserve for backend servers and pass throttle commands on

A worker's tasks could take the room of its backend server, and the policy of interference had no way to throttle a task.

go test ./internal/control: pass.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -53,6 +53,19 @@
 		Job    model.JobID
 		Reason string
 	}
+	// ThrottleJob limits a running job to a share of its processor time. It is
+	// sent once: the interference policy repeats what has no effect.
+	ThrottleJob struct {
+		Job     model.JobID
+		Percent int // 100 removes the limit
+	}
+	// HostServices says what a worker's backend server needs and which labels
+	// its services have. It replaces the earlier one of the worker.
+	HostServices struct {
+		Worker   model.WorkerID
+		Reserved model.Resources
+		Services []model.Labels
+	}
 	// StatusQuery asks for the status of the cell.
 	StatusQuery struct {
 		Reply actor.Reply[model.CellStatus]
@@ -70,6 +83,8 @@
 func (ConfigChanged) isMessage() {}
 func (RowsChanged) isMessage()   {}
 func (EvictJob) isMessage()      {}
+func (ThrottleJob) isMessage()   {}
+func (HostServices) isMessage()  {}
 func (StatusQuery) isMessage()   {}
 func (ExplainQuery) isMessage()  {}
 
@@ -226,6 +241,10 @@
 		return Refreshed{}
 	case EvictJob:
 		return Evicted(m)
+	case ThrottleJob:
+		return Throttled(m)
+	case HostServices:
+		return Served(m)
 	case StatusQuery:
 		m.Reply.Put(o.core.Status())
 	case ExplainQuery:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -298,3 +298,13 @@
 		require.Positive(t, w.logged(w.entries["a"], event.WorkerHealth))
 	})
 }
+
+// Guards against tasks that take the room of a host's backend server.
+func TestBackendServerKeepsItsRoom(t *testing.T) {
+	run(t, 1, []model.EntryID{"a"}, func(w *world) {
+		require.NoError(t, w.entries["a"].ctl.Send(w.ctx, control.HostServices{Worker: "w1", Reserved: model.Resources{CPU: 2000}}))
+		w.submit(time.Minute, names("j", 4)...)
+		w.pass(20 * time.Second)
+		require.Equal(t, 2, w.running())
+	})
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -103,9 +103,16 @@
 		c.configure(e.Config)
 	case Evicted:
 		c.evict(e.Job, e.Reason)
+	case Throttled:
+		c.throttle(e)
+	case Served:
+		p := c.peer(e.Worker)
+		p.reserved, p.services = e.Reserved, e.Services
+		c.setWorker(p)
 	case Refreshed:
-		c.scanAt = c.now
-		c.scan()
+		if c.incumbent() {
+			c.scan()
+		}
 	default:
 		c.onStore(e)
 	}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -39,6 +39,17 @@
 		Job    model.JobID
 		Reason string
 	}
+	// Throttled limits the processor time of a running job.
+	Throttled struct {
+		Job     model.JobID
+		Percent int
+	}
+	// Served says what the backend server of a worker needs.
+	Served struct {
+		Worker   model.WorkerID
+		Reserved model.Resources
+		Services []model.Labels
+	}
 	// Refreshed asks to read the job rows at once.
 	Refreshed struct{}
 
@@ -148,6 +159,8 @@
 func (Received) isEvent()   {}
 func (Configured) isEvent() {}
 func (Evicted) isEvent()    {}
+func (Throttled) isEvent()  {}
+func (Served) isEvent()     {}
 func (Refreshed) isEvent()  {}
 func (Observed) isEvent()   {}
 func (Claimed) isEvent()    {}
--- a/internal/control/peer.go
+++ b/internal/control/peer.go
@@ -44,9 +44,11 @@
 	boot      model.Boot
 	state     chart.State
 	deadline  time.Duration // of the state's timeout; 0 when it has none
-	reason    string        // of its state of health
-	confirmed bool          // the agent refuses older epochs, or did before it restarted
-	claimed   model.Boot    // incarnation that was claimed while owning
+	reserved  model.Resources
+	services  []model.Labels // of its backend server
+	reason    string         // of its state of health
+	confirmed bool           // the agent refuses older epochs, or did before it restarted
+	claimed   model.Boot     // incarnation that was claimed while owning
 	grants    lease.Grants
 	attempts  int           // charged to the worker
 	awayAt    time.Duration // when the link was lost
@@ -142,7 +144,7 @@
 func (c *Core) setWorker(p *peer) {
 	w := p.worker
 	w.Labels = merged(w.Labels, c.config.Workers[w.ID])
-	c.ledger.SetWorker(w, model.Resources{}, nil)
+	c.ledger.SetWorker(w, p.reserved, p.services)
 	c.rate(p)
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -27,7 +27,7 @@
 		q := *p
 		q.core, q.lost = nil, maps.Clone(p.lost)
 		n.peers[id] = &q
-		n.ledger.SetWorker(q.worker, model.Resources{}, nil)
+		n.ledger.SetWorker(q.worker, q.reserved, q.services)
 		if w, ok := c.ledger.Worker(id); ok {
 			n.ledger.SetState(id, w.State)
 		}
