control: test transactions that take effect after their loss

A transaction whose response was lost may also take effect during the read-back, during its repetition or after later writes. The test failed for none of them.

go test -run Lost ./internal/control: 9 cases pass.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -147,12 +147,18 @@
 // Guards against an effect that is missing or doubled because the response of
 // the transaction that carries it was lost.
 func TestLostAnswers(t *testing.T) {
-	for _, c := range []struct{ name, mark string }{
-		{"placement", `"phase":"placed"`}, {"start", `"phase":"running"`}, {"eviction", `"phase":"evicting"`},
-		{"checkpoint", `"checkpoint":"checkpoint/j0/1/1"`}, {"completion", `"phase":"done"`}, {"all", `"`},
+	for _, c := range []struct {
+		name, mark string
+		late       time.Duration
+	}{
+		{"placement", `"phase":"placed"`, 0}, {"start", `"phase":"running"`, 0}, {"eviction", `"phase":"evicting"`, 0},
+		{"checkpoint", `"checkpoint":"checkpoint/j0/1/1"`, 0}, {"completion", `"phase":"done"`, 0}, {"all", `"`, 0},
+		{"takes effect during the read-back", `"`, time.Millisecond}, {"takes effect during the repetition", `"`, 150 * time.Millisecond},
+		{"takes effect after later writes", `"`, 3 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, 1, []model.EntryID{"a"}, func(w *world) {
+				w.table.set(func() { w.table.late = c.late })
 				lost := map[string]bool{}
 				w.table.lose = func(txn platform.Txn) bool {
 					for _, p := range txn.Puts {
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -26,6 +26,7 @@
 	away    bool
 	delay   time.Duration
 	lose    func(platform.Txn) bool // the response is lost after the write
+	late    time.Duration           // a transaction whose response is lost takes effect after this
 	commits map[string]int          // by writer: the operation id up to the last dash
 }
 
@@ -53,6 +54,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	assert.LessOrEqual(s.t, len(t.Puts)+len(t.Deletes), 128, "rows in one transaction")
+	lost := s.lose != nil && s.lose(t)
+	if lost && s.late > 0 {
+		time.AfterFunc(s.late, func() { s.set(func() { _, _ = s.apply(t) }) })
+		return 0, platform.ErrUnknown
+	}
+	rev, err := s.apply(t)
+	if err == nil && lost {
+		return 0, platform.ErrUnknown
+	}
+	return rev, err
+}
+
+// apply commits a transaction; the caller holds the lock.
+func (s *table) apply(t platform.Txn) (platform.Revision, error) {
 	var failed []string
 	for _, c := range t.Checks {
 		if s.rows[c.Key].Version != c.Version {
@@ -67,9 +82,6 @@
 		s.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: s.rev}
 	}
 	s.commits[t.Operation[:strings.LastIndexByte(t.Operation, '-')+1]]++
-	if s.lose != nil && s.lose(t) {
-		return 0, platform.ErrUnknown
-	}
 	return s.rev, nil
 }
 
