--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -59,13 +59,6 @@
 		Job     model.JobID
 		Percent int // 100 removes the limit
 	}
-	// HostServices says what a worker's backend server needs and which labels
-	// its services have. It replaces the earlier one of the worker.
-	HostServices struct {
-		Worker   model.WorkerID
-		Reserved model.Resources
-		Services []model.Labels
-	}
 	// StatusQuery asks for the status of the cell.
 	StatusQuery struct {
 		Reply actor.Reply[model.CellStatus]
@@ -84,7 +77,6 @@
 func (RowsChanged) isMessage()   {}
 func (EvictJob) isMessage()      {}
 func (ThrottleJob) isMessage()   {}
-func (HostServices) isMessage()  {}
 func (StatusQuery) isMessage()   {}
 func (ExplainQuery) isMessage()  {}
 
@@ -243,8 +235,6 @@
 		return Evicted(m)
 	case ThrottleJob:
 		return Throttled(m)
-	case HostServices:
-		return Served(m)
 	case StatusQuery:
 		m.Reply.Put(o.core.Status())
 	case ExplainQuery:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -12,6 +12,7 @@
 	"github.com/bambooscale/bambooscale/internal/control"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/platform"
 )
 
@@ -308,7 +309,12 @@
 // Guards against tasks that take the room of a host's backend server.
 func TestBackendServerKeepsItsRoom(t *testing.T) {
 	run(t, 1, []model.EntryID{"a"}, func(w *world) {
-		require.NoError(t, w.entries["a"].ctl.Send(w.ctx, control.HostServices{Worker: "w1", Reserved: model.Resources{CPU: 2000}}))
+		for _, m := range []control.Message{
+			control.ConfigChanged{Config: control.Configuration{Reserved: map[model.Service]model.Resources{"s": {CPU: 2000}}}},
+			control.FromAgent{Worker: "w1", Msg: &msg.BackendState{Service: "s", State: "ready"}},
+		} {
+			require.NoError(t, w.entries["a"].ctl.Send(w.ctx, m))
+		}
 		w.submit(time.Minute, names("j", 4)...)
 		w.pass(20 * time.Second)
 		require.Equal(t, 2, w.running())
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -105,10 +105,6 @@
 		c.evict(e.Job, e.Reason)
 	case Throttled:
 		c.throttle(e)
-	case Served:
-		p := c.peer(e.Worker)
-		p.reserved, p.services = e.Reserved, e.Services
-		c.setWorker(p)
 	case Refreshed:
 		if c.incumbent() {
 			c.scan()
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -44,12 +44,6 @@
 		Job     model.JobID
 		Percent int
 	}
-	// Served says what the backend server of a worker needs.
-	Served struct {
-		Worker   model.WorkerID
-		Reserved model.Resources
-		Services []model.Labels
-	}
 	// Refreshed asks to read the job rows at once.
 	Refreshed struct{}
 
@@ -110,6 +104,8 @@
 	Classes   map[model.Class]model.Labels
 	Jobs      map[model.JobID]model.Labels
 	Workers   map[model.WorkerID]model.Labels
+	Services  map[model.Service]model.Labels
+	Reserved  map[model.Service]model.Resources // kept for a backend server on its worker
 }
 
 // Effect is an output of Core.
@@ -160,7 +156,6 @@
 func (Configured) isEvent() {}
 func (Evicted) isEvent()    {}
 func (Throttled) isEvent()  {}
-func (Served) isEvent()     {}
 func (Refreshed) isEvent()  {}
 func (Observed) isEvent()   {}
 func (Claimed) isEvent()    {}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/platform"
+)
+
+// Guards against an API open to clients without the token, and a health check
+// that needs it.
+func TestToken(t *testing.T) {
+	inFixture(t, "secret", func(f *fixture) {
+		for header, want := range map[string]int{"": 401, "Bearer wrong": 401, "secret": 401, "Bearer secret": 200} {
+			status, _, _ := f.call("GET", "/v1/config", "", "Authorization", header)
+			require.Equal(f.t, want, status, header)
+		}
+		status, _, _ := f.call("GET", "/healthz", "")
+		require.Equal(f.t, 200, status)
+	})
+}
+
+// Guards against configuration errors that lose their type on the way, and a
+// wait that returns before every daemon has the version.
+func TestConfig(t *testing.T) {
+	inFixture(t, "", func(f *fixture) {
+		f.store.err = &configstore.ConflictError{Author: "esra", Version: 7, Base: 5}
+		status, _, body := f.call("POST", "/v1/config", `{"id":"e","base":5,"changes":[]}`)
+		require.Equal(f.t, 409, status)
+		require.Equal(f.t, "esra", body["conflict"].(map[string]any)["author"])
+		f.store.err = errors.Wrap(platform.ErrUnknown, "edit e")
+		status, header, _ := f.call("POST", "/v1/config", `{"id":"e","changes":[]}`)
+		require.Equal(f.t, 503, status)
+		require.Equal(f.t, "unknown", header.Get(model.OutcomeHeader))
+		f.store.err = nil
+		f.store.status = configstore.Status{Version: 3, Daemons: []model.AppliedVersion{{Daemon: "entry-1", Version: 3}, {Daemon: "w1", Version: 2}}}
+		_, _, body = f.call("GET", "/v1/config/status?wait=5s", "")
+		require.Equal(f.t, false, body["applied"])
+		require.Equal(f.t, "w1", body["lagging"].([]any)[0].(map[string]any)["daemon"])
+		_, _, body = f.call("GET", "/v1/config/status?version=2", "")
+		require.Equal(f.t, true, body["applied"])
+	})
+}
+
+// Guards against a wait that ends while a daemon of another entry lags, or an
+// entry that does not answer counts as up to date.
+func TestConfigStatusAsksOtherEntries(t *testing.T) {
+	here, there := newFixture(t, "secret"), newFixture(t, "secret")
+	defer here.g.Stop()
+	defer there.g.Stop()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	there.api.Serve(there.g, ln)
+	here.store.status = configstore.Status{Version: 3, Daemons: []model.AppliedVersion{{Daemon: "entry-1", Version: 3}, {Daemon: "w1", Version: 3}}}
+	there.store.status = configstore.Status{Version: 3, Daemons: []model.AppliedVersion{{Daemon: "entry-2", Version: 3}, {Daemon: "w1", Version: 2}, {Daemon: "w2", Version: 1}}}
+	peers := []Peer{{ID: "entry-2", Operator: ln.Addr().String()}}
+	here.api.Peers = func(context.Context) ([]Peer, error) { return peers, nil }
+	for _, path := range []string{"/v1/config/status", "/v1/config/status?wait=1ms"} {
+		_, _, body := here.call("GET", path, "", "Authorization", "Bearer secret")
+		require.Len(t, body["daemons"], 4)
+		require.Equal(t, []any{map[string]any{"daemon": "w2", "version": 1.0}}, body["lagging"])
+	}
+	there.store.status.Daemons[2].Version = 3
+	_, _, body := here.call("GET", "/v1/config/status?wait=1m", "", "Authorization", "Bearer secret")
+	require.Equal(t, true, body["applied"])
+	peers = append(peers, Peer{ID: "entry-3", Operator: "http://127.0.0.1:1"})
+	_, _, body = here.call("GET", "/v1/config/status", "", "Authorization", "Bearer secret")
+	require.Equal(t, []any{map[string]any{"daemon": "entry-3", "version": 0.0}}, body["lagging"])
+	here.api.client.CloseIdleConnections()
+}
+
+// Guards against a status that hides what is wrong behind what is not.
+func TestStatusNamesProblemsFirst(t *testing.T) {
+	found := problems(Status{
+		Config:   ConfigSummary{Version: 3, State: "stale"},
+		Services: []model.ServiceStatus{{Service: "wick-orders", Queued: 4, Backends: []model.BackendStatus{{Backend: "b1", Worker: "w1", State: "down"}, {Backend: "b2", State: "left"}}}},
+		Cells: []model.CellStatus{{Cell: "dip-shed", State: "holding", Phases: map[model.Phase]int{"parked": 2},
+			Workers: []model.WorkerStatus{{Worker: "w1", State: "ready"}, {Worker: "w2", State: "quarantined", Reason: "5 failures"}}}},
+	})
+	require.Len(t, found, 7)
+	require.Contains(t, found[0], "service wick-orders has no ready backend server")
+	require.Contains(t, found[1], "cell dip-shed is holding")
+	require.Contains(t, found[2], "cell dip-shed has no controller")
+	require.Contains(t, strings.Join(found, "\n"), "worker w2 is quarantined (5 failures)")
+}
+
+// Guards against a listener that accepts headers of any size, or outlives its
+// group.
+func TestServeBoundsHeaders(t *testing.T) {
+	f := newFixture(t, "")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := f.api.Serve(f.g, ln)
+	req, err := http.NewRequest("GET", "http://"+ln.Addr().String()+"/healthz", nil)
+	require.NoError(t, err)
+	req.Header.Set("X-Large", strings.Repeat("x", 2*maxHeader))
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	res.Body.Close()
+	require.Equal(t, 431, res.StatusCode)
+	http.DefaultClient.CloseIdleConnections()
+	f.g.Stop()
+	<-ended
+}
+
+// Guards against a path that the operations page does not describe.
+func TestPageHasEveryPath(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	for _, r := range (&API{}).routes() {
+		require.Contains(t, string(page), r.method+" "+strings.ReplaceAll(r.path, "...", ""))
+	}
+}
--- a/internal/tasks/http.go
+++ b/internal/tasks/http.go
@@ -53,19 +53,34 @@
 	Percent int `json:"percent"`
 }
 
-// TaskEntry is a task in the response of GET /v1/tasks, which is a list, and
-// of the calls that concern one task.
+// CheckpointReply is the response of POST /v1/tasks/{id}/checkpoint.
+type CheckpointReply struct {
+	Checkpoint string `json:"checkpoint"`
+}
+
+// TaskEntry is one task of the list that GET /v1/tasks answers. Usage is
+// absent until the first measurement is old enough.
 type TaskEntry struct {
 	ID         string          `json:"id"`
 	State      model.TaskState `json:"state"`
 	Checkpoint string          `json:"checkpoint,omitempty"`
 	Result     string          `json:"result,omitempty"`
 	Reason     string          `json:"reason,omitempty"`
+	Usage      *TaskUsage      `json:"usage,omitempty"`
 	RanMs      int64           `json:"ranMs"`
-	Usage      struct {
-		model.Resources
-		AgeMs int64 `json:"ageMs"`
-	} `json:"usage"` // zero until the worker has measured
+}
+
+// TaskUsage is a measured consumption of AgeMs ago.
+type TaskUsage struct {
+	model.Resources
+	AgeMs int64 `json:"ageMs"`
+}
+
+func (u *TaskUsage) usage() model.Usage {
+	if u == nil {
+		return model.Usage{}
+	}
+	return model.Usage{Resources: u.Resources, Age: time.Duration(u.AgeMs) * time.Millisecond}
 }
 
 // Start implements Worker.
@@ -83,7 +98,7 @@
 
 // Checkpoint implements Worker.
 func (w *HTTPWorker) Checkpoint(ctx context.Context, id model.AttemptID) (string, error) {
-	var reply TaskEntry
+	var reply CheckpointReply
 	err := w.call(ctx, http.MethodPost, taskPath(id, "checkpoint"), struct{}{}, &reply)
 	return reply.Checkpoint, err
 }
@@ -97,7 +112,7 @@
 func (w *HTTPWorker) Stop(ctx context.Context, id model.AttemptID) error {
 	err := w.call(ctx, http.MethodPost, taskPath(id, "stop"), struct{}{}, nil)
 	if errors.Is(err, ErrRefused) {
-		return nil // the task had ended
+		return nil // 409: the task had ended
 	}
 	return err
 }
@@ -117,7 +132,7 @@
 		}
 		tasks = append(tasks, Task{
 			Attempt: id, State: t.State, Checkpoint: t.Checkpoint, Result: t.Result, Reason: t.Reason,
-			Usage:  model.Usage{Resources: t.Usage.Resources, Age: time.Duration(t.Usage.AgeMs) * time.Millisecond},
+			Usage:  t.Usage.usage(),
 			RanFor: time.Duration(t.RanMs) * time.Millisecond,
 		})
 	}
@@ -165,7 +180,6 @@
 	switch {
 	case status == http.StatusNotFound:
 		return fmt.Errorf("%s: %w", what, ErrNoTask)
-	// The worker refuses with 4xx; 409 says that the task does not run.
 	case status >= 400 && status < 500:
 		return fmt.Errorf("%s: status %d: %s: %w", what, status, bytes.TrimSpace(raw), ErrRefused)
 	case status >= 300:
