explore: check that no worker gets more than it has room for

The sampled schedules had three jobs, which two workers always hold. Five contend for four places, and a start without room is a violation.

--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -52,9 +52,10 @@
 	require.True(t, r.Complete)
 }
 
-// Guards against many faults at once, on a sample of the schedules.
+// Guards against many faults at once, among them overcommitted workers, on a
+// sample of the schedules.
 func TestSampledSchedules(t *testing.T) {
-	r := Sample(Model{Jobs: 3, Work: 20 * time.Second, Faults: 12, Kinds: everyKind, Window: 2 * time.Minute, Patience: patience,
+	r := Sample(Model{Jobs: 5, Work: 20 * time.Second, Faults: 12, Kinds: everyKind, Window: 2 * time.Minute, Patience: patience,
 		Durations: []time.Duration{time.Second, 3 * time.Second, 9 * time.Second, 30 * time.Second, 70 * time.Second}}, 1, 100)
 	t.Logf("%d states, %d schedules", r.States, r.Schedules)
 	require.Empty(t, r.Violation, r.Trace)
--- a/internal/explore/platform.go
+++ b/internal/explore/platform.go
@@ -30,9 +30,9 @@
 	t := table{jobs: map[model.JobID]control.JobRow{}}
 	for i := range jobs {
 		t.rev++
-		id := model.JobID([]string{"j", "k", "l"}[i])
+		id := model.JobID([]string{"j", "k", "l", "m", "n"}[i])
 		t.jobs[id] = control.JobRow{ID: id, Version: t.rev, Row: model.JobRow{Phase: "pending",
-			Spec: model.JobSpec{ID: id, Team: "t", Class: "b", Resources: model.Resources{CPU: 500}}}}
+			Spec: model.JobSpec{ID: id, Team: "t", Class: "b", Resources: model.Resources{CPU: taskCPU}}}}
 	}
 	return t
 }
@@ -243,7 +243,11 @@
 	return tasks.Listed{Tasks: list}
 }
 
-// start runs a task and checks that no other attempt of the job is live.
+// taskCPU is the size of every job, capacityCPU that of a worker.
+const taskCPU, capacityCPU = 500, 1000
+
+// start runs a task and checks that no other attempt of the job is live and
+// that the worker has room.
 func (w *world) start(a *agent, f tasks.CallStart) tasks.Event {
 	id := f.Request.Attempt
 	d := min(lease.WorkerTTL, f.Until-w.now)
@@ -262,10 +266,23 @@
 			}
 		}
 	}
+	if (a.running()+1)*taskCPU > capacityCPU {
+		w.failure = string(a.id) + " has no room for " + id.String()
+	}
 	a.runs = append(a.runs, task{id: id, began: w.now, lease: w.now + d, state: model.TaskRunning})
 	return tasks.Answer{Call: tasks.DidStart, Attempt: id}
 }
 
+// running counts the tasks that run, once each is settled.
+func (a *agent) running() (n int) {
+	for i := range a.runs {
+		if a.runs[i].state == model.TaskRunning {
+			n++
+		}
+	}
+	return n
+}
+
 func (a *agent) task(id model.AttemptID) *task {
 	for i := range a.runs {
 		if a.runs[i].id == id {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -1,6 +1,7 @@
 // Package explore runs the very charts and pure cores of controllers and
 // agents through schedules with faults, and checks that no job ever has two
-// live attempts and that every job comes to its end. It is used by tests.
+// live attempts, that no worker gets more than it has room for and that every
+// job comes to its end. It is used by tests.
 package explore
 
 import (
@@ -107,7 +108,7 @@
 func (w *world) startAgent(i int) {
 	w.boots++
 	a := &w.agent[i]
-	a.core = tasks.NewCore(model.Worker{ID: a.id, Capacity: model.Resources{CPU: 1000}}, cellName)
+	a.core = tasks.NewCore(model.Worker{ID: a.id, Capacity: model.Resources{CPU: capacityCPU}}, cellName)
 	if w.model.Charts != nil {
 		if err := a.core.UseCharts(w.model.Charts); err != nil {
 			w.failure = err.Error()
@@ -123,7 +124,7 @@
 	}
 	l.up, l.down, l.upward = true, nil, nil
 	w.ctl[c].inbox = append(w.ctl[c].inbox, control.PeerUp{
-		Worker: model.Worker{ID: workerID(a), Capacity: model.Resources{CPU: 1000}}, Boot: w.agent[a].boot})
+		Worker: model.Worker{ID: workerID(a), Capacity: model.Resources{CPU: capacityCPU}}, Boot: w.agent[a].boot})
 	w.agent[a].inbox = append(w.agent[a].inbox, tasks.LinkUp{Entry: entryID(c)})
 }
 
