--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -270,44 +269,3 @@
 	})
 	return n
 }
-
-// running counts the tasks that run on the workers.
-func (w *world) running() (n int) {
-	w.hosts.mu.Lock()
-	defer w.hosts.mu.Unlock()
-	for _, a := range w.agents {
-		for _, r := range a.host.runs {
-			r.settle()
-			if r.state == model.TaskRunning {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// commits counts the transactions of controllers without their heartbeats.
-func (w *world) commits() (n int) {
-	w.table.set(func() {
-		for writer, count := range w.table.commits {
-			if !strings.Contains(writer, "-beat-") {
-				n += count
-			}
-		}
-	})
-	return n
-}
-
-// started counts the tasks that were started on the workers.
-func (w *world) started() int {
-	w.hosts.mu.Lock()
-	defer w.hosts.mu.Unlock()
-	return w.hosts.started
-}
-
-// done counts the completed runs of a job.
-func (w *world) done(id model.JobID) int {
-	w.hosts.mu.Lock()
-	defer w.hosts.mu.Unlock()
-	return w.hosts.done[id]
-}
