--- a/internal/policy/dispatch/queue_test.go
+++ b/internal/policy/dispatch/queue_test.go
@@ -177,6 +177,21 @@
 	assert.Equal(t, RefusedFull, q.Admit(epoch, request(20, "a", time.Hour), busy, false))
 }
 
+// Guards against an entry that refuses a burst because it has nothing in
+// progress yet, although the backend servers would lend it slots.
+func TestColdEntryAdmitsABurst(t *testing.T) {
+	q := NewQueue(Options{}, NewClasses())
+	for k := range Key(28) {
+		assert.Equal(t, Accepted, q.Admit(epoch, request(k, "a", 10*time.Second), Load{Instances: 3}, false))
+	}
+	for range 28 {
+		q.Next(epoch, true, noDrop(t))
+	}
+	for k := range Key(28) {
+		assert.Equal(t, Accepted, q.Admit(epoch.Add(time.Minute), request(k, "a", 70*time.Second), Load{Instances: 3}, false))
+	}
+}
+
 // Guards against short requests that wait behind long ones, and against long
 // ones that never run while short ones keep coming.
 func TestBandsShareAndMayLong(t *testing.T) {
@@ -391,3 +406,31 @@
 		})
 	}
 }
+
+// Guards against an entry without credits refusing requests of a class that
+// takes seconds although the free slots of the backend servers suffice.
+func TestAdmitCountsOnFreeSlots(t *testing.T) {
+	classes := NewClasses()
+	for range minSamples {
+		classes.Finished("", time.Second)
+	}
+	q, now := NewQueue(Options{}, classes), time.Now()
+	for n := range 24 {
+		r := Request{Key: Key(n), Tenant: "tenant", Arrived: now, Deadline: now.Add(30 * time.Second)}
+		require.Equal(t, Accepted, q.Admit(now, r, Load{Slots: 24}, false), "request %d", n)
+	}
+}
+
+// Guards against an entry refusing every request after a busy time: nothing
+// was in progress any more, which the estimate took for no slots.
+func TestAdmitAfterABusyTime(t *testing.T) {
+	q, now := NewQueue(Options{}, NewClasses()), time.Now()
+	busy := Load{Sent: Count{Short: 24}, Started: Count{Short: 24}, Slots: 24}
+	admit := func(n int, load Load) {
+		r := Request{Key: Key(n), Tenant: "tenant", Arrived: now, Deadline: now.Add(30 * time.Second)}
+		require.Equal(t, Accepted, q.Admit(now, r, load, false), "request %d", n)
+	}
+	admit(0, busy)
+	now = now.Add(10 * time.Second)
+	admit(1, Load{Slots: 24})
+}
