--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -110,9 +110,12 @@
 		c.configure(e.Config)
 	case Evicted:
 		c.evict(e.Job, e.Reason)
+	case Throttled:
+		c.throttle(e)
 	case Refreshed:
-		c.scanAt = c.now
-		c.scan()
+		if c.incumbent() {
+			c.scan()
+		}
 	default:
 		c.onStore(e)
 	}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -39,6 +39,11 @@
 		Job    model.JobID
 		Reason string
 	}
+	// Throttled limits the processor time of a running job.
+	Throttled struct {
+		Job     model.JobID
+		Percent int
+	}
 	// Refreshed asks to read the job rows at once.
 	Refreshed struct{}
 
@@ -100,6 +105,7 @@
 	Jobs      map[model.JobID]model.Labels
 	Workers   map[model.WorkerID]model.Labels
 	Services  map[model.Service]model.Labels
+	Reserved  map[model.Service]model.Resources // kept for a backend server on its worker
 }
 
 // Effect is an output of Core.
@@ -149,6 +155,7 @@
 func (Received) isEvent()   {}
 func (Configured) isEvent() {}
 func (Evicted) isEvent()    {}
+func (Throttled) isEvent()  {}
 func (Refreshed) isEvent()  {}
 func (Observed) isEvent()   {}
 func (Claimed) isEvent()    {}
--- a/internal/control/peer.go
+++ b/internal/control/peer.go
@@ -147,7 +147,7 @@
 func (c *Core) setWorker(p *peer) {
 	w := p.worker
 	w.Labels = merged(w.Labels, c.config.Workers[w.ID])
-	c.ledger.SetWorker(w, model.Resources{}, c.serviceLabels(p))
+	c.ledger.SetWorker(w, c.config.Reserved[p.service], c.serviceLabels(p))
 	c.rate(p)
 }
 
--- a/internal/tasks/http.go
+++ b/internal/tasks/http.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooscale/bambooscale/internal/model"
 )
 
@@ -108,7 +110,11 @@
 
 // Stop implements Worker.
 func (w *HTTPWorker) Stop(ctx context.Context, id model.AttemptID) error {
-	return w.call(ctx, http.MethodPost, taskPath(id, "stop"), struct{}{}, nil)
+	err := w.call(ctx, http.MethodPost, taskPath(id, "stop"), struct{}{}, nil)
+	if errors.Is(err, ErrRefused) {
+		return nil // 409: the task had ended
+	}
+	return err
 }
 
 // List implements Worker. Tasks whose id is not that of an attempt are not
--- a/internal/tasks/http_test.go
+++ b/internal/tasks/http_test.go
@@ -26,7 +26,10 @@
 	mux.HandleFunc("POST /v1/tasks/{id}/checkpoint", func(w http.ResponseWriter, r *http.Request) {
 		_ = json.NewEncoder(w).Encode(CheckpointReply{Checkpoint: "checkpoint/" + r.PathValue("id") + "/1"})
 	})
-	mux.HandleFunc("POST /v1/tasks/{id}/stop", http.NotFound)
+	mux.HandleFunc("POST /v1/tasks/{id}/stop", func(w http.ResponseWriter, r *http.Request) {
+		status := map[string]int{"j/1": http.StatusNotFound, "j/2": http.StatusConflict}[r.PathValue("id")]
+		http.Error(w, "not running", status)
+	})
 	mux.HandleFunc("GET /v1/tasks", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = w.Write([]byte(`[{"id":"j/1","state":"running","usage":{"milliCpu":7,"ageMs":10000},"ranMs":12000},{"id":"other"}]`))
 	})
@@ -40,6 +43,7 @@
 	require.NoError(t, err)
 	require.Equal(t, CheckpointPrefix(one)+"1", name)
 	require.ErrorIs(t, w.Stop(t.Context(), one), ErrNoTask)
+	require.NoError(t, w.Stop(t.Context(), model.AttemptID{Job: "j", Number: 2}), "it has ended")
 	list, err := w.List(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, []Task{{Attempt: one, State: model.TaskRunning, RanFor: 12 * time.Second,
