peer, entry: end a link that drops messages; avoid a lost instance

Cause: (1) a full outbound queue of a link dropped messages although the package said that the link ends then; a dropped credit grant is never repeated.

Change: actors can report that TrySend found the mailbox full; a link ends then, with ErrOverflow. An instance whose stream could not be opened is left out for 200 ms; its credits are kept.

Measured: TestDroppedMessageEndsTheLink and TestInstanceThatCannotBeReachedIsAvoided pass, the second fails without the pause.

--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -40,6 +40,9 @@
 	Run     func(ctx context.Context, in <-chan M) error
 	Restart Restart
 	OnExit  func(error) // called once, after the last Run; may be nil
+	// Full gets a value when TrySend finds the mailbox full, if it has room;
+	// may be nil.
+	Full chan<- struct{}
 }
 
 // Address is a handle for sending messages to an actor. The zero Address
@@ -47,6 +50,7 @@
 type Address[M any] struct {
 	in   chan M
 	done chan struct{}
+	full chan<- struct{}
 }
 
 // Send delivers m, waiting for room in the mailbox. It returns ErrStopped
@@ -84,8 +88,12 @@
 	case a.in <- m:
 		return true
 	default:
-		return false
 	}
+	select {
+	case a.full <- struct{}{}:
+	default: // told before, or nobody asked
+	}
+	return false
 }
 
 // Done is closed when the actor has ended.
@@ -136,7 +144,7 @@
 
 // Spawn starts an actor in g and returns its address.
 func Spawn[M any](g *Group, s Spec[M]) Address[M] {
-	a := Address[M]{in: make(chan M, s.Mailbox), done: make(chan struct{})}
+	a := Address[M]{in: make(chan M, s.Mailbox), done: make(chan struct{}), full: s.Full}
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
--- /dev/null
+++ b/internal/entry/avoid_test.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/dispatch"
+)
+
+// Guards against a request that uses up its offers, and is refused, on a link
+// that has just been lost although another instance has credits.
+func TestInstanceThatCannotBeReachedIsAvoided(t *testing.T) {
+	table := &actor.Value[RoutingTable]{}
+	d := newDispatcher(Self{Entry: "e"}, &RoutingTable{}, table)
+	d.now = time.Now()
+	for i, w := range []model.WorkerID{"lost", "other"} {
+		d.handle(AgentUp{Hello: msg.AgentHello{Worker: model.Worker{ID: w}}, Generation: uint64(i)})
+		d.handle(FromAgent{Worker: w, Generation: uint64(i), Msg: &msg.BackendState{Backend: model.BackendID(w), Service: "s", State: "ready", Slots: 8}})
+		d.handle(FromAgent{Worker: w, Generation: uint64(i), Msg: &msg.CreditGrant{Backend: model.BackendID(w), Generation: uint64(i), Count: 4}})
+	}
+	s := d.service("s")
+	for range 50 { // the other instance looks far slower than the penalty of a failure
+		s.classes.Finished("c", 10*time.Second)
+	}
+	for _, i := range s.instances {
+		i.slowness = map[model.BackendID]float64{"lost": 0.1, "other": 1}[i.Backend]
+	}
+	inbox := make(chan callMessage, 4)
+	r := dispatch.Request{Key: 1, Class: "c", Deadline: d.now.Add(time.Minute)}
+	d.handle(admit{service: "s", req: r, call: inbox})
+	first := (<-inbox).assigned
+	require.Equal(t, model.BackendID("lost"), first.backend)
+	d.handle(unused{to: *first, failed: true})
+	d.handle(admit{service: "s", req: r, call: inbox, retry: true})
+	require.Equal(t, model.BackendID("other"), (<-inbox).assigned.backend)
+	for _, i := range s.instances {
+		require.Equal(t, map[model.BackendID]int{"lost": 4, "other": 3}[i.Backend], i.Credits, "the unspent credit is kept")
+	}
+}
--- a/internal/entry/credits.go
+++ b/internal/entry/credits.go
@@ -16,6 +16,11 @@
 
 const slownessSmoothing = 0.05
 
+// avoidTime is how long an instance is left out after a stream to its agent
+// could not be opened. Its credits come back at once, so without a pause one
+// request used up its offers on a link that had just been lost.
+const avoidTime = 200 * time.Millisecond
+
 func (d *dispatcher) agentUp(m AgentUp) {
 	if old := d.agents[m.Hello.Worker.ID]; old != nil {
 		d.agentDown(m.Hello.Worker.ID, old.generation)
@@ -148,6 +153,7 @@
 		}
 		if m.failed {
 			i.Failures++
+			i.avoid = d.now.Add(avoidTime)
 		}
 		d.dispatch(i.service)
 	}
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -61,8 +61,9 @@
 	agent    *agent
 	state    string
 	longFree int
-	reserved bool    // kept free of long requests
-	slowness float64 // smoothed ratio of its slot times to the class means
+	reserved bool      // kept free of long requests
+	slowness float64   // smoothed ratio of its slot times to the class means
+	avoid    time.Time // a stream could not be opened: not used before this
 }
 
 // service is a service with its queue.
@@ -126,6 +127,7 @@
 			d.now = time.Now()
 			d.queued = false
 			for _, s := range d.services {
+				d.dispatch(s) // an instance may be used again
 				d.reportDemand(s)
 				d.queued = d.queued || s.queue.Len() > 0 || s.demanded.queued > 0
 			}
@@ -293,7 +295,7 @@
 // dispatch gives free credits to queued requests.
 func (d *dispatcher) dispatch(s *service) {
 	for s.queue.Len() > 0 {
-		i, mayLong := s.choose()
+		i, mayLong := s.choose(d.now)
 		if i == nil {
 			return
 		}
@@ -312,13 +314,16 @@
 
 // choose picks the instance for the next request. An instance whose agent
 // still allows a long request is preferred while long ones wait.
-func (s *service) choose() (*instance, bool) {
+func (s *service) choose(now time.Time) (*instance, bool) {
 	long := s.queue.Len() > s.queue.Short()
 	s.flat = s.flat[:0]
 	mayLong := false
 	for _, i := range s.instances {
 		c := i.Candidate
 		c.Slowness = i.slowness
+		if now.Before(i.avoid) {
+			c.Credits = 0
+		}
 		if long && i.Credits > 0 && s.longAllowed(i) {
 			mayLong = true
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,6 +32,7 @@
 var (
 	ErrSilent   = errors.New("peer is silent")
 	ErrProtocol = errors.New("peer broke the protocol")
+	ErrOverflow = errors.New("peer reads too slowly: a message for it was dropped")
 )
 
 // Out is the address of a link's outbound messages.
@@ -52,7 +53,8 @@
 	g := actor.NewGroup(ctx, nil)
 	defer g.Stop()
 	defer conn.Close()
-	out := actor.Spawn(g, actor.Spec[msg.Control]{Name: "link writer", Mailbox: outboundMessages,
+	full := make(chan struct{}, 1)
+	out := actor.Spawn(g, actor.Spec[msg.Control]{Name: "link writer", Mailbox: outboundMessages, Full: full,
 		Run: func(ctx context.Context, in <-chan msg.Control) error { return write(ctx, conn, hello, in) }})
 	in := make(chan msg.Control, 16)
 	failed := actor.NewReply[error]()
@@ -60,7 +62,7 @@
 		failed.Put(read(ctx, conn, in))
 		return nil
 	})
-	l := &session{handler: h, out: out}
+	l := &session{handler: h, out: out, full: full}
 	return l.serve(ctx, in, failed, out.Done())
 }
 
@@ -126,6 +128,7 @@
 type session struct {
 	handler Handler
 	out     Out
+	full    <-chan struct{} // a message for the peer was dropped
 	state   chart.State
 	current msg.Control // message that is being delivered
 	wasUp   bool
@@ -157,6 +160,8 @@
 			s.err, event = err, evFailed
 		case <-writerDone:
 			s.err, event = link.ErrClosed, evFailed
+		case <-s.full:
+			s.err, event = ErrOverflow, evFailed
 		case <-silence.C:
 			event = evSilence
 		case <-ctx.Done():
