--- a/internal/agent/slots.go
+++ b/internal/agent/slots.go
@@ -61,15 +61,17 @@
 	running    map[model.RequestID]*exchangeRecord
 	classes    *dispatch.Classes
 	mean       float64 // of all classes, nanoseconds
+	usage      usage
+	worker     model.WorkerID
 	timers     *actor.Timers[timerKey]
 	now        time.Time
 	grants     []lend.Grant // scratch
 	flat       []lend.Borrower
 }
 
-func newSlots(dc model.DataCentre) *slots {
+func newSlots(host model.Worker) *slots {
 	return &slots{
-		dataCentre: dc, records: newRecords(), classes: dispatch.NewClasses(),
+		worker: host.ID, dataCentre: host.DataCentre, records: newRecords(), classes: dispatch.NewClasses(),
 		running: map[model.RequestID]*exchangeRecord{}, timers: actor.NewTimers[timerKey](),
 	}
 }
@@ -103,12 +105,32 @@
 // settle starts what can start and lends what is free.
 func (s *slots) settle() {
 	s.startWaiting()
-	if len(s.running)+len(s.waiting) == 0 {
+	if s.idle() {
 		s.stepBackend(beIdle)
 	}
 	s.lend()
 }
 
+// idle reports whether a drain is complete: nothing runs or waits, and no
+// entry holds a credit, with which a request may be on its way. After the
+// start bound such a request is refused, so credits no longer count.
+func (s *slots) idle() bool {
+	if len(s.running)+len(s.waiting) > 0 {
+		return false
+	}
+	return s.backend.state != beDraining || s.lent() == 0
+}
+
+func (s *slots) lent() int {
+	n := 0
+	for i := range s.credits {
+		if st := s.credits[i].state; st == crLent || st == crRecalled {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *slots) expire(k timerKey) {
 	s.now = time.Now()
 	switch k.kind {
@@ -125,12 +147,14 @@
 	s.settle()
 }
 
-// tick fades the traffic by which idle slots are divided.
+// tick closes a second: it fades the traffic by which idle slots are divided,
+// and reports what the classes use.
 func (s *slots) tick() {
 	s.now = time.Now()
 	for _, b := range s.borrowers {
 		b.Recent /= 2
 	}
+	s.reportUsage()
 	s.settle()
 }
 
@@ -284,7 +308,7 @@
 			rec.refusal = msg.RefusedCancelled
 		}
 		s.stepWaiting(rec, exQuery)
-		reply.State = rec.outcome()
+		reply.State = rec.outcome(s.now)
 	}
 	b.out.TrySend(reply)
 }
@@ -294,13 +318,8 @@
 		Backend: s.backend.Backend, Service: s.backend.Service, State: backendChart.Name(s.backend.state),
 		Slots: s.backend.Slots, Running: len(s.running), Waiting: len(s.waiting), Long: s.longRunning(),
 	}
-	for i := range s.credits {
-		switch s.credits[i].state {
-		case crLent, crRecalled:
-			st.Lent++
-		case crSettling:
-			st.Settling++
-		}
-	}
+	st.Lent, st.Settling = s.lent(), s.busy()-len(s.running)
+	st.Drained = s.backend.state != beReady && s.backend.state != beSuspect &&
+		s.backend.state != beDraining && s.idle()
 	return st
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -7,6 +7,7 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/health"
+	"github.com/bambooscale/bambooscale/internal/policy/interfere"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 	"github.com/bambooscale/bambooscale/internal/rows"
@@ -47,6 +48,7 @@
 	cell    cell
 	peers   map[model.WorkerID]*peer
 	jobs    map[model.JobID]*job // that are not over
+	pending map[model.JobID]*job // of these, the ones that wait for a place
 	config  Configuration
 	rules   *place.Rules
 	ledger  *place.Ledger
@@ -61,20 +63,23 @@
 	// evictions counts by team and class since the cell was claimed.
 	evictions map[evictionKey]int
 
-	scanAt, sweepAt, renewAt, planAt time.Duration
+	interference *interfere.Controller
+
+	scanAt, sweepAt, renewAt, planAt, limitAt time.Duration
 }
 
 // NewCore returns the core of a controller that watches its cell.
 func NewCore(opts Options) *Core {
 	c := &Core{opts: opts, peers: map[model.WorkerID]*peer{}, cell: cell{deadline: lease.OwnerExpiry}}
 	c.rules, _ = place.CompileRules(nil)
+	c.interference = interfere.New(interfere.Options{})
 	c.reset()
 	return c
 }
 
 // reset drops what is known of jobs.
 func (c *Core) reset() {
-	c.jobs, c.finished = map[model.JobID]*job{}, map[model.Phase]int{}
+	c.jobs, c.pending, c.finished = map[model.JobID]*job{}, map[model.JobID]*job{}, map[model.Phase]int{}
 	c.evictions = map[evictionKey]int{}
 	c.ledger = place.NewLedger()
 	c.claims = map[model.JobID]claim{}
@@ -202,6 +207,7 @@
 // whose lease has certainly expired.
 func (c *Core) sweep() {
 	c.tickHealth()
+	c.limit()
 	for _, p := range c.sortedPeers() {
 		if p.deadline > 0 && p.deadline <= c.now {
 			c.stepPeer(p, evRetry)
@@ -211,14 +217,17 @@
 			c.ledger.RemoveWorker(p.worker.ID)
 		}
 	}
-	for _, j := range c.sortedJobs() {
+	expired := func(j *job) bool {
+		return c.peers[j.attempt.worker].grants.Until(j.row.Spec.LongRunning) <= c.now
+	}
+	due := func(j *job) bool {
 		a := &j.attempt
-		if !a.live {
-			continue
-		}
-		if p := c.peers[a.worker]; p.grants.Until(j.row.Spec.LongRunning) <= c.now {
+		return a.live && (a.deadline > 0 && a.deadline <= c.now || expired(j))
+	}
+	for _, j := range selected(c.jobs, due) {
+		if expired(j) {
 			c.stepAttempt(j, evExpire)
-		} else if a.deadline > 0 && a.deadline <= c.now {
+		} else {
 			c.stepAttempt(j, evLate)
 		}
 	}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -7,6 +7,10 @@
 
 func (c *Core) receive(worker model.WorkerID, m msg.Control) {
 	p := c.peers[worker]
+	if b, ok := m.(*msg.BackendState); ok && p != nil {
+		c.onBackendState(p, b) // sent once: it also counts before the cell is owned
+		return
+	}
 	if p == nil || !c.incumbent() || !c.loaded {
 		return // agents repeat what is not acknowledged
 	}
@@ -20,6 +24,7 @@
 			c.onReport(p, *m)
 		}
 	case *msg.UsageReport:
+		c.onServices(p, m.Services)
 		for _, t := range m.Tasks {
 			c.onUsage(p, t)
 		}
@@ -39,10 +44,11 @@
 		known[r.Attempt] = true
 		c.onReport(p, r)
 	}
-	for _, j := range c.sortedJobs() {
-		if j.attempt.live && j.attempt.worker == p.worker.ID && !known[j.attemptID()] {
-			c.stepAttempt(j, evAbsent)
-		}
+	absent := func(j *job) bool {
+		return j.attempt.live && j.attempt.worker == p.worker.ID && !known[j.attemptID()]
+	}
+	for _, j := range selected(c.jobs, absent) {
+		c.stepAttempt(j, evAbsent)
 	}
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -62,7 +62,7 @@
 	startLinks(g, c, self, store, dispatcher, controllers)
 	registry := metrics.Start(g)
 	recent := metrics.StartWindows(g)
-	api := startOperator(g, c, &view{recent: recent, self: self, dispatcher: dispatcher, cells: controllers, entries: &actor.Value[[]rows.Entry]{}},
+	api := startOperator(g, c, &view{recent: recent, self: self, dispatcher: dispatcher, cells: controllers, table: c.Table, entries: &actor.Value[directory.List]{}},
 		store, registry)
 	front := &entry.Frontend{
 		Dispatcher: dispatcher, Table: table.Get, MaxBody: int64(set.Entry.MaxBody),
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -40,6 +40,8 @@
 	asking   map[model.RequestID]askOutcome
 	rules    *RoutingTable // by configuration
 	table    *actor.Value[RoutingTable]
+	queued   bool // a queue, or a report of one, may have to be reported
+	busy     bool // a running request may have to be checked for age
 }
 
 // agent is a linked agent.
@@ -59,6 +61,7 @@
 	agent    *agent
 	state    string
 	longFree int
+	reserved bool    // kept free of long requests
 	slowness float64 // smoothed ratio of its slot times to the class means
 }
 
@@ -109,22 +112,29 @@
 }
 
 func (d *dispatcher) run(ctx context.Context, in <-chan Message) error {
-	report := time.NewTicker(demandInterval)
+	report, age := newAlarm(demandInterval), newAlarm(ageInterval)
 	defer report.Stop()
-	age := time.NewTicker(ageInterval)
 	defer age.Stop()
 	for {
+		report.run(d.queued)
+		age.run(d.busy)
 		select {
 		case m := <-in:
 			d.now = time.Now()
 			d.handle(m)
 		case d.now = <-report.C:
 			d.now = time.Now()
+			d.queued = false
 			for _, s := range d.services {
 				d.reportDemand(s)
+				d.queued = d.queued || s.queue.Len() > 0 || s.demanded.queued > 0
 			}
 		case <-age.C:
 			d.now = time.Now()
+			d.busy = false
+			for _, s := range d.services {
+				d.busy = d.busy || len(s.running) > 0
+			}
 			d.age()
 		case <-ctx.Done():
 			return nil
@@ -148,7 +158,7 @@
 		}
 		m.done.Put(struct{}{})
 	case unused:
-		d.giveBack(m.to)
+		d.giveBack(m)
 	case askOutcome:
 		d.askOutcome(m)
 	case forget:
@@ -225,12 +235,13 @@
 		s.queue.Requeue(d.now, m.req)
 	} else {
 		s.budget.Request()
-		if why := s.queue.Admit(d.now, m.req, s.load, s.idle()); why != dispatch.Accepted {
+		if why := s.queue.Admit(d.now, m.req, s.inProgress(), s.idle()); why != dispatch.Accepted {
 			s.refuse(m.call, why)
 			return
 		}
 	}
 	s.calls[m.req.Key] = m.call
+	d.queued = true
 	d.dispatch(s)
 	if s.queue.Len() > 0 && d.now.Sub(s.reported) >= demandInterval {
 		d.reportDemand(s)
@@ -242,6 +253,12 @@
 	tell(call, callMessage{kind: callRefused, refusal: why})
 }
 
+func (s *service) inProgress() dispatch.Load {
+	load := s.load
+	load.Instances, load.Slots = len(s.instances), s.readySlots()
+	return load
+}
+
 // idle reports whether a credit is free and nobody waits for it.
 func (s *service) idle() bool {
 	if s.queue.Len() > 0 {
@@ -255,6 +272,16 @@
 	return false
 }
 
+func (s *service) readySlots() int {
+	n := 0
+	for _, i := range s.instances {
+		if i.state == "ready" {
+			n += i.Slots
+		}
+	}
+	return n
+}
+
 // tell sends to a request's actor, which has room for what it asked for.
 func tell(call chan<- callMessage, m callMessage) {
 	select {
@@ -323,23 +350,30 @@
 	return sum / time.Duration(len(names))
 }
 
-// longAllowed keeps one instance of each data centre free of long requests,
-// so that short ones always find a place nearby.
-func (s *service) longAllowed(i *instance) bool {
-	if i.longFree <= 0 {
-		return false
-	}
-	first, others := i, 0
-	for _, o := range s.instances {
-		if o.agent.worker.DataCentre != i.agent.worker.DataCentre {
-			continue
-		}
-		others++
-		if o.Backend < first.Backend {
-			first = o
+// longAllowed reports whether a long request may be sent to i.
+func (s *service) longAllowed(i *instance) bool { return i.longFree > 0 && !i.reserved }
+
+// reserve keeps one instance of each data centre that has several free of
+// long requests, so that short ones always find a place nearby. It is called
+// when the instances change: a search for each request cost the square of
+// their number.
+func (s *service) reserve() {
+	first := map[model.DataCentre]*instance{}
+	several := map[model.DataCentre]bool{}
+	for _, i := range s.instances {
+		dc := i.agent.worker.DataCentre
+		i.reserved = false
+		if f := first[dc]; f != nil {
+			several[dc] = true
+			if f.Backend < i.Backend {
+				continue
+			}
 		}
+		first[dc] = i
+	}
+	for dc, i := range first {
+		i.reserved = several[dc]
 	}
-	return others == 1 || first != i
 }
 
 func (d *dispatcher) assign(s *service, i *instance, r dispatch.Request, call chan<- callMessage) {
@@ -357,6 +391,7 @@
 	}
 	run := runningRequest{class: r.Class, long: long}
 	s.running[to.id] = run
+	d.busy = true
 	s.load.Sent.Add(long, 1)
 	tell(call, callMessage{kind: callAssigned, assigned: &to})
 }
--- a/internal/policy/dispatch/queue.go
+++ b/internal/policy/dispatch/queue.go
@@ -36,8 +36,13 @@
 }
 
 // Load is what an entry has in progress at the backend servers of a service:
-// the requests that it sent, and those of them that hold a slot.
-type Load struct{ Sent, Started Count }
+// the requests that it sent, and those of them that hold a slot. Slots is what
+// the ready backend servers have, for all entries.
+type Load struct {
+	Sent, Started Count
+	Instances     int // backend servers of the service
+	Slots         int
+}
 
 // Refusal says why a request is not queued or was dropped from the queue. A
 // refused request was never sent.
@@ -154,11 +159,23 @@
 func (q *Queue) learnSpeed(now time.Time, load Load) {
 	weight := 1 - math.Exp(-now.Sub(q.learned).Seconds()/speedMemory.Seconds())
 	q.learned = now
-	q.learnBand(shortBand, weight, load.Sent.Short, load.Started.Short)
-	q.learnBand(longBand, weight, load.Sent.Long, load.Started.Long)
+	q.learnBand(shortBand, weight, load.Slots, load.Sent.Short, load.Started.Short)
+	q.learnBand(longBand, weight, load.Slots/2, load.Sent.Long, load.Started.Long)
+	// An entry that has just started, or was idle, has little in progress, but
+	// each backend server lends it a slot as soon as it has a queue.
+	for i := range q.speed {
+		q.speed[i] = max(q.speed[i], float64(load.Instances))
+	}
 }
 
-func (q *Queue) learnBand(band int, weight float64, sent, started int) {
+func (q *Queue) learnBand(band int, weight float64, slots, sent, started int) {
+	if sent == 0 {
+		// Without a request in progress nothing tells how many slots agents
+		// will lend once they hear of the demand. A guess of 0 refused every
+		// request, one of 1 those of a class that takes seconds.
+		q.speed[band] = float64(max(slots, 1))
+		return
+	}
 	if q.speed[band] < 1 {
 		q.speed[band] = float64(sent)
 		return
@@ -214,13 +231,14 @@
 			return Request{}, false
 		}
 		r := n.req
-		hopeless := now.After(n.latest)
-		q.bands[n.band].take(n)
-		q.release(n)
-		if hopeless {
+		if now.After(n.latest) { // it gets no slot time, so its tenant is not charged
+			q.bands[n.band].remove(n)
+			q.release(n)
 			drop(r, RefusedTimed)
 			continue
 		}
+		q.bands[n.band].take(n)
+		q.release(n)
 		return r, true
 	}
 }
--- a/internal/tasks/commands.go
+++ b/internal/tasks/commands.go
@@ -32,7 +32,9 @@
 		c.command(from, m.Command, m.Attempt, evCheckpoint)
 	case *msg.ThrottleTask:
 		if h := c.holds[m.Attempt]; h != nil {
-			h.percent = m.Percent
+			if m.Cell == c.cell && m.Epoch >= c.epoch {
+				h.percent = m.Percent
+			}
 			c.command(from, m.Command, m.Attempt, evThrottle)
 		}
 	case *msg.TaskAck:
@@ -61,7 +63,7 @@
 func (c *Core) attempt(id model.AttemptID) *hold {
 	h := c.holds[id]
 	if h == nil && len(c.holds) < maxAttempts {
-		h = &hold{id: id, state: holdChart.Initial(), spec: model.JobSpec{ID: id.Job}}
+		h = &hold{id: id, state: c.machine.Initial(), spec: model.JobSpec{ID: id.Job}}
 		c.holds[id] = h
 	}
 	return h
