--- a/internal/settings/reload.go
+++ b/internal/settings/reload.go
@@ -4,7 +4,7 @@
 
 // reloadable are the keys that a running process takes over.
 var reloadable = map[string]bool{
-	place("daemon", "log-level"):      true,
+	place("daemon", "log-level"):     true,
 	place("entry", "operator-token"): true,
 }
 
