--- /dev/null
+++ b/internal/policy/dispatch/estimate_test.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against retries that add more than their share to the load.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b RetryBudget
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "request") {
+				b.Request()
+				requests++
+			} else if b.Take() {
+				retries++
+			}
+			assert.LessOrEqual(t, float64(retries), retryShare*float64(requests)+1e-9)
+		}
+	})
+}
+
+// Guards against classes whose length is learned wrong or not followed when
+// it drifts.
+func TestClassLearning(t *testing.T) {
+	c := NewClasses()
+	assert.False(t, c.Long("read"), "nothing is known yet")
+	for range minSamples {
+		c.Finished("read", 10*time.Millisecond)
+	}
+	assert.True(t, c.Long("watch"), "unknown beside a known class")
+	assert.False(t, c.Long("read"))
+	for range minSamples {
+		c.Finished("watch", time.Minute)
+		c.Finished("consent", 50*time.Millisecond)
+	}
+	assert.True(t, c.Long("watch"))
+	assert.False(t, c.Long("consent"))
+	assert.True(t, c.Aged("read", time.Second))
+	assert.False(t, c.Aged("read", 20*time.Millisecond))
+	for range 4 * halveAfter {
+		c.Finished("watch", 10*time.Millisecond)
+	}
+	assert.False(t, c.Long("watch"), "it has become short")
+	assert.InDelta(t, float64(10*time.Millisecond), float64(c.Mean("watch")), float64(time.Millisecond))
+	c.SetLong("read", true)
+	assert.True(t, c.Long("read"), "the configuration takes precedence")
+}
+
+// Guards against a sole class that counts as long, and so gets only half of
+// the slots, because its slot times vary on a busy host.
+func TestSoleClassIsNotLong(t *testing.T) {
+	c := NewClasses()
+	for i := range 100 {
+		d := 200 * time.Microsecond
+		if i%10 == 0 {
+			d = 20 * time.Millisecond
+		}
+		c.Finished("default", d)
+	}
+	assert.False(t, c.Long("default"))
+}
+
+// Guards against quantiles that leave the range of the samples by more than a
+// bucket, which is a factor of the square root of two.
+func TestQuantileOfSamples(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := rapid.SliceOfN(rapid.IntRange(1, 100_000), minSamples, 400).Draw(t, "ms")
+		c := NewClasses()
+		for _, v := range ms {
+			c.Finished("read", time.Duration(v)*time.Millisecond)
+		}
+		sort.Ints(ms)
+		for _, q := range []float64{0.5, 0.95} {
+			exact := float64(ms[min(len(ms)-1, max(0, int(q*float64(len(ms)))-1))])
+			upper := float64(ms[min(len(ms)-1, int(q*float64(len(ms)))+1)])
+			got := c.Quantile("read", q).Seconds() * 1000
+			assert.GreaterOrEqual(t, got, exact/1.5, "quantile %v", q)
+			assert.LessOrEqual(t, got, upper*1.5, "quantile %v", q)
+		}
+	})
+}
+
+// Guards against a choice without credit, and against one that a slower or
+// failing backend server wins over an equal one.
+func TestChoose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Candidate {
+			return Candidate{
+				Credits: rapid.IntRange(0, 3).Draw(t, "credits"), Running: rapid.IntRange(0, 8).Draw(t, "running"), Slots: 8,
+				RTT:      time.Duration(rapid.IntRange(0, 5).Draw(t, "rtt")) * time.Millisecond,
+				Slowness: rapid.Float64Range(0.5, 4).Draw(t, "slowness"), Failures: rapid.IntRange(0, 20).Draw(t, "failures"),
+			}
+		})).Draw(t, "candidates")
+		i := Choose(list, 10*time.Millisecond)
+		for k, c := range list {
+			if c.Credits == 0 {
+				continue
+			}
+			require.GreaterOrEqual(t, i, 0)
+			a := list[i]
+			better := c.RTT <= a.RTT && c.Running <= a.Running && c.Slowness <= a.Slowness && c.Failures < min(a.Failures, maxPenalised)
+			assert.False(t, better, "%d %+v is better than %d %+v", k, c, i, a)
+		}
+		if i >= 0 {
+			assert.Positive(t, list[i].Credits)
+		}
+	})
+}
