--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -205,7 +205,8 @@
 // ones.
 func (d *dispatcher) publish() {
 	all := *d.rules
-	all.Services = maps.Clone(d.rules.Services)
+	all.Services = make(map[model.Service]ServiceRule, len(d.rules.Services)+len(d.services))
+	maps.Copy(all.Services, d.rules.Services)
 	for name := range d.services {
 		if _, ok := all.Services[name]; !ok {
 			all.Services[name] = ServiceRule{Name: name, Classes: d.rules.Shared}
--- a/internal/policy/dispatch/cold_test.go
+++ b/internal/policy/dispatch/cold_test.go
@@ -17,3 +17,53 @@
 		require.Equal(t, Accepted, q.Admit(now, r, Load{}, false), "request %d", n)
 	}
 }
+
+// Guards against an entry refusing every request after a busy time: nothing
+// was in progress any more, which the estimate took for no slots.
+func TestAdmitAfterABusyTime(t *testing.T) {
+	q, now := NewQueue(Options{}, NewClasses()), time.Now()
+	busy := Load{Sent: Count{Short: 24}, Started: Count{Short: 24}, Slots: 24}
+	admit := func(n int, load Load) {
+		r := Request{Key: Key(n), Tenant: "tenant", Arrived: now, Deadline: now.Add(30 * time.Second)}
+		require.Equal(t, Accepted, q.Admit(now, r, load, false), "request %d", n)
+	}
+	admit(0, busy)
+	now = now.Add(10 * time.Second)
+	admit(1, Load{Slots: 24})
+}
+
+// Guards against an entry without credits refusing requests of a class that
+// takes seconds although the free slots of the backend servers suffice.
+func TestAdmitCountsOnFreeSlots(t *testing.T) {
+	classes := NewClasses()
+	for range minSamples {
+		classes.Finished("", time.Second)
+	}
+	q, now := NewQueue(Options{}, classes), time.Now()
+	for n := range 24 {
+		r := Request{Key: Key(n), Tenant: "tenant", Arrived: now, Deadline: now.Add(30 * time.Second)}
+		require.Equal(t, Accepted, q.Admit(now, r, Load{Slots: 24}, false), "request %d", n)
+	}
+}
+
+// Guards against a burst after a busy time being refused because the requests
+// in progress are taken for all the slots there are, while most are free.
+func TestAdmitWithFewInProgress(t *testing.T) {
+	classes := NewClasses()
+	for range minSamples {
+		classes.Finished("", 5*time.Second)
+	}
+	q, now := NewQueue(Options{}, classes), time.Now()
+	admit := func(n int, load Load) {
+		r := Request{Key: Key(n), Tenant: "tenant", Arrived: now, Deadline: now.Add(30 * time.Second)}
+		require.Equal(t, Accepted, q.Admit(now, r, load, false), "request %d", n)
+	}
+	busy := Count{Short: 16}
+	admit(0, Load{Sent: busy, Started: busy, Slots: 16})
+	require.True(t, q.Withdraw(0))
+	now = now.Add(10 * time.Second)
+	for n := range 8 {
+		admit(n+1, Load{Sent: Count{Short: 2}, Slots: 16})
+		now = now.Add(time.Millisecond)
+	}
+}
