--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -17,10 +17,27 @@
 	case c.declined == msg.RefusedDeadline || c.declined == msg.RefusedCancelled:
 		c.answer(http.StatusGatewayTimeout, model.OutcomeNotRun, "the deadline passed before the request was started")
 	default:
-		c.answer(http.StatusServiceUnavailable, model.OutcomeNotRun, "no room for the request; try again later")
+		c.answer(http.StatusServiceUnavailable, model.OutcomeNotRun, c.refusalText())
 	}
 }
 
+// refusalText says what there was no room for.
+func (c *call) refusalText() string {
+	switch {
+	case c.refusal == dispatch.RefusedFull:
+		return "too many requests wait for the service; try again later"
+	case c.refusal == dispatch.RefusedLate:
+		return "the requests that wait leave no time for this one before its deadline; try again later"
+	case c.declined == msg.RefusedDraining:
+		return "the backend server that was chosen is leaving; try again"
+	case c.declined == msg.RefusedDown:
+		return "the backend server that was chosen cannot be reached; try again"
+	case c.declined == msg.RefusedNoCredit:
+		return "every backend server that was chosen had lent its slots to others; try again"
+	}
+	return "no room for the request; try again later"
+}
+
 // answerRun says that the request was run but its response cannot be had.
 func (c *call) answerRun() {
 	if time.Now().After(c.req.Deadline) {
