entry: end a link that a newer one replaces

If the greeting of a killed agent arrives after that of its successor, the late link replaces the live one; when it ends, the worker has no link, and the messages of the live one count as those of an ended link.

Change: a replaced link is ended, so that a living agent connects again.

--- a/internal/entry/agentlink.go
+++ b/internal/entry/agentlink.go
@@ -59,14 +59,18 @@
 	generation uint64
 	hello      msg.AgentHello
 	out        peer.Out
+	end        func()
 }
 
 func (h *agentHandler) serve(ctx context.Context) error {
+	linkCtx, end := context.WithCancel(ctx)
+	defer end()
+	h.end = end
 	hello := &msg.EntryHello{
 		Entry: h.links.Self.Entry, Boot: h.links.Self.Boot, DataCentre: h.links.Self.DataCentre,
 		Version: h.links.Version(), Generation: h.generation,
 	}
-	err := peer.Run(ctx, h.conn, hello, h)
+	err := peer.Run(linkCtx, h.conn, hello, h)
 	if err != nil && ctx.Err() == nil {
 		event.Log(h.links.Log, linkEvent(err), log.Fields{"peer": h.conn.RemoteAddr(),
 			"worker": string(h.hello.Worker.ID), "error": err.Error()})
@@ -95,7 +99,7 @@
 	}
 	h.hello, h.out = *a, out
 	event.Log(h.links.Log, event.LinkUp, log.Fields{"worker": string(a.Worker.ID), "peer": h.conn.RemoteAddr()})
-	up := AgentUp{Hello: *a, Generation: h.generation, Conn: h.conn, Out: out}
+	up := AgentUp{Hello: *a, Generation: h.generation, Conn: h.conn, Out: out, End: h.end}
 	if err := h.links.Dispatcher.Send(h.ctx, up); err != nil {
 		return err
 	}
--- a/internal/entry/credits.go
+++ b/internal/entry/credits.go
@@ -21,11 +21,18 @@
 // request used up its offers on a link that had just been lost.
 const avoidTime = 200 * time.Millisecond
 
+// agentUp replaces the link to a worker's agent. The replaced one is ended, so
+// that its agent connects again if it lives: the greeting of an agent that has
+// been killed may arrive after that of its successor, whose link would
+// otherwise stay up without being used.
 func (d *dispatcher) agentUp(m AgentUp) {
 	if old := d.agents[m.Hello.Worker.ID]; old != nil {
 		d.agentDown(m.Hello.Worker.ID, old.generation)
+		if old.end != nil {
+			old.end()
+		}
 	}
-	a := &agent{worker: m.Hello.Worker, boot: m.Hello.Boot, generation: m.Generation, conn: m.Conn, out: m.Out}
+	a := &agent{worker: m.Hello.Worker, boot: m.Hello.Boot, generation: m.Generation, conn: m.Conn, out: m.Out, end: m.End}
 	d.agents[a.worker.ID] = a
 	for _, q := range d.asking {
 		if q.worker == a.worker.ID {
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -51,6 +51,7 @@
 	generation uint64
 	conn       link.Conn
 	out        peer.Out
+	end        func()
 	backend    *instance
 }
 
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -20,6 +20,7 @@
 	Generation uint64
 	Conn       link.Conn
 	Out        peer.Out
+	End        func() // ends the link; may be nil
 }
 
 // AgentDown says that a link to an agent has ended.
