entry: answer 503 for unknown services shortly after a start

A caller takes 404 for final.

Change: for 10 s after the start of an entry an unknown service is answered 503 with Retry-After, not run.

Measured: TestUnknownServiceAfterAStart fails without the change.

--- a/cmd/bambooscaled/run.go
+++ b/cmd/bambooscaled/run.go
@@ -156,7 +156,7 @@
 		Settings: s, Build: version,
 		Table:   platform.NewHTTPTable(platformConfig(s.Daemon.Table)),
 		Objects: platform.NewHTTPObjects(platformConfig(s.Daemon.Objects)),
-		Callers: callers, Agents: agents, Operator: operator, Log: log.Log, Recent: recent,
+		Began:   time.Now(), Callers: callers, Agents: agents, Operator: operator, Log: log.Log, Recent: recent,
 	})
 	fmt.Fprintf(cmd.OutOrStdout(), "ready callers=%s operators=%s agents=%s\n", callers.Addr(), operator.Addr(), agents.Addr())
 	return e, nil
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -31,6 +31,7 @@
 	Callers  net.Listener
 	Agents   link.Listener
 	Operator net.Listener
+	Began    time.Time // start of the process; zero: services that are not known are so at once
 	Log      log.Interface
 	Recent   *Recent // the newest log events; may be nil
 }
@@ -66,7 +67,7 @@
 		store, registry)
 	front := &entry.Frontend{
 		Dispatcher: dispatcher, Table: table.Get, MaxBody: int64(set.Entry.MaxBody),
-		Slots: make(chan struct{}, set.Entry.MaxCallers), Observe: observer(metrics.StartRequests(g, registry), recent.Observe),
+		Began: c.Began, Slots: make(chan struct{}, set.Entry.MaxCallers), Observe: observer(metrics.StartRequests(g, registry), recent.Observe),
 	}
 	directory.Announce(g, c.Table, rows.Entry{
 		ID: self.Entry, Boot: self.Boot, Address: c.Agents.Addr(), Operator: c.Operator.Addr().String(),
--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -37,9 +37,16 @@
 	// Slots bounds the requests in progress, queued ones included; a request
 	// beyond its capacity is refused.
 	Slots chan struct{}
+	// Began is when the process started. Shortly after it a service that is
+	// not known may be one whose agents are not linked yet. Zero: long ago.
+	Began time.Time
 	keys  actor.Counter
 }
 
+// settleTime is how long after its start an entry waits for agents to connect
+// before it calls a service unknown: they dial again after at most 7.5 s.
+const settleTime = 10 * time.Second
+
 // Via is the value that the system adds to the Via header field.
 const via = "1.1 bambooscale"
 
@@ -59,7 +66,11 @@
 		return
 	}
 	rt, ok := f.Table().find(r)
-	if !ok {
+	switch {
+	case !ok && began.Sub(f.Began) < settleTime:
+		answer(w, http.StatusServiceUnavailable, model.OutcomeNotRun, "the service is not known yet; this entry has just started", retryAfter)
+		return
+	case !ok:
 		answer(w, http.StatusNotFound, model.OutcomeNotRun, "unknown service", 0)
 		return
 	}
--- /dev/null
+++ b/internal/entry/settle_test.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+)
+
+// Guards against callers who are told by an entry that has just started that
+// their service does not exist, while its agents are still connecting.
+func TestUnknownServiceAfterAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &actor.Value[RoutingTable]{}
+		table.Set(&RoutingTable{})
+		f := &Frontend{Table: table.Get, Slots: make(chan struct{}, 1), Began: time.Now()}
+		status := func() int {
+			w := httptest.NewRecorder()
+			f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://permit-desk.example/", nil))
+			require.Equal(t, "not-run", w.Header().Get("Bambooscale-Outcome"))
+			return w.Code
+		}
+		require.Equal(t, http.StatusServiceUnavailable, status())
+		time.Sleep(settleTime)
+		require.Equal(t, http.StatusNotFound, status())
+	})
+}
