configstore: remove the label weight, document target-p99-ms

Cause: the label weight of a class was checked and documented but nothing used it; target-p99-ms, which the controller reads, was neither.

Change: weight is gone; target-p99-ms is checked, documented and named in one place.

--- a/internal/configstore/properties.go
+++ b/internal/configstore/properties.go
@@ -18,8 +18,6 @@
 	LabelPathPrefix        = "path-prefix"        // class: comma-separated path prefixes of its requests
 	LabelLong              = "long"               // class: true when its requests are long from the start
 	LabelIdempotentMethods = "idempotent-methods" // class, service: comma-separated; replaces those of RFC 9110
-	LabelTargetP99         = "target-p99-ms"      // class: p99 at the backend server that tasks on its host must leave room for
-	LabelWeight            = "weight"             // class: share against other classes, 1 by default
 	LabelDefaultTenant     = "default-tenant"     // service: tenant of requests that name none
 	LabelQuotaCPU          = "quota-cpu"          // team: milli-CPU
 	LabelQuotaMemory       = "quota-memory"       // team: bytes
@@ -34,7 +32,6 @@
 	PathPrefixes      []string
 	Long              bool
 	IdempotentMethods []string // nil: not set
-	Weight            int
 	Labels            model.Labels
 }
 
@@ -145,15 +142,12 @@
 }
 
 func classProperties(c model.Class, l model.Labels) ClassProperties {
-	p := ClassProperties{Class: c, Service: model.Service(l[LabelService]), Weight: 1, Labels: l,
+	p := ClassProperties{Class: c, Service: model.Service(l[LabelService]), Labels: l,
 		PathPrefixes: splitList(l[LabelPathPrefix]), IdempotentMethods: splitList(l[LabelIdempotentMethods])}
 	if ms, err := strconv.ParseInt(l[LabelDeadline], 10, 32); err == nil {
 		p.Deadline = time.Duration(ms) * time.Millisecond
 	}
 	p.Long, _ = strconv.ParseBool(l[LabelLong])
-	if w, err := strconv.Atoi(l[LabelWeight]); err == nil {
-		p.Weight = w
-	}
 	return p
 }
 
@@ -197,10 +191,8 @@
 	switch {
 	case isList(kind, label) && len(value) > maxList:
 		return fmt.Errorf("is longer than %d bytes", maxList)
-	case kind == model.KindClass && label == LabelDeadline:
+	case kind == model.KindClass && (label == LabelDeadline || label == model.LabelTargetP99):
 		return number(1, 24*3600*1000)
-	case kind == model.KindClass && label == LabelWeight:
-		return number(1, 1000)
 	case kind == model.KindClass && label == LabelLong:
 		if value != "true" && value != "false" {
 			return fmt.Errorf("%q is neither true nor false", value)
--- a/internal/control/interference.go
+++ b/internal/control/interference.go
@@ -20,8 +20,6 @@
 	limitRepeat = 10 * time.Second
 	// A measurement of a service counts for this long.
 	loadMemory = 30 * time.Second
-	// labelTarget is the label of a class with the p99 to keep, in ms.
-	labelTarget = "target-p99-ms"
 )
 
 // serviceLoad is what a worker's agent last reported of a service class.
@@ -53,7 +51,7 @@
 
 // target is the p99 that a class has to keep by its label.
 func (c *Core) target(class model.Class) (time.Duration, bool) {
-	ms, err := strconv.ParseInt(c.config.Classes[class][labelTarget], 10, 32)
+	ms, err := strconv.ParseInt(c.config.Classes[class][model.LabelTargetP99], 10, 32)
 	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
 }
 
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -60,3 +60,7 @@
 	Item    *ConfigItem   `json:"item,omitempty"` // nil: the key was removed
 	Author  string        `json:"author,omitempty"`
 }
+
+// LabelTargetP99 is the label of a class with the p99 at the backend server, in
+// milliseconds, that tasks on its host must leave room for.
+const LabelTargetP99 = "target-p99-ms"
