actor: run pure cores in one loop; remove an unused message

Cause: the actors of the controller and of the tasks had the same loop twice, and ThrottleJob, a second way to limit a task, was sent by nobody.

Change: actor.Loop feeds messages, answers and timers to a core and notices pauses; both actors use it. ThrottleJob is gone; limits are set by the interference decision alone.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -53,12 +53,6 @@
 		Job    model.JobID
 		Reason string
 	}
-	// ThrottleJob limits a running job to a share of its processor time. It is
-	// sent once: the interference policy repeats what has no effect.
-	ThrottleJob struct {
-		Job     model.JobID
-		Percent int // 100 removes the limit
-	}
 	// StatusQuery asks for the status of the cell.
 	StatusQuery struct {
 		Reply actor.Reply[model.CellStatus]
@@ -76,7 +70,6 @@
 func (ConfigChanged) isMessage() {}
 func (RowsChanged) isMessage()   {}
 func (EvictJob) isMessage()      {}
-func (ThrottleJob) isMessage()   {}
 func (StatusQuery) isMessage()   {}
 func (ExplainQuery) isMessage()  {}
 
@@ -186,31 +179,17 @@
 func (o *owner) now() time.Duration { return time.Since(o.began) }
 
 func (o *owner) run(ctx context.Context, in <-chan Message) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	due := time.Duration(0)
 	for _, up := range o.links {
 		o.apply(PeerUp{Worker: up.Worker, Boot: up.Boot})
 	}
-	for {
-		var e Event = Tick{}
-		select {
-		case <-ctx.Done():
-			return nil
-		case m := <-in:
-			e = o.translate(m)
-		case e = <-o.answers:
-		case <-timer.C:
-		}
-		if o.now()-due > lease.PauseGap {
-			o.apply(Paused{})
-		}
-		if e != nil {
-			o.apply(e)
-		}
-		due = max(o.core.Next(), o.now())
-		timer.Reset(due - o.now())
-	}
+	return actor.Loop[Message, Event]{
+		Now: o.now, Next: o.core.Next, Apply: o.apply,
+		Translate: func(m Message) (Event, bool) {
+			e := o.translate(m)
+			return e, e != nil
+		},
+		Tick: Tick{}, Paused: Paused{}, PauseGap: lease.PauseGap,
+	}.Run(ctx, in, o.answers)
 }
 
 // translate returns the event of a message, or nil when it needs none.
@@ -233,8 +212,6 @@
 		return Refreshed{}
 	case EvictJob:
 		return Evicted(m)
-	case ThrottleJob:
-		return Throttled(m)
 	case StatusQuery:
 		m.Reply.Put(o.core.Status())
 	case ExplainQuery:
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -110,8 +110,6 @@
 		c.configure(e.Config)
 	case Evicted:
 		c.evict(e.Job, e.Reason)
-	case Throttled:
-		c.throttle(e)
 	case Refreshed:
 		if c.incumbent() {
 			c.scan()
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -39,11 +39,6 @@
 		Job    model.JobID
 		Reason string
 	}
-	// Throttled limits the processor time of a running job.
-	Throttled struct {
-		Job     model.JobID
-		Percent int
-	}
 	// Refreshed asks to read the job rows at once.
 	Refreshed struct{}
 
@@ -155,7 +150,6 @@
 func (Received) isEvent()   {}
 func (Configured) isEvent() {}
 func (Evicted) isEvent()    {}
-func (Throttled) isEvent()  {}
 func (Refreshed) isEvent()  {}
 func (Observed) isEvent()   {}
 func (Claimed) isEvent()    {}
--- a/internal/control/job.go
+++ b/internal/control/job.go
@@ -7,7 +7,6 @@
 	"github.com/bambooscale/bambooscale/internal/chart"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
@@ -223,15 +222,6 @@
 	c.stepJob(j, evJobEvict)
 }
 
-// throttle limits the task of a job, if it has one that runs.
-func (c *Core) throttle(e Throttled) {
-	j := c.jobs[e.Job]
-	if j == nil || !j.attempt.live || j.attempt.state != stRunning || c.cell.state != stOwning {
-		return
-	}
-	c.send(c.peers[j.attempt.worker], &msg.ThrottleTask{Command: c.command(), Attempt: j.attemptID(), Percent: e.Percent})
-}
-
 // index keeps the set of waiting jobs, which every plan needs.
 func (c *Core) index(j *job) {
 	if j.phase == stPending {
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -90,31 +90,17 @@
 func (o *owner) now() time.Duration { return time.Since(o.began) }
 
 func (o *owner) run(ctx context.Context, in <-chan Message) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	due := time.Duration(0)
 	for entry := range o.links {
 		o.apply(LinkUp{entry})
 	}
-	for {
-		var e Event = Tick{}
-		select {
-		case <-ctx.Done():
-			return nil
-		case m := <-in:
-			e = o.translate(m)
-		case e = <-o.answers:
-		case <-timer.C:
-		}
-		if o.now()-due > lease.PauseGap {
-			o.apply(Paused{})
-		}
-		if e != nil {
-			o.apply(e)
-		}
-		due = max(o.core.Next(), o.now())
-		timer.Reset(due - o.now())
-	}
+	return actor.Loop[Message, Event]{
+		Now: o.now, Next: o.core.Next, Apply: o.apply,
+		Translate: func(m Message) (Event, bool) {
+			e := o.translate(m)
+			return e, e != nil
+		},
+		Tick: Tick{}, Paused: Paused{}, PauseGap: lease.PauseGap,
+	}.Run(ctx, in, o.answers)
 }
 
 func (o *owner) translate(m Message) Event {
