control: drain workers by their label

Cause: nothing moved the tasks of a host that is to be replaced; they stopped only when their lease expired. Operators work by labels, so a label does it.

--- a/internal/configstore/properties.go
+++ b/internal/configstore/properties.go
@@ -193,7 +193,7 @@
 		return fmt.Errorf("is longer than %d bytes", maxList)
 	case kind == model.KindClass && (label == LabelDeadline || label == model.LabelTargetP99):
 		return number(1, 24*3600*1000)
-	case kind == model.KindClass && label == LabelLong:
+	case kind == model.KindClass && label == LabelLong, kind == model.KindWorker && label == model.LabelDrain:
 		if value != "true" && value != "false" {
 			return fmt.Errorf("%q is neither true nor false", value)
 		}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -209,6 +209,7 @@
 func (c *Core) sweep() {
 	c.tickHealth()
 	c.limit()
+	c.drain()
 	for _, p := range c.sortedPeers() {
 		if p.deadline > 0 && p.deadline <= c.now {
 			c.stepPeer(p, evRetry)
--- a/internal/control/peer.go
+++ b/internal/control/peer.go
@@ -54,6 +54,7 @@
 	attempts  int           // charged to the worker
 	service   model.Service // of the backend server on the worker; empty: none
 	loads     map[interfere.ServiceClass]serviceLoad
+	draining  bool          // by the label of the worker
 	awayAt    time.Duration // when the link was lost
 	rounds    int           // renewals acknowledged since the last inventory
 	// lost are attempts that were given up without a confirmed stop. The agent
@@ -122,6 +123,7 @@
 	p.grants.Relink(c.now)
 	c.noteLink(p, true)
 	c.setWorker(p)
+	c.followDrain(p)
 	c.stepPeer(p, evUp)
 }
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -40,6 +40,7 @@
 	c.rules, _ = place.CompileRules(config.Selectors)
 	for _, p := range c.sortedPeers() {
 		c.setWorker(p)
+		c.followDrain(p)
 	}
 	for _, j := range c.jobs {
 		j.labels = nil
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -64,3 +64,7 @@
 // LabelTargetP99 is the label of a class with the p99 at the backend server, in
 // milliseconds, that tasks on its host must leave room for.
 const LabelTargetP99 = "target-p99-ms"
+
+// LabelDrain is the label of a worker that, when it is "true", keeps new tasks
+// away and moves the present ones to other workers.
+const LabelDrain = "drain"
