daemon: announce a shutdown before the callers' listener closes

Change: on SIGTERM an entry answers 503 on /healthz and accepts callers for 5 s more; then it closes the listener and finishes what runs.

--- a/cmd/bambooscaled/run.go
+++ b/cmd/bambooscaled/run.go
@@ -57,6 +57,9 @@
 	return cmd
 }
 
+// lameDuck covers two health checks of a balancer that asks every 2 s.
+const lameDuck = 5 * time.Second
+
 // drainer stops a role in order.
 type drainer interface{ Drain(context.Context) error }
 
@@ -156,7 +159,7 @@
 		Settings: s, Build: version,
 		Table:   platform.NewHTTPTable(platformConfig(s.Daemon.Table)),
 		Objects: platform.NewHTTPObjects(platformConfig(s.Daemon.Objects)),
-		Began:   time.Now(), Callers: callers, Agents: agents, Operator: operator, Log: log.Log, Recent: recent,
+		Began:   time.Now(), LameDuck: lameDuck, Callers: callers, Agents: agents, Operator: operator, Log: log.Log, Recent: recent,
 	})
 	fmt.Fprintf(cmd.OutOrStdout(), "ready callers=%s operators=%s agents=%s\n", callers.Addr(), operator.Addr(), agents.Addr())
 	return e, nil
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -31,6 +31,10 @@
 	Callers  net.Listener
 	Agents   link.Listener
 	Operator net.Listener
+	// LameDuck is how long a draining entry goes on accepting callers while
+	// /healthz tells the platform's balancer to send no more: a connection that
+	// waits in the kernel's queue is reset when its listener closes.
+	LameDuck time.Duration
 	Began    time.Time // start of the process; zero: services that are not known are so at once
 	Log      log.Interface
 	Recent   *Recent // the newest log events; may be nil
@@ -43,6 +47,8 @@
 type Entry struct {
 	shutdownCallers func(context.Context) error
 	api             *operator.API
+	leaving         *actor.Value[bool]
+	lameDuck        time.Duration
 }
 
 // SetOperatorToken replaces the token of the operators' API.
@@ -63,8 +69,9 @@
 	startLinks(g, c, self, store, dispatcher, controllers)
 	registry := metrics.Start(g)
 	recent := metrics.StartWindows(g)
-	api := startOperator(g, c, &view{recent: recent, self: self, dispatcher: dispatcher, cells: controllers, table: c.Table, entries: &actor.Value[directory.List]{}},
-		store, registry)
+	v := &view{recent: recent, self: self, dispatcher: dispatcher, cells: controllers, table: c.Table,
+		entries: &actor.Value[directory.List]{}, leaving: &actor.Value[bool]{}}
+	api := startOperator(g, c, v, store, registry)
 	front := &entry.Frontend{
 		Dispatcher: dispatcher, Table: table.Get, MaxBody: int64(set.Entry.MaxBody),
 		Began: c.Began, Slots: make(chan struct{}, set.Entry.MaxCallers), Observe: observer(metrics.StartRequests(g, registry), recent.Observe),
@@ -74,7 +81,7 @@
 		DataCentre: self.DataCentre, Region: set.Daemon.Region,
 	})
 	watchPauses(g, c.Log)
-	return &Entry{api: api, shutdownCallers: serve(g, "callers listener", c.Callers, front, int(set.Entry.MaxHeader))}
+	return &Entry{api: api, leaving: v.leaving, lameDuck: c.LameDuck, shutdownCallers: serve(g, "callers listener", c.Callers, front, int(set.Entry.MaxHeader))}
 }
 
 // observer turns the results of requests into measurements.
@@ -109,9 +116,16 @@
 	actor.Go(g, "agents listener", func(ctx context.Context) error { return links.Accept(ctx, c.Agents) })
 }
 
-// Drain accepts no new callers and waits until every request in progress has
-// been answered.
-func (e *Entry) Drain(ctx context.Context) error { return e.shutdownCallers(ctx) }
+// Drain reports the entry as unhealthy, accepts no new callers after the lame
+// duck time, and waits until every request in progress has been answered.
+func (e *Entry) Drain(ctx context.Context) error {
+	leaving := true
+	e.leaving.Set(&leaving)
+	if !actor.Sleep(ctx, e.lameDuck) {
+		return ctx.Err()
+	}
+	return e.shutdownCallers(ctx)
+}
 
 // entryConfig passes configuration messages of agents to the store.
 type entryConfig struct {
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -27,6 +27,7 @@
 	cells      *cells
 	table      platform.Table
 	entries    *actor.Value[directory.List]
+	leaving    *actor.Value[bool] // set when the entry shuts down
 }
 
 func startOperator(g *actor.Group, c EntryConfig, v *view, store *configstore.Store, registry *metrics.Registry) *operator.API {
@@ -37,7 +38,7 @@
 		Table: c.Table, Objects: c.Objects, Store: store, Log: c.Log,
 		Labels: labels.Validate, Selector: matcher, Final: control.Final,
 		Services: v.services, Cells: v.cells.status, Explain: v.explain, Drain: v.drain, Peers: v.peers,
-		Metrics: registry.Handler(), Settings: set.Public(),
+		Metrics: registry.Handler(), Settings: set.Public(), Health: v.health,
 	}
 	if c.Recent != nil {
 		config.Recent = c.Recent.Events
@@ -47,6 +48,16 @@
 	return api
 }
 
+var errLeaving = errors.New("the entry is shutting down")
+
+// health is what the platform's balancer asks for.
+func (v *view) health(context.Context) error {
+	if v.leaving.Get() != nil {
+		return errLeaving
+	}
+	return nil
+}
+
 func (v *view) services(ctx context.Context) ([]model.ServiceStatus, error) {
 	list, err := actor.Ask(ctx, v.dispatcher, func(r actor.Reply[[]model.ServiceStatus]) entry.Message {
 		return entry.StatusQuery{Reply: r}
