--- a/cmd/bambooscaled/run.go
+++ b/cmd/bambooscaled/run.go
@@ -22,8 +22,8 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/settings"
+	"github.com/bambooscale/bambooscale/internal/storage"
 	"github.com/bambooscale/bambooscale/internal/tasks"
 )
 
@@ -136,7 +136,7 @@
 	return l, nil
 }
 
-func platformConfig(u *url.URL) platform.HTTPConfig { return platform.HTTPConfig{URL: u.String()} }
+func platformConfig(u *url.URL) storage.HTTPConfig { return storage.HTTPConfig{URL: u.String()} }
 
 func runEntry(cmd *cobra.Command, g *actor.Group, s *settings.Settings, recent *daemon.Recent) (drainer, error) {
 	callers, err := listen("[entry] listen", s.Entry.Listen)
@@ -157,8 +157,8 @@
 	}
 	e := daemon.StartEntry(g, daemon.EntryConfig{
 		Settings: s, Build: version,
-		Table:   platform.NewHTTPTable(platformConfig(s.Daemon.Table)),
-		Objects: platform.NewHTTPObjects(platformConfig(s.Daemon.Objects)),
+		Table:   storage.NewHTTPTable(platformConfig(s.Daemon.Table)),
+		Objects: storage.NewHTTPObjects(platformConfig(s.Daemon.Objects)),
 		Began:   time.Now(), LameDuck: lameDuck, Callers: callers, Agents: agents, Operator: operator, Log: log.Log, Recent: recent,
 	})
 	fmt.Fprintf(cmd.OutOrStdout(), "ready callers=%s operators=%s agents=%s\n", callers.Addr(), operator.Addr(), agents.Addr())
@@ -181,7 +181,7 @@
 		Announce: announce, Dialer: link.NewDialer(g, links), Log: log.Log,
 	}
 	if s.Daemon.Table != nil {
-		c.Table = platform.NewHTTPTable(platformConfig(s.Daemon.Table))
+		c.Table = storage.NewHTTPTable(platformConfig(s.Daemon.Table))
 	}
 	if s.Agent.Worker != nil {
 		host := tasks.NewHTTPWorker(s.Agent.Worker.String(), http.DefaultClient)
--- a/cmd/bambooscaled/standin.go
+++ b/cmd/bambooscaled/standin.go
@@ -11,9 +11,9 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/daemon"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/settings"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // server is a simulator that serves a listener until its context ends.
@@ -85,7 +85,7 @@
 			}
 			return serveStandin(cmd, listen, func(g *actor.Group, _ string) (server, error) {
 				return standin.NewWorker(g, standin.WorkerConfig{ID: model.WorkerID(id), Capacity: capacity,
-					Objects: platform.NewHTTPObjects(platform.HTTPConfig{URL: objects})}), nil
+					Objects: storage.NewHTTPObjects(storage.HTTPConfig{URL: objects})}), nil
 			})
 		}}
 	listenFlag(cmd, &listen)
--- a/internal/capacity/controller_test.go
+++ b/internal/capacity/controller_test.go
@@ -11,9 +11,9 @@
 	"github.com/bambooscale/bambooscale/internal/control"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/health"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // controller drives the core of a controller in virtual time with agents that
@@ -21,7 +21,7 @@
 type controller struct {
 	core     *control.Core
 	now      time.Duration
-	revision platform.Revision
+	revision storage.Revision
 	unread   []control.JobRow // rows that the next scan returns
 	events   []control.Event
 	ends     []ending                            // in the order of time
--- a/internal/capacity/host_test.go
+++ b/internal/capacity/host_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 	"github.com/bambooscale/bambooscale/internal/tasks"
 )
 
@@ -73,9 +73,9 @@
 }
 
 // seed writes the configuration and the jobs of a plan.
-func seed(ctx context.Context, table platform.Table, p plan) {
-	put := func(key string, v any) platform.Put { return platform.Put{Key: key, Value: rows.Encode(v)} }
-	var puts []platform.Put
+func seed(ctx context.Context, table storage.Table, p plan) {
+	put := func(key string, v any) storage.Put { return storage.Put{Key: key, Value: rows.Encode(v)} }
+	var puts []storage.Put
 	for i := range p.Items {
 		puts = append(puts, put(rows.ConfigKey(item(i).Key), item(i)))
 	}
@@ -88,7 +88,7 @@
 	}
 	for n := 0; len(puts) > 0; n++ {
 		k := min(len(puts), 100)
-		if _, err := table.Commit(ctx, platform.Txn{Operation: fmt.Sprintf("seed-%d", n), Puts: puts[:k]}); err != nil {
+		if _, err := table.Commit(ctx, storage.Txn{Operation: fmt.Sprintf("seed-%d", n), Puts: puts[:k]}); err != nil {
 			panic(err)
 		}
 		puts = puts[k:]
--- a/internal/capacity/table_test.go
+++ b/internal/capacity/table_test.go
@@ -15,9 +15,9 @@
 	"github.com/bambooscale/bambooscale/internal/directory"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -77,12 +77,12 @@
 func (r *cellRun) submit(rate int, d time.Duration) (writes int) {
 	count := 0
 	for i := range int(d / submitEvery) {
-		txn := platform.Txn{Operation: fmt.Sprintf("submit-%d", i)}
+		txn := storage.Txn{Operation: fmt.Sprintf("submit-%d", i)}
 		for due := rate * (i + 1) * int(submitEvery) / int(time.Second); count < due; count++ {
 			row := jobRow(count)
 			row.Spec.Urgent = true
 			r.submitted[row.Spec.ID] = time.Now()
-			txn.Puts = append(txn.Puts, platform.Put{Key: rows.JobKey(cellName, row.Spec.ID), Value: rows.Encode(row)})
+			txn.Puts = append(txn.Puts, storage.Put{Key: rows.JobKey(cellName, row.Spec.ID), Value: rows.Encode(row)})
 		}
 		if len(txn.Puts) > 0 {
 			_, _ = r.table.Commit(r.ctx, txn)
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -28,8 +28,8 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/operator"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // system is an entry's operators' API on loopback, with a simulated table
@@ -45,7 +45,7 @@
 	g := actor.NewGroup(context.Background(), nil)
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	tables := httptest.NewServer(standin.NewTable(g, standin.StoreFaults{}).Handler())
-	table := platform.NewHTTPTable(platform.HTTPConfig{URL: tables.URL})
+	table := storage.NewHTTPTable(storage.HTTPConfig{URL: tables.URL})
 	check := configstore.Check{Labels: func(model.Labels) finding.List { return nil }, Selector: func(string) error { return nil }}
 	s := &system{t: t, store: configstore.StartStore(g, configstore.StoreConfig{ID: "entry-1", Table: table, Check: check, Log: quiet})}
 	api := operator.New(g, operator.Config{Entry: "entry-1", Build: "test", DefaultCell: "dip-shed", Table: table, Store: s.store, Log: quiet,
--- a/internal/configstore/configstore_test.go
+++ b/internal/configstore/configstore_test.go
@@ -15,7 +15,7 @@
 	"github.com/bambooscale/bambooscale/internal/labels"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 var quiet = &log.Logger{Handler: discard.New(), Level: log.DebugLevel}
@@ -149,10 +149,10 @@
 		"written, response lost":       {[]fault{lostAfter}, nil},
 		"request lost":                 {[]fault{lostFirst}, nil},
 		"lost twice, then written":     {[]fault{lostFirst, lostAfter}, nil},
-		"away":                         {[]fault{away}, platform.ErrUnavailable},
-		"lost, then away for long":     {[]fault{lostFirst, away, away, away, away, away, away, away, away, away, away, away}, platform.ErrUnknown},
+		"away":                         {[]fault{away}, storage.ErrUnavailable},
+		"lost, then away for long":     {[]fault{lostFirst, away, away, away, away, away, away, away, away, away, away, away}, storage.ErrUnknown},
 		"request delayed":              {[]fault{late}, nil},
-		"every response lost for long": {[]fault{lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst}, platform.ErrUnknown},
+		"every response lost for long": {[]fault{lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst, lostFirst}, storage.ErrUnknown},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/configstore/distribute_test.go
+++ b/internal/configstore/distribute_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Guards against an agent that misses an edit, an entry that does not know
@@ -62,7 +62,7 @@
 		s := w.expect(restarted.Handle, 1, "stale")
 		require.Equal(t, model.Labels{"v": "1"}, s.Labels(model.KindWorker, "x"))
 		_, err := restarted.Edit(t.Context(), set("b", 1, "x", "2"))
-		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, storage.ErrUnavailable)
 		w.faults(healthy)
 		w.expect(restarted.Handle, 1, "current")
 	})
--- a/internal/configstore/edit.go
+++ b/internal/configstore/edit.go
@@ -8,8 +8,8 @@
 
 	"github.com/bambooscale/bambooscale/internal/finding"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // maxChanges bounds an edit: each change is one row, and a transaction of the
@@ -171,13 +171,13 @@
 // tableState is what an edit is decided on: the head and its keys' rows.
 type tableState struct {
 	head    model.ConfigVersion
-	headRow platform.Revision // 0: absent
-	keys    []keyState        // in the order of the edit's changes
+	headRow storage.Revision // 0: absent
+	keys    []keyState       // in the order of the edit's changes
 }
 
 // keyState is the newest change of one key.
 type keyState struct {
-	row    platform.Revision // 0: absent
+	row    storage.Revision // 0: absent
 	change model.ConfigChange
 }
 
@@ -194,36 +194,36 @@
 
 // plan returns the transaction that makes an edit, or the conflict that
 // refuses it. It is pure.
-func plan(e Edit, now tableState, keep model.ConfigVersion) (platform.Txn, rows.ConfigLog, error) {
+func plan(e Edit, now tableState, keep model.ConfigVersion) (storage.Txn, rows.ConfigLog, error) {
 	if e.Base > now.head {
-		return platform.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errFuture, e.Base, now.head)
+		return storage.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errFuture, e.Base, now.head)
 	}
 	for i, k := range now.keys {
 		if k.row == 0 && now.head-e.Base > keep {
-			return platform.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errTooOld, e.Base, now.head)
+			return storage.Txn{}, rows.ConfigLog{}, fmt.Errorf("%w: base %d, newest version %d", errTooOld, e.Base, now.head)
 		}
 		if k.change.Version > e.Base {
-			return platform.Txn{}, rows.ConfigLog{}, &ConflictError{Key: e.Changes[i].Key, Base: e.Base,
+			return storage.Txn{}, rows.ConfigLog{}, &ConflictError{Key: e.Changes[i].Key, Base: e.Base,
 				Version: k.change.Version, Author: k.change.Author}
 		}
 	}
 	next := now.head + 1
 	log := rows.ConfigLog{Version: next, Edit: e.ID, Author: e.Author}
-	t := platform.Txn{
+	t := storage.Txn{
 		Operation: fmt.Sprintf("config/%s/%d", e.ID, next),
-		Checks:    []platform.Check{{Key: rows.ConfigHeadKey, Version: now.headRow}},
-		Puts:      []platform.Put{{Key: rows.ConfigHeadKey, Value: rows.Encode(rows.ConfigHead{Version: next})}},
+		Checks:    []storage.Check{{Key: rows.ConfigHeadKey, Version: now.headRow}},
+		Puts:      []storage.Put{{Key: rows.ConfigHeadKey, Value: rows.Encode(rows.ConfigHead{Version: next})}},
 	}
 	for i, c := range e.Changes {
 		change := model.ConfigChange{Version: next, Key: c.Key, Item: c.Item, Author: e.Author}
 		key := rows.ConfigKey(c.Key)
-		t.Checks = append(t.Checks, platform.Check{Key: key, Version: now.keys[i].row})
+		t.Checks = append(t.Checks, storage.Check{Key: key, Version: now.keys[i].row})
 		// The row of a removed item stays, so that a later edit that is based
 		// on a version before the removal conflicts with it.
-		t.Puts = append(t.Puts, platform.Put{Key: key, Value: rows.Encode(change)})
+		t.Puts = append(t.Puts, storage.Put{Key: key, Value: rows.Encode(change)})
 		log.Changes = append(log.Changes, change)
 	}
-	t.Puts = append(t.Puts, platform.Put{Key: rows.ConfigLogKey(next), Value: rows.Encode(log)})
+	t.Puts = append(t.Puts, storage.Put{Key: rows.ConfigLogKey(next), Value: rows.Encode(log)})
 	return t, log, nil
 }
 
--- a/internal/configstore/editor.go
+++ b/internal/configstore/editor.go
@@ -12,8 +12,8 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -44,7 +44,7 @@
 
 // editor writes edits, one at a time.
 type editor struct {
-	table platform.Table
+	table storage.Table
 	node  actor.Address[message]
 	log   log.Interface
 	keep  model.ConfigVersion // versions that stay in the log
@@ -57,7 +57,7 @@
 			return nil
 		case r := <-in:
 			if r.ctx.Err() != nil {
-				r.answer.Put(editAnswer{err: fmt.Errorf("%w: the request ended while it waited", platform.ErrUnavailable)})
+				r.answer.Put(editAnswer{err: fmt.Errorf("%w: the request ended while it waited", storage.ErrUnavailable)})
 				continue
 			}
 			accepted, err := w.perform(ctx, r.edit)
@@ -75,7 +75,7 @@
 	switch {
 	case err == nil:
 		event.Log(w.log, event.ConfigEditAccepted, fields)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, storage.ErrUnknown):
 		fields["error"] = err.Error()
 		event.Log(w.log, event.ConfigEditUnknown, fields)
 	}
@@ -114,10 +114,10 @@
 
 // outcome makes an error say unknown while a commit's outcome is.
 func (a *attempt) outcome(err error) error {
-	if err == nil || len(a.open) == 0 || errors.Is(err, platform.ErrUnknown) {
+	if err == nil || len(a.open) == 0 || errors.Is(err, storage.ErrUnknown) {
 		return err
 	}
-	return fmt.Errorf("%w: edit %s may have been accepted as version %d: %v", platform.ErrUnknown, a.edit.ID, a.open[0], err)
+	return fmt.Errorf("%w: edit %s may have been accepted as version %d: %v", storage.ErrUnknown, a.edit.ID, a.open[0], err)
 }
 
 func (w *editor) try(ctx context.Context, a *attempt) (accepted Accepted, again bool, err error) {
@@ -138,26 +138,26 @@
 		return Accepted{}, false, err
 	}
 	_, err = w.table.Commit(ctx, txn)
-	var failed *platform.ConflictError
+	var failed *storage.ConflictError
 	switch {
 	case err == nil:
 		w.committed(ctx, entry)
 		return Accepted{Version: entry.Version}, false, nil
 	case errors.As(err, &failed):
-		return Accepted{}, true, fmt.Errorf("%w: other edits were accepted first: %v", platform.ErrUnavailable, err)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRefused):
+		return Accepted{}, true, fmt.Errorf("%w: other edits were accepted first: %v", storage.ErrUnavailable, err)
+	case errors.Is(err, storage.ErrUnavailable), errors.Is(err, storage.ErrRefused):
 		return Accepted{}, len(a.open) > 0, err
 	}
 	a.open = append(a.open, entry.Version)
-	return Accepted{}, true, fmt.Errorf("%w: %v", platform.ErrUnknown, err)
+	return Accepted{}, true, fmt.Errorf("%w: %v", storage.ErrUnknown, err)
 }
 
 // unavailable marks the error of a read, before anything was written.
 func unavailable(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		return err
 	}
-	return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %v", storage.ErrUnavailable, err)
 }
 
 // settle reads the log rows of the commits whose outcome is unknown.
@@ -219,7 +219,7 @@
 
 func (w *editor) entry(ctx context.Context, v model.ConfigVersion) (rows.ConfigLog, bool, error) {
 	row, err := w.table.Read(ctx, rows.ConfigLogKey(v))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return rows.ConfigLog{}, false, nil
 	} else if err != nil {
 		return rows.ConfigLog{}, false, err
@@ -249,10 +249,10 @@
 
 // readRow reads and decodes a row; an absent row is the zero value with
 // version 0.
-func readRow[T any](ctx context.Context, t platform.Table, key string) (T, platform.Revision, error) {
+func readRow[T any](ctx context.Context, t storage.Table, key string) (T, storage.Revision, error) {
 	var zero T
 	row, err := t.Read(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return zero, 0, nil
 	} else if err != nil {
 		return zero, 0, err
--- a/internal/configstore/history_test.go
+++ b/internal/configstore/history_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // trial is one run of racing editors on a faulty table.
@@ -119,7 +119,7 @@
 		case fate == nil:
 			accepted++
 			require.Equal(t, 1, written[id], "accepted edit %s", id)
-		case errors.Is(fate, platform.ErrUnknown):
+		case errors.Is(fate, storage.ErrUnknown):
 			require.LessOrEqual(t, written[id], 1, "unknown edit %s", id)
 		default:
 			require.Zero(t, written[id], "edit %s was refused: %v", id, fate)
--- a/internal/configstore/poller.go
+++ b/internal/configstore/poller.go
@@ -13,8 +13,8 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -33,12 +33,12 @@
 
 // poller reads the configuration's rows and tells the node what it finds.
 type poller struct {
-	table  platform.Table
+	table  storage.Table
 	node   actor.Address[message]
 	log    log.Interface
 	loaded model.ConfigVersion
-	rev    platform.Revision // the log is read up to this revision
-	known  bool              // loaded and rev are set
+	rev    storage.Revision // the log is read up to this revision
+	known  bool             // loaded and rev are set
 }
 
 func (p *poller) run(ctx context.Context, in <-chan pollNow) error {
--- a/internal/configstore/prune.go
+++ b/internal/configstore/prune.go
@@ -5,8 +5,8 @@
 	"fmt"
 
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // prune removes the edit that leaves the log when a version was accepted, and
@@ -36,11 +36,11 @@
 
 // pruning returns the transaction that removes an edit from the log. It is
 // pure.
-func pruning(entry rows.ConfigLog, rev platform.Revision, now tableState) platform.Txn {
+func pruning(entry rows.ConfigLog, rev storage.Revision, now tableState) storage.Txn {
 	key := rows.ConfigLogKey(entry.Version)
-	t := platform.Txn{
+	t := storage.Txn{
 		Operation: fmt.Sprintf("config/prune/%d", entry.Version),
-		Checks:    []platform.Check{{Key: key, Version: rev}},
+		Checks:    []storage.Check{{Key: key, Version: rev}},
 		Deletes:   []string{key},
 	}
 	for i, k := range now.keys {
@@ -48,7 +48,7 @@
 			continue // set again, or removed by a later edit
 		}
 		row := rows.ConfigKey(entry.Changes[i].Key)
-		t.Checks = append(t.Checks, platform.Check{Key: row, Version: k.row})
+		t.Checks = append(t.Checks, storage.Check{Key: row, Version: k.row})
 		t.Deletes = append(t.Deletes, row)
 	}
 	return t
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -10,8 +10,8 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -73,7 +73,7 @@
 // StoreConfig is what an entry's Store needs.
 type StoreConfig struct {
 	ID    model.EntryID
-	Table platform.Table
+	Table storage.Table
 	Check Check
 	Log   log.Interface
 	// Keep is how many versions stay in the log; 0 means 10,000.
@@ -91,7 +91,7 @@
 // accepts edits.
 type Store struct {
 	Handle
-	table  platform.Table
+	table  storage.Table
 	check  Check
 	editor actor.Address[editRequest]
 }
@@ -108,8 +108,8 @@
 }
 
 // Edit makes an edit. Errors: a finding.List when it is invalid,
-// *ConflictError, platform.ErrUnavailable or ErrRefused when it certainly had
-// no effect, and platform.ErrUnknown when that could not be determined.
+// *ConflictError, storage.ErrUnavailable or ErrRefused when it certainly had
+// no effect, and storage.ErrUnknown when that could not be determined.
 func (s *Store) Edit(ctx context.Context, e Edit) (Accepted, error) {
 	found := s.check.Validate(e)
 	if err := found.Err(); err != nil {
@@ -117,7 +117,7 @@
 	}
 	r := editRequest{ctx: ctx, edit: e, answer: actor.NewReply[editAnswer]()}
 	if !s.editor.TrySend(r) {
-		return Accepted{}, fmt.Errorf("%w: too many edits are waiting", platform.ErrUnavailable)
+		return Accepted{}, fmt.Errorf("%w: too many edits are waiting", storage.ErrUnavailable)
 	}
 	select {
 	case a := <-r.answer.C():
@@ -125,7 +125,7 @@
 	case <-s.editor.Done():
 	case <-ctx.Done():
 	}
-	return Accepted{}, fmt.Errorf("%w: edit %s did not end in time", platform.ErrUnknown, e.ID)
+	return Accepted{}, fmt.Errorf("%w: edit %s did not end in time", storage.ErrUnknown, e.ID)
 }
 
 // refusal makes a base that cannot be used a finding of the edit.
--- a/internal/configstore/table_test.go
+++ b/internal/configstore/table_test.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // fault is what happens to one operation of the fake table.
@@ -25,17 +25,17 @@
 }
 
 type tableData struct {
-	rev     platform.Revision
-	rows    map[string]platform.Row
+	rev     storage.Revision
+	rows    map[string]storage.Row
 	commits []fault // of the next commits, in order
 	reads   fault   // of every read
-	onWay   *platform.Txn
+	onWay   *storage.Txn
 	draw    func() fault // chooses the fault of a commit; nil: the script above
 	drawn   func() fault // chooses the fault of a read
 }
 
 func newFakeTable(g *actor.Group) fakeTable {
-	d := &tableData{rows: map[string]platform.Row{}}
+	d := &tableData{rows: map[string]storage.Row{}}
 	return fakeTable{actor.Spawn(g, actor.Spec[func(*tableData)]{Name: "table", Mailbox: 16,
 		Run: func(ctx context.Context, in <-chan func(*tableData)) error {
 			for {
@@ -57,14 +57,14 @@
 	return err
 }
 
-func (t fakeTable) Commit(ctx context.Context, x platform.Txn) (rev platform.Revision, err error) {
+func (t fakeTable) Commit(ctx context.Context, x storage.Txn) (rev storage.Revision, err error) {
 	if e := t.do(ctx, func(d *tableData) { rev, err = d.commit(x) }); e != nil {
 		return 0, e
 	}
 	return rev, err
 }
 
-func (d *tableData) commit(x platform.Txn) (platform.Revision, error) {
+func (d *tableData) commit(x storage.Txn) (storage.Revision, error) {
 	if late := d.onWay; late != nil {
 		d.onWay = nil
 		_ = d.apply(*late)
@@ -77,30 +77,30 @@
 	}
 	switch kind {
 	case away:
-		return 0, platform.ErrUnavailable
+		return 0, storage.ErrUnavailable
 	case lostFirst:
-		return 0, platform.ErrUnknown
+		return 0, storage.ErrUnknown
 	case late:
 		d.onWay = &x
-		return 0, platform.ErrUnknown
+		return 0, storage.ErrUnknown
 	}
 	if err := d.apply(x); err != nil && kind != lostAfter {
 		return 0, err
 	}
 	if kind == lostAfter {
-		return 0, platform.ErrUnknown
+		return 0, storage.ErrUnknown
 	}
 	return d.rev, nil
 }
 
-func (d *tableData) version(key string) platform.Revision {
+func (d *tableData) version(key string) storage.Revision {
 	if row := d.rows[key]; !row.Deleted {
 		return row.Version
 	}
 	return 0
 }
 
-func (d *tableData) apply(x platform.Txn) error {
+func (d *tableData) apply(x storage.Txn) error {
 	var failed []string
 	for _, c := range x.Checks {
 		if d.version(c.Key) != c.Version {
@@ -108,29 +108,29 @@
 		}
 	}
 	if failed != nil {
-		return &platform.ConflictError{Keys: failed}
+		return &storage.ConflictError{Keys: failed}
 	}
 	d.rev++
 	for _, p := range x.Puts {
-		d.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: d.rev}
+		d.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: d.rev}
 	}
 	for _, key := range x.Deletes {
-		d.rows[key] = platform.Row{Key: key, Version: d.rev, Deleted: true}
+		d.rows[key] = storage.Row{Key: key, Version: d.rev, Deleted: true}
 	}
 	return nil
 }
 
 func (d *tableData) reading() error {
 	if d.reads == away || (d.drawn != nil && d.drawn() == away) {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
 
-func (t fakeTable) Read(ctx context.Context, key string) (row platform.Row, err error) {
+func (t fakeTable) Read(ctx context.Context, key string) (row storage.Row, err error) {
 	if e := t.do(ctx, func(d *tableData) {
 		if row = d.rows[key]; d.version(key) == 0 {
-			err = platform.ErrNotFound
+			err = storage.ErrNotFound
 		}
 		if away := d.reading(); away != nil {
 			err = away
@@ -141,7 +141,7 @@
 	return row, err
 }
 
-func (t fakeTable) Scan(ctx context.Context, prefix string, after platform.Revision) (found []platform.Row, rev platform.Revision, err error) {
+func (t fakeTable) Scan(ctx context.Context, prefix string, after storage.Revision) (found []storage.Row, rev storage.Revision, err error) {
 	if e := t.do(ctx, func(d *tableData) {
 		rev = d.rev
 		for k, row := range d.rows {
--- a/internal/control/cell.go
+++ b/internal/control/cell.go
@@ -6,9 +6,9 @@
 	"github.com/bambooscale/bambooscale/internal/chart"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // States of charts/cell.scxml.
@@ -38,8 +38,8 @@
 	state        chart.State
 	deadline     time.Duration // of the state's timeout; 0 when it has none
 	owner        rows.CellEpoch
-	epochVersion platform.Revision
-	beatVersion  platform.Revision
+	epochVersion storage.Revision
+	beatVersion  storage.Revision
 	unchanged    int // observations since the last change or outage
 	observing    bool
 	observeAt    time.Duration
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,11 +13,11 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/health"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Message is a message to the actor. Senders wait for room in the mailbox.
@@ -78,7 +78,7 @@
 // Config describes a controller.
 type Config struct {
 	Options
-	Table platform.Table
+	Table storage.Table
 	Log   log.Interface
 	// NewPlanner replaces Options.Planner, so that a restarted actor has a new
 	// one. Nil: place.New with its defaults.
@@ -101,7 +101,7 @@
 // store carries out the effects at the table. It is shared by the helper
 // actors, of which only one uses the writer.
 type store struct {
-	table  platform.Table
+	table  storage.Table
 	cell   model.Cell
 	log    log.Interface
 	writer *writer
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -13,7 +13,7 @@
 	"github.com/bambooscale/bambooscale/internal/control"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -165,7 +165,7 @@
 			run(t, 1, []model.EntryID{"a"}, func(w *world) {
 				w.table.set(func() { w.table.late = c.late })
 				lost := map[string]bool{}
-				w.table.lose = func(txn platform.Txn) bool {
+				w.table.lose = func(txn storage.Txn) bool {
 					for _, p := range txn.Puts {
 						if strings.HasPrefix(p.Key, "job/") && strings.Contains(string(p.Value), c.mark) && !lost[txn.Operation] {
 							lost[txn.Operation] = true
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -5,12 +5,12 @@
 
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/health"
 	"github.com/bambooscale/bambooscale/internal/policy/interfere"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -57,7 +57,7 @@
 
 	loaded   bool // the job rows were read completely at this epoch
 	scanning bool
-	scanned  platform.Revision
+	scanned  storage.Revision
 	planning bool                // something changed that a plan may use
 	finished map[model.Phase]int // jobs that are over
 	// evictions counts by team and class since the cell was claimed.
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -6,9 +6,9 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Event is an input of Core.
@@ -46,37 +46,37 @@
 	Observed struct {
 		Err          error
 		Epoch        rows.CellEpoch
-		EpochVersion platform.Revision // 0: the cell has never had an owner
-		BeatVersion  platform.Revision
+		EpochVersion storage.Revision // 0: the cell has never had an owner
+		BeatVersion  storage.Revision
 	}
 	// Claimed answers Claim. Without Won, another entry was faster.
 	Claimed struct {
 		Won     bool
-		Version platform.Revision // of the epoch row
+		Version storage.Revision // of the epoch row
 	}
 	// Beaten answers Beat.
 	Beaten struct {
-		Fence  platform.Revision // as in the effect
+		Fence  storage.Revision // as in the effect
 		Sent   time.Duration
 		OK     bool
 		Fenced bool
 	}
 	// Scanned answers Scan.
 	Scanned struct {
-		Fence   platform.Revision // as in the effect
+		Fence   storage.Revision // as in the effect
 		Err     error
 		Rows    []JobRow
-		Through platform.Revision
+		Through storage.Revision
 	}
 	// Committed answers Commit: every write took effect.
 	Committed struct {
-		Fence    platform.Revision // as in the effect
-		Revision platform.Revision
+		Fence    storage.Revision // as in the effect
+		Revision storage.Revision
 	}
 	// Rejected answers Commit: no write took effect. Rows are the present
 	// rows of the failed keys.
 	Rejected struct {
-		Fence  platform.Revision // as in the effect
+		Fence  storage.Revision // as in the effect
 		Fenced bool
 		Rows   []JobRow
 	}
@@ -86,7 +86,7 @@
 type JobRow struct {
 	ID      model.JobID
 	Row     model.JobRow
-	Version platform.Revision
+	Version storage.Revision
 	Deleted bool
 }
 
@@ -118,23 +118,23 @@
 	// Claim writes the epoch row if it still has the version.
 	Claim struct {
 		Epoch   rows.CellEpoch
-		Version platform.Revision
+		Version storage.Revision
 	}
 	// Beat writes the heartbeat row, fenced by the version of the epoch row.
 	Beat struct {
 		Beat  rows.CellBeat
-		Fence platform.Revision
+		Fence storage.Revision
 		Sent  time.Duration
 	}
 	// Scan reads the job rows that changed after a revision.
 	Scan struct {
-		Fence platform.Revision // version of the epoch row, to match the answer
-		After platform.Revision
+		Fence storage.Revision // version of the epoch row, to match the answer
+		After storage.Revision
 	}
 	// Commit writes job rows in one transaction, fenced by the version of the
 	// epoch row. It is repeated until its outcome is known.
 	Commit struct {
-		Fence  platform.Revision
+		Fence  storage.Revision
 		Writes []JobRow // Version is the one expected
 	}
 	Log struct {
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 	"github.com/bambooscale/bambooscale/internal/tasks"
 )
 
@@ -21,17 +21,17 @@
 type table struct {
 	t       *testing.T
 	mu      sync.Mutex
-	rows    map[string]platform.Row
-	rev     platform.Revision
+	rows    map[string]storage.Row
+	rev     storage.Revision
 	away    bool
 	delay   time.Duration
-	lose    func(platform.Txn) bool // the response is lost after the write
-	late    time.Duration           // a transaction whose response is lost takes effect after this
-	commits map[string]int          // by writer: the operation id up to the last dash
+	lose    func(storage.Txn) bool // the response is lost after the write
+	late    time.Duration          // a transaction whose response is lost takes effect after this
+	commits map[string]int         // by writer: the operation id up to the last dash
 }
 
 func newTable(t *testing.T) *table {
-	return &table{t: t, rows: map[string]platform.Row{}, commits: map[string]int{}, delay: time.Millisecond}
+	return &table{t: t, rows: map[string]storage.Row{}, commits: map[string]int{}, delay: time.Millisecond}
 }
 
 func (s *table) set(change func()) { s.mu.Lock(); defer s.mu.Unlock(); change() }
@@ -42,12 +42,12 @@
 	delay, away := s.delay, s.away
 	s.mu.Unlock()
 	if !actor.Sleep(ctx, delay) || away {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
 
-func (s *table) Commit(ctx context.Context, t platform.Txn) (platform.Revision, error) {
+func (s *table) Commit(ctx context.Context, t storage.Txn) (storage.Revision, error) {
 	if err := s.wait(ctx); err != nil {
 		return 0, err
 	}
@@ -57,17 +57,17 @@
 	lost := s.lose != nil && s.lose(t)
 	if lost && s.late > 0 {
 		time.AfterFunc(s.late, func() { s.set(func() { _, _ = s.apply(t) }) })
-		return 0, platform.ErrUnknown
+		return 0, storage.ErrUnknown
 	}
 	rev, err := s.apply(t)
 	if err == nil && lost {
-		return 0, platform.ErrUnknown
+		return 0, storage.ErrUnknown
 	}
 	return rev, err
 }
 
 // apply commits a transaction; the caller holds the lock.
-func (s *table) apply(t platform.Txn) (platform.Revision, error) {
+func (s *table) apply(t storage.Txn) (storage.Revision, error) {
 	var failed []string
 	for _, c := range t.Checks {
 		if s.rows[c.Key].Version != c.Version {
@@ -75,35 +75,35 @@
 		}
 	}
 	if len(failed) > 0 {
-		return 0, &platform.ConflictError{Keys: failed}
+		return 0, &storage.ConflictError{Keys: failed}
 	}
 	s.rev++
 	for _, p := range t.Puts {
-		s.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: s.rev}
+		s.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: s.rev}
 	}
 	s.commits[t.Operation[:strings.LastIndexByte(t.Operation, '-')+1]]++
 	return s.rev, nil
 }
 
-func (s *table) Read(ctx context.Context, key string) (platform.Row, error) {
+func (s *table) Read(ctx context.Context, key string) (storage.Row, error) {
 	if err := s.wait(ctx); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r, ok := s.rows[key]; ok {
 		return r, nil
 	}
-	return platform.Row{}, platform.ErrNotFound
+	return storage.Row{}, storage.ErrNotFound
 }
 
-func (s *table) Scan(ctx context.Context, prefix string, after platform.Revision) ([]platform.Row, platform.Revision, error) {
+func (s *table) Scan(ctx context.Context, prefix string, after storage.Revision) ([]storage.Row, storage.Revision, error) {
 	if err := s.wait(ctx); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []platform.Row
+	var found []storage.Row
 	for _, r := range s.rows {
 		if strings.HasPrefix(r.Key, prefix) && r.Version > after {
 			found = append(found, r)
@@ -120,7 +120,7 @@
 	row, _ := rows.Decode[model.JobRow](s.rows[key].Value)
 	change(&row)
 	s.rev++
-	s.rows[key] = platform.Row{Key: key, Value: rows.Encode(row), Version: s.rev}
+	s.rows[key] = storage.Row{Key: key, Value: rows.Encode(row), Version: s.rev}
 }
 
 func (s *table) job(id model.JobID) model.JobRow {
@@ -130,7 +130,7 @@
 	return row
 }
 
-func (s *table) version(id model.JobID) (v platform.Revision) {
+func (s *table) version(id model.JobID) (v storage.Revision) {
 	s.set(func() { v = s.rows[rows.JobKey(cellName, id)].Version })
 	return v
 }
--- a/internal/control/job.go
+++ b/internal/control/job.go
@@ -7,9 +7,9 @@
 	"github.com/bambooscale/bambooscale/internal/chart"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/lease"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // States of charts/job.scxml.
@@ -45,10 +45,10 @@
 	id      model.JobID
 	row     model.JobRow // Phase is set when it is written
 	phase   chart.State
-	version platform.Revision // of the row in the table
-	order   uint64            // submission order
-	size    model.Resources   // measured peak, at least the declared size
-	verdict place.Verdict     // of the last plan that did not place it
+	version storage.Revision // of the row in the table
+	order   uint64           // submission order
+	size    model.Resources  // measured peak, at least the declared size
+	verdict place.Verdict    // of the last plan that did not place it
 	attempt attempt
 	parked  string       // why the health policy parks it
 	labels  model.Labels // that selectors match its tasks by; nil: not computed
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Clone returns an independent copy for an exploration of alternatives. The
@@ -47,12 +47,12 @@
 // Scale makes encodings of equivalent states equal: revisions and lease
 // sequence numbers matter only by their order and difference.
 type Scale struct {
-	Rank func(platform.Revision) int
+	Rank func(storage.Revision) int
 	Seq  func(w model.WorkerID, seq uint64) int64
 }
 
 // EachRevision calls f with the revisions that the state holds.
-func (c *Core) EachRevision(f func(platform.Revision)) {
+func (c *Core) EachRevision(f func(storage.Revision)) {
 	f(c.cell.epochVersion)
 	f(c.cell.beatVersion)
 	f(c.scanned)
@@ -119,7 +119,7 @@
 	}
 }
 
-func (e *encoder) revisions(values ...platform.Revision) {
+func (e *encoder) revisions(values ...storage.Revision) {
 	for _, v := range values {
 		e.ints(int64(e.scale.Rank(v)))
 	}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -14,8 +14,8 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -38,13 +38,13 @@
 // that one whose response was lost can be read back, and can no longer take
 // effect after the next one did.
 type writer struct {
-	table   platform.Table
+	table   storage.Table
 	log     log.Interface
 	key     string // of the writer's row
 	prefix  string // of operation ids
 	count   uint64
-	version platform.Revision // of the writer's row
-	known   bool              // version was read
+	version storage.Revision // of the writer's row
+	known   bool             // version was read
 }
 
 // errFailed is the result of a transaction that certainly had no effect
@@ -54,10 +54,10 @@
 func (e errFailed) Error() string { return "precondition failed for " + strings.Join(e.keys, ", ") }
 
 // commit returns the revision, an errFailed, or the context's error.
-func (w *writer) commit(ctx context.Context, checks []platform.Check, puts []platform.Put) (platform.Revision, error) {
+func (w *writer) commit(ctx context.Context, checks []storage.Check, puts []storage.Put) (storage.Revision, error) {
 	w.count++
 	op := fmt.Sprintf("%s-%d", w.prefix, w.count)
-	puts = append(puts, platform.Put{Key: w.key, Value: rows.Encode(writerRow{op})})
+	puts = append(puts, storage.Put{Key: w.key, Value: rows.Encode(writerRow{op})})
 	for delay := minBackoff; ; delay = min(2*delay, maxBackoff) {
 		rev, done, err := w.try(ctx, op, checks, puts)
 		if done || ctx.Err() != nil {
@@ -74,7 +74,7 @@
 }
 
 // try makes one attempt; done is false when it may be repeated.
-func (w *writer) try(ctx context.Context, op string, checks []platform.Check, puts []platform.Put) (rev platform.Revision, done bool, err error) {
+func (w *writer) try(ctx context.Context, op string, checks []storage.Check, puts []storage.Put) (rev storage.Revision, done bool, err error) {
 	if !w.known {
 		// Either the first transaction, or the fate of the last try is unknown.
 		row, err := w.readBack(ctx)
@@ -87,16 +87,16 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	own := platform.Check{Key: w.key, Version: w.version}
-	rev, err = w.table.Commit(bounded, platform.Txn{Operation: op, Checks: append(slices.Clone(checks), own), Puts: puts})
-	var conflict *platform.ConflictError
+	own := storage.Check{Key: w.key, Version: w.version}
+	rev, err = w.table.Commit(bounded, storage.Txn{Operation: op, Checks: append(slices.Clone(checks), own), Puts: puts})
+	var conflict *storage.ConflictError
 	switch {
 	case err == nil:
 		w.version = rev
 		return rev, true, nil
 	case errors.As(err, &conflict):
 		return w.conflict(ctx, op, conflict.Keys)
-	case !errors.Is(err, platform.ErrUnavailable):
+	case !errors.Is(err, storage.ErrUnavailable):
 		w.known = false
 	}
 	return 0, false, err
@@ -104,7 +104,7 @@
 
 // conflict tells a failed precondition from an earlier try of the same
 // transaction that took effect.
-func (w *writer) conflict(ctx context.Context, op string, keys []string) (platform.Revision, bool, error) {
+func (w *writer) conflict(ctx context.Context, op string, keys []string) (storage.Revision, bool, error) {
 	if !slices.Contains(keys, w.key) {
 		return 0, true, errFailed{keys}
 	}
@@ -130,11 +130,11 @@
 }
 
 // readRow reads and decodes a row; version 0 means that it is absent.
-func readRow[T any](ctx context.Context, t platform.Table, key string) (v T, version platform.Revision, err error) {
+func readRow[T any](ctx context.Context, t storage.Table, key string) (v T, version storage.Revision, err error) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, err := t.Read(bounded, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return v, 0, nil
 	}
 	if err != nil {
@@ -149,12 +149,12 @@
 
 // commitRows carries out a Commit effect.
 func (s *store) commitRows(ctx context.Context, f Commit) Event {
-	checks := []platform.Check{{Key: rows.CellEpochKey(s.cell), Version: f.Fence}}
-	var puts []platform.Put
+	checks := []storage.Check{{Key: rows.CellEpochKey(s.cell), Version: f.Fence}}
+	var puts []storage.Put
 	for _, r := range f.Writes {
 		key := rows.JobKey(s.cell, r.ID)
-		checks = append(checks, platform.Check{Key: key, Version: r.Version})
-		puts = append(puts, platform.Put{Key: key, Value: rows.Encode(r.Row)})
+		checks = append(checks, storage.Check{Key: key, Version: r.Version})
+		puts = append(puts, storage.Put{Key: key, Value: rows.Encode(r.Row)})
 	}
 	rev, err := s.writer.commit(ctx, checks, puts)
 	var failed errFailed
@@ -170,7 +170,7 @@
 }
 
 // rejected reads the present rows of the failed keys.
-func (s *store) rejected(ctx context.Context, fence platform.Revision, keys []string) Event {
+func (s *store) rejected(ctx context.Context, fence storage.Revision, keys []string) Event {
 	r := Rejected{Fence: fence}
 	for _, key := range keys {
 		id := model.JobID(strings.TrimPrefix(key, rows.JobPrefix(s.cell)))
@@ -191,8 +191,8 @@
 // claim carries out a Claim effect.
 func (s *store) claim(ctx context.Context, f Claim) Event {
 	key := rows.CellEpochKey(s.cell)
-	rev, err := s.writer.commit(ctx, []platform.Check{{Key: key, Version: f.Version}},
-		[]platform.Put{{Key: key, Value: rows.Encode(f.Epoch)}})
+	rev, err := s.writer.commit(ctx, []storage.Check{{Key: key, Version: f.Version}},
+		[]storage.Put{{Key: key, Value: rows.Encode(f.Epoch)}})
 	switch {
 	case err == nil:
 		return Claimed{Won: true, Version: rev}
@@ -209,15 +209,15 @@
 	defer cancel()
 	fence := rows.CellEpochKey(s.cell)
 	op := fmt.Sprintf("%s-beat-%d", s.writer.prefix, f.Beat.Counter)
-	_, err := s.table.Commit(bounded, platform.Txn{
+	_, err := s.table.Commit(bounded, storage.Txn{
 		Operation: op,
-		Checks:    []platform.Check{{Key: fence, Version: f.Fence}},
-		Puts: []platform.Put{
+		Checks:    []storage.Check{{Key: fence, Version: f.Fence}},
+		Puts: []storage.Put{
 			{Key: rows.CellBeatKey(s.cell), Value: rows.Encode(f.Beat)},
 			{Key: s.writer.key + "/beat", Value: rows.Encode(writerRow{op})},
 		},
 	})
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	return Beaten{Fence: f.Fence, Sent: f.Sent, OK: err == nil, Fenced: errors.As(err, &conflict)}
 }
 
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -16,8 +16,8 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/peer"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 	"github.com/bambooscale/bambooscale/internal/tasks"
 )
 
@@ -29,8 +29,8 @@
 	Entries  []string // addresses for agents, to connect to first
 	Announce net.Listener
 	Dialer   link.Dialer
-	Host     tasks.Worker   // nil: the host runs no tasks
-	Table    platform.Table // nil: only Entries are connected to
+	Host     tasks.Worker  // nil: the host runs no tasks
+	Table    storage.Table // nil: only Entries are connected to
 	Log      log.Interface
 }
 
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -13,8 +13,8 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/peer"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // cells are the controllers of the cells that an entry contends for. The map
@@ -24,7 +24,7 @@
 	controllers map[model.Cell]actor.Address[control.Message]
 }
 
-func startCells(g *actor.Group, names []model.Cell, self entry.Self, address string, table platform.Table, l log.Interface) *cells {
+func startCells(g *actor.Group, names []model.Cell, self entry.Self, address string, table storage.Table, l log.Interface) *cells {
 	c := &cells{ctx: g.Context(), controllers: map[model.Cell]actor.Address[control.Message]{}}
 	for _, name := range names {
 		c.controllers[name] = control.Start(g, control.Config{
@@ -114,7 +114,7 @@
 			return e, nil
 		}
 	}
-	return nil, platform.ErrNotFound
+	return nil, storage.ErrNotFound
 }
 
 // matcher parses a label selector for the operators' API.
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -17,17 +17,17 @@
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/operator"
 	"github.com/bambooscale/bambooscale/internal/peer"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
 	"github.com/bambooscale/bambooscale/internal/settings"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // EntryConfig is what an entry process needs.
 type EntryConfig struct {
 	Settings *settings.Settings
 	Build    string // version of the program
-	Table    platform.Table
-	Objects  platform.Objects
+	Table    storage.Table
+	Objects  storage.Objects
 	Callers  net.Listener
 	Agents   link.Listener
 	Operator net.Listener
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -16,7 +16,7 @@
 	"github.com/bambooscale/bambooscale/internal/metrics"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/operator"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // view answers the operators' questions about an entry.
@@ -25,7 +25,7 @@
 	dispatcher entry.Address
 	recent     *metrics.Windows
 	cells      *cells
-	table      platform.Table
+	table      storage.Table
 	entries    *actor.Value[directory.List]
 	leaving    *actor.Value[bool] // set when the entry shuts down
 }
@@ -85,7 +85,7 @@
 		return entry.DrainQuery{Backend: id, Reply: r}
 	})
 	if err == nil && !found {
-		return platform.ErrNotFound
+		return storage.ErrNotFound
 	}
 	return err
 }
@@ -97,7 +97,7 @@
 func (v *view) peers(ctx context.Context) ([]operator.Peer, error) {
 	known := v.entries.Get()
 	if known == nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, "the list of entries has not been read yet")
+		return nil, errors.Wrap(storage.ErrUnavailable, "the list of entries has not been read yet")
 	}
 	entries, err := known.Update(ctx, v.table)
 	if err != nil {
@@ -129,7 +129,7 @@
 		}
 		return explainBackend(services, model.BackendID(name))
 	}
-	return nil, platform.ErrNotFound
+	return nil, storage.ErrNotFound
 }
 
 func (v *view) explainWorker(ctx context.Context, id model.WorkerID) (any, error) {
@@ -142,7 +142,7 @@
 			return c.Workers[i], nil
 		}
 	}
-	return nil, platform.ErrNotFound
+	return nil, storage.ErrNotFound
 }
 
 // backendExplanation says why a backend server gets the work that it gets.
@@ -161,7 +161,7 @@
 			}
 		}
 	}
-	return nil, platform.ErrNotFound
+	return nil, storage.ErrNotFound
 }
 
 func backendReason(b model.BackendStatus, s model.ServiceStatus) string {
@@ -193,7 +193,7 @@
 			}
 		}
 	}
-	return nil, platform.ErrNotFound
+	return nil, storage.ErrNotFound
 }
 
 func classReason(c model.ClassStatus, s model.ServiceStatus) string {
--- a/internal/daemon/operator_test.go
+++ b/internal/daemon/operator_test.go
@@ -14,9 +14,9 @@
 	"github.com/bambooscale/bambooscale/internal/entry"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/operator"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Guards against an edit that is reported in effect everywhere while an entry
@@ -26,7 +26,7 @@
 	defer g.Stop()
 	table := standin.NewTable(g, standin.StoreFaults{})
 	announce := func(id model.EntryID) {
-		_, err := table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{
+		_, err := table.Commit(t.Context(), storage.Txn{Puts: []storage.Put{
 			{Key: rows.EntryKey(id), Value: rows.Encode(rows.Entry{ID: id, Operator: string(id)})}}})
 		require.NoError(t, err)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -14,8 +14,8 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -28,13 +28,13 @@
 
 // Announce renews the row of an entry until g ends. A renewal that fails is
 // not repeated before the next one is due.
-func Announce(g *actor.Group, table platform.Table, e rows.Entry) {
+func Announce(g *actor.Group, table storage.Table, e rows.Entry) {
 	actor.Go(g, "entry announcer", func(ctx context.Context) error {
 		for {
 			e.Counter++
-			txn := platform.Txn{
+			txn := storage.Txn{
 				Operation: fmt.Sprintf("%s/%x/%d", e.ID, uint64(e.Boot), e.Counter),
-				Puts:      []platform.Put{{Key: rows.EntryKey(e.ID), Value: rows.Encode(e)}},
+				Puts:      []storage.Put{{Key: rows.EntryKey(e.ID), Value: rows.Encode(e)}},
 			}
 			_, _ = table.Commit(ctx, txn)
 			if !actor.Sleep(ctx, renewInterval) {
@@ -47,25 +47,25 @@
 // List is the living entries. Rows that changed after UpTo are not in it yet.
 type List struct {
 	Entries []rows.Entry
-	UpTo    platform.Revision
+	UpTo    storage.Revision
 }
 
 // Follow calls deliver, from one goroutine, with the living entries whenever
 // a row has changed or an entry has gone.
-func Follow(g *actor.Group, table platform.Table, interval time.Duration, l log.Interface, deliver func(List)) {
-	to := actor.Spawn(g, actor.Spec[platform.Changes]{Name: "entry directory", Mailbox: 4, Restart: actor.OnFailure,
-		Run: func(ctx context.Context, in <-chan platform.Changes) error {
+func Follow(g *actor.Group, table storage.Table, interval time.Duration, l log.Interface, deliver func(List)) {
+	to := actor.Spawn(g, actor.Spec[storage.Changes]{Name: "entry directory", Mailbox: 4, Restart: actor.OnFailure,
+		Run: func(ctx context.Context, in <-chan storage.Changes) error {
 			return newFollower(interval, deliver).run(ctx, in)
 		}})
-	platform.SpawnPoller(g, platform.PollerConfig{Table: table, Prefix: rows.EntryPrefix, Interval: interval, Log: l},
-		to, func(c platform.Changes) platform.Changes { return c })
+	storage.SpawnPoller(g, storage.PollerConfig{Table: table, Prefix: rows.EntryPrefix, Interval: interval, Log: l},
+		to, func(c storage.Changes) storage.Changes { return c })
 }
 
 // follower judges which entries live by its own clock.
 type follower struct {
 	gone    time.Duration
 	deliver func(List)
-	upTo    platform.Revision
+	upTo    storage.Revision
 	known   map[model.EntryID]*sighting
 }
 
@@ -78,7 +78,7 @@
 	return &follower{gone: max(goneAfter, 3*interval), deliver: deliver, known: map[model.EntryID]*sighting{}}
 }
 
-func (f *follower) run(ctx context.Context, in <-chan platform.Changes) error {
+func (f *follower) run(ctx context.Context, in <-chan storage.Changes) error {
 	check := time.NewTicker(renewInterval)
 	defer check.Stop()
 	for {
@@ -95,7 +95,7 @@
 }
 
 // apply records changed rows and delivers the list if something has changed.
-func (f *follower) apply(now time.Time, changed []platform.Row) {
+func (f *follower) apply(now time.Time, changed []storage.Row) {
 	dirty := len(changed) > 0
 	for _, r := range changed {
 		e, err := rows.Decode[rows.Entry](r.Value)
@@ -117,7 +117,7 @@
 
 // Update adds the entries whose rows have changed since the list was read: they
 // live, and some may be new.
-func (l List) Update(ctx context.Context, table platform.Table) ([]rows.Entry, error) {
+func (l List) Update(ctx context.Context, table storage.Table) ([]rows.Entry, error) {
 	changed, _, err := table.Scan(ctx, rows.EntryPrefix, l.UpTo)
 	if err != nil {
 		return nil, err
--- a/internal/explore/fingerprint.go
+++ b/internal/explore/fingerprint.go
@@ -11,7 +11,7 @@
 	"github.com/bambooscale/bambooscale/internal/control"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 	"github.com/bambooscale/bambooscale/internal/tasks"
 )
 
@@ -200,8 +200,8 @@
 // scale ranks the revisions of the state and counts lease sequence numbers
 // from the smallest one in use for a worker.
 func (w *world) scale() control.Scale {
-	revisions := []platform.Revision{0, w.table.rev, w.table.epochVersion, w.table.beatVersion}
-	add := func(r platform.Revision) { revisions = append(revisions, r) }
+	revisions := []storage.Revision{0, w.table.rev, w.table.epochVersion, w.table.beatVersion}
+	add := func(r storage.Revision) { revisions = append(revisions, r) }
 	for _, r := range w.table.jobs {
 		add(r.Version)
 	}
@@ -217,7 +217,7 @@
 	slices.Sort(revisions)
 	revisions = slices.Compact(revisions)
 	return control.Scale{
-		Rank: func(r platform.Revision) int { i, _ := slices.BinarySearch(revisions, r); return i },
+		Rank: func(r storage.Revision) int { i, _ := slices.BinarySearch(revisions, r); return i },
 		Seq: func(id model.WorkerID, n uint64) int64 {
 			if n == 0 {
 				return 1 << 40
--- a/internal/explore/platform.go
+++ b/internal/explore/platform.go
@@ -8,17 +8,17 @@
 
 	"github.com/bambooscale/bambooscale/internal/control"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/policy/place"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // table is the part of the table service that controllers use.
 type table struct {
-	rev          platform.Revision
+	rev          storage.Revision
 	epoch        rows.CellEpoch
-	epochVersion platform.Revision
-	beatVersion  platform.Revision
+	epochVersion storage.Revision
+	beatVersion  storage.Revision
 	jobs         map[model.JobID]control.JobRow
 }
 
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // recorded is a history of the scenario test/testdata/mixed.txt.
@@ -62,7 +62,7 @@
 	row := list[len(list)-1]
 	edit(&row)
 	c := standin.Committed{Revision: h.Commits[len(h.Commits)-1].Revision + 1}
-	c.Puts = []platform.Put{{Key: rows.JobKey("cell-1", row.Spec.ID), Value: rows.Encode(row)}}
+	c.Puts = []storage.Put{{Key: rows.JobKey("cell-1", row.Spec.ID), Value: rows.Encode(row)}}
 	h.Commits = append(h.Commits, c)
 }
 
@@ -159,7 +159,7 @@
 	{"configuration versions", "a table that goes back", func(h *History) {
 		for v := range model.ConfigVersion(2) {
 			c := standin.Committed{}
-			c.Puts = []platform.Put{{Key: rows.ConfigHeadKey, Value: rows.Encode(rows.ConfigHead{Version: 9 - v})}}
+			c.Puts = []storage.Put{{Key: rows.ConfigHeadKey, Value: rows.Encode(rows.ConfigHead{Version: 9 - v})}}
 			h.Commits = append(h.Commits, c)
 		}
 	}},
--- a/internal/operator/encode.go
+++ b/internal/operator/encode.go
@@ -18,7 +18,7 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/finding"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // errorBody is the JSON body of every answer that is not a success.
@@ -81,15 +81,15 @@
 		return http.StatusConflict, body
 	case errors.As(err, &job):
 		return http.StatusConflict, body
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		return http.StatusNotFound, body
-	case errors.Is(err, platform.ErrUnknown), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, storage.ErrUnknown), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		body.Outcome = model.OutcomeUnknown.String()
 		return http.StatusServiceUnavailable, body
-	case errors.Is(err, platform.ErrRefused):
+	case errors.Is(err, storage.ErrRefused):
 		body.Outcome = model.OutcomeNotRun.String()
 		return http.StatusUnprocessableEntity, body
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, actor.ErrStopped):
+	case errors.Is(err, storage.ErrUnavailable), errors.Is(err, actor.ErrStopped):
 		body.Outcome = model.OutcomeNotRun.String()
 		return http.StatusServiceUnavailable, body
 	}
--- a/internal/operator/fixture_test.go
+++ b/internal/operator/fixture_test.go
@@ -19,57 +19,57 @@
 	"github.com/bambooscale/bambooscale/internal/configstore"
 	"github.com/bambooscale/bambooscale/internal/finding"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // scriptTable answers commits by a script, then normally. One goroutine uses
 // it at a time.
 type scriptTable struct {
-	rev    platform.Revision
-	rows   map[string]platform.Row
+	rev    storage.Revision
+	rows   map[string]storage.Row
 	script []string // "away", "lost-after", "lost-before"
 	down   bool     // reads fail
 }
 
-func (t *scriptTable) Commit(_ context.Context, x platform.Txn) (platform.Revision, error) {
+func (t *scriptTable) Commit(_ context.Context, x storage.Txn) (storage.Revision, error) {
 	step := ""
 	if len(t.script) > 0 {
 		step, t.script = t.script[0], t.script[1:]
 	}
 	if step == "away" {
-		return 0, platform.ErrUnavailable
+		return 0, storage.ErrUnavailable
 	} else if step == "lost-before" {
-		return 0, platform.ErrUnknown
+		return 0, storage.ErrUnknown
 	}
 	for _, c := range x.Checks {
 		if t.rows[c.Key].Version != c.Version {
-			return 0, &platform.ConflictError{Keys: []string{c.Key}}
+			return 0, &storage.ConflictError{Keys: []string{c.Key}}
 		}
 	}
 	t.rev++
 	for _, p := range x.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.rev}
+		t.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: t.rev}
 	}
 	if step == "lost-after" {
-		return 0, platform.ErrUnknown
+		return 0, storage.ErrUnknown
 	}
 	return t.rev, nil
 }
 
-func (t *scriptTable) Read(_ context.Context, key string) (platform.Row, error) {
+func (t *scriptTable) Read(_ context.Context, key string) (storage.Row, error) {
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, storage.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *scriptTable) Scan(_ context.Context, prefix string, after platform.Revision) ([]platform.Row, platform.Revision, error) {
-	var out []platform.Row
+func (t *scriptTable) Scan(_ context.Context, prefix string, after storage.Revision) ([]storage.Row, storage.Revision, error) {
+	var out []storage.Row
 	for k, row := range t.rows {
 		if strings.HasPrefix(k, prefix) && row.Version > after {
 			out = append(out, row)
@@ -119,7 +119,7 @@
 }
 
 func newFixture(t *testing.T, token string) *fixture {
-	f := &fixture{t: t, g: actor.NewGroup(t.Context(), nil), table: &scriptTable{rows: map[string]platform.Row{}}, store: &fixedStore{}}
+	f := &fixture{t: t, g: actor.NewGroup(t.Context(), nil), table: &scriptTable{rows: map[string]storage.Row{}}, store: &fixedStore{}}
 	f.api = New(f.g, Config{
 		Entry: "entry-1", Token: token, DefaultCell: "dip-shed", Table: f.table, Objects: f.table, Store: f.store,
 		Log:    &log.Logger{Handler: discard.New(), Level: log.DebugLevel},
--- a/internal/operator/index.go
+++ b/internal/operator/index.go
@@ -12,8 +12,8 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // maxPage bounds the jobs of one answer.
@@ -46,12 +46,12 @@
 // jobIndex keeps the job rows of the cells that were listed, so that a list
 // reads only the rows that changed since the one before.
 type jobIndex struct {
-	table platform.Table
+	table storage.Table
 	cells map[model.Cell]*cellJobs
 }
 
 type cellJobs struct {
-	rev  platform.Revision
+	rev  storage.Revision
 	rows map[model.JobID]model.JobRow
 	ids  []model.JobID // sorted
 }
@@ -80,8 +80,8 @@
 	defer cancel()
 	changed, rev, err := ix.table.Scan(ctx, rows.JobPrefix(r.cell), c.rev)
 	if err != nil {
-		if !errors.Is(err, platform.ErrUnavailable) {
-			err = fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		if !errors.Is(err, storage.ErrUnavailable) {
+			err = fmt.Errorf("%w: %v", storage.ErrUnavailable, err)
 		}
 		return jobPage{}, err
 	}
@@ -93,7 +93,7 @@
 	return c.page(r), nil
 }
 
-func (c *cellJobs) update(prefix string, changed []platform.Row) {
+func (c *cellJobs) update(prefix string, changed []storage.Row) {
 	size := len(c.rows)
 	for _, row := range changed {
 		id := model.JobID(strings.TrimPrefix(row.Key, prefix))
--- a/internal/operator/jobhandlers.go
+++ b/internal/operator/jobhandlers.go
@@ -12,7 +12,7 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // JobView is a job as the API shows it.
@@ -50,7 +50,7 @@
 	row, created, err := a.jobs.submit(ctx, cell, spec)
 	fields := log.Fields{"cell": cell, "job": spec.ID, "team": spec.Team}
 	if err != nil {
-		if errors.Is(err, platform.ErrUnknown) {
+		if errors.Is(err, storage.ErrUnknown) {
 			event.Log(a.Log, event.OperatorJobUnknown, fields)
 		}
 		return response{}, err
@@ -158,7 +158,7 @@
 		return response{}, err
 	}
 	if view.Result == "" {
-		return response{}, fmt.Errorf("result of job %s, which is %s: %w", view.Spec.ID, view.Phase, platform.ErrNotFound)
+		return response{}, fmt.Errorf("result of job %s, which is %s: %w", view.Spec.ID, view.Phase, storage.ErrNotFound)
 	}
 	data, err := a.Objects.Get(ctx, view.Result)
 	if err != nil {
--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -12,8 +12,8 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/finding"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -28,20 +28,20 @@
 
 // jobs writes what clients ask for into the job rows.
 type jobs struct {
-	table platform.Table
+	table storage.Table
 	final func(model.Phase) bool
 }
 
 // submit writes the row of a job. created is false when the same job had been
-// submitted before. The error is *JobConflictError, platform.ErrUnavailable
-// (not written) or platform.ErrUnknown.
+// submitted before. The error is *JobConflictError, storage.ErrUnavailable
+// (not written) or storage.ErrUnknown.
 func (j jobs) submit(ctx context.Context, cell model.Cell, spec model.JobSpec) (row model.JobRow, created bool, err error) {
 	key := rows.JobKey(cell, spec.ID)
 	row = model.JobRow{Spec: spec, Phase: phasePending}
-	txn := platform.Txn{
+	txn := storage.Txn{
 		Operation: operation("submit", key),
-		Checks:    []platform.Check{{Key: key}},
-		Puts:      []platform.Put{{Key: key, Value: rows.Encode(row)}},
+		Checks:    []storage.Check{{Key: key}},
+		Puts:      []storage.Put{{Key: key, Value: rows.Encode(row)}},
 	}
 	err = j.settle(ctx, key, txn, func(found model.JobRow) error {
 		row = found
@@ -65,12 +65,12 @@
 // settle commits a transaction that writes one row. After a conflict or an
 // unknown outcome it reads the row and lets judge decide; a repeated commit
 // is the same transaction, so it takes effect at most once.
-func (j jobs) settle(ctx context.Context, key string, txn platform.Txn, judge func(model.JobRow) error) error {
+func (j jobs) settle(ctx context.Context, key string, txn storage.Txn, judge func(model.JobRow) error) error {
 	unknown := false
 	delay := minBackoff
 	for try := 0; ; try++ {
 		_, err := j.table.Commit(ctx, txn)
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		switch {
 		case err == nil:
 			return nil
@@ -96,20 +96,20 @@
 
 // noEffect reports whether an error says that a commit had no effect.
 func noEffect(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRefused)
+	return errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrRefused)
 }
 
 // fate makes an error say whether the write may have taken effect.
 func fate(unknown bool, err error) error {
 	if unknown {
-		return fmt.Errorf("%w: %v", platform.ErrUnknown, err)
+		return fmt.Errorf("%w: %v", storage.ErrUnknown, err)
 	}
-	return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %v", storage.ErrUnavailable, err)
 }
 
 func (j jobs) read(ctx context.Context, key string) (model.JobRow, bool, error) {
 	row, err := j.table.Read(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return model.JobRow{}, false, nil
 	} else if err != nil {
 		return model.JobRow{}, false, err
@@ -118,7 +118,7 @@
 	return v, err == nil, err
 }
 
-// show returns a job's row, or platform.ErrNotFound.
+// show returns a job's row, or storage.ErrNotFound.
 func (j jobs) show(ctx context.Context, cell model.Cell, id model.JobID) (model.JobRow, error) {
 	row, found, err := j.read(ctx, rows.JobKey(cell, id))
 	if err == nil && !found {
@@ -128,7 +128,7 @@
 }
 
 func unknownJob(cell model.Cell, id model.JobID) error {
-	return fmt.Errorf("job %s in cell %q: %w", id, cell, platform.ErrNotFound)
+	return fmt.Errorf("job %s in cell %q: %w", id, cell, storage.ErrNotFound)
 }
 
 // cancel records that a client wants a job cancelled. Repeating it has no
@@ -139,9 +139,9 @@
 	delay := minBackoff
 	for try := 0; ; try++ {
 		row, done, err := j.tryCancel(ctx, key)
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, storage.ErrNotFound):
 			return row, unknownJob(cell, id)
 		case done:
 			return row, nil
@@ -160,22 +160,22 @@
 func (j jobs) tryCancel(ctx context.Context, key string) (row model.JobRow, done bool, err error) {
 	stored, err := j.table.Read(ctx, key)
 	if err != nil {
-		if !errors.Is(err, platform.ErrNotFound) {
-			err = fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		if !errors.Is(err, storage.ErrNotFound) {
+			err = fmt.Errorf("%w: %v", storage.ErrUnavailable, err)
 		}
 		return row, false, err
 	}
 	if row, err = rows.Decode[model.JobRow](stored.Value); err != nil {
-		return row, false, fmt.Errorf("%w: row %s cannot be decoded: %v", platform.ErrUnavailable, key, err)
+		return row, false, fmt.Errorf("%w: row %s cannot be decoded: %v", storage.ErrUnavailable, key, err)
 	}
 	if row.Cancel || (j.final != nil && j.final(row.Phase)) {
 		return row, true, nil
 	}
 	row.Cancel = true
-	_, err = j.table.Commit(ctx, platform.Txn{
+	_, err = j.table.Commit(ctx, storage.Txn{
 		Operation: operation("cancel", key),
-		Checks:    []platform.Check{{Key: key, Version: stored.Version}},
-		Puts:      []platform.Put{{Key: key, Value: rows.Encode(row)}},
+		Checks:    []storage.Check{{Key: key, Version: stored.Version}},
+		Puts:      []storage.Put{{Key: key, Value: rows.Encode(row)}},
 	})
 	return row, err == nil, err
 }
--- a/internal/operator/jobs_test.go
+++ b/internal/operator/jobs_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Guards against a job accepted that was not written, written twice, or
@@ -114,7 +114,7 @@
 		status, _, _ := f.call("DELETE", "/v1/jobs/j1", "")
 		require.Equal(f.t, 202, status)
 		key := rows.JobKey("dip-shed", "j2")
-		f.table.rows[key] = platform.Row{Key: key, Version: 9, Value: rows.Encode(model.JobRow{Spec: model.JobSpec{ID: "j2"}, Phase: "done", Result: "result/j2/1"})}
+		f.table.rows[key] = storage.Row{Key: key, Version: 9, Value: rows.Encode(model.JobRow{Spec: model.JobSpec{ID: "j2"}, Phase: "done", Result: "result/j2/1"})}
 		status, _, body := f.call("DELETE", "/v1/jobs/j2", "")
 		require.Equal(f.t, 200, status)
 		require.Nil(f.t, body["cancel"], "a finished job is left as it is")
@@ -132,12 +132,12 @@
 // controls.
 func TestExplainJobByItsRow(t *testing.T) {
 	inFixture(t, "", func(f *fixture) {
-		f.api.Explain = func(context.Context, string, string) (any, error) { return nil, platform.ErrNotFound }
+		f.api.Explain = func(context.Context, string, string) (any, error) { return nil, storage.ErrNotFound }
 		f.api.Cells = func(context.Context) ([]model.CellStatus, error) {
 			return []model.CellStatus{{Cell: "dip-shed", Owner: "entry-2"}}, nil
 		}
 		for phase, want := range map[model.Phase]string{"done": "it is over", "running": "entry entry-2 owns cell dip-shed"} {
-			f.table.rows["job/dip-shed/j1"] = platform.Row{Key: "job/dip-shed/j1", Version: 1, Value: rows.Encode(model.JobRow{Phase: phase})}
+			f.table.rows["job/dip-shed/j1"] = storage.Row{Key: "job/dip-shed/j1", Version: 1, Value: rows.Encode(model.JobRow{Phase: phase})}
 			status, _, body := f.call("GET", "/v1/explain/job/j1", "")
 			require.Equal(f.t, 200, status)
 			require.Contains(f.t, body["reason"], want)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,8 +21,8 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/finding"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -59,8 +59,8 @@
 	Build       string // version of the program
 	Token       string // empty: no token is required
 	DefaultCell model.Cell
-	Table       platform.Table
-	Objects     platform.Objects
+	Table       storage.Table
+	Objects     storage.Objects
 	Store       ConfigStore
 	Log         log.Interface
 
@@ -70,9 +70,9 @@
 	Services func(context.Context) ([]model.ServiceStatus, error) // requests
 	Cells    func(context.Context) ([]model.CellStatus, error)    // jobs and workers
 	// Explain returns a JSON-encodable explanation of a thing of a kind (job,
-	// class, backend or worker), or an error that is platform.ErrNotFound.
+	// class, backend or worker), or an error that is storage.ErrNotFound.
 	Explain func(ctx context.Context, kind, name string) (any, error)
-	// Drain asks for the drain of a backend server; platform.ErrNotFound when
+	// Drain asks for the drain of a backend server; storage.ErrNotFound when
 	// it is not known.
 	Drain   func(context.Context, model.BackendID) error
 	Peers   func(context.Context) ([]Peer, error) // nil: there are no other entries
@@ -243,7 +243,7 @@
 func (a *API) health(r *http.Request) (response, error) {
 	if a.Health != nil {
 		if err := a.Health(r.Context()); err != nil {
-			return response{}, errors.Wrapf(platform.ErrUnavailable, "%v", err)
+			return response{}, errors.Wrapf(storage.ErrUnavailable, "%v", err)
 		}
 	}
 	return response{body: map[string]string{"status": "ok"}}, nil
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -10,8 +10,8 @@
 
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/rows"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Status is what one entry knows of the system.
@@ -133,16 +133,16 @@
 	switch kind {
 	case "job", "class", "backend", "worker":
 	default:
-		return response{}, fmt.Errorf("kind %q; use job, class, backend or worker: %w", kind, platform.ErrNotFound)
+		return response{}, fmt.Errorf("kind %q; use job, class, backend or worker: %w", kind, storage.ErrNotFound)
 	}
 	if name == "" || a.Explain == nil {
-		return response{}, fmt.Errorf("%s %q: %w", kind, name, platform.ErrNotFound)
+		return response{}, fmt.Errorf("%s %q: %w", kind, name, storage.ErrNotFound)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
 	v, err := a.Explain(ctx, kind, name)
 	switch {
-	case !errors.Is(err, platform.ErrNotFound):
+	case !errors.Is(err, storage.ErrNotFound):
 		return response{body: v}, err
 	case kind == "job":
 		return a.explainRow(ctx, r, model.JobID(name))
@@ -201,11 +201,11 @@
 func (a *API) drain(r *http.Request) (response, error) {
 	id := model.BackendID(r.PathValue("id"))
 	if a.Drain == nil {
-		return response{}, fmt.Errorf("backend server %q: %w", id, platform.ErrNotFound)
+		return response{}, fmt.Errorf("backend server %q: %w", id, storage.ErrNotFound)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
-	if err := a.Drain(ctx, id); errors.Is(err, platform.ErrNotFound) {
+	if err := a.Drain(ctx, id); errors.Is(err, storage.ErrNotFound) {
 		return response{}, fmt.Errorf("backend server %q is not known to this entry; bambooctl backend list shows those that are: %w", id, err)
 	} else if err != nil {
 		return response{}, err
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -26,7 +26,7 @@
 	{"internal/chart", "internal/model", "internal/actor"},
 	{"internal/msg", "internal/labels"},
 	{"internal/policy/", "internal/wire"},
-	{"internal/link", "internal/platform", "internal/rows", "internal/metrics", "internal/settings", "internal/load"},
+	{"internal/link", "internal/storage", "internal/rows", "internal/metrics", "internal/settings", "internal/load"},
 	{"internal/peer", "internal/directory"},
 	{"internal/entry", "internal/agent", "internal/tasks", "internal/control", "internal/configstore"},
 	{"internal/operator", "internal/standin"},
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Default limits of the table service and the object store, from
@@ -18,7 +18,7 @@
 )
 
 // errLost leaves the outcome unknown to the client.
-var errLost = platform.ErrUnknown
+var errLost = storage.ErrUnknown
 
 // StoreFaults are the faults of a table service or an object store. The zero
 // value simulates a healthy service with the default limits.
@@ -85,7 +85,7 @@
 	switch {
 	case g.Faults.Outage:
 		g.Counters.Refused++
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	case !l.AllowN(time.Now(), 1):
 		g.Counters.Limited++
 		return errLimit
--- a/internal/standin/memory.go
+++ b/internal/standin/memory.go
@@ -21,7 +21,7 @@
 }
 
 // Dial opens a connection. It has the form that http.Transport and
-// platform.HTTPConfig need, and ignores the network and the address.
+// storage.HTTPConfig need, and ignores the network and the address.
 func (l *MemoryListener) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	client, server := net.Pipe()
 	select {
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -9,10 +9,10 @@
 	"sort"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
-// Objects simulates the object store. It implements platform.Objects for use
+// Objects simulates the object store. It implements storage.Objects for use
 // inside the process. Data that it returns must not be modified.
 type Objects struct {
 	to actor.Address[message[*objectState]]
@@ -59,7 +59,7 @@
 	s.read(func(err error) {
 		data, ok := s.data[m.name]
 		if err == nil && !ok {
-			err = platform.ErrNotFound
+			err = storage.ErrNotFound
 		}
 		m.reply.Put(answer[[]byte]{data, err})
 	})
@@ -88,12 +88,12 @@
 	m.reply.Put(answer[[]string]{value: names})
 }
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
 	return o.write(ctx, name, append([]byte{}, data...))
 }
 
-// Delete implements platform.Objects. Deleting an absent object has no effect.
+// Delete implements storage.Objects. Deleting an absent object has no effect.
 func (o *Objects) Delete(ctx context.Context, name string) error { return o.write(ctx, name, nil) }
 
 func (o *Objects) write(ctx context.Context, name string, data []byte) error {
@@ -101,7 +101,7 @@
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements storage.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	data, err := ask(ctx, o.to, func(r objectReply[[]byte]) message[*objectState] { return objectReadMsg{name, r} })
 	return slices.Clip(data), readError(err)
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -20,7 +20,7 @@
 )
 
 // errLimit is returned above the rate limits; nothing took effect.
-var errLimit = errors.Wrap(platform.ErrUnavailable, "over the rate limit")
+var errLimit = errors.Wrap(storage.ErrUnavailable, "over the rate limit")
 
 // serve answers on l until ctx ends, which closes all connections.
 func serve(ctx context.Context, l net.Listener, s *http.Server) error {
@@ -62,17 +62,17 @@
 // operation whose outcome is to be unknown gets no answer: its connection is
 // closed.
 func writeError(w http.ResponseWriter, err error) {
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	switch {
 	case errors.As(err, &conflict):
 		writeJSON(w, http.StatusConflict, map[string]any{"failed": conflict.Keys})
 	case errors.Is(err, errLimit):
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrRefused):
+	case errors.Is(err, storage.ErrRefused):
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	default:
 		panic(http.ErrAbortHandler)
@@ -90,7 +90,7 @@
 func ask[M, T any](ctx context.Context, to actor.Address[M], build func(actor.Reply[answer[T]]) M) (T, error) {
 	a, err := actor.Ask(ctx, to, build)
 	if errors.Is(err, actor.ErrStopped) {
-		err = platform.ErrUnknown
+		err = storage.ErrUnknown
 	}
 	if err != nil {
 		return a.value, err
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // maxTxnRows is the largest number of rows that a transaction may write.
@@ -15,27 +15,27 @@
 
 // Committed is a transaction that took effect.
 type Committed struct {
-	Revision platform.Revision `json:"revision"`
-	platform.Txn
+	Revision storage.Revision `json:"revision"`
+	storage.Txn
 }
 
 // store holds the rows of a table.
 type store struct {
-	revision platform.Revision
-	rows     map[string]platform.Row // deleted rows stay as tombstones
-	changes  []change                // in revision order; superseded entries are skipped
+	revision storage.Revision
+	rows     map[string]storage.Row // deleted rows stay as tombstones
+	changes  []change               // in revision order; superseded entries are skipped
 	history  []Committed
 }
 
 type change struct {
-	revision platform.Revision
+	revision storage.Revision
 	key      string
 }
 
-func newStore() *store { return &store{rows: map[string]platform.Row{}} }
+func newStore() *store { return &store{rows: map[string]storage.Row{}} }
 
 // version returns 0 for an absent or deleted row.
-func (s *store) version(key string) platform.Revision {
+func (s *store) version(key string) storage.Revision {
 	if r := s.rows[key]; !r.Deleted {
 		return r.Version
 	}
@@ -43,7 +43,7 @@
 }
 
 // commit applies a transaction; keep adds it to the history.
-func (s *store) commit(t platform.Txn, keep bool) (platform.Revision, error) {
+func (s *store) commit(t storage.Txn, keep bool) (storage.Revision, error) {
 	if err := checkShape(t); err != nil {
 		return 0, err
 	}
@@ -54,17 +54,17 @@
 		}
 	}
 	if failed != nil {
-		return 0, &platform.ConflictError{Keys: failed}
+		return 0, &storage.ConflictError{Keys: failed}
 	}
 	s.revision++
 	t.Puts = slices.Clone(t.Puts)
 	for i, p := range t.Puts {
 		t.Puts[i].Value = slices.Clone(p.Value)
-		s.set(platform.Row{Key: p.Key, Value: t.Puts[i].Value, Version: s.revision})
+		s.set(storage.Row{Key: p.Key, Value: t.Puts[i].Value, Version: s.revision})
 	}
 	for _, key := range t.Deletes {
 		if s.version(key) != 0 {
-			s.set(platform.Row{Key: key, Version: s.revision, Deleted: true})
+			s.set(storage.Row{Key: key, Version: s.revision, Deleted: true})
 		}
 	}
 	if keep {
@@ -75,13 +75,13 @@
 }
 
 // committedAfter returns the kept transactions after a revision.
-func (s *store) committedAfter(after platform.Revision) []Committed {
+func (s *store) committedAfter(after storage.Revision) []Committed {
 	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
 	return slices.Clone(s.history[first:])
 }
 
 // checkShape refuses a transaction that is too large or writes a row twice.
-func checkShape(t platform.Txn) error {
+func checkShape(t storage.Txn) error {
 	written := map[string]bool{}
 	for _, p := range t.Puts {
 		written[p.Key] = true
@@ -91,14 +91,14 @@
 	}
 	switch n := len(t.Puts) + len(t.Deletes); {
 	case n > maxTxnRows:
-		return errors.Wrapf(platform.ErrRefused, "%d rows, at most %d", n, maxTxnRows)
+		return errors.Wrapf(storage.ErrRefused, "%d rows, at most %d", n, maxTxnRows)
 	case n != len(written):
-		return errors.Wrap(platform.ErrRefused, "a row is written twice")
+		return errors.Wrap(storage.ErrRefused, "a row is written twice")
 	}
 	return nil
 }
 
-func (s *store) set(r platform.Row) {
+func (s *store) set(r storage.Row) {
 	s.rows[r.Key] = r
 	s.changes = append(s.changes, change{r.Version, r.Key})
 }
@@ -111,18 +111,18 @@
 	s.changes = slices.DeleteFunc(s.changes, func(c change) bool { return s.rows[c.key].Version != c.revision })
 }
 
-func (s *store) read(key string) (platform.Row, error) {
+func (s *store) read(key string) (storage.Row, error) {
 	if s.version(key) == 0 {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return s.rows[key], nil
 }
 
 // scan returns the rows with the prefix that changed after a revision,
 // tombstones included, in the order of their last change.
-func (s *store) scan(prefix string, after platform.Revision) []platform.Row {
+func (s *store) scan(prefix string, after storage.Revision) []storage.Row {
 	first := sort.Search(len(s.changes), func(i int) bool { return s.changes[i].revision > after })
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, c := range s.changes[first:] {
 		r := s.rows[c.key]
 		if r.Version == c.revision && strings.HasPrefix(c.key, prefix) {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -4,10 +4,10 @@
 	"context"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
-// Table simulates the table service. It implements platform.Table for use
+// Table simulates the table service. It implements storage.Table for use
 // inside the process. Values of rows that it returns must not be modified.
 type Table struct {
 	to actor.Address[message[*tableState]]
@@ -28,44 +28,44 @@
 type tableReply[T any] = actor.Reply[answer[T]]
 
 type commitMsg struct {
-	txn   platform.Txn
-	reply tableReply[platform.Revision]
+	txn   storage.Txn
+	reply tableReply[storage.Revision]
 }
 
 func (m commitMsg) handle(s *tableState) {
-	var rev platform.Revision
+	var rev storage.Revision
 	s.write(func() (err error) {
 		rev, err = s.commit(m.txn, !s.Faults.DropHistory)
 		return err
 	}, func(err error) {
-		m.reply.Put(answer[platform.Revision]{rev, err})
+		m.reply.Put(answer[storage.Revision]{rev, err})
 	})
 }
 
 type rowMsg struct {
 	key   string
-	reply tableReply[platform.Row]
+	reply tableReply[storage.Row]
 }
 
 func (m rowMsg) handle(s *tableState) {
 	s.gate.read(func(err error) {
-		var row platform.Row
+		var row storage.Row
 		if err == nil {
 			row, err = s.store.read(m.key)
 		}
-		m.reply.Put(answer[platform.Row]{row, err})
+		m.reply.Put(answer[storage.Row]{row, err})
 	})
 }
 
 // scanned is the answer of GET /v1/rows.
 type scanned struct {
-	Rows     []platform.Row    `json:"rows"`
-	Revision platform.Revision `json:"revision"`
+	Rows     []storage.Row    `json:"rows"`
+	Revision storage.Revision `json:"revision"`
 }
 
 type scanMsg struct {
 	prefix string
-	after  platform.Revision
+	after  storage.Revision
 	reply  tableReply[scanned]
 }
 
@@ -93,7 +93,7 @@
 }
 
 type historyMsg struct {
-	after platform.Revision
+	after storage.Revision
 	reply tableReply[[]Committed]
 }
 
@@ -101,19 +101,19 @@
 	m.reply.Put(answer[[]Committed]{value: s.committedAfter(m.after)})
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (platform.Revision, error) {
-	return ask(ctx, t.to, func(r tableReply[platform.Revision]) message[*tableState] { return commitMsg{txn, r} })
+// Commit implements storage.Table.
+func (t *Table) Commit(ctx context.Context, txn storage.Txn) (storage.Revision, error) {
+	return ask(ctx, t.to, func(r tableReply[storage.Revision]) message[*tableState] { return commitMsg{txn, r} })
 }
 
-// Read implements platform.Table.
-func (t *Table) Read(ctx context.Context, key string) (platform.Row, error) {
-	row, err := ask(ctx, t.to, func(r tableReply[platform.Row]) message[*tableState] { return rowMsg{key, r} })
+// Read implements storage.Table.
+func (t *Table) Read(ctx context.Context, key string) (storage.Row, error) {
+	row, err := ask(ctx, t.to, func(r tableReply[storage.Row]) message[*tableState] { return rowMsg{key, r} })
 	return row, readError(err)
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix string, after platform.Revision) ([]platform.Row, platform.Revision, error) {
+// Scan implements storage.Table.
+func (t *Table) Scan(ctx context.Context, prefix string, after storage.Revision) ([]storage.Row, storage.Revision, error) {
 	s, err := ask(ctx, t.to, func(r tableReply[scanned]) message[*tableState] { return scanMsg{prefix, after, r} })
 	return s.Rows, s.Revision, readError(err)
 }
@@ -133,15 +133,15 @@
 
 // History returns the committed transactions after a revision, in order. It
 // is not subject to faults.
-func (t *Table) History(ctx context.Context, after platform.Revision) ([]Committed, error) {
+func (t *Table) History(ctx context.Context, after storage.Revision) ([]Committed, error) {
 	return ask(ctx, t.to, func(r tableReply[[]Committed]) message[*tableState] { return historyMsg{after, r} })
 }
 
 // readError reports a simulator that has ended as an unavailable service: a
 // read has no outcome that could be unknown.
 func readError(err error) error {
-	if err == platform.ErrUnknown {
-		return platform.ErrUnavailable
+	if err == storage.ErrUnknown {
+		return storage.ErrUnavailable
 	}
 	return err
 }
--- a/internal/standin/table_http.go
+++ b/internal/standin/table_http.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Serve serves the table's HTTP interface on l until ctx ends.
@@ -27,7 +27,7 @@
 }
 
 func (t *Table) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn storage.Txn
 	if !readJSON(w, r, &txn) {
 		return
 	}
@@ -75,7 +75,7 @@
 	writeJSON(w, http.StatusOK, list)
 }
 
-func revisionParam(w http.ResponseWriter, r *http.Request) (platform.Revision, bool) {
+func revisionParam(w http.ResponseWriter, r *http.Request) (storage.Revision, bool) {
 	text := r.URL.Query().Get("after")
 	if text == "" {
 		return 0, true
@@ -84,7 +84,7 @@
 	if err != nil {
 		http.Error(w, "after: not a revision: "+text, http.StatusBadRequest)
 	}
-	return platform.Revision(n), err == nil
+	return storage.Revision(n), err == nil
 }
 
 // serveControl serves GET and POST of /control for a function that sets the
--- a/internal/standin/table_test.go
+++ b/internal/standin/table_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // listen serves on a free loopback port until the test ends and returns the
@@ -28,8 +28,8 @@
 	return g
 }
 
-func put(key, value string, checks ...platform.Check) platform.Txn {
-	return platform.Txn{Operation: key, Checks: checks, Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+func put(key, value string, checks ...storage.Check) storage.Txn {
+	return storage.Txn{Operation: key, Checks: checks, Puts: []storage.Put{{Key: key, Value: []byte(value)}}}
 }
 
 // Guards against a client and a service that disagree on transactions,
@@ -37,7 +37,7 @@
 func TestTableOverHTTP(t *testing.T) {
 	g := group(t)
 	service := NewTable(g, StoreFaults{})
-	table := platform.NewHTTPTable(platform.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
+	table := storage.NewHTTPTable(storage.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
 	defer table.Close()
 	ctx := t.Context()
 
@@ -45,34 +45,34 @@
 	require.NoError(t, err)
 	row, err := table.Read(ctx, "job/a b/1%2F")
 	require.NoError(t, err)
-	require.Equal(t, platform.Row{Key: "job/a b/1%2F", Value: []byte("x"), Version: rev}, row)
+	require.Equal(t, storage.Row{Key: "job/a b/1%2F", Value: []byte("x"), Version: rev}, row)
 
-	_, err = table.Commit(ctx, put("z", "z", platform.Check{Key: "job/a b/1%2F"}, platform.Check{Key: "other"}))
-	var conflict *platform.ConflictError
+	_, err = table.Commit(ctx, put("z", "z", storage.Check{Key: "job/a b/1%2F"}, storage.Check{Key: "other"}))
+	var conflict *storage.ConflictError
 	require.ErrorAs(t, err, &conflict)
 	require.Equal(t, []string{"job/a b/1%2F"}, conflict.Keys)
 	_, err = table.Read(ctx, "z")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, storage.ErrNotFound)
 
-	_, err = table.Commit(ctx, platform.Txn{Operation: "d", Deletes: []string{"job/a b/1%2F"}})
+	_, err = table.Commit(ctx, storage.Txn{Operation: "d", Deletes: []string{"job/a b/1%2F"}})
 	require.NoError(t, err)
 	rows, upTo, err := table.Scan(ctx, "job/", rev)
 	require.NoError(t, err)
 	require.Equal(t, rev+1, upTo)
-	require.Equal(t, []platform.Row{{Key: "job/a b/1%2F", Version: rev + 1, Deleted: true}}, rows)
+	require.Equal(t, []storage.Row{{Key: "job/a b/1%2F", Version: rev + 1, Deleted: true}}, rows)
 
-	_, err = table.Commit(ctx, platform.Txn{Operation: "twice", Deletes: []string{"a", "a"}})
-	require.ErrorIs(t, err, platform.ErrRefused)
+	_, err = table.Commit(ctx, storage.Txn{Operation: "twice", Deletes: []string{"a", "a"}})
+	require.ErrorIs(t, err, storage.ErrRefused)
 
 	require.NoError(t, service.SetFaults(ctx, StoreFaults{LoseAnswers: 1}))
 	_, err = table.Commit(ctx, put("lost", "1"))
-	require.ErrorIs(t, err, platform.ErrUnknown)
+	require.ErrorIs(t, err, storage.ErrUnknown)
 	_, err = table.Read(ctx, "lost")
 	require.NoError(t, err, "the write took effect")
 
 	require.NoError(t, service.SetFaults(ctx, StoreFaults{Outage: true}))
 	_, err = table.Commit(ctx, put("out", "1"))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, storage.ErrUnavailable)
 
 	history, err := service.History(ctx, 0)
 	require.NoError(t, err)
@@ -86,17 +86,17 @@
 	g := group(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	closed := platform.NewHTTPTable(platform.HTTPConfig{URL: "http://" + l.Addr().String()})
+	closed := storage.NewHTTPTable(storage.HTTPConfig{URL: "http://" + l.Addr().String()})
 	require.NoError(t, l.Close())
 	_, err = closed.Commit(t.Context(), put("a", "a"))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, storage.ErrUnavailable)
 
 	service := NewTable(g, StoreFaults{DelayMs: time.Hour.Milliseconds()})
-	slow := platform.NewHTTPTable(platform.HTTPConfig{URL: "http://" + listen(t, g, service.Serve), Timeout: 50 * time.Millisecond})
+	slow := storage.NewHTTPTable(storage.HTTPConfig{URL: "http://" + listen(t, g, service.Serve), Timeout: 50 * time.Millisecond})
 	_, err = slow.Commit(t.Context(), put("a", "a"))
-	require.ErrorIs(t, err, platform.ErrUnknown)
+	require.ErrorIs(t, err, storage.ErrUnknown)
 	_, err = slow.Read(t.Context(), "a")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, storage.ErrUnavailable)
 }
 
 // Guards against a client whose errors keep the writer from reading back a
@@ -104,11 +104,11 @@
 func TestWriterOverHTTP(t *testing.T) {
 	g := group(t)
 	service := NewTable(g, StoreFaults{WritesPerSecond: 4, LoseAnswers: 2})
-	table := platform.NewHTTPTable(platform.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
+	table := storage.NewHTTPTable(storage.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
 	defer table.Close()
-	w := platform.SpawnWriter(g, platform.WriterConfig{Table: table, Key: "writer/w"})
+	w := storage.SpawnWriter(g, storage.WriterConfig{Table: table, Key: "writer/w"})
 	for _, key := range []string{"a", "b", "c"} {
-		_, err := w.Write(t.Context(), platform.Op{Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{{Key: key}}})
+		_, err := w.Write(t.Context(), storage.Op{Checks: []storage.Check{{Key: key}}, Puts: []storage.Put{{Key: key}}})
 		require.NoError(t, err)
 	}
 	history, err := service.History(t.Context(), 0)
@@ -149,7 +149,7 @@
 func TestObjectsOverHTTP(t *testing.T) {
 	g := group(t)
 	service := NewObjects(g, StoreFaults{})
-	objects := platform.NewHTTPObjects(platform.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
+	objects := storage.NewHTTPObjects(storage.HTTPConfig{URL: "http://" + listen(t, g, service.Serve)})
 	defer objects.Close()
 	ctx := t.Context()
 	require.NoError(t, objects.Put(ctx, "result/a/1", []byte("data")))
@@ -159,7 +159,7 @@
 	require.Equal(t, "data", string(data))
 	require.NoError(t, objects.Delete(ctx, "result/a/1"))
 	_, err = objects.Get(ctx, "result/a/1")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, storage.ErrNotFound)
 	names, err := service.Names(ctx)
 	require.NoError(t, err)
 	require.Equal(t, []string{"empty"}, names)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -9,7 +9,7 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const (
@@ -34,7 +34,7 @@
 	ID       model.WorkerID
 	Capacity model.Resources
 	UsageLag time.Duration // 0: DefaultUsageLag
-	Objects  platform.Objects
+	Objects  storage.Objects
 }
 
 // TaskSpec is the body of POST /v1/tasks.
@@ -117,7 +117,7 @@
 	WorkerConfig
 	group   *actor.Group
 	self    actor.Address[message[*workerState]]
-	objects platform.Objects
+	objects storage.Objects
 	later   *later
 	clock   clock
 	faults  WorkerFaults
@@ -154,7 +154,7 @@
 			limited, cancel := context.WithTimeout(ctx, objectCallTimeout)
 			m, err := op(limited)
 			cancel()
-			if err == nil || errors.Is(err, platform.ErrNotFound) {
+			if err == nil || errors.Is(err, storage.ErrNotFound) {
 				_ = self.Send(ctx, m)
 				return nil
 			}
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // Start starts a task, unless one with this id is known; it returns the
@@ -18,7 +18,7 @@
 		err = errors.New("task without id")
 	}
 	if err != nil {
-		return TaskView{}, errors.Wrapf(platform.ErrRefused, "%v", err)
+		return TaskView{}, errors.Wrapf(storage.ErrRefused, "%v", err)
 	}
 	return ask(ctx, w.to, func(r workerReply[TaskView]) message[*workerState] { return startMsg{spec, p, r} })
 }
@@ -26,7 +26,7 @@
 // Renew lets the task's lease end leaseMs from now.
 func (w *Worker) Renew(ctx context.Context, id string, leaseMs int64) (TaskView, error) {
 	if leaseMs <= 0 {
-		return TaskView{}, errors.Wrap(platform.ErrRefused, "leaseMs must be positive")
+		return TaskView{}, errors.Wrap(storage.ErrRefused, "leaseMs must be positive")
 	}
 	return w.command(ctx, commandMsg{id: id, renewMs: leaseMs})
 }
@@ -34,7 +34,7 @@
 // Throttle limits the task to a percentage of its speed; 0 pauses it.
 func (w *Worker) Throttle(ctx context.Context, id string, percent int) (TaskView, error) {
 	if percent < 0 || percent > 100 {
-		return TaskView{}, errors.Wrap(platform.ErrRefused, "percent must be 0 to 100")
+		return TaskView{}, errors.Wrap(storage.ErrRefused, "percent must be 0 to 100")
 	}
 	return w.command(ctx, commandMsg{id: id, event: taskThrottle, percent: percent})
 }
@@ -135,7 +135,7 @@
 	case "stop":
 		view, err = w.Stop(ctx, id)
 	default:
-		err = platform.ErrNotFound
+		err = storage.ErrNotFound
 	}
 	writeTask(rw, view, err)
 }
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/model"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 var capacity = model.Resources{CPU: 16000, Memory: 60 << 30}
@@ -181,6 +181,6 @@
 		_, err := ParseProgram(bad)
 		require.Error(t, err, bad)
 	}
-	var _ platform.Objects = (*Objects)(nil)
-	var _ platform.Table = (*Table)(nil)
+	var _ storage.Objects = (*Objects)(nil)
+	var _ storage.Table = (*Table)(nil)
 }
--- a/internal/platform/batch.go
+++ b/internal/storage/batch.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"github.com/cockroachdb/errors"
--- a/internal/platform/http.go
+++ b/internal/storage/http.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"bytes"
--- a/internal/platform/platform.go
+++ b/internal/storage/platform.go
@@ -1,6 +1,6 @@
-// Package platform holds the clients of the platform's transactional table
+// Package storage holds the clients of the platform's transactional table
 // service and object store. It does not know what the rows mean.
-package platform
+package storage
 
 import (
 	"context"
--- a/internal/platform/poller_test.go
+++ b/internal/storage/poller_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -10,17 +10,17 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 const pollInterval = 500 * time.Millisecond
 
 // receive starts an actor that passes on what it is sent. Its mailbox has no
 // room, so that it is slow.
-func receive(g *actor.Group) (actor.Address[platform.Changes], <-chan platform.Changes) {
-	out := make(chan platform.Changes, 1000)
-	return actor.Spawn(g, actor.Spec[platform.Changes]{Name: "receiver", Run: func(ctx context.Context, in <-chan platform.Changes) error {
+func receive(g *actor.Group) (actor.Address[storage.Changes], <-chan storage.Changes) {
+	out := make(chan storage.Changes, 1000)
+	return actor.Spawn(g, actor.Spec[storage.Changes]{Name: "receiver", Run: func(ctx context.Context, in <-chan storage.Changes) error {
 		for {
 			select {
 			case c := <-in:
@@ -33,25 +33,25 @@
 }
 
 // withPoller runs f in virtual time with a poller of the rows "a/...".
-func withPoller(t *testing.T, f func(t *testing.T, table *standin.Table, p platform.Poller, got <-chan platform.Changes)) {
+func withPoller(t *testing.T, f func(t *testing.T, table *standin.Table, p storage.Poller, got <-chan storage.Changes)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := group(t)
 		table := standin.NewTable(g, standin.StoreFaults{})
 		to, got := receive(g)
-		p := platform.SpawnPoller(g, platform.PollerConfig{Table: table, Prefix: "a/", Interval: pollInterval}, to,
-			func(c platform.Changes) platform.Changes { return c })
+		p := storage.SpawnPoller(g, storage.PollerConfig{Table: table, Prefix: "a/", Interval: pollInterval}, to,
+			func(c storage.Changes) storage.Changes { return c })
 		f(t, table, p, got)
 	})
 }
 
-func commit(t *testing.T, table *standin.Table, txn platform.Txn) {
+func commit(t *testing.T, table *standin.Table, txn storage.Txn) {
 	_, err := table.Commit(t.Context(), txn)
 	require.NoError(t, err)
 }
 
-func put(keys ...string) (txn platform.Txn) {
+func put(keys ...string) (txn storage.Txn) {
 	for _, k := range keys {
-		txn.Puts = append(txn.Puts, platform.Put{Key: k, Value: []byte(k)})
+		txn.Puts = append(txn.Puts, storage.Put{Key: k, Value: []byte(k)})
 	}
 	return txn
 }
@@ -59,22 +59,22 @@
 // Guards against changes that are lost, repeated, out of order, or of other
 // rows, and against deletions that are not seen.
 func TestPollerDeliversInOrder(t *testing.T) {
-	withPoller(t, func(t *testing.T, table *standin.Table, _ platform.Poller, got <-chan platform.Changes) {
-		require.Equal(t, platform.Changes{First: true}, <-got, "an empty table is reported once")
+	withPoller(t, func(t *testing.T, table *standin.Table, _ storage.Poller, got <-chan storage.Changes) {
+		require.Equal(t, storage.Changes{First: true}, <-got, "an empty table is reported once")
 		commit(t, table, put("a/2", "b/1"))
 		commit(t, table, put("a/1", "a/0"))
-		commit(t, table, platform.Txn{Deletes: []string{"a/0"}})
+		commit(t, table, storage.Txn{Deletes: []string{"a/0"}})
 		start := time.Now()
 		c := <-got
 		require.LessOrEqual(t, time.Since(start), pollInterval*6/5)
-		require.Equal(t, platform.Changes{After: 0, UpTo: 3, Rows: []platform.Row{
+		require.Equal(t, storage.Changes{After: 0, UpTo: 3, Rows: []storage.Row{
 			{Key: "a/2", Value: []byte("a/2"), Version: 1}, {Key: "a/1", Value: []byte("a/1"), Version: 2},
 			{Key: "a/0", Version: 3, Deleted: true},
 		}}, c)
 		commit(t, table, put("b/2"))
 		commit(t, table, put("a/3"))
 		c = <-got
-		require.Equal(t, []any{"a/3", platform.Revision(5)}, []any{c.Rows[0].Key, c.UpTo})
+		require.Equal(t, []any{"a/3", storage.Revision(5)}, []any{c.Rows[0].Key, c.UpTo})
 		require.Len(t, c.Rows, 1)
 	})
 }
@@ -82,7 +82,7 @@
 // Guards against a poller that calls an unavailable service at its usual
 // rate, or does not return to it.
 func TestPollerBacksOff(t *testing.T) {
-	withPoller(t, func(t *testing.T, table *standin.Table, p platform.Poller, got <-chan platform.Changes) {
+	withPoller(t, func(t *testing.T, table *standin.Table, p storage.Poller, got <-chan storage.Changes) {
 		<-got
 		require.NoError(t, table.SetFaults(t.Context(), standin.StoreFaults{Outage: true}))
 		before, err := table.State(t.Context())
@@ -98,13 +98,13 @@
 		commit(t, table, put("a/1"))
 		start := time.Now()
 		require.Len(t, (<-got).Rows, 1)
-		require.LessOrEqual(t, time.Since(start), platform.MaxBackoff)
+		require.LessOrEqual(t, time.Since(start), storage.MaxBackoff)
 	})
 }
 
 // Guards against a poke that is lost because a scan is under way.
 func TestPokeMakesThePollerScan(t *testing.T) {
-	withPoller(t, func(t *testing.T, table *standin.Table, p platform.Poller, got <-chan platform.Changes) {
+	withPoller(t, func(t *testing.T, table *standin.Table, p storage.Poller, got <-chan storage.Changes) {
 		<-got
 		synctest.Wait()
 		start := time.Now()
@@ -121,10 +121,10 @@
 func TestPollerEndsWithItsReceiver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := group(t)
-		to := actor.Spawn(g, actor.Spec[platform.Changes]{Name: "receiver", Run: func(context.Context, <-chan platform.Changes) error { return nil }})
+		to := actor.Spawn(g, actor.Spec[storage.Changes]{Name: "receiver", Run: func(context.Context, <-chan storage.Changes) error { return nil }})
 		<-to.Done()
-		p := platform.SpawnPoller(g, platform.PollerConfig{Table: standin.NewTable(g, standin.StoreFaults{}), Interval: time.Second}, to,
-			func(c platform.Changes) platform.Changes { return c })
+		p := storage.SpawnPoller(g, storage.PollerConfig{Table: standin.NewTable(g, standin.StoreFaults{}), Interval: time.Second}, to,
+			func(c storage.Changes) storage.Changes { return c })
 		<-p.Done()
 	})
 }
--- a/internal/platform/writer_history_test.go
+++ b/internal/storage/writer_history_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // randomFaults draws the faults of the next seconds. A delay of 25 s lets a
@@ -33,13 +33,13 @@
 
 // randomOp writes a unique value to some of a few rows, often under a
 // precondition that may fail.
-func randomOp(r *rand.Rand, id string) platform.Op {
-	var op platform.Op
+func randomOp(r *rand.Rand, id string) storage.Op {
+	var op storage.Op
 	for _, n := range r.Perm(8)[:1+r.IntN(2)] {
 		key := fmt.Sprint("row/", n)
-		op.Puts = append(op.Puts, platform.Put{Key: key, Value: []byte(id)})
+		op.Puts = append(op.Puts, storage.Put{Key: key, Value: []byte(id)})
 		if r.IntN(3) == 0 {
-			op.Checks = append(op.Checks, platform.Check{Key: key, Version: platform.Revision(r.IntN(3) * r.IntN(20))})
+			op.Checks = append(op.Checks, storage.Check{Key: key, Version: storage.Revision(r.IntN(3) * r.IntN(20))})
 		}
 	}
 	return op
@@ -47,14 +47,14 @@
 
 // verify compares an outcome with the revisions at which the operation took
 // effect.
-func verify(t *testing.T, id string, got platform.WriteResult, effects []platform.Revision) {
-	var conflict *platform.ConflictError
+func verify(t *testing.T, id string, got storage.WriteResult, effects []storage.Revision) {
+	var conflict *storage.ConflictError
 	switch {
 	case got.Err == nil:
-		require.Equal(t, []platform.Revision{got.Revision}, effects, "%s succeeded", id)
-	case errors.Is(got.Err, platform.ErrUnknown):
+		require.Equal(t, []storage.Revision{got.Revision}, effects, "%s succeeded", id)
+	case errors.Is(got.Err, storage.ErrUnknown):
 		require.LessOrEqual(t, len(effects), 1, "%s: %v", id, got.Err)
-	case errors.As(got.Err, &conflict), errors.Is(got.Err, platform.ErrUnavailable):
+	case errors.As(got.Err, &conflict), errors.Is(got.Err, storage.ErrUnavailable):
 		require.Empty(t, effects, "%s: %v", id, got.Err)
 	default:
 		t.Errorf("%s: undocumented error %v", id, got.Err)
@@ -78,13 +78,13 @@
 	table := standin.NewTable(group(t), standin.StoreFaults{})
 	type outcome struct {
 		id string
-		platform.WriteResult
+		storage.WriteResult
 	}
 	const lives, operations = 2, 150
 	outcomes := make(chan outcome, lives*operations)
 	for life := range lives {
 		g := group(t)
-		w := platform.SpawnWriter(g, platform.WriterConfig{Table: table, Key: "writer/w", Random: rand.New(rand.NewPCG(r.Uint64(), 0)).Float64})
+		w := storage.SpawnWriter(g, storage.WriterConfig{Table: table, Key: "writer/w", Random: rand.New(rand.NewPCG(r.Uint64(), 0)).Float64})
 		for i := range operations {
 			if i%10 == 0 {
 				require.NoError(t, table.SetFaults(t.Context(), randomFaults(r)))
@@ -95,7 +95,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), patience)
 				defer cancel()
 				rev, err := w.Write(ctx, op)
-				outcomes <- outcome{id, platform.WriteResult{Revision: rev, Err: err}}
+				outcomes <- outcome{id, storage.WriteResult{Revision: rev, Err: err}}
 			}()
 			actor.Sleep(t.Context(), time.Duration(r.IntN(2000))*time.Millisecond)
 		}
@@ -103,7 +103,7 @@
 	}
 	require.NoError(t, table.SetFaults(t.Context(), standin.StoreFaults{}))
 	actor.Sleep(t.Context(), time.Minute) // what is under way takes effect
-	effects := map[string][]platform.Revision{}
+	effects := map[string][]storage.Revision{}
 	for _, c := range history(t, table) {
 		seen := map[string]bool{}
 		for _, p := range c.Puts {
--- a/internal/platform/writer_test.go
+++ b/internal/storage/writer_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/platform"
 	"github.com/bambooscale/bambooscale/internal/standin"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 func group(t *testing.T) *actor.Group {
@@ -22,18 +22,18 @@
 	return g
 }
 
-func write(key string, version platform.Revision) platform.Op {
-	return platform.Op{Checks: []platform.Check{{Key: key, Version: version}}, Puts: []platform.Put{{Key: key, Value: []byte(key)}}}
+func write(key string, version storage.Revision) storage.Op {
+	return storage.Op{Checks: []storage.Check{{Key: key, Version: version}}, Puts: []storage.Put{{Key: key, Value: []byte(key)}}}
 }
 
 // parallel writes all operations at the same time and returns the outcomes.
-func parallel(ctx context.Context, w platform.Writer, ops ...platform.Op) []platform.WriteResult {
-	results := make([]platform.WriteResult, len(ops))
+func parallel(ctx context.Context, w storage.Writer, ops ...storage.Op) []storage.WriteResult {
+	results := make([]storage.WriteResult, len(ops))
 	done := make(chan struct{})
 	for i, op := range ops {
 		go func() {
 			rev, err := w.Write(ctx, op)
-			results[i] = platform.WriteResult{Revision: rev, Err: err}
+			results[i] = storage.WriteResult{Revision: rev, Err: err}
 			done <- struct{}{}
 		}()
 		synctest.Wait() // keeps the order of the operations
@@ -45,11 +45,11 @@
 }
 
 // withWriter runs f in virtual time with a writer of a simulated table.
-func withWriter(t *testing.T, f func(t *testing.T, w platform.Writer, table *standin.Table)) {
+func withWriter(t *testing.T, f func(t *testing.T, w storage.Writer, table *standin.Table)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := group(t)
 		table := standin.NewTable(g, standin.StoreFaults{})
-		f(t, platform.SpawnWriter(g, platform.WriterConfig{Table: table, Key: "writer/w"}), table)
+		f(t, storage.SpawnWriter(g, storage.WriterConfig{Table: table, Key: "writer/w"}), table)
 	})
 }
 
@@ -66,7 +66,7 @@
 		"answers": {LoseAnswers: 3}, "requests": {LoseRequests: 3}, "both": {LoseAnswers: 2, LoseRequests: 2, DelayMs: 50},
 	} {
 		t.Run(name, func(t *testing.T) {
-			withWriter(t, func(t *testing.T, w platform.Writer, table *standin.Table) {
+			withWriter(t, func(t *testing.T, w storage.Writer, table *standin.Table) {
 				require.NoError(t, table.SetFaults(t.Context(), f))
 				for i := range 5 {
 					key := fmt.Sprint("k", i)
@@ -85,11 +85,11 @@
 // Guards against a batch that fails as a whole because of one row, and
 // against a failure that is reported to the wrong operation.
 func TestOneFailingRowFailsOnlyItsOperation(t *testing.T) {
-	withWriter(t, func(t *testing.T, w platform.Writer, table *standin.Table) {
-		ops := []platform.Op{write("a", 0), write("b", 5), write("c", 0)}
+	withWriter(t, func(t *testing.T, w storage.Writer, table *standin.Table) {
+		ops := []storage.Op{write("a", 0), write("b", 5), write("c", 0)}
 		got := parallel(t.Context(), w, ops...)
 		require.NoError(t, got[0].Err)
-		require.Equal(t, &platform.ConflictError{Keys: []string{"b"}}, got[1].Err)
+		require.Equal(t, &storage.ConflictError{Keys: []string{"b"}}, got[1].Err)
 		require.NoError(t, got[2].Err)
 		list := history(t, table)
 		require.Len(t, list, 1, "one transaction for the others")
@@ -100,9 +100,9 @@
 // Guards against transactions of more than 128 rows or after more than 20 ms,
 // and against one transaction per operation.
 func TestGroupCommit(t *testing.T) {
-	withWriter(t, func(t *testing.T, w platform.Writer, table *standin.Table) {
+	withWriter(t, func(t *testing.T, w storage.Writer, table *standin.Table) {
 		start := time.Now()
-		ops := make([]platform.Op, 300)
+		ops := make([]storage.Op, 300)
 		for i := range ops {
 			ops[i] = write(fmt.Sprint(i), 0)
 		}
@@ -113,7 +113,7 @@
 		list := history(t, table)
 		require.Len(t, list, 3)
 		for _, c := range list {
-			require.LessOrEqual(t, len(c.Puts), platform.MaxTxnRows)
+			require.LessOrEqual(t, len(c.Puts), storage.MaxTxnRows)
 		}
 	})
 }
@@ -121,12 +121,12 @@
 // Guards against operations on one row that overtake each other or share a
 // transaction.
 func TestOperationsOnOneRowKeepTheirOrder(t *testing.T) {
-	withWriter(t, func(t *testing.T, w platform.Writer, table *standin.Table) {
-		blind := func(value string) platform.Op {
-			return platform.Op{Puts: []platform.Put{{Key: "a", Value: []byte(value)}}}
+	withWriter(t, func(t *testing.T, w storage.Writer, table *standin.Table) {
+		blind := func(value string) storage.Op {
+			return storage.Op{Puts: []storage.Put{{Key: "a", Value: []byte(value)}}}
 		}
 		got := parallel(t.Context(), w, blind("1"), blind("2"), write("b", 0), blind("3"))
-		require.Equal(t, []platform.WriteResult{{Revision: 1}, {Revision: 2}, {Revision: 1}, {Revision: 3}}, got)
+		require.Equal(t, []storage.WriteResult{{Revision: 1}, {Revision: 2}, {Revision: 1}, {Revision: 3}}, got)
 	})
 }
 
@@ -136,13 +136,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := group(t)
 		table := standin.NewTable(g, standin.StoreFaults{Outage: true})
-		w := platform.SpawnWriter(g, platform.WriterConfig{Table: table, Key: "writer/w", Queue: 2})
+		w := storage.SpawnWriter(g, storage.WriterConfig{Table: table, Key: "writer/w", Queue: 2})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		got := parallel(ctx, w, write("a", 0), write("b", 0), write("c", 0))
 		for i, r := range got {
-			require.ErrorIs(t, r.Err, platform.ErrUnavailable)
-			require.NotErrorIs(t, r.Err, platform.ErrUnknown)
+			require.ErrorIs(t, r.Err, storage.ErrUnavailable)
+			require.NotErrorIs(t, r.Err, storage.ErrUnknown)
 			require.Equal(t, i < 2, errors.Is(r.Err, context.DeadlineExceeded), "the third is refused at once")
 		}
 		require.NoError(t, table.SetFaults(t.Context(), standin.StoreFaults{}))
@@ -153,23 +153,23 @@
 		short, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		_, err = w.Write(short, write("d", 0))
-		require.ErrorIs(t, err, platform.ErrUnknown)
+		require.ErrorIs(t, err, storage.ErrUnknown)
 		require.ErrorIs(t, err, context.DeadlineExceeded)
 	})
 }
 
 // recording counts the calls of a table in each 100 ms.
 type recording struct {
-	platform.Table
+	storage.Table
 	calls chan time.Time
 }
 
-func (r recording) Commit(ctx context.Context, t platform.Txn) (platform.Revision, error) {
+func (r recording) Commit(ctx context.Context, t storage.Txn) (storage.Revision, error) {
 	r.calls <- time.Now()
 	return r.Table.Commit(ctx, t)
 }
 
-func (r recording) Read(ctx context.Context, key string) (platform.Row, error) {
+func (r recording) Read(ctx context.Context, key string) (storage.Row, error) {
 	r.calls <- time.Now()
 	return r.Table.Read(ctx, key)
 }
@@ -186,10 +186,10 @@
 		calls := make(chan time.Time, 100_000)
 		done := make(chan error, writers)
 		for i := range writers {
-			w := platform.SpawnWriter(g, platform.WriterConfig{Table: recording{table, calls}, Key: fmt.Sprint("writer/", i),
+			w := storage.SpawnWriter(g, storage.WriterConfig{Table: recording{table, calls}, Key: fmt.Sprint("writer/", i),
 				Random: rand.New(rand.NewPCG(1, uint64(i))).Float64})
 			for k := range 10 {
-				op := platform.Op{Puts: []platform.Put{{Key: fmt.Sprint("row/", i), Value: []byte{byte(k)}}}}
+				op := storage.Op{Puts: []storage.Put{{Key: fmt.Sprint("row/", i), Value: []byte{byte(k)}}}}
 				go func() {
 					_, err := w.Write(t.Context(), op)
 					done <- err
@@ -203,7 +203,7 @@
 			require.NoError(t, <-done)
 		}
 		t.Logf("all queues were written %v after the recovery", time.Since(recovered))
-		require.LessOrEqual(t, time.Since(recovered), 3*platform.MaxBackoff)
+		require.LessOrEqual(t, time.Since(recovered), 3*storage.MaxBackoff)
 		close(calls)
 		counts := map[time.Duration]int{}
 		outage, most := 0, 0
--- a/test/record_test.go
+++ b/test/record_test.go
@@ -8,14 +8,14 @@
 	"strings"
 
 	"github.com/bambooscale/bambooscale/internal/history"
-	"github.com/bambooscale/bambooscale/internal/platform"
+	"github.com/bambooscale/bambooscale/internal/storage"
 )
 
 // save keeps a history with the logs of the processes.
 func (s *system) save(h history.History) error {
 	for i := range h.Commits {
 		h.Commits[i].Checks = nil
-		var kept []platform.Put
+		var kept []storage.Put
 		for _, p := range h.Commits[i].Puts {
 			if strings.HasPrefix(p.Key, "job/") || strings.HasPrefix(p.Key, "config/") {
 				kept = append(kept, p)
