--- /dev/null
+++ b/cmd/bamboojobd/main.go
@@ -0,0 +1,129 @@
+// Command bamboojobd is the daemon of the job scheduler on the users'
+// platform. Its roles are entry and agent; see docs/platform.md.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"net/http"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/spf13/cobra"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/hostguard"
+	"github.com/bambooscale/bambooscale/internal/jobnode"
+	"github.com/bambooscale/bambooscale/internal/logsink"
+	"github.com/bambooscale/bambooscale/internal/runner"
+	"github.com/bambooscale/bambooscale/internal/settings"
+	"github.com/bambooscale/bambooscale/internal/workload"
+	"github.com/bambooscale/bambooscale/platform"
+)
+
+const (
+	settingsVariable = "BAMBOOSCALE_SETTINGS"
+	metricsPort      = "9464"
+	// callTimeout bounds calls without a deadline of their own.
+	callTimeout = 4 * time.Second
+	// runLease outlives a restart of the agent and is short enough that the
+	// tasks of a dead backend server start again soon.
+	runLease = 5 * time.Second
+	// gcPercent trades processor time for memory.
+	gcPercent = 50
+)
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+	root := &cobra.Command{Use: "bamboojobd", Short: "daemon of the job scheduler", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(roleCommand("entry", "serve submitters and schedule jobs", startEntry), roleCommand("agent", "guard the host of a backend server", startAgent))
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// drainer stops a role in order.
+type drainer interface{ Drain(context.Context) }
+
+type start func(g *actor.Group, n *settings.JobNode) (drainer, error)
+
+func roleCommand(role, short string, begin start) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{Use: role, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		return run(role, file, begin)
+	}}
+	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file")
+	return cmd
+}
+
+func run(role, file string, begin start) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	n, err := settings.LoadJobNode(file, role)
+	if err != nil {
+		return err
+	}
+	logs := actor.NewGroup(context.Background(), nil)
+	defer logs.Stop()
+	log.SetHandler(logsink.Start(logs, os.Stdout, func(w io.Writer) log.Handler { return logfmt.New(w) }))
+	g := actor.NewGroup(context.Background(), func(e actor.Exit) {
+		event.Log(log.Log, event.ActorFailed, log.Fields{"actor": e.Actor, "error": e.Err.Error(), "restart": e.Restart})
+	})
+	defer g.Stop()
+	d, err := begin(g, n)
+	if err != nil {
+		return err
+	}
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			event.Log(log.Log, event.NodeStopping, log.Fields{"role": role, "signal": s.String()})
+			break
+		}
+		event.Log(log.Log, event.NodeReloaded, log.Fields{"role": role})
+	}
+	d.Drain(g.Context())
+	return nil
+}
+
+func startEntry(g *actor.Group, n *settings.JobNode) (drainer, error) {
+	return jobnode.StartEntry(g, jobnode.EntryConfig{
+		Name: n.Name, DataCentre: workload.DataCentre(n.DataCentre), Links: n.LinkAddress(), Callers: n.Callers, Readiness: n.Readiness,
+		Metrics: net.JoinHostPort(n.IP, metricsPort), Seeds: n.SeedLinks(), Boot: newBoot(), Store: platform.NewStore(n.Store, callTimeout),
+		Config:        jobnode.ConfigSource{Key: platform.ConfigKey, Prefix: platform.ConfigPrefix, Decode: platform.DecodeConfig},
+		CallerHandler: platform.CallerHandler, ReadinessHandler: platform.ReadinessHandler, Log: log.Log,
+	})
+}
+
+func startAgent(g *actor.Group, n *settings.JobNode) (drainer, error) {
+	refused := func(id string, err error) {
+		event.Log(log.Log, event.AnnounceRefused, log.Fields{"instance": id, "error": err.Error()})
+	}
+	return jobnode.StartAgent(g, jobnode.AgentConfig{
+		Guard: hostguard.Config{
+			Name: workload.HostName(n.Name), DataCentre: workload.DataCentre(n.DataCentre), OwnerLease: n.MaxLease, RunLease: runLease,
+			Token: hostguard.FirstToken(time.Now().UnixMilli()),
+		},
+		Boot: newBoot(), Registry: n.Registry, Metrics: net.JoinHostPort(n.IP, metricsPort), Seeds: n.SeedLinks(),
+		Runner: platform.NewMinion(n.Backend, callTimeout), Store: platform.NewStore(n.Store, callTimeout),
+		RegistryHandler: func(r runner.Registry) http.Handler { return platform.RegistryHandler(r, refused) }, Log: log.Log,
+	})
+}
+
+// newBoot draws the number of this life of the process.
+func newBoot() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails
+	return binary.BigEndian.Uint64(b[:])
+}
--- /dev/null
+++ b/internal/jobnode/agent.go
@@ -0,0 +1,369 @@
+package jobnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/hostguard"
+	"github.com/bambooscale/bambooscale/internal/link"
+	"github.com/bambooscale/bambooscale/internal/metrics"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/peer"
+	"github.com/bambooscale/bambooscale/internal/runner"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// AgentConfig holds what an agent is started with.
+type AgentConfig struct {
+	Guard    hostguard.Config
+	Boot     uint64
+	Registry string // address at which the backend server announces itself
+	Metrics  string
+	Seeds    []string // addresses of links of entries
+	Runner   runner.Runner
+	Store    Store // for the list of entries
+	// RegistryHandler translates the backend server's protocol.
+	RegistryHandler func(runner.Registry) http.Handler
+	Log             log.Interface
+}
+
+// agent is the actor that owns the guard of a host.
+type agent struct {
+	guard   *hostguard.Core
+	log     log.Interface
+	address actor.Address[any]
+	began   time.Time
+	links   map[linkID]peer.Out
+	entries map[linkID]*msg.PeerHello
+	known   map[string]msg.Member
+	calls   actor.Address[hostguard.Call]
+	holds   actor.Address[holdOrder]
+	holding bool
+
+	published *published
+}
+
+const (
+	agentMailbox = 512
+	callMailbox  = 1024
+	// callers is how many calls to the backend server may be under way beside
+	// the one that watches it.
+	callers = 2
+	// orderTimeout bounds a call that the backend server answers at once.
+	orderTimeout = 500 * time.Millisecond
+	holdMargin   = 600 * time.Millisecond
+	holdRetry    = 100 * time.Millisecond
+	agentTick    = 100 * time.Millisecond
+)
+
+// Messages of the agent's helpers.
+type (
+	announced struct {
+		announcement runner.Announcement
+		taken        actor.Reply[bool]
+	}
+	left struct {
+		instance workload.Instance
+		taken    actor.Reply[bool]
+	}
+	callAnswered struct{ answer hostguard.Answer }
+	holdAnswered struct {
+		order   holdOrder
+		listing runner.Listing
+		err     error
+	}
+	holdOrder struct {
+		target runner.Target
+		hold   runner.Hold
+		born   int64
+		pause  time.Duration
+	}
+	lastRenewal struct{ taken actor.Reply[holdOrder] }
+)
+
+// Agent is a running agent.
+type Agent struct {
+	agent  *agent
+	runner runner.Runner
+	log    log.Interface
+}
+
+// StartAgent starts an agent. It ends with g.
+func StartAgent(g *actor.Group, cfg AgentConfig) (*Agent, error) {
+	a := &agent{
+		guard: hostguard.New(cfg.Guard), log: cfg.Log, began: time.Now(), links: map[linkID]peer.Out{},
+		entries: map[linkID]*msg.PeerHello{}, known: map[string]msg.Member{}, published: &published{},
+	}
+	a.calls = actor.Spawn(g, actor.Spec[hostguard.Call]{Name: "callers", Mailbox: callMailbox, Run: func(ctx context.Context, in <-chan hostguard.Call) error {
+		return a.runCallers(ctx, cfg.Runner, in)
+	}})
+	a.holds = actor.Spawn(g, actor.Spec[holdOrder]{Name: "holder", Mailbox: 1, Run: func(ctx context.Context, in <-chan holdOrder) error {
+		return a.runHolds(ctx, cfg.Runner, in)
+	}})
+	a.address = actor.Spawn(g, actor.Spec[any]{Name: "guard", Mailbox: agentMailbox, Run: a.run})
+	a.startLinks(g, cfg)
+	if _, err := serve(g, "registry", cfg.Registry, cfg.RegistryHandler(&registry{a})); err != nil {
+		return nil, err
+	}
+	if _, err := serveMetrics(g, cfg.Metrics, metrics.Start(g)); err != nil {
+		return nil, err
+	}
+	event.Log(cfg.Log, event.NodeStarted, log.Fields{"name": string(cfg.Guard.Name), "role": "agent", "seeds": cfg.Seeds})
+	return &Agent{a, cfg.Runner, cfg.Log}, nil
+}
+
+func (a *agent) startLinks(g *actor.Group, cfg AgentConfig) {
+	l := &links{group: g, log: cfg.Log, send: a.address.Send, hello: func() *msg.PeerHello {
+		h := &msg.PeerHello{Member: msg.Member{Name: string(cfg.Guard.Name)}, Agent: true, Boot: cfg.Boot, DataCentre: cfg.Guard.DataCentre}
+		if epoch := a.published.epoch.Get(); epoch != nil {
+			h.Epoch = *epoch
+		}
+		return h
+	}}
+	d := &dialers{links: l, dial: link.NewDialer(g, link.Config{}), started: map[string]bool{}}
+	d.linked = func(address string) bool {
+		linked := a.published.linked.Get()
+		return linked != nil && (*linked)[address]
+	}
+	d.start(cfg.Seeds)
+	actor.Go(g, "dialer starter", func(ctx context.Context) error { return d.follow(ctx, &a.published.members) })
+	actor.Go(g, "entry finder", func(ctx context.Context) error { return a.findEntries(ctx, cfg) })
+}
+
+// alone is how long an agent may be without a link before it reads the list
+// of entries from the table service.
+const alone = 1500 * time.Millisecond
+
+func (a *agent) findEntries(ctx context.Context, cfg AgentConfig) error {
+	g := &gateway{store: cfg.Store, log: cfg.Log}
+	for actor.Sleep(ctx, alone) {
+		if linked := a.published.linked.Get(); linked != nil && len(*linked) > 0 {
+			continue
+		}
+		if entries, err := readMembers(ctx, g); err == nil {
+			_ = a.address.Send(ctx, &membersRead{entries}) // an error means that the process ends
+		}
+	}
+	return nil
+}
+
+func (a *agent) run(ctx context.Context, in <-chan any) error {
+	tick := time.NewTicker(agentTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-in:
+			a.apply(m)
+			for n := 0; n < drainLimit && len(in) > 0; n++ {
+				a.apply(<-in)
+			}
+		case <-tick.C:
+			a.guard.Advance(time.Since(a.began))
+			a.guard.Tick()
+		}
+		a.flush()
+	}
+}
+
+func (a *agent) apply(m any) {
+	a.guard.Advance(time.Since(a.began))
+	switch m := m.(type) {
+	case *linkUp:
+		a.linkUp(m)
+	case *linkMessage:
+		a.received(m)
+	case *linkDown:
+		a.linkDown(m)
+	case *membersRead:
+		a.meet(m.entries)
+	case *announced:
+		a.guard.Announced(m.announcement)
+		m.taken.Put(true)
+	case *left:
+		a.guard.Left(m.instance)
+		m.taken.Put(true)
+	case *callAnswered:
+		a.guard.Answered(m.answer)
+	case *holdAnswered:
+		a.holding = false
+		a.guard.HoldAnswered(m.order.target, m.order.born, m.listing, m.err)
+		if m.err != nil {
+			a.nextHold(holdRetry)
+		}
+	case *lastRenewal:
+		t, h, born := a.guard.Hold()
+		m.taken.Put(holdOrder{target: t, hold: h, born: born})
+	}
+}
+
+// flush sends what the guard decided.
+func (a *agent) flush() {
+	for _, c := range a.guard.Calls() {
+		a.calls.TrySend(c) // a full queue delays: the timeouts of the runs repeat the call
+	}
+	for _, s := range a.guard.Sends() {
+		if s.Link != 0 {
+			a.links[linkID(s.Link)].TrySend(s.Message)
+			continue
+		}
+		for _, out := range a.links {
+			out.TrySend(s.Message)
+		}
+	}
+	for _, d := range a.guard.Decisions() {
+		a.logDecision(d)
+	}
+	epoch := a.guard.Epoch()
+	a.published.epoch.Set(&epoch)
+	a.nextHold(0)
+}
+
+// nextHold keeps one call open that watches the backend server.
+func (a *agent) nextHold(pause time.Duration) {
+	if a.holding || !a.guard.Live() {
+		return
+	}
+	t, h, born := a.guard.Hold()
+	a.holding = a.holds.TrySend(holdOrder{t, h, born, pause})
+}
+
+func (a *agent) linkUp(m *linkUp) {
+	a.links[m.id], a.entries[m.id] = m.out, m.hello
+	event.Log(a.log, event.PeerLinked, log.Fields{"peer": m.hello.Member.Name, "epoch": m.hello.Epoch})
+	a.guard.Met(m.hello.Epoch)
+	a.meet([]msg.Member{m.hello.Member})
+	a.setLinked()
+	m.out.TrySend(&msg.HostAnnounced{Host: a.guard.Host()})
+}
+
+func (a *agent) linkDown(m *linkDown) {
+	hello := a.entries[m.id]
+	if hello == nil {
+		return
+	}
+	delete(a.links, m.id)
+	delete(a.entries, m.id)
+	logLinkDown(a.log, hello.Member.Name, m.err)
+	a.guard.Unlinked(hostguard.LinkID(m.id))
+	a.setLinked()
+}
+
+func (a *agent) setLinked() {
+	linked := map[string]bool{}
+	for _, h := range a.entries {
+		linked[h.Member.Address] = true
+	}
+	a.published.linked.Set(&linked)
+}
+
+func (a *agent) received(m *linkMessage) {
+	if _, up := a.links[m.id]; !up {
+		return
+	}
+	if members, ok := m.message.(*msg.Members); ok {
+		a.meet(members.Entries)
+		return
+	}
+	a.guard.Received(hostguard.LinkID(m.id), m.message)
+}
+
+func (a *agent) meet(entries []msg.Member) {
+	for _, e := range entries {
+		if e.Address != "" {
+			a.known[e.Name] = e
+		}
+	}
+	list := make([]msg.Member, 0, len(a.known))
+	for _, e := range a.known {
+		list = append(list, e)
+	}
+	a.published.members.Set(&list)
+}
+
+// runCallers performs calls, a few at a time, in the order given.
+func (a *agent) runCallers(ctx context.Context, r runner.Runner, in <-chan hostguard.Call) error {
+	g := actor.NewGroup(ctx, nil)
+	defer g.Stop()
+	for range callers {
+		actor.Go(g, "caller", func(ctx context.Context) error {
+			for {
+				select {
+				case c := <-in:
+					_ = a.address.Send(ctx, &callAnswered{perform(ctx, r, c)}) // an error means that the process ends
+				case <-ctx.Done():
+					return nil
+				}
+			}
+		})
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func perform(ctx context.Context, r runner.Runner, c hostguard.Call) hostguard.Answer {
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	ans := hostguard.Answer{Call: c}
+	switch {
+	case c.Start != nil:
+		ans.ClockMS, ans.Err = r.Start(limited, c.Target, *c.Start)
+	case c.Stop != nil:
+		ans.ClockMS, ans.Err = r.Stop(limited, c.Target, *c.Stop)
+	case c.Pace != nil:
+		ans.ClockMS, ans.Err = r.Pace(limited, c.Target, c.Pace.Run, c.Pace.Percent)
+	case c.Look != nil:
+		ans.Listing, ans.Err = r.Hold(limited, c.Target, *c.Look)
+		ans.ClockMS = ans.Listing.ClockMS
+	}
+	return ans
+}
+
+func (a *agent) runHolds(ctx context.Context, r runner.Runner, in <-chan holdOrder) error {
+	for {
+		select {
+		case o := <-in:
+			if o.pause > 0 && !actor.Sleep(ctx, o.pause) {
+				return nil
+			}
+			limited, cancel := context.WithTimeout(ctx, o.hold.Wait+holdMargin)
+			l, err := r.Hold(limited, o.target, o.hold)
+			cancel()
+			_ = a.address.Send(ctx, &holdAnswered{o, l, err}) // an error means that the process ends
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// registry passes announcements to the agent.
+type registry struct{ agent *agent }
+
+func (r *registry) Announce(ctx context.Context, an runner.Announcement) error {
+	_, err := actor.Ask(ctx, r.agent.address, func(rep actor.Reply[bool]) any { return &announced{an, rep} })
+	return err
+}
+
+func (r *registry) Leave(ctx context.Context, id workload.Instance) error {
+	_, err := actor.Ask(ctx, r.agent.address, func(rep actor.Reply[bool]) any { return &left{id, rep} })
+	return err
+}
+
+// Drain ends the agent in order: what runs gets its longest lease, so that it
+// outlives a restart of the agent.
+func (a *Agent) Drain(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	o, err := actor.Ask(limited, a.agent.address, func(r actor.Reply[holdOrder]) any { return &lastRenewal{r} })
+	if err == nil && o.target.Instance != "" {
+		o.hold.Wait = 0
+		_, err = a.runner.Hold(limited, o.target, o.hold)
+	}
+	event.Log(a.log, event.NodeStopping, log.Fields{"role": "agent", "renewed": err == nil})
+}
--- /dev/null
+++ b/internal/jobnode/decisions.go
@@ -0,0 +1,46 @@
+package jobnode
+
+import (
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/hostguard"
+	"github.com/bambooscale/bambooscale/internal/jobs"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+var ownerEvents = map[jobs.DecisionKind]event.Event{
+	jobs.JobTaken: event.JobTaken, jobs.JobOver: event.JobOver, jobs.RunOrdered: event.RunOrdered, jobs.RunOver: event.RunOver,
+	jobs.RunStopped: event.RunStopped, jobs.HostChanged: event.TaskHostChanged, jobs.TaskWaits: event.TaskWaits,
+}
+
+// logDecision writes the line of a decision of the owner.
+func (c *controller) logDecision(d jobs.Decision) {
+	c.metrics.decided(d)
+	fields := log.Fields{"epoch": c.jobs.Epoch(), "detail": d.Detail, "age-ms": d.Age.Milliseconds()}
+	if d.Job != "" {
+		fields["job"] = string(d.Job)
+	}
+	if d.Run.Task.Job != "" {
+		fields["run"] = d.Run.String()
+	}
+	if d.Host != "" {
+		fields["host"] = string(d.Host)
+	}
+	event.Log(c.log, ownerEvents[d.Kind], fields)
+}
+
+var guardEvents = map[hostguard.DecisionKind]event.Event{
+	hostguard.OwnerAdopted: event.GuardOwner, hostguard.OwnerRefused: event.GuardRefused, hostguard.RunRefused: event.GuardRunRefused,
+	hostguard.RunDoubtful: event.GuardRunDoubtful, hostguard.LifeBegan: event.GuardLifeBegan, hostguard.LifeEnded: event.GuardLifeEnded,
+	hostguard.RunPaced: event.GuardRunPaced,
+}
+
+// logDecision writes the line of a decision of the guard.
+func (a *agent) logDecision(d hostguard.Decision) {
+	fields := log.Fields{"epoch": d.Epoch, "detail": d.Detail}
+	if (d.Run != workload.RunID{}) {
+		fields["run"] = d.Run.String()
+	}
+	event.Log(a.log, guardEvents[d.Kind], fields)
+}
--- /dev/null
+++ b/internal/jobnode/desk.go
@@ -0,0 +1,276 @@
+package jobnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/jobdesk"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/storage"
+	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/wire"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+const (
+	// submitTime bounds the tries to store a job; the caller has time left to
+	// ask another entry.
+	submitTime  = 1500 * time.Millisecond
+	submitRetry = 50 * time.Millisecond
+	// answerMargin is the part of a caller's deadline that the answer needs.
+	answerMargin = 150 * time.Millisecond
+	retryAfter   = time.Second
+)
+
+// desk serves the callers of one entry. Any goroutine may use it.
+type desk struct {
+	controller *controller
+	config     *actor.Value[workload.Config]
+	log        log.Interface
+	metrics    *entryMetrics
+}
+
+var _ jobdesk.Desk = (*desk)(nil)
+
+func (d *desk) RetryAfter() time.Duration { return retryAfter }
+
+// Ready implements jobdesk.Desk.
+func (d *desk) Ready() bool {
+	retiring := d.controller.published.retiring.Get()
+	return d.config.Get() != nil && (retiring == nil || !*retiring)
+}
+
+// Queue implements jobdesk.Desk.
+func (d *desk) Queue(host, path string) (workload.Queue, error) {
+	c := d.config.Get()
+	if c == nil {
+		return workload.Queue{}, jobdesk.ErrNotReady
+	}
+	q, ok := c.Match(host, path)
+	if !ok {
+		return workload.Queue{}, jobdesk.ErrNoQueue
+	}
+	return *q, nil
+}
+
+// Messages of the desk to the controller.
+type (
+	jobStored struct {
+		job   workload.Job
+		taken actor.Reply[bool]
+	}
+	cancelStored struct {
+		id    workload.JobID
+		queue workload.QueueName
+		taken actor.Reply[bool]
+	}
+	phaseQuery struct {
+		id    workload.JobID
+		reply actor.Reply[phaseKnown]
+	}
+	waitingQuery struct {
+		queue workload.QueueName
+		reply actor.Reply[int]
+	}
+	phaseKnown struct {
+		phase workload.Phase
+		known bool
+	}
+)
+
+// Submit implements jobdesk.Desk.
+func (d *desk) Submit(ctx context.Context, q workload.Queue, j workload.Job) error {
+	j.Queue, j.Service, j.Priority, j.MaxAttempts = q.Name, q.Service, q.Priority, q.MaxAttempts
+	j.Stretch, j.TargetLatency = q.Stretch, q.TargetLatency
+	err := d.submit(ctx, j)
+	d.metrics.submitted(string(q.Name), err)
+	if err != nil {
+		event.Log(d.log, event.JobRefused, log.Fields{"job": string(j.ID), "queue": string(q.Name), "reason": err.Error()})
+	}
+	return err
+}
+
+func (d *desk) submit(ctx context.Context, j workload.Job) error {
+	if err := j.Validate(); err != nil {
+		if errors.Is(err, workload.ErrUnsupported) {
+			return fmt.Errorf("%w: %w", jobdesk.ErrNotAccepted, err)
+		}
+		return fmt.Errorf("%w: %w", jobdesk.ErrInvalid, err)
+	}
+	if known, err := d.known(ctx, j.ID); err == nil && known.known {
+		return nil // submitted before
+	}
+	value, err := wire.EncodeJob(&j)
+	if err != nil {
+		return fmt.Errorf("%w: %w", jobdesk.ErrInvalid, err)
+	}
+	key := jobKey(j.ID)
+	txn := table.Txn{Checks: []table.Check{{Key: key}}, Puts: []table.Put{{Key: key, Value: value}}}
+	if err := d.persist(ctx, txn); err != nil {
+		return err
+	}
+	event.Log(d.log, event.JobAccepted, log.Fields{"job": string(j.ID), "queue": string(j.Queue), "steps": len(j.Steps)})
+	d.tell(ctx, func(r actor.Reply[bool]) any { return &jobStored{j, r} })
+	return nil
+}
+
+// tell passes a stored change to the controller. The change is in the table
+// service, so the owner learns of it even if this fails.
+func (d *desk) tell(ctx context.Context, build func(actor.Reply[bool]) any) {
+	_, _ = actor.Ask(ctx, d.controller.address, build)
+}
+
+// persist commits a transaction that creates rows, however often it takes.
+// ErrNotAccepted means that no try took effect or ever will.
+func (d *desk) persist(ctx context.Context, txn table.Txn) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(submitTime)
+	}
+	definite := time.Now().Add(min(submitTime, time.Until(deadline)-answerMargin))
+	doubt := false
+	for {
+		r := d.controller.gateway.commit(ctx, txn)
+		switch r.outcome {
+		case table.Committed, table.Conflict:
+			return nil // a row of the same key is the same change
+		case table.Refused:
+			return fmt.Errorf("%w: the table service refused it", jobdesk.ErrNotAccepted)
+		case table.Unknown:
+			doubt = true
+		}
+		switch {
+		case !doubt && time.Now().After(definite):
+			return fmt.Errorf("%w: the table service is unavailable", jobdesk.ErrNotAccepted)
+		case doubt && time.Until(deadline) < answerMargin, !actor.Sleep(ctx, submitRetry):
+			return fmt.Errorf("%w: the table service did not answer", jobdesk.ErrUnknown)
+		}
+	}
+}
+
+func (d *desk) known(ctx context.Context, id workload.JobID) (phaseKnown, error) {
+	return actor.Ask(ctx, d.controller.address, func(r actor.Reply[phaseKnown]) any { return &phaseQuery{id, r} })
+}
+
+// Phase implements jobdesk.Desk.
+func (d *desk) Phase(ctx context.Context, _ workload.Queue, id workload.JobID) (workload.Phase, error) {
+	k, err := d.known(ctx, id)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", jobdesk.ErrUnknown, err)
+	}
+	if k.known {
+		return k.phase, nil
+	}
+	return d.storedPhase(ctx, id)
+}
+
+// storedPhase reads a job that this entry has not heard of.
+func (d *desk) storedPhase(ctx context.Context, id workload.JobID) (workload.Phase, error) {
+	if id == "" {
+		return 0, jobdesk.ErrNoJob
+	}
+	for {
+		phase, err := d.readPhase(ctx, id)
+		if err == nil || errors.Is(err, jobdesk.ErrNoJob) {
+			return phase, err
+		}
+		if !actor.Sleep(ctx, submitRetry) {
+			return 0, fmt.Errorf("%w: %w", jobdesk.ErrUnknown, err)
+		}
+	}
+}
+
+func (d *desk) readPhase(ctx context.Context, id workload.JobID) (workload.Phase, error) {
+	g := d.controller.gateway
+	_, err := g.read(ctx, jobKey(id))
+	switch {
+	case errors.Is(err, storage.ErrNotFound):
+		return 0, jobdesk.ErrNoJob
+	case err != nil:
+		return 0, err
+	}
+	_, err = g.read(ctx, cancelKey(id))
+	cancelled := err == nil
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
+		return 0, err
+	}
+	row, err := g.read(ctx, progressKey(id))
+	switch {
+	case errors.Is(err, storage.ErrNotFound) && cancelled:
+		return workload.Cancelled, nil
+	case errors.Is(err, storage.ErrNotFound):
+		return workload.Queued, nil
+	case err != nil:
+		return 0, err
+	}
+	p, err := wire.DecodeProgress(row.Value)
+	if cancelled && !p.Phase.Over() {
+		p.Phase = workload.Cancelled
+	}
+	return p.Phase, err
+}
+
+// Cancel implements jobdesk.Desk.
+func (d *desk) Cancel(ctx context.Context, q workload.Queue, id workload.JobID) error {
+	phase, err := d.Phase(ctx, q, id)
+	if err != nil {
+		return err
+	}
+	if phase.Over() {
+		return nil
+	}
+	key := cancelKey(id)
+	if err := d.persist(ctx, table.Txn{Checks: []table.Check{{Key: key}}, Puts: []table.Put{{Key: key, Value: []byte{1}}}}); err != nil {
+		if errors.Is(err, jobdesk.ErrNotAccepted) {
+			return fmt.Errorf("%w: %w", jobdesk.ErrUnknown, err)
+		}
+		return err
+	}
+	event.Log(d.log, event.JobCancelStored, log.Fields{"job": string(id)})
+	d.tell(ctx, func(r actor.Reply[bool]) any { return &cancelStored{id, q.Name, r} })
+	return nil
+}
+
+// Waiting implements jobdesk.Desk.
+func (d *desk) Waiting(ctx context.Context, q workload.Queue) (int, error) {
+	n, err := actor.Ask(ctx, d.controller.address, func(r actor.Reply[int]) any { return &waitingQuery{q.Name, r} })
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", jobdesk.ErrUnknown, err)
+	}
+	return n, nil
+}
+
+func (c *controller) phaseQuery(m *phaseQuery) {
+	p, known := c.mirror.phase(m.id)
+	m.reply.Put(phaseKnown{p, known})
+}
+
+// jobStored takes a job that a caller of this entry submitted.
+func (c *controller) jobStored(m *jobStored) {
+	c.mirror.take(msg.JobPhase{ID: m.job.ID, Queue: m.job.Queue}, c.now())
+	c.toOwner(&msg.JobSubmitted{Job: m.job})
+	m.taken.Put(true)
+}
+
+func (c *controller) cancelStored(m *cancelStored) {
+	c.toOwner(&msg.JobCancelled{ID: m.id})
+	m.taken.Put(true)
+}
+
+// toOwner passes a stored change to the owner, if it is known. The owner's
+// watch of the table service brings it otherwise.
+func (c *controller) toOwner(m msg.Control) {
+	if c.jobs != nil {
+		c.forOwner(&entryLink{hello: &msg.PeerHello{Member: c.self}}, m)
+		return
+	}
+	if l := c.entryLink(c.owner.Owner()); l != nil {
+		c.send(l, m)
+	}
+}
--- /dev/null
+++ b/internal/jobnode/metrics.go
@@ -0,0 +1,47 @@
+package jobnode
+
+import (
+	"errors"
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+
+	"github.com/bambooscale/bambooscale/internal/jobdesk"
+	"github.com/bambooscale/bambooscale/internal/jobs"
+	"github.com/bambooscale/bambooscale/internal/metrics"
+)
+
+// entryMetrics counts what an entry does. The labels are queues and outcomes.
+type entryMetrics struct{ scope tally.Scope }
+
+func newEntryMetrics(r *metrics.Registry) *entryMetrics { return &entryMetrics{r.Scope("jobs")} }
+
+func (m *entryMetrics) submitted(queue string, err error) {
+	outcome := "accepted"
+	switch {
+	case errors.Is(err, jobdesk.ErrUnknown):
+		outcome = "unknown"
+	case errors.Is(err, jobdesk.ErrInvalid):
+		outcome = "invalid"
+	case err != nil:
+		outcome = "not-accepted"
+	}
+	m.scope.Tagged(map[string]string{"queue": queue, "outcome": outcome}).Counter("submitted_total").Inc(1)
+}
+
+// decided counts a decision of the owner.
+func (m *entryMetrics) decided(d jobs.Decision) {
+	switch d.Kind {
+	case jobs.RunOrdered:
+		m.latency("run_wait_seconds", d.Age)
+	case jobs.RunOver:
+		m.scope.Tagged(map[string]string{"end": d.Detail}).Counter("runs_over_total").Inc(1)
+	case jobs.JobOver:
+		m.scope.Tagged(map[string]string{"phase": d.Detail}).Counter("jobs_over_total").Inc(1)
+		m.latency("job_seconds", d.Age)
+	}
+}
+
+func (m *entryMetrics) latency(name string, d time.Duration) {
+	m.scope.Histogram(name, metrics.LatencyBuckets).RecordDuration(d)
+}
--- /dev/null
+++ b/internal/jobs/plan.go
@@ -0,0 +1,143 @@
+package jobs
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/spread"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// The number of a run holds the owner's epoch above a counter, so that the
+// numbers of a task rise across changes of ownership without a stored row.
+const (
+	epochShift = 20
+	numberMask = 1<<epochShift - 1
+)
+
+// Plan starts what can be started and flushes the orders to the agents.
+func (c *Core) Plan() {
+	if !c.plan {
+		return
+	}
+	c.plan = false
+	hosts := c.sortedHosts()
+	for _, t := range c.order() {
+		c.place(t, hosts)
+	}
+	for _, h := range hosts {
+		h.flush()
+	}
+}
+
+// order returns the ready tasks, the most urgent first.
+func (c *Core) order() []*task {
+	list := make([]*task, 0, len(c.ready))
+	for t := range c.ready {
+		if t.step.job.recovered && c.recovered != 0 {
+			continue
+		}
+		list = append(list, t)
+	}
+	sort.Slice(list, func(i, k int) bool { return before(list[i], list[k]) })
+	return list
+}
+
+func before(a, b *task) bool {
+	ja, jb := a.step.job, b.step.job
+	switch {
+	case ja.spec.Priority != jb.spec.Priority:
+		return ja.spec.Priority < jb.spec.Priority
+	case ja.deadline != jb.deadline:
+		return ja.deadline < jb.deadline
+	case ja != jb:
+		return ja.spec.ID < jb.spec.ID
+	case a.step.number != b.step.number:
+		return a.step.number < b.step.number
+	}
+	return a.index < b.index
+}
+
+func (c *Core) place(t *task, hosts []*host) {
+	views := make([]spread.Host, len(hosts))
+	for i, h := range hosts {
+		views[i] = h.view(t)
+	}
+	want := spread.Task{Step: t.step.spec, Service: t.step.job.spec.Service, Priority: t.step.job.spec.Priority}
+	i, against := spread.Choose(want, views)
+	if i < 0 && len(t.avoid) > 0 && against[spread.Avoided] > 0 {
+		for k := range views {
+			views[k].Avoided = false
+		}
+		i, against = spread.Choose(want, views)
+	}
+	if i < 0 {
+		t.noteWaiting(against)
+		return
+	}
+	hosts[i].start(t)
+}
+
+func (h *host) view(t *task) spread.Host {
+	v := spread.Host{
+		Info: &h.info, Reachable: h.state == hostReady && h.takenBorn == h.info.Born, Free: h.info.Capacity.Sub(h.used), FillerCPU: h.fillerCPU, Serving: h.serving,
+		Suspect: h.suspect(), Failing: h.failing(), Avoided: t.avoid[h.info.Name],
+	}
+	if t.step.spec.MaxPerHost > 0 {
+		for _, r := range h.runs {
+			if r.task.step == t.step {
+				v.SameStep++
+			}
+		}
+	}
+	return v
+}
+
+func (t *task) noteWaiting(against map[spread.Reason]int) {
+	if t.waits {
+		return
+	}
+	t.waits = true
+	var parts []string
+	for r := spread.Fits + 1; r <= spread.Avoided; r++ {
+		if against[r] > 0 {
+			parts = append(parts, fmt.Sprintf("%s=%d", r, against[r]))
+		}
+	}
+	t.step.job.core.note(Decision{Kind: TaskWaits, Job: t.step.job.spec.ID, Run: workload.RunID{Task: t.id()}, Detail: strings.Join(parts, " ")})
+}
+
+func (h *host) start(t *task) {
+	c := h.core
+	t.starts++
+	id := workload.RunID{Task: t.id(), Number: (c.epoch-1)<<epochShift + t.starts}
+	r := h.charge(t, id)
+	delete(c.ready, t)
+	h.starts = append(h.starts, msg.RunStart{Size: r.size(), Specification: t.step.job.spec.Specification, Checkpoint: t.checkpoint})
+	c.note(Decision{Kind: RunOrdered, Job: t.step.job.spec.ID, Run: id, Host: h.info.Name, Age: c.now - t.readySince})
+}
+
+func (h *host) flush() {
+	if h.state != hostReady {
+		h.stops = nil // repeated after the next inventory
+		return
+	}
+	if len(h.stops) > 0 {
+		h.core.send(h, &msg.StopRuns{Epoch: h.core.epoch, Runs: h.stops})
+		h.stops = nil
+	}
+	if len(h.starts) > 0 {
+		h.core.send(h, &msg.StartRuns{Epoch: h.core.epoch, Instance: h.info.Instance, Born: h.info.Born, Starts: h.starts})
+		h.starts = nil
+	}
+}
+
+// Recover makes the tasks of restored jobs wait until every expected host has
+// answered or can run nothing.
+func (c *Core) Recover() {
+	c.recovered = c.now + Lapse + time.Second
+	c.settleRecovery()
+}
--- /dev/null
+++ b/internal/jobs/store.go
@@ -0,0 +1,185 @@
+package jobs
+
+import (
+	"sort"
+
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// maxBatch is how many rows one batch holds. The store takes 100 entries.
+const maxBatch = 80
+
+// Write is a row of a batch.
+type Write struct {
+	Job      workload.JobID
+	Progress workload.Progress
+}
+
+// Batch is what one transaction stores. After it has been committed the ends
+// that it covers are acknowledged and its final phases are shown.
+type Batch struct {
+	Writes  []Write
+	Removed []workload.JobID
+	ends    map[workload.HostName]takenEnds
+	urgent  bool
+}
+
+type takenEnds struct {
+	instance workload.Instance
+	born     int64
+	upto     uint64
+}
+
+// Urgent reports whether a caller waits for the batch.
+func (b *Batch) Urgent() bool { return b.urgent }
+
+// Pending reports whether there is something to store, and whether a caller
+// waits for it.
+func (c *Core) Pending() (pending, urgent bool) {
+	if c.writing != nil {
+		return false, false
+	}
+	for j := range c.dirty {
+		pending = true
+		if j.phase().Over() {
+			return true, true
+		}
+	}
+	for _, h := range c.hosts {
+		if h.endsSeen > h.endsTaken {
+			return true, false
+		}
+	}
+	return pending || len(c.removals) > 0, false
+}
+
+// NextBatch returns what should be stored next. One batch is under way at a
+// time; end it with Committed or Failed.
+func (c *Core) NextBatch() *Batch {
+	b := &Batch{ends: map[workload.HostName]takenEnds{}}
+	jobs := make([]*job, 0, len(c.dirty))
+	for j := range c.dirty {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(i, k int) bool { return jobs[i].spec.ID < jobs[k].spec.ID })
+	all := len(jobs) <= maxBatch
+	for _, j := range jobs[:min(len(jobs), maxBatch)] {
+		b.Writes = append(b.Writes, Write{Job: j.spec.ID, Progress: j.progress()})
+		delete(c.dirty, j)
+	}
+	room := (maxBatch - len(b.Writes)) / rowsPerJob
+	n := min(len(c.removals), room)
+	b.Removed = c.removals[:n]
+	c.removals = c.removals[n:]
+	for name, h := range c.hosts {
+		if all && h.endsSeen > h.endsTaken {
+			b.ends[name] = takenEnds{h.info.Instance, h.info.Born, h.endsSeen}
+		}
+	}
+	c.writing = b
+	return b
+}
+
+// rowsPerJob is how many rows a job has: itself, its cancellation, its progress.
+const rowsPerJob = 3
+
+// Committed says that the batch under way is stored.
+func (c *Core) Committed() {
+	b := c.writing
+	c.writing = nil
+	for _, w := range b.Writes {
+		j, ok := c.jobs[w.Job]
+		if !ok {
+			continue
+		}
+		if before := j.shown(); j.stored != w.Progress.Phase {
+			j.stored = w.Progress.Phase
+			if after := j.shown(); after != before {
+				c.phases = append(c.phases, after)
+			}
+		}
+	}
+	for name, e := range b.ends {
+		h := c.hosts[name]
+		if h == nil || h.info.Instance != e.instance || h.info.Born != e.born {
+			continue
+		}
+		h.endsTaken = e.upto
+		c.send(h, &msg.EndsTaken{Epoch: c.epoch, Instance: e.instance, Born: e.born, Upto: e.upto})
+	}
+}
+
+// Failed says that the batch under way was not stored.
+func (c *Core) Failed() {
+	b := c.writing
+	c.writing = nil
+	for _, w := range b.Writes {
+		if j, ok := c.jobs[w.Job]; ok {
+			c.dirty[j] = struct{}{}
+		}
+	}
+	c.removals = append(c.removals, b.Removed...)
+}
+
+func (c *Core) remove(j *job) {
+	delete(c.jobs, j.spec.ID)
+	delete(c.dirty, j)
+	c.removals = append(c.removals, j.spec.ID)
+}
+
+// progress returns the row of the job.
+func (j *job) progress() workload.Progress {
+	p := workload.Progress{Phase: j.phase(), OverAtMS: j.overAtMS}
+	if j.phase().Over() {
+		return p
+	}
+	n := 0
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if n%8 == 0 {
+				p.Done = append(p.Done, 0)
+			}
+			if t.done {
+				p.Done[n/8] |= 1 << (n % 8)
+			}
+			n++
+			if t.failed > 0 || t.checkpoint != "" && !t.done {
+				p.Attempts = append(p.Attempts, workload.TaskAttempts{
+					Step: s.number, Index: t.index, Failed: t.failed, LastFailed: t.lastFailed, Checkpoint: t.checkpoint,
+				})
+			}
+		}
+	}
+	return p
+}
+
+// restore sets the job to a stored row.
+func (j *job) restore(p *workload.Progress) {
+	j.stored = p.Phase
+	j.overAtMS = p.OverAtMS
+	if p.Phase.Over() {
+		j.removeAt = j.core.now + keepOver
+		j.state = chart.State(p.Phase)
+		return
+	}
+	if p.Phase == workload.Running {
+		j.step(evBegin)
+	}
+	n := 0
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if n/8 < len(p.Done) && p.Done[n/8]&(1<<(n%8)) != 0 {
+				t.done = true
+				s.left--
+			}
+			n++
+		}
+	}
+	for _, a := range p.Attempts {
+		if t := j.task(workload.TaskID{Step: a.Step, Index: a.Index}); t != nil {
+			t.failed, t.lastFailed, t.checkpoint = a.Failed, a.LastFailed, a.Checkpoint
+		}
+	}
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,253 @@
+// Package ownership decides which entry owns the jobs. The owner is a row of
+// the table service; it is claimed by compare-and-set with a higher epoch when
+// the entry that it names is away. The package does no input or output.
+package ownership
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/charts"
+	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// States of charts/ownership.scxml.
+const (
+	stReading chart.State = iota
+	stStandby
+	stClaiming
+	stOwner
+	stRetired
+)
+
+// Events of charts/ownership.scxml.
+const (
+	evLate chart.Event = iota
+	evRead
+	evWon
+	evBeaten
+	evUnknown
+	evGive
+)
+
+const (
+	readRetry    = 300 * time.Millisecond
+	lookInterval = 50 * time.Millisecond
+	claimRetry   = time.Second
+	// absence is how long an owner may be without a link before it is
+	// replaced. A link that was reset is up again sooner.
+	absence = 250 * time.Millisecond
+	// startAbsence replaces absence until links had time to come up.
+	startAbsence = 900 * time.Millisecond
+	// turn keeps entries from claiming at the same time.
+	turn = 200 * time.Millisecond
+)
+
+// Effect is what the entry has to do.
+type Effect uint8
+
+// Effects.
+const (
+	ReadRow  Effect = iota // answer with Read
+	ClaimRow               // commit Claim, answer with Claimed
+	Begin                  // it is the owner
+	End                    // it is no longer the owner
+	Release                // commit Released and tell the peers
+)
+
+// Core is the state of an entry's ownership. It belongs to one goroutine.
+type Core struct {
+	self string
+	boot uint64
+	now  time.Duration
+
+	state  chart.State
+	due    time.Duration
+	row    workload.Owner // newest known
+	stored table.Revision // version of the row
+	epoch  uint64         // highest known
+	linked map[string]bool
+	since  time.Duration // when the owner was last seen, or this entry began
+
+	effects []Effect
+}
+
+var ownershipChart *chart.Machine[Core]
+
+func init() { ownershipChart = chart.MustCompile(charts.Files, Binding()) }
+
+// Binding binds charts/ownership.scxml.
+func Binding() chart.Binding[Core] {
+	return chart.Binding[Core]{
+		Chart:  "ownership",
+		States: []string{"reading", "standby", "claiming", "owner", "retired"},
+		Events: []string{"late", "read", "won", "beaten", "unknown", "give"},
+		Guards: map[string]func(*Core) bool{"mayClaim": (*Core).mayClaim, "ownerAbsent": (*Core).ownerAbsent},
+		Actions: map[string]func(*Core){
+			"read":    func(c *Core) { c.emit(ReadRow) },
+			"claim":   func(c *Core) { c.emit(ClaimRow) },
+			"begin":   func(c *Core) { c.emit(Begin) },
+			"end":     func(c *Core) { c.emit(End) },
+			"release": func(c *Core) { c.emit(Release) },
+		},
+		Delays: map[string]time.Duration{"readRetry": readRetry, "lookInterval": lookInterval, "claimRetry": claimRetry},
+	}
+}
+
+// New returns the ownership of an entry that starts at now.
+func New(self string, boot uint64, now time.Duration) *Core {
+	c := &Core{self: self, boot: boot, now: now, linked: map[string]bool{}, since: now + startAbsence - absence}
+	c.state = ownershipChart.Initial()
+	c.due = now + 1 // read at once; 0 means no timeout
+	return c
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+// Effects returns what to do since the last call.
+func (c *Core) Effects() []Effect {
+	out := c.effects
+	c.effects = nil
+	return out
+}
+
+func (c *Core) step(e chart.Event) {
+	ownershipChart.Step(c, &c.state, e)
+	if d, _, ok := ownershipChart.Timeout(c.state); ok {
+		c.due = c.now + d
+	} else {
+		c.due = 0
+	}
+}
+
+// Tick applies a due timeout.
+func (c *Core) Tick(now time.Duration) {
+	c.now = now
+	if c.due != 0 && now >= c.due {
+		c.step(evLate)
+	}
+}
+
+// Owns reports whether the entry owns the jobs.
+func (c *Core) Owns() bool { return c.state == stOwner }
+
+// Epoch returns the highest epoch that the entry knows.
+func (c *Core) Epoch() uint64 { return c.epoch }
+
+// Owner returns the name of the owner, or nothing.
+func (c *Core) Owner() string { return c.row.Name }
+
+// PeerUp and PeerDown say which entries are linked.
+func (c *Core) PeerUp(name string) { c.linked[name] = true }
+
+// PeerDown says that an entry is no longer linked.
+func (c *Core) PeerDown(name string, now time.Duration) {
+	c.now = now
+	delete(c.linked, name)
+	if name == c.row.Name {
+		c.since = now
+	}
+}
+
+// Heard takes an owner and its epoch from a peer or an agent.
+func (c *Core) Heard(owner string, epoch uint64, now time.Duration) {
+	c.now = now
+	if epoch < c.epoch || epoch == c.epoch && owner != "" {
+		return
+	}
+	c.epoch = epoch
+	c.row = workload.Owner{Name: owner, Epoch: epoch}
+	c.stored = 0
+	c.since = now
+	if c.state == stOwner {
+		c.step(evBeaten)
+	}
+}
+
+// Outranked takes an epoch of which the owner is not known.
+func (c *Core) Outranked(epoch uint64, now time.Duration) {
+	c.now = now
+	if epoch <= c.epoch {
+		return
+	}
+	c.epoch = epoch
+	c.since = now
+	if c.state == stOwner {
+		c.step(evBeaten)
+	}
+}
+
+// Read takes the stored owner; version 0 means that there is none.
+func (c *Core) Read(o workload.Owner, version table.Revision, now time.Duration) {
+	c.now = now
+	if o.Name != "" && o.Name != c.row.Name && c.row.Name != "" {
+		c.since = now
+	}
+	c.row, c.stored = o, version
+	c.epoch = max(c.epoch, o.Epoch)
+	c.step(evRead)
+}
+
+// Claim returns the row that claims the jobs, and the version to check.
+func (c *Core) Claim() (workload.Owner, table.Revision) {
+	return workload.Owner{Name: c.self, Boot: c.boot, Epoch: c.epoch + 1}, c.stored
+}
+
+// Claimed takes the outcome of a claim.
+func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) {
+	c.now = now
+	switch outcome {
+	case table.Committed:
+		c.row, c.stored, c.epoch = o, version, o.Epoch
+		c.step(evWon)
+	case table.Conflict:
+		c.step(evBeaten)
+	default:
+		c.step(evUnknown)
+	}
+}
+
+// Beaten says that a write showed another owner.
+func (c *Core) Beaten(now time.Duration) {
+	c.now = now
+	c.since = now
+	c.step(evBeaten)
+}
+
+// Give ends the entry's part: it releases the jobs if it owns them.
+func (c *Core) Give(now time.Duration) {
+	c.now = now
+	c.step(evGive)
+}
+
+// mine reports whether the row names this process.
+func (c *Core) mine() bool { return c.row.Name == c.self }
+
+func (c *Core) mayClaim() bool { return c.mine() || c.ownerAbsent() }
+
+// ownerAbsent reports whether it is this entry's turn to replace the owner.
+func (c *Core) ownerAbsent() bool {
+	if c.mine() {
+		return true
+	}
+	if c.linked[c.row.Name] {
+		return false
+	}
+	wait := absence + time.Duration(c.rank())*turn
+	if c.row.Name == "" && c.epoch > 0 {
+		wait -= absence // it was given up
+	}
+	return c.now-c.since >= wait
+}
+
+// rank is the number of linked entries that come before this one.
+func (c *Core) rank() int {
+	n := 0
+	for name := range c.linked {
+		if name < c.self {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,30 +47,46 @@
 	Down(err error)
 }
 
-// Run greets the peer and serves the link until it fails or ctx ends. It
-// closes conn.
+// Timing says how soon a silent peer is noticed.
+type Timing struct {
+	Heartbeat time.Duration // a message is sent at least that often
+	Silence   time.Duration // after which the link is ended
+}
+
+// DefaultTiming suits links of which there are many at an entry.
+var DefaultTiming = Timing{Heartbeat: heartbeatInterval, Silence: silenceTimeout}
+
+// Run greets the peer and serves the link with DefaultTiming until it fails or
+// ctx ends. It closes conn.
 func Run(ctx context.Context, conn link.Conn, hello msg.Control, h Handler) error {
+	return RunTimed(ctx, conn, hello, h, DefaultTiming)
+}
+
+// RunTimed is Run with a timing.
+func RunTimed(ctx context.Context, conn link.Conn, hello msg.Control, h Handler, timing Timing) error {
 	g := actor.NewGroup(ctx, nil)
 	defer g.Stop()
 	defer conn.Close()
 	full := make(chan struct{}, 1)
 	out := actor.Spawn(g, actor.Spec[msg.Control]{Name: "link writer", Mailbox: outboundMessages, Full: full,
-		Run: func(ctx context.Context, in <-chan msg.Control) error { return write(ctx, conn, hello, in) }})
+		Run: func(ctx context.Context, in <-chan msg.Control) error {
+			return write(ctx, conn, hello, in, timing.Heartbeat)
+		}})
 	in := make(chan msg.Control, 16)
 	failed := actor.NewReply[error]()
 	actor.Go(g, "link reader", func(ctx context.Context) error {
 		failed.Put(read(ctx, conn, in))
 		return nil
 	})
-	l := &session{handler: h, out: out, full: full}
+	l := &session{handler: h, out: out, full: full, silence: timing.Silence}
 	return l.serve(ctx, in, failed, out.Done())
 }
 
-func write(ctx context.Context, conn link.Conn, hello msg.Control, in <-chan msg.Control) error {
+func write(ctx context.Context, conn link.Conn, hello msg.Control, in <-chan msg.Control, heartbeat time.Duration) error {
 	if err := conn.Send(hello); err != nil {
 		return err
 	}
-	idle := time.NewTimer(heartbeatInterval)
+	idle := time.NewTimer(heartbeat)
 	defer idle.Stop()
 	for {
 		var m msg.Control
@@ -84,7 +100,7 @@
 		if err := conn.Send(m); err != nil {
 			return err
 		}
-		idle.Reset(heartbeatInterval)
+		idle.Reset(heartbeat)
 	}
 }
 
@@ -129,6 +145,7 @@
 	handler Handler
 	out     Out
 	full    <-chan struct{} // a message for the peer was dropped
+	silence time.Duration   // of an established link
 	state   chart.State
 	current msg.Control // message that is being delivered
 	wasUp   bool
@@ -170,6 +187,9 @@
 		}
 		linkChart.Step(s, &s.state, event)
 		if d, _, ok := linkChart.Timeout(s.state); ok {
+			if s.wasUp {
+				d = s.silence
+			}
 			silence.Reset(d)
 		}
 	}
@@ -178,7 +198,7 @@
 
 func kindOf(m msg.Control) chart.Event {
 	switch m.(type) {
-	case *msg.AgentHello, *msg.EntryHello:
+	case *msg.AgentHello, *msg.EntryHello, *msg.PeerHello:
 		return evHello
 	}
 	return evMessage
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -22,14 +22,14 @@
 // layers lists the packages from low to high. A package may import only
 // packages of lower layers. An entry ending in "/" covers what is below it.
 var layers = [][]string{
-	{"charts", "internal/finding", "internal/event"},
+	{"charts", "internal/finding", "internal/event", "internal/table", "internal/workload"},
 	{"internal/chart", "internal/model", "internal/actor"},
 	{"internal/msg", "internal/labels"},
 	{"internal/policy/", "internal/wire"},
-	{"internal/link", "internal/storage", "internal/rows", "internal/metrics", "internal/settings", "internal/load"},
-	{"internal/peer", "internal/directory"},
-	{"internal/entry", "internal/agent", "internal/tasks", "internal/control", "internal/configstore"},
-	{"internal/operator", "internal/standin"},
+	{"internal/link", "internal/storage", "internal/rows", "internal/metrics", "internal/settings", "internal/load", "internal/logsink"},
+	{"internal/peer", "internal/directory", "internal/runner", "internal/jobdesk"},
+	{"internal/entry", "internal/agent", "internal/tasks", "internal/control", "internal/configstore", "internal/jobs", "internal/hostguard", "internal/ownership"},
+	{"internal/operator", "internal/standin", "internal/jobnode", "platform"},
 	{"internal/daemon", "internal/command"},
 	{"cmd/", "internal/shape", "internal/faultproxy", "internal/history", "internal/measure", "internal/capacity", "internal/explore", "test"},
 }
--- a/internal/storage/batch.go
+++ b/internal/storage/batch.go
@@ -155,8 +155,8 @@
 func (b *batch) txn(key string, version Revision, value []byte) Txn {
 	t := Txn{
 		Operation: b.operation,
-		Checks:    []Check{{key, version}},
-		Puts:      []Put{{key, value}},
+		Checks:    []Check{{Key: key, Version: version}},
+		Puts:      []Put{{Key: key, Value: value}},
 	}
 	checked := map[string]bool{}
 	for _, p := range b.ops {
--- a/internal/storage/http.go
+++ b/internal/storage/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,21 +34,21 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// httpClient sends single requests and says what a failure means.
-type httpClient struct {
+// HTTPClient sends single requests and says what a failure means.
+type HTTPClient struct {
 	base    string
 	timeout time.Duration
 	client  *http.Client
 }
 
-func newHTTPClient(c HTTPConfig) *httpClient {
+func NewHTTPClient(c HTTPConfig) *HTTPClient {
 	if c.Timeout == 0 {
 		c.Timeout = DefaultTimeout
 	}
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	}
-	return &httpClient{
+	return &HTTPClient{
 		base:    strings.TrimSuffix(c.URL, "/"),
 		timeout: c.Timeout,
 		client: &http.Client{Transport: &http.Transport{
@@ -57,32 +58,43 @@
 	}
 }
 
-// close closes idle connections.
-func (c *httpClient) close() { c.client.CloseIdleConnections() }
+// Close closes idle connections.
+func (c *HTTPClient) Close() { c.client.CloseIdleConnections() }
 
-// response is a complete response.
-type response struct {
-	status int
-	body   []byte
+// Response is a complete response.
+type Response struct {
+	Status int
+	Body   []byte
 }
 
-// do sends a request and reads the whole response. Its error is
+// Request is one request to a platform service.
+type Request struct {
+	Method string
+	Path   string // with the query
+	Header http.Header
+	Body   []byte
+}
+
+// Do sends a request and reads the whole response. Its error is
 // ErrUnavailable when the request was certainly not sent, else ErrUnknown;
 // after the end of ctx it matches the context's error as well.
-func (c *httpClient) do(ctx context.Context, method, path string, body []byte) (response, error) {
+func (c *HTTPClient) Do(ctx context.Context, r Request) (Response, error) {
 	limited, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(limited, trace), method, c.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(limited, trace), r.Method, c.base+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
-		return response{}, errors.Wrapf(ErrRefused, "%v", err)
+		return Response{}, errors.Wrapf(ErrRefused, "%v", err)
+	}
+	for name, values := range r.Header {
+		req.Header[name] = values
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		var dial *net.OpError
 		sent := connected && !(errors.As(err, &dial) && dial.Op == "dial")
-		return response{}, transportError(ctx, sent, err)
+		return Response{}, transportError(ctx, sent, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
@@ -90,9 +102,9 @@
 		err = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	}
 	if err != nil {
-		return response{}, transportError(ctx, true, err)
+		return Response{}, transportError(ctx, true, err)
 	}
-	return response{resp.StatusCode, raw}, nil
+	return Response{resp.StatusCode, raw}, nil
 }
 
 func transportError(ctx context.Context, sent bool, cause error) error {
@@ -103,13 +115,16 @@
 			return fmt.Errorf("%w: %w", class, ctx.Err())
 		}
 	}
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w: %v", class, ErrNotListening, cause)
+	}
 	return fmt.Errorf("%w: %v", class, cause)
 }
 
-// failure maps a status other than success to an error.
-func (r response) failure() error {
+// Failure maps a status other than success to an error.
+func (r Response) Failure() error {
 	class := ErrUnknown
-	switch r.status {
+	switch r.Status {
 	case http.StatusNotFound:
 		class = ErrNotFound
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
@@ -117,13 +132,13 @@
 	case http.StatusBadRequest, http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge:
 		class = ErrRefused
 	}
-	text := strings.TrimSpace(string(r.body[:min(len(r.body), maxErrorText)]))
-	return fmt.Errorf("%w: status %d: %s", class, r.status, text)
+	text := strings.TrimSpace(string(r.Body[:min(len(r.Body), maxErrorText)]))
+	return fmt.Errorf("%w: status %d: %s", class, r.Status, text)
 }
 
-// readFailure turns an unknown outcome into ErrUnavailable: a read has no
+// ReadFailure turns an unknown outcome into ErrUnavailable: a read has no
 // effect, so it may be repeated.
-func readFailure(err error) error {
+func ReadFailure(err error) error {
 	if errors.Is(err, ErrUnknown) {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
--- a/internal/storage/http_objects.go
+++ b/internal/storage/http_objects.go
@@ -7,15 +7,15 @@
 )
 
 // HTTPObjects is a client of the object store. Any goroutine may use it.
-type HTTPObjects struct{ http *httpClient }
+type HTTPObjects struct{ http *HTTPClient }
 
 var _ Objects = (*HTTPObjects)(nil)
 
 // NewHTTPObjects returns a client; it does not connect yet.
-func NewHTTPObjects(c HTTPConfig) *HTTPObjects { return &HTTPObjects{newHTTPClient(c)} }
+func NewHTTPObjects(c HTTPConfig) *HTTPObjects { return &HTTPObjects{NewHTTPClient(c)} }
 
 // Close closes idle connections.
-func (o *HTTPObjects) Close() { o.http.close() }
+func (o *HTTPObjects) Close() { o.http.Close() }
 
 // Put implements Objects.
 func (o *HTTPObjects) Put(ctx context.Context, name string, data []byte) error {
@@ -26,7 +26,7 @@
 // Get implements Objects.
 func (o *HTTPObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	data, err := o.call(ctx, http.MethodGet, name, nil)
-	return data, readFailure(err)
+	return data, ReadFailure(err)
 }
 
 // Delete implements Objects. Deleting an absent object has no effect.
@@ -36,12 +36,12 @@
 }
 
 func (o *HTTPObjects) call(ctx context.Context, method, name string, data []byte) ([]byte, error) {
-	r, err := o.http.do(ctx, method, "/v1/objects/"+url.PathEscape(name), data)
+	r, err := o.http.Do(ctx, Request{Method: method, Path: "/v1/objects/" + url.PathEscape(name), Body: data})
 	if err != nil {
 		return nil, err
 	}
-	if r.status != http.StatusOK && r.status != http.StatusNoContent {
-		return nil, r.failure()
+	if r.Status != http.StatusOK && r.Status != http.StatusNoContent {
+		return nil, r.Failure()
 	}
-	return r.body, nil
+	return r.Body, nil
 }
--- a/internal/storage/http_table.go
+++ b/internal/storage/http_table.go
@@ -10,15 +10,15 @@
 )
 
 // HTTPTable is a client of the table service. Any goroutine may use it.
-type HTTPTable struct{ http *httpClient }
+type HTTPTable struct{ http *HTTPClient }
 
 var _ Table = (*HTTPTable)(nil)
 
 // NewHTTPTable returns a client; it does not connect yet.
-func NewHTTPTable(c HTTPConfig) *HTTPTable { return &HTTPTable{newHTTPClient(c)} }
+func NewHTTPTable(c HTTPConfig) *HTTPTable { return &HTTPTable{NewHTTPClient(c)} }
 
 // Close closes idle connections.
-func (t *HTTPTable) Close() { t.http.close() }
+func (t *HTTPTable) Close() { t.http.Close() }
 
 // Commit implements Table.
 func (t *HTTPTable) Commit(ctx context.Context, txn Txn) (Revision, error) {
@@ -26,7 +26,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrRefused, err)
 	}
-	r, err := t.http.do(ctx, http.MethodPost, "/v1/txn", body)
+	r, err := t.http.Do(ctx, Request{Method: http.MethodPost, Path: "/v1/txn", Body: body})
 	if err != nil {
 		return 0, err
 	}
@@ -34,19 +34,19 @@
 		Revision Revision `json:"revision"`
 		Failed   []string `json:"failed"`
 	}
-	switch r.status {
+	switch r.Status {
 	case http.StatusOK:
-		if err := json.Unmarshal(r.body, &a); err != nil || a.Revision == 0 {
+		if err := json.Unmarshal(r.Body, &a); err != nil || a.Revision == 0 {
 			return 0, fmt.Errorf("%w: malformed answer to a commit", ErrUnknown)
 		}
 		return a.Revision, nil
 	case http.StatusConflict:
-		if err := json.Unmarshal(r.body, &a); err != nil || len(a.Failed) == 0 {
+		if err := json.Unmarshal(r.Body, &a); err != nil || len(a.Failed) == 0 {
 			return 0, fmt.Errorf("%w: malformed answer to a commit", ErrUnknown)
 		}
 		return 0, &ConflictError{Keys: a.Failed}
 	}
-	return 0, r.failure()
+	return 0, r.Failure()
 }
 
 // Read implements Table.
@@ -68,14 +68,14 @@
 }
 
 func (t *HTTPTable) get(ctx context.Context, path string, v any) error {
-	r, err := t.http.do(ctx, http.MethodGet, path, nil)
-	if err == nil && r.status != http.StatusOK {
-		err = r.failure()
+	r, err := t.http.Do(ctx, Request{Method: http.MethodGet, Path: path})
+	if err == nil && r.Status != http.StatusOK {
+		err = r.Failure()
 	}
 	if err != nil {
-		return readFailure(err)
+		return ReadFailure(err)
 	}
-	if err := json.Unmarshal(r.body, v); err != nil {
+	if err := json.Unmarshal(r.Body, v); err != nil {
 		return fmt.Errorf("%w: malformed answer to a read: %v", ErrUnavailable, err)
 	}
 	return nil
--- a/internal/storage/writer_core_test.go
+++ b/internal/storage/writer_core_test.go
@@ -49,7 +49,7 @@
 // offer offers an operation that writes the row of its own name if the row has
 // this version.
 func (s *script) offer(name string, version Revision) {
-	p, err := newPending(Op{Checks: []Check{{name, version}}, Puts: []Put{{Key: name}}})
+	p, err := newPending(Op{Checks: []Check{{Key: name, Version: version}}, Puts: []Put{{Key: name}}})
 	require.NoError(s.t, err)
 	s.ops[name] = p
 	s.core.offer(p, s.now)
@@ -120,7 +120,7 @@
 	s.expire()
 	s.row(0, "")
 	s.answer(0, &ConflictError{Keys: []string{"a"}})
-	require.Equal(t, []Check{{"writer/w", 0}}, s.sent[2].Checks)
+	require.Equal(t, []Check{{Key: "writer/w", Version: 0}}, s.sent[2].Checks)
 	s.answer(3, nil)
 	require.Equal(t, WriteResult{Err: &ConflictError{Keys: []string{"a"}}}, s.got["a"])
 }
@@ -137,7 +137,7 @@
 	require.ErrorIs(t, s.got["a"].Err, ErrUnknown)
 	s.offer("b", 0)
 	s.expire()
-	require.Equal(t, Check{"writer/w", 5}, s.sent[1].Checks[0])
+	require.Equal(t, Check{Key: "writer/w", Version: 5}, s.sent[1].Checks[0])
 }
 
 // Guards against one invalid operation that fails all that share its
@@ -196,7 +196,7 @@
 			for _, key := range rapid.SliceOfNDistinct(rapid.IntRange(0, 200), 1, 30, rapid.ID).Draw(t, "rows") {
 				name := strconv.Itoa(key)
 				if rapid.Bool().Draw(t, "check") {
-					op.Checks = append(op.Checks, Check{name, Revision(rapid.IntRange(0, 1).Draw(t, "version"))})
+					op.Checks = append(op.Checks, Check{Key: name, Version: Revision(rapid.IntRange(0, 1).Draw(t, "version"))})
 				} else {
 					op.Puts = append(op.Puts, Put{Key: name})
 				}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -38,6 +38,9 @@
 	if p := taskToProto(m); p != nil {
 		return p, nil
 	}
+	if p := fleetToProto(m); p != nil {
+		return p, nil
+	}
 	p := &pb.Control{}
 	switch m := m.(type) {
 	case *msg.AgentHello:
@@ -78,6 +81,9 @@
 	if m := taskFromProto(p); m != nil {
 		return m, nil
 	}
+	if m, err := fleetFromProto(p); m != nil || err != nil {
+		return m, err
+	}
 	switch k := p.Kind.(type) {
 	case *pb.Control_AgentHello:
 		return agentHelloFromProto(k.AgentHello), nil
--- /dev/null
+++ b/internal/wire/fleet.go
@@ -0,0 +1,300 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/wire/pb"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// fleetToProto maps the messages of internal/msg/fleet.go, and returns nil for
+// others.
+func fleetToProto(m msg.Control) *pb.Control {
+	p := &pb.Control{}
+	switch m := m.(type) {
+	case *msg.PeerHello:
+		p.Kind = &pb.Control_PeerHello{PeerHello: &pb.PeerHello{
+			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
+		}}
+	case *msg.Members:
+		p.Kind = &pb.Control_Members{Members: &pb.Members{Entries: each(m.Entries, memberToProto)}}
+	case *msg.HostAnnounced:
+		p.Kind = &pb.Control_HostAnnounced{HostAnnounced: hostToProto(m.Host)}
+	case *msg.OwnerClaim:
+		p.Kind = &pb.Control_OwnerClaim{OwnerClaim: &pb.OwnerClaim{Epoch: m.Epoch, Owner: m.Owner}}
+	case *msg.HostInventory:
+		p.Kind = &pb.Control_HostInventory{HostInventory: &pb.HostInventory{
+			Epoch: m.Epoch, Host: hostToProto(m.Host), ClockMs: m.ClockMS,
+			Runs: each(m.Runs, runStatusToProto), Ends: each(m.Ends, runEndToProto),
+		}}
+	case *msg.InventoryTaken:
+		p.Kind = &pb.Control_InventoryTaken{InventoryTaken: &pb.InventoryTaken{
+			Epoch: m.Epoch, ClockMs: m.ClockMS, Sizes: each(m.Sizes, runSizeToProto),
+		}}
+	case *msg.StartRuns:
+		p.Kind = &pb.Control_StartRuns{StartRuns: &pb.StartRuns{
+			Epoch: m.Epoch, Instance: string(m.Instance), Born: m.Born, Starts: each(m.Starts, runStartToProto),
+		}}
+	case *msg.StopRuns:
+		p.Kind = &pb.Control_StopRuns{StopRuns: &pb.StopRuns{Epoch: m.Epoch, Runs: each(m.Runs, runToProto)}}
+	case *msg.RunsChanged:
+		p.Kind = &pb.Control_RunsChanged{RunsChanged: &pb.RunsChanged{
+			Epoch: m.Epoch, Instance: string(m.Instance), Born: m.Born, Started: each(m.Started, runToProto),
+			Refused: each(m.Refused, runToProto), Ends: each(m.Ends, runEndToProto),
+		}}
+	case *msg.RunsProgress:
+		p.Kind = &pb.Control_RunsProgress{RunsProgress: &pb.RunsProgress{
+			Epoch: m.Epoch, Instance: string(m.Instance), Born: m.Born, ClockMs: m.ClockMS, Runs: each(m.Runs, runStatusToProto),
+		}}
+	case *msg.LeaseGrant:
+		p.Kind = &pb.Control_LeaseGrant{LeaseGrant: &pb.LeaseGrant{Epoch: m.Epoch, Born: m.Born, ClockMs: m.ClockMS}}
+	case *msg.EndsTaken:
+		p.Kind = &pb.Control_EndsTaken{EndsTaken: &pb.EndsTaken{Epoch: m.Epoch, Instance: string(m.Instance), Born: m.Born, Upto: m.Upto}}
+	case *msg.JobSubmitted:
+		p.Kind = &pb.Control_JobSubmitted{JobSubmitted: jobToProto(&m.Job)}
+	case *msg.JobCancelled:
+		p.Kind = &pb.Control_JobCancelled{JobCancelled: string(m.ID)}
+	case *msg.JobPhases:
+		p.Kind = &pb.Control_JobPhases{JobPhases: &pb.JobPhases{Epoch: m.Epoch, All: m.All, Jobs: each(m.Jobs, jobPhaseToProto)}}
+	case *msg.ConfigAnnounced:
+		p.Kind = &pb.Control_ConfigAnnounced{ConfigAnnounced: &pb.ConfigAnnounced{Version: m.Version, Raw: m.Raw}}
+	case *msg.StoreCall:
+		p.Kind = &pb.Control_StoreCall{StoreCall: storeCallToProto(m)}
+	case *msg.StoreResult:
+		p.Kind = &pb.Control_StoreResult{StoreResult: &pb.StoreResult{
+			Id: m.ID, Outcome: uint32(m.Outcome), Revision: uint64(m.Revision), Rows: each(m.Rows, rowToProto),
+		}}
+	default:
+		return nil
+	}
+	return p
+}
+
+// fleetFromProto is the inverse of fleetToProto.
+func fleetFromProto(p *pb.Control) (msg.Control, error) {
+	switch k := p.Kind.(type) {
+	case *pb.Control_PeerHello:
+		h := k.PeerHello
+		return &msg.PeerHello{
+			Member: memberFromProto(h.GetMember()), Agent: h.GetAgent(), Boot: h.GetBoot(),
+			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(),
+		}, nil
+	case *pb.Control_Members:
+		return &msg.Members{Entries: each(k.Members.GetEntries(), memberFromProto)}, nil
+	case *pb.Control_HostAnnounced:
+		h, err := hostFromProto(k.HostAnnounced)
+		return &msg.HostAnnounced{Host: h}, err
+	case *pb.Control_OwnerClaim:
+		return &msg.OwnerClaim{Epoch: k.OwnerClaim.GetEpoch(), Owner: k.OwnerClaim.GetOwner()}, nil
+	case *pb.Control_HostInventory:
+		return inventoryFromFleet(k.HostInventory)
+	case *pb.Control_InventoryTaken:
+		t := k.InventoryTaken
+		return &msg.InventoryTaken{Epoch: t.GetEpoch(), ClockMS: t.GetClockMs(), Sizes: each(t.GetSizes(), runSizeFromProto)}, nil
+	case *pb.Control_StartRuns:
+		s := k.StartRuns
+		return &msg.StartRuns{
+			Epoch: s.GetEpoch(), Instance: workload.Instance(s.GetInstance()), Born: s.GetBorn(), Starts: each(s.GetStarts(), runStartFromProto),
+		}, nil
+	case *pb.Control_StopRuns:
+		return &msg.StopRuns{Epoch: k.StopRuns.GetEpoch(), Runs: each(k.StopRuns.GetRuns(), runFromProto)}, nil
+	case *pb.Control_RunsChanged:
+		return runsChangedFromProto(k.RunsChanged)
+	case *pb.Control_RunsProgress:
+		r := k.RunsProgress
+		return &msg.RunsProgress{
+			Epoch: r.GetEpoch(), Instance: workload.Instance(r.GetInstance()), Born: r.GetBorn(), ClockMS: r.GetClockMs(),
+			Runs: each(r.GetRuns(), runStatusFromProto),
+		}, nil
+	case *pb.Control_LeaseGrant:
+		return &msg.LeaseGrant{Epoch: k.LeaseGrant.GetEpoch(), Born: k.LeaseGrant.GetBorn(), ClockMS: k.LeaseGrant.GetClockMs()}, nil
+	case *pb.Control_EndsTaken:
+		e := k.EndsTaken
+		return &msg.EndsTaken{Epoch: e.GetEpoch(), Instance: workload.Instance(e.GetInstance()), Born: e.GetBorn(), Upto: e.GetUpto()}, nil
+	case *pb.Control_JobSubmitted:
+		return &msg.JobSubmitted{Job: jobFromProto(k.JobSubmitted)}, nil
+	case *pb.Control_JobCancelled:
+		return &msg.JobCancelled{ID: workload.JobID(k.JobCancelled)}, nil
+	case *pb.Control_JobPhases:
+		return jobPhasesFromProto(k.JobPhases)
+	case *pb.Control_ConfigAnnounced:
+		return &msg.ConfigAnnounced{Version: k.ConfigAnnounced.GetVersion(), Raw: k.ConfigAnnounced.GetRaw()}, nil
+	case *pb.Control_StoreCall:
+		return storeCallFromProto(k.StoreCall), nil
+	case *pb.Control_StoreResult:
+		return storeResultFromProto(k.StoreResult)
+	}
+	return nil, nil
+}
+
+func memberToProto(m msg.Member) *pb.Member { return &pb.Member{Name: m.Name, Address: m.Address} }
+func memberFromProto(p *pb.Member) msg.Member {
+	return msg.Member{Name: p.GetName(), Address: p.GetAddress()}
+}
+
+func roomToProto(r workload.Resources) *pb.Room {
+	return &pb.Room{MilliCpu: r.MilliCPU, MemoryMb: r.MemoryMB, Accelerators: r.Accelerators}
+}
+
+func roomFromProto(p *pb.Room) workload.Resources {
+	return workload.Resources{MilliCPU: p.GetMilliCpu(), MemoryMB: p.GetMemoryMb(), Accelerators: p.GetAccelerators()}
+}
+
+func hostToProto(h workload.Host) *pb.FleetHost {
+	return &pb.FleetHost{
+		Name: string(h.Name), Instance: string(h.Instance), Born: h.Born, Service: string(h.Service), DataCentre: string(h.DataCentre),
+		State: uint32(h.State), RemainingNs: int64(h.Remaining), Capacity: roomToProto(h.Capacity), Labels: h.Labels, Guards: h.Guards,
+	}
+}
+
+func hostFromProto(p *pb.FleetHost) (workload.Host, error) {
+	if p.GetState() > uint32(workload.HostDraining) {
+		return workload.Host{}, malformed("host %q has the unknown state %d", p.GetName(), p.GetState())
+	}
+	return workload.Host{
+		Name: workload.HostName(p.GetName()), Instance: workload.Instance(p.GetInstance()), Born: p.GetBorn(),
+		Service: workload.Service(p.GetService()), DataCentre: workload.DataCentre(p.GetDataCentre()),
+		State: workload.HostState(p.GetState()), Remaining: time.Duration(p.GetRemainingNs()),
+		Capacity: roomFromProto(p.GetCapacity()), Labels: p.GetLabels(), Guards: p.GetGuards(),
+	}, nil
+}
+
+func runToProto(r workload.RunID) *pb.FleetRun {
+	return &pb.FleetRun{Number: r.Number, Task: &pb.FleetTask{
+		Job: string(r.Task.Job), Occurrence: int64(r.Task.Occurrence), Step: int64(r.Task.Step), Index: int64(r.Task.Index),
+	}}
+}
+
+func runFromProto(p *pb.FleetRun) workload.RunID {
+	t := p.GetTask()
+	return workload.RunID{Number: p.GetNumber(), Task: workload.TaskID{
+		Job: workload.JobID(t.GetJob()), Occurrence: int(t.GetOccurrence()), Step: int(t.GetStep()), Index: int(t.GetIndex()),
+	}}
+}
+
+func runStatusToProto(s msg.RunStatus) *pb.RunStatus {
+	return &pb.RunStatus{
+		Run: runToProto(s.Run), Checkpoint: s.Checkpoint, Percent: int64(s.Percent), Usage: s.Usage, Pace: int64(s.Pace), InDoubt: s.InDoubt,
+	}
+}
+
+func runStatusFromProto(p *pb.RunStatus) msg.RunStatus {
+	return msg.RunStatus{
+		Run: runFromProto(p.GetRun()), Checkpoint: p.GetCheckpoint(), Percent: int(p.GetPercent()), Usage: p.GetUsage(),
+		Pace: int(p.GetPace()), InDoubt: p.GetInDoubt(),
+	}
+}
+
+func runEndToProto(e msg.RunEnd) *pb.RunEnd {
+	return &pb.RunEnd{Number: e.Number, Run: runToProto(e.Run), Reason: uint32(e.Reason), Checkpoint: e.Checkpoint}
+}
+
+func runEndsFromProto(list []*pb.RunEnd) ([]msg.RunEnd, error) {
+	ends := make([]msg.RunEnd, 0, len(list))
+	for _, p := range list {
+		if p.GetReason() > uint32(workload.EndLost) {
+			return nil, malformed("end %d has the unknown reason %d", p.GetNumber(), p.GetReason())
+		}
+		ends = append(ends, msg.RunEnd{
+			Number: p.GetNumber(), Run: runFromProto(p.GetRun()), Reason: workload.EndReason(p.GetReason()), Checkpoint: p.GetCheckpoint(),
+		})
+	}
+	if len(ends) == 0 {
+		return nil, nil
+	}
+	return ends, nil
+}
+
+func inventoryFromFleet(p *pb.HostInventory) (msg.Control, error) {
+	host, err := hostFromProto(p.GetHost())
+	if err != nil {
+		return nil, err
+	}
+	ends, err := runEndsFromProto(p.GetEnds())
+	return &msg.HostInventory{
+		Epoch: p.GetEpoch(), Host: host, ClockMS: p.GetClockMs(), Runs: each(p.GetRuns(), runStatusFromProto), Ends: ends,
+	}, err
+}
+
+func runSizeToProto(s msg.RunSize) *pb.RunSize {
+	return &pb.RunSize{Run: runToProto(s.Run), Charge: roomToProto(s.Charge), TargetNs: int64(s.Target), Filler: s.Filler}
+}
+
+func runSizeFromProto(p *pb.RunSize) msg.RunSize {
+	return msg.RunSize{
+		Run: runFromProto(p.GetRun()), Charge: roomFromProto(p.GetCharge()), Target: time.Duration(p.GetTargetNs()), Filler: p.GetFiller(),
+	}
+}
+
+func runStartToProto(s msg.RunStart) *pb.RunStart {
+	return &pb.RunStart{Size: runSizeToProto(s.Size), Specification: s.Specification, Checkpoint: s.Checkpoint}
+}
+
+func runStartFromProto(p *pb.RunStart) msg.RunStart {
+	return msg.RunStart{Size: runSizeFromProto(p.GetSize()), Specification: p.GetSpecification(), Checkpoint: p.GetCheckpoint()}
+}
+
+func runsChangedFromProto(p *pb.RunsChanged) (msg.Control, error) {
+	ends, err := runEndsFromProto(p.GetEnds())
+	return &msg.RunsChanged{
+		Epoch: p.GetEpoch(), Instance: workload.Instance(p.GetInstance()), Born: p.GetBorn(),
+		Started: each(p.GetStarted(), runFromProto), Refused: each(p.GetRefused(), runFromProto), Ends: ends,
+	}, err
+}
+
+func jobPhaseToProto(j msg.JobPhase) *pb.JobPhase {
+	return &pb.JobPhase{Id: string(j.ID), Queue: string(j.Queue), Phase: uint32(j.Phase)}
+}
+
+func jobPhasesFromProto(p *pb.JobPhases) (msg.Control, error) {
+	m := &msg.JobPhases{Epoch: p.GetEpoch(), All: p.GetAll()}
+	for _, j := range p.GetJobs() {
+		if j.GetPhase() > uint32(workload.Cancelled) {
+			return nil, malformed("job %q has the unknown phase %d", j.GetId(), j.GetPhase())
+		}
+		m.Jobs = append(m.Jobs, msg.JobPhase{
+			ID: workload.JobID(j.GetId()), Queue: workload.QueueName(j.GetQueue()), Phase: workload.Phase(j.GetPhase()),
+		})
+	}
+	return m, nil
+}
+
+func rowToProto(r table.Row) *pb.TableRow {
+	return &pb.TableRow{Key: r.Key, Value: r.Value, Version: uint64(r.Version), Deleted: r.Deleted}
+}
+
+func rowFromProto(p *pb.TableRow) table.Row {
+	return table.Row{Key: p.GetKey(), Value: p.GetValue(), Version: table.Revision(p.GetVersion()), Deleted: p.GetDeleted()}
+}
+
+func storeCallToProto(m *msg.StoreCall) *pb.StoreCall {
+	return &pb.StoreCall{
+		Id: m.ID, Operation: m.Txn.Operation, Deletes: m.Txn.Deletes,
+		Checks: each(m.Txn.Checks, func(c table.Check) *pb.TableCheck {
+			return &pb.TableCheck{Key: c.Key, Version: uint64(c.Version)}
+		}),
+		Puts: each(m.Txn.Puts, func(u table.Put) *pb.TableRow { return &pb.TableRow{Key: u.Key, Value: u.Value} }),
+	}
+}
+
+func storeCallFromProto(p *pb.StoreCall) msg.Control {
+	return &msg.StoreCall{ID: p.GetId(), Txn: table.Txn{
+		Operation: p.GetOperation(),
+		Deletes:   p.GetDeletes(),
+		Checks: each(p.GetChecks(), func(c *pb.TableCheck) table.Check {
+			return table.Check{Key: c.GetKey(), Version: table.Revision(c.GetVersion())}
+		}),
+		Puts: each(p.GetPuts(), func(r *pb.TableRow) table.Put { return table.Put{Key: r.GetKey(), Value: r.GetValue()} }),
+	}}
+}
+
+func storeResultFromProto(p *pb.StoreResult) (msg.Control, error) {
+	if p.GetOutcome() > uint32(table.Refused) {
+		return nil, malformed("transaction has the unknown outcome %d", p.GetOutcome())
+	}
+	return &msg.StoreResult{
+		ID: p.GetId(), Outcome: table.Outcome(p.GetOutcome()), Revision: table.Revision(p.GetRevision()), Rows: each(p.GetRows(), rowFromProto),
+	}, nil
+}
--- a/internal/wire/model.go
+++ b/internal/wire/model.go
@@ -5,6 +5,11 @@
 	"github.com/bambooscale/bambooscale/internal/wire/pb"
 )
 
+// each maps a list of values.
+func each[A, B any](list []A, one func(A) B) []B {
+	return convert(list, func(a *A) B { return one(*a) })
+}
+
 // convert maps a list; an empty list becomes nil, because protobuf does not
 // distinguish the two.
 func convert[A, B any](list []A, one func(*A) B) []B {
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -16,6 +16,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
 // TestMain fixes rapid's seed unless the command line sets one; rapid prints
@@ -59,6 +61,24 @@
 	register[msg.Inventory]("Inventory")
 	register[msg.LeaseAck]("LeaseAck")
 	register[msg.UsageReport]("UsageReport")
+	register[msg.PeerHello]("PeerHello")
+	register[msg.Members]("Members")
+	register[msg.HostAnnounced]("HostAnnounced")
+	register[msg.OwnerClaim]("OwnerClaim")
+	register[msg.HostInventory]("HostInventory")
+	register[msg.InventoryTaken]("InventoryTaken")
+	register[msg.StartRuns]("StartRuns")
+	register[msg.StopRuns]("StopRuns")
+	register[msg.RunsChanged]("RunsChanged")
+	register[msg.RunsProgress]("RunsProgress")
+	register[msg.LeaseGrant]("LeaseGrant")
+	register[msg.EndsTaken]("EndsTaken")
+	register[msg.JobSubmitted]("JobSubmitted")
+	register[msg.JobCancelled]("JobCancelled")
+	register[msg.JobPhases]("JobPhases")
+	register[msg.ConfigAnnounced]("ConfigAnnounced")
+	register[msg.StoreCall]("StoreCall")
+	register[msg.StoreResult]("StoreResult")
 	register[msg.RequestHead]("RequestHead")
 	register[msg.BodyChunk]("BodyChunk")
 	register[msg.BodyEnd]("BodyEnd")
@@ -77,8 +97,12 @@
 	g := rapid.MakeCustom[M](rapid.MakeConfig{
 		Kinds: map[reflect.Kind]*rapid.Generator[any]{reflect.String: text.AsAny()},
 		Types: map[reflect.Type]*rapid.Generator[any]{
-			reflect.TypeFor[msg.RefusedReason](): reason.AsAny(),
-			reflect.TypeFor[msg.ExchangeState](): state.AsAny(),
+			reflect.TypeFor[msg.RefusedReason]():  reason.AsAny(),
+			reflect.TypeFor[msg.ExchangeState]():  state.AsAny(),
+			reflect.TypeFor[workload.HostState](): rapid.Uint8Range(0, uint8(workload.HostDraining)).AsAny(),
+			reflect.TypeFor[workload.EndReason](): rapid.Uint8Range(0, uint8(workload.EndLost)).AsAny(),
+			reflect.TypeFor[workload.Phase]():     rapid.Uint8Range(0, uint8(workload.Cancelled)).AsAny(),
+			reflect.TypeFor[table.Outcome]():      rapid.Uint8Range(0, uint8(table.Refused)).AsAny(),
 		},
 	})
 	return rapid.Map(g, func(m M) any {
--- /dev/null
+++ b/internal/wire/workload.go
@@ -0,0 +1,103 @@
+package wire
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bambooscale/bambooscale/internal/wire/pb"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// EncodeJob encodes a job as it is stored.
+func EncodeJob(j *workload.Job) ([]byte, error) { return proto.Marshal(jobToProto(j)) }
+
+// DecodeJob is the inverse of EncodeJob.
+func DecodeJob(raw []byte) (workload.Job, error) {
+	var p pb.FleetJob
+	if err := proto.Unmarshal(raw, &p); err != nil {
+		return workload.Job{}, malformed("job: %v", err)
+	}
+	return jobFromProto(&p), nil
+}
+
+// EncodeProgress encodes the progress of a job as it is stored.
+func EncodeProgress(j *workload.Progress) ([]byte, error) {
+	return proto.Marshal(&pb.JobProgress{
+		Phase: uint32(j.Phase), Done: j.Done, OverAtMs: j.OverAtMS,
+		Attempts: each(j.Attempts, func(a workload.TaskAttempts) *pb.TaskAttempts {
+			return &pb.TaskAttempts{Step: int64(a.Step), Index: int64(a.Index), Failed: int64(a.Failed), Checkpoint: a.Checkpoint, LastFailed: a.LastFailed}
+		}),
+	})
+}
+
+// DecodeProgress is the inverse of EncodeProgress.
+func DecodeProgress(raw []byte) (workload.Progress, error) {
+	var p pb.JobProgress
+	if err := proto.Unmarshal(raw, &p); err != nil {
+		return workload.Progress{}, malformed("progress: %v", err)
+	}
+	if p.GetPhase() > uint32(workload.Cancelled) {
+		return workload.Progress{}, malformed("progress has the unknown phase %d", p.GetPhase())
+	}
+	return workload.Progress{
+		Phase: workload.Phase(p.GetPhase()), Done: p.GetDone(), OverAtMS: p.GetOverAtMs(),
+		Attempts: each(p.GetAttempts(), func(a *pb.TaskAttempts) workload.TaskAttempts {
+			return workload.TaskAttempts{
+				Step: int(a.GetStep()), Index: int(a.GetIndex()), Failed: int(a.GetFailed()), LastFailed: a.GetLastFailed(),
+				Checkpoint: a.GetCheckpoint(),
+			}
+		}),
+	}, nil
+}
+
+// EncodeOwner encodes the owner of the jobs as it is stored.
+func EncodeOwner(o workload.Owner) ([]byte, error) {
+	return proto.Marshal(&pb.OwnerRow{Name: o.Name, Boot: o.Boot, Epoch: o.Epoch, Sequence: o.Sequence})
+}
+
+// DecodeOwner is the inverse of EncodeOwner.
+func DecodeOwner(raw []byte) (workload.Owner, error) {
+	var p pb.OwnerRow
+	if err := proto.Unmarshal(raw, &p); err != nil {
+		return workload.Owner{}, malformed("owner: %v", err)
+	}
+	return workload.Owner{Name: p.GetName(), Boot: p.GetBoot(), Epoch: p.GetEpoch(), Sequence: p.GetSequence()}, nil
+}
+
+func jobToProto(j *workload.Job) *pb.FleetJob {
+	return &pb.FleetJob{
+		Id: string(j.ID), Queue: string(j.Queue), Service: string(j.Service), Priority: int64(j.Priority), MaxAttempts: int64(j.MaxAttempts),
+		Stretch: j.Stretch, TargetNs: int64(j.TargetLatency), Specification: j.Specification, Steps: each(j.Steps, stepToProto),
+		Repetitions: int64(j.Repetitions), FirstRunMs: j.FirstRunMS, IntervalMs: j.IntervalMS,
+	}
+}
+
+func jobFromProto(p *pb.FleetJob) workload.Job {
+	return workload.Job{
+		ID: workload.JobID(p.GetId()), Queue: workload.QueueName(p.GetQueue()), Service: workload.Service(p.GetService()),
+		Priority: int(p.GetPriority()), MaxAttempts: int(p.GetMaxAttempts()), Stretch: p.GetStretch(), TargetLatency: time.Duration(p.GetTargetNs()),
+		Specification: p.GetSpecification(), Steps: each(p.GetSteps(), stepFromProto),
+		Repetitions: int(p.GetRepetitions()), FirstRunMS: p.GetFirstRunMs(), IntervalMS: p.GetIntervalMs(),
+	}
+}
+
+func stepToProto(s workload.Step) *pb.FleetStep {
+	return &pb.FleetStep{
+		Count: int64(s.Count), Need: roomToProto(s.Need), EstimateNs: int64(s.Estimate),
+		After:         each(s.After, func(n int) int64 { return int64(n) }),
+		Checkpointing: s.Checkpointing, Gang: s.Gang, SameRack: s.SameRack, Label: s.Label, DataRack: s.DataRack,
+		MaxPerHost: int64(s.MaxPerHost), Copies: s.Copies, LongRunning: s.LongRunning, Image: s.Image,
+		TargetNs: int64(s.TargetLatency), Filler: s.Filler, MayMiss: int64(s.MayMiss),
+	}
+}
+
+func stepFromProto(p *pb.FleetStep) workload.Step {
+	return workload.Step{
+		Count: int(p.GetCount()), Need: roomFromProto(p.GetNeed()), Estimate: time.Duration(p.GetEstimateNs()),
+		After:         each(p.GetAfter(), func(n int64) int { return int(n) }),
+		Checkpointing: p.GetCheckpointing(), Gang: p.GetGang(), SameRack: p.GetSameRack(), Label: p.GetLabel(), DataRack: p.GetDataRack(),
+		MaxPerHost: int(p.GetMaxPerHost()), Copies: p.GetCopies(), LongRunning: p.GetLongRunning(), Image: p.GetImage(),
+		TargetLatency: time.Duration(p.GetTargetNs()), Filler: p.GetFiller(), MayMiss: int(p.GetMayMiss()),
+	}
+}
--- /dev/null
+++ b/internal/workload/validate.go
@@ -0,0 +1,58 @@
+package workload
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// MaxSpecification is the largest specification of a job in bytes.
+const MaxSpecification = 4000
+
+// ErrUnsupported is wrapped by the errors of jobs that are well formed but ask
+// for what this version does not run.
+var ErrUnsupported = errors.New("not supported")
+
+// Validate checks a submitted job. The error lists every finding.
+func (j *Job) Validate() error {
+	var found []error
+	if !validJobID(string(j.ID)) {
+		found = append(found, fmt.Errorf("job id %q is not 16 hexadecimal digits", j.ID))
+	}
+	if len(j.Specification) > MaxSpecification {
+		found = append(found, fmt.Errorf("specification has %d bytes, the limit is %d", len(j.Specification), MaxSpecification))
+	}
+	if len(j.Steps) == 0 {
+		found = append(found, errors.New("job has no steps"))
+	}
+	for i := range j.Steps {
+		found = append(found, j.Steps[i].validate(i)...)
+	}
+	if j.Repetitions > 0 {
+		found = append(found, fmt.Errorf("repetitions: %w", ErrUnsupported))
+	}
+	return errors.Join(found...)
+}
+
+func (s *Step) validate(i int) []error {
+	var found []error
+	if s.Count <= 0 {
+		found = append(found, fmt.Errorf("step %d: count %d is not positive", i, s.Count))
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= i {
+			found = append(found, fmt.Errorf("step %d: after names step %d, which is not an earlier step", i, a))
+		}
+	}
+	if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
+		found = append(found, fmt.Errorf("step %d: a size is negative", i))
+	}
+	if s.Gang {
+		found = append(found, fmt.Errorf("step %d: gang: %w", i, ErrUnsupported))
+	}
+	return found
+}
+
+func validJobID(id string) bool {
+	return len(id) == 16 && strings.Trim(id, "0123456789abcdefABCDEF") == ""
+}
