hostguard: space the watch calls while ends wait to be stored

Ruled out: loops on an ended context (the log shows no such actor). Change: while ends are not taken the next call waits 50 ms.

--- a/internal/hostguard/life.go
+++ b/internal/hostguard/life.go
@@ -1,6 +1,8 @@
 package hostguard
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
@@ -88,12 +90,30 @@
 	return end
 }
 
-// Hold returns the next call of the loop that watches the backend server.
-func (c *Core) Hold() (runner.Target, runner.Hold, int64) {
-	return c.target(), runner.Hold{Taken: c.cursor, LeaseMS: c.leaseMS(), Wait: holdWait}, c.host.Born
+// Watch is the next call of the loop that watches the backend server.
+type Watch struct {
+	Target runner.Target
+	Hold   runner.Hold
+	Born   int64
+	Pause  time.Duration // before the call
 }
 
-// HoldAnswered takes the answer to Hold.
+// Watch returns the next call of the loop that watches the backend server. A
+// backend server answers at once while it lists ends that are not taken, so
+// the calls are spaced until the owner has stored them.
+func (c *Core) Watch() Watch {
+	w := Watch{Target: c.target(), Hold: runner.Hold{Taken: c.cursor, LeaseMS: c.leaseMS(), Wait: holdWait}, Born: c.host.Born}
+	if len(c.ends) > 0 {
+		w.Pause = untakenPause
+	}
+	return w
+}
+
+// untakenPause bounds how long an end goes unnoticed while others wait to be
+// stored.
+const untakenPause = 50 * time.Millisecond
+
+// HoldAnswered takes the answer to Watch.
 func (c *Core) HoldAnswered(t runner.Target, born int64, l runner.Listing, err error) {
 	c.answered(born, l.ClockMS, err)
 	if err == nil && born == c.host.Born && !c.ended {
--- a/internal/jobnode/agent.go
+++ b/internal/jobnode/agent.go
@@ -42,7 +42,7 @@
 	entries map[linkID]*msg.PeerHello
 	known   map[string]msg.Member
 	calls   actor.Address[hostguard.Call]
-	holds   actor.Address[holdOrder]
+	holds   actor.Address[hostguard.Watch]
 	holding bool
 
 	published *published
@@ -73,17 +73,11 @@
 	}
 	callAnswered struct{ answer hostguard.Answer }
 	holdAnswered struct {
-		order   holdOrder
+		order   hostguard.Watch
 		listing runner.Listing
 		err     error
 	}
-	holdOrder struct {
-		target runner.Target
-		hold   runner.Hold
-		born   int64
-		pause  time.Duration
-	}
-	lastRenewal struct{ taken actor.Reply[holdOrder] }
+	lastRenewal struct{ taken actor.Reply[hostguard.Watch] }
 )
 
 // Agent is a running agent.
@@ -102,7 +96,7 @@
 	a.calls = actor.Spawn(g, actor.Spec[hostguard.Call]{Name: "callers", Mailbox: callMailbox, Run: func(ctx context.Context, in <-chan hostguard.Call) error {
 		return a.runCallers(ctx, cfg.Runner, in)
 	}})
-	a.holds = actor.Spawn(g, actor.Spec[holdOrder]{Name: "holder", Mailbox: 1, Run: func(ctx context.Context, in <-chan holdOrder) error {
+	a.holds = actor.Spawn(g, actor.Spec[hostguard.Watch]{Name: "holder", Mailbox: 1, Run: func(ctx context.Context, in <-chan hostguard.Watch) error {
 		return a.runHolds(ctx, cfg.Runner, in)
 	}})
 	a.address = actor.Spawn(g, actor.Spec[any]{Name: "guard", Mailbox: agentMailbox, Run: a.run})
@@ -193,13 +187,12 @@
 		a.guard.Answered(m.answer)
 	case *holdAnswered:
 		a.holding = false
-		a.guard.HoldAnswered(m.order.target, m.order.born, m.listing, m.err)
+		a.guard.HoldAnswered(m.order.Target, m.order.Born, m.listing, m.err)
 		if m.err != nil {
 			a.nextHold(holdRetry)
 		}
 	case *lastRenewal:
-		t, h, born := a.guard.Hold()
-		m.taken.Put(holdOrder{target: t, hold: h, born: born})
+		m.taken.Put(a.guard.Watch())
 	}
 }
 
@@ -230,8 +223,9 @@
 	if a.holding || !a.guard.Live() {
 		return
 	}
-	t, h, born := a.guard.Hold()
-	a.holding = a.holds.TrySend(holdOrder{t, h, born, pause})
+	w := a.guard.Watch()
+	w.Pause = max(w.Pause, pause)
+	a.holding = a.holds.TrySend(w)
 }
 
 func (a *agent) linkUp(m *linkUp) {
@@ -325,15 +319,15 @@
 	return ans
 }
 
-func (a *agent) runHolds(ctx context.Context, r runner.Runner, in <-chan holdOrder) error {
+func (a *agent) runHolds(ctx context.Context, r runner.Runner, in <-chan hostguard.Watch) error {
 	for {
 		select {
 		case o := <-in:
-			if o.pause > 0 && !actor.Sleep(ctx, o.pause) {
+			if o.Pause > 0 && !actor.Sleep(ctx, o.Pause) {
 				return nil
 			}
-			limited, cancel := context.WithTimeout(ctx, o.hold.Wait+holdMargin)
-			l, err := r.Hold(limited, o.target, o.hold)
+			limited, cancel := context.WithTimeout(ctx, o.Hold.Wait+holdMargin)
+			l, err := r.Hold(limited, o.Target, o.Hold)
 			cancel()
 			_ = a.address.Send(ctx, &holdAnswered{o, l, err}) // an error means that the process ends
 		case <-ctx.Done():
@@ -360,10 +354,10 @@
 func (a *Agent) Drain(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	o, err := actor.Ask(limited, a.agent.address, func(r actor.Reply[holdOrder]) any { return &lastRenewal{r} })
-	if err == nil && o.target.Instance != "" {
-		o.hold.Wait = 0
-		_, err = a.runner.Hold(limited, o.target, o.hold)
+	o, err := actor.Ask(limited, a.agent.address, func(r actor.Reply[hostguard.Watch]) any { return &lastRenewal{r} })
+	if err == nil && o.Target.Instance != "" {
+		o.Hold.Wait = 0
+		_, err = a.runner.Hold(limited, o.Target, o.Hold)
 	}
 	event.Log(a.log, event.NodeStopping, log.Fields{"role": "agent", "renewed": err == nil})
 }
