jobs, hostguard: learn which images of fillers harm, and cut those first

Cause: an agent slowed every filler beside a serving task over its target, whatever its image. Change: the owner learns the effect of each image with policy/interfere from the agents' reports and tells the agents; they cut the image that presses most, and the owner keeps harmful images away from serving tasks.

--- a/internal/hostguard/owner.go
+++ b/internal/hostguard/owner.go
@@ -26,6 +26,7 @@
 	case *msg.LeaseGrant:
 		if c.owns(from, m.Epoch) && m.Born == c.host.Born {
 			c.grant(m.ClockMS)
+			c.pacer.learned(m.Harms)
 		}
 	case *msg.EndsTaken:
 		if m.Instance == c.host.Instance && m.Born == c.host.Born {
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/interfere"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -62,6 +63,9 @@
 	ready     map[*task]struct{}
 	plan      bool // something changed that may let a task start
 
+	learner *interfere.Learner
+	images  map[string]bool // of fillers
+
 	dirty     map[*job]struct{}
 	removals  []workload.JobID
 	writing   *Batch
@@ -76,7 +80,8 @@
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
-		cancelled: map[workload.JobID]time.Duration{}, ready: map[*task]struct{}{}, dirty: map[*job]struct{}{},
+		cancelled: map[workload.JobID]time.Duration{}, ready: map[*task]struct{}{},
+		learner: interfere.NewLearner(), images: map[string]bool{}, dirty: map[*job]struct{}{},
 	}
 }
 
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -6,6 +6,7 @@
 	"github.com/bambooscale/bambooscale/charts"
 	"github.com/bambooscale/bambooscale/internal/chart"
 	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/policy/interfere"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -65,6 +66,8 @@
 	endsTaken uint64 // ends up to this number are stored and acknowledged
 	health    health
 	takenBorn int64 // life whose inventory was taken
+	exposure  interfere.Exposure
+	strain    float64 // worst latency of a serving task over its target, in the last report
 
 	starts    []msg.RunStart
 	stops     []workload.RunID
@@ -276,7 +279,7 @@
 
 func (r *run) size() msg.RunSize {
 	s := r.task.step.spec
-	return msg.RunSize{Run: r.id, Charge: s.Charge(), Target: s.TargetLatency, Filler: s.Filler}
+	return msg.RunSize{Run: r.id, Charge: s.Charge(), Target: s.TargetLatency, Filler: s.Filler, Image: s.Image, CPU: s.Need.MilliCPU}
 }
 
 func (h *host) loseRuns() {
@@ -327,7 +330,8 @@
 		return
 	}
 	h.lastGrant = c.now
-	c.send(h, &msg.LeaseGrant{Epoch: c.epoch, Born: m.Born, ClockMS: m.ClockMS})
+	c.send(h, &msg.LeaseGrant{Epoch: c.epoch, Born: m.Born, ClockMS: m.ClockMS, Harms: h.harms()})
+	h.learn(m)
 	for _, s := range m.Runs {
 		if r, ok := h.runs[s.Run]; ok {
 			r.progress(s)
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/policy/spread"
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -84,7 +85,10 @@
 func (h *host) view(t *task) spread.Host {
 	v := spread.Host{
 		Info: &h.info, Reachable: h.state == hostReady && h.takenBorn == h.info.Born, Free: h.info.Capacity.Sub(h.used), FillerCPU: h.fillerCPU, Serving: h.serving,
-		Suspect: h.suspect(), Failing: h.failing(), Avoided: t.avoid[h.info.Name],
+		Strain: h.strain, Suspect: h.suspect(), Failing: h.failing(), Avoided: t.avoid[h.info.Name],
+	}
+	if t.step.spec.Filler && h.serving > 0 {
+		v.Harm = h.core.learner.ClassEffect(model.Class(t.step.spec.Image))
 	}
 	if t.step.spec.MaxPerHost > 0 {
 		for _, r := range h.runs {
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -69,6 +69,15 @@
 	Charge workload.Resources
 	Target time.Duration // of a task that serves
 	Filler bool
+	Image  string
+	CPU    int64 // declared thousandths of a core, of fillers too
+}
+
+// ImageHarm is what fillers of an image are known to do to serving tasks: the
+// change of the logarithm of their latency if it had a whole host.
+type ImageHarm struct {
+	Image string
+	Harm  float64
 }
 
 // InventoryTaken tells an agent that the owner has its inventory, and grants
@@ -126,6 +135,7 @@
 	Epoch   uint64
 	Born    int64
 	ClockMS int64
+	Harms   []ImageHarm
 }
 
 // EndsTaken acknowledges the ends up to Upto. They are stored.
--- a/internal/policy/spread/spread.go
+++ b/internal/policy/spread/spread.go
@@ -34,6 +34,8 @@
 	FillerCPU int64              // demand of fillers in thousandths of a core
 	Serving   int                // live runs that serve
 	SameStep  int                // live runs of the step
+	Strain    float64            // worst latency of a serving run over its target
+	Harm      float64            // of the task, a filler, to serving runs
 	Suspect   bool               // the last run there failed, or progress is slow
 	Failing   bool
 	Avoided   bool
@@ -83,7 +85,9 @@
 	suspectWeight   = 4.0
 	otherRackWeight = 0.6
 	// Fillers disturb serving tasks, so the two are kept apart.
-	fillerBesideServing = 2.0
+	fillerBesideServing = 4.0
+	leastHarm           = 0.1
+	strainWeight        = 0.3
 	servingBesideFiller = 2.0
 	// Serving tasks share hosts, which leaves the others to fillers.
 	servingTogether = 1.5
@@ -102,7 +106,9 @@
 	}
 	switch {
 	case t.Step.Filler:
-		score -= fillerBesideServing * min(1, float64(h.Serving))
+		if h.Serving > 0 {
+			score -= fillerBesideServing*max(leastHarm, h.Harm) + strainWeight*h.Strain
+		}
 	case t.Step.Serves():
 		score -= servingBesideFiller * float64(h.FillerCPU) / capacity
 		score += servingTogether * min(1, float64(h.Serving))
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -49,7 +49,10 @@
 			Epoch: m.Epoch, Instance: string(m.Instance), Born: m.Born, ClockMs: m.ClockMS, Runs: each(m.Runs, runStatusToProto),
 		}}
 	case *msg.LeaseGrant:
-		p.Kind = &pb.Control_LeaseGrant{LeaseGrant: &pb.LeaseGrant{Epoch: m.Epoch, Born: m.Born, ClockMs: m.ClockMS}}
+		p.Kind = &pb.Control_LeaseGrant{LeaseGrant: &pb.LeaseGrant{
+			Epoch: m.Epoch, Born: m.Born, ClockMs: m.ClockMS,
+			Harms: each(m.Harms, func(h msg.ImageHarm) *pb.ImageHarm { return &pb.ImageHarm{Image: h.Image, Harm: h.Harm} }),
+		}}
 	case *msg.EndsTaken:
 		p.Kind = &pb.Control_EndsTaken{EndsTaken: &pb.EndsTaken{Epoch: m.Epoch, Instance: string(m.Instance), Born: m.Born, Upto: m.Upto}}
 	case *msg.JobSubmitted:
@@ -109,7 +112,13 @@
 			Runs: each(r.GetRuns(), runStatusFromProto),
 		}, nil
 	case *pb.Control_LeaseGrant:
-		return &msg.LeaseGrant{Epoch: k.LeaseGrant.GetEpoch(), Born: k.LeaseGrant.GetBorn(), ClockMS: k.LeaseGrant.GetClockMs()}, nil
+		g := k.LeaseGrant
+		return &msg.LeaseGrant{
+			Epoch: g.GetEpoch(), Born: g.GetBorn(), ClockMS: g.GetClockMs(),
+			Harms: each(g.GetHarms(), func(h *pb.ImageHarm) msg.ImageHarm {
+				return msg.ImageHarm{Image: h.GetImage(), Harm: h.GetHarm()}
+			}),
+		}, nil
 	case *pb.Control_EndsTaken:
 		e := k.EndsTaken
 		return &msg.EndsTaken{Epoch: e.GetEpoch(), Instance: workload.Instance(e.GetInstance()), Born: e.GetBorn(), Upto: e.GetUpto()}, nil
@@ -219,12 +228,13 @@
 }
 
 func runSizeToProto(s msg.RunSize) *pb.RunSize {
-	return &pb.RunSize{Run: runToProto(s.Run), Charge: roomToProto(s.Charge), TargetNs: int64(s.Target), Filler: s.Filler}
+	return &pb.RunSize{Run: runToProto(s.Run), Charge: roomToProto(s.Charge), TargetNs: int64(s.Target), Filler: s.Filler, Image: s.Image, Cpu: s.CPU}
 }
 
 func runSizeFromProto(p *pb.RunSize) msg.RunSize {
 	return msg.RunSize{
 		Run: runFromProto(p.GetRun()), Charge: roomFromProto(p.GetCharge()), Target: time.Duration(p.GetTargetNs()), Filler: p.GetFiller(),
+		Image: p.GetImage(), CPU: p.GetCpu(),
 	}
 }
 
