--- a/cmd/bamboojobd/main.go
+++ b/cmd/bamboojobd/main.go
@@ -81,7 +81,6 @@
 	g := actor.NewGroup(context.Background(), func(e actor.Exit) {
 		event.Log(log.Log, event.ActorFailed, log.Fields{"actor": e.Actor, "error": e.Err.Error(), "restart": e.Restart})
 	})
-	defer g.Stop()
 	d, err := begin(g, n)
 	if err != nil {
 		return err
@@ -93,6 +92,8 @@
 		}
 		event.Log(log.Log, event.NodeReloaded, log.Fields{"role": role})
 	}
+	// The end of the process ends its actors. Waiting for them first kept an
+	// entry from ending within its grace time in a played day (issue 10).
 	d.Drain(g.Context())
 	return nil
 }
