--- a/internal/hostguard/pace.go
+++ b/internal/hostguard/pace.go
@@ -24,10 +24,10 @@
 	paceInterval = 600 * time.Millisecond
 	// paceMargin of the target is where fillers are held back, and paceFar
 	// where all of them are stopped at once.
-	paceMargin = 0.97
-	paceFar    = 1.5
+	paceMargin = 1.0
+	paceFar    = 2.5
 	// paceCalm of the target is where fillers may speed up again.
-	paceCalm = 0.85
+	paceCalm = 0.92
 	paceRise = 25 // percent
 	// paceLeast is where a further cut stops the fillers.
 	paceLeast = 25 // percent
