--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,350 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// world drives a core as its entry does, and plays the agents.
+type world struct {
+	t       *testing.T
+	core    *Core
+	now     time.Duration
+	started map[workload.RunID]workload.HostName
+	stopped map[workload.RunID]bool
+	inbox   map[workload.HostName][]msg.Control
+	ends    map[workload.HostName]uint64
+	shown   map[workload.JobID][]workload.Phase
+}
+
+func newWorld(t *testing.T, epoch uint64) *world {
+	w := &world{
+		t: t, core: New(epoch, 0), started: map[workload.RunID]workload.HostName{}, stopped: map[workload.RunID]bool{},
+		inbox: map[workload.HostName][]msg.Control{}, ends: map[workload.HostName]uint64{}, shown: map[workload.JobID][]workload.Phase{},
+	}
+	return w
+}
+
+func readyHost(name string, cpu int64) workload.Host {
+	return workload.Host{
+		Name: workload.HostName(name), Instance: workload.Instance("i-" + name), Born: 1, Service: "desk", State: workload.HostReady,
+		Capacity: workload.Resources{MilliCPU: cpu, MemoryMB: 1000},
+	}
+}
+
+func newSpec(id string, steps ...workload.Step) workload.Job {
+	return workload.Job{ID: workload.JobID(id), Queue: "q", Service: "desk", MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second, Steps: steps}
+}
+
+func tasks(count int, cpu int64, after ...int) workload.Step {
+	return workload.Step{Count: count, Need: workload.Resources{MilliCPU: cpu, MemoryMB: 1}, Estimate: time.Second, After: after}
+}
+
+// settle applies what the core decided until nothing is left to do.
+func (w *world) settle() {
+	w.core.Plan()
+	for _, s := range w.core.Sends() {
+		w.inbox[s.Host] = append(w.inbox[s.Host], s.Message)
+		switch m := s.Message.(type) {
+		case *msg.StartRuns:
+			for _, r := range m.Starts {
+				w.started[r.Size.Run] = s.Host
+			}
+		case *msg.StopRuns:
+			for _, r := range m.Runs {
+				w.stopped[r] = true
+			}
+		}
+	}
+	for _, p := range w.core.Phases() {
+		w.shown[p.ID] = append(w.shown[p.ID], p.Phase)
+	}
+	w.core.Decisions()
+}
+
+func (w *world) advance(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += 100 * time.Millisecond
+		w.core.Advance(w.now, w.now.Milliseconds())
+		w.core.Tick()
+		w.settle()
+	}
+}
+
+// link brings a host up with an inventory.
+func (w *world) link(h workload.Host, runs ...msg.RunStatus) {
+	w.core.Linked(h)
+	w.core.Inventory(&msg.HostInventory{Epoch: w.core.epoch, Host: h, Runs: runs})
+	w.settle()
+}
+
+func (w *world) end(run workload.RunID, reason workload.EndReason, checkpoint string) {
+	name := w.started[run]
+	w.ends[name]++
+	w.core.Changed(name, &msg.RunsChanged{
+		Epoch: w.core.epoch, Instance: workload.Instance("i-" + string(name)), Born: 1,
+		Ends: []msg.RunEnd{{Number: w.ends[name], Run: run, Reason: reason, Checkpoint: checkpoint}},
+	})
+	w.settle()
+}
+
+func (w *world) store() {
+	w.core.NextBatch()
+	w.core.Committed()
+	w.settle()
+}
+
+func (w *world) last(id workload.JobID) workload.Phase {
+	require.NotEmpty(w.t, w.shown[id])
+	return w.shown[id][len(w.shown[id])-1]
+}
+
+func runID(id string, step, index int, number uint64) workload.RunID {
+	return workload.RunID{Task: workload.TaskID{Job: workload.JobID(id), Step: step, Index: index}, Number: number}
+}
+
+// Guards against a job that is shown as completed before its ends are stored,
+// and against a step that starts before the steps that it follows.
+func TestStepsRunInOrderAndCompletionIsStoredFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 4000))
+	w.core.Submit(newSpec("j", tasks(2, 1000), tasks(1, 1000, 0)))
+	w.settle()
+	require.Len(t, w.started, 2)
+	w.end(runID("j", 0, 0, 1), workload.EndDone, "")
+	require.Len(t, w.started, 2, "one task of the first step still runs")
+	w.end(runID("j", 0, 1, 1), workload.EndDone, "")
+	require.Contains(t, w.started, runID("j", 1, 0, 1))
+	w.end(runID("j", 1, 0, 1), workload.EndDone, "")
+	require.Equal(t, workload.Running, w.last("j"))
+	w.store()
+	require.Equal(t, workload.Completed, w.last("j"))
+	taken := w.inbox["a"][len(w.inbox["a"])-1].(*msg.EndsTaken)
+	require.EqualValues(t, 3, taken.Upto, "ends are acknowledged after they are stored")
+}
+
+// Guards against a host that gets more than it holds, also while a run stops.
+func TestHostIsNeverOverbooked(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 2000))
+	w.core.Submit(newSpec("j", tasks(3, 1000)))
+	w.settle()
+	require.Len(t, w.started, 2)
+	w.core.Cancel("j")
+	w.core.Submit(newSpec("k", tasks(1, 1000)))
+	w.settle()
+	require.Len(t, w.started, 2, "what is being stopped still counts")
+	w.end(runID("j", 0, 0, 1), workload.EndStopped, "")
+	require.Contains(t, w.started, runID("k", 0, 0, 1))
+}
+
+// Guards against more failed runs than the queue allows, and against a failed
+// run that is counted again after a change of ownership.
+func TestFailedRunsAreCountedOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 4000))
+	w.core.Submit(newSpec("j", tasks(1, 1000)))
+	w.settle()
+	w.end(runID("j", 0, 0, 1), workload.EndFailed, "")
+	b := w.core.NextBatch()
+	require.Len(t, b.Writes, 1)
+
+	next := newWorld(t, 2)
+	next.core.Restore(newSpec("j", tasks(1, 1000)), &b.Writes[0].Progress)
+	next.core.Linked(readyHost("a", 4000))
+	next.core.Inventory(&msg.HostInventory{Epoch: 2, Host: readyHost("a", 4000), Ends: []msg.RunEnd{
+		{Number: 1, Run: runID("j", 0, 0, 1), Reason: workload.EndFailed},
+	}})
+	next.settle()
+	second := runID("j", 0, 0, 1<<epochShift+1)
+	require.Contains(t, next.started, second, "one failed run of two does not fail the job")
+	next.ends["a"] = 1
+	next.end(second, workload.EndFailed, "")
+	next.store()
+	require.Equal(t, workload.Failed, next.last("j"))
+}
+
+// Guards against a second run of a task while the first may go on at a host
+// that is silent, and against a run that starts without its checkpoint.
+func TestSilentHostKeepsItsRunsUntilTheLeaseHasLapsed(t *testing.T) {
+	w := newWorld(t, 1)
+	s := tasks(1, 1000)
+	s.Checkpointing = true
+	w.link(readyHost("a", 4000))
+	w.core.Submit(newSpec("j", s))
+	w.settle()
+	w.core.Progress("a", &msg.RunsProgress{Epoch: 1, Instance: "i-a", Born: 1, Runs: []msg.RunStatus{
+		{Run: runID("j", 0, 0, 1), Checkpoint: "half", Percent: 50, Pace: 100},
+	}})
+	w.link(readyHost("b", 4000))
+	w.core.Unlinked("a")
+	w.advance(Lapse - 200*time.Millisecond)
+	require.Len(t, w.started, 1)
+	w.advance(400 * time.Millisecond)
+	require.Equal(t, workload.HostName("b"), w.started[runID("j", 0, 0, 2)])
+	start := w.inbox["b"][len(w.inbox["b"])-1].(*msg.StartRuns)
+	require.Equal(t, "half", start.Starts[0].Checkpoint)
+}
+
+// Guards against tasks that wait for the lease of a life that has ended: a
+// backend server that was born again runs nothing of before.
+func TestRebornHostLosesItsRunsAtOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 4000))
+	w.core.Submit(newSpec("j", tasks(1, 1000)))
+	w.settle()
+	again := readyHost("a", 4000)
+	again.Born = 2
+	w.core.Announced(again)
+	w.settle()
+	require.Len(t, w.started, 1, "nothing starts before the inventory of the new life")
+	w.link(again)
+	require.Contains(t, w.started, runID("j", 0, 0, 2))
+}
+
+// Guards against two runs after a change of ownership: the tasks of restored
+// jobs wait until every host has answered, and what runs is taken over.
+func TestNewOwnerStartsOnlyWhatSurelyDoesNotRun(t *testing.T) {
+	w := newWorld(t, 2)
+	w.core.Restore(newSpec("j", tasks(2, 1000)), nil)
+	w.core.Expect("b")
+	w.core.Recover()
+	w.link(readyHost("a", 4000), msg.RunStatus{Run: runID("j", 0, 0, 1)})
+	require.Empty(t, w.started, "host b may still run the second task")
+	w.core.Submit(newSpec("k", tasks(1, 1000)))
+	w.settle()
+	require.Contains(t, w.started, runID("k", 0, 0, 1<<epochShift+1), "a new job has run nowhere")
+	w.link(readyHost("b", 4000))
+	require.Contains(t, w.started, runID("j", 0, 1, 1<<epochShift+1))
+	require.NotContains(t, w.started, runID("j", 0, 0, 1<<epochShift+1))
+}
+
+// Guards against an expected host that never returns: the tasks start after
+// its leases have surely lapsed.
+func TestRecoveryEndsWithoutAHostThatStaysAway(t *testing.T) {
+	w := newWorld(t, 2)
+	w.core.Restore(newSpec("j", tasks(1, 1000)), nil)
+	w.core.Expect("b")
+	w.core.Recover()
+	w.link(readyHost("a", 4000))
+	w.advance(Lapse - 200*time.Millisecond)
+	require.Empty(t, w.started)
+	w.advance(400 * time.Millisecond)
+	require.Len(t, w.started, 1)
+}
+
+// Guards against a job that runs on after its cancellation, in whichever
+// order the two arrive.
+func TestCancellationStopsRunsAndBeatsTheJob(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 4000))
+	w.core.Submit(newSpec("j", tasks(2, 1000)))
+	w.settle()
+	w.core.Cancel("j")
+	w.settle()
+	require.Len(t, w.stopped, 2)
+	require.Equal(t, workload.Cancelled, w.last("j"))
+	w.core.Cancel("k")
+	w.core.Submit(newSpec("k", tasks(1, 1000)))
+	w.settle()
+	require.Len(t, w.started, 2)
+}
+
+// Guards against a task whose attempts are used up on one bad host: the next
+// run goes elsewhere, and a host that failed several jobs gets no more tasks.
+func TestBadHostIsAvoided(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 9000))
+	for i := range failingAfter {
+		w.core.Submit(newSpec(fmt.Sprintf("j%d", i), tasks(1, 1000)))
+		w.settle()
+	}
+	w.link(readyHost("b", 1000))
+	for i := range failingAfter {
+		w.end(runID(fmt.Sprintf("j%d", i), 0, 0, 1), workload.EndFailed, "")
+	}
+	require.Equal(t, workload.HostName("b"), w.started[runID("j0", 0, 0, 2)])
+	w.end(runID("j0", 0, 0, 2), workload.EndDone, "")
+	require.Equal(t, workload.HostName("b"), w.started[runID("j1", 0, 0, 2)])
+	w.core.Submit(newSpec("k", tasks(1, 1000)))
+	w.settle()
+	require.NotContains(t, w.started, runID("k", 0, 0, 1), "host a fails all that it starts and b is full")
+	w.advance(probation + 200*time.Millisecond)
+	w.end(runID("j1", 0, 0, 2), workload.EndDone, "")
+	require.Contains(t, w.started, runID("k", 0, 0, 1))
+}
+
+// Guards against an evacuation that leaves a lasting task on a host that goes.
+func TestDrainingHostIsEvacuated(t *testing.T) {
+	w := newWorld(t, 1)
+	lasting, short := tasks(1, 1000), tasks(1, 1000)
+	lasting.LongRunning = true
+	short.Estimate = time.Second
+	w.link(readyHost("a", 4000))
+	w.core.Submit(newSpec("l", lasting))
+	w.core.Submit(newSpec("s", short))
+	w.settle()
+	leaving := readyHost("a", 4000)
+	leaving.State, leaving.Remaining = workload.HostDraining, 2*time.Second
+	w.core.Announced(leaving)
+	w.settle()
+	require.True(t, w.stopped[runID("l", 0, 0, 1)])
+	require.False(t, w.stopped[runID("s", 0, 0, 1)], "it ends before the host goes")
+	w.link(readyHost("b", 4000))
+	w.end(runID("l", 0, 0, 1), workload.EndStopped, "")
+	require.Equal(t, workload.HostName("b"), w.started[runID("l", 0, 0, 2)])
+}
+
+// Guards against a batch that was not stored: nothing of it is acknowledged
+// or shown, and the next one holds it again.
+func TestBatchThatWasNotStoredIsRepeated(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 4000))
+	w.core.Submit(newSpec("j", tasks(1, 1000)))
+	w.settle()
+	w.end(runID("j", 0, 0, 1), workload.EndDone, "")
+	w.core.NextBatch()
+	w.core.Failed()
+	w.settle()
+	require.Equal(t, workload.Running, w.last("j"))
+	pending, urgent := w.core.Pending()
+	require.True(t, pending && urgent)
+	w.store()
+	require.Equal(t, workload.Completed, w.last("j"))
+}
+
+// Guards against a start that the agent refused and that nobody repeats.
+func TestRefusedStartIsPlannedAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 4000))
+	w.core.Submit(newSpec("j", tasks(1, 1000)))
+	w.settle()
+	w.core.Changed("a", &msg.RunsChanged{Epoch: 1, Instance: "i-a", Born: 1, Refused: []workload.RunID{runID("j", 0, 0, 1)}})
+	w.settle()
+	require.Contains(t, w.started, runID("j", 0, 0, 2))
+}
+
+// Answers the pattern "large jobs fill every host": a task of the first
+// priority still finds room at once.
+func TestShortTaskStartsBesideABurstOfLargeJobs(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range 3 {
+		w.link(readyHost(fmt.Sprintf("h%d", i), 32000))
+	}
+	for i := range 10 {
+		large := newSpec(fmt.Sprintf("large%d", i), tasks(20, 1000))
+		large.Priority = 2
+		w.core.Submit(large)
+	}
+	w.settle()
+	before := len(w.started)
+	w.core.Submit(newSpec("short", tasks(4, 500)))
+	w.settle()
+	require.Equal(t, before+4, len(w.started))
+}
--- /dev/null
+++ b/internal/ownership/ownership_test.go
@@ -0,0 +1,121 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// row is the stored owner that several entries contend for.
+type row struct {
+	owner   workload.Owner
+	version table.Revision
+}
+
+// serve performs the effects of an entry at once.
+func (r *row) serve(c *Core, now time.Duration) {
+	for {
+		effects := c.Effects()
+		if len(effects) == 0 {
+			return
+		}
+		for _, e := range effects {
+			switch e {
+			case ReadRow:
+				c.Read(r.owner, r.version, now)
+			case ClaimRow:
+				owner, version := c.Claim()
+				if version != r.version {
+					c.Claimed(owner, table.Conflict, 0, now)
+					continue
+				}
+				r.owner, r.version = owner, r.version+1
+				c.Claimed(owner, table.Committed, r.version, now)
+			}
+		}
+	}
+}
+
+func (r *row) advance(now *time.Duration, d time.Duration, cores ...*Core) {
+	for end := *now + d; *now < end; *now += 50 * time.Millisecond {
+		for _, c := range cores {
+			c.Tick(*now)
+			r.serve(c, *now)
+		}
+	}
+}
+
+// Guards against two owners: of entries that start together one claims the
+// jobs, and the others see it.
+func TestOneOfManyEntriesOwnsTheJobs(t *testing.T) {
+	r, now := &row{}, time.Duration(0)
+	a, b := New("a", 1, 0), New("b", 2, 0)
+	a.PeerUp("b")
+	b.PeerUp("a")
+	r.advance(&now, 3*time.Second, a, b)
+	require.True(t, a.Owns())
+	require.False(t, b.Owns())
+	require.EqualValues(t, 1, a.Epoch())
+}
+
+// Guards against jobs that nobody owns after the owner's end, and against a
+// replaced owner that goes on.
+func TestOwnerThatIsAwayIsReplaced(t *testing.T) {
+	r, now := &row{}, time.Duration(0)
+	a, b := New("a", 1, 0), New("b", 2, 0)
+	a.PeerUp("b")
+	b.PeerUp("a")
+	r.advance(&now, 3*time.Second, a, b)
+	b.PeerDown("a", now)
+	r.advance(&now, 200*time.Millisecond, b)
+	require.False(t, b.Owns(), "a link that was reset returns sooner")
+	r.advance(&now, 300*time.Millisecond, b)
+	require.True(t, b.Owns())
+	a.Heard("b", b.Epoch(), now)
+	require.False(t, a.Owns())
+	require.Contains(t, a.Effects(), End)
+}
+
+// Guards against an entry that waits for itself after a restart.
+func TestRestartedOwnerTakesItsJobsBackAtOnce(t *testing.T) {
+	r := &row{owner: workload.Owner{Name: "a", Boot: 1, Epoch: 4}, version: 9}
+	now := time.Duration(0)
+	a := New("a", 2, 0)
+	r.advance(&now, 100*time.Millisecond, a)
+	require.True(t, a.Owns())
+	require.EqualValues(t, 5, a.Epoch())
+}
+
+// Guards against a gap at a planned stop: jobs that were given up are claimed
+// without waiting for the link to end.
+func TestJobsThatAreGivenUpAreClaimedAtOnce(t *testing.T) {
+	r, now := &row{}, time.Duration(0)
+	a, b := New("a", 1, 0), New("b", 2, 0)
+	a.PeerUp("b")
+	b.PeerUp("a")
+	r.advance(&now, 3*time.Second, a, b)
+	a.Give(now)
+	require.Contains(t, a.Effects(), Release)
+	r.owner, r.version = workload.Owner{Epoch: 1}, r.version+1
+	b.Heard("", 1, now)
+	r.advance(&now, 400*time.Millisecond, b)
+	require.True(t, b.Owns())
+}
+
+// Guards against a claim whose answer was lost: the row tells whether it won.
+func TestLostAnswerOfAClaimIsReadBack(t *testing.T) {
+	a := New("a", 1, 0)
+	a.Tick(time.Millisecond)
+	a.Effects()
+	a.Read(workload.Owner{}, 0, 2*time.Second)
+	require.Contains(t, a.Effects(), ClaimRow)
+	owner, _ := a.Claim()
+	a.Claimed(owner, table.Unknown, 0, 2*time.Second)
+	require.Contains(t, a.Effects(), ReadRow)
+	a.Read(owner, 7, 2*time.Second)
+	require.Contains(t, a.Effects(), ClaimRow, "it claims again with a higher epoch")
+}
