hostguard: set a pace again that is not known

Change: the pace of adopted runs and of runs whose call failed is unknown, and is set with the next figures.

--- a/internal/hostguard/guard_test.go
+++ b/internal/hostguard/guard_test.go
@@ -274,6 +274,30 @@
 	require.Equal(t, paceRise, p.of("loud"))
 }
 
+// Guards against a filler that stands still for ever: an agent that has just
+// started does not know the pace that a former one set, and a call that failed
+// set none (scale-1 of wwb-braidline: fillers at 0% that the agent took for 100%).
+func TestPaceThatIsNotKnownIsSetAgain(t *testing.T) {
+	w := newWorld(t)
+	w.announce(1, workload.HostReady, 1)
+	w.claim(owner, 1)
+	listed := []msg.RunStatus{{Run: run(0)}}
+	w.list(listed)
+	w.guard.Received(owner, &msg.InventoryTaken{Epoch: 1, ClockMS: w.clockMS(), Sizes: []msg.RunSize{{Run: run(0), Filler: true, Image: "m"}}})
+	w.advance(time.Second)
+	w.list(listed)
+	call := w.last()
+	require.NotNil(t, call.Pace)
+	require.Equal(t, fullPace, call.Pace.Percent)
+	paces := len(w.calls)
+	w.answer(call, 0, runner.ErrUnknown)
+	w.list(listed)
+	require.Len(t, w.calls, paces+1, "a call that failed is repeated")
+	w.answer(w.last(), w.clockMS(), nil)
+	w.list(listed)
+	require.Len(t, w.calls, paces+1)
+}
+
 // The rule on harm gives a serving task harm-ms, 4 s on both sites, over its
 // target; halving down to nothing has to be quicker.
 func TestFillersAreStoppedWithinTheTimeThatUsersBear(t *testing.T) {
--- a/internal/hostguard/held.go
+++ b/internal/hostguard/held.go
@@ -122,6 +122,9 @@
 func (r *held) status() msg.RunStatus {
 	s := r.latest
 	s.Run, s.Pace = r.id, r.pace
+	if r.pace == unknownPace {
+		s.Pace = fullPace
+	}
 	s.InDoubt = r.state == heldStarting || r.state == heldDoubtful
 	return s
 }
--- a/internal/hostguard/life.go
+++ b/internal/hostguard/life.go
@@ -212,7 +212,7 @@
 	r, ok := c.runs[s.Run]
 	if !ok {
 		r = c.hold(msg.RunSize{Run: s.Run})
-		r.state = heldRunning
+		r.state, r.pace = heldRunning, unknownPace
 	}
 	r.latest = s
 	r.step(evListed)
--- a/internal/hostguard/owner.go
+++ b/internal/hostguard/owner.go
@@ -181,6 +181,8 @@
 	switch {
 	case a.Call.Start != nil:
 		c.startAnswered(a)
+	case a.Call.Pace != nil:
+		c.paceAnswered(a)
 	case a.Call.Look != nil && a.Err == nil:
 		c.list(a.Call.Target, a.Listing)
 	}
--- a/internal/hostguard/pace.go
+++ b/internal/hostguard/pace.go
@@ -8,7 +8,12 @@
 	"github.com/bambooscale/bambooscale/internal/msg"
 )
 
-const fullPace = 100 // percent
+const (
+	fullPace = 100 // percent
+	// unknownPace is that of a run that a former agent started, or whose last
+	// call may have failed.
+	unknownPace = -1
+)
 
 // pacer holds back fillers while a serving task misses its target, the most
 // harmful image first.
@@ -164,3 +169,10 @@
 		p.harms[h.Image] = h.Harm
 	}
 }
+
+// paceAnswered lets a pace whose call failed be set again.
+func (c *Core) paceAnswered(a Answer) {
+	if r, ok := c.runs[a.Call.Pace.Run]; ok && a.Err != nil && r.pace == a.Call.Pace.Percent {
+		r.pace = unknownPace
+	}
+}
