jobnode: refuse callers at once while the table service is known to be away

Ruled out: the owner (it went on, its batch was repeated) and the relay (all entries were refused alike). Change: after 300 ms of an outage a caller gets one try; Retry-After follows the age of the outage from 1 s to 4 s; the owner's retries back off to 400 ms.

--- a/cmd/bambooscaled/main.go
+++ b/cmd/bambooscaled/main.go
@@ -1,4 +1,4 @@
-// Command bambooscaled is the daemon of bambooscale. See docs/operations.md.
+// Command bambooscaled is the daemon of bambooscale. See docs/OPERATIONS.md.
 package main
 
 import (
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -18,7 +18,7 @@
 	maxConnections = 65_536
 )
 
-// announcement is the JSON body of POST /v1/announce, docs/operations.md.
+// announcement is the JSON body of POST /v1/announce, docs/OPERATIONS.md.
 type announcement struct {
 	ID          model.BackendID `json:"id"`
 	Service     model.Service   `json:"service"`
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -200,7 +200,7 @@
 
 // Guards against a command that the operations page does not describe.
 func TestPageHasEveryCommand(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	var walk func(c *cobra.Command)
 	walk = func(c *cobra.Command) {
--- a/internal/jobnode/desk.go
+++ b/internal/jobnode/desk.go
@@ -21,11 +21,15 @@
 const (
 	// submitTime bounds the tries to store a job; the caller has time left to
 	// ask another entry.
-	submitTime  = 1500 * time.Millisecond
+	submitTime = 500 * time.Millisecond
+	// knownAway is how long the table service must have been away for a
+	// caller to be refused after one try.
+	knownAway   = 300 * time.Millisecond
 	submitRetry = 50 * time.Millisecond
 	// answerMargin is the part of a caller's deadline that the answer needs.
-	answerMargin = 150 * time.Millisecond
-	retryAfter   = time.Second
+	answerMargin    = 150 * time.Millisecond
+	leastRetryAfter = time.Second
+	mostRetryAfter  = 4 * time.Second
 )
 
 // desk serves the callers of one entry. Any goroutine may use it.
@@ -38,7 +42,11 @@
 
 var _ jobdesk.Desk = (*desk)(nil)
 
-func (d *desk) RetryAfter() time.Duration { return retryAfter }
+// RetryAfter implements jobdesk.Desk: callers come back later the longer the
+// table service is away, so that their last try is not spent in an outage.
+func (d *desk) RetryAfter() time.Duration {
+	return min(mostRetryAfter, max(leastRetryAfter, d.controller.gateway.away()))
+}
 
 // Ready implements jobdesk.Desk.
 func (d *desk) Ready() bool {
@@ -134,6 +142,9 @@
 		deadline = time.Now().Add(submitTime)
 	}
 	definite := time.Now().Add(min(submitTime, time.Until(deadline)-answerMargin))
+	if d.controller.gateway.away() > knownAway {
+		definite = time.Now() // one try
+	}
 	doubt := false
 	for {
 		r := d.controller.gateway.commit(ctx, txn)
@@ -146,7 +157,7 @@
 			doubt = true
 		}
 		switch {
-		case !doubt && time.Now().After(definite):
+		case !doubt && !time.Now().Before(definite):
 			return fmt.Errorf("%w: the table service is unavailable", jobdesk.ErrNotAccepted)
 		case doubt && time.Until(deadline) < answerMargin, !actor.Sleep(ctx, submitRetry):
 			return fmt.Errorf("%w: the table service did not answer", jobdesk.ErrUnknown)
--- a/internal/jobnode/gateway.go
+++ b/internal/jobnode/gateway.go
@@ -38,14 +38,28 @@
 type gateway struct {
 	store Store
 	relay func(context.Context, table.Txn) result // through a peer; Unavailable when there is none
-	bad   actor.Value[time.Time]                  // when the last direct call failed
+	bad   actor.Value[outage]                     // nil while the table service serves this process
 	log   log.Interface
 }
 
+// outage is a time in which the table service does not serve this process.
+type outage struct {
+	since time.Time
+	last  time.Time // newest failure
+}
+
+// away returns how long the table service has not served this process.
+func (g *gateway) away() time.Duration {
+	if o := g.bad.Get(); o != nil {
+		return time.Since(o.since)
+	}
+	return 0
+}
+
 // commit tries the table service and then a peer. The transaction must be one
 // that may be sent twice: its checks fail once it has taken effect.
 func (g *gateway) commit(ctx context.Context, t table.Txn) result {
-	if failed := g.bad.Get(); failed != nil && time.Since(*failed) < badFor {
+	if failed := g.bad.Get(); failed != nil && time.Since(failed.last) < badFor {
 		r := g.relay(ctx, t)
 		if r.outcome != table.Unavailable && r.outcome != table.Unknown {
 			return r
@@ -81,8 +95,11 @@
 	was := g.bad.Get()
 	switch {
 	case failed:
-		now := time.Now()
-		g.bad.Set(&now)
+		o := outage{since: time.Now(), last: time.Now()}
+		if was != nil {
+			o.since = was.since
+		}
+		g.bad.Set(&o)
 		if was == nil {
 			event.Log(g.log, event.StoreAway, log.Fields{"error": err.Error()})
 		}
@@ -92,9 +109,6 @@
 	}
 }
 
-// reachable reports whether the last direct call was served.
-func (g *gateway) reachable() bool { return g.bad.Get() == nil }
-
 func outcomeOf(revision table.Revision, err error) result {
 	var conflict *table.ConflictError
 	switch {
--- a/internal/jobnode/writer.go
+++ b/internal/jobnode/writer.go
@@ -21,8 +21,9 @@
 	// batchDelay lets ends of one moment share a transaction when no caller
 	// waits for them.
 	batchDelay = 150 * time.Millisecond
-	// storeRetry is the pause after a batch was not stored.
-	storeRetry = 100 * time.Millisecond
+	// The pause after a batch was not stored doubles from storeRetry.
+	storeRetry     = 100 * time.Millisecond
+	mostStoreRetry = 400 * time.Millisecond
 )
 
 // writer stores the owner's batches one after another. Each transaction checks
@@ -33,6 +34,7 @@
 	version table.Revision // of the owner's row
 
 	busy      bool
+	pause     time.Duration // before the next try of a batch
 	pendingAt time.Duration // when something to store was first seen; 0: nothing
 	hosts     []workload.HostName
 	releasing bool
@@ -188,7 +190,8 @@
 	default:
 		event.Log(c.log, event.OwnerStoreFailed, log.Fields{"epoch": m.epoch, "outcome": r.outcome.String()})
 		m.txn.Checks[0].Version = w.version
-		c.commitBatch(m.owner, m.txn, storeRetry)
+		w.pause = min(mostStoreRetry, max(storeRetry, 2*w.pause))
+		c.commitBatch(m.owner, m.txn, w.pause)
 	}
 }
 
@@ -215,7 +218,7 @@
 
 func (c *controller) batchCommitted(m *batchStored, version table.Revision) {
 	w := &c.writer
-	w.busy, w.version, w.owner.Sequence = false, version, m.owner.Sequence
+	w.busy, w.pause, w.version, w.owner.Sequence = false, 0, version, m.owner.Sequence
 	for _, name := range w.hosts {
 		c.known[name] = true
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -114,7 +114,7 @@
 
 // Guards against a path that the operations page does not describe.
 func TestPageHasEveryPath(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	for _, r := range (&API{}).routes() {
 		require.Contains(t, string(page), r.method+" "+strings.ReplaceAll(r.path, "...", ""))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -94,7 +94,7 @@
 
 // Guards against an operations page whose reference is out of date.
 func TestPageHasTheReference(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	const begin, end = "<!-- settings reference: begin -->\n", "<!-- settings reference: end -->"
 	_, after, ok := strings.Cut(string(page), begin)
