--- a/cmd/bamboojobd/main.go
+++ b/cmd/bamboojobd/main.go
@@ -33,8 +33,7 @@
 )
 
 const (
-	settingsVariable = "BAMBOOSCALE_SETTINGS"
-	metricsPort      = "9464"
+	metricsPort = "9464"
 	// callTimeout bounds calls without a deadline of their own.
 	callTimeout = 4 * time.Second
 	// runLease outlives a restart of the agent and is short enough that the
@@ -64,7 +63,7 @@
 	cmd := &cobra.Command{Use: role, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		return run(role, file, begin)
 	}}
-	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file")
+	cmd.Flags().StringVar(&file, "settings", os.Getenv(platform.SettingsVariable), "settings file")
 	return cmd
 }
 
@@ -117,7 +116,7 @@
 			Token: hostguard.FirstToken(time.Now().UnixMilli()),
 		},
 		Boot: newBoot(), Registry: n.Registry, Metrics: net.JoinHostPort(n.IP, metricsPort), Seeds: n.SeedLinks(),
-		Runner: platform.NewMinion(n.Backend, callTimeout), Store: platform.NewStore(n.Store, callTimeout),
+		Runner: platform.NewRunner(n.Backend, callTimeout), Store: platform.NewStore(n.Store, callTimeout),
 		RegistryHandler: func(r runner.Registry) http.Handler { return platform.RegistryHandler(r, refused) }, Log: log.Log,
 	})
 }
--- /dev/null
+++ b/internal/jobnode/metrics_test.go
@@ -0,0 +1,39 @@
+package jobnode
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/jobdesk"
+	"github.com/bambooscale/bambooscale/internal/jobs"
+	"github.com/bambooscale/bambooscale/internal/metrics"
+)
+
+// Guards against metrics under other names than docs/OPERATIONS.md gives.
+func TestMetricsHaveTheNamesOfTheOperationsPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := actor.NewGroup(context.Background(), nil)
+		defer g.Stop()
+		r := metrics.Start(g)
+		m := newEntryMetrics(r)
+		m.submitted("q", jobdesk.ErrNotAccepted)
+		m.decided(jobs.Decision{Kind: jobs.RunOrdered, Age: time.Millisecond})
+		m.decided(jobs.Decision{Kind: jobs.RunOver, Detail: "done"})
+		m.decided(jobs.Decision{Kind: jobs.JobOver, Detail: "completed", Age: time.Second})
+		time.Sleep(3 * time.Second)
+		w := httptest.NewRecorder()
+		r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		for _, name := range []string{
+			"bambooscale_jobs_submitted_total", "bambooscale_jobs_runs_over_total", "bambooscale_jobs_jobs_over_total",
+			"bambooscale_jobs_run_wait_seconds", "bambooscale_jobs_job_seconds",
+		} {
+			require.Contains(t, w.Body.String(), name)
+		}
+	})
+}
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -72,6 +72,7 @@
 	if err != nil {
 		return err
 	}
+	c.pageWords(name, string(raw))
 	f, err := parser.ParseFile(c.fset, name, raw, parser.SkipObjectResolution)
 	if err != nil {
 		c.found.Add(name, 0, "", "does not parse: %v", err)
@@ -82,6 +83,29 @@
 	return nil
 }
 
+// pageWords are words of the users' pages, and names of their protocol, for
+// which the product has words of its own.
+var pageWords = []string{
+	"minion", "rows-tx", "rows-get", "rows-feed", "api/run-", "ack-cursor", "fencing-token", "heartbeat-address",
+	"memory-request-mb", "max-per-server", "allow-duplicates", "requirements\"", "may-miss", "/api/instances",
+}
+
+// adapter is the one folder that knows the users' words.
+const adapter = "platform"
+
+func (c *checker) pageWords(name, source string) {
+	if path.Dir(name) == adapter || path.Dir(name) == "internal/shape" {
+		return
+	}
+	for i, line := range strings.Split(strings.ToLower(source), "\n") {
+		for _, word := range pageWords {
+			if strings.Contains(line, word) {
+				c.found.Add(name, i+1, word, "a word of the users' pages stands outside %s/", adapter)
+			}
+		}
+	}
+}
+
 func (c *checker) line(n ast.Node) int { return c.fset.Position(n.Pos()).Line }
 
 func (c *checker) imports(name string, f *ast.File) {
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -25,6 +25,7 @@
 		"upward import":       {"internal/msg/a.go", "package msg\nimport _ \"" + Module + "internal/entry\"\n", "only lower layers"},
 		"unknown layer":       {"internal/misc/a.go", "package misc\nimport _ \"" + Module + "internal/model\"\n", "has no layer"},
 		"sleep":               {"internal/entry/a.go", "package entry\nimport \"time\"\nfunc f() { time.Sleep(1) }\n", "wait on a timer"},
+		"page word":           {"internal/entry/a.go", "package entry\n\n// f asks the minion.\nfunc f() {}\n", "users' pages"},
 		"unbound chart":       {"charts/x.scxml", "<scxml/>", "no code interprets"},
 	}
 	for name, c := range cases {
--- /dev/null
+++ b/internal/workload/workload_test.go
@@ -0,0 +1,46 @@
+package workload
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a bad job that is accepted and then blocks or ends the
+// scheduler; every finding is reported.
+func TestValidateReportsEveryFinding(t *testing.T) {
+	j := Job{ID: "xyz", Specification: strings.Repeat("s", MaxSpecification+1), Steps: []Step{
+		{Count: 0}, {Count: 1, After: []int{1}}, {Count: 1, After: []int{2}, Need: Resources{MilliCPU: -1}},
+	}}
+	err := j.Validate()
+	for _, text := range []string{"16 hexadecimal", "4001 bytes", "step 0: count", "step 1: after", "step 2: after", "negative"} {
+		require.ErrorContains(t, err, text)
+	}
+	require.ErrorContains(t, (&Job{ID: "0123456789abcdef"}).Validate(), "no steps")
+	gang := Job{ID: "0123456789abcdef", Steps: []Step{{Count: 1, Gang: true}}}
+	require.ErrorIs(t, gang.Validate(), ErrUnsupported)
+}
+
+// Guards against a task that is taken for another one.
+func TestTaskNamesAreReadBack(t *testing.T) {
+	id := TaskID{Job: "0123456789abcdef", Occurrence: 1, Step: 2, Index: 30}
+	got, err := ParseTaskID(id.String())
+	require.NoError(t, err)
+	require.Equal(t, id, got)
+	for _, bad := range []string{"", "a.0.0", "a.0.0.x", "a.0.0.-1", "a.0.0.0.0"} {
+		_, err := ParseTaskID(bad)
+		require.Error(t, err, bad)
+	}
+}
+
+// Guards against a request that reaches another queue: the longest prefix of
+// the host decides.
+func TestLongestPrefixSelectsTheQueue(t *testing.T) {
+	c := Config{Queues: []Queue{{Name: "a", Host: "h", PathPrefix: "/x/"}, {Name: "b", Host: "h", PathPrefix: "/x/y/"}, {Name: "c", Host: "g", PathPrefix: "/x/y/"}}}
+	q, ok := c.Match("h", "/x/y/1")
+	require.True(t, ok)
+	require.Equal(t, QueueName("b"), q.Name)
+	_, ok = c.Match("h", "/z")
+	require.False(t, ok)
+}
