jobs: let a new owner wait only for hosts on which something may run

Ruled out: slow agents (ten of eleven had answered by 36.1 s), the load of the rows (done at 35.5 s). Change: the stored list holds the hosts on which something may run: a host is in it before its first start and leaves it after 8 s in which everything there had surely ended. A new owner waits for that list only.

--- a/internal/jobnode/controller.go
+++ b/internal/jobnode/controller.go
@@ -46,8 +46,7 @@
 	early   []any      // messages for the owner that came while loading
 	writer  writer
 	relays  relays
-	known   map[workload.HostName]bool // hosts in the stored list
-	feed    *actor.Group               // of the watch of the jobs table
+	feed    *actor.Group // of the watch of the jobs table
 	pruned  time.Duration
 
 	published *published
--- a/internal/jobnode/owner.go
+++ b/internal/jobnode/owner.go
@@ -247,14 +247,12 @@
 	for _, j := range m.load.jobs {
 		c.jobs.Restore(j, m.load.progress[j.ID])
 	}
-	c.known = map[workload.HostName]bool{}
 	for _, a := range c.agents {
 		if a.link != nil {
 			c.jobs.Linked(a.host)
 		}
 	}
 	for _, name := range m.load.hosts {
-		c.known[name] = true
 		c.jobs.Expect(name)
 	}
 	c.jobs.Recover()
--- a/internal/jobnode/writer.go
+++ b/internal/jobnode/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"strings"
 	"time"
 
@@ -36,7 +35,6 @@
 	busy      bool
 	pause     time.Duration // before the next try of a batch
 	pendingAt time.Duration // when something to store was first seen; 0: nothing
-	hosts     []workload.HostName
 	releasing bool
 	retired   actor.Reply[bool]
 }
@@ -62,7 +60,7 @@
 	pending, urgent := c.jobs.Pending()
 	now := c.now()
 	switch {
-	case !pending && !c.newHosts():
+	case !pending:
 		w.pendingAt = 0
 		return
 	case w.pendingAt == 0:
@@ -75,16 +73,6 @@
 	}
 }
 
-// newHosts reports whether a linked host is not in the stored list.
-func (c *controller) newHosts() bool {
-	for name, a := range c.agents {
-		if a.link != nil && !c.known[name] {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *controller) storeBatch(owner workload.Owner) {
 	w := &c.writer
 	batch := c.jobs.NextBatch()
@@ -131,30 +119,16 @@
 	for _, id := range b.Removed {
 		txn.Deletes = append(txn.Deletes, progressKey(id))
 	}
-	if c.newHosts() {
-		c.writer.hosts = c.hostList()
-		names := make([]string, len(c.writer.hosts))
-		for i, h := range c.writer.hosts {
+	if b.Hosts != nil {
+		names := make([]string, len(b.Hosts))
+		for i, h := range b.Hosts {
 			names[i] = string(h)
 		}
-		txn.Puts = append(txn.Puts, table.Put{Key: hostsKey, Value: []byte(strings.Join(names, "\n"))})
+		txn.Puts = append(txn.Puts, table.Put{Key: hostsKey, Value: []byte(strings.Join(names, "\n") + "\n")})
 	}
 	return txn, nil
 }
 
-// hostList returns the hosts that are linked. A host that is away longer than
-// any lease cannot run anything.
-func (c *controller) hostList() []workload.HostName {
-	var list []workload.HostName
-	for name, a := range c.agents {
-		if a.link != nil || c.known[name] {
-			list = append(list, name)
-		}
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i] < list[k] })
-	return list
-}
-
 // removeJobs drops the rows of jobs that nobody asks for any more. A row that
 // stays because of an error is found over by the next owner and dropped again.
 func (c *controller) removeJobs(ids []workload.JobID) {
@@ -219,10 +193,6 @@
 func (c *controller) batchCommitted(m *batchStored, version table.Revision) {
 	w := &c.writer
 	w.busy, w.pause, w.version, w.owner.Sequence = false, 0, version, m.owner.Sequence
-	for _, name := range w.hosts {
-		c.known[name] = true
-	}
-	w.hosts = nil
 	c.jobs.Committed()
 	if m.owner.Name != "" {
 		return
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -66,6 +66,7 @@
 	learner *interfere.Learner
 	images  map[string]bool // of fillers
 
+	list      hostList
 	dirty     map[*job]struct{}
 	removals  []workload.JobID
 	writing   *Batch
@@ -81,7 +82,7 @@
 	return &Core{
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
 		cancelled: map[workload.JobID]time.Duration{}, ready: map[*task]struct{}{},
-		learner: interfere.NewLearner(), images: map[string]bool{}, dirty: map[*job]struct{}{},
+		learner: interfere.NewLearner(), images: map[string]bool{}, list: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
 	}
 }
 
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -65,7 +65,9 @@
 	endsSeen  uint64 // ends up to this number are applied
 	endsTaken uint64 // ends up to this number are stored and acknowledged
 	health    health
-	takenBorn int64 // life whose inventory was taken
+	takenBorn int64         // life whose inventory was taken
+	expected  bool          // runs of a former owner may go on there
+	idleSince time.Duration // when everything there had surely ended
 	exposure  interfere.Exposure
 	strain    float64 // worst latency of a serving task over its target, in the last report
 
@@ -77,7 +79,7 @@
 func (c *Core) host(name workload.HostName) *host {
 	h, ok := c.hosts[name]
 	if !ok {
-		h = &host{core: c, info: workload.Host{Name: name}, runs: map[workload.RunID]*run{}, lastGrant: c.now}
+		h = &host{core: c, info: workload.Host{Name: name}, runs: map[workload.RunID]*run{}, lastGrant: c.now, idleSince: c.now}
 		c.hosts[name] = h
 	}
 	return h
@@ -123,14 +125,6 @@
 	}
 }
 
-// Expect names a host on which runs of a former owner may go on.
-func (c *Core) Expect(name workload.HostName) {
-	if _, known := c.hosts[name]; known {
-		return
-	}
-	c.host(name).step(evExpect)
-}
-
 // Announced takes the newest state of a host.
 func (c *Core) Announced(info workload.Host) {
 	c.host(info.Name).meet(info)
@@ -283,6 +277,7 @@
 }
 
 func (h *host) loseRuns() {
+	h.idleSince = h.core.now
 	for _, r := range h.sortedRuns() {
 		r.step(evLost)
 	}
@@ -355,18 +350,3 @@
 	}
 	return max(0, r.task.step.spec.Estimate-ran)
 }
-
-// settleRecovery lets the tasks start whose runs under a former owner are
-// unknown, once every host has answered or can run nothing.
-func (c *Core) settleRecovery() {
-	if c.recovered == 0 {
-		return
-	}
-	for _, h := range c.hosts {
-		if h.state == hostSilent || h.state == hostClaiming {
-			return
-		}
-	}
-	c.recovered = 0
-	c.plan = true
-}
--- /dev/null
+++ b/internal/jobs/hostlist.go
@@ -0,0 +1,86 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// forgetAfter is how long nothing must have run on a host before it leaves
+// the stored list. A host that flaps stays in it.
+const forgetAfter = 8 * time.Second
+
+// hostList is the stored list of the hosts on which something may run. A host
+// is in it before the first start there, so a new owner waits for the hosts
+// of the list and for no other.
+type hostList struct {
+	stored  map[workload.HostName]bool
+	writing []workload.HostName
+}
+
+// mayRun reports whether something may run on the host, or soon will.
+func (h *host) mayRun() bool {
+	if len(h.runs) > 0 || h.state == hostSilent {
+		return true
+	}
+	if h.info.Instance == "" || h.info.State == workload.HostAway || h.state == hostAway {
+		return h.core.now-h.idleSince < forgetAfter && h.core.list.stored[h.info.Name]
+	}
+	return true
+}
+
+// hostsToStore returns the list as it should be, and whether it differs from
+// the stored one.
+func (c *Core) hostsToStore() ([]workload.HostName, bool) {
+	var want []workload.HostName
+	for name, h := range c.hosts {
+		if h.mayRun() {
+			want = append(want, name)
+		}
+	}
+	slices.Sort(want)
+	if len(want) != len(c.list.stored) {
+		return want, true
+	}
+	for _, name := range want {
+		if !c.list.stored[name] {
+			return want, true
+		}
+	}
+	return want, false
+}
+
+func (l *hostList) committed(hosts []workload.HostName) {
+	l.stored = make(map[workload.HostName]bool, len(hosts))
+	for _, name := range hosts {
+		l.stored[name] = true
+	}
+}
+
+// Expect names a host of the stored list, on which runs of a former owner may
+// go on.
+func (c *Core) Expect(name workload.HostName) {
+	_, known := c.hosts[name]
+	h := c.host(name)
+	h.expected = true
+	c.list.stored[name] = true
+	if !known {
+		h.step(evExpect)
+	}
+}
+
+// settleRecovery lets the tasks start whose runs under a former owner are
+// unknown, once every expected host has answered or can run nothing.
+func (c *Core) settleRecovery() {
+	if c.recovered == 0 {
+		return
+	}
+	for _, h := range c.hosts {
+		if h.expected && (h.state == hostSilent || h.state == hostClaiming) {
+			return
+		}
+	}
+	c.recovered = 0
+	c.plan = true
+}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -81,9 +81,18 @@
 func (w *world) link(h workload.Host, runs ...msg.RunStatus) {
 	w.core.Linked(h)
 	w.core.Inventory(&msg.HostInventory{Epoch: w.core.epoch, Host: h, Runs: runs})
+	w.listHosts()
 	w.settle()
 }
 
+// listHosts stores the list of hosts, without which nothing starts.
+func (w *world) listHosts() {
+	if hosts, changed := w.core.hostsToStore(); changed {
+		w.core.list.committed(hosts)
+		w.core.plan = true
+	}
+}
+
 func (w *world) end(run workload.RunID, reason workload.EndReason, checkpoint string) {
 	name := w.started[run]
 	w.ends[name]++
@@ -158,6 +167,7 @@
 	next := newWorld(t, 2)
 	next.core.Restore(newSpec("j", tasks(1, 1000)), &b.Writes[0].Progress)
 	next.core.Linked(readyHost("a", 4000))
+	next.listHosts()
 	next.core.Inventory(&msg.HostInventory{Epoch: 2, Host: readyHost("a", 4000), Ends: []msg.RunEnd{
 		{Number: 1, Run: runID("j", 0, 0, 1), Reason: workload.EndFailed},
 	}})
@@ -330,6 +340,51 @@
 	require.Contains(t, w.started, runID("j", 0, 0, 2))
 }
 
+// Guards against a new owner that does not know of a host on which tasks run:
+// nothing starts on a host before it is in the stored list.
+func TestNothingStartsOnAHostThatIsNotListed(t *testing.T) {
+	w := newWorld(t, 1)
+	w.core.Linked(readyHost("a", 4000))
+	w.core.Inventory(&msg.HostInventory{Epoch: 1, Host: readyHost("a", 4000)})
+	w.core.Submit(newSpec("j", tasks(1, 1000)))
+	w.settle()
+	require.Empty(t, w.started)
+	pending, urgent := w.core.Pending()
+	require.True(t, pending && urgent)
+	b := w.core.NextBatch()
+	require.Equal(t, []workload.HostName{"a"}, b.Hosts)
+	w.core.Committed()
+	w.settle()
+	require.Len(t, w.started, 1)
+}
+
+// Guards against seconds in which nothing restored starts (trouble-1 of
+// nilegate-permits: 7 s for a host whose backend server had been gone for
+// 20 s). A host that runs nothing leaves the list; one that flaps stays.
+func TestHostThatIsGoneHoldsUpNoRecovery(t *testing.T) {
+	w := newWorld(t, 1)
+	w.link(readyHost("a", 4000))
+	w.link(readyHost("b", 4000))
+	gone := readyHost("b", 4000)
+	gone.State = workload.HostAway
+	w.core.Announced(gone)
+	w.advance(forgetAfter - time.Second)
+	_, changed := w.core.hostsToStore()
+	require.False(t, changed)
+	w.advance(1200 * time.Millisecond)
+	hosts, changed := w.core.hostsToStore()
+	require.True(t, changed)
+	require.Equal(t, []workload.HostName{"a"}, hosts)
+
+	next := newWorld(t, 2)
+	next.core.Restore(newSpec("j", tasks(1, 1000)), nil)
+	next.core.Linked(workload.Host{Name: "b"}) // its agent knows no backend server
+	next.core.Expect("a")
+	next.core.Recover()
+	next.link(readyHost("a", 4000))
+	require.Len(t, next.started, 1)
+}
+
 // Answers the pattern "large jobs fill every host": a task of the first
 // priority still finds room at once.
 func TestShortTaskStartsBesideABurstOfLargeJobs(t *testing.T) {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -84,7 +84,7 @@
 
 func (h *host) view(t *task) spread.Host {
 	v := spread.Host{
-		Info: &h.info, Reachable: h.state == hostReady && h.takenBorn == h.info.Born, Free: h.info.Capacity.Sub(h.used), FillerCPU: h.fillerCPU, Serving: h.serving,
+		Info: &h.info, Reachable: h.state == hostReady && h.takenBorn == h.info.Born && h.core.list.stored[h.info.Name], Free: h.info.Capacity.Sub(h.used), FillerCPU: h.fillerCPU, Serving: h.serving,
 		Strain: h.strain, Suspect: h.suspect(), Failing: h.failing(), Avoided: t.avoid[h.info.Name],
 	}
 	if t.step.spec.Filler && h.serving > 0 {
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -22,8 +22,8 @@
 type Batch struct {
 	Writes  []Write
 	Removed []workload.JobID
+	Hosts   []workload.HostName // the list of hosts; nil: as it is stored
 	ends    map[workload.HostName]takenEnds
-	urgent  bool
 }
 
 type takenEnds struct {
@@ -32,15 +32,15 @@
 	upto     uint64
 }
 
-// Urgent reports whether a caller waits for the batch.
-func (b *Batch) Urgent() bool { return b.urgent }
-
 // Pending reports whether there is something to store, and whether a caller
-// waits for it.
+// or a host waits for it.
 func (c *Core) Pending() (pending, urgent bool) {
 	if c.writing != nil {
 		return false, false
 	}
+	if _, changed := c.hostsToStore(); changed {
+		return true, true
+	}
 	for j := range c.dirty {
 		pending = true
 		if j.phase().Over() {
@@ -78,6 +78,9 @@
 			b.ends[name] = takenEnds{h.info.Instance, h.info.Born, h.endsSeen}
 		}
 	}
+	if hosts, changed := c.hostsToStore(); changed {
+		b.Hosts = append([]workload.HostName{}, hosts...)
+	}
 	c.writing = b
 	return b
 }
@@ -101,6 +104,10 @@
 			}
 		}
 	}
+	if b.Hosts != nil {
+		c.list.committed(b.Hosts)
+		c.plan = true
+	}
 	for name, e := range b.ends {
 		h := c.hosts[name]
 		if h == nil || h.info.Instance != e.instance || h.info.Born != e.born {
