jobnode: split large files; one loop for actors that apply batches

Change: actor.Batches is that loop; links, the load of the jobs and the calls to the backend server have files of their own. Dialers pause 250 ms at most, 500 ms before: after a loss of power agents were linked 0.5 s after the owner began. Measured: tests of actor, jobnode and shape pass.

--- a/internal/jobnode/agent.go
+++ b/internal/jobnode/agent.go
@@ -147,23 +147,12 @@
 }
 
 func (a *agent) run(ctx context.Context, in <-chan any) error {
-	tick := time.NewTicker(agentTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case m := <-in:
-			a.apply(m)
-			for n := 0; n < drainLimit && len(in) > 0; n++ {
-				a.apply(<-in)
-			}
-		case <-tick.C:
-			a.guard.Advance(time.Since(a.began))
-			a.guard.Tick()
-		}
-		a.flush()
-	}
+	return actor.Batches[any]{Limit: drainLimit, Interval: agentTick, Apply: a.apply, Tick: a.tick, Flush: a.flush}.Run(ctx, in)
+}
+
+func (a *agent) tick() {
+	a.guard.Advance(time.Since(a.began))
+	a.guard.Tick()
 }
 
 func (a *agent) apply(m any) {
@@ -281,61 +270,6 @@
 	a.published.members.Set(&list)
 }
 
-// runCallers performs calls, a few at a time, in the order given.
-func (a *agent) runCallers(ctx context.Context, r runner.Runner, in <-chan hostguard.Call) error {
-	g := actor.NewGroup(ctx, nil)
-	defer g.Stop()
-	for range callers {
-		actor.Go(g, "caller", func(ctx context.Context) error {
-			for {
-				select {
-				case c := <-in:
-					_ = a.address.Send(ctx, &callAnswered{perform(ctx, r, c)}) // an error means that the process ends
-				case <-ctx.Done():
-					return nil
-				}
-			}
-		})
-	}
-	<-ctx.Done()
-	return nil
-}
-
-func perform(ctx context.Context, r runner.Runner, c hostguard.Call) hostguard.Answer {
-	limited, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	ans := hostguard.Answer{Call: c}
-	switch {
-	case c.Start != nil:
-		ans.ClockMS, ans.Err = r.Start(limited, c.Target, *c.Start)
-	case c.Stop != nil:
-		ans.ClockMS, ans.Err = r.Stop(limited, c.Target, *c.Stop)
-	case c.Pace != nil:
-		ans.ClockMS, ans.Err = r.Pace(limited, c.Target, c.Pace.Run, c.Pace.Percent)
-	case c.Look != nil:
-		ans.Listing, ans.Err = r.Hold(limited, c.Target, *c.Look)
-		ans.ClockMS = ans.Listing.ClockMS
-	}
-	return ans
-}
-
-func (a *agent) runHolds(ctx context.Context, r runner.Runner, in <-chan hostguard.Watch) error {
-	for {
-		select {
-		case o := <-in:
-			if o.Pause > 0 && !actor.Sleep(ctx, o.Pause) {
-				return nil
-			}
-			limited, cancel := context.WithTimeout(ctx, o.Hold.Wait+holdMargin)
-			l, err := r.Hold(limited, o.Target, o.Hold)
-			cancel()
-			_ = a.address.Send(ctx, &holdAnswered{o, l, err}) // an error means that the process ends
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // registry passes announcements to the agent.
 type registry struct{ agent *agent }
 
--- /dev/null
+++ b/internal/jobnode/controller_links.go
@@ -0,0 +1,188 @@
+package jobnode
+
+import (
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+func (c *controller) entryLink(name string) *entryLink {
+	for _, l := range c.links {
+		if !l.hello.Agent && l.hello.Member.Name == name {
+			return l
+		}
+	}
+	return nil
+}
+
+func (c *controller) linkUp(m *linkUp) {
+	l := &entryLink{m.id, m.hello, m.out}
+	c.links[m.id] = l
+	name := m.hello.Member.Name
+	event.Log(c.log, event.PeerLinked, log.Fields{"peer": name, "agent": m.hello.Agent, "epoch": m.hello.Epoch})
+	if m.hello.Epoch > c.owner.Epoch() {
+		c.owner.Outranked(m.hello.Epoch, c.now())
+	}
+	if m.hello.Agent {
+		c.agentUp(l)
+		return
+	}
+	c.owner.PeerUp(name)
+	c.meet([]msg.Member{m.hello.Member})
+	c.setLinked()
+	if c.config.current != nil {
+		c.send(l, &msg.ConfigAnnounced{Version: c.config.current.Version, Raw: c.config.raw})
+	}
+	if c.jobs != nil {
+		c.send(l, &msg.OwnerClaim{Epoch: c.jobs.Epoch(), Owner: c.self.Name})
+		c.send(l, &msg.JobPhases{Epoch: c.jobs.Epoch(), All: true, Jobs: c.jobs.AllPhases()})
+	}
+}
+
+func (c *controller) agentUp(l *entryLink) {
+	name := workload.HostName(l.hello.Member.Name)
+	a := c.agents[name]
+	if a == nil {
+		a = &agentView{host: workload.Host{Name: name}}
+		c.agents[name] = a
+	}
+	a.link = l
+	c.send(l, &msg.Members{Entries: c.memberList()})
+	if c.jobs != nil {
+		c.jobs.Linked(a.host)
+	}
+}
+
+func (c *controller) linkDown(m *linkDown) {
+	l := c.links[m.id]
+	if l == nil {
+		return
+	}
+	delete(c.links, m.id)
+	name := l.hello.Member.Name
+	logLinkDown(c.log, name, m.err)
+	if l.hello.Agent {
+		if a := c.agents[workload.HostName(name)]; a != nil && a.link == l {
+			a.link = nil
+			if c.jobs != nil {
+				c.jobs.Unlinked(workload.HostName(name))
+			}
+		}
+		return
+	}
+	c.relays.lost(name)
+	if c.entryLink(name) == nil {
+		c.owner.PeerDown(name, c.now())
+	}
+	c.setLinked()
+}
+
+func (c *controller) setLinked() {
+	linked := map[string]bool{}
+	for _, l := range c.links {
+		if !l.hello.Agent {
+			linked[l.hello.Member.Address] = true
+		}
+	}
+	c.published.linked.Set(&linked)
+}
+
+func (c *controller) received(l *entryLink, m msg.Control) {
+	switch m := m.(type) {
+	case *msg.Heartbeat:
+	case *msg.Members:
+		c.meet(m.Entries)
+	case *msg.HostAnnounced:
+		c.announced(l, m.Host)
+	case *msg.OwnerClaim:
+		c.owner.Heard(m.Owner, m.Epoch, c.now())
+	case *msg.ConfigAnnounced:
+		c.configAnnounced(m)
+	case *msg.StoreCall:
+		c.storeCall(l, m)
+	case *msg.StoreResult:
+		c.relays.answered(m)
+	case *msg.JobPhases:
+		c.phasesHeard(m)
+	case *msg.JobSubmitted, *msg.JobCancelled, *msg.HostInventory, *msg.RunsChanged, *msg.RunsProgress:
+		c.forOwner(l, m)
+	}
+}
+
+func (c *controller) announced(l *entryLink, h workload.Host) {
+	a := c.agents[workload.HostName(l.hello.Member.Name)]
+	if a == nil || a.link != l {
+		return
+	}
+	a.host = h
+	if c.jobs != nil {
+		c.jobs.Announced(h)
+	}
+}
+
+// forOwner applies a message that concerns the owner of the jobs.
+func (c *controller) forOwner(l *entryLink, m msg.Control) {
+	if c.jobs == nil {
+		return // the sender repeats it to the next owner
+	}
+	name := workload.HostName(l.hello.Member.Name)
+	switch m := m.(type) {
+	case *msg.JobSubmitted:
+		if c.loading {
+			c.early = append(c.early, m)
+			return
+		}
+		c.jobs.Submit(m.Job)
+	case *msg.JobCancelled:
+		c.jobs.Cancel(m.ID)
+	case *msg.HostInventory:
+		if c.loading {
+			c.early = append(c.early, m)
+			return
+		}
+		c.jobs.Inventory(m)
+	case *msg.RunsChanged:
+		c.jobs.Changed(name, m)
+	case *msg.RunsProgress:
+		c.jobs.Progress(name, m)
+	}
+}
+
+func (c *controller) phasesHeard(m *msg.JobPhases) {
+	if m.Epoch < c.owner.Epoch() {
+		return
+	}
+	for _, p := range m.Jobs {
+		c.mirror.take(p, c.now())
+	}
+}
+
+// meet takes entries that were heard of.
+func (c *controller) meet(entries []msg.Member) {
+	changed := false
+	for _, e := range entries {
+		if e.Name == c.self.Name || e.Address == "" || c.members[e.Name] == e {
+			continue
+		}
+		c.members[e.Name] = e
+		changed = true
+	}
+	if !changed {
+		return
+	}
+	list := c.memberList()
+	c.published.members.Set(&list)
+	for _, l := range c.links {
+		c.send(l, &msg.Members{Entries: list})
+	}
+}
+
+func (c *controller) memberList() []msg.Member {
+	list := []msg.Member{c.self}
+	for _, m := range c.members {
+		list = append(list, m)
+	}
+	return list
+}
--- a/internal/jobnode/links.go
+++ b/internal/jobnode/links.go
@@ -19,7 +19,7 @@
 const (
 	dialTimeout = 800 * time.Millisecond
 	minRedial   = 50 * time.Millisecond
-	maxRedial   = 500 * time.Millisecond
+	maxRedial   = 250 * time.Millisecond
 )
 
 // linkID names a link within a process.
