--- a/internal/jobnode/agent.go
+++ b/internal/jobnode/agent.go
@@ -112,7 +112,7 @@
 }
 
 func (a *agent) startLinks(g *actor.Group, cfg AgentConfig) {
-	l := &links{group: g, log: cfg.Log, send: a.address.Send, hello: func() *msg.PeerHello {
+	l := &links{group: g, send: a.address.Send, hello: func() *msg.PeerHello {
 		h := &msg.PeerHello{Member: msg.Member{Name: string(cfg.Guard.Name)}, Agent: true, Boot: cfg.Boot, DataCentre: cfg.Guard.DataCentre}
 		if epoch := a.published.epoch.Get(); epoch != nil {
 			h.Epoch = *epoch
--- a/internal/jobnode/entry.go
+++ b/internal/jobnode/entry.go
@@ -81,7 +81,7 @@
 }
 
 func (c *controller) startLinks(cfg EntryConfig) error {
-	l := &links{group: c.group, log: c.log, send: c.address.Send, hello: func() *msg.PeerHello {
+	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello {
 		h := &msg.PeerHello{Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre}
 		if epoch := c.published.epoch.Get(); epoch != nil {
 			h.Epoch = *epoch
--- a/internal/jobnode/links.go
+++ b/internal/jobnode/links.go
@@ -71,7 +71,6 @@
 	next  actor.Counter
 	hello func() *msg.PeerHello
 	send  func(context.Context, any) error
-	log   log.Interface
 }
 
 func (l *links) run(ctx context.Context, conn link.Conn) error {
