--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -15,8 +15,7 @@
 // is in it before the first start there, so a new owner waits for the hosts
 // of the list and for no other.
 type hostList struct {
-	stored  map[workload.HostName]bool
-	writing []workload.HostName
+	stored map[workload.HostName]bool
 }
 
 // mayRun reports whether something may run on the host, or soon will.
