--- a/internal/actor/batches_test.go
+++ b/internal/actor/batches_test.go
@@ -18,19 +18,26 @@
 		for i := range 5 {
 			in <- i
 		}
-		var applied, flushed, ticks int
-		var sizes []int
+		sizes, ticks := make(chan int, 10), make(chan bool, 10)
+		applied := 0
 		done := make(chan error)
-		b := Batches[int]{Limit: 3, Interval: time.Second, Apply: func(int) { applied++ }, Tick: func() { ticks++ }, Flush: func() {
-			sizes = append(sizes, applied-flushed)
-			flushed = applied
-		}}
+		b := Batches[int]{
+			Limit: 3, Interval: time.Second,
+			Apply: func(int) { applied++ },
+			Tick:  func() { ticks <- true },
+			Flush: func() {
+				sizes <- applied
+				applied = 0
+			},
+		}
 		go func() { done <- b.Run(ctx, in) }()
 		synctest.Wait()
-		require.Equal(t, []int{3, 2}, sizes)
+		require.Len(t, sizes, 2)
+		require.Equal(t, 3, <-sizes)
+		require.Equal(t, 2, <-sizes)
 		time.Sleep(1500 * time.Millisecond)
 		synctest.Wait()
-		require.Equal(t, 1, ticks)
+		require.Len(t, ticks, 1)
 		cancel()
 		require.NoError(t, <-done)
 	})
