hostagent: start nothing before the newest inventory is accepted

Cause: a new owner claims a host twice within a few milliseconds (its link comes up while the stored jobs are loaded). The agent answers both claims. The owner accepts the first inventory and sends starts; then the second inventory arrives, which predates them, and the owner takes the runs for lost and starts their tasks elsewhere. The agent took the acceptance of the first inventory for that of the second and executed the starts. Change: inventories are numbered, the owner returns the number, and the agent starts runs only after its newest inventory was accepted. Starts sent before are refused, as the owner assumes. Both fields are additions: an older owner returns no number and is treated as before, an older agent ignores it. Tests: TestStartsBeforeTheNewestInventoryIsAcceptedAreRefused failed 10 of 10 times before; TestTaskDoesNotRunTwiceWhenHostsAreClaimedAgain (random orders of messages) 14 of 30 times, and passes 20,000 cases now.

--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -98,8 +98,9 @@
 
 	epoch             uint64 // highest observed epoch
 	owner             LinkID // 0: none
-	inventoryAccepted bool   // the owner has the inventory, so it may start runs
+	inventoryAccepted bool   // the owner has the newest inventory, so it may start runs
 	inventorySent     bool
+	inventories       uint64 // number of inventories that were sent
 
 	token          uint64
 	runs           map[workload.RunID]*run
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -92,8 +92,9 @@
 		return
 	}
 	c.inventorySent = true
+	c.inventories++
 	c.changed = msg.RunsChanged{}
-	m := &msg.HostInventory{Epoch: c.epoch, Host: c.host, ClockMS: c.clock.lowerBound(c.now), Ended: append([]msg.RunEnd(nil), c.unacknowledged...)}
+	m := &msg.HostInventory{Epoch: c.epoch, Number: c.inventories, Host: c.host, ClockMS: c.clock.lowerBound(c.now), Ended: append([]msg.RunEnd(nil), c.unacknowledged...)}
 	for _, r := range c.sorted() {
 		m.Runs = append(m.Runs, r.status())
 	}
@@ -101,7 +102,10 @@
 }
 
 // applyInventoryAccepted sets the sizes of runs that a former process of the
-// agent started, and allows starts.
+// agent started, and allows starts if the owner has accepted the newest
+// inventory. Starts that the owner sent before it received that inventory are
+// refused, because the owner takes runs that the inventory does not list for
+// lost and starts their tasks elsewhere.
 func (c *Core) applyInventoryAccepted(m *msg.InventoryAccepted) {
 	for _, s := range m.Sizes {
 		if r, ok := c.runs[s.Run]; ok {
@@ -109,7 +113,9 @@
 			r.size = s
 		}
 	}
-	c.inventoryAccepted = c.inventorySent
+	if m.Number == 0 || m.Number == c.inventories {
+		c.inventoryAccepted = c.inventorySent
+	}
 	c.extendLease(m.ClockMS)
 }
 
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -209,7 +209,7 @@
 		}
 	}
 	h.applyEnds(m.Ended)
-	h.core.send(h, &msg.InventoryAccepted{Epoch: h.core.epoch, ClockMS: m.ClockMS, Sizes: sizes})
+	h.core.send(h, &msg.InventoryAccepted{Epoch: h.core.epoch, Number: m.Number, ClockMS: m.ClockMS, Sizes: sizes})
 	h.lastGrantAt, h.inventoryStartedAtMS = h.core.now, h.info.StartedAtMS
 	for _, r := range h.sortedRuns() {
 		if r.state == runStopping {
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -60,6 +60,7 @@
 // its runs.
 type HostInventory struct {
 	Epoch   uint64
+	Number  uint64 // of the inventory, consecutive in a process of the agent; 0: the agent does not number them
 	Host    workload.Host
 	ClockMS int64 // clock of the backend server when the message was sent
 	Runs    []RunStatus
@@ -85,9 +86,11 @@
 }
 
 // InventoryAccepted acknowledges HostInventory and grants a lease from the
-// ClockMS of the inventory. The agent starts no runs before it arrives.
+// ClockMS of the inventory. The agent starts no runs before its newest
+// inventory has been accepted.
 type InventoryAccepted struct {
 	Epoch   uint64
+	Number  uint64 // of the inventory; 0: the owner does not know the number
 	ClockMS int64
 	Sizes   []RunSize // of the runs in the inventory that the owner keeps
 }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -26,12 +26,12 @@
 		p.Kind = &pb.Control_OwnerClaim{OwnerClaim: &pb.OwnerClaim{Epoch: m.Epoch, Owner: m.Owner}}
 	case *msg.HostInventory:
 		p.Kind = &pb.Control_HostInventory{HostInventory: &pb.HostInventory{
-			Epoch: m.Epoch, Host: hostToProto(m.Host), ClockMs: m.ClockMS,
+			Epoch: m.Epoch, Number: m.Number, Host: hostToProto(m.Host), ClockMs: m.ClockMS,
 			Runs: mapSlice(m.Runs, runStatusToProto), Ends: mapSlice(m.Ended, runEndToProto),
 		}}
 	case *msg.InventoryAccepted:
 		p.Kind = &pb.Control_InventoryTaken{InventoryTaken: &pb.InventoryTaken{
-			Epoch: m.Epoch, ClockMs: m.ClockMS, Sizes: mapSlice(m.Sizes, runSizeToProto),
+			Epoch: m.Epoch, Number: m.Number, ClockMs: m.ClockMS, Sizes: mapSlice(m.Sizes, runSizeToProto),
 		}}
 	case *msg.StartRuns:
 		p.Kind = &pb.Control_StartRuns{StartRuns: &pb.StartRuns{
@@ -96,7 +96,9 @@
 		return hostInventoryFromProto(k.HostInventory)
 	case *pb.Control_InventoryTaken:
 		t := k.InventoryTaken
-		return &msg.InventoryAccepted{Epoch: t.GetEpoch(), ClockMS: t.GetClockMs(), Sizes: mapSlice(t.GetSizes(), runSizeFromProto)}, nil
+		return &msg.InventoryAccepted{
+			Epoch: t.GetEpoch(), Number: t.GetNumber(), ClockMS: t.GetClockMs(), Sizes: mapSlice(t.GetSizes(), runSizeFromProto),
+		}, nil
 	case *pb.Control_StartRuns:
 		s := k.StartRuns
 		return &msg.StartRuns{
@@ -222,7 +224,7 @@
 	}
 	ended, err := runEndsFromProto(p.GetEnds())
 	return &msg.HostInventory{
-		Epoch: p.GetEpoch(), Host: host, ClockMS: p.GetClockMs(), Runs: mapSlice(p.GetRuns(), runStatusFromProto), Ended: ended,
+		Epoch: p.GetEpoch(), Number: p.GetNumber(), Host: host, ClockMS: p.GetClockMs(), Runs: mapSlice(p.GetRuns(), runStatusFromProto), Ended: ended,
 	}, err
 }
 
