jobs: let new jobs wait for a former owner that may be active

Cause: tasks of restored jobs wait until every known host has answered the new owner, but jobs that are accepted after it has read the stored jobs started at once. An owner that was replaced because its links were silent does not know it yet; it is sent such jobs too and starts them on hosts that the new owner has not claimed. Change: the ownership knows whether the former owner had ended (it released the jobs, or was a former process of the same entry). If not, new jobs wait for the recovery as restored ones do. Test: TestNewJobWaitsForHostsOfAFormerOwnerThatMayBeActive failed before (both tasks started). TestNewOwnerStartsNoTaskThatMayStillRun keeps its checks, for a former owner that has ended.

--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -153,7 +153,7 @@
 	for _, name := range m.state.hosts {
 		c.jobs.ExpectHost(name)
 	}
-	c.jobs.Recover()
+	c.jobs.Recover(c.owner.FormerOwnerEnded())
 	deferred := c.deferred
 	c.deferred = nil
 	for _, e := range deferred {
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -74,6 +74,7 @@
 	removals         []workload.JobID  // jobs whose rows have to be deleted
 	pendingBatch     *Batch            // the batch that is being written, or nil
 	recoveryDeadline time.Duration     // when the recovery ends at the latest; 0: no recovery
+	formerOwnerEnded bool              // the former owner had ended before this one began
 
 	messages  []HostMessage
 	phases    []msg.JobPhase
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -71,8 +71,7 @@
 	}
 }
 
-// endRecoveryIfComplete lets the tasks of recovered jobs start once every
-// expected host has sent its inventory or certainly has no runs.
+// endRecoveryIfComplete lets all tasks start once every expected host has sent its inventory or certainly has no runs.
 func (c *Core) endRecoveryIfComplete() {
 	if c.recoveryDeadline == 0 {
 		return
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -120,7 +120,7 @@
 	h := newHarness(t, 2)
 	h.core.Restore(newSpec("j", newStep(2, 1000)), nil)
 	h.core.ExpectHost("b")
-	h.core.Recover()
+	h.core.Recover(true)
 	h.link(readyHost("a", 4000), msg.RunStatus{Run: runID("j", 0, 0, 1)})
 	require.Empty(t, h.started, "host b may still run the second task")
 	h.core.Submit(newSpec("k", newStep(1, 1000)))
@@ -131,13 +131,29 @@
 	require.NotContains(t, h.started, runID("j", 0, 0, 1<<epochShift+1))
 }
 
+// Guards against two runs of a task of a new job: a former owner that does not
+// know yet that it was replaced starts tasks of jobs that are accepted after the
+// new owner has read the stored jobs.
+func TestNewJobWaitsForHostsOfAFormerOwnerThatMayBeActive(t *testing.T) {
+	h := newHarness(t, 2)
+	h.core.ExpectHost("b")
+	h.core.Recover(false)
+	h.link(readyHost("a", 4000))
+	h.core.Submit(newSpec("k", newStep(2, 1000)))
+	h.process()
+	require.Empty(t, h.started, "the former owner may have started the job on host b")
+	h.link(readyHost("b", 4000), msg.RunStatus{Run: runID("k", 0, 0, 1)})
+	require.NotContains(t, h.started, runID("k", 0, 0, 1<<epochShift+1))
+	require.Contains(t, h.started, runID("k", 0, 1, 1<<epochShift+1))
+}
+
 // Guards against a recovery that never ends because an expected host does not
 // return: the tasks start after its lease has certainly expired.
 func TestRecoveryEndsWithoutAnUnavailableHost(t *testing.T) {
 	h := newHarness(t, 2)
 	h.core.Restore(newSpec("j", newStep(1, 1000)), nil)
 	h.core.ExpectHost("b")
-	h.core.Recover()
+	h.core.Recover(true)
 	h.link(readyHost("a", 4000))
 	h.advance(LeaseExpiry - 200*time.Millisecond)
 	require.Empty(t, h.started)
@@ -280,7 +296,7 @@
 	next.core.Restore(newSpec("j", newStep(1, 1000)), nil)
 	next.core.Linked(workload.Host{Name: "b"}) // its agent knows no backend server
 	next.core.ExpectHost("a")
-	next.core.Recover()
+	next.core.Recover(true)
 	next.link(readyHost("a", 4000))
 	require.Len(t, next.started, 1)
 }
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -37,12 +37,12 @@
 	}
 }
 
-// readyTasks returns the ready tasks, the most urgent first. Tasks of recovered
-// jobs are left out during the recovery.
+// readyTasks returns the ready tasks, the most urgent first. During the recovery
+// it leaves out those that the former owner may have started.
 func (c *Core) readyTasks() []*task {
 	list := make([]*task, 0, len(c.ready))
 	for t := range c.ready {
-		if t.step.job.recovered && c.recoveryDeadline != 0 {
+		if c.recoveryDeadline != 0 && (t.step.job.recovered || !c.formerOwnerEnded) {
 			continue
 		}
 		list = append(list, t)
@@ -162,8 +162,11 @@
 
 // Recover keeps the tasks of restored jobs from starting until every expected
 // host has sent its inventory or certainly has no runs, which is at most one
-// second after LeaseExpiry.
-func (c *Core) Recover() {
+// second after LeaseExpiry. If the former owner may still be active, this holds
+// for all tasks, since it may have started tasks of jobs that were accepted
+// after the stored jobs were read.
+func (c *Core) Recover(formerOwnerEnded bool) {
+	c.formerOwnerEnded = formerOwnerEnded
 	c.recoveryDeadline = c.now + LeaseExpiry + time.Second
 	c.endRecoveryIfComplete()
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -74,6 +74,7 @@
 	maxEpoch    uint64          // highest known epoch
 	linked      map[string]bool // names of the linked entries
 	ownerSeenAt time.Duration   // start of the timeout after which the owner is replaced
+	formerEnded bool            // see FormerOwnerEnded
 
 	effects []Effect
 }
@@ -138,6 +139,12 @@
 // Owns reports whether the entry owns the jobs.
 func (c *Core) Owns() bool { return c.state == stOwner }
 
+// FormerOwnerEnded reports, at an owner, whether the former owner had certainly
+// ended before the claim: it released the jobs, or it was a former process of
+// this entry. An owner that was replaced because it was unlinked may be active
+// until it learns of the claim.
+func (c *Core) FormerOwnerEnded() bool { return c.formerEnded }
+
 // Epoch returns the highest epoch that the entry knows.
 func (c *Core) Epoch() uint64 { return c.maxEpoch }
 
@@ -208,6 +215,7 @@
 	c.now = now
 	switch outcome {
 	case table.Committed:
+		c.formerEnded = c.row.Name == "" || c.namesSelf()
 		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
 		c.step(evClaimed)
 	case table.Conflict:
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -76,6 +76,7 @@
 	require.False(t, b.Owns(), "a link that was reset is up again sooner")
 	r.advance(&now, 300*time.Millisecond, b)
 	require.True(t, b.Owns())
+	require.False(t, b.FormerOwnerEnded(), "the former owner does not know of the claim yet")
 	a.OwnerObserved("b", b.Epoch(), now)
 	require.False(t, a.Owns())
 	require.Contains(t, a.Effects(), End)
@@ -90,6 +91,7 @@
 	r.advance(&now, 100*time.Millisecond, a)
 	require.True(t, a.Owns())
 	require.EqualValues(t, 5, a.Epoch())
+	require.True(t, a.FormerOwnerEnded())
 }
 
 // Guards against a time without an owner after a planned stop: released jobs are
@@ -106,6 +108,7 @@
 	b.OwnerObserved("", 1, now)
 	r.advance(&now, 400*time.Millisecond, b)
 	require.True(t, b.Owns())
+	require.True(t, b.FormerOwnerEnded())
 }
 
 // Guards against an entry that does not know whether its claim was committed,
