link: begin every end of a session in its receive loop

Cause: between the shutdown of a session and the end of its streams yamux closes its socket and waits for its receive loop, and a waiting Read or Write never blocks in that time. Change: the session gets a socket whose Close returns at once; the link's actor, which owns the socket, closes it when the session has shut down. A failed Write closes the socket and returns only when the receive loop has ended the session. So a session is always ended by its receive loop, and between shutdown and the end of the streams there is no call of the socket and no wait for another goroutine, only locks of yamux that are held for map operations. closeSession replaces closeSocket, also after a failed handshake. Tests: rawAgent and the peers of the shutdown tests end their sessions with closeSession, because Close of a session no longer closes the socket; the Close of failingConn is gone because joinedConn no longer calls it.

--- a/internal/link/busywait_test.go
+++ b/internal/link/busywait_test.go
@@ -84,7 +84,7 @@
 	go func() {
 		mux, _, err := acceptHandshake(context.WithoutCancel(t.Context()), peerSock)
 		if err == nil {
-			t.Cleanup(func() { _ = mux.Close() })
+			t.Cleanup(func() { _ = closeSession(peerSock, mux) })
 			_, err = mux.AcceptStream()
 		}
 		accepted <- err
--- a/internal/link/joinedconn.go
+++ b/internal/link/joinedconn.go
@@ -22,20 +22,10 @@
 	header []byte // header of a data frame whose body is not written yet
 }
 
-// Write closes the socket after an error. Without this, yamux would shut its
-// session down before it closes the socket; see closeSocket.
-func (c *joinedConn) Write(b []byte) (int, error) {
-	n, err := c.join(b)
-	if err != nil {
-		_ = c.Close()
-	}
-	return n, err
-}
-
-// join keeps b if it is the header of a data frame with a body, and otherwise
+// Write keeps b if it is the header of a data frame with a body, and otherwise
 // writes it behind the kept header. It returns the number of bytes of b that
 // were kept or written.
-func (c *joinedConn) join(b []byte) (int, error) {
+func (c *joinedConn) Write(b []byte) (int, error) {
 	switch {
 	case len(c.header) == 0 && isDataHeader(b):
 		c.header = append(c.header, b...)
--- a/internal/link/joinedconn_test.go
+++ b/internal/link/joinedconn_test.go
@@ -60,8 +60,6 @@
 	accepts int
 }
 
-func (failingConn) Close() error { return nil }
-
 func (c failingConn) Write([]byte) (int, error) { return c.accepts, io.ErrClosedPipe }
 
 // Guards against a failed write that reports success, or that counts bytes of
--- a/internal/link/mux.go
+++ b/internal/link/mux.go
@@ -33,8 +33,8 @@
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
 	// Heartbeats on the control stream detect a silent peer. After a missed
-	// ping yamux would shut the session down before the socket is closed; see
-	// closeSocket.
+	// ping yamux would end the session outside its receive loop; see
+	// sessionConn.
 	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamCloseTimeout = closeTimeout
@@ -70,26 +70,13 @@
 		case <-mux.CloseChan():
 			_ = c.fail(io.EOF)
 		}
-		_ = closeSocket(sock, mux)
+		_ = closeSession(sock, mux)
 		c.group.Cancel()
 		return nil
 	})
 	return c
 }
 
-// closeSocket ends a session by closing its socket first. yamux itself wakes
-// the readers of streams, then closes the socket, then closes the streams, and
-// until then the readers busy-wait. If the socket is closed already, nothing
-// blocks in between.
-func closeSocket(sock net.Conn, mux *yamux.Session) error {
-	err := sock.Close()
-	<-mux.CloseChan() // the session's reader failed on the closed socket
-	if closeErr := mux.Close(); closeErr != nil {
-		return closeErr
-	}
-	return err
-}
-
 // fail ends the link with err, unless it has ended already, and returns the
 // error with which it ended.
 func (c *muxConn) fail(err error) error {
--- a/internal/link/shutdown_test.go
+++ b/internal/link/shutdown_test.go
@@ -56,7 +56,7 @@
 	go func() {
 		mux, control, err := acceptHandshake(context.WithoutCancel(t.Context()), far)
 		if err == nil {
-			t.Cleanup(func() { _ = mux.Close() })
+			t.Cleanup(func() { _ = closeSession(far, mux) })
 			_, err = control.Read(make([]byte, 1))
 		}
 		accepted <- err
--- a/internal/link/tcp.go
+++ b/internal/link/tcp.go
@@ -57,14 +57,14 @@
 		_ = sock.Close()
 		return nil, nil, err
 	}
-	mux, err := yamux.Client(&joinedConn{Conn: sock}, muxConfig())
+	mux, err := newMux(sock, yamux.Client)
 	if err != nil {
 		_ = sock.Close()
 		return nil, nil, err
 	}
 	control, err := mux.OpenStream()
 	if err != nil {
-		_ = mux.Close()
+		_ = closeSession(sock, mux)
 		return nil, nil, muxError(err)
 	}
 	return mux, control, nil
@@ -77,14 +77,14 @@
 		_ = sock.Close()
 		return nil, nil, err
 	}
-	mux, err := yamux.Server(&joinedConn{Conn: sock}, muxConfig())
+	mux, err := newMux(sock, yamux.Server)
 	if err != nil {
 		_ = sock.Close()
 		return nil, nil, err
 	}
 	control, err := mux.AcceptStreamWithContext(ctx)
 	if err != nil {
-		_ = mux.Close()
+		_ = closeSession(sock, mux)
 		return nil, nil, muxError(err)
 	}
 	return mux, control, nil
--- a/internal/link/tcp_test.go
+++ b/internal/link/tcp_test.go
@@ -31,9 +31,10 @@
 // control stream, on which a test can send arbitrary bytes.
 func rawAgent(t *testing.T, address string) (*yamux.Session, *yamux.Stream) {
 	t.Helper()
-	mux, control, err := dialHandshake(t.Context(), rawDial(t, address))
+	sock := rawDial(t, address)
+	mux, control, err := dialHandshake(t.Context(), sock)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = mux.Close() })
+	t.Cleanup(func() { _ = closeSession(sock, mux) })
 	return mux, control
 }
 
