jobdaemon: report what a drain did to the requests in flight

Cause: the end of a drain was one line, "answered" true or false. Neither the log nor the metrics said how long a phase took, how many requests were in flight at the signal, and whether a request that had been read was cut. A process that is killed in its drain left no line about its phase.

Change: internal/httpserve counts requests per connection, from the first byte read to the end of the answer: answered, cut by this process, given up by the caller. The drain logs each phase when it begins (event 952, with the requests in flight) and its result at the end (event 953: milliseconds per phase, in flight at the signal, answered, cut, gone, unanswered).

A caller that closed its connection shows as gone.

The drain itself is unchanged. go test -race -p 2 of internal/httpserve, internal/jobdaemon, internal/shape, internal/actor and platform passes.

--- a/internal/actor/counter.go
+++ b/internal/actor/counter.go
@@ -7,3 +7,12 @@
 
 // Next returns the next number.
 func (c *Counter) Next() uint64 { return c.last.Add(1) }
+
+// Gauge is a number that goes up and down. Any goroutine may use it.
+type Gauge struct{ n atomic.Int64 }
+
+// Add adds d, which may be negative, and returns the sum.
+func (g *Gauge) Add(d int64) int64 { return g.n.Add(d) }
+
+// Get returns the current number.
+func (g *Gauge) Get() int64 { return g.n.Load() }
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -106,7 +106,7 @@
 	if _, err := serve(g, "registry", cfg.Registry, cfg.RegistryHandler(&registry{a})); err != nil {
 		return nil, err
 	}
-	if _, err := serveMetrics(g, cfg.Metrics, metrics.Start(g)); err != nil {
+	if err := serveMetrics(g, cfg.Metrics, metrics.Start(g)); err != nil {
 		return nil, err
 	}
 	event.Log(cfg.Log, event.NodeStarted, log.Fields{"name": string(cfg.Core.Name), "role": "agent", "seeds": cfg.Seeds})
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/httpserve"
 	"github.com/bambooscale/bambooscale/internal/jobapi"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/metrics"
@@ -41,9 +42,9 @@
 
 // Entry is a running entry. Its methods may be called by any goroutine.
 type Entry struct {
-	controller      *controller
-	shutdownCallers func(context.Context) error
-	log             log.Interface
+	controller *controller
+	callers    *httpserve.Server
+	log        log.Interface
 }
 
 // StartEntry starts an entry. It ends with g.
@@ -69,13 +70,13 @@
 	handler := &jobHandler{controller: c, config: configInUse, log: cfg.Log, metrics: c.metrics}
 	e := &Entry{controller: c, log: cfg.Log}
 	var err error
-	if e.shutdownCallers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
+	if e.callers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
 		return nil, err
 	}
 	if _, err = serve(g, "readiness", cfg.Readiness, cfg.ReadinessHandler(handler)); err != nil {
 		return nil, err
 	}
-	if _, err = serveMetrics(g, cfg.Metrics, registry); err != nil {
+	if err = serveMetrics(g, cfg.Metrics, registry); err != nil {
 		return nil, err
 	}
 	event.Log(cfg.Log, event.NodeStarted, log.Fields{"name": cfg.Name, "role": "entry", "links": cfg.Links})
@@ -199,16 +200,21 @@
 // waits until the balancer sends no new callers, and answers the requests in
 // flight.
 func (e *Entry) Drain(ctx context.Context) {
+	r := drainReport{server: e.callers, log: e.log, startedAt: time.Now(), before: e.callers.Counts()}
+	r.phase("releasing")
 	retiring := true
 	e.controller.published.retiring.Set(&retiring)
 	limited, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	_, err := actor.Ask(limited, e.controller.address, func(r actor.Reply[bool]) any { return &retireRequest{r} })
 	released := err == nil
+	r.phase("leaving")
 	actor.Sleep(ctx, balancerDelay)
+	r.phase("closing")
 	down, cancelDown := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancelDown()
-	err = e.shutdownCallers(down)
+	err = e.callers.Close(down)
+	r.end(released)
 	event.Log(e.log, event.NodeStopping, log.Fields{"role": "entry", "jobs-given": released, "answered": err == nil})
 }
 
@@ -218,34 +224,24 @@
 	maxHeaderBytes    = 16 << 10
 )
 
-// serve starts an HTTP server. The returned function stops it after the
-// requests in flight have been answered.
-func serve(g *actor.Group, name, address string, h http.Handler) (func(context.Context) error, error) {
+// serve starts an HTTP server.
+func serve(g *actor.Group, name, address string, h http.Handler) (*httpserve.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	actor.Go(g, name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stop()
-		if err := s.Serve(l); err != http.ErrServerClosed && ctx.Err() == nil {
-			return err
-		}
-		return nil
-	})
-	return func(ctx context.Context) error {
-		s.SetKeepAlivesEnabled(false)
-		return s.Shutdown(ctx)
-	}, nil
+	return httpserve.Start(g, l, httpserve.Config{
+		Name: name, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}), nil
 }
 
 // serveMetrics serves /metrics unless address is empty.
-func serveMetrics(g *actor.Group, address string, r *metrics.Registry) (func(context.Context) error, error) {
+func serveMetrics(g *actor.Group, address string, r *metrics.Registry) error {
 	if address == "" {
-		return nil, nil
+		return nil
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.Handler())
-	return serve(g, "metrics", address, mux)
+	_, err := serve(g, "metrics", address, mux)
+	return err
 }
