jobdaemon: drain an entry within one deadline and cut no request

The release of the jobs (at most 1.5 s), the balancer delay (2.3 s) and the shutdown (2.5 s) ran one after another. With a release that is never answered and one request in flight the drain took 6.3 s of virtual time, the grace period of the sites is 6 s, and the request had no answer by then (TestDrainEndsWithinTheGracePeriodWithoutARelease: "6.3s" is not less than "6s").

Shutdown of net/http closes a connection that it takes for idle while its goroutine has read a request and not yet said so, and resets one whose request is still in the socket. TestCloseAnswersARequestThatWasJustRead holds that moment in virtual time, TestIdleConnectionsEndWithoutAReset sends on loopback connections directly before the close; both got "unexpected EOF". TestCloseWaitsForTheRestOfARequest failed the same way for a request whose header was half read. No answer of the drain carried "Connection: close", so callers stayed on their connections until that moment (TestDrainServesOpenConnectionsUntilItsEnd).

Third: a submission known not to be stored was answered 504 (outcome unknown) when its context ended between two attempts, so its caller could not send it elsewhere at once (TestCancelledSubmissionTellsItsFate/not_stored).

Each of the six tests was run on the code before this change and failed.

At the end the reader of a connection itself decides whether it is idle: it is woken by a read deadline, reads once more, and sends FIN before it closes. A request whose first byte was read keeps the deadlines of net/http. http.Server.Shutdown is not used. - 300 ms before the end the contexts of the requests in flight end. Their handlers answer 504 for a write of unknown fate and 503 for one that is known not to be stored.

Why it works: the drain ends when no connection is open, so between the last check and the end of the process nothing can be read that is not answered.

Measured: go test -race -p 2 -count=3 of internal/jobdaemon, internal/drain, internal/httpserve, internal/settings and platform passes; -count=20 of internal/httpserve passes.

--- a/internal/actor/counter.go
+++ b/internal/actor/counter.go
@@ -16,3 +16,12 @@
 
 // Get returns the current number.
 func (g *Gauge) Get() int64 { return g.n.Load() }
+
+// Flag is a boolean that any goroutine may read and set.
+type Flag struct{ b atomic.Bool }
+
+// Set sets the flag.
+func (f *Flag) Set(v bool) { f.b.Store(v) }
+
+// Get returns the flag.
+func (f *Flag) Get() bool { return f.b.Load() }
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -7,6 +7,9 @@
 	"net"
 	"net/http"
 	"os"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
 )
 
 // listener wraps the connections that it accepts.
@@ -21,31 +24,108 @@
 		return nil, err
 	}
 	l.server.open.Add(1)
-	return &conn{Conn: c, server: l.server, awaiting: true}, nil
+	wrapped := &conn{Conn: c, server: l.server}
+	wrapped.awaiting.Set(true)
+	wrapped.forgetEnd = context.AfterFunc(l.server.closing, wrapped.interrupt)
+	return wrapped, nil
 }
 
-// conn is a connection of a caller. Its fields are used by the goroutine of
-// net/http that serves the connection, and by the reader that this goroutine
-// starts and awaits.
+// conn is a connection of a caller. It is used by the goroutine of net/http that
+// serves the connection and by the background reader that this goroutine starts,
+// which may still run when the connection is closed.
 type conn struct {
 	net.Conn
-	server   *Server
-	awaiting bool // no byte of the next request has been read
-	handled  bool // the handler of the current request has returned
-	gone     bool // the caller closed the connection during the request
-	failed   bool // the answer could not be written to the connection, which this process had closed
+	server    *Server
+	forgetEnd func() bool            // undoes the registration of interrupt
+	wanted    actor.Value[time.Time] // the read deadline that net/http has set
+	lastRead  bool                   // the read of the last moment has been tried
+
+	awaiting actor.Flag // no byte of the next request has been read
+	handled  actor.Flag // the handler of the current request has returned
+	gone     actor.Flag // the caller closed the connection during the request
+	failed   actor.Flag // the answer could not be written to the connection, which this process had closed
 }
 
-// Read implements net.Conn.
+// lastReadTime is how long an idle connection is read once more before it ends.
+// A request that has arrived by then is answered.
+const lastReadTime = 50 * time.Millisecond
+
+// Read implements net.Conn. It reports the end of the connection to net/http when
+// the server closes and no request has begun.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.begin()
+	for {
+		if c.awaiting.Get() && !c.lastRead && c.server.closing.Err() != nil {
+			c.lastRead = true
+			_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
+		}
+		n, err := c.Conn.Read(p)
+		switch {
+		case n > 0:
+			c.begin()
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.interrupted():
+			if c.awaiting.Get() && c.lastRead {
+				c.hangUp()
+				return 0, io.EOF
+			}
+			c.restoreDeadline()
+			continue
+		}
+		if err != nil && !c.awaiting.Get() && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+			c.gone.Set(true)
+		}
+		return n, err
 	}
-	if err != nil && !c.awaiting && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
-		c.gone = true
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.wanted.Set(&t)
+	return c.Conn.SetReadDeadline(t)
+}
+
+// interrupt ends the current Read of the connection, which then decides whether
+// the connection is idle. Only the reader knows that: a check here could
+// interrupt a request whose first byte has just been read.
+func (c *conn) interrupt() {
+	_ = c.Conn.SetReadDeadline(time.Now())
+}
+
+// interrupted reports whether a deadline that has passed is that of interrupt or
+// of the last read, and not one of net/http.
+func (c *conn) interrupted() bool {
+	wanted := c.wanted.Get()
+	return c.server.closing.Err() != nil && (wanted == nil || wanted.IsZero() || time.Now().Before(*wanted))
+}
+
+// restoreDeadline sets the deadline of net/http again. net/http may set another
+// one at the same time, so the newest is set until none is newer.
+func (c *conn) restoreDeadline() {
+	for {
+		wanted := c.wanted.Get()
+		var t time.Time
+		if wanted != nil {
+			t = *wanted
+		}
+		_ = c.Conn.SetReadDeadline(t)
+		if c.wanted.Get() == wanted {
+			return
+		}
 	}
-	return n, err
+}
+
+// hangUpTime bounds the wait for the caller to close its end.
+const hangUpTime = 100 * time.Millisecond
+
+// hangUp closes the sending half of an idle connection and discards what still
+// arrives until the caller closes its half. A socket that is closed with unread
+// bytes is reset, and the caller could not tell that from a lost answer.
+func (c *conn) hangUp() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(hangUpTime))
+	_, _ = io.Copy(io.Discard, c.Conn) // the deadline ends it if the caller does not
 }
 
 // Write implements net.Conn.
@@ -54,17 +134,18 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrClosedPipe):
-		c.failed = true
+		c.failed.Set(true)
 	default:
-		c.gone = true
+		c.gone.Set(true)
 	}
 	return n, err
 }
 
 // begin counts a request when its first byte has been read.
 func (c *conn) begin() {
-	if c.awaiting {
-		c.awaiting, c.handled, c.gone, c.failed = false, false, false, false
+	if c.awaiting.Get() {
+		c.awaiting.Set(false)
+		c.handled.Set(false)
 		c.server.inFlight.Add(1)
 	}
 }
@@ -72,14 +153,14 @@
 // settle counts the end of a request. By then net/http has written the whole
 // answer, or has failed to.
 func (c *conn) settle() {
-	if c.awaiting {
+	if c.awaiting.Get() {
 		return
 	}
-	c.awaiting = true
+	c.awaiting.Set(true)
 	switch {
-	case c.gone:
+	case c.gone.Get():
 		c.server.gone.Add(1)
-	case c.failed, !c.handled:
+	case c.failed.Get(), !c.handled.Get():
 		c.server.cut.Add(1)
 	default:
 		c.server.answered.Add(1)
@@ -102,6 +183,11 @@
 		c.settle()
 	case http.StateClosed:
 		c.settle()
+		c.forgetEnd()
 		c.server.open.Add(-1)
+		select {
+		case c.server.settled <- struct{}{}:
+		default: // a value waits already
+		}
 	}
 }
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -1,6 +1,6 @@
-// Package httpserve runs HTTP servers and counts the requests that their
-// connections have received, answered and lost. It does not know what the
-// requests mean.
+// Package httpserve runs HTTP servers that end without cutting off a request, and
+// counts the requests that their connections have received, answered and lost.
+// It does not know what the requests mean.
 package httpserve
 
 import (
@@ -29,6 +29,14 @@
 	answered actor.Gauge
 	cut      actor.Gauge
 	gone     actor.Gauge
+
+	listener net.Listener
+	leaving  actor.Value[bool]
+	closing  context.Context // done when idle connections have to end
+	endIdle  context.CancelFunc
+	answers  context.Context // parent of the contexts of all requests
+	cancel   context.CancelFunc
+	settled  chan struct{} // holds a value after a connection was closed
 }
 
 // Counts are numbers of requests. A request begins with its first byte that was
@@ -43,15 +51,18 @@
 
 // Start serves l until g ends.
 func Start(g *actor.Group, l net.Listener, c Config) *Server {
-	s := &Server{}
+	s := &Server{listener: l, settled: make(chan struct{}, 1)}
+	s.closing, s.endIdle = context.WithCancel(context.Background())
+	s.answers, s.cancel = context.WithCancel(context.Background())
 	s.http = &http.Server{
 		Handler: s.observe(c.Handler), ReadHeaderTimeout: c.ReadHeaderTimeout, IdleTimeout: c.IdleTimeout,
 		MaxHeaderBytes: c.MaxHeaderBytes, ConnContext: withConn, ConnState: connState,
+		BaseContext: func(net.Listener) context.Context { return s.answers },
 	}
 	actor.Go(g, c.Name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 		defer stop()
-		if err := s.http.Serve(&listener{l, s}); err != http.ErrServerClosed && ctx.Err() == nil {
+		if err := s.http.Serve(&listener{l, s}); err != http.ErrServerClosed && ctx.Err() == nil && s.closing.Err() == nil {
 			return err
 		}
 		return nil
@@ -64,12 +75,40 @@
 	return Counts{Open: s.open.Get(), InFlight: s.inFlight.Get(), Answered: s.answered.Get(), Cut: s.cut.Get(), Gone: s.gone.Get()}
 }
 
-// Close accepts no more connections, closes the idle ones and waits until the
-// requests in flight are answered. It returns the context's error if ctx ends
-// first.
+// Leave makes every later answer ask its caller to close the connection. Idle
+// connections stay open, because a caller may send on them at any moment.
+func (s *Server) Leave() {
+	leaving := true
+	s.leaving.Set(&leaving)
+}
+
+// EndIdle accepts no more connections and ends the idle ones. A request that has
+// arrived on one of them is answered first.
+func (s *Server) EndIdle() {
+	s.Leave()
+	s.endIdle()
+	_ = s.listener.Close()
+}
+
+// CancelRequests ends the contexts of the requests in flight, so that their
+// handlers answer at once.
+func (s *Server) CancelRequests() { s.cancel() }
+
+// Settled receives a value after a connection was closed.
+func (s *Server) Settled() <-chan struct{} { return s.settled }
+
+// Close calls EndIdle and waits until every connection is closed. It returns the
+// context's error if ctx ends first.
 func (s *Server) Close(ctx context.Context) error {
-	s.http.SetKeepAlivesEnabled(false)
-	return s.http.Shutdown(ctx)
+	s.EndIdle()
+	for s.open.Get() > 0 {
+		select {
+		case <-s.settled:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
 // observe returns h with the bookkeeping of its connection.
@@ -77,7 +116,42 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
 		c.begin()
-		h.ServeHTTP(w, r)
-		c.handled = true // not reached if the handler panics
+		a := &answer{ResponseWriter: w, server: s}
+		h.ServeHTTP(a, r)
+		a.beginHeader()     // an answer without a body may not have been begun
+		c.handled.Set(true) // not reached if the handler panics
 	})
 }
+
+// answer adds the Connection field to the answers of a server that is leaving.
+// It decides when the header is written, because a request may have begun
+// before the server left.
+type answer struct {
+	http.ResponseWriter
+	server      *Server
+	wroteHeader bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answer) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		a.beginHeader()
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(p []byte) (int, error) {
+	a.beginHeader()
+	return a.ResponseWriter.Write(p)
+}
+
+// Unwrap lets an http.ResponseController use the wrapped writer.
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+func (a *answer) beginHeader() {
+	if !a.wroteHeader && a.server.leaving.Get() != nil {
+		a.Header().Set("Connection", "close")
+	}
+	a.wroteHeader = true
+}
--- a/internal/httpserve/server_test.go
+++ b/internal/httpserve/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -75,12 +76,75 @@
 	return resp, err
 }
 
+// heldConn is a server's connection that passes on what it has read only when
+// it is released, as if the reading goroutine had no processor yet.
+type heldConn struct {
+	net.Conn
+	hold     chan bool // true: the next Read is held
+	held     chan struct{}
+	released chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.hold:
+		c.held <- struct{}{}
+		<-c.released
+	default:
+	}
+	return n, err
+}
+
+func echo() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			_, _ = w.Write(body)
+		}
+	})
+}
+
 func start(t *testing.T, l net.Listener, h http.Handler) *Server {
 	g := actor.NewGroup(t.Context(), nil)
 	t.Cleanup(g.Stop)
 	return Start(g, l, Config{Name: "callers", Handler: h, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10})
 }
 
+const closeTimeout = 2 * time.Second
+
+// Guards against a request that is read from an idle connection and not
+// answered because the server closes idle connections at that moment.
+func TestCloseAnswersARequestThatWasJustRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPipeListener()
+		s := start(t, l, echo())
+		held := &heldConn{hold: make(chan bool, 1), held: make(chan struct{}), released: make(chan struct{})}
+		c := l.dial(func(inner net.Conn) net.Conn { held.Conn = inner; return held })
+		require.NoError(t, c.send())
+		_, err := c.answer()
+		require.NoError(t, err)
+
+		held.hold <- true
+		sent := actor.NewReply[error]()
+		go func() { sent.Put(c.send()) }()
+		<-held.held // the server has the request, and net/http does not know it yet
+		closed := actor.NewReply[error]()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+			defer cancel()
+			closed.Put(s.Close(ctx))
+		}()
+		synctest.Wait()
+		held.released <- struct{}{}
+		_, err = c.answer()
+		require.NoError(t, err)
+		require.NoError(t, <-closed.C())
+		require.NoError(t, <-sent.C())
+		require.Equal(t, Counts{Answered: 2}, s.Counts())
+	})
+}
+
 // Guards against counts that do not show a request which the server cut.
 func TestCountsTellAnsweredCutAndAbandonedRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -119,3 +183,87 @@
 		require.Equal(t, Counts{Answered: 1, Gone: 1, Cut: 1}, s.Counts())
 	})
 }
+
+// Guards against a body that is cut because its connection is interrupted
+// between the first and the last byte of the request.
+func TestCloseWaitsForTheRestOfARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPipeListener()
+		s := start(t, l, echo())
+		for _, first := range []string{"P", "POST / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nh"} {
+			whole := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+			c := l.dial(unwrapped)
+			_, err := io.WriteString(c.conn, first)
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = c.conn.Close() })
+			defer func() {
+				_, err := io.WriteString(c.conn, whole[len(first):])
+				require.NoError(t, err)
+				resp, err := c.answer()
+				require.NoError(t, err, first)
+				require.True(t, resp.Close)
+			}()
+		}
+		synctest.Wait()
+		go func() { _ = s.Close(t.Context()) }()
+		time.Sleep(10 * lastReadTime)
+	})
+}
+
+// Guards against an idle connection that is reset although its caller has sent
+// a request: the request is answered if it was sent before the close, and the
+// callers of the other connections see their end and no reset.
+func TestIdleConnectionsEndWithoutAReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := start(t, l, echo())
+	callers := make([]*caller, 20)
+	for i := range callers {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		callers[i] = &caller{conn: conn, in: bufio.NewReader(conn)}
+		require.NoError(t, callers[i].send())
+		_, err = callers[i].answer()
+		require.NoError(t, err)
+	}
+	for _, c := range callers[:10] {
+		require.NoError(t, c.send())
+	}
+	closed := actor.NewReply[error]()
+	go func() { closed.Put(s.Close(context.Background())) }()
+	for _, c := range callers[:10] {
+		_, err := c.answer()
+		require.NoError(t, err)
+	}
+	for _, c := range callers {
+		_, err := c.in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.NoError(t, c.conn.Close())
+	}
+	require.NoError(t, <-closed.C())
+	require.Equal(t, Counts{Answered: 30}, s.Counts())
+}
+
+// Guards against a handler that holds a request beyond the end of the process:
+// it learns that its time is up, and its answer is still sent.
+func TestCancelledRequestsAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, arrived := newPipeListener(), make(chan struct{})
+		s := start(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			<-r.Context().Done()
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}))
+		c := l.dial(unwrapped)
+		require.NoError(t, c.send())
+		<-arrived
+		go func() { _ = s.Close(t.Context()) }()
+		synctest.Wait()
+		s.CancelRequests()
+		resp, err := c.answer()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+		require.True(t, resp.Close) // although the request began before the close
+	})
+}
--- /dev/null
+++ b/internal/jobdaemon/drain_test.go
@@ -0,0 +1,200 @@
+package jobdaemon
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/drain"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/httpserve"
+)
+
+// pipeListener accepts in-memory connections, which work in virtual time.
+type pipeListener struct {
+	conns chan net.Conn
+	ctx   context.Context
+	close context.CancelFunc
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.ctx.Done():
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { l.close(); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// drainFixture is an entry with a caller's connection and a controller that
+// releases the jobs after a delay.
+type drainFixture struct {
+	entry    *Entry
+	listener *pipeListener
+	events   *memoryLog
+}
+
+func newDrainFixture(t *testing.T, releaseDelay time.Duration, h http.Handler) *drainFixture {
+	g := actor.NewGroup(t.Context(), nil)
+	t.Cleanup(g.Stop)
+	f := &drainFixture{listener: &pipeListener{conns: make(chan net.Conn)}, events: &memoryLog{Handler: discard.New()}}
+	f.listener.ctx, f.listener.close = context.WithCancel(t.Context())
+	c := &controller{group: g, published: &published{}, log: f.events.logger()}
+	c.address = actor.Spawn(g, actor.Spec[any]{Name: "controller", Mailbox: 1, Run: func(ctx context.Context, in <-chan any) error {
+		for {
+			select {
+			case m := <-in:
+				if request, ok := m.(*retireRequest); ok && actor.Sleep(ctx, releaseDelay) {
+					request.done.Put(true)
+				}
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	}})
+	server := httpserve.Start(g, f.listener, httpserve.Config{Name: "callers", Handler: h, IdleTimeout: idleTimeout})
+	f.entry = &Entry{controller: c, callers: server, log: c.log, gracePeriod: siteGracePeriod}
+	return f
+}
+
+// siteGracePeriod is the grace period of the sites on which the entry runs.
+const siteGracePeriod = 6 * time.Second
+
+// memoryLog keeps the log entries of a test.
+type memoryLog struct {
+	log.Handler
+	entries []*log.Entry
+}
+
+func (l *memoryLog) HandleLog(e *log.Entry) error {
+	l.entries = append(l.entries, e)
+	return nil
+}
+
+func (l *memoryLog) logger() log.Interface { return &log.Logger{Handler: l, Level: log.DebugLevel} }
+
+// last returns the newest entry of an event.
+func (l *memoryLog) last(event int) log.Fields {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if l.entries[i].Fields["event"] == event {
+			return l.entries[i].Fields
+		}
+	}
+	return nil
+}
+
+func (f *drainFixture) dial() net.Conn {
+	here, there := net.Pipe()
+	f.listener.conns <- there
+	return here
+}
+
+// request sends a request and returns the status and the Connection field of
+// the whole answer, or 0.
+func request(c net.Conn) (status int, close bool) {
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return 0, false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, false
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0, false
+	}
+	return resp.StatusCode, resp.Close
+}
+
+// unknownAtTheEnd holds each request until its context ends, and answers that
+// the outcome is unknown.
+func unknownAtTheEnd(arrived chan<- struct{}) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+}
+
+// Guards against an entry that is killed with requests in flight because its
+// jobs are released slowly: the phases of the drain add up to more than the
+// grace period.
+func TestDrainEndsWithinTheGracePeriodWithoutARelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		arrived := make(chan struct{})
+		f := newDrainFixture(t, time.Hour, unknownAtTheEnd(arrived))
+		status := actor.NewReply[int]()
+		c := f.dial()
+		go func() {
+			code, _ := request(c)
+			status.Put(code)
+		}()
+		<-arrived
+		signal := time.Now()
+		f.entry.Drain(t.Context())
+		require.Less(t, time.Since(signal), siteGracePeriod)
+		synctest.Wait()
+		select {
+		case code := <-status.C():
+			require.Equal(t, http.StatusGatewayTimeout, code)
+		default:
+			t.Fatal("the drain ended before the request in flight was answered")
+		}
+		report := f.events.last(event.DrainEnded.ID)
+		require.Equal(t, false, report["jobs-given"])
+		require.EqualValues(t, 1, report["in-flight-at-signal"])
+		require.EqualValues(t, 1, report["answered"])
+		require.EqualValues(t, 0, report["cut"])
+		require.EqualValues(t, 0, report["unanswered"])
+	})
+}
+
+// Guards against a drain that answers on a kept-open connection without asking
+// its caller to move, or that closes such a connection before its end.
+func TestDrainServesOpenConnectionsUntilItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newDrainFixture(t, 100*time.Millisecond, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+		plan := drain.NewPlan(siteGracePeriod)
+		var sendAt []time.Duration
+		for at := time.Duration(0); at < plan.LeaveBy; at += 100 * time.Millisecond {
+			sendAt = append(sendAt, at)
+		}
+		sendAt = append(sendAt, plan.LeaveBy-time.Nanosecond)
+		conns := make([]net.Conn, len(sendAt))
+		for i := range conns {
+			conns[i] = f.dial()
+			status, closes := request(conns[i])
+			require.Equal(t, http.StatusOK, status)
+			require.False(t, closes)
+		}
+		idle := f.dial()
+		synctest.Wait() // until the server has counted the answers before the signal
+		go f.entry.Drain(t.Context())
+		synctest.Wait()
+		start := time.Now()
+		for i, at := range sendAt {
+			time.Sleep(at - time.Since(start))
+			status, closes := request(conns[i])
+			require.Equal(t, http.StatusOK, status, at)
+			require.True(t, closes, at)
+		}
+		_, err := idle.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		require.Less(t, time.Since(start), plan.LeaveBy+100*time.Millisecond)
+		synctest.Wait()
+		require.EqualValues(t, 0, f.events.last(event.DrainEnded.ID)["cut"])
+		require.EqualValues(t, len(conns), f.events.last(event.DrainEnded.ID)["answered"])
+	})
+}
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -32,8 +32,11 @@
 	Metrics   string
 	Seeds     []string // link addresses of other entries to dial first
 	Boot      uint64   // random number of this process
-	Store     Store
-	Config    ConfigSource
+	// GracePeriod is the time between the signal to stop and the kill of the
+	// process.
+	GracePeriod time.Duration
+	Store       Store
+	Config      ConfigSource
 	// The handlers decode requests and encode answers.
 	CallerHandler    func(jobapi.Handler) http.Handler
 	ReadinessHandler func(jobapi.Handler) http.Handler
@@ -45,6 +48,9 @@
 	controller *controller
 	callers    *httpserve.Server
 	log        log.Interface
+	// gracePeriod is the time between the signal to stop and the kill of the
+	// process.
+	gracePeriod time.Duration
 }
 
 // StartEntry starts an entry. It ends with g.
@@ -68,7 +74,7 @@
 	actor.Go(g, "member keeper", c.maintainMembers)
 
 	handler := &jobHandler{controller: c, config: configInUse, log: cfg.Log, metrics: c.metrics}
-	e := &Entry{controller: c, log: cfg.Log}
+	e := &Entry{controller: c, log: cfg.Log, gracePeriod: cfg.GracePeriod}
 	var err error
 	if e.callers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
 		return nil, err
@@ -188,36 +194,6 @@
 	return entries, nil
 }
 
-const (
-	// balancerDelay covers two failed readiness checks of a balancer that checks
-	// every second.
-	balancerDelay   = 2300 * time.Millisecond
-	shutdownTimeout = 2500 * time.Millisecond
-	releaseTimeout  = 1500 * time.Millisecond
-)
-
-// Drain prepares the end of the entry: it releases the jobs to another entry,
-// waits until the balancer sends no new callers, and answers the requests in
-// flight.
-func (e *Entry) Drain(ctx context.Context) {
-	r := drainReport{server: e.callers, log: e.log, startedAt: time.Now(), before: e.callers.Counts()}
-	r.phase("releasing")
-	retiring := true
-	e.controller.published.retiring.Set(&retiring)
-	limited, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	_, err := actor.Ask(limited, e.controller.address, func(r actor.Reply[bool]) any { return &retireRequest{r} })
-	released := err == nil
-	r.phase("leaving")
-	actor.Sleep(ctx, balancerDelay)
-	r.phase("closing")
-	down, cancelDown := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancelDown()
-	err = e.callers.Close(down)
-	r.end(released)
-	event.Log(e.log, event.NodeStopping, log.Fields{"role": "entry", "jobs-given": released, "answered": err == nil})
-}
-
 const (
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
--- a/internal/jobdaemon/jobhandler.go
+++ b/internal/jobdaemon/jobhandler.go
@@ -160,9 +160,9 @@
 			unknown = true
 		}
 		switch {
-		case !unknown && !time.Now().Before(retryUntil):
+		case !unknown && (!time.Now().Before(retryUntil) || !actor.Sleep(ctx, submitRetryInterval)):
 			return fmt.Errorf("%w: the table service is unavailable", jobapi.ErrNotAccepted)
-		case unknown && time.Until(deadline) < answerMargin, !actor.Sleep(ctx, submitRetryInterval):
+		case unknown && (time.Until(deadline) < answerMargin || !actor.Sleep(ctx, submitRetryInterval)):
 			return fmt.Errorf("%w: the table service did not answer", jobapi.ErrOutcomeUnknown)
 		}
 	}
--- a/internal/jobdaemon/storeproxy_test.go
+++ b/internal/jobdaemon/storeproxy_test.go
@@ -110,3 +110,25 @@
 		require.NoError(t, h.persist(ctx, table.Txn{}))
 	})
 }
+
+// Guards against a stopping entry that answers a submission with the wrong fate:
+// one that is known not to be stored may be sent elsewhere at once, and one that
+// may be stored must not be reported as refused.
+func TestCancelledSubmissionTellsItsFate(t *testing.T) {
+	for name, c := range map[string]struct {
+		store unavailableTable
+		want  error
+	}{
+		"not stored":      {unavailableTable{unavailable: true}, jobapi.ErrNotAccepted},
+		"possibly stored": {unavailableTable{lostAnswers: 1000}, jobapi.ErrOutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				time.AfterFunc(2*submitRetryInterval+time.Millisecond, cancel)
+				require.ErrorIs(t, newTestHandler(&c.store, noPeer).persist(ctx, table.Txn{}), c.want)
+			})
+		})
+	}
+}
--- a/internal/settings/job.go
+++ b/internal/settings/job.go
@@ -17,14 +17,17 @@
 	Name       string
 	IP         string // address of the process, for links and metrics
 	DataCentre string
-	LinkPort   int           // port on which the process accepts links
-	Callers    string        // entry: address on which jobs are submitted
-	Readiness  string        // entry: address for the balancer's health checks
-	Registry   string        // agent: address for the backend server's announcements
-	Backend    string        // agent: address of the backend server
-	MaxLease   time.Duration // agent: how long runs continue after the last grant of their owner
-	Seeds      []string      // host:port of hosts on which entries may run
-	Store      string        // address of the store
+	LinkPort   int    // port on which the process accepts links
+	Callers    string // entry: address on which jobs are submitted
+	Readiness  string // entry: address for the balancer's health checks
+	// GracePeriod of an entry is the time between the signal to stop and the
+	// kill of the process.
+	GracePeriod time.Duration
+	Registry    string        // agent: address for the backend server's announcements
+	Backend     string        // agent: address of the backend server
+	MaxLease    time.Duration // agent: how long runs continue after the last grant of their owner
+	Seeds       []string      // host:port of hosts on which entries may run
+	Store       string        // address of the store
 }
 
 // LinkAddress returns the address on which the process accepts links.
@@ -64,6 +67,7 @@
 	switch role {
 	case "entry":
 		d.Callers, d.Readiness = r.text("entry", "callers"), r.text("entry", "readiness")
+		d.GracePeriod = r.seconds("entry", "grace-period-s", defaultGracePeriod)
 	case "agent":
 		d.Registry, d.Backend = r.text("agent", "registry"), r.text("agent", "backend")
 		d.MaxLease = r.duration("agent", "max-lease")
@@ -73,6 +77,9 @@
 	return d, r.findings.Err()
 }
 
+// defaultGracePeriod is short enough for the hosts whose settings name none.
+const defaultGracePeriod = 6 * time.Second
+
 // jobDaemonReader reads keys and collects findings about missing and invalid
 // values.
 type jobDaemonReader struct {
@@ -104,3 +111,20 @@
 	}
 	return v
 }
+
+// seconds returns the value of an optional key in seconds, which may have a
+// fraction.
+func (r *jobDaemonReader) seconds(section, key string, absent time.Duration) time.Duration {
+	text := r.ini.Section(section).Key(key).String()
+	if text == "" {
+		return absent
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v > 0 && v < maxSeconds) {
+		r.findings.Add(r.file, 0, "["+section+"] "+key, "is not a number of seconds above 0 and below %d: %q", maxSeconds, text)
+		return absent
+	}
+	return time.Duration(v * float64(time.Second))
+}
+
+const maxSeconds = 24 * 60 * 60
