--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/httpserve"
 	"github.com/bambooscale/bambooscale/internal/jobapi"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/metrics"
@@ -31,8 +32,11 @@
 	Metrics   string
 	Seeds     []string // link addresses of other entries to dial first
 	Boot      uint64   // random number of this process
-	Store     Store
-	Config    ConfigSource
+	// GracePeriod is the time between the signal to stop and the kill of the
+	// process.
+	GracePeriod time.Duration
+	Store       Store
+	Config      ConfigSource
 	// The handlers decode requests and encode answers.
 	CallerHandler    func(jobapi.Handler) http.Handler
 	ReadinessHandler func(jobapi.Handler) http.Handler
@@ -41,9 +45,12 @@
 
 // Entry is a running entry. Its methods may be called by any goroutine.
 type Entry struct {
-	controller      *controller
-	shutdownCallers func(context.Context) error
-	log             log.Interface
+	controller *controller
+	callers    *httpserve.Server
+	log        log.Interface
+	// gracePeriod is the time between the signal to stop and the kill of the
+	// process.
+	gracePeriod time.Duration
 }
 
 // StartEntry starts an entry. It ends with g.
@@ -67,15 +74,15 @@
 	actor.Go(g, "member keeper", c.maintainMembers)
 
 	handler := &jobHandler{controller: c, config: configInUse, log: cfg.Log, metrics: c.metrics}
-	e := &Entry{controller: c, log: cfg.Log}
+	e := &Entry{controller: c, log: cfg.Log, gracePeriod: cfg.GracePeriod}
 	var err error
-	if e.shutdownCallers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
+	if e.callers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
 		return nil, err
 	}
 	if _, err = serve(g, "readiness", cfg.Readiness, cfg.ReadinessHandler(handler)); err != nil {
 		return nil, err
 	}
-	if _, err = serveMetrics(g, cfg.Metrics, registry); err != nil {
+	if err = serveMetrics(g, cfg.Metrics, registry); err != nil {
 		return nil, err
 	}
 	event.Log(cfg.Log, event.NodeStarted, log.Fields{"name": cfg.Name, "role": "entry", "links": cfg.Links})
@@ -187,65 +194,30 @@
 	return entries, nil
 }
 
-const (
-	// balancerDelay covers two failed readiness checks of a balancer that checks
-	// every second.
-	balancerDelay   = 2300 * time.Millisecond
-	shutdownTimeout = 2500 * time.Millisecond
-	releaseTimeout  = 1500 * time.Millisecond
-)
-
-// Drain prepares the end of the entry: it releases the jobs to another entry,
-// waits until the balancer sends no new callers, and answers the requests in
-// flight.
-func (e *Entry) Drain(ctx context.Context) {
-	retiring := true
-	e.controller.published.retiring.Set(&retiring)
-	limited, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	_, err := actor.Ask(limited, e.controller.address, func(r actor.Reply[bool]) any { return &retireRequest{r} })
-	released := err == nil
-	actor.Sleep(ctx, balancerDelay)
-	down, cancelDown := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancelDown()
-	err = e.shutdownCallers(down)
-	event.Log(e.log, event.NodeStopping, log.Fields{"role": "entry", "jobs-given": released, "answered": err == nil})
-}
-
 const (
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
 	maxHeaderBytes    = 16 << 10
 )
 
-// serve starts an HTTP server. The returned function stops it after the
-// requests in flight have been answered.
-func serve(g *actor.Group, name, address string, h http.Handler) (func(context.Context) error, error) {
+// serve starts an HTTP server.
+func serve(g *actor.Group, name, address string, h http.Handler) (*httpserve.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	actor.Go(g, name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stop()
-		if err := s.Serve(l); err != http.ErrServerClosed && ctx.Err() == nil {
-			return err
-		}
-		return nil
-	})
-	return func(ctx context.Context) error {
-		s.SetKeepAlivesEnabled(false)
-		return s.Shutdown(ctx)
-	}, nil
+	return httpserve.Start(g, l, httpserve.Config{
+		Name: name, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}), nil
 }
 
 // serveMetrics serves /metrics unless address is empty.
-func serveMetrics(g *actor.Group, address string, r *metrics.Registry) (func(context.Context) error, error) {
+func serveMetrics(g *actor.Group, address string, r *metrics.Registry) error {
 	if address == "" {
-		return nil, nil
+		return nil
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.Handler())
-	return serve(g, "metrics", address, mux)
+	_, err := serve(g, "metrics", address, mux)
+	return err
 }
