jobs: measure planning passes and the lag of the owner's loop

Change: Core.LastPass gives the hosts examined, the runs ordered and the tasks still waiting of the last pass. The entry exports the duration of a pass, the examined hosts, the waiting tasks and the lag of its loop at each tick.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/jobs"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/ownership"
@@ -21,6 +22,10 @@
 	// effects are sent.
 	maxBatch      = 128
 	pruneInterval = 10 * time.Second
+	// maxLag is the lag of the owner's loop above which it is logged. At 1.2 s
+	// its peers end their links.
+	maxLag         = 250 * time.Millisecond
+	lagLogInterval = 10 * time.Second
 )
 
 // controller is the actor that owns the state of an entry: its links, its cache
@@ -47,6 +52,8 @@
 	peerCommits peerCommits
 	ownerGroup  *actor.Group // actors that end with the ownership: they load and watch the jobs
 	prunedAt    time.Duration
+	tickedAt    time.Duration // 0: not yet
+	lagLoggedAt time.Duration // 0: never
 
 	published *published
 }
@@ -81,6 +88,7 @@
 
 func (c *controller) tick() {
 	now := c.now()
+	c.checkLag(now)
 	c.owner.Tick(now)
 	if c.jobs != nil {
 		c.jobs.Advance(now, time.Now().UnixMilli())
@@ -93,6 +101,24 @@
 	}
 }
 
+// checkLag records how late the tick is, and logs a lag above maxLag of the owner
+// of the jobs.
+func (c *controller) checkLag(now time.Duration) {
+	lag := max(0, now-c.tickedAt-controllerTick)
+	first := c.tickedAt == 0
+	c.tickedAt = now
+	if first {
+		return
+	}
+	c.metrics.recordLag(lag)
+	if c.jobs == nil || lag <= maxLag || c.lagLoggedAt != 0 && now-c.lagLoggedAt < lagLogInterval {
+		return
+	}
+	c.lagLoggedAt = now
+	p := c.jobs.LastPass()
+	event.Log(c.log, event.OwnerBehind, log.Fields{"epoch": c.jobs.Epoch(), "lag-ms": lag.Milliseconds(), "waiting": p.Waiting, "views": p.Views})
+}
+
 func (c *controller) apply(m any) {
 	if c.jobs != nil {
 		c.jobs.Advance(c.now(), time.Now().UnixMilli())
@@ -141,7 +167,9 @@
 	if c.jobs == nil || c.loading {
 		return
 	}
-	c.jobs.Plan()
+	if began := c.now(); c.jobs.Plan() {
+		c.metrics.recordPass(c.now()-began, c.jobs.LastPass())
+	}
 	for _, s := range c.jobs.Messages() {
 		c.sendToHost(s)
 	}
--- a/internal/jobdaemon/metrics.go
+++ b/internal/jobdaemon/metrics.go
@@ -11,8 +11,9 @@
 	"github.com/bambooscale/bambooscale/internal/metrics"
 )
 
-// entryMetrics counts the submissions of an entry and the decisions of an owner.
-// The labels are the queue, the outcome, how a run ended, and the final phase.
+// entryMetrics counts the submissions of an entry and the decisions of an owner,
+// and records the cost of its planning passes and the lag of its loop. The labels
+// are the queue, the outcome, how a run ended, and the final phase.
 type entryMetrics struct{ scope tally.Scope }
 
 func newEntryMetrics(r *metrics.Registry) *entryMetrics { return &entryMetrics{r.Scope("jobs")} }
@@ -43,6 +44,16 @@
 	}
 }
 
+// recordPass records a planning pass of the owner that took d.
+func (m *entryMetrics) recordPass(d time.Duration, p jobs.PassStats) {
+	m.recordDuration("plan_seconds", d)
+	m.scope.Counter("plan_views_total").Inc(int64(p.Views))
+	m.scope.Gauge("waiting_tasks").Update(float64(p.Waiting))
+}
+
+// recordLag records how late a step of the controller's loop was.
+func (m *entryMetrics) recordLag(d time.Duration) { m.recordDuration("loop_lag_seconds", d) }
+
 func (m *entryMetrics) recordDuration(name string, d time.Duration) {
 	m.scope.Histogram(name, metrics.LatencyBuckets).RecordDuration(d)
 }
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -65,6 +65,7 @@
 	cancelled  map[workload.JobID]time.Duration // when jobs that are not known yet were cancelled
 	ready      map[*task]struct{}               // tasks that may start
 	planNeeded bool                             // something changed that may let a task start
+	pass       PassStats                        // of the last planning pass
 
 	contention           *contention.Model
 	interferenceStoredAt time.Duration // when the coefficients were last put into a batch
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -19,14 +19,25 @@
 	numberMask = 1<<epochShift - 1
 )
 
+// PassStats describes one planning pass.
+type PassStats struct {
+	Views   int // hosts examined for a task; a host counts once for each examination
+	Started int // runs ordered
+	Waiting int // tasks that are still ready after the pass
+}
+
+// LastPass returns the statistics of the last planning pass.
+func (c *Core) LastPass() PassStats { return c.pass }
+
 // Plan starts the tasks that a host can run, moves throttled runs, and queues
-// the start and stop requests for the agents. It does nothing if no input since
-// the last call may have changed the plan.
-func (c *Core) Plan() {
+// the start and stop requests for the agents. It does nothing and returns false
+// if no input since the last call may have changed the plan.
+func (c *Core) Plan() bool {
 	if !c.planNeeded {
-		return
+		return false
 	}
 	c.planNeeded = false
+	c.pass = PassStats{}
 	hosts := c.sortedHosts()
 	for _, t := range c.readyTasks() {
 		c.place(t, hosts)
@@ -35,6 +46,8 @@
 	for _, h := range hosts {
 		h.flush()
 	}
+	c.pass.Waiting = len(c.ready)
+	return true
 }
 
 // readyTasks returns the ready tasks, the most urgent first. Tasks of recovered
@@ -99,6 +112,7 @@
 
 // view returns the host as hostselect sees it for a task.
 func (h *host) view(t *task) hostselect.Host {
+	h.core.pass.Views++
 	v := hostselect.Host{
 		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.core.hostList.stored[h.info.Name], Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
 		Suspect: h.suspect(), Failing: h.failing(), Avoided: t.failedHosts[h.info.Name],
@@ -140,6 +154,7 @@
 	id := workload.RunID{Task: t.id(), Number: (c.epoch-1)<<epochShift + t.starts}
 	r := h.charge(t, id)
 	delete(c.ready, t)
+	c.pass.Started++
 	h.starts = append(h.starts, msg.RunStart{Size: r.size(), Specification: t.step.job.spec.Specification, Checkpoint: t.checkpoint})
 	c.addDecision(Decision{Kind: RunOrdered, Job: t.step.job.spec.ID, Run: id, Host: h.info.Name, Age: c.now - t.readySince})
 }
