jobs: bound a planning pass by the hosts that changed

Cause: each input planned every waiting task against every host and every run there, so a pass cost waiting tasks x hosts x runs. A step of its loop took 0.3 to 0.5 s, so leases expired and ends were reported late, which made more tasks wait.

Change: * A host counts its runs by step and image as they come and go, so a view does not loop over them. * Ready tasks are kept by step, in order. Once no host is left for one task of a step, none is left for the others. * Each host has the number of its last improvement (a run ended, its state, labels, capacity or place in the stored list changed, its probation ended). A step that found no host examines those that improved since. A charge is no improvement: it can only exclude tasks. * After a start only the chosen host is examined again. * A pass examines at most 4096 hosts. BatchLoop.Pending continues the rest in turn with the messages, the most urgent tasks first. * Moves of throttled runs are looked for every 150 ms, once for each step, instead of for every run at each input. * What only time changes (the end of a probation, a best-effort task that has waited for hostselect.MaxWait) is planned at a tick. Before, it waited for the next input.

Two differences: hosts that were too slow for a best-effort task are examined again after 100 ms rather than at each input, and a job whose serving steps have different images counts with each of them, not with one at random.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -83,7 +83,7 @@
 
 // run applies messages in batches and sends their effects after each batch.
 func (c *controller) run(ctx context.Context, in <-chan any) error {
-	return actor.BatchLoop[any]{Limit: maxBatch, Interval: controllerTick, Apply: c.apply, Tick: c.tick, Flush: c.flush}.Run(ctx, in)
+	return actor.BatchLoop[any]{Limit: maxBatch, Interval: controllerTick, Apply: c.apply, Tick: c.tick, Flush: c.flush, Pending: c.planPending}.Run(ctx, in)
 }
 
 func (c *controller) tick() {
@@ -161,6 +161,9 @@
 	}
 }
 
+// planPending reports whether the last planning pass left work to the next.
+func (c *controller) planPending() bool { return c.jobs != nil && !c.loading && c.jobs.PlanPending() }
+
 // flush applies the decisions of the ownership and of the jobs.
 func (c *controller) flush() {
 	c.ownershipEffects()
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -6,6 +6,7 @@
 package jobs
 
 import (
+	"container/list"
 	"sort"
 	"time"
 
@@ -63,10 +64,18 @@
 	hosts      map[workload.HostName]*host
 	jobs       map[workload.JobID]*job
 	cancelled  map[workload.JobID]time.Duration // when jobs that are not known yet were cancelled
-	ready      map[*task]struct{}               // tasks that may start
+	waiting    waiting                          // tasks that may start
 	planNeeded bool                             // something changed that may let a task start
 	pass       PassStats                        // of the last planning pass
 
+	hostsByName  []*host    // ordered by name, so that equal inputs give equal plans
+	improved     *list.List // of *host, the last improved first
+	improvements uint64     // number of the last improvement of a host
+
+	throttled       map[*run]struct{} // throttled runs that may move
+	movesDue        bool              // the next pass looks for moves
+	movesExaminedAt time.Duration
+
 	contention           *contention.Model
 	interferenceStoredAt time.Duration // when the coefficients were last put into a batch
 
@@ -85,7 +94,7 @@
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
-		cancelled: map[workload.JobID]time.Duration{}, ready: map[*task]struct{}{},
+		cancelled: map[workload.JobID]time.Duration{}, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
 	}
 }
@@ -159,19 +168,24 @@
 		c.recoveryDeadline = 0
 		c.planNeeded = true
 	}
+	c.scheduleTimedPlans()
+}
+
+// scheduleTimedPlans makes the next pass look at what changes with time: the
+// speed that a waiting best-effort task accepts, and runs that are throttled for
+// long.
+func (c *Core) scheduleTimedPlans() {
+	if len(c.throttled) > 0 && c.now-c.movesExaminedAt >= minMoveInterval {
+		c.movesDue, c.planNeeded = true, true
+	}
+	for _, s := range c.waiting.steps {
+		if s.spec.BestEffort {
+			c.planNeeded = true
+			return
+		}
+	}
 }
 
 // cancellationRetention is how long a cancellation is kept that arrived before
 // its job.
 const cancellationRetention = time.Minute
-
-// sortedHosts returns the hosts ordered by name, so that equal inputs give
-// equal plans.
-func (c *Core) sortedHosts() []*host {
-	list := make([]*host, 0, len(c.hosts))
-	for _, h := range c.hosts {
-		list = append(list, h)
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].info.Name < list[k].info.Name })
-	return list
-}
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -12,7 +12,7 @@
 
 // harness drives a Core as the entry does, and stands in for the agents.
 type harness struct {
-	t       *testing.T
+	t       testing.TB
 	core    *Core
 	now     time.Duration
 	started map[workload.RunID]workload.HostName
@@ -22,7 +22,7 @@
 	phases  map[workload.JobID][]workload.Phase // as callers saw them
 }
 
-func newHarness(t *testing.T, epoch uint64) *harness {
+func newHarness(t testing.TB, epoch uint64) *harness {
 	h := &harness{
 		t: t, core: New(epoch, 0), started: map[workload.RunID]workload.HostName{}, stopped: map[workload.RunID]bool{},
 		sent: map[workload.HostName][]msg.Control{}, ends: map[workload.HostName]uint64{}, phases: map[workload.JobID][]workload.Phase{},
@@ -93,8 +93,7 @@
 // it.
 func (h *harness) storeHosts() {
 	if hosts, changed := h.core.hostsToStore(); changed {
-		h.core.hostList.setStored(hosts)
-		h.core.planNeeded = true
+		h.core.hostsStored(hosts)
 	}
 }
 
--- a/internal/jobs/health.go
+++ b/internal/jobs/health.go
@@ -21,6 +21,7 @@
 type health struct {
 	failedJobs map[workload.JobID]bool // jobs that failed since the last completed run
 	lastFailed time.Duration
+	probation  bool // the end of a probation was not noticed yet
 }
 
 // recordEnd counts a failed run. A completed run resets the count.
@@ -28,12 +29,13 @@
 	switch e.Reason {
 	case workload.EndDone:
 		h.health.failedJobs = nil
+		h.improve()
 	case workload.EndFailed:
 		if h.health.failedJobs == nil {
 			h.health.failedJobs = map[workload.JobID]bool{}
 		}
 		h.health.failedJobs[e.Run.Task.Job] = true
-		h.health.lastFailed = h.core.now
+		h.health.lastFailed, h.health.probation = h.core.now, true
 	}
 }
 
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -1,6 +1,9 @@
 package jobs
 
 import (
+	"container/list"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/bambooscale/bambooscale/charts"
@@ -61,14 +64,22 @@
 	used                 workload.Resources // charges of the runs
 	bestEffortCPU        int64              // thousandths of a core that best-effort runs declare
 	servingRuns          int
-	endsApplied          uint64 // number of the last end that was applied
-	endsAcknowledged     uint64 // number of the last end that was stored and acknowledged
+	runsByStep           map[*step]int
+	servingByImage       map[string]int
+	servingByGroup       map[servingGroup]int
+	bestEffortByImage    []bestEffortUse // ordered by image
+	endsApplied          uint64          // number of the last end that was applied
+	endsAcknowledged     uint64          // number of the last end that was stored and acknowledged
 	health               health
 	inventoryStartedAtMS int64         // incarnation whose inventory was accepted; 0: none
 	expected             bool          // runs of an earlier owner may go on there
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
 	idleSince            time.Duration // when all runs on the host had certainly ended
 
+	index       int           // number of hosts that were added before
+	improvement uint64        // number of its last improvement
+	position    *list.Element // in Core.improved
+
 	starts    []msg.RunStart     // not yet sent
 	stops     []workload.RunID   // not yet sent
 	inventory *msg.HostInventory // set during the event inventory only
@@ -78,8 +89,15 @@
 func (c *Core) host(name workload.HostName) *host {
 	h, ok := c.hosts[name]
 	if !ok {
-		h = &host{core: c, info: workload.Host{Name: name}, runs: map[workload.RunID]*run{}, lastGrantAt: c.now, idleSince: c.now}
+		h = &host{
+			core: c, info: workload.Host{Name: name}, runs: map[workload.RunID]*run{}, lastGrantAt: c.now, idleSince: c.now, index: len(c.hosts),
+			runsByStep: map[*step]int{}, servingByImage: map[string]int{}, servingByGroup: map[servingGroup]int{},
+		}
 		c.hosts[name] = h
+		i := sort.Search(len(c.hostsByName), func(i int) bool { return c.hostsByName[i].info.Name >= name })
+		c.hostsByName = slices.Insert(c.hostsByName, i, h)
+		h.position = c.improved.PushFront(h)
+		h.improve()
 	}
 	return h
 }
@@ -99,7 +117,7 @@
 	} else if d, _, ok := hostChart.Timeout(h.state); ok {
 		h.timeoutAt = h.core.now + d
 	}
-	h.core.planNeeded = true
+	h.improve()
 }
 
 func (h *host) tick() {
@@ -107,11 +125,24 @@
 		_, e, _ := hostChart.Timeout(h.state)
 		h.step(map[string]chart.Event{"lapse": evLeaseExpired, "late": evClaimTimeout}[hostChart.EventName(e)])
 	}
+	if h.health.probation && !h.failing() {
+		h.health.probation = false
+		h.improve()
+	}
 	for _, r := range h.runs {
 		r.tick()
 	}
 }
 
+// improve records that tasks may fit on the host which did not fit before. A
+// change that can only exclude tasks, such as a charge, is not recorded.
+func (h *host) improve() {
+	h.core.improvements++
+	h.improvement = h.core.improvements
+	h.core.improved.MoveToFront(h.position)
+	h.core.planNeeded = true
+}
+
 // Linked records that the agent of a host is linked.
 func (c *Core) Linked(info workload.Host) {
 	h := c.host(info.Name)
@@ -154,6 +185,9 @@
 		h.core.addDecision(Decision{Kind: HostChanged, Host: info.Name, Detail: info.State.String()})
 	}
 	h.info = info
+	if restarted || info.State != old.State || info.Service != old.Service || info.Capacity != old.Capacity || !slices.Equal(info.Labels, old.Labels) || old.Instance == "" {
+		h.improve()
+	}
 	if info.State == workload.HostDraining && old.State != workload.HostDraining {
 		h.evacuate()
 	}
@@ -211,6 +245,7 @@
 	h.applyEnds(m.Ended)
 	h.core.send(h, &msg.InventoryAccepted{Epoch: h.core.epoch, ClockMS: m.ClockMS, Sizes: sizes})
 	h.lastGrantAt, h.inventoryStartedAtMS = h.core.now, h.info.StartedAtMS
+	h.improve()
 	for _, r := range h.sortedRuns() {
 		if r.state == runStopping {
 			r.requestStop()
@@ -242,46 +277,13 @@
 	if !s.Unconfirmed {
 		r.step(evStarted)
 	}
-	delete(h.core.ready, t)
+	h.core.waiting.remove(t)
 	if t.done || t.step.job.phase().Final() || (len(t.runs) > 1 && !t.step.spec.AllowConcurrentRuns) {
 		r.stop("not-wanted")
 	}
 	return r
 }
 
-// charge adds a run to the host and its task.
-func (h *host) charge(t *task, id workload.RunID) *run {
-	r := &run{id: id, task: t, host: h, state: runChart.Initial(), orderedAt: h.core.now}
-	h.runs[id] = r
-	t.runs = append(t.runs, r)
-	h.adjustUsage(t.step.spec, 1)
-	return r
-}
-
-// uncharge removes a run from the host.
-func (h *host) uncharge(r *run) {
-	if _, ok := h.runs[r.id]; !ok {
-		return
-	}
-	delete(h.runs, r.id)
-	h.adjustUsage(r.task.step.spec, -1)
-}
-
-// adjustUsage adds the charge of a task of step s to the host's usage, or
-// subtracts it if sign is -1.
-func (h *host) adjustUsage(s *workload.Step, sign int64) {
-	c := s.Charge()
-	h.used.MilliCPU += sign * c.MilliCPU
-	h.used.MemoryMB += sign * c.MemoryMB
-	h.used.Accelerators += sign * c.Accelerators
-	if s.BestEffort {
-		h.bestEffortCPU += sign * s.Need.MilliCPU
-	}
-	if s.Serves() {
-		h.servingRuns += int(sign)
-	}
-}
-
 // size returns what the agent has to know of the run to admit and throttle it.
 func (r *run) size() msg.RunSize {
 	s := r.task.step.spec
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"slices"
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -35,28 +34,27 @@
 // they differ from the present ones.
 func (c *Core) hostsToStore() ([]workload.HostName, bool) {
 	var names []workload.HostName
-	for name, h := range c.hosts {
+	changed := false
+	for _, h := range c.hostsByName {
 		if h.mayHaveRuns() {
-			names = append(names, name)
+			names = append(names, h.info.Name)
+			changed = changed || !c.hostList.stored[h.info.Name]
 		}
 	}
-	slices.Sort(names)
-	if len(names) != len(c.hostList.stored) {
-		return names, true
-	}
-	for _, name := range names {
-		if !c.hostList.stored[name] {
-			return names, true
-		}
-	}
-	return names, false
+	return names, changed || len(names) != len(c.hostList.stored)
 }
 
-func (l *hostList) setStored(hosts []workload.HostName) {
-	l.stored = make(map[workload.HostName]bool, len(hosts))
+// hostsStored records the list that was stored.
+func (c *Core) hostsStored(hosts []workload.HostName) {
+	before := c.hostList.stored
+	c.hostList.stored = make(map[workload.HostName]bool, len(hosts))
 	for _, name := range hosts {
-		l.stored[name] = true
+		c.hostList.stored[name] = true
+		if h, ok := c.hosts[name]; ok && !before[name] {
+			h.improve()
+		}
 	}
+	c.planNeeded = true
 }
 
 // ExpectHost adds a host of the stored list, on which runs of an earlier owner
--- a/internal/jobs/interference.go
+++ b/internal/jobs/interference.go
@@ -7,7 +7,6 @@
 
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/policy/contention"
-	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
 // observeInterference updates the interference model with an agent's report. All
@@ -55,28 +54,22 @@
 
 // servingJobs returns the jobs that have serving tasks on the host.
 func (h *host) servingJobs() []servingJob {
-	seen := map[workload.JobID]bool{}
-	var list []servingJob
-	for _, r := range h.runs {
-		spec, j := r.task.step.spec, r.task.step.job
-		if !spec.Serves() || seen[j.spec.ID] {
-			continue
-		}
-		seen[j.spec.ID] = true
-		load := h.core.contention.Load(loadGroup(j), h.core.now+loadLookahead)
-		list = append(list, servingJob{contention.Image(spec.Image), contention.PressureBudget(load)})
+	list := make([]servingJob, 0, len(h.servingByGroup))
+	for g := range h.servingByGroup {
+		load := h.core.contention.Load(loadGroup(g.job), h.core.now+loadLookahead)
+		list = append(list, servingJob{contention.Image(g.image), contention.PressureBudget(load)})
 	}
 	return list
 }
 
-// bestEffortHeadroom returns how many best-effort tasks like t the host can take
-// while its serving tasks keep their targets. Runs there with a higher
-// coefficient than t do not count, because the agent throttles them first.
-func (h *host) bestEffortHeadroom(t *task) float64 {
+// bestEffortHeadroom returns how many best-effort tasks like those of s the host
+// can take while its serving tasks keep their targets. Runs there with a higher
+// coefficient do not count, because the agent throttles them first.
+func (h *host) bestEffortHeadroom(s *step) float64 {
 	headroom := math.Inf(1)
-	share := h.bestEffortShare(t)
+	share := h.bestEffortShare(s.spec.Need.MilliCPU)
 	for _, serving := range h.servingJobs() {
-		coefficient := h.core.contention.Coefficient(contention.Pair{Serving: serving.image, BestEffort: contention.Image(t.step.spec.Image)})
+		coefficient := h.core.contention.Coefficient(contention.Pair{Serving: serving.image, BestEffort: contention.Image(s.spec.Image)})
 		headroom = min(headroom, max(0, serving.budget-h.pressureUpTo(serving, coefficient))/max(minPressure, share*coefficient))
 	}
 	return headroom
@@ -86,22 +79,19 @@
 // is at most limit put on a serving job when they are not throttled.
 func (h *host) pressureUpTo(serving servingJob, limit float64) float64 {
 	sum := 0.0
-	for _, r := range h.runs {
-		if !r.task.step.spec.BestEffort {
-			continue
-		}
-		coefficient := h.core.contention.Coefficient(contention.Pair{Serving: serving.image, BestEffort: contention.Image(r.task.step.spec.Image)})
+	for _, use := range h.bestEffortByImage {
+		coefficient := h.core.contention.Coefficient(contention.Pair{Serving: serving.image, BestEffort: contention.Image(use.image)})
 		if coefficient <= limit {
-			sum += coefficient * h.bestEffortShare(r.task)
+			sum += coefficient * h.bestEffortShare(use.milliCPU)
 		}
 	}
 	return sum
 }
 
-// bestEffortShare returns the share of the host's processors that a best-effort
-// task uses when it is not throttled.
-func (h *host) bestEffortShare(t *task) float64 {
-	return h.cpuShare(contention.UsedShare * float64(t.step.spec.Need.MilliCPU))
+// bestEffortShare returns the share of the host's processors that best-effort
+// tasks use which declare milliCPU and are not throttled.
+func (h *host) bestEffortShare(milliCPU int64) float64 {
+	return h.cpuShare(contention.UsedShare * float64(milliCPU))
 }
 
 // minPressure keeps the headroom finite for best-effort tasks that declare no
@@ -114,13 +104,7 @@
 	if h.servingRuns == 0 || h.bestEffortCPU == 0 {
 		return nil
 	}
-	serving := map[contention.Image]bool{}
-	for _, r := range h.runs {
-		if r.task.step.spec.Serves() {
-			serving[contention.Image(r.task.step.spec.Image)] = true
-		}
-	}
-	return h.core.knownCoefficients(func(p contention.Pair) bool { return serving[p.Serving] })
+	return h.core.knownCoefficients(func(p contention.Pair) bool { return h.servingByImage[string(p.Serving)] > 0 })
 }
 
 // knownCoefficients returns the measured coefficients of the pairs that want
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -59,6 +59,11 @@
 	spec       *workload.Step
 	tasks      []*task
 	unfinished int // number of tasks that are not done
+
+	ready     []*task       // tasks that may start, ordered by index
+	lastReady time.Duration // when a task became ready last
+	unlogged  int           // ready tasks whose TaskUnplaced was not logged
+	searches  [searchKinds]search
 }
 
 // task is one task of a step. It is ready to start when its step may start and
@@ -74,6 +79,7 @@
 	runs           []*run                     // runs that have not ended
 	failedHosts    map[workload.HostName]bool // hosts on which it failed
 	unplacedLogged bool                       // TaskUnplaced was logged since the task became ready
+	ready          bool                       // it may start
 	readySince     time.Duration
 }
 
@@ -139,7 +145,7 @@
 	j.core.addDecision(Decision{Kind: JobEnded, Job: j.spec.ID, Detail: j.phase().String(), Age: j.core.now - j.admittedAt})
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			delete(j.core.ready, t)
+			j.core.waiting.remove(t)
 			t.stopRuns("job-over")
 		}
 	}
@@ -217,16 +223,12 @@
 // release makes the task ready unless it is done or has a run.
 func (t *task) release() {
 	j := t.step.job
-	if t.done || len(t.runs) > 0 || j.phase().Final() {
-		return
-	}
-	if _, already := j.core.ready[t]; already {
+	if t.done || t.ready || len(t.runs) > 0 || j.phase().Final() {
 		return
 	}
-	j.core.ready[t] = struct{}{}
+	t.readySince, t.unplacedLogged = j.core.now, false
+	j.core.waiting.add(t)
 	j.core.planNeeded = true
-	t.readySince = j.core.now
-	t.unplacedLogged = false
 }
 
 // complete records that a run of the task ended as done. It has no effect on a
@@ -238,7 +240,7 @@
 	j := t.step.job
 	t.done = true
 	t.checkpoint = ""
-	delete(j.core.ready, t)
+	j.core.waiting.remove(t)
 	t.step.unfinished--
 	t.stopRuns("done-elsewhere")
 	j.markDirty()
--- a/internal/jobs/move.go
+++ b/internal/jobs/move.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
@@ -15,60 +17,106 @@
 	// short load peak of the serving tasks beside it causes no move.
 	moveDelay = 700 * time.Millisecond
 	// minMoveInterval is the minimum time between two moves to one host, so
-	// that the host's figures show the first before the second is decided.
+	// that the host's figures show the first before the second is decided. Moves
+	// are looked for at this interval.
 	minMoveInterval = 150 * time.Millisecond
 )
 
 // updateThrottledSince records since when the run is throttled, from its CPU
 // limit in the reported status.
 func (r *run) updateThrottledSince(s msg.RunStatus) {
-	switch {
-	case s.CPULimitPercent > throttledPercent:
+	if s.CPULimitPercent > throttledPercent {
 		r.throttledSince = 0
-	case r.throttledSince == 0:
+		delete(r.core().throttled, r)
+		return
+	}
+	if r.throttledSince == 0 {
 		r.throttledSince = r.core().now
 	}
+	if spec := r.task.step.spec; spec.BestEffort && spec.Checkpointing {
+		r.core().throttled[r] = struct{}{}
+	}
 }
 
-// movable reports whether the run loses little by a move: it has been throttled
-// for moveDelay, and can resume from a checkpoint on another host.
+// movable reports whether a throttled run that can resume from a checkpoint
+// loses little by a move: it has been throttled for moveDelay.
 func (r *run) movable() bool {
-	spec := r.task.step.spec
-	return spec.BestEffort && spec.Checkpointing && r.state == runRunning && r.throttledSince != 0 && r.core().now-r.throttledSince >= moveDelay
+	return r.state == runRunning && r.core().now-r.throttledSince >= moveDelay
 }
 
-// moveThrottled stops throttled best-effort runs that would run faster on
-// another host. Their tasks become ready again when the ends are reported.
-func (c *Core) moveThrottled(hosts []*host) {
-	for _, h := range hosts {
-		for _, r := range h.sortedRuns() {
-			if !r.movable() {
-				continue
-			}
-			if target := c.moveTarget(r, hosts); target != nil {
-				target.lastMoveAt = c.now
-				r.stop("moves-to-" + string(target.info.Name))
-			}
+// movableRuns returns the movable runs, ordered by host and identifier.
+func (c *Core) movableRuns() []*run {
+	var runs []*run
+	for r := range c.throttled {
+		if r.movable() {
+			runs = append(runs, r)
 		}
 	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		if a.host != b.host {
+			return cmp.Compare(a.host.info.Name, b.host.info.Name)
+		}
+		if runIDLess(a.id, b.id) {
+			return -1
+		}
+		return 1
+	})
+	return runs
 }
 
-// moveTarget returns the host to which a run should move, or nil.
-func (c *Core) moveTarget(r *run, hosts []*host) *host {
-	var others []*host
-	for _, h := range hosts {
-		if h != r.host && (h.lastMoveAt == 0 || c.now-h.lastMoveAt >= minMoveInterval) {
-			others = append(others, h)
+// moveThrottled stops throttled best-effort runs that would run faster on
+// another host. Their tasks become ready again when the ends are reported. It
+// leaves runs to a later pass when it reaches maxPassViews.
+func (c *Core) moveThrottled() {
+	searches := map[*step]*moveSearch{}
+	for _, r := range c.movableRuns() {
+		if c.pass.Views >= maxPassViews {
+			return
+		}
+		s := searches[r.task.step]
+		if s == nil {
+			s = &moveSearch{}
+			searches[r.task.step] = s
+		}
+		if target := s.target(r); target != nil {
+			target.lastMoveAt = c.now
+			r.stop("moves-to-" + string(target.info.Name))
 		}
 	}
-	views := make([]hostselect.Host, len(others))
-	for i, h := range others {
-		views[i] = h.view(r.task)
-	}
-	selection := r.task.selectionTask()
-	selection.MayWait = true // excludes hosts on which it would be throttled as much
-	if i, _ := hostselect.Choose(selection, views); i >= 0 {
-		return others[i]
+}
+
+// moveSearch is the search for hosts to which the runs of a step can move, during
+// one pass. A host that cannot take one of them cannot take the others.
+type moveSearch struct {
+	searched bool
+	left     []*host // hosts that are not known to be unsuitable, if searched
+}
+
+// target returns the host to which a run should move, or nil.
+func (s *moveSearch) target(r *run) *host {
+	c := r.core()
+	if !s.searched {
+		s.searched, s.left = true, slices.Clone(c.hostsByName)
 	}
-	return nil
+	task := r.task.step.selectionTask()
+	task.MayWait = true // excludes hosts on which it would be throttled as much
+	var best *host
+	bestScore := 0.0
+	s.left = slices.DeleteFunc(s.left, func(h *host) bool {
+		switch {
+		case h.lastMoveAt != 0 && c.now-h.lastMoveAt < minMoveInterval:
+			return true
+		case h == r.host || r.task.failedHosts[h.info.Name]:
+			return false
+		}
+		view := h.view(r.task.step)
+		if hostselect.Check(task, view) != hostselect.Fits {
+			return true
+		}
+		if score := hostselect.Score(task, view); best == nil || score > bestScore {
+			best, bestScore = h, score
+		}
+		return false
+	})
+	return best
 }
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"strings"
 	"time"
 
@@ -29,115 +28,88 @@
 // LastPass returns the statistics of the last planning pass.
 func (c *Core) LastPass() PassStats { return c.pass }
 
+// maxPassViews bounds the hosts that a pass examines, so that planning delays
+// the messages of the hosts by a few milliseconds at most. The views of one step
+// are not divided, so a pass can exceed it by the number of hosts.
+const maxPassViews = 4096
+
 // Plan starts the tasks that a host can run, moves throttled runs, and queues
 // the start and stop requests for the agents. It does nothing and returns false
-// if no input since the last call may have changed the plan.
+// if no input since the last call may have changed the plan. If the pass has
+// reached maxPassViews, PlanPending is true afterwards and the next call
+// continues, the most urgent tasks first.
 func (c *Core) Plan() bool {
 	if !c.planNeeded {
 		return false
 	}
 	c.planNeeded = false
 	c.pass = PassStats{}
-	hosts := c.sortedHosts()
-	for _, t := range c.readyTasks() {
-		c.place(t, hosts)
+	switch {
+	case !c.placeWaiting():
+		c.planNeeded = true
+	case c.movesDue:
+		c.movesDue, c.movesExaminedAt = false, c.now
+		c.moveThrottled()
 	}
-	c.moveThrottled(hosts)
-	for _, h := range hosts {
+	for _, h := range c.hostsByName {
 		h.flush()
 	}
-	c.pass.Waiting = len(c.ready)
+	c.pass.Waiting = c.waiting.tasks
 	return true
 }
 
-// readyTasks returns the ready tasks, the most urgent first. Tasks of recovered
-// jobs are left out during the recovery.
-func (c *Core) readyTasks() []*task {
-	list := make([]*task, 0, len(c.ready))
-	for t := range c.ready {
-		if t.step.job.recovered && c.recoveryDeadline != 0 {
-			continue
-		}
-		list = append(list, t)
-	}
-	sort.Slice(list, func(i, k int) bool { return moreUrgent(list[i], list[k]) })
-	return list
-}
-
-// moreUrgent reports whether a is placed before b: by priority, then by the
-// job's deadline.
-func moreUrgent(a, b *task) bool {
-	ja, jb := a.step.job, b.step.job
-	switch {
-	case ja.spec.Priority != jb.spec.Priority:
-		return ja.spec.Priority < jb.spec.Priority
-	case ja.deadline != jb.deadline:
-		return ja.deadline < jb.deadline
-	case ja != jb:
-		return ja.spec.ID < jb.spec.ID
-	case a.step.number != b.step.number:
-		return a.step.number < b.step.number
-	}
-	return a.index < b.index
-}
+// PlanPending reports whether Plan has work to do.
+func (c *Core) PlanPending() bool { return c.planNeeded }
 
-// place starts the task on the best host, if there is one. Hosts on which the
-// task failed are considered only if no other host can run it.
-func (c *Core) place(t *task, hosts []*host) {
-	views := make([]hostselect.Host, len(hosts))
-	for i, h := range hosts {
-		views[i] = h.view(t)
-	}
-	selection := t.selectionTask()
-	selection.MayWait = c.now-t.readySince < hostselect.MaxWait
-	i, excluded := hostselect.Choose(selection, views)
-	if i < 0 && len(t.failedHosts) > 0 && excluded[hostselect.Avoided] > 0 {
-		for k := range views {
-			views[k].Avoided = false
+// placeWaiting starts ready tasks, the most urgent first, and reports whether it
+// examined all of them. Tasks of recovered jobs are left out during the recovery.
+func (c *Core) placeWaiting() bool {
+	for i := 0; i < len(c.waiting.steps); {
+		s := c.waiting.steps[i]
+		if !s.job.recovered || c.recoveryDeadline == 0 {
+			p := placement{step: s}
+			if !p.run() {
+				return false
+			}
+		}
+		if i < len(c.waiting.steps) && c.waiting.steps[i] == s {
+			i++
 		}
-		i, excluded = hostselect.Choose(selection, views)
-	}
-	if i < 0 {
-		t.logUnplaced(excluded)
-		return
 	}
-	hosts[i].start(t)
+	return true
 }
 
-// selectionTask returns the task as hostselect sees it.
-func (t *task) selectionTask() hostselect.Task {
-	j := &t.step.job.spec
-	return hostselect.Task{Step: t.step.spec, Service: j.Service, Priority: j.Priority}
+// selectionTask returns the tasks of the step as hostselect sees them.
+func (s *step) selectionTask() hostselect.Task {
+	j := &s.job.spec
+	return hostselect.Task{Step: s.spec, Service: j.Service, Priority: j.Priority}
 }
 
-// view returns the host as hostselect sees it for a task.
-func (h *host) view(t *task) hostselect.Host {
+// view returns the host as hostselect sees it for the tasks of a step.
+func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
 		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.core.hostList.stored[h.info.Name], Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
-		Suspect: h.suspect(), Failing: h.failing(), Avoided: t.failedHosts[h.info.Name],
+		SameStep: h.runsByStep[s], SameImage: h.servingByImage[s.spec.Image] > 0, Suspect: h.suspect(), Failing: h.failing(),
 	}
-	if t.step.spec.BestEffort && h.servingRuns > 0 {
-		v.BestEffortHeadroom = h.bestEffortHeadroom(t)
-	}
-	for _, r := range h.runs {
-		if r.task.step == t.step {
-			v.SameStep++
-		}
-		if spec := r.task.step.spec; spec.Serves() && spec.Image == t.step.spec.Image {
-			v.SameImage = true
-		}
+	if s.spec.BestEffort && h.servingRuns > 0 {
+		v.BestEffortHeadroom = h.bestEffortHeadroom(s)
 	}
 	return v
 }
 
 // logUnplaced logs why no host can run the task, once each time it becomes
-// ready.
-func (t *task) logUnplaced(excluded map[hostselect.Reason]int) {
+// ready. The reasons are those of the last examination of each host.
+func (t *task) logUnplaced() {
 	if t.unplacedLogged {
 		return
 	}
 	t.unplacedLogged = true
+	t.step.unlogged--
+	var excluded [hostselect.LowSpeed + 1]int
+	for _, r := range t.step.searches[t.searchKind()].reasons {
+		excluded[r]++
+	}
 	var parts []string
 	for r := hostselect.Fits + 1; r <= hostselect.LowSpeed; r++ {
 		if excluded[r] > 0 {
@@ -153,7 +125,7 @@
 	t.starts++
 	id := workload.RunID{Task: t.id(), Number: (c.epoch-1)<<epochShift + t.starts}
 	r := h.charge(t, id)
-	delete(c.ready, t)
+	c.waiting.remove(t)
 	c.pass.Started++
 	h.starts = append(h.starts, msg.RunStart{Size: r.size(), Specification: t.step.job.spec.Specification, Checkpoint: t.checkpoint})
 	c.addDecision(Decision{Kind: RunOrdered, Job: t.step.job.spec.ID, Run: id, Host: h.info.Name, Age: c.now - t.readySince})
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -112,8 +112,7 @@
 		}
 	}
 	if b.Hosts != nil {
-		c.hostList.setStored(b.Hosts)
-		c.planNeeded = true
+		c.hostsStored(b.Hosts)
 	}
 	for name, e := range b.ends {
 		h := c.hosts[name]
