httpserve: count callers that close after their answer as answered

A caller that closed its connection after the whole answer, because the answer asked for it, was counted as gone (44 of 1,619 requests in one stop). And on the code before the new drain two of three runs had no line of event 952 for a phase within 30 s: an entry with more than 1,000 lines a second loses lines below the level warn (limit of the log sink).

Change: a caller is gone only if it closes before the handler returns; errors of a connection that this process closed are no sign of the caller. Events 952 and 953 have the level warn, which the sink exempts from its limit.

go test -race -p 2 -count=60 ./internal/httpserve passes, and -count=20 -cpu 1,2 of internal/jobdaemon, internal/httpserve and internal/drain.

--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -36,6 +36,8 @@
 	AnnounceRefused         = define(949, log.WarnLevel, "announce-refused", "an announcement of a backend server was refused because it cannot be decoded", "check the sender of the announcement")
 	RowUnreadable           = define(950, log.ErrorLevel, "row-unreadable", "a stored row cannot be encoded or decoded and is ignored", "report it")
 	LogDropped              = define(951, log.WarnLevel, "log-dropped", "log lines were dropped because there were too many per second or standard output was too slow", "nothing")
-	DrainPhase              = define(952, log.InfoLevel, "drain-phase", "a stopping entry began a phase of its drain", "if no drain-ended follows, the process was killed in this phase with this number of requests in flight, or more: check its grace period")
-	DrainEnded              = define(953, log.InfoLevel, "drain-ended", "a stopping entry ended its drain", "cut counts requests whose connection was closed by the entry without a whole answer and must be 0; unanswered ones were still in flight at the end; gone ones were given up by their callers")
+	// The level warn exempts the two events of a drain from the rate limit of the
+	// log: a busy entry lost them.
+	DrainPhase = define(952, log.WarnLevel, "drain-phase", "a stopping entry began a phase of its drain", "if no drain-ended follows, the process was killed in this phase with this number of requests in flight, or more: check its grace period")
+	DrainEnded = define(953, log.WarnLevel, "drain-ended", "a stopping entry ended its drain", "cut counts requests whose connection was closed by the entry without a whole answer and must be 0; unanswered ones were still in flight at the end; gone ones were given up by their callers")
 )
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -70,7 +70,8 @@
 			c.restoreDeadline()
 			continue
 		}
-		if err != nil && !c.awaiting.Get() && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		// A caller that closes after the answer is not gone.
+		if err != nil && !c.awaiting.Get() && !c.handled.Get() && !errors.Is(err, os.ErrDeadlineExceeded) && !closedHere(err) {
 			c.gone.Set(true)
 		}
 		return n, err
@@ -133,7 +134,7 @@
 	n, err := c.Conn.Write(p)
 	switch {
 	case err == nil:
-	case errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrClosedPipe):
+	case closedHere(err):
 		c.failed.Set(true)
 	default:
 		c.gone.Set(true)
@@ -141,6 +142,12 @@
 	return n, err
 }
 
+// closedHere reports whether an error means that this process has closed the
+// connection. io.ErrClosedPipe is that of net.Pipe.
+func closedHere(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrClosedPipe)
+}
+
 // begin counts a request when its first byte has been read.
 func (c *conn) begin() {
 	if c.awaiting.Get() {
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -46,7 +46,7 @@
 	InFlight int64 // read in part or whole, and not answered yet
 	Answered int64 // answered whole, since the start
 	Cut      int64 // not answered although the caller was still there, since the start
-	Gone     int64 // whose caller closed the connection before the answer, since the start
+	Gone     int64 // whose caller closed the connection before the handler returned, since the start
 }
 
 // Start serves l until g ends.
