daemon: end an entry's caller connections with httpserve

Change: the callers' listener and the announce listener of an agent are served by internal/httpserve.

The test of the drain checks in addition that callers are asked to leave at the signal; its other checks are the same, on the new interface.

go test -race -p 2 of internal/daemon, internal/entry, cmd/bambooscaled, internal/capacity and internal/shape passes, and go test -race -count=1 -run 'TestScenarios/(entry-terminated|agent-terminated|paths|mixed)' ./test. The cost per request was not measured.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/httpserve"
 	"github.com/bambooscale/bambooscale/internal/model"
 )
 
@@ -39,23 +40,11 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// serve starts an HTTP server on l in g. The returned function shuts it down
-// gracefully: the server accepts no new connections, and the function waits for
-// the requests in progress.
-func serve(g *actor.Group, name string, l net.Listener, h http.Handler, maxHeaderBytes int) (shutdown func(context.Context) error) {
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
-	}
-	actor.Go(g, name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stop()
-		if err := s.Serve(l); err != http.ErrServerClosed && ctx.Err() == nil {
-			return err
-		}
-		return nil
+// serve starts an HTTP server on l in g.
+func serve(g *actor.Group, name string, l net.Listener, h http.Handler, maxHeaderBytes int) *httpserve.Server {
+	return httpserve.Start(g, l, httpserve.Config{
+		Name: name, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
-	return s.Shutdown
 }
 
 const (
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -6,24 +6,43 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/httpserve"
 )
 
+type fakeServer struct{ leave, close func() }
+
+func (s fakeServer) Leave() { s.leave() }
+
+func (s fakeServer) Close(context.Context) error {
+	s.close()
+	return nil
+}
+
+func (s fakeServer) Counts() httpserve.Counts { return httpserve.Counts{} }
+
 // Guards against a shutdown that closes the listener while the balancer still
 // sends callers to the entry; their connections would be reset.
 func TestDrainIsAnnouncedBeforeTheListenerCloses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := &operatorView{draining: &actor.Value[bool]{}}
-		start, healthy := time.Now(), true
-		e := &Entry{draining: v.draining, drainDelay: 5 * time.Second, shutdownCallers: func(context.Context) error {
-			require.Equal(t, 5*time.Second, time.Since(start))
-			healthy = v.health(t.Context()) == nil
-			return nil
+		start, healthy, left := time.Now(), true, false
+		e := &Entry{log: log.Log, draining: v.draining, drainDelay: 5 * time.Second, callers: fakeServer{
+			leave: func() {
+				left = true
+				require.Zero(t, time.Since(start))
+			},
+			close: func() {
+				require.Equal(t, 5*time.Second, time.Since(start))
+				healthy = v.health(t.Context()) == nil
+			},
 		}}
 		require.NoError(t, v.health(t.Context()))
 		require.NoError(t, e.Drain(t.Context()))
 		require.False(t, healthy)
+		require.True(t, left)
 	})
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -11,6 +11,8 @@
 	"github.com/bambooscale/bambooscale/internal/configstore"
 	"github.com/bambooscale/bambooscale/internal/directory"
 	"github.com/bambooscale/bambooscale/internal/entry"
+	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/httpserve"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/metrics"
 	"github.com/bambooscale/bambooscale/internal/model"
@@ -46,10 +48,18 @@
 
 // Entry is a running entry.
 type Entry struct {
-	shutdownCallers func(context.Context) error
-	api             *operator.API
-	draining        *actor.Value[bool]
-	drainDelay      time.Duration
+	callers    callerServer
+	api        *operator.API
+	draining   *actor.Value[bool]
+	drainDelay time.Duration
+	log        log.Interface
+}
+
+// callerServer is the part of httpserve.Server that a drain uses.
+type callerServer interface {
+	Leave()
+	Close(context.Context) error
+	Counts() httpserve.Counts
 }
 
 // SetOperatorToken replaces the token of the operators' API.
@@ -82,7 +92,7 @@
 		DataCentre: self.DataCentre, Region: cfg.Daemon.Region,
 	})
 	watchPauses(g, c.Log)
-	return &Entry{api: api, draining: v.draining, drainDelay: c.DrainDelay, shutdownCallers: serve(g, "callers listener", c.Callers, frontend, int(cfg.Entry.MaxHeader))}
+	return &Entry{api: api, draining: v.draining, drainDelay: c.DrainDelay, log: c.Log, callers: serve(g, "callers listener", c.Callers, frontend, int(cfg.Entry.MaxHeader))}
 }
 
 // requestObserver returns a function that passes the result of a request to the
@@ -120,16 +130,24 @@
 	actor.Go(g, "agents listener", func(ctx context.Context) error { return links.Accept(ctx, c.Agents) })
 }
 
-// Drain reports the entry as unhealthy, accepts no new callers after the drain
-// delay, and waits until every request in progress has been answered. It
-// returns an error when ctx ends first.
+// Drain reports the entry as unhealthy and asks the callers that it answers to
+// connect to another entry. After the drain delay it accepts no new callers and
+// waits until every request in progress has been answered. It returns an error
+// when ctx ends first.
 func (e *Entry) Drain(ctx context.Context) error {
-	draining := true
+	draining, before, signalled := true, e.callers.Counts(), time.Now()
 	e.draining.Set(&draining)
-	if !actor.Sleep(ctx, e.drainDelay) {
-		return ctx.Err()
-	}
-	return e.shutdownCallers(ctx)
+	e.callers.Leave()
+	actor.Sleep(ctx, e.drainDelay)
+	closing := time.Now()
+	err := e.callers.Close(ctx)
+	now := e.callers.Counts()
+	event.Log(e.log, event.DrainEnded, log.Fields{
+		"in-flight-at-signal": before.InFlight, "answered": now.Answered - before.Answered, "cut": now.Cut - before.Cut,
+		"gone": now.Gone - before.Gone, "unanswered": now.InFlight,
+		"leaving-ms": closing.Sub(signalled).Milliseconds(), "closing-ms": time.Since(closing).Milliseconds(),
+	})
+	return err
 }
 
 // entryConfigSubscriber forwards configuration messages of agents to the
