--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -60,11 +60,13 @@
 		BaseContext: func(net.Listener) context.Context { return s.answers },
 	}
 	actor.Go(g, c.Name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+		defer s.http.Close()
+		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 		defer stop()
-		if err := s.http.Serve(&listener{l, s}); err != http.ErrServerClosed && ctx.Err() == nil && s.closing.Err() == nil {
+		if err := s.http.Serve(&listener{l, s}); ctx.Err() == nil && s.closing.Err() == nil {
 			return err
 		}
+		<-ctx.Done() // connections outlive the listener
 		return nil
 	})
 	return s
