--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -46,7 +46,7 @@
 	InFlight int64 // read in part or whole, and not answered yet
 	Answered int64 // answered whole, since the start
 	Cut      int64 // not answered although the caller was still there, since the start
-	Gone     int64 // whose caller closed the connection before the answer, since the start
+	Gone     int64 // whose caller closed the connection before the handler returned, since the start
 }
 
 // Start serves l until g ends.
@@ -60,11 +60,13 @@
 		BaseContext: func(net.Listener) context.Context { return s.answers },
 	}
 	actor.Go(g, c.Name, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+		defer s.http.Close()
+		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 		defer stop()
-		if err := s.http.Serve(&listener{l, s}); err != http.ErrServerClosed && ctx.Err() == nil && s.closing.Err() == nil {
+		if err := s.http.Serve(&listener{l, s}); ctx.Err() == nil && s.closing.Err() == nil {
 			return err
 		}
+		<-ctx.Done() // connections outlive the listener
 		return nil
 	})
 	return s
