--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -28,7 +28,7 @@
 	{"internal/policy/", "internal/wire"},
 	{"internal/link", "internal/storage", "internal/rows", "internal/metrics", "internal/settings", "internal/load", "internal/logsink"},
 	{"internal/peer", "internal/directory", "internal/runner", "internal/jobapi"},
-	{"internal/entry", "internal/agent", "internal/taskagent", "internal/control", "internal/configstore", "internal/jobs", "internal/hostagent", "internal/ownership"},
+	{"internal/entry", "internal/agent", "internal/taskagent", "internal/control", "internal/configstore", "internal/jobs", "internal/hostagent", "internal/ownership", "internal/configsync"},
 	{"internal/operator", "internal/standin", "internal/jobdaemon", "platform"},
 	{"internal/daemon", "internal/command"},
 	{"cmd/", "internal/shape", "internal/faultproxy", "internal/history", "internal/measure", "internal/capacity", "internal/explore", "test"},
