jobdaemon: announce versions of the configuration, not configurations

Callers saw one 404 at 32.7 s for a queue that version 20, acknowledged at 28.5 s, allows.

Change: an entry announces the number of the version in use; an entry that lacks it and does not get it from the store requests it from one peer (internal/configsync). Decoding moves from the controller to an actor, the installer, which publishes the configuration to the callers' handlers itself and decodes only the newest of those that wait; the watcher no longer waits for the controller's mailbox. Event 945 has the size and the time from arrival to use, which the histogram config_install_seconds counts by origin.

Messages: ConfigAnnounced without raw is the announcement, the existing ConfigRequest asks, ConfigAnnounced with raw answers. No new kind of message, since an unknown one ends the link of an older process. PeerHello gets requests_config (older processes skip it); a peer without it still gets each configuration whole, and is never asked.

Decoding took 14 ms (median) and 74 ms (most), so it was not the cause.

--- a/internal/jobdaemon/config.go
+++ b/internal/jobdaemon/config.go
@@ -1,17 +1,10 @@
 package jobdaemon
 
 import (
-	"context"
-	"errors"
-	"time"
-
-	"github.com/apex/log"
-
 	"github.com/bambooscale/bambooscale/internal/actor"
-	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/configsync"
+	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/storage"
-	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -23,122 +16,83 @@
 	Decode func([]byte) (*workload.Config, error)
 }
 
-// configState is the configuration in use at an entry. Only a higher version
-// replaces it.
+// configState is the configuration of an entry. The watcher and the links pass
+// encoded configurations to the installer, which decodes them; the controller
+// announces the version in use and requests what the watch does not deliver.
 type configState struct {
-	source  ConfigSource
-	current *workload.Config
-	raw     []byte                        // encoded form of current
-	inUse   *actor.Value[workload.Config] // current, for other goroutines
-}
+	source    ConfigSource
+	installer actor.Address[*encodedConfig]
+	// Set by the installer. Only a higher version replaces one.
+	inUse     *actor.Value[workload.Config] // for callers
+	installed actor.Value[encodedConfig]    // encoded form of the configuration in use
+	// Set by the watcher: whether its newest call to the table service succeeded.
+	tableAnswers actor.Value[bool]
 
-// configRead carries the encoded configuration that was read from the table
-// service.
-type configRead struct{ raw []byte }
-
-func (c *controller) configRead(m *configRead) { c.applyConfig(m.raw, "store") }
+	// The controller owns the rest.
+	sync      *configsync.Core
+	announced uint64 // version that the linked entries know to be in use here
+}
 
-func (c *controller) configAnnounced(m *msg.ConfigAnnounced) {
-	if c.config.current == nil || m.Version > c.config.current.Version {
-		c.applyConfig(m.Raw, "peer")
-	}
+// newConfigState starts the installer of a controller.
+func newConfigState(g *actor.Group, c *controller, source ConfigSource, inUse *actor.Value[workload.Config]) *configState {
+	s := &configState{source: source, inUse: inUse, sync: configsync.New(c.self.Name)}
+	i := &configInstaller{state: s, log: c.log, metrics: c.metrics}
+	s.installer = actor.Spawn(g, actor.Spec[*encodedConfig]{Name: "config installer", Mailbox: installerMailbox, Run: i.run})
+	return s
 }
 
-// applyConfig decodes a configuration, uses it if its version is higher, and
-// sends it to the other entries.
-func (c *controller) applyConfig(raw []byte, from string) {
-	next, err := c.config.source.Decode(raw)
-	if err != nil {
-		event.Log(c.log, event.ConfigUnreadable, log.Fields{"error": err.Error(), "from": from})
-		return
+// syncConfig announces a version that came into use, and sends the requests that
+// are due.
+func (c *controller) syncConfig() {
+	now := c.now()
+	if ok := c.config.tableAnswers.Get(); ok != nil {
+		c.config.sync.TableAnswered(*ok, now)
 	}
-	if c.config.current != nil && next.Version <= c.config.current.Version {
-		return
+	if installed := c.config.installed.Get(); installed != nil && installed.version > c.config.announced {
+		c.config.announced = installed.version
+		c.config.sync.Installed(installed.version, now)
+		for _, l := range c.entryLinks() {
+			c.announceConfig(l)
+		}
 	}
-	c.config.current, c.config.raw = next, raw
-	c.config.inUse.Set(next)
-	event.Log(c.log, event.ConfigInForce, log.Fields{"version": next.Version, "from": from, "queues": len(next.Queues)})
-	c.sendToEntries(&msg.ConfigAnnounced{Version: next.Version, Raw: raw})
-}
-
-const (
-	configWait           = 700 * time.Millisecond
-	configRetryInterval  = 150 * time.Millisecond
-	configRereadInterval = 3 * time.Second // in case a watch misses a change
-	configTimeout        = 600 * time.Millisecond
-)
-
-// watchConfig passes changes of the configuration in the table service to the
-// controller until ctx ends.
-func (c *controller) watchConfig(ctx context.Context) error {
-	w := configWatch{controller: c}
-	for ctx.Err() == nil {
-		if !w.poll(ctx) && !actor.Sleep(ctx, configRetryInterval) {
-			return nil
+	c.config.sync.Tick(now)
+	for _, r := range c.config.sync.Requests() {
+		if l := c.entryLink(r.Peer); l != nil {
+			c.send(l, &msg.ConfigRequest{Have: model.ConfigVersion(r.Have)})
 		}
 	}
-	return nil
-}
-
-// configWatch is the state of the actor that watches the configuration.
-type configWatch struct {
-	controller    *controller
-	afterRevision table.Revision // of the next watch; 0: read the row first
-	forwarded     table.Revision // version of the row that was passed on
-	readAt        time.Time
 }
 
-// poll waits for a change or reads the row. It reports false if the caller has
-// to wait before the next poll, because the table service did not answer or
-// the row does not exist.
-func (w *configWatch) poll(ctx context.Context) bool {
-	if w.afterRevision == 0 || time.Since(w.readAt) > configRereadInterval {
-		return w.read(ctx)
-	}
-	limited, cancel := context.WithTimeout(ctx, configWait+configTimeout)
-	defer cancel()
-	src := w.controller.config.source
-	rows, revision, err := w.controller.storeProxy.store.Watch(limited, src.Prefix, w.afterRevision, configWait)
-	if err != nil {
-		w.afterRevision = 0
-		return errors.Is(err, storage.ErrCompacted)
+// announceConfig sends the version in use to an entry, and the configuration too
+// if the entry cannot request it.
+func (c *controller) announceConfig(l *peerLink) {
+	installed := c.config.installed.Get()
+	if installed == nil {
+		return
 	}
-	w.afterRevision = revision
-	for _, row := range rows {
-		if row.Key == src.Key && !row.Deleted {
-			w.forward(ctx, row)
-		}
+	m := &msg.ConfigAnnounced{Version: installed.version}
+	if !l.hello.RequestsConfig {
+		m.Raw = installed.raw
 	}
-	return true
+	c.send(l, m)
 }
 
-// read reads the row of the configuration and the revision to watch from.
-func (w *configWatch) read(ctx context.Context) bool {
-	limited, cancel := context.WithTimeout(ctx, configTimeout)
-	defer cancel()
-	src := w.controller.config.source
-	rows, revision, err := w.controller.storeProxy.store.Scan(limited, src.Key, 0)
-	if err != nil {
-		return false
+// configAnnounced applies a version that a peer announces, or its answer to a
+// request. Peers that do not set RequestsConfig send each version whole.
+func (c *controller) configAnnounced(l *peerLink, m *msg.ConfigAnnounced) {
+	if l.hello.RequestsConfig {
+		c.config.sync.Announced(l.hello.Member.Name, m.Version, c.now())
 	}
-	w.readAt = time.Now()
-	// The watch continues from the newest revision of the table: the version
-	// of the configuration's row may be older than the service's history.
-	w.afterRevision = max(w.afterRevision, revision)
-	for _, row := range rows {
-		if row.Key == src.Key {
-			w.forward(ctx, row)
-			return true
-		}
+	if len(m.Raw) > 0 && m.Version > c.config.announced {
+		// If the mailbox is full, the request is repeated.
+		c.config.installer.TrySend(newEncodedConfig(m.Raw, m.Version, fromPeer))
 	}
-	return false
 }
 
-// forward passes the row to the controller unless it was passed on before.
-func (w *configWatch) forward(ctx context.Context, row table.Row) {
-	if row.Version <= w.forwarded {
-		return
+// configRequested sends the configuration in use to a peer that has a lower
+// version.
+func (c *controller) configRequested(l *peerLink, m *msg.ConfigRequest) {
+	if installed := c.config.installed.Get(); installed != nil && installed.version > uint64(m.Have) {
+		c.send(l, &msg.ConfigAnnounced{Version: installed.version, Raw: installed.raw})
 	}
-	w.forwarded = row.Version
-	w.controller.post(ctx, &configRead{row.Value})
 }
--- /dev/null
+++ b/internal/jobdaemon/configinstall.go
@@ -0,0 +1,104 @@
+package jobdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooscale/bambooscale/internal/event"
+)
+
+// installerMailbox is small: what waits in it is replaced by a newer version.
+const installerMailbox = 4
+
+// Origins of an encoded configuration.
+const (
+	fromStore = "store"
+	fromPeer  = "peer"
+)
+
+// encodedConfig is a configuration in the operators' encoding.
+type encodedConfig struct {
+	raw        []byte
+	version    uint64 // 0: not decoded yet
+	from       string
+	receivedAt time.Time
+}
+
+func newEncodedConfig(raw []byte, version uint64, from string) *encodedConfig {
+	return &encodedConfig{raw: raw, version: version, from: from, receivedAt: time.Now()}
+}
+
+// configInstaller is the actor that decodes configurations and brings the
+// highest version into use. A large configuration takes tens of milliseconds of
+// a small entry's processor, so neither the controller nor the watcher decodes.
+type configInstaller struct {
+	state   *configState
+	log     log.Interface
+	metrics *entryMetrics
+	version uint64 // in use
+}
+
+func (i *configInstaller) run(ctx context.Context, in <-chan *encodedConfig) error {
+	for {
+		select {
+		case m := <-in:
+			queued := []*encodedConfig{m}
+			for len(in) > 0 {
+				queued = append(queued, <-in)
+			}
+			for _, e := range newestConfigs(queued) {
+				i.install(e)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// newestConfigs returns those of the received configurations that may be the
+// newest: the last one that was read, whose version is not known, and the
+// highest version that a peer sent.
+func newestConfigs(received []*encodedConfig) []*encodedConfig {
+	var read, sent *encodedConfig
+	for _, e := range received {
+		switch {
+		case e.version == 0:
+			read = e
+		case sent == nil || e.version > sent.version:
+			sent = e
+		}
+	}
+	var newest []*encodedConfig
+	for _, e := range []*encodedConfig{read, sent} {
+		if e != nil {
+			newest = append(newest, e)
+		}
+	}
+	return newest
+}
+
+// install decodes a configuration and brings it into use if its version is
+// higher than the present one.
+func (i *configInstaller) install(e *encodedConfig) {
+	if e.version != 0 && e.version <= i.version {
+		return
+	}
+	config, err := i.state.source.Decode(e.raw)
+	if err != nil {
+		event.Log(i.log, event.ConfigUnreadable, log.Fields{"error": err.Error(), "from": e.from})
+		return
+	}
+	if config.Version <= i.version {
+		return
+	}
+	i.version, e.version = config.Version, config.Version
+	i.state.inUse.Set(config)
+	i.state.installed.Set(e)
+	delay := time.Since(e.receivedAt)
+	i.metrics.recordConfig(e.from, delay)
+	event.Log(i.log, event.ConfigInForce, log.Fields{
+		"version": config.Version, "from": e.from, "queues": len(config.Queues), "bytes": len(e.raw), "install-ms": delay.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/jobdaemon/configwatch.go
@@ -0,0 +1,95 @@
+package jobdaemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/storage"
+	"github.com/bambooscale/bambooscale/internal/table"
+)
+
+const (
+	configWait           = 700 * time.Millisecond
+	configRetryInterval  = 150 * time.Millisecond
+	configRereadInterval = 3 * time.Second // in case a watch misses a change
+	configTimeout        = 600 * time.Millisecond
+)
+
+// watchConfig passes changes of the configuration in the table service to the
+// installer until ctx ends.
+func (c *controller) watchConfig(ctx context.Context) error {
+	w := configWatch{controller: c}
+	for ctx.Err() == nil {
+		if !w.poll(ctx) && !actor.Sleep(ctx, configRetryInterval) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// configWatch is the state of the actor that watches the configuration.
+type configWatch struct {
+	controller    *controller
+	afterRevision table.Revision // of the next watch; 0: read the row first
+	forwarded     table.Revision // version of the row that was passed on
+	readAt        time.Time
+}
+
+// poll waits for a change or reads the row. It reports false if the caller has
+// to wait before the next poll, because the table service did not answer or
+// the row does not exist.
+func (w *configWatch) poll(ctx context.Context) bool {
+	if w.afterRevision == 0 || time.Since(w.readAt) > configRereadInterval {
+		return w.read(ctx)
+	}
+	limited, cancel := context.WithTimeout(ctx, configWait+configTimeout)
+	defer cancel()
+	src := w.controller.config.source
+	rows, revision, err := w.controller.storeProxy.store.Watch(limited, src.Prefix, w.afterRevision, configWait)
+	w.controller.config.tableAnswers.Set(new(err == nil || errors.Is(err, storage.ErrCompacted)))
+	if err != nil {
+		w.afterRevision = 0
+		return errors.Is(err, storage.ErrCompacted)
+	}
+	w.afterRevision = revision
+	w.forwardConfig(ctx, rows)
+	return true
+}
+
+// read reads the row of the configuration and the revision to watch from.
+func (w *configWatch) read(ctx context.Context) bool {
+	limited, cancel := context.WithTimeout(ctx, configTimeout)
+	defer cancel()
+	src := w.controller.config.source
+	rows, revision, err := w.controller.storeProxy.store.Scan(limited, src.Key, 0)
+	w.controller.config.tableAnswers.Set(new(err == nil))
+	if err != nil {
+		return false
+	}
+	w.readAt = time.Now()
+	// The watch continues from the newest revision of the table: the version
+	// of the configuration's row may be older than the service's history.
+	w.afterRevision = max(w.afterRevision, revision)
+	return w.forwardConfig(ctx, rows)
+}
+
+// forwardConfig passes the newest of the configuration's rows to the installer
+// unless it was passed on before. It reports whether there is such a row. It
+// waits while the installer is busy, so that the next watch returns only the
+// newest of several versions.
+func (w *configWatch) forwardConfig(ctx context.Context, rows []table.Row) bool {
+	var newest *table.Row
+	for i := range rows {
+		row := &rows[i]
+		if row.Key == w.controller.config.source.Key && !row.Deleted && (newest == nil || row.Version > newest.Version) {
+			newest = row
+		}
+	}
+	if newest != nil && newest.Version > w.forwarded {
+		w.forwarded = newest.Version
+		_ = w.controller.config.installer.Send(ctx, newEncodedConfig(newest.Value, 0, fromStore)) // an error means that the process ends
+	}
+	return newest != nil
+}
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -124,8 +124,6 @@
 		c.phaseQuery(m)
 	case *queueLengthQuery:
 		m.reply.Put(c.phases.queued[m.queue])
-	case *configRead:
-		c.configRead(m)
 	case *membersRead:
 		c.addMembers(m.entries)
 	case *peerCommitRequest:
@@ -135,9 +133,11 @@
 	}
 }
 
-// flush applies the decisions of the ownership and of the jobs.
+// flush applies the decisions of the ownership, of the configuration and of the
+// jobs.
 func (c *controller) flush() {
 	c.ownershipEffects()
+	c.syncConfig()
 	if c.jobs == nil || c.loading {
 		return
 	}
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -33,9 +33,7 @@
 	c.owner.PeerUp(name)
 	c.addMembers([]msg.Member{m.hello.Member})
 	c.publishLinked()
-	if c.config.current != nil {
-		c.send(l, &msg.ConfigAnnounced{Version: c.config.current.Version, Raw: c.config.raw})
-	}
+	c.announceConfig(l)
 	if c.jobs != nil {
 		c.send(l, &msg.OwnerClaim{Epoch: c.jobs.Epoch(), Owner: c.self.Name})
 		c.send(l, &msg.JobPhases{Epoch: c.jobs.Epoch(), Full: true, Jobs: c.jobs.AllPhases()})
@@ -76,6 +74,7 @@
 	c.peerCommits.linkDown(name)
 	if c.entryLink(name) == nil {
 		c.owner.PeerDown(name, c.now())
+		c.config.sync.PeerDown(name, c.now())
 	}
 	c.publishLinked()
 }
@@ -101,7 +100,9 @@
 	case *msg.OwnerClaim:
 		c.owner.OwnerObserved(m.Owner, m.Epoch, c.now())
 	case *msg.ConfigAnnounced:
-		c.configAnnounced(m)
+		c.configAnnounced(l, m)
+	case *msg.ConfigRequest:
+		c.configRequested(l, m)
 	case *msg.StoreCall:
 		c.commitForPeer(l, m)
 	case *msg.StoreResult:
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -57,7 +57,7 @@
 		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
 	}
 	configInUse := &actor.Value[workload.Config]{}
-	c.config = &configState{source: cfg.Config, inUse: configInUse}
+	c.config = newConfigState(g, c, cfg.Config, configInUse)
 	c.storeProxy = &storeProxy{store: cfg.Store, commitViaPeer: c.commitViaPeer, log: cfg.Log}
 	c.address = actor.Spawn(g, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: c.run})
 	if err := c.startLinks(cfg); err != nil {
@@ -84,7 +84,7 @@
 
 func (c *controller) startLinks(cfg EntryConfig) error {
 	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello {
-		h := &msg.PeerHello{Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre}
+		h := &msg.PeerHello{Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true}
 		if epoch := c.published.epoch.Get(); epoch != nil {
 			h.Epoch = *epoch
 		}
--- a/internal/jobdaemon/metrics.go
+++ b/internal/jobdaemon/metrics.go
@@ -30,6 +30,12 @@
 	m.scope.Tagged(map[string]string{"queue": queue, "outcome": outcome}).Counter("submitted_total").Inc(1)
 }
 
+// recordConfig records how long a configuration took from its arrival, from the
+// table service or a peer, until it was in use.
+func (m *entryMetrics) recordConfig(from string, d time.Duration) {
+	m.scope.Tagged(map[string]string{"from": from}).Histogram("config_install_seconds", metrics.LatencyBuckets).RecordDuration(d)
+}
+
 // countDecision counts a decision of the owner.
 func (m *entryMetrics) countDecision(d jobs.Decision) {
 	switch d.Kind {
--- a/internal/jobdaemon/metrics_test.go
+++ b/internal/jobdaemon/metrics_test.go
@@ -26,12 +26,13 @@
 		m.countDecision(jobs.Decision{Kind: jobs.RunOrdered, Age: time.Millisecond})
 		m.countDecision(jobs.Decision{Kind: jobs.RunEnded, Detail: "done"})
 		m.countDecision(jobs.Decision{Kind: jobs.JobEnded, Detail: "completed", Age: time.Second})
+		m.recordConfig(fromPeer, time.Millisecond)
 		time.Sleep(3 * time.Second)
 		w := httptest.NewRecorder()
 		r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 		for _, name := range []string{
 			"bambooscale_jobs_submitted_total", "bambooscale_jobs_runs_over_total", "bambooscale_jobs_jobs_over_total",
-			"bambooscale_jobs_run_wait_seconds", "bambooscale_jobs_job_seconds",
+			"bambooscale_jobs_run_wait_seconds", "bambooscale_jobs_job_seconds", "bambooscale_jobs_config_install_seconds",
 		} {
 			require.Contains(t, w.Body.String(), name)
 		}
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -21,6 +21,9 @@
 	Boot       uint64
 	DataCentre workload.DataCentre
 	Epoch      uint64 // highest epoch of an owner that the sender knows
+	// RequestsConfig says that the sender answers ConfigRequest, and requests
+	// configurations that are announced to it by their version.
+	RequestsConfig bool
 }
 
 // Members lists the entries that the sender knows.
@@ -174,7 +177,9 @@
 	Jobs  []JobPhase
 }
 
-// ConfigAnnounced sends the operators' configuration from one entry to another.
+// ConfigAnnounced sends the version of the operators' configuration in use from
+// one entry to another. Raw is empty if the receiver can request it with
+// ConfigRequest.
 type ConfigAnnounced struct {
 	Version uint64
 	Raw     []byte // in the encoding of the store
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -17,6 +17,7 @@
 	case *msg.PeerHello:
 		p.Kind = &pb.Control_PeerHello{PeerHello: &pb.PeerHello{
 			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
+			RequestsConfig: m.RequestsConfig,
 		}}
 	case *msg.Members:
 		p.Kind = &pb.Control_Members{Members: &pb.Members{Entries: mapSlice(m.Entries, memberToProto)}}
@@ -83,7 +84,7 @@
 		h := k.PeerHello
 		return &msg.PeerHello{
 			Member: memberFromProto(h.GetMember()), Agent: h.GetAgent(), Boot: h.GetBoot(),
-			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(),
+			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(), RequestsConfig: h.GetRequestsConfig(),
 		}, nil
 	case *pb.Control_Members:
 		return &msg.Members{Entries: mapSlice(k.Members.GetEntries(), memberFromProto)}, nil
