jobdaemon: test that one entry can serve a version to all others

Guards against entries that all request a version from the only one that reads the store, while its connection of 10 Mbit/s is full of answers: 15 of 16 entries are cut off. The answers alone take 2.4 s if one entry sends all 15; entries that have the version answer the repeated requests of others.

--- a/internal/jobdaemon/configstorm_test.go
+++ b/internal/jobdaemon/configstorm_test.go
@@ -381,6 +381,34 @@
 	return n
 }
 
+// Guards against entries that all request a version from the only one that has
+// it, again and again while its connection is full of the first answers.
+func TestOneEntryThatReadsTheTableServiceServesTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newConfigSite(t)
+		defer s.stop()
+		for _, e := range s.entries[:len(s.entries)-1] {
+			e.client.cut.Set(new(true))
+		}
+		time.Sleep(2 * time.Second) // the watches in progress fail
+		before := s.peerBytes()
+		start := time.Now()
+		s.table.put(2)
+		for !s.inForce(2) && time.Since(start) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("time until the version was in force everywhere: %v", time.Since(start))
+		require.LessOrEqual(t, time.Since(start), inForceTimeout)
+		time.Sleep(5 * time.Second) // repeated answers that are still on the way
+		total := 0
+		for i, n := range s.peerBytes() {
+			total += n - before[i]
+		}
+		t.Logf("configurations sent: %.1f", float64(total)/configBytes)
+		require.Less(t, total, 2*len(s.entries)*configBytes)
+	})
+}
+
 // Guards against entries that do not receive a new version while they are cut
 // off from the table service, and against peers that send each version to them
 // more than once.
