jobdaemon: share the repeated reads of the configuration among entries

Cause: each entry reads the whole row every 3 s in case its watch misses a change. With 203 KB (270 KB in base64) these are 90 KB/s for each entry; a daemon's control may take 11 KB/s. The reads compete with a new version for a connection of 10 Mbit/s.

Change: the interval of an entry is 3 s for itself and 3 s, within a quarter, for each linked entry, so that one of them reads every 3 s on average; what it finds it announces. An entry without links reads every 3 s as before.

That a watch misses a change was not seen; the store's pages exclude it. Seen in a trial with a log of each watch: when the store drops its history, watches in progress are not answered at all and end with their time-out, 1.3 s after they began.

--- a/internal/jobdaemon/config_test.go
+++ b/internal/jobdaemon/config_test.go
@@ -52,6 +52,7 @@
 		c := &controller{
 			config:     &configState{source: ConfigSource{Key: "op//config", Prefix: "op//"}},
 			storeProxy: &storeProxy{store: store},
+			published:  &published{},
 			address: actor.Spawn(g, actor.Spec[any]{Name: "sink", Mailbox: 1, Run: func(ctx context.Context, in <-chan any) error {
 				for {
 					select {
@@ -100,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &failingWatchTable{}
 		ctx, cancel := context.WithCancel(t.Context())
-		c := &controller{config: &configState{source: ConfigSource{Key: "op//config", Prefix: "op//"}}, storeProxy: &storeProxy{store: store}}
+		c := &controller{config: &configState{source: ConfigSource{Key: "op//config", Prefix: "op//"}}, storeProxy: &storeProxy{store: store}, published: &published{}}
 		done := make(chan error, 1)
 		go func() { done <- c.watchConfig(ctx) }()
 		const duration = 20 * time.Second
--- a/internal/jobdaemon/configstorm_test.go
+++ b/internal/jobdaemon/configstorm_test.go
@@ -44,6 +44,7 @@
 	bytesPerSecond float64
 	in, out        chan struct{} // held during a transfer
 	peerBytes      int           // received from peers; owned by the holder of in
+	tableBytes     int           // received from the table service; owned by the holder of in
 }
 
 func newAccessLink(bytesPerSecond float64) *accessLink {
@@ -147,6 +148,9 @@
 	if err := c.access.transfer(ctx, c.access.in, len(value)*4/3); err != nil {
 		return nil, 0, storage.ErrUnavailable
 	}
+	c.access.in <- struct{}{}
+	c.access.tableBytes += len(value) * 4 / 3
+	<-c.access.in
 	return []table.Row{{Key: "op//config", Version: table.Revision(version), Value: value}}, table.Revision(version), nil
 }
 
@@ -371,6 +375,33 @@
 	})
 }
 
+// Guards against reading a large configuration again and again while it does not
+// change: with a read every 3 s it took 90 KB/s.
+func TestUnchangedConfigurationIsReadWithinTheControlRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newConfigSite(t)
+		defer s.stop()
+		s.table.put(2)
+		time.Sleep(30 * time.Second) // the first reads come sooner, as few entries are linked
+		before := s.tableBytes()
+		const duration = 2 * time.Minute
+		time.Sleep(duration)
+		for i, n := range s.tableBytes() {
+			require.LessOrEqual(t, float64(n-before[i]), duration.Seconds()*controlRate, s.entries[i].controller.self.Name)
+		}
+	})
+}
+
+func (s *configSite) tableBytes() []int {
+	var n []int
+	for _, e := range s.entries {
+		e.access.in <- struct{}{}
+		n = append(n, e.access.tableBytes)
+		<-e.access.in
+	}
+	return n
+}
+
 func (s *configSite) peerBytes() []int {
 	var n []int
 	for _, e := range s.entries {
--- a/internal/jobdaemon/configwatch.go
+++ b/internal/jobdaemon/configwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
@@ -11,9 +12,12 @@
 )
 
 const (
-	configWait           = 700 * time.Millisecond
-	configRetryInterval  = 150 * time.Millisecond
-	configRereadInterval = 3 * time.Second // in case a watch misses a change
+	configWait          = 700 * time.Millisecond
+	configRetryInterval = 150 * time.Millisecond
+	// configRereadInterval is the mean interval at which one of the linked entries
+	// reads the row, in case all watches miss a change. An entry that finds a
+	// higher version announces it to the others.
+	configRereadInterval = 3 * time.Second
 	configTimeout        = 600 * time.Millisecond
 )
 
@@ -34,14 +38,26 @@
 	controller    *controller
 	afterRevision table.Revision // of the next watch; 0: read the row first
 	forwarded     table.Revision // version of the row that was passed on
-	readAt        time.Time
+	rereadAt      time.Time
+}
+
+// rereadInterval returns the time until this entry reads the row again. The part
+// for the other entries is random within a quarter, so that entries that start
+// together do not read together.
+func (w *configWatch) rereadInterval() time.Duration {
+	linked := w.controller.published.linked.Get()
+	if linked == nil || len(*linked) == 0 {
+		return configRereadInterval
+	}
+	others := time.Duration(len(*linked)) * configRereadInterval
+	return configRereadInterval + others - others/4 + rand.N(others/2)
 }
 
 // poll waits for a change or reads the row. It reports false if the caller has
 // to wait before the next poll, because the table service did not answer or
 // the row does not exist.
 func (w *configWatch) poll(ctx context.Context) bool {
-	if w.afterRevision == 0 || time.Since(w.readAt) > configRereadInterval {
+	if w.afterRevision == 0 || time.Now().After(w.rereadAt) {
 		return w.read(ctx)
 	}
 	limited, cancel := context.WithTimeout(ctx, configWait+configTimeout)
@@ -71,7 +87,7 @@
 	if err != nil {
 		return false
 	}
-	w.readAt = time.Now()
+	w.rereadAt = time.Now().Add(w.rereadInterval())
 	// The watch continues from the newest revision of the table: the version
 	// of the configuration's row may be older than the service's history.
 	w.afterRevision = max(w.afterRevision, revision)
