control: pause before repeating a write after a conflict on its own row

Cause: writer.commit repeated at once, without end, while the table service reported that only the writer's own row had changed, because another process uses the row or a read returns an older version. Each repetition is two calls of the table service, as fast as it answers. Ruled out: readRejectedRows, which pauses before each repetition. Change: the repetition waits for the same backoff as after an error. Test: TestWriterPausesBetweenConflictsOnItsRow measured a pause of 0s before the change in virtual time and passes after it, three of three. go test -race -p 2 of control and explore: ok.

--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -66,10 +66,9 @@
 		if done || ctx.Err() != nil {
 			return rev, errors.CombineErrors(err, ctx.Err())
 		}
-		if err == nil {
-			continue // only the writer's own row had changed
+		if err != nil { // otherwise only the writer's own row had changed
+			event.Log(w.log, event.ControlStoreError, log.Fields{"operation": op, "error": err.Error()})
 		}
-		event.Log(w.log, event.ControlStoreError, log.Fields{"operation": op, "error": err.Error()})
 		if !actor.Sleep(ctx, jitter(delay)) {
 			return 0, ctx.Err()
 		}
