hostagent: space polls whose answers are ignored

Cause: a backend server answers a poll at once while it has unacknowledged ends. After all leases of an incarnation have expired without an answer the agent ignores its poll answers until it announces itself again, so it records none of the ends and the next poll follows without a pause. The runs of such a backend server have just ended, so ends are the rule. Change: NextPoll also waits unacknowledgedPause after an ignored answer of the present incarnation. Test: TestPollsAreSpacedWhileTheirAnswersAreIgnored failed before the change with a pause of 0s. go test -race -p 2 of hostagent, jobdaemon, platform and explore: ok.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -58,7 +58,7 @@
 // server.
 func (c *Core) startIncarnation() {
 	c.removeRuns()
-	c.ended, c.polled, c.polledMS = false, false, 0
+	c.ended, c.polled, c.polledMS, c.pollIgnored = false, false, 0, false
 	c.announcement, c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, 0, nil
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0
 	c.changed = msg.RunsChanged{}
@@ -110,10 +110,11 @@
 
 // NextPoll returns the next poll of the backend server. A backend server
 // answers at once while it has unacknowledged ends, so the polls are spaced by
-// unacknowledgedPause until the owner has stored the ends.
+// unacknowledgedPause until the owner has stored the ends, and while the agent
+// ignores the answers, which may contain ends.
 func (c *Core) NextPoll() Poll {
 	poll := Poll{Target: c.target(), Request: runner.PollRequest{Acknowledged: c.acknowledged, LeaseMS: c.leaseMS(), Wait: pollWait}, StartedAtMS: c.host.StartedAtMS}
-	if len(c.unacknowledged) > 0 {
+	if len(c.unacknowledged) > 0 || c.pollIgnored {
 		poll.Pause = unacknowledgedPause
 	}
 	return poll
@@ -127,7 +128,7 @@
 func (c *Core) PollAnswered(target runner.Target, startedAtMS int64, response runner.PollResponse, err error) {
 	c.answered(startedAtMS, response.ClockMS, err)
 	if err == nil && startedAtMS == c.host.StartedAtMS && !c.ended {
-		c.applyPoll(target, response)
+		c.pollIgnored = !c.applyPoll(target, response)
 	}
 }
 
@@ -171,14 +172,15 @@
 func FirstToken(unixMS int64) uint64 { return uint64(unixMS) << tokenShift }
 
 // applyPoll applies the runs and ends of a poll response. Responses of another
-// incarnation, or older than the newest one, are ignored.
-func (c *Core) applyPoll(target runner.Target, response runner.PollResponse) {
+// incarnation, or older than the newest one, and those of an unavailable host
+// are ignored; applyPoll then reports false.
+func (c *Core) applyPoll(target runner.Target, response runner.PollResponse) bool {
 	if response.StartedAtMS != 0 && response.StartedAtMS != c.host.StartedAtMS || response.ClockMS < c.polledMS {
-		return
+		return false
 	}
 	c.polledMS = response.ClockMS
 	if c.host.State == workload.HostUnavailable {
-		return // only an announcement makes the host available again
+		return false // only an announcement makes the host available again
 	}
 	c.applyEnds(response.Ended)
 	running := map[workload.RunID]bool{}
@@ -198,6 +200,7 @@
 	}
 	c.throttle()
 	c.report()
+	return true
 }
 
 // maxEndsPerPoll is the maximum number of ends in one poll response. A response
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -111,6 +111,7 @@
 	clock              clock
 	polled             bool  // this incarnation has answered a poll
 	polledMS           int64 // clock of the newest poll response
+	pollIgnored        bool  // the newest poll response was ignored
 	leaseEndMS         int64 // end of the owner's lease, in the backend server's clock
 	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
 	connectionRefusals int   // consecutive refused connections
--- a/internal/hostagent/core_test.go
+++ b/internal/hostagent/core_test.go
@@ -189,6 +189,24 @@
 	require.EqualValues(t, 1, h.core.NextPoll().Request.Acknowledged)
 }
 
+// Guards against polls in a busy loop while the agent ignores the answers: after
+// the leases of an incarnation have expired, its backend server has
+// unacknowledged ends and answers at once, until it announces itself again.
+func TestPollsAreSpacedWhileTheirAnswersAreIgnored(t *testing.T) {
+	h := newHarness(t)
+	h.prepare()
+	h.start(ownerLink, 1, 0, 1500)
+	h.answer(h.lastCall(), 0, nil)
+	h.core.NextPoll() // carries a lease, and is not answered
+	h.advance(10 * time.Second)
+	require.Equal(t, workload.HostUnavailable, h.core.Host().State)
+	h.answerPoll(nil, msg.RunEnd{Number: 1, Run: runID(0)})
+	require.Equal(t, unacknowledgedPause, h.core.NextPoll().Pause)
+	h.announce(1, workload.HostReady, 2)
+	h.answerPoll(nil)
+	require.Zero(t, h.core.NextPoll().Pause)
+}
+
 // Guards against runs that continue after the owner's lease has expired:
 // without a new grant no call extends the lease beyond the last one.
 func TestLeaseEndsWithTheOwnersGrant(t *testing.T) {
