link: end the waits on streams before the session is shut down

Cause: after nothing blocks between the shutdown of a session and the end of its streams, but waits still busy-wait in that time and compete for the locks of the streams, which the end of the streams needs. Change: the link's actor keeps the set of open streams. When the link ends, for whatever reason, it sets a deadline in the past on each, which ends the waits; only then does it close the socket, and only then does a failed read return to the session's receive loop. What a stream has received is still returned first. An end of a wait after the end of the link is the link's error, as before. The exception is a violation of yamux's own protocol, which the session itself finds.

--- a/internal/link/busywait_test.go
+++ b/internal/link/busywait_test.go
@@ -218,3 +218,37 @@
 		})
 	}
 }
+
+// Guards against a session that is shut down while goroutines wait on its
+// streams. They busy-wait until its streams are closed, and the locks of the
+// streams, for which they compete, delay that.
+func TestWaitsEndBeforeTheSessionIsShutDown(t *testing.T) {
+	for name, end := range map[string]func(heldLink){
+		"link is closed":   func(l heldLink) { _ = l.conn.Close() },
+		"group is stopped": func(l heldLink) { l.conn.group.Stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newHeldLink(t)
+			waiters := l.startWaiters(t)
+			l.sock.holdClose.Store(true)
+			ended := make(chan struct{})
+			go func() {
+				end(l)
+				close(ended)
+			}()
+			<-l.sock.held
+			requireIdle(t, waiters)
+			require.False(t, l.conn.mux.IsClosed())
+			for _, w := range waiters {
+				select {
+				case err := <-w.result:
+					require.ErrorIs(t, err, ErrClosed, w.name)
+				default:
+					require.Fail(t, "still waits", w.name)
+				}
+			}
+			l.sock.release()
+			<-ended
+		})
+	}
+}
--- a/internal/link/mux.go
+++ b/internal/link/mux.go
@@ -47,33 +47,46 @@
 // socket. ctx ends with the link; its cause is the first error of the link.
 type muxConn struct {
 	remote  string
-	mux     *yamux.Session
+	mux     *session
 	control *yamux.Stream
 	in      envelopeReader // of the control stream
 	out     envelopeWriter // of the control stream
 	group   *actor.Group
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	streams chan streamChange
 	done    <-chan struct{} // closed when the link's actor has ended
 }
 
 // newMuxConn starts the actor of a link in g. The actor takes ownership of sock
 // and mux.
-func newMuxConn(g *actor.Group, sock net.Conn, mux *yamux.Session, control *yamux.Stream) *muxConn {
+func newMuxConn(g *actor.Group, sock net.Conn, mux *session, control *yamux.Stream) *muxConn {
 	c := &muxConn{remote: sock.RemoteAddr().String(), mux: mux, control: control, group: g.Sub()}
 	c.in = envelopeReader{src: control, maxPayload: wire.MaxControl, maxBuffer: maxControlBuffer}
 	c.out = envelopeWriter{dst: control}
 	c.ctx, c.cancel = context.WithCancelCause(c.group.Context())
+	c.streams = make(chan streamChange, streamChanges)
+	readFailed, waitsEnded := make(chan error, 1), make(chan struct{})
 	c.done = actor.Go(c.group, "link", func(context.Context) error {
-		select {
-		case <-c.ctx.Done():
-		case <-mux.CloseChan():
-			_ = c.fail(io.EOF)
+		streams := c.trackStreams(readFailed)
+		for raw := range streams {
+			endWaits(raw)
 		}
+		close(waitsEnded)
 		_ = closeSession(sock, mux)
 		c.group.Cancel()
 		return nil
 	})
+	// The session is shut down only after the waits of its streams have been
+	// ended.
+	holdShutdown := func(err error) {
+		readFailed <- err // does not block: a session has one failed read
+		select {
+		case <-waitsEnded:
+		case <-c.done:
+		}
+	}
+	mux.readFailed.Set(&holdShutdown)
 	return c
 }
 
@@ -112,7 +125,7 @@
 // shutdownError returns the error with which a closed session ended.
 // AcceptStream of yamux returns it, but may first return streams that were not
 // accepted.
-func shutdownError(mux *yamux.Session) error {
+func shutdownError(mux *session) error {
 	err := yamux.ErrSessionShutdown
 	for range acceptBacklog + 1 {
 		if _, acceptErr := mux.AcceptStream(); acceptErr != nil && !errors.Is(acceptErr, yamux.ErrSessionShutdown) {
--- a/internal/link/muxstream.go
+++ b/internal/link/muxstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
@@ -20,6 +19,7 @@
 }
 
 func (c *muxConn) newStream(raw *yamux.Stream) *muxStream {
+	c.opened(raw)
 	return &muxStream{conn: c, raw: raw, in: envelopeReader{src: raw, maxPayload: wire.MaxFrame}, out: envelopeWriter{dst: raw}}
 }
 
@@ -47,11 +47,11 @@
 }
 
 // mapError maps an error of the yamux stream to an error of this package.
-// yamux returns io.EOF from all streams of a lost session; this must not be
-// mistaken for an orderly end.
+// yamux returns io.EOF or ErrTimeout from all streams of a lost session; this must
+// not be mistaken for an orderly end.
 func (s *muxStream) mapError(err error) error {
 	switch {
-	case s.conn.mux.IsClosed():
+	case s.conn.mux.IsClosed(), s.conn.ctx.Err() != nil:
 		return s.conn.fail(err)
 	case errors.Is(err, yamux.ErrConnectionWriteTimeout):
 		// yamux may still write the bytes later, so the two sides may no
@@ -69,6 +69,7 @@
 // Receive return ErrClosed; Close of yamux wakes neither while the socket
 // accepts no bytes.
 func (s *muxStream) Close() error {
-	_ = s.raw.SetDeadline(time.Unix(1, 0))
+	endWaits(s.raw)
+	s.conn.closed(s.raw)
 	return s.raw.Close()
 }
--- a/internal/link/sessionconn.go
+++ b/internal/link/sessionconn.go
@@ -5,26 +5,51 @@
 	"net"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
 )
 
-// sessionConn is the socket as a yamux session sees it. It makes every end of a
-// session begin in the session's receive loop, and lets nothing block between
-// the shutdown of the session and the end of its streams.
+// sessionConn is the socket as a yamux session sees it. It orders the end of a
+// session so that no goroutine waits on a stream of a session that is shut down.
 //
 // A Read or Write of a yamux stream that has to wait returns to the start of its
 // wait again and again while the session is shut down and the stream is not
 // closed. The session shuts down, closes its socket, waits for its receive loop
-// and then closes its streams. When the receive loop itself ends the session and
-// Close returns at once, the streams are closed without a wait in between.
+// and then closes its streams. Here every end of a session begins in its receive
+// loop, whose Read returns its error only after the link's actor has ended the
+// waits by a deadline, and Close returns at once. Only when the peer violates the
+// protocol of yamux does the session shut down before the waits are ended; no
+// call of the socket then lies between its shutdown and the end of its streams.
 type sessionConn struct {
 	joinedConn
 	ended chan struct{} // closed by Close
+	// readFailed is called before Read returns an error. Unset: it is not called.
+	readFailed *actor.Value[func(error)]
 }
 
 // newMux starts a yamux session over sock with yamux.Client or yamux.Server.
 // The session does not close sock; see closeSession.
-func newMux(sock net.Conn, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*yamux.Session, error) {
-	return start(&sessionConn{joinedConn: joinedConn{Conn: sock}, ended: make(chan struct{})}, muxConfig())
+func newMux(sock net.Conn, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*session, error) {
+	c := &sessionConn{joinedConn: joinedConn{Conn: sock}, ended: make(chan struct{}), readFailed: &actor.Value[func(error)]{}}
+	mux, err := start(c, muxConfig())
+	return &session{mux, c.readFailed}, err
+}
+
+// session is a yamux session over a sessionConn.
+type session struct {
+	*yamux.Session
+	readFailed *actor.Value[func(error)] // of the sessionConn
+}
+
+// Read calls readFailed before it returns an error, which ends the session.
+func (c *sessionConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		if f := c.readFailed.Get(); f != nil {
+			(*f)(err)
+		}
+	}
+	return n, err
 }
 
 // Write closes the socket after an error and returns when the receive loop, whose
@@ -48,7 +73,7 @@
 
 // closeSession ends a session from outside: it closes the socket, which makes
 // the receive loop end the session, and waits until the session has ended.
-func closeSession(sock net.Conn, mux *yamux.Session) error {
+func closeSession(sock net.Conn, mux *session) error {
 	err := sock.Close()
 	<-mux.CloseChan()
 	if closeErr := mux.Close(); closeErr != nil {
--- a/internal/link/tcp.go
+++ b/internal/link/tcp.go
@@ -52,7 +52,7 @@
 
 // dialHandshake exchanges preambles, starts the yamux client and opens the
 // control stream. It takes ownership of sock and closes it on an error.
-func dialHandshake(ctx context.Context, sock net.Conn) (*yamux.Session, *yamux.Stream, error) {
+func dialHandshake(ctx context.Context, sock net.Conn) (*session, *yamux.Stream, error) {
 	if err := exchangePreambles(ctx, sock); err != nil {
 		_ = sock.Close()
 		return nil, nil, err
@@ -72,7 +72,7 @@
 
 // acceptHandshake exchanges preambles, starts the yamux server and accepts the
 // control stream. It takes ownership of sock and closes it on an error.
-func acceptHandshake(ctx context.Context, sock net.Conn) (*yamux.Session, *yamux.Stream, error) {
+func acceptHandshake(ctx context.Context, sock net.Conn) (*session, *yamux.Stream, error) {
 	if err := exchangePreambles(ctx, sock); err != nil {
 		_ = sock.Close()
 		return nil, nil, err
--- a/internal/link/tcp_test.go
+++ b/internal/link/tcp_test.go
@@ -29,7 +29,7 @@
 
 // rawAgent connects with a correct handshake and returns the session and the
 // control stream, on which a test can send arbitrary bytes.
-func rawAgent(t *testing.T, address string) (*yamux.Session, *yamux.Stream) {
+func rawAgent(t *testing.T, address string) (*session, *yamux.Stream) {
 	t.Helper()
 	sock := rawDial(t, address)
 	mux, control, err := dialHandshake(t.Context(), sock)
