jobs: make the view of a host cheaper

Cause: with 2,000 steps waiting the end of one run costs 2,000 views, and each looked up the host's name, the step and the image.

Change: a host keeps whether it is in the stored list, and the counts by step and image are looked up only for steps that use them.

--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -72,6 +72,7 @@
 	endsAcknowledged     uint64          // number of the last end that was stored and acknowledged
 	health               health
 	inventoryStartedAtMS int64         // incarnation whose inventory was accepted; 0: none
+	stored               bool          // it is in the stored list of hosts
 	expected             bool          // runs of an earlier owner may go on there
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
 	idleSince            time.Duration // when all runs on the host had certainly ended
@@ -97,6 +98,7 @@
 		i := sort.Search(len(c.hostsByName), func(i int) bool { return c.hostsByName[i].info.Name >= name })
 		c.hostsByName = slices.Insert(c.hostsByName, i, h)
 		h.position = c.improved.PushFront(h)
+		h.stored = c.hostList.stored[name]
 		h.improve()
 	}
 	return h
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -46,11 +46,13 @@
 
 // hostsStored records the list that was stored.
 func (c *Core) hostsStored(hosts []workload.HostName) {
-	before := c.hostList.stored
 	c.hostList.stored = make(map[workload.HostName]bool, len(hosts))
 	for _, name := range hosts {
 		c.hostList.stored[name] = true
-		if h, ok := c.hosts[name]; ok && !before[name] {
+	}
+	for _, h := range c.hostsByName {
+		before := h.stored
+		if h.stored = c.hostList.stored[h.info.Name]; h.stored && !before {
 			h.improve()
 		}
 	}
@@ -62,7 +64,7 @@
 func (c *Core) ExpectHost(name workload.HostName) {
 	_, known := c.hosts[name]
 	h := c.host(name)
-	h.expected = true
+	h.expected, h.stored = true, true
 	c.hostList.stored[name] = true
 	if !known {
 		h.step(evExpect)
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -89,8 +89,15 @@
 func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.core.hostList.stored[h.info.Name], Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
-		SameStep: h.runsByStep[s], SameImage: h.servingByImage[s.spec.Image] > 0, Suspect: h.suspect(), Failing: h.failing(),
+		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.stored, Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
+		Suspect: h.suspect(), Failing: h.failing(),
+	}
+	// Only some steps need the counts that cost a look-up.
+	if s.spec.MaxPerHost > 0 || s.spec.Serves() {
+		v.SameStep = h.runsByStep[s]
+	}
+	if s.spec.Serves() {
+		v.SameImage = h.servingByImage[s.spec.Image] > 0
 	}
 	if s.spec.BestEffort && h.servingRuns > 0 {
 		v.BestEffortHeadroom = h.bestEffortHeadroom(s)
