link: test that what was received outlives the link

No test held the rule that messages and frames which a link has received, and nobody has read, are returned after the link is lost.

--- a/internal/link/tcp_test.go
+++ b/internal/link/tcp_test.go
@@ -238,3 +238,39 @@
 	require.ErrorIs(t, err, ErrClosed)
 	require.ErrorIs(t, p.agent.Send(&msg.Heartbeat{}), ErrClosed)
 }
+
+// Guards against the loss of messages and frames that had been received, and not
+// read, when the link was lost. They may be the last ones of a process that
+// stops.
+func TestReceivedMessagesOutliveTheLink(t *testing.T) {
+	_, l := tcpDialerAndListener(t, Config{})
+	sock := rawDial(t, l.Addr())
+	mux, control, err := dialHandshake(t.Context(), sock)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = closeSession(sock, mux) })
+	conn := accept(t, l)
+	stream, err := conn.OpenStream(t.Context())
+	require.NoError(t, err)
+	raw, err := mux.AcceptStream()
+	require.NoError(t, err)
+	out, frames := envelopeWriter{dst: control}, envelopeWriter{dst: raw}
+	const messages = 10
+	for range messages {
+		require.NoError(t, out.writeControl(&msg.Heartbeat{}))
+		require.NoError(t, frames.writeFrame(&msg.Started{}))
+	}
+	_, err = mux.Ping() // the answer follows the receipt of all bytes sent before
+	require.NoError(t, err)
+	require.NoError(t, sock.(*net.TCPConn).CloseWrite())
+	<-conn.(*muxConn).done
+	for range messages {
+		m, err := conn.Receive()
+		require.NoError(t, err)
+		require.IsType(t, &msg.Heartbeat{}, m)
+		receiveFrame[*msg.Started](t, stream)
+	}
+	_, err = conn.Receive()
+	require.ErrorIs(t, err, ErrClosed)
+	_, err = stream.Receive()
+	require.ErrorIs(t, err, ErrClosed)
+}
