hostagent: allow starts only after the answer to the newest inventory

Cause: an owner may claim a host twice on one link. The agent sent an inventory for each claim and took the answer to the first for that to the second. Starts that the owner ordered after the first inventory were carried out after the second had been sent, which does not list them. When the second arrived, the owner took these runs for lost and started their tasks again while they ran. What was ruled out: a second owner (both starts have epoch 6), a repeated start call (the run numbers differ), an expired lease. Evidence: the log of the agent shows two claims of epoch 6 within 13 ms, the log of the owner the second inventory 5 ms after the starts, and then four runs of this host as lost. Change: the answer repeats the clock of the inventory; the agent compares it with that of the newest inventory, and gives a second inventory of the same millisecond a clock that is one less. Starts before that are refused, and the owner orders them again. The harness of the tests answers with the clock of the newest inventory, as the owner does; before it sent the current clock. Why it works: links keep the order of messages, so a start that follows the answer to the newest inventory is ordered after the owner has applied it. Measured: TestAnswerToAFormerInventoryAllowsNoStarts failed before (1 start call, expected 0) and passes; tests of hostagent, jobs and jobdaemon pass.

--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -100,6 +100,7 @@
 	owner             LinkID // 0: none
 	inventoryAccepted bool   // the owner has the inventory, so it may start runs
 	inventorySent     bool
+	inventoryClockMS  int64 // ClockMS of the newest inventory, which its answer repeats
 
 	token          uint64
 	runs           map[workload.RunID]*run
--- a/internal/hostagent/core_test.go
+++ b/internal/hostagent/core_test.go
@@ -77,8 +77,10 @@
 	h.collect()
 }
 
+// acceptInventory answers the newest inventory as the owner does.
 func (h *harness) acceptInventory(from LinkID, epoch uint64) {
-	h.core.Received(from, &msg.InventoryAccepted{Epoch: epoch, ClockMS: h.clockMS()})
+	clocks := h.inventories()
+	h.core.Received(from, &msg.InventoryAccepted{Epoch: epoch, ClockMS: clocks[len(clocks)-1]})
 	h.collect()
 }
 
@@ -121,6 +123,40 @@
 	return list
 }
 
+// inventories returns the clocks of the inventories that were sent.
+func (h *harness) inventories() []int64 {
+	var list []int64
+	for _, m := range h.sends {
+		if i, ok := m.(*msg.HostInventory); ok {
+			list = append(list, i.ClockMS)
+		}
+	}
+	return list
+}
+
+// Guards against a run that the owner takes for lost while it starts: after a
+// second claim, the answer to the first inventory must not allow starts, because
+// the second inventory does not list them and arrives after they were ordered.
+func TestAnswerToAFormerInventoryAllowsNoStarts(t *testing.T) {
+	for _, between := range []time.Duration{0, 50 * time.Millisecond} {
+		h := newHarness(t)
+		h.announce(1, workload.HostReady, 1)
+		h.answerPoll(nil)
+		h.claim(ownerLink, 1)
+		h.advance(between)
+		h.claim(ownerLink, 1)
+		clocks := h.inventories()
+		require.Len(t, clocks, 2)
+		h.core.Received(ownerLink, &msg.InventoryAccepted{Epoch: 1, ClockMS: clocks[0]})
+		h.start(ownerLink, 1, 0, 1000)
+		require.Zero(t, h.startCalls())
+		require.Equal(t, []workload.RunID{runID(0)}, h.refused())
+		h.core.Received(ownerLink, &msg.InventoryAccepted{Epoch: 1, ClockMS: clocks[1]})
+		h.start(ownerLink, 1, 1, 1000)
+		require.Equal(t, 1, h.startCalls())
+	}
+}
+
 // Guards against starts beyond the host's capacity by an owner whose view of
 // the host is wrong, and against starts of an owner that was replaced.
 func TestStartBeyondCapacityOrFromReplacedOwnerIsRefused(t *testing.T) {
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -93,7 +93,12 @@
 	}
 	c.inventorySent = true
 	c.changed = msg.RunsChanged{}
-	m := &msg.HostInventory{Epoch: c.epoch, Host: c.host, ClockMS: c.clock.lowerBound(c.now), Ended: append([]msg.RunEnd(nil), c.unacknowledged...)}
+	clock := c.clock.lowerBound(c.now)
+	if clock == c.inventoryClockMS {
+		clock-- // tells the answers apart; an earlier time only shortens the lease
+	}
+	c.inventoryClockMS = clock
+	m := &msg.HostInventory{Epoch: c.epoch, Host: c.host, ClockMS: clock, Ended: append([]msg.RunEnd(nil), c.unacknowledged...)}
 	for _, r := range c.sorted() {
 		m.Runs = append(m.Runs, r.status())
 	}
@@ -101,7 +106,9 @@
 }
 
 // applyInventoryAccepted sets the sizes of runs that a former process of the
-// agent started, and allows starts.
+// agent started, and allows starts if the message answers the newest inventory.
+// The owner takes runs for lost that a later inventory does not list, so starts
+// that precede its answer must not be carried out.
 func (c *Core) applyInventoryAccepted(m *msg.InventoryAccepted) {
 	for _, s := range m.Sizes {
 		if r, ok := c.runs[s.Run]; ok {
@@ -109,7 +116,7 @@
 			r.size = s
 		}
 	}
-	c.inventoryAccepted = c.inventorySent
+	c.inventoryAccepted = c.inventorySent && m.ClockMS == c.inventoryClockMS
 	c.extendLease(m.ClockMS)
 }
 
