jobs: pause a host that refuses starts in succession

Cause: a refused task becomes ready again, and the host that refused it still has the most room by what the owner knows, so the start is ordered again as fast as the messages travel. Change: from the second refusal in succession on, the host gets no tasks for 100 ms; a start that is carried out ends the count. Test: TestRepeatedlyRefusedStartsAreOrderedWithAPause counted 102 starts before (the test's own limit) and 2 now, then one for each pause. TestRefusedStartIsPlannedAgain is unchanged.

--- a/internal/jobs/health.go
+++ b/internal/jobs/health.go
@@ -15,6 +15,10 @@
 	// probation is the time after the last failure during which a failing host
 	// gets no tasks.
 	probation = 3 * time.Second
+	// refusalPause is the time during which a host gets no tasks after its agent
+	// has refused starts repeatedly. The agent's next report or inventory shows
+	// what the owner does not know of the host.
+	refusalPause = 100 * time.Millisecond
 )
 
 // health counts the failures on a host.
@@ -39,6 +43,24 @@
 	}
 }
 
+// recordRefusal counts a refused start. From the second in succession on, the
+// host gets no tasks for refusalPause: what it refused fits by what the owner
+// knows, so without a pause the start would be ordered again at once.
+func (h *host) recordRefusal() {
+	h.refusals++
+	if h.refusals > 1 {
+		h.pausedUntil = h.core.now + refusalPause
+	}
+}
+
+// endPause ends the pause after repeated refusals if it is over.
+func (h *host) endPause() {
+	if h.pausedUntil != 0 && h.core.now >= h.pausedUntil {
+		h.pausedUntil = 0
+		h.improve()
+	}
+}
+
 // suspect reports whether the host has failed a run since its last completed
 // one. hostselect lowers the score of such a host.
 func (h *host) suspect() bool { return len(h.health.failedJobs) > 0 }
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -71,6 +71,8 @@
 	endsApplied          uint64          // number of the last end that was applied
 	endsAcknowledged     uint64          // number of the last end that was stored and acknowledged
 	health               health
+	refusals             int           // starts refused since one was carried out
+	pausedUntil          time.Duration // end of the pause after repeated refusals; 0: none
 	inventoryStartedAtMS int64         // incarnation whose inventory was accepted; 0: none
 	stored               bool          // it is in the stored list of hosts
 	expected             bool          // runs of an earlier owner may go on there
@@ -131,6 +133,7 @@
 		h.health.probation = false
 		h.improve()
 	}
+	h.endPause()
 	for _, r := range h.runs {
 		r.tick()
 	}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -255,6 +255,31 @@
 	require.Contains(t, h.started, runID("j", 0, 0, 2))
 }
 
+// Guards against a start that is ordered again without a pause while the agent
+// refuses it, because the owner does not know why the task does not fit.
+func TestRepeatedlyRefusedStartsAreOrderedWithAPause(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 4000))
+	h.core.Submit(newSpec("j", newStep(1, 1000)))
+	h.process()
+	refuse := func() {
+		for n := uint64(len(h.started)); ; n = uint64(len(h.started)) {
+			h.core.RunsChanged("a", &msg.RunsChanged{Epoch: 1, Instance: "i-a", StartedAtMS: 1, Refused: []workload.RunID{runID("j", 0, 0, n)}})
+			h.process()
+			if uint64(len(h.started)) == n || n > 100 {
+				return
+			}
+		}
+	}
+	refuse()
+	require.Len(t, h.started, 2)
+	for range 10 {
+		h.advance(refusalPause)
+		refuse()
+	}
+	require.Len(t, h.started, 12)
+}
+
 // Guards against a new owner that does not know a host which has runs: nothing
 // starts on a host before the host is in the stored list.
 func TestNothingStartsOnAHostThatIsNotStored(t *testing.T) {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -94,7 +94,7 @@
 func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.stored, Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
+		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.stored && h.pausedUntil == 0, Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
 		Suspect: h.suspect(), Failing: h.failing(),
 	}
 	// Only some steps need the counts that cost a look-up.
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -101,6 +101,7 @@
 
 func (r *run) noteStarted() {
 	r.startedAt = r.core().now
+	r.host.refusals = 0
 	r.task.step.job.step(evBegin)
 }
 
@@ -136,6 +137,7 @@
 func (r *run) settleRefused() {
 	c := r.core()
 	c.addDecision(Decision{Kind: RunEnded, Job: r.id.Task.Job, Run: r.id, Host: r.host.info.Name, Detail: "refused", Age: c.now - r.orderedAt})
+	r.host.recordRefusal()
 	r.release()
 	r.task.release()
 }
