ownership: keep in the row that a former owner may be active

What callers would see: tasks that run twice at the same time. Cause: an entry whose claim took effect, but whose answer was lost, reads a row that names itself and took it for a former process. So did the next process of an entry that claimed over a silent owner and crashed, and an owner that followed one which released the jobs before its recovery was complete. New jobs then started at once, beside the owner before, which did not know of any claim. Change: the owner's row has a field that says that an owner before may be active. A claim sets it unless the owner of the row had ended, and keeps it if it was set; the batches of the owner clear it when the recovery is complete. A row of the former program has no such field and is treated as before. Test: TestFormerOwnerMayBeActiveUntilItsRunsAreKnown failed before ("b does not know of the claim yet").

--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if w.releasing {
-		c.storeBatch(workload.Owner{Epoch: w.owner.Epoch, Sequence: w.owner.Sequence + 1})
+		c.storeBatch(workload.Owner{Epoch: w.owner.Epoch, Sequence: w.owner.Sequence + 1, Unsettled: c.unsettled()})
 		return
 	}
 	pending, urgent := c.jobs.Pending()
@@ -71,10 +71,15 @@
 	if urgent || now-w.pendingSince >= batchDelay {
 		next := w.owner
 		next.Sequence++
+		next.Unsettled = c.unsettled()
 		c.storeBatch(next)
 	}
 }
 
+// unsettled reports whether the next owner has to expect runs of owners before
+// this one.
+func (c *controller) unsettled() bool { return !c.owner.FormerOwnerEnded() && !c.jobs.Settled() }
+
 // storeBatch stores the next batch of changes and the owner's row. An owner
 // without a name releases the jobs.
 func (c *controller) storeBatch(owner workload.Owner) {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -169,3 +169,7 @@
 	c.recoveryDeadline = c.now + LeaseExpiry + time.Second
 	c.endRecoveryIfComplete()
 }
+
+// Settled reports whether no former owner can have runs that the core does not
+// know.
+func (c *Core) Settled() bool { return c.recoveryDeadline == 0 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -139,10 +139,10 @@
 // Owns reports whether the entry owns the jobs.
 func (c *Core) Owns() bool { return c.state == stOwner }
 
-// FormerOwnerEnded reports, at an owner, whether the former owner had certainly
-// ended before the claim: it released the jobs, or it was a former process of
-// this entry. An owner that was replaced because it was unlinked may be active
-// until it learns of the claim.
+// FormerOwnerEnded reports, at an owner, whether the former owners had certainly
+// ended before the claim: the last one released the jobs, or was a former process
+// of this entry, and had settled the jobs itself. An owner that was replaced
+// because it was unlinked may be active until it learns of the claim.
 func (c *Core) FormerOwnerEnded() bool { return c.formerEnded }
 
 // Epoch returns the highest epoch that the entry knows.
@@ -206,7 +206,20 @@
 // Claim returns the row that claims the jobs, and the version on which its commit
 // is conditional.
 func (c *Core) Claim() (workload.Owner, table.Revision) {
-	return workload.Owner{Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1}, c.rowVersion
+	return workload.Owner{Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1, Unsettled: !c.priorOwnersEnded()}, c.rowVersion
+}
+
+// priorOwnersEnded reports whether the owner of the row, and those before it, had
+// certainly ended when the row was written or read. A row of this process is an
+// earlier claim of it whose outcome was not known.
+func (c *Core) priorOwnersEnded() bool {
+	switch {
+	case c.row.Unsettled:
+		return false
+	case c.row.Name == "":
+		return true
+	}
+	return c.namesSelf()
 }
 
 // Claimed applies the outcome of the commit of a claim. version is that of the
@@ -215,7 +228,7 @@
 	c.now = now
 	switch outcome {
 	case table.Committed:
-		c.formerEnded = c.row.Name == "" || c.namesSelf()
+		c.formerEnded = !o.Unsettled
 		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
 		c.step(evClaimed)
 	case table.Conflict:
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -125,3 +125,35 @@
 	a.Read(owner, 7, 2*time.Second)
 	require.Contains(t, a.Effects(), ClaimRow, "it claims again with a higher epoch")
 }
+
+// Guards against jobs that start twice because an entry takes its own claim, whose
+// outcome it did not learn, or that of its former process, for an owner that has
+// ended, although the owner before that claim may still be active.
+func TestFormerOwnerMayBeActiveUntilItsRunsAreKnown(t *testing.T) {
+	claim := func(c *Core, row workload.Owner) workload.Owner {
+		c.Tick(time.Millisecond)
+		c.Effects()
+		c.Read(row, 3, 2*time.Second)
+		require.Contains(t, c.Effects(), ClaimRow)
+		owner, _ := c.Claim()
+		return owner
+	}
+	a := New("a", 1, 0)
+	first := claim(a, workload.Owner{Name: "b", Boot: 9, Epoch: 4})
+	a.Claimed(first, table.Unknown, 0, 2*time.Second)
+	a.Read(first, 4, 2*time.Second)
+	second, _ := a.Claim()
+	a.Claimed(second, table.Committed, 5, 2*time.Second)
+	require.False(t, a.FormerOwnerEnded(), "b does not know of the claim yet")
+
+	for _, v := range []struct {
+		unsettled bool
+		name      string
+	}{{true, "a"}, {false, "a"}, {true, ""}, {false, ""}} {
+		row := second
+		row.Unsettled, row.Name = v.unsettled, v.name
+		next := New("a", 2, 0)
+		next.Claimed(claim(next, row), table.Committed, 6, 2*time.Second)
+		require.Equal(t, !v.unsettled, next.FormerOwnerEnded())
+	}
+}
--- a/internal/wire/workload.go
+++ b/internal/wire/workload.go
@@ -54,7 +54,7 @@
 
 // EncodeOwner encodes the owner of the jobs for the store.
 func EncodeOwner(o workload.Owner) ([]byte, error) {
-	return proto.Marshal(&pb.OwnerRow{Name: o.Name, Boot: o.Boot, Epoch: o.Epoch, Sequence: o.Sequence})
+	return proto.Marshal(&pb.OwnerRow{Name: o.Name, Boot: o.Boot, Epoch: o.Epoch, Sequence: o.Sequence, Unsettled: o.Unsettled})
 }
 
 // DecodeOwner is the inverse of EncodeOwner. Its error is ErrMalformed.
@@ -63,7 +63,7 @@
 	if err := proto.Unmarshal(raw, &p); err != nil {
 		return workload.Owner{}, malformed("owner: %v", err)
 	}
-	return workload.Owner{Name: p.GetName(), Boot: p.GetBoot(), Epoch: p.GetEpoch(), Sequence: p.GetSequence()}, nil
+	return workload.Owner{Name: p.GetName(), Boot: p.GetBoot(), Epoch: p.GetEpoch(), Sequence: p.GetSequence(), Unsettled: p.GetUnsettled()}, nil
 }
 
 // EncodeInterference encodes the interference coefficients of an owner for the
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -288,4 +288,7 @@
 	Boot     uint64 // distinguishes the processes of an entry
 	Epoch    uint64
 	Sequence uint64
+	// Unsettled means that an owner before this one may still have been active
+	// when the row was written.
+	Unsettled bool
 }
