jobs: let a pass start tasks however many hosts it examines

What callers would see: no task starts on a site of more than 4,096 hosts, while the owner plans without end. Cause: the search for a step is not divided, so it may exceed the bound of a pass; the bound was checked again before the first start, and the next pass repeated the same search. Change: the views of a search do not count against the starts that follow it. The conditions for starts on a host are a function of their own, and settle of the placement, which means something else than in httpserve, is recordExhausted.

--- a/internal/jobs/placement.go
+++ b/internal/jobs/placement.go
@@ -12,6 +12,7 @@
 	step       *step
 	begun      [searchKinds]bool
 	candidates [searchKinds][]candidate
+	limit      int // views of the pass at which the placement ends
 }
 
 // candidate is a host that can run the tasks of a step.
@@ -25,6 +26,7 @@
 // others with the same kind of search.
 func (p *placement) run() bool {
 	s, c := p.step, p.step.job.core
+	p.limit = maxPassViews
 	for i := 0; i < len(s.ready); {
 		t := s.ready[i]
 		k := t.searchKind()
@@ -32,7 +34,9 @@
 			if c.pass.Views >= maxPassViews {
 				return false
 			}
+			before := c.pass.Views
 			p.begin(k)
+			p.limit += c.pass.Views - before // otherwise a search of so many hosts would start nothing
 		}
 		if len(p.candidates[k]) == 0 {
 			if s.unlogged == 0 && p.exhausted() {
@@ -42,7 +46,7 @@
 			i++
 			continue
 		}
-		if c.pass.Views >= maxPassViews {
+		if c.pass.Views >= p.limit {
 			return false
 		}
 		h := p.choose(k, t)
@@ -102,7 +106,7 @@
 			}
 		}
 	}
-	p.settle(k)
+	p.recordExhausted(k)
 }
 
 // examine adds a host to the candidates if it can run the tasks.
@@ -125,12 +129,12 @@
 	}
 	p.candidates[k] = slices.Delete(p.candidates[k], i, i+1)
 	p.examine(k, h)
-	p.settle(k)
+	p.recordExhausted(k)
 }
 
-// settle records that no host can run the tasks, if that is so. Only improvements
+// recordExhausted records that no host can run the tasks, if that is so. Only improvements
 // can change it.
-func (p *placement) settle(k searchKind) {
+func (p *placement) recordExhausted(k searchKind) {
 	if len(p.candidates[k]) == 0 {
 		p.step.searches[k].examined = p.step.job.core.improvements
 	}
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -94,7 +94,7 @@
 func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.stored && h.pausedUntil == 0, Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
+		Info: &h.info, Reachable: h.acceptsStarts(), Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
 		Suspect: h.suspect(), Failing: h.failing(),
 	}
 	// Only some steps need the counts that cost a look-up.
@@ -110,6 +110,14 @@
 	return v
 }
 
+// acceptsStarts reports whether the agent of the host is expected to accept starts:
+// the owner has the inventory of the present incarnation of its backend server,
+// the host is in the stored list, and it is not paused after refusals.
+func (h *host) acceptsStarts() bool {
+	known := h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS
+	return known && h.stored && h.pausedUntil == 0
+}
+
 // logUnplaced logs why no host can run the task, once each time it becomes
 // ready. The reasons are those of the last examination of each host.
 func (t *task) logUnplaced() {
