hostagent: number inventories across processes of the agent

Cause: the numbers began at 1 in each process, and the owner sends the answer to an inventory to the host's newest link. The answer to inventory 1 of a process that has ended could be taken for that to inventory 1 of the next one. Found by the review from reading. Change: a process begins at its first fencing token, which is above those of former processes. Tests: those of hostagent pass; the order of events itself has no test.

--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -100,7 +100,7 @@
 	owner             LinkID // 0: none
 	inventoryAccepted bool   // the owner has the newest inventory, so it may start runs
 	inventorySent     bool
-	inventories       uint64 // number of inventories that were sent
+	inventories       uint64 // number of the newest inventory; a process begins above those of former processes
 
 	token          uint64
 	runs           map[workload.RunID]*run
@@ -128,7 +128,7 @@
 // New returns the Core of a host whose backend server has not announced itself
 // yet.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, throttler: newThrottler(), token: cfg.Token, runs: map[workload.RunID]*run{}, host: workload.Host{Name: cfg.Name, DataCentre: cfg.DataCentre}}
+	return &Core{cfg: cfg, throttler: newThrottler(), token: cfg.Token, inventories: cfg.Token, runs: map[workload.RunID]*run{}, host: workload.Host{Name: cfg.Name, DataCentre: cfg.DataCentre}}
 }
 
 // Advance sets the current time. The caller must call it before each event.
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -63,7 +63,7 @@
 // its runs.
 type HostInventory struct {
 	Epoch   uint64
-	Number  uint64 // of the inventory, consecutive in a process of the agent; 0: the agent does not number them
+	Number  uint64 // of the inventory, rising across processes of the agent; 0: the agent does not number them
 	Host    workload.Host
 	ClockMS int64 // clock of the backend server when the message was sent
 	Runs    []RunStatus
