httpserve: read once more after a late interruption

What callers would see: a request without an answer at the end of a drain. Cause: a connection whose reader began its last read just before the interruption came had its deadline moved into the past; such a read fails without trying the socket, and the request was discarded as if the connection had been idle. What is discarded after the close was not counted, so event 953 could not show it. Change: the reader keeps the end of its last read and sets that deadline before each attempt. Counts and event 953 have the number of connections on which bytes were discarded. Test: TestLateInterruptionDoesNotDiscardARequest; the review's test of this order got "0, EOF" before. go test -race -count=5 of httpserve passes.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -143,7 +143,7 @@
 	err := e.callers.Close(ctx)
 	now := e.callers.Counts()
 	event.Log(e.log, event.DrainEnded, log.Fields{
-		"in-flight-at-signal": before.InFlight, "answered": now.Answered - before.Answered, "cut": now.Cut - before.Cut,
+		"in-flight-at-signal": before.InFlight, "answered": now.Answered - before.Answered, "cut": now.Cut - before.Cut, "discarded": now.Discarded - before.Discarded,
 		"gone": now.Gone - before.Gone, "unanswered": now.InFlight,
 		"leaving-ms": closing.Sub(signalled).Milliseconds(), "closing-ms": time.Since(closing).Milliseconds(),
 	})
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -38,7 +38,7 @@
 	server    *Server
 	forgetEnd func() bool            // undoes the registration of interrupt
 	wanted    actor.Value[time.Time] // the read deadline that net/http has set
-	lastRead  bool                   // the read of the last moment has been tried
+	lastRead  time.Time              // when the last read of an idle connection ends; zero: not begun
 
 	awaiting actor.Flag // no byte of the next request has been read
 	handled  actor.Flag // the handler of the current request has returned
@@ -54,16 +54,19 @@
 // the server closes and no request has begun.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
-		if c.awaiting.Get() && !c.lastRead && c.server.closing.Err() != nil {
-			c.lastRead = true
-			_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
+		if c.awaiting.Get() && c.server.closing.Err() != nil {
+			if c.lastRead.IsZero() {
+				c.lastRead = time.Now().Add(lastReadTime)
+			}
+			// Set before each read, because interrupt may come after the first.
+			_ = c.Conn.SetReadDeadline(c.lastRead)
 		}
 		n, err := c.Conn.Read(p)
 		switch {
 		case n > 0:
 			c.begin()
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.interrupted():
-			if c.awaiting.Get() && c.lastRead {
+			if c.awaiting.Get() && !c.lastRead.IsZero() && !time.Now().Before(c.lastRead) {
 				c.hangUp()
 				return 0, io.EOF
 			}
@@ -126,7 +129,10 @@
 		return
 	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(hangUpTime))
-	_, _ = io.Copy(io.Discard, c.Conn) // the deadline ends it if the caller does not
+	n, _ := io.Copy(io.Discard, c.Conn) // the deadline ends it if the caller does not
+	if n > 0 {
+		c.server.discarded.Add(1)
+	}
 }
 
 // Write implements net.Conn.
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -29,6 +29,8 @@
 	answered actor.Gauge
 	cut      actor.Gauge
 	gone     actor.Gauge
+	// discarded counts connections on which bytes arrived after they were closed.
+	discarded actor.Gauge
 
 	listener net.Listener
 	leaving  actor.Value[bool]
@@ -47,6 +49,9 @@
 	Answered int64 // answered whole, since the start
 	Cut      int64 // not answered although the caller was still there, since the start
 	Gone     int64 // whose caller closed the connection before the handler returned, since the start
+	// Discarded is the number of connections on which bytes arrived after this
+	// process had closed its half. They are not counted as requests.
+	Discarded int64
 }
 
 // Start serves l until g ends.
@@ -74,7 +79,7 @@
 
 // Counts returns the current numbers.
 func (s *Server) Counts() Counts {
-	return Counts{Open: s.open.Get(), InFlight: s.inFlight.Get(), Answered: s.answered.Get(), Cut: s.cut.Get(), Gone: s.gone.Get()}
+	return Counts{Open: s.open.Get(), InFlight: s.inFlight.Get(), Answered: s.answered.Get(), Cut: s.cut.Get(), Gone: s.gone.Get(), Discarded: s.discarded.Get()}
 }
 
 // Leave makes every later answer ask its caller to close the connection. Idle
--- a/internal/httpserve/server_test.go
+++ b/internal/httpserve/server_test.go
@@ -267,3 +267,28 @@
 		require.True(t, resp.Close) // although the request began before the close
 	})
 }
+
+// Guards against a request that is discarded because the interruption of its
+// connection comes after the reader has begun the last read: a read with a
+// deadline that has passed fails without trying the socket.
+func TestLateInterruptionDoesNotDiscardARequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	far, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = far.Close() })
+	near, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = near.Close() })
+	closing, cancel := context.WithCancel(t.Context())
+	cancel()
+	c := &conn{Conn: near, server: &Server{closing: closing}, lastRead: time.Now().Add(time.Minute)}
+	c.awaiting.Set(true)
+	_, err = io.WriteString(far, "GET")
+	require.NoError(t, err)
+	c.interrupt()
+	n, err := c.Read(make([]byte, 8))
+	require.NoError(t, err)
+	require.Equal(t, 3, n)
+}
--- a/internal/jobdaemon/drain.go
+++ b/internal/jobdaemon/drain.go
@@ -135,7 +135,7 @@
 	now := r.server.Counts()
 	fields := log.Fields{
 		"jobs-given": released, "in-flight-at-signal": r.before.InFlight, "answered": now.Answered - r.before.Answered,
-		"cut": now.Cut - r.before.Cut, "gone": now.Gone - r.before.Gone, "unanswered": now.InFlight,
+		"cut": now.Cut - r.before.Cut, "gone": now.Gone - r.before.Gone, "discarded": now.Discarded - r.before.Discarded, "unanswered": now.InFlight,
 	}
 	maps.Copy(fields, r.durations)
 	event.Log(r.log, event.DrainEnded, fields)
