configsync: repeat unanswered requests ever more rarely

What callers would see: an entry on a slow connection that keeps an outdated configuration. Cause: each timeout of 0.7 s requested the whole configuration from another peer while the former answers were still arriving: work that an overload adds to itself. A version that the entry cannot decode was requested without end. Change: the timeout doubles with each request that is not answered in time, up to 20 s, and an installed version resets it. A version of a peer that cannot be decoded is not requested again.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -14,6 +14,10 @@
 	"github.com/bambooscale/bambooscale/internal/chart"
 )
 
+// stateAsking is the number of the state asking of charts/configsync.scxml, in the
+// order of Binding.
+const stateAsking chart.State = 3
+
 // Events of charts/configsync.scxml, in the order of Binding.
 const (
 	evBehind chart.Event = iota
@@ -24,14 +28,18 @@
 	evLate
 )
 
-// The sum of these times, one repetition of answerTimeout included, is below the
-// 3 s within which a version has to be in force.
+// The sum of tablePatience, answerTimeout and its first repetition, which is
+// twice as long, is below the 3 s within which a version has to be in force.
 const (
 	// tablePatience is the time for the entry's own read: 270 KB, a large
 	// configuration in base64, take 0.2 s of a connection of 10 Mbit/s.
 	tablePatience = 500 * time.Millisecond
 	gatherTime    = 100 * time.Millisecond
 	answerTimeout = 700 * time.Millisecond
+	// maxAnswerTimeout bounds the timeout, which doubles with each request that
+	// was not answered in time: the answers to repeated requests share a slow
+	// connection with the one that is still arriving.
+	maxAnswerTimeout = 20 * time.Second
 )
 
 // Request names a peer from which the entry requests the configuration.
@@ -51,8 +59,10 @@
 	have         uint64            // version in use; 0: none
 	announced    map[string]uint64 // versions in use at the linked peers, by name
 	tableFailing bool              // the newest call to the table service failed
+	unusable     uint64            // highest version that this entry cannot decode; 0: none
 	asked        string            // peer of the newest request
 	requestCount int
+	unanswered   int // requests in succession that were not answered in time
 	requests     []Request
 }
 
@@ -65,7 +75,7 @@
 		States:  []string{"current", "reading", "gathering", "asking"},
 		Events:  []string{"behind", "caughtUp", "advanced", "tableFailed", "askedLost", "late"},
 		Guards:  map[string]func(*Core) bool{"tableFailing": func(c *Core) bool { return c.tableFailing }},
-		Actions: map[string]func(*Core){"ask": (*Core).ask},
+		Actions: map[string]func(*Core){"ask": (*Core).ask, "countUnanswered": func(c *Core) { c.unanswered++ }},
 		Delays:  map[string]time.Duration{"tablePatience": tablePatience, "gatherTime": gatherTime, "answerTimeout": answerTimeout},
 	}
 }
@@ -82,10 +92,22 @@
 	}
 	c.timeoutAt = 0
 	if d, _, ok := syncChart.Timeout(c.state); ok {
+		if c.state == stateAsking {
+			d = c.answerTimeout()
+		}
 		c.timeoutAt = c.now + d
 	}
 }
 
+// answerTimeout returns the time to wait for the answer to the newest request.
+func (c *Core) answerTimeout() time.Duration {
+	d := answerTimeout
+	for range c.unanswered {
+		d = min(2*d, maxAnswerTimeout)
+	}
+	return d
+}
+
 // Announced applies the version in use at a linked peer that answers requests.
 func (c *Core) Announced(peer string, version uint64, now time.Duration) {
 	c.now = now
@@ -111,6 +133,7 @@
 func (c *Core) Installed(version uint64, now time.Duration) {
 	c.now = now
 	c.have = max(c.have, version)
+	c.unanswered = 0
 	if c.behind() {
 		c.step(evAdvanced)
 	} else {
@@ -118,6 +141,16 @@
 	}
 }
 
+// Undecodable applies a version that the entry has received and cannot decode. It
+// waits for a higher one.
+func (c *Core) Undecodable(version uint64, now time.Duration) {
+	c.now = now
+	c.unusable = max(c.unusable, version)
+	if !c.behind() {
+		c.step(evCaughtUp)
+	}
+}
+
 // TableAnswered applies the outcome of the newest call to the table service.
 func (c *Core) TableAnswered(ok bool, now time.Duration) {
 	c.now = now
@@ -151,7 +184,7 @@
 	return highest
 }
 
-func (c *Core) behind() bool { return c.highest() > c.have }
+func (c *Core) behind() bool { return c.highest() > max(c.have, c.unusable) }
 
 // ask requests the configuration from one of the peers with the highest version.
 // Each entry starts at another peer, and each repetition asks the next.
--- a/internal/jobdaemon/config.go
+++ b/internal/jobdaemon/config.go
@@ -25,6 +25,8 @@
 	// Set by the installer. Only a higher version replaces one.
 	inUse     *actor.Value[workload.Config] // for callers
 	installed actor.Value[encodedConfig]    // encoded form of the configuration in use
+	// undecodable is the version that a peer sent and that could not be decoded.
+	undecodable actor.Value[uint64]
 	// Set by the watcher: whether its newest call to the table service succeeded.
 	tableAnswers actor.Value[bool]
 
@@ -55,6 +57,9 @@
 			c.announceConfig(l)
 		}
 	}
+	if version := c.config.undecodable.Get(); version != nil {
+		c.config.sync.Undecodable(*version, now)
+	}
 	c.config.sync.Tick(now)
 	for _, r := range c.config.sync.Requests() {
 		if l := c.entryLink(r.Peer); l != nil {
--- a/internal/jobdaemon/configinstall.go
+++ b/internal/jobdaemon/configinstall.go
@@ -88,6 +88,9 @@
 	config, err := i.state.source.Decode(e.raw)
 	if err != nil {
 		event.Log(i.log, event.ConfigUnreadable, log.Fields{"error": err.Error(), "from": e.from})
+		if e.from == fromPeer {
+			i.state.undecodable.Set(&e.version)
+		}
 		return
 	}
 	if config.Version <= i.version {
