jobs: vary capacity, service and recovery in the test of placements

Cause: the review removed the conditions on a host's capacity and service from what counts as an improvement, and no test failed; neither was the recovery after an owner that may be active among the random worlds. Change: the worlds change capacities and services, and half of them begin with a recovery, with and without a former owner that has ended.

--- a/internal/jobs/plan_reference_test.go
+++ b/internal/jobs/plan_reference_test.go
@@ -47,7 +47,7 @@
 func readyByReference(c *Core) []*task {
 	var list []*task
 	for _, j := range c.jobs {
-		if j.phase().Final() || j.recovered && c.recoveryDeadline != 0 {
+		if j.phase().Final() || c.recoveryDeadline != 0 && (j.recovered || !c.formerOwnerEnded) {
 			continue
 		}
 		for _, s := range j.steps {
@@ -264,7 +264,7 @@
 func (w *twin) changeHost() {
 	i := rapid.IntRange(0, len(w.hosts)-1).Draw(w.t, "host")
 	h := &w.hosts[i]
-	switch rapid.IntRange(0, 3).Draw(w.t, "change") {
+	switch rapid.IntRange(0, 5).Draw(w.t, "change") {
 	case 0:
 		h.State = rapid.SampledFrom([]workload.HostState{workload.HostReady, workload.HostDraining, workload.HostUnavailable}).Draw(w.t, "state")
 		w.apply(func(c *Core) { c.Announced(*h) })
@@ -278,6 +278,12 @@
 		h.StartedAtMS++
 		h.State = workload.HostReady
 		w.link(*h)
+	case 4:
+		h.Capacity.MilliCPU = 1000 * rapid.Int64Range(1, 8).Draw(w.t, "new capacity")
+		w.apply(func(c *Core) { c.Announced(*h) })
+	case 5:
+		h.Service = rapid.SampledFrom([]workload.Service{"desk", "other"}).Draw(w.t, "service")
+		w.apply(func(c *Core) { c.Announced(*h) })
 	}
 }
 
@@ -287,6 +293,13 @@
 func TestPlanPlacesAsAFullExaminationDoes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &twin{t: t, cores: [2]*Core{New(1, 0), New(1, 0)}, ends: map[workload.HostName]uint64{}}
+		if rapid.Bool().Draw(t, "recovery") {
+			ended := rapid.Bool().Draw(t, "former owner ended")
+			w.apply(func(c *Core) {
+				c.ExpectHost("absent")
+				c.Recover(ended)
+			})
+		}
 		for i := range rapid.IntRange(1, 5).Draw(t, "hosts") {
 			h := readyHost(fmt.Sprintf("h%d", i), 1000*rapid.Int64Range(2, 8).Draw(t, "capacity"))
 			w.hosts = append(w.hosts, h)
