--- a/internal/jobs/placement.go
+++ b/internal/jobs/placement.go
@@ -23,7 +23,8 @@
 
 // run starts the tasks of the step on the best hosts, and reports whether it
 // examined all tasks. Once no host is left for one task, none is left for the
-// others with the same kind of search.
+// others with the same kind of search; they are visited only to log why they
+// wait.
 func (p *placement) run() bool {
 	s, c := p.step, p.step.job.core
 	p.limit = maxPassViews
@@ -132,8 +133,8 @@
 	p.recordExhausted(k)
 }
 
-// recordExhausted records that no host can run the tasks, if that is so. Only improvements
-// can change it.
+// recordExhausted records that no host can run the tasks, if that is so. Only
+// improvements can change it.
 func (p *placement) recordExhausted(k searchKind) {
 	if len(p.candidates[k]) == 0 {
 		p.step.searches[k].examined = p.step.job.core.improvements
