ownership: rank entries by the processor share of their hosts

Cause: when the jobs had no owner, the linked entry with the lowest name claimed them first, also if its host has 0.19 of a core while that of another entry has 0.8. The owner plans all jobs, so it was slow where another entry would have kept up.

Change: an entry reads the share of its host from the optional settings processor-share and processor-cores, and announces it in its hello as a new protobuf field. Entries claim in the order of their shares, the greatest first, then by name. An unknown share counts as 0. An entry whose former process owned the jobs still claims them at once.

Entries of the former program ignore the field and rank by name alone. While both run, two entries may claim at the same time; the version of the owner's row lets one commit.

The assembly of an entry takes its listener and dialer as arguments, so that a test runs whole controllers in virtual time.

--- a/internal/jobdaemon/config_messages_test.go
+++ b/internal/jobdaemon/config_messages_test.go
@@ -49,7 +49,7 @@
 	c := &controller{
 		self: msg.Member{Name: "self", Address: "self"}, log: l, group: g, startedAt: time.Now(), metrics: newEntryMetrics(metrics.Start(g)),
 		links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
-		phases: newPhaseCache(), owner: ownership.New("self", 1, 0), published: &published{},
+		phases: newPhaseCache(), owner: ownership.New("self", 1, 0, 0), published: &published{},
 	}
 	c.owner.Retire(0)
 	c.config = newConfigState(g, c, ConfigSource{Decode: func(raw []byte) (*workload.Config, error) {
--- a/internal/jobdaemon/configsite_test.go
+++ b/internal/jobdaemon/configsite_test.go
@@ -254,7 +254,7 @@
 	c := &controller{
 		self: msg.Member{Name: name, Address: name}, log: l, group: s.group, startedAt: time.Now(), metrics: newEntryMetrics(registry),
 		links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
-		phases: newPhaseCache(), owner: ownership.New(name, 1, 0), published: &published{},
+		phases: newPhaseCache(), owner: ownership.New(name, 1, 0, 0), published: &published{},
 		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
 	}
 	c.owner.Retire(0) // this test is not about the owner
@@ -266,7 +266,7 @@
 	}}
 	c.config = newConfigState(s.group, c, source, e.inUse)
 	c.storeProxy = &storeProxy{store: e.client, log: l}
-	c.address = actor.Spawn(s.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: c.run})
+	c.address = actor.Spawn(s.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: c.loop().Run})
 	listener, err := s.net.Listen(name)
 	require.NoError(s.t, err)
 	e.controller = c
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -1,7 +1,6 @@
 package jobdaemon
 
 import (
-	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -81,9 +80,10 @@
 
 func (c *controller) now() time.Duration { return time.Since(c.startedAt) }
 
-// run applies messages in batches and sends their effects after each batch.
-func (c *controller) run(ctx context.Context, in <-chan any) error {
-	return actor.BatchLoop[any]{Limit: maxBatch, Interval: controllerTick, Apply: c.apply, Tick: c.tick, Flush: c.flush, Pending: c.planPending}.Run(ctx, in)
+// loop returns the loop of the controller, which applies messages in batches and
+// sends their effects after each batch.
+func (c *controller) loop() actor.BatchLoop[any] {
+	return actor.BatchLoop[any]{Limit: maxBatch, Interval: controllerTick, Apply: c.apply, Tick: c.tick, Flush: c.flush, Pending: c.planPending}
 }
 
 func (c *controller) tick() {
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -30,7 +30,7 @@
 		c.agentLinkUp(l)
 		return
 	}
-	c.owner.PeerUp(name)
+	c.owner.PeerUp(name, m.hello.ProcessorShare)
 	c.addMembers([]msg.Member{m.hello.Member})
 	c.publishLinked()
 	c.announceConfig(l)
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -14,6 +14,7 @@
 	"github.com/bambooscale/bambooscale/internal/jobapi"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/metrics"
+	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/ownership"
 	"github.com/bambooscale/bambooscale/internal/table"
@@ -35,8 +36,10 @@
 	// GracePeriod is the time between the signal to stop and the kill of the
 	// process.
 	GracePeriod time.Duration
-	Store       Store
-	Config      ConfigSource
+	// ProcessorShare is that of the host; 0 if it is not known.
+	ProcessorShare model.MilliCPU
+	Store          Store
+	Config         ConfigSource
 	// The handlers decode requests and encode answers.
 	CallerHandler    func(jobapi.Handler) http.Handler
 	ReadinessHandler func(jobapi.Handler) http.Handler
@@ -56,26 +59,16 @@
 // StartEntry starts an entry. It ends with g.
 func StartEntry(g *actor.Group, cfg EntryConfig) (*Entry, error) {
 	registry := metrics.Start(g)
-	c := &controller{
-		self: msg.Member{Name: cfg.Name, Address: cfg.Links}, log: cfg.Log, group: g, startedAt: time.Now(),
-		metrics: newEntryMetrics(registry),
-		links:   map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
-		phases: newPhaseCache(), owner: ownership.New(cfg.Name, cfg.Boot, 0), published: &published{},
-		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
-	}
 	configInUse := &actor.Value[workload.Config]{}
-	c.config = newConfigState(g, c, cfg.Config, configInUse)
-	c.storeProxy = &storeProxy{store: cfg.Store, commitViaPeer: c.commitViaPeer, log: cfg.Log}
-	c.address = actor.Spawn(g, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: c.run})
-	if err := c.startLinks(cfg); err != nil {
+	c := newController(g, cfg, newEntryMetrics(registry), configInUse)
+	listener, err := link.Listen(g, cfg.Links, link.Config{})
+	if err != nil {
 		return nil, err
 	}
-	actor.Go(g, "config watcher", c.watchConfig)
-	actor.Go(g, "member keeper", c.maintainMembers)
+	c.start(c.loop(), cfg, listener, link.NewDialer(g, link.Config{}))
 
 	handler := &jobHandler{controller: c, config: configInUse, log: cfg.Log, metrics: c.metrics}
 	e := &Entry{controller: c, log: cfg.Log, gracePeriod: cfg.GracePeriod}
-	var err error
 	if e.callers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
 		return nil, err
 	}
@@ -89,20 +82,40 @@
 	return e, nil
 }
 
-func (c *controller) startLinks(cfg EntryConfig) error {
+// newController returns the controller of an entry. It is not started yet.
+func newController(g *actor.Group, cfg EntryConfig, m *entryMetrics, configInUse *actor.Value[workload.Config]) *controller {
+	c := &controller{
+		self: msg.Member{Name: cfg.Name, Address: cfg.Links}, log: cfg.Log, group: g, startedAt: time.Now(), metrics: m,
+		links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
+		phases: newPhaseCache(), owner: ownership.New(cfg.Name, cfg.Boot, cfg.ProcessorShare, 0), published: &published{},
+		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
+	}
+	c.config = newConfigState(g, c, cfg.Config, configInUse)
+	c.storeProxy = &storeProxy{store: cfg.Store, commitViaPeer: c.commitViaPeer, log: cfg.Log}
+	return c
+}
+
+// start starts the controller with its loop, the links of the entry and the actors
+// that keep its configuration and its list of entries up to date.
+func (c *controller) start(loop actor.BatchLoop[any], cfg EntryConfig, listener link.Listener, dial link.Dialer) {
+	c.address = actor.Spawn(c.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: loop.Run})
+	c.startLinks(cfg, listener, dial)
+	actor.Go(c.group, "config watcher", c.watchConfig)
+	actor.Go(c.group, "member keeper", c.maintainMembers)
+}
+
+func (c *controller) startLinks(cfg EntryConfig, listener link.Listener, dial link.Dialer) {
 	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello {
-		h := &msg.PeerHello{Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true}
+		h := &msg.PeerHello{
+			Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ProcessorShare: cfg.ProcessorShare,
+		}
 		if epoch := c.published.epoch.Get(); epoch != nil {
 			h.Epoch = *epoch
 		}
 		return h
 	}}
-	listener, err := link.Listen(c.group, cfg.Links, link.Config{})
-	if err != nil {
-		return err
-	}
 	actor.Go(c.group, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
-	dialers := &dialers{links: l, dial: link.NewDialer(c.group, link.Config{}), self: cfg.Links, started: map[string]bool{}}
+	dialers := &dialers{links: l, dial: dial, self: cfg.Links, started: map[string]bool{}}
 	dialers.linked = func(address string) bool {
 		linked := c.published.linked.Get()
 		return linked != nil && (*linked)[address]
@@ -111,7 +124,6 @@
 	actor.Go(c.group, "dialer starter", func(ctx context.Context) error {
 		return dialers.followMembers(ctx, &c.published.members)
 	})
-	return nil
 }
 
 // dialers starts one dialer for each address. It must be used by one goroutine
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
@@ -24,6 +25,9 @@
 	// RequestsConfig says that the sender answers ConfigRequest, and requests
 	// configurations that are announced to it by their version.
 	RequestsConfig bool
+	// ProcessorShare is that of the host of an entry. It is 0 if it is not known
+	// or the sender is an agent.
+	ProcessorShare model.MilliCPU
 }
 
 // Members lists the entries that the sender knows.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -9,6 +9,7 @@
 
 	"github.com/bambooscale/bambooscale/charts"
 	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
@@ -42,8 +43,8 @@
 	// startOwnerTimeout replaces ownerTimeout after the start of an entry, until
 	// its links have had time to come up.
 	startOwnerTimeout = 900 * time.Millisecond
-	// rankDelay is added to the timeout once for each linked entry with a lower
-	// name, so that entries do not claim at the same time.
+	// rankDelay is added to the timeout once for each linked entry that precedes
+	// this one, so that entries do not claim at the same time.
 	rankDelay = 200 * time.Millisecond
 )
 
@@ -63,18 +64,19 @@
 // Core is the state of the ownership as one entry sees it. It is not safe for
 // concurrent use. Times are durations on the entry's monotonic clock.
 type Core struct {
-	self string
-	boot uint64 // distinguishes the processes of an entry
-	now  time.Duration
+	self  string
+	boot  uint64         // distinguishes the processes of an entry
+	share model.MilliCPU // processor share of the host of this entry; 0: unknown
+	now   time.Duration
 
 	state       chart.State
-	timeoutAt   time.Duration   // when the state's timeout expires; 0: none
-	row         workload.Owner  // newest known owner
-	rowVersion  table.Revision  // version of the row
-	maxEpoch    uint64          // highest known epoch
-	linked      map[string]bool // names of the linked entries
-	ownerSeenAt time.Duration   // start of the timeout after which the owner is replaced
-	formerEnded bool            // see FormerOwnerEnded
+	timeoutAt   time.Duration             // when the state's timeout expires; 0: none
+	row         workload.Owner            // newest known owner
+	rowVersion  table.Revision            // version of the row
+	maxEpoch    uint64                    // highest known epoch
+	linked      map[string]model.MilliCPU // processor shares of the linked entries, by name; 0: unknown
+	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
+	formerEnded bool                      // see FormerOwnerEnded
 
 	effects []Effect
 }
@@ -101,9 +103,13 @@
 	}
 }
 
-// New returns the state of an entry of the name self that starts at now.
-func New(self string, boot uint64, now time.Duration) *Core {
-	c := &Core{self: self, boot: boot, now: now, linked: map[string]bool{}, ownerSeenAt: now + startOwnerTimeout - ownerTimeout}
+// New returns the state of an entry of the name self that starts at now. share is
+// the processor share of its host, 0 if it is not known.
+func New(self string, boot uint64, share model.MilliCPU, now time.Duration) *Core {
+	c := &Core{
+		self: self, boot: boot, share: share, now: now, linked: map[string]model.MilliCPU{},
+		ownerSeenAt: now + startOwnerTimeout - ownerTimeout,
+	}
 	c.state = ownershipChart.Initial()
 	c.timeoutAt = now + 1 // read at once; 0 means no timeout
 	return c
@@ -151,8 +157,9 @@
 // Owner returns the name of the owner, or "" if it is not known or there is none.
 func (c *Core) Owner() string { return c.row.Name }
 
-// PeerUp records that an entry is linked.
-func (c *Core) PeerUp(name string) { c.linked[name] = true }
+// PeerUp records that an entry is linked, and the processor share that it
+// announces: 0 if it announces none.
+func (c *Core) PeerUp(name string, share model.MilliCPU) { c.linked[name] = share }
 
 // PeerDown records that an entry is no longer linked.
 func (c *Core) PeerDown(name string, now time.Duration) {
@@ -261,13 +268,13 @@
 func (c *Core) mayClaim() bool { return c.namesSelf() || c.ownerAbsent() }
 
 // ownerAbsent reports whether the owner has been unlinked for so long that this
-// entry replaces it. Entries with lower names do so earlier. An owner with the
+// entry replaces it. Entries that precede it do so earlier. An owner with the
 // name of this entry is a former process of it, and is always absent.
 func (c *Core) ownerAbsent() bool {
 	if c.namesSelf() {
 		return true
 	}
-	if c.linked[c.row.Name] {
+	if _, linked := c.linked[c.row.Name]; linked {
 		return false
 	}
 	timeout := ownerTimeout + time.Duration(c.rank())*rankDelay
@@ -277,13 +284,25 @@
 	return c.now-c.ownerSeenAt >= timeout
 }
 
-// rank returns the number of linked entries with a lower name.
+// rank returns the number of linked entries that precede this one.
 func (c *Core) rank() int {
 	n := 0
-	for name := range c.linked {
-		if name < c.self {
+	for name, share := range c.linked {
+		if c.precededBy(name, share) {
 			n++
 		}
 	}
 	return n
 }
+
+// precededBy reports whether an entry comes before this one in claiming the jobs:
+// the one with the greater processor share, or the lower name if they are equal.
+// An unknown share counts as 0, so an entry that announces none comes last. During
+// a restart with a new program, entries of the former one rank by name alone; two
+// entries may then claim at the same time, and the table service accepts one.
+func (c *Core) precededBy(name string, share model.MilliCPU) bool {
+	if share != c.share {
+		return share > c.share
+	}
+	return name < c.self
+}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
+	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
@@ -50,13 +52,24 @@
 	}
 }
 
+// link links all entries with each other.
+func link(cores ...*Core) {
+	for _, c := range cores {
+		for _, peer := range cores {
+			if peer != c {
+				c.PeerUp(peer.self, peer.share)
+			}
+		}
+	}
+}
+
 // Guards against two owners when entries start at the same time: one claims the
 // jobs, and the other reads its row.
 func TestOneOfManyEntriesOwnsTheJobs(t *testing.T) {
 	r, now := &ownerRow{}, time.Duration(0)
-	a, b := New("a", 1, 0), New("b", 2, 0)
-	a.PeerUp("b")
-	b.PeerUp("a")
+	a, b := New("a", 1, 0, 0), New("b", 2, 0, 0)
+	a.PeerUp("b", 0)
+	b.PeerUp("a", 0)
 	r.advance(&now, 3*time.Second, a, b)
 	require.True(t, a.Owns())
 	require.False(t, b.Owns())
@@ -67,9 +80,9 @@
 // an owner that was replaced and does not stop.
 func TestUnlinkedOwnerIsReplaced(t *testing.T) {
 	r, now := &ownerRow{}, time.Duration(0)
-	a, b := New("a", 1, 0), New("b", 2, 0)
-	a.PeerUp("b")
-	b.PeerUp("a")
+	a, b := New("a", 1, 0, 0), New("b", 2, 0, 0)
+	a.PeerUp("b", 0)
+	b.PeerUp("a", 0)
 	r.advance(&now, 3*time.Second, a, b)
 	b.PeerDown("a", now)
 	r.advance(&now, 200*time.Millisecond, b)
@@ -82,12 +95,65 @@
 	require.Contains(t, a.Effects(), End)
 }
 
+// Guards against jobs whose owner has a small processor share while the host of
+// another entry has a large one: the owner was chosen by name, and one with 0.19
+// of a core did not keep up.
+func TestEntryWithTheGreatestProcessorShareReplacesTheOwner(t *testing.T) {
+	r, now := &ownerRow{}, time.Duration(0)
+	a, b, c := New("a", 1, 190, 0), New("b", 2, 800, 0), New("c", 3, 400, 0)
+	link(a, b, c)
+	r.advance(&now, 3*time.Second, a, b, c)
+	require.True(t, b.Owns())
+	a.PeerDown("b", now)
+	c.PeerDown("b", now)
+	r.advance(&now, time.Second, a, c)
+	require.True(t, c.Owns())
+	require.False(t, a.Owns())
+	require.EqualValues(t, 2, c.Epoch())
+}
+
+// Guards against jobs without an owner, and against an owner that is chosen by
+// name, while entries of a former program, which announce no share, are linked.
+func TestEntryThatAnnouncesNoShareComesLast(t *testing.T) {
+	r, now := &ownerRow{}, time.Duration(0)
+	a, b, c := New("a", 1, 0, 0), New("b", 2, 0, 0), New("c", 3, 190, 0)
+	link(a, b, c)
+	r.advance(&now, 3*time.Second, a, b, c)
+	require.True(t, c.Owns())
+	a.PeerDown("c", now)
+	b.PeerDown("c", now)
+	r.advance(&now, time.Second, a, b)
+	require.True(t, a.Owns(), "the lower name decides between equal shares")
+}
+
+// Guards against entries that claim at the same time, or wait for each other,
+// because they disagree on their order.
+func TestEntriesAgreeOnTheirOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var cores []*Core
+		shares := rapid.SliceOfN(rapid.SampledFrom([]model.MilliCPU{0, 190, 400, 800}), 1, 8).Draw(t, "shares")
+		for i, share := range shares {
+			cores = append(cores, New(string(rune('a'+i)), uint64(i), share, 0))
+		}
+		link(cores...)
+		byRank := map[int]*Core{}
+		for _, c := range cores {
+			byRank[c.rank()] = c
+		}
+		require.Len(t, byRank, len(cores))
+		for rank := 1; rank < len(cores); rank++ {
+			require.GreaterOrEqual(t, byRank[rank-1].share, byRank[rank].share)
+		}
+	})
+}
+
 // Guards against a restarted owner that waits for the timeout of the owner, which
 // is itself.
 func TestRestartedOwnerReclaimsTheJobsAtOnce(t *testing.T) {
 	r := &ownerRow{owner: workload.Owner{Name: "a", Boot: 1, Epoch: 4}, version: 9}
 	now := time.Duration(0)
-	a := New("a", 2, 0)
+	a := New("a", 2, 190, 0)
+	a.PeerUp("b", 800)
 	r.advance(&now, 100*time.Millisecond, a)
 	require.True(t, a.Owns())
 	require.EqualValues(t, 5, a.Epoch())
@@ -98,9 +164,9 @@
 // claimed without waiting for the end of the link.
 func TestReleasedJobsAreClaimedAtOnce(t *testing.T) {
 	r, now := &ownerRow{}, time.Duration(0)
-	a, b := New("a", 1, 0), New("b", 2, 0)
-	a.PeerUp("b")
-	b.PeerUp("a")
+	a, b := New("a", 1, 0, 0), New("b", 2, 0, 0)
+	a.PeerUp("b", 0)
+	b.PeerUp("a", 0)
 	r.advance(&now, 3*time.Second, a, b)
 	a.Retire(now)
 	require.Contains(t, a.Effects(), Release)
@@ -114,7 +180,7 @@
 // Guards against an entry that does not know whether its claim was committed,
 // because the answer was lost: it reads the row.
 func TestClaimOfUnknownOutcomeIsReadBack(t *testing.T) {
-	a := New("a", 1, 0)
+	a := New("a", 1, 0, 0)
 	a.Tick(time.Millisecond)
 	a.Effects()
 	a.Read(workload.Owner{}, 0, 2*time.Second)
@@ -138,7 +204,7 @@
 		owner, _ := c.Claim()
 		return owner
 	}
-	a := New("a", 1, 0)
+	a := New("a", 1, 0, 0)
 	first := claim(a, workload.Owner{Name: "b", Boot: 9, Epoch: 4})
 	a.Claimed(first, table.Unknown, 0, 2*time.Second)
 	a.Read(first, 4, 2*time.Second)
@@ -152,7 +218,7 @@
 	}{{true, "a"}, {false, "a"}, {true, ""}, {false, ""}} {
 		row := second
 		row.Unsettled, row.Name = v.unsettled, v.name
-		next := New("a", 2, 0)
+		next := New("a", 2, 0, 0)
 		next.Claimed(claim(next, row), table.Committed, 6, 2*time.Second)
 		require.Equal(t, !v.unsettled, next.FormerOwnerEnded())
 	}
--- a/internal/settings/job.go
+++ b/internal/settings/job.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 	"gopkg.in/ini.v1"
 
 	"github.com/bambooscale/bambooscale/internal/finding"
+	"github.com/bambooscale/bambooscale/internal/model"
 )
 
 // JobDaemon holds the settings of a bamboojobd process.
@@ -23,11 +25,14 @@
 	// GracePeriod of an entry is the time between the signal to stop and the
 	// kill of the process.
 	GracePeriod time.Duration
-	Registry    string        // agent: address for the backend server's announcements
-	Backend     string        // agent: address of the backend server
-	MaxLease    time.Duration // agent: how long runs continue after the last grant of their owner
-	Seeds       []string      // host:port of hosts on which entries may run
-	Store       string        // address of the store
+	// ProcessorShare of an entry is the processor time of its host that the
+	// process may use. It is 0 if it is not known.
+	ProcessorShare model.MilliCPU
+	Registry       string        // agent: address for the backend server's announcements
+	Backend        string        // agent: address of the backend server
+	MaxLease       time.Duration // agent: how long runs continue after the last grant of their owner
+	Seeds          []string      // host:port of hosts on which entries may run
+	Store          string        // address of the store
 }
 
 // LinkAddress returns the address on which the process accepts links.
@@ -51,8 +56,9 @@
 
 // LoadJobDaemon reads and checks a settings file for a role, "entry" or
 // "agent". Unknown keys and lines that are no settings are ignored. Every key
-// that the role reads must be set, except seeds. The error is a finding.List with
-// every finding, unless the file cannot be read or the role is unknown.
+// that the role reads must be set, except seeds, grace-period-s, processor-share
+// and processor-cores. The error is a finding.List with every finding, unless the
+// file cannot be read or the role is unknown.
 func LoadJobDaemon(file, role string) (*JobDaemon, error) {
 	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: true}, file)
 	if err != nil {
@@ -68,6 +74,7 @@
 	case "entry":
 		d.Callers, d.Readiness = r.text("entry", "callers"), r.text("entry", "readiness")
 		d.GracePeriod = r.seconds("entry", "grace-period-s", defaultGracePeriod)
+		d.ProcessorShare = r.processorShare()
 	case "agent":
 		d.Registry, d.Backend = r.text("agent", "registry"), r.text("agent", "backend")
 		d.MaxLease = r.duration("agent", "max-lease")
@@ -128,3 +135,32 @@
 }
 
 const maxSeconds = 24 * 60 * 60
+
+// processorShare returns the product of two optional keys: the share of each core
+// that the process may use, and the number of cores, which may have a fraction if
+// the cores are faster or slower than that of other hosts. It is 0 if the share is
+// not known.
+func (r *jobDaemonReader) processorShare() model.MilliCPU {
+	share := r.cores("processor-share", 0)
+	cores := r.cores("processor-cores", 1)
+	return model.MilliCPU(math.Round(share * cores * milliCPUPerCore))
+}
+
+// cores returns the value of an optional key of an entry that counts cores.
+func (r *jobDaemonReader) cores(key string, absent float64) float64 {
+	text := r.ini.Section("entry").Key(key).String()
+	if text == "" {
+		return absent
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= 0 && v <= maxCores) {
+		r.findings.Add(r.file, 0, "[entry] "+key, "is not a number from 0 to %d: %q", maxCores, text)
+		return absent
+	}
+	return v
+}
+
+const (
+	maxCores        = 4096
+	milliCPUPerCore = 1000
+)
--- a/internal/settings/job_test.go
+++ b/internal/settings/job_test.go
@@ -3,16 +3,21 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/model"
 )
 
+// rest holds the keys that an entry must have. Further lines are in [entry].
+const rest = "[node]\nname=e\nip=127.0.0.1\ndata-centre=d\nlink-port=1\n[store]\naddress=a:1\n[entry]\ncallers=a:2\nreadiness=a:3\n"
+
 // Guards against an entry that is killed in its drain because it does not know
 // its grace period, and against settings without one that stop it from starting.
 func TestGracePeriodOfAnEntry(t *testing.T) {
-	const rest = "[node]\nname=e\nip=127.0.0.1\ndata-centre=d\nlink-port=1\n[store]\naddress=a:1\n[entry]\ncallers=a:2\nreadiness=a:3\n"
 	for text, want := range map[string]time.Duration{
 		"": 6 * time.Second, "grace-period-s = ": 6 * time.Second, "grace-period-s = 10": 10 * time.Second, "grace-period-s = 2.5": 2500 * time.Millisecond,
 	} {
@@ -29,3 +34,25 @@
 		require.ErrorContains(t, err, "[entry] grace-period-s")
 	}
 }
+
+// Guards against an owner of the jobs that is chosen by name because its entry
+// does not know its processor share, against settings without a share that stop
+// an entry from starting, and against an invalid one that is taken for unknown.
+func TestProcessorShareOfAnEntry(t *testing.T) {
+	for text, want := range map[string]model.MilliCPU{
+		"": 0, "processor-share = \nprocessor-cores = 2": 0, "processor-share = 0": 0, "processor-share = 0.19": 190,
+		"processor-share = 0.8\nprocessor-cores = ": 800, "processor-share = 0.4\nprocessor-cores = 1.5": 600,
+	} {
+		file := filepath.Join(t.TempDir(), "node.conf")
+		require.NoError(t, os.WriteFile(file, []byte(rest+text+"\n"), 0o600))
+		d, err := LoadJobDaemon(file, "entry")
+		require.NoError(t, err)
+		require.Equal(t, want, d.ProcessorShare, text)
+	}
+	for _, text := range []string{"processor-share = 40%", "processor-share = -1", "processor-share = NaN", "processor-cores = 1e300", "processor-cores = many"} {
+		file := filepath.Join(t.TempDir(), "node.conf")
+		require.NoError(t, os.WriteFile(file, []byte(rest+text+"\n"), 0o600))
+		_, err := LoadJobDaemon(file, "entry")
+		require.ErrorContains(t, err, "[entry] "+strings.Fields(text)[0])
+	}
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/wire/pb"
@@ -17,7 +18,7 @@
 	case *msg.PeerHello:
 		p.Kind = &pb.Control_PeerHello{PeerHello: &pb.PeerHello{
 			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
-			RequestsConfig: m.RequestsConfig,
+			RequestsConfig: m.RequestsConfig, ProcessorShare: int64(m.ProcessorShare),
 		}}
 	case *msg.Members:
 		p.Kind = &pb.Control_Members{Members: &pb.Members{Entries: mapSlice(m.Entries, memberToProto)}}
@@ -85,6 +86,7 @@
 		return &msg.PeerHello{
 			Member: memberFromProto(h.GetMember()), Agent: h.GetAgent(), Boot: h.GetBoot(),
 			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(), RequestsConfig: h.GetRequestsConfig(),
+			ProcessorShare: model.MilliCPU(h.GetProcessorShare()),
 		}, nil
 	case *pb.Control_Members:
 		return &msg.Members{Entries: mapSlice(k.Members.GetEntries(), memberFromProto)}, nil
