jobs: find what is to be stored without a visit of all hosts

Cause: each flush of the owner asks Pending whether a batch is due. Pending built the list of hosts that may have runs, compared it with the stored one, and looked for unacknowledged ends on every host.

Change: each change of a host compares it with the stored list and keeps a count of the hosts that differ; the list is built only if there are some. Hosts with ends to acknowledge are kept in a set. The time after which an unavailable host leaves the list is noticed by the tick.

TestCostOfAReportDoesNotGrowWithTheCell failed before: 240 visits with 120 hosts, bound 0. TestStoredListFollowsEveryChangeOfAHost compares the count with a full comparison after random events (3,000 checks).

--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -80,15 +80,17 @@
 	interferenceStoredAt time.Duration // when the coefficients were last put into a batch
 
 	hostList         hostList
-	dirty            map[*job]struct{} // jobs whose row has to be written
-	removals         []workload.JobID  // jobs whose rows have to be deleted
-	pendingBatch     *Batch            // the batch that is being written, or nil
-	recoveryDeadline time.Duration     // when the recovery ends at the latest; 0: no recovery
-	formerOwnerEnded bool              // the former owner had ended before this one began
+	dirty            map[*job]struct{}  // jobs whose row has to be written
+	unstoredEnds     map[*host]struct{} // hosts with ends that are applied and not acknowledged
+	removals         []workload.JobID   // jobs whose rows have to be deleted
+	pendingBatch     *Batch             // the batch that is being written, or nil
+	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
+	formerOwnerEnded bool               // the former owner had ended before this one began
 
 	messages  []HostMessage
 	phases    []msg.JobPhase
 	decisions []Decision
+	visits    int // hosts, runs, jobs and steps that loops over all of them examined
 }
 
 // New returns the core of an owner that has just claimed the jobs with an epoch.
@@ -97,6 +99,7 @@
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
 		cancelled: map[workload.JobID]time.Duration{}, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
+		unstoredEnds: map[*host]struct{}{},
 	}
 }
 
@@ -152,15 +155,18 @@
 // Tick applies the timeouts that have expired.
 func (c *Core) Tick() {
 	for _, h := range c.hosts {
+		c.visits++
 		h.tick()
 	}
 	for _, j := range c.jobs {
+		c.visits++
 		if j.removeAt != 0 && c.now >= j.removeAt {
 			c.remove(j)
 		}
 	}
 	c.contention.DropIdleGroups(c.now)
 	for id, at := range c.cancelled {
+		c.visits++
 		if c.now-at > cancellationRetention {
 			delete(c.cancelled, id)
 		}
@@ -180,6 +186,7 @@
 		c.movesDue, c.planNeeded = true, true
 	}
 	for _, s := range c.waiting.steps {
+		c.visits++
 		if s.spec.BestEffort {
 			c.planNeeded = true
 			return
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -75,6 +75,7 @@
 	pausedUntil          time.Duration // end of the pause after repeated refusals; 0: none
 	inventoryStartedAtMS int64         // incarnation whose inventory was accepted; 0: none
 	stored               bool          // it is in the stored list of hosts
+	listDiffers          bool          // it should not be in the stored list but is, or the reverse
 	expected             bool          // runs of an earlier owner may go on there
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
 	idleSince            time.Duration // when all runs on the host had certainly ended
@@ -101,6 +102,7 @@
 		c.hostsByName = slices.Insert(c.hostsByName, i, h)
 		h.position = c.improved.PushFront(h)
 		h.stored = c.hostList.stored[name]
+		h.checkListed()
 		h.improve()
 	}
 	return h
@@ -112,6 +114,7 @@
 func (h *host) step(e chart.Event) {
 	before := h.state
 	hostChart.Step(h, &h.state, e)
+	h.checkListed()
 	if h.state == before && e != evClaimTimeout && e != evUp {
 		return
 	}
@@ -134,7 +137,9 @@
 		h.improve()
 	}
 	h.endPause()
+	h.checkListed()
 	for _, r := range h.runs {
+		h.core.visits++
 		r.tick()
 	}
 }
@@ -184,12 +189,14 @@
 	}
 	if restarted {
 		h.endsApplied, h.endsAcknowledged = 0, 0
+		delete(h.core.unstoredEnds, h)
 		h.health = health{}
 	}
 	if info.State != old.State {
 		h.core.addDecision(Decision{Kind: HostChanged, Host: info.Name, Detail: info.State.String()})
 	}
 	h.info = info
+	h.checkListed()
 	if restarted || info.State != old.State || info.Service != old.Service || info.Capacity != old.Capacity || !slices.Equal(info.Labels, old.Labels) || old.Instance == "" {
 		h.improve()
 	}
@@ -332,6 +339,7 @@
 			continue
 		}
 		h.endsApplied = e.Number
+		h.core.unstoredEnds[h] = struct{}{}
 		if r, ok := h.runs[e.Run]; ok {
 			r.end = e
 			r.step(evEnded)
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -15,7 +15,8 @@
 // before its first run starts, so a new owner waits for the hosts of the list
 // only.
 type hostList struct {
-	stored map[workload.HostName]bool
+	stored    map[workload.HostName]bool
+	differing int // hosts for which mayHaveRuns and the stored list differ
 }
 
 // mayHaveRuns reports whether the host belongs into the stored list: it may have
@@ -30,18 +31,33 @@
 	return true
 }
 
-// hostsToStore returns the names that the stored list should have, and whether
-// they differ from the present ones.
+// checkListed records whether the host is in the stored list as it should be. It
+// is called after each change of what mayHaveRuns depends on.
+func (h *host) checkListed() {
+	differs := h.mayHaveRuns() != h.stored
+	switch {
+	case differs && !h.listDiffers:
+		h.core.hostList.differing++
+	case !differs && h.listDiffers:
+		h.core.hostList.differing--
+	}
+	h.listDiffers = differs
+}
+
+// hostsToStore returns the names that the stored list should have if they differ
+// from the present ones, and whether they do.
 func (c *Core) hostsToStore() ([]workload.HostName, bool) {
+	if c.hostList.differing == 0 {
+		return nil, false
+	}
 	var names []workload.HostName
-	changed := false
 	for _, h := range c.hostsByName {
+		c.visits++
 		if h.mayHaveRuns() {
 			names = append(names, h.info.Name)
-			changed = changed || !c.hostList.stored[h.info.Name]
 		}
 	}
-	return names, changed || len(names) != len(c.hostList.stored)
+	return names, true
 }
 
 // hostsStored records the list that was stored.
@@ -55,6 +71,7 @@
 		if h.stored = c.hostList.stored[h.info.Name]; h.stored && !before {
 			h.improve()
 		}
+		h.checkListed()
 	}
 	c.planNeeded = true
 }
@@ -69,6 +86,7 @@
 	if !known {
 		h.step(evExpect)
 	}
+	h.checkListed()
 }
 
 // endRecoveryIfComplete lets all tasks start once every expected host has sent its inventory or certainly has no runs.
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -52,6 +52,7 @@
 		c.moveThrottled()
 	}
 	for _, h := range c.hostsByName {
+		c.visits++
 		h.flush()
 	}
 	c.pass.Waiting = c.waiting.tasks
@@ -67,6 +68,7 @@
 func (c *Core) placeWaiting() bool {
 	for i := 0; i < len(c.waiting.steps); {
 		s := c.waiting.steps[i]
+		c.visits++
 		if c.recoveryDeadline == 0 || !s.mayHaveStarted() {
 			p := placement{step: s}
 			if !p.run() {
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -46,17 +46,13 @@
 		return true, true
 	}
 	for j := range c.dirty {
+		c.visits++
 		pending = true
 		if j.phase().Final() {
 			return true, true
 		}
 	}
-	for _, h := range c.hosts {
-		if h.endsApplied > h.endsAcknowledged {
-			return true, false
-		}
-	}
-	return pending || len(c.removals) > 0, false
+	return pending || len(c.unstoredEnds) > 0 || len(c.removals) > 0, false
 }
 
 // NextBatch returns the next batch to write. The caller ends it with
@@ -78,9 +74,9 @@
 	b.Removed = c.removals[:n]
 	c.removals = c.removals[n:]
 	// An end may be acknowledged only when every job that it changed is stored.
-	for name, h := range c.hosts {
-		if allWritten && h.endsApplied > h.endsAcknowledged {
-			b.ends[name] = appliedEnds{h.info.Instance, h.info.StartedAtMS, h.endsApplied}
+	if allWritten {
+		for h := range c.unstoredEnds {
+			b.ends[h.info.Name] = appliedEnds{h.info.Instance, h.info.StartedAtMS, h.endsApplied}
 		}
 	}
 	if hosts, changed := c.hostsToStore(); changed {
@@ -120,6 +116,9 @@
 			continue
 		}
 		h.endsAcknowledged = e.lastNumber
+		if h.endsApplied == h.endsAcknowledged {
+			delete(c.unstoredEnds, h)
+		}
 		c.send(h, &msg.EndsAcknowledged{Epoch: c.epoch, Instance: e.instance, StartedAtMS: e.startedAtMS, LastNumber: e.lastNumber})
 	}
 }
