jobs: find expired timeouts in the order of their times

Change: the new package duetime orders items by due time in a heap. Hosts, runs, jobs and early cancellations are in one queue, also the times at which a host's pause, probation and place in the stored list end. A tick plans for waiting best-effort tasks only while one of them may still wait for a host of good speed. Timeouts that expire together are applied in the order in which they were set; it was the order of a map before.

TestCostOfATickFollowsTheExpiredTimeouts failed before: 4,034 visits with 120 hosts, 200 waiting steps and no expired timeout, bound 0.

--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -10,8 +10,10 @@
 	"sort"
 	"time"
 
+	"github.com/bambooscale/bambooscale/internal/duetime"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/policy/contention"
+	"github.com/bambooscale/bambooscale/internal/policy/hostselect"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -63,10 +65,11 @@
 
 	hosts      map[workload.HostName]*host
 	jobs       map[workload.JobID]*job
-	cancelled  map[workload.JobID]time.Duration // when jobs that are not known yet were cancelled
-	waiting    waiting                          // tasks that may start
-	planNeeded bool                             // something changed that may let a task start
-	pass       PassStats                        // of the last planning pass
+	cancelled  map[workload.JobID]struct{} // jobs that were cancelled and are not known yet
+	due        duetime.Queue[timed]
+	waiting    waiting   // tasks that may start
+	planNeeded bool      // something changed that may let a task start
+	pass       PassStats // of the last planning pass
 
 	hostsByName  []*host    // ordered by name, so that equal inputs give equal plans
 	improved     *list.List // of *host, the last improved first
@@ -97,7 +100,7 @@
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
-		cancelled: map[workload.JobID]time.Duration{}, improved: list.New(), throttled: map[*run]struct{}{},
+		cancelled: map[workload.JobID]struct{}{}, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{},
 	}
@@ -154,23 +157,8 @@
 
 // Tick applies the timeouts that have expired.
 func (c *Core) Tick() {
-	for _, h := range c.hosts {
-		c.visits++
-		h.tick()
-	}
-	for _, j := range c.jobs {
-		c.visits++
-		if j.removeAt != 0 && c.now >= j.removeAt {
-			c.remove(j)
-		}
-	}
+	c.expireDue()
 	c.contention.DropIdleGroups(c.now)
-	for id, at := range c.cancelled {
-		c.visits++
-		if c.now-at > cancellationRetention {
-			delete(c.cancelled, id)
-		}
-	}
 	if c.recoveryDeadline != 0 && c.now >= c.recoveryDeadline {
 		c.recoveryDeadline = 0
 		c.planNeeded = true
@@ -180,20 +168,45 @@
 
 // scheduleTimedPlans makes the next pass look at what changes with time: the
 // speed that a waiting best-effort task accepts, and runs that are throttled for
-// long.
+// long. Once every waiting best-effort task accepts any speed, time changes nothing
+// for it.
 func (c *Core) scheduleTimedPlans() {
 	if len(c.throttled) > 0 && c.now-c.movesExaminedAt >= minMoveInterval {
 		c.movesDue, c.planNeeded = true, true
 	}
-	for _, s := range c.waiting.steps {
-		c.visits++
-		if s.spec.BestEffort {
-			c.planNeeded = true
+	if c.waiting.speedMatters {
+		c.waiting.speedMatters = c.now-c.waiting.bestEffortReadyAt < hostselect.MaxWait
+		c.planNeeded = true
+	}
+}
+
+// expireDue applies the timeouts that have expired. A timeout that is set again to
+// a time that has passed is left to the next tick.
+func (c *Core) expireDue() {
+	for range c.due.Len() {
+		item, ok := c.due.Next(c.now)
+		if !ok {
 			return
 		}
+		c.visits++
+		item.expire()
 	}
 }
 
+// timed is an item with a timeout: a host, a run, a job or a cancellation.
+type timed interface {
+	// expire applies the timeout.
+	expire()
+}
+
+// cancellation identifies a cancellation that arrived before its job.
+type cancellation struct {
+	core *Core
+	job  workload.JobID
+}
+
+func (c cancellation) expire() { delete(c.core.cancelled, c.job) }
+
 // cancellationRetention is how long a cancellation is kept that arrived before
 // its job.
 const cancellationRetention = time.Minute
--- a/internal/jobs/cost_test.go
+++ b/internal/jobs/cost_test.go
@@ -250,6 +250,32 @@
 	}
 }
 
+// Guards against a tick that visits all hosts, runs, jobs and waiting steps every
+// 50 ms although no timeout has expired.
+func TestCostOfATickFollowsTheExpiredTimeouts(t *testing.T) {
+	c := newCell(t, smallCell)
+	for range 10 {
+		c.now += 50 * time.Millisecond
+		c.core.Advance(c.now, c.now.Milliseconds())
+		require.Zero(t, c.costOf(input(t, "tick"), 0))
+	}
+	const silent = 3
+	for i := range silent {
+		c.core.Unlinked(c.hostNames[i])
+	}
+	c.core.Cancel("unknown")
+	c.flush()
+	c.now += LeaseExpiry
+	c.core.Advance(c.now, c.now.Milliseconds())
+	before := c.core.visits
+	c.core.Tick()
+	require.Equal(t, silent, c.core.visits-before)
+	c.now += cancellationRetention
+	c.core.Advance(c.now, c.now.Milliseconds())
+	c.core.Tick()
+	require.Empty(t, c.core.cancelled)
+}
+
 // smallCell is large enough that a visit of all hosts, runs, jobs or waiting
 // steps exceeds every bound of the tests.
 var smallCell = cellSize{hosts: 120, steps: 200, kinds: 8}
--- a/internal/jobs/health.go
+++ b/internal/jobs/health.go
@@ -23,23 +23,34 @@
 
 // health counts the failures on a host.
 type health struct {
-	failedJobs map[workload.JobID]bool // jobs that failed since the last completed run
-	lastFailed time.Duration
-	probation  bool // the end of a probation was not noticed yet
+	failedJobs   map[workload.JobID]bool // jobs that failed since the last completed run
+	probationEnd time.Duration           // when a failing host gets tasks again; 0: it is not failing
 }
 
 // recordEnd counts a failed run. A completed run resets the count.
 func (h *host) recordEnd(e msg.RunEnd) {
 	switch e.Reason {
 	case workload.EndDone:
-		h.health.failedJobs = nil
+		h.health = health{}
+		h.schedule()
 		h.improve()
 	case workload.EndFailed:
 		if h.health.failedJobs == nil {
 			h.health.failedJobs = map[workload.JobID]bool{}
 		}
 		h.health.failedJobs[e.Run.Task.Job] = true
-		h.health.lastFailed, h.health.probation = h.core.now, true
+		if len(h.health.failedJobs) >= failingThreshold {
+			h.health.probationEnd = h.core.now + probation
+		}
+		h.schedule()
+	}
+}
+
+// endProbation ends the time in which a failing host gets no tasks if it is over.
+func (h *host) endProbation() {
+	if h.health.probationEnd != 0 && h.core.now >= h.health.probationEnd {
+		h.health.probationEnd = 0
+		h.improve()
 	}
 }
 
@@ -50,6 +61,7 @@
 	h.refusals++
 	if h.refusals > 1 {
 		h.pausedUntil = h.core.now + refusalPause
+		h.schedule()
 	}
 }
 
@@ -67,7 +79,7 @@
 
 // failing reports whether the host gets no tasks at present.
 func (h *host) failing() bool {
-	return len(h.health.failedJobs) >= failingThreshold && h.core.now-h.health.lastFailed < probation
+	return h.core.now < h.health.probationEnd
 }
 
 // sortedRuns returns the host's runs ordered by identifier.
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -58,6 +58,7 @@
 	info      workload.Host
 	state     chart.State
 	timeoutAt time.Duration // when the state's timeout expires; 0: none
+	dueAt     time.Duration // when the host expires in Core.due; 0: never
 
 	lastGrantAt          time.Duration // when the lease of the runs was last granted
 	runs                 map[workload.RunID]*run
@@ -102,7 +103,7 @@
 		c.hostsByName = slices.Insert(c.hostsByName, i, h)
 		h.position = c.improved.PushFront(h)
 		h.stored = c.hostList.stored[name]
-		h.checkListed()
+		h.schedule()
 		h.improve()
 	}
 	return h
@@ -114,34 +115,54 @@
 func (h *host) step(e chart.Event) {
 	before := h.state
 	hostChart.Step(h, &h.state, e)
-	h.checkListed()
-	if h.state == before && e != evClaimTimeout && e != evUp {
-		return
+	if h.state != before || e == evClaimTimeout || e == evUp {
+		h.restartTimeout()
+		h.improve()
 	}
+	h.schedule()
+}
+
+// restartTimeout sets the timeout of the host's state.
+func (h *host) restartTimeout() {
 	h.timeoutAt = 0
 	if h.state == hostSilent {
 		h.timeoutAt = h.lastGrantAt + LeaseExpiry
 	} else if d, _, ok := hostChart.Timeout(h.state); ok {
 		h.timeoutAt = h.core.now + d
 	}
-	h.improve()
 }
 
-func (h *host) tick() {
+// expire applies the times of the host that have passed.
+func (h *host) expire() {
+	h.dueAt = 0
 	if h.timeoutAt != 0 && h.core.now >= h.timeoutAt {
 		_, e, _ := hostChart.Timeout(h.state)
 		h.step(map[string]chart.Event{"lapse": evLeaseExpired, "late": evClaimTimeout}[hostChart.EventName(e)])
 	}
-	if h.health.probation && !h.failing() {
-		h.health.probation = false
-		h.improve()
-	}
+	h.endProbation()
 	h.endPause()
+	h.schedule()
+}
+
+// schedule sets when the host expires next. It is called after each change that a
+// time of the host or checkListed depends on.
+func (h *host) schedule() {
 	h.checkListed()
-	for _, r := range h.runs {
-		h.core.visits++
-		r.tick()
+	due := time.Duration(0)
+	for _, at := range [...]time.Duration{h.timeoutAt, h.pausedUntil, h.health.probationEnd, h.listedUntil()} {
+		if at != 0 && (due == 0 || at < due) {
+			due = at
+		}
 	}
+	switch {
+	case due == h.dueAt:
+		return
+	case due == 0:
+		h.core.due.Remove(h)
+	default:
+		h.core.due.Set(h, due)
+	}
+	h.dueAt = due
 }
 
 // improve records that tasks may fit on the host which did not fit before. A
@@ -196,7 +217,7 @@
 		h.core.addDecision(Decision{Kind: HostChanged, Host: info.Name, Detail: info.State.String()})
 	}
 	h.info = info
-	h.checkListed()
+	h.schedule()
 	if restarted || info.State != old.State || info.Service != old.Service || info.Capacity != old.Capacity || !slices.Equal(info.Labels, old.Labels) || old.Instance == "" {
 		h.improve()
 	}
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -22,17 +22,27 @@
 // mayHaveRuns reports whether the host belongs into the stored list: it may have
 // runs, or may get some.
 func (h *host) mayHaveRuns() bool {
+	return !h.mayLeaveList() || h.stored && h.core.now-h.idleSince < hostRetention
+}
+
+// mayLeaveList reports whether the host has no runs and gets none at present.
+func (h *host) mayLeaveList() bool {
 	if len(h.runs) > 0 || h.state == hostSilent {
-		return true
+		return false
 	}
-	if h.info.Instance == "" || h.info.State == workload.HostUnavailable || h.state == hostUnavailable {
-		return h.core.now-h.idleSince < hostRetention && h.core.hostList.stored[h.info.Name]
+	return h.info.Instance == "" || h.info.State == workload.HostUnavailable || h.state == hostUnavailable
+}
+
+// listedUntil returns when the host leaves the stored list if it stays as it is;
+// 0: it stays in the list or need not be in it.
+func (h *host) listedUntil() time.Duration {
+	if h.mayLeaveList() && h.mayHaveRuns() {
+		return h.idleSince + hostRetention
 	}
-	return true
+	return 0
 }
 
-// checkListed records whether the host is in the stored list as it should be. It
-// is called after each change of what mayHaveRuns depends on.
+// checkListed records whether the host is in the stored list as it should be.
 func (h *host) checkListed() {
 	differs := h.mayHaveRuns() != h.stored
 	switch {
@@ -71,7 +81,7 @@
 		if h.stored = c.hostList.stored[h.info.Name]; h.stored && !before {
 			h.improve()
 		}
-		h.checkListed()
+		h.schedule()
 	}
 	c.planNeeded = true
 }
@@ -86,7 +96,7 @@
 	if !known {
 		h.step(evExpect)
 	}
-	h.checkListed()
+	h.schedule()
 }
 
 // endRecoveryIfComplete lets all tasks start once every expected host has sent its inventory or certainly has no runs.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -49,7 +49,6 @@
 	deadline    time.Duration // by which the job should be completed
 	recovered   bool          // accepted under an earlier owner
 	endedAtMS   int64         // Unix milliseconds; 0: not ended
-	removeAt    time.Duration // when the job's rows are deleted; 0: not ended
 }
 
 // step is one step of a job.
@@ -137,10 +136,15 @@
 // markDirty makes the next batch write the job's row.
 func (j *job) markDirty() { j.core.dirty[j] = struct{}{} }
 
+// removeLater makes the job's rows be deleted after endedJobRetention.
+func (j *job) removeLater() { j.core.due.Set(j, j.core.now+endedJobRetention) }
+
+func (j *job) expire() { j.core.remove(j) }
+
 // finalise records the end of the job and stops its runs.
 func (j *job) finalise() {
 	j.endedAtMS = j.core.wallMS
-	j.removeAt = j.core.now + endedJobRetention
+	j.removeLater()
 	j.markDirty()
 	j.core.addDecision(Decision{Kind: JobEnded, Job: j.spec.ID, Detail: j.phase().String(), Age: j.core.now - j.admittedAt})
 	for _, s := range j.steps {
@@ -178,6 +182,7 @@
 	c.addDecision(Decision{Kind: JobAdmitted, Job: spec.ID, Detail: j.phase().String()})
 	if _, cancelled := c.cancelled[spec.ID]; cancelled {
 		delete(c.cancelled, spec.ID)
+		c.due.Remove(cancellation{c, spec.ID})
 		j.step(evCancel)
 		return
 	}
@@ -191,7 +196,8 @@
 func (c *Core) Cancel(id workload.JobID) {
 	j, known := c.jobs[id]
 	if !known {
-		c.cancelled[id] = c.now
+		c.cancelled[id] = struct{}{}
+		c.due.Set(cancellation{c, id}, c.now+cancellationRetention)
 		return
 	}
 	j.step(evCancel)
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -54,11 +54,11 @@
 
 // run is one run of a task on a host.
 type run struct {
-	id        workload.RunID
-	task      *task
-	host      *host
-	state     chart.State
-	timeoutAt time.Duration // when the state's timeout expires; 0: none
+	id    workload.RunID
+	task  *task
+	host  *host
+	state chart.State
+	timed bool // its state has a timeout
 
 	orderedAt  time.Duration
 	startedAt  time.Duration
@@ -75,15 +75,19 @@
 func (r *run) step(e chart.Event) {
 	before := r.state
 	runChart.Step(r, &r.state, e)
-	if d, _, ok := runChart.Timeout(r.state); ok && (r.state != before || e == evStopTimeout) {
-		r.timeoutAt = r.core().now + d
+	d, _, ok := runChart.Timeout(r.state)
+	switch {
+	case ok && (r.state != before || e == evStopTimeout):
+		r.core().due.Set(r, r.core().now+d)
+	case !ok && r.timed:
+		r.core().due.Remove(r)
 	}
+	r.timed = ok
 }
 
-func (r *run) tick() {
-	if r.timeoutAt != 0 && r.core().now >= r.timeoutAt && r.state == runStopping {
-		r.step(evStopTimeout)
-	}
+func (r *run) expire() {
+	r.timed = false
+	r.step(evStopTimeout)
 }
 
 // stop stops the run unless it is being stopped. The reason is logged.
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -176,7 +176,7 @@
 	j.storedPhase = p.Phase
 	j.endedAtMS = p.EndedAtMS
 	if p.Phase.Final() {
-		j.removeAt = j.core.now + endedJobRetention
+		j.removeLater()
 		j.state = chart.State(p.Phase)
 		return
 	}
--- a/internal/jobs/usage.go
+++ b/internal/jobs/usage.go
@@ -13,7 +13,7 @@
 	h.runs[id] = r
 	t.runs = append(t.runs, r)
 	h.adjustUsage(t.step, 1)
-	h.checkListed()
+	h.schedule()
 	return r
 }
 
@@ -25,7 +25,7 @@
 	delete(h.runs, r.id)
 	delete(h.core.throttled, r)
 	h.adjustUsage(r.task.step, -1)
-	h.checkListed()
+	h.schedule()
 	h.improve()
 }
 
--- a/internal/jobs/waiting.go
+++ b/internal/jobs/waiting.go
@@ -12,6 +12,9 @@
 type waiting struct {
 	steps []*step // steps with ready tasks, the most urgent first
 	tasks int
+
+	bestEffortReadyAt time.Duration // when a best-effort task became ready last
+	speedMatters      bool          // a task may wait for a host of good speed, or did at the last tick
 }
 
 // search is what earlier passes found out about the hosts for the tasks of a
@@ -74,6 +77,9 @@
 	s.unlogged++
 	s.lastReady = t.readySince
 	t.ready = true
+	if s.spec.BestEffort {
+		w.bestEffortReadyAt, w.speedMatters = t.readySince, true
+	}
 	w.tasks++
 }
 
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -22,7 +22,7 @@
 // layers lists the packages from low to high. A package may import only
 // packages of lower layers. An entry also covers the packages below its path.
 var layers = [][]string{
-	{"charts", "internal/finding", "internal/event", "internal/table", "internal/workload"},
+	{"charts", "internal/finding", "internal/event", "internal/table", "internal/workload", "internal/duetime"},
 	{"internal/chart", "internal/model", "internal/actor"},
 	{"internal/msg", "internal/labels"},
 	{"internal/policy/", "internal/wire"},
