jobdaemon: send the jobs' phases to entries as a paced backlog

Cause: at a takeover and at each new link the owner sent the phases of all jobs in one message to each entry; at a takeover it did so twice, as the restored jobs were also published as changes. A phase takes 38 bytes: 38 KB for 1,000 jobs and 380 KB for 10,000, to 15 entries 570 KB (0.46 s at 10 Mbit/s) and 5.7 MB (4.6 s). Leases and heartbeats wait for it, a link ends after 1.2 s of silence, and each new link got all phases again. Above 110,000 jobs the message exceeds the limit of a control message (4 MB, worked out).

Change: the owner numbers the changes of visible phases. An entry says in its hello up to which change of which epoch it has everything, and is sent what changed since. That backlog goes in messages of at most 4 KB, all backlogs together at most a quarter of 10 Mbit/s; what differs from the new owner's cache comes first, then queued, running and ended jobs. Changes are still sent at once, on the same link as the backlog, so a mark is sent only when nothing is missing; a message that does not fit the queue ends the feed. A phase that an entry has read from the table service serves further requests for 1 s.

Hello and phases have additional fields (10, 11 and 4). Processes of the former program send no mark and get everything, in small messages.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -47,6 +47,7 @@
 	owner       *ownership.Core // which entry owns the jobs
 	jobs        *jobs.Core      // nil unless this entry owns the jobs
 	loading     bool            // this entry owns the jobs but has not read them yet
+	feeds       *phaseFeeds     // nil unless this entry owns the jobs and has read them
 	deferred    []any           // messages for the owner that arrived while loading
 	writer      writer
 	peerCommits peerCommits
@@ -63,6 +64,7 @@
 	epoch    actor.Value[uint64]
 	linked   actor.Value[map[string]bool] // addresses of linked entries
 	members  actor.Value[[]msg.Member]
+	phases   actor.Value[msg.PhaseMark]
 	retiring actor.Value[bool] // the entry is draining
 }
 
@@ -94,6 +96,7 @@
 		c.jobs.Advance(now, time.Now().UnixMilli())
 		c.jobs.Tick()
 	}
+	c.sendBacklogs()
 	c.peerCommits.expire(now)
 	if now-c.prunedAt > pruneInterval {
 		c.prunedAt = now
@@ -148,6 +151,8 @@
 		c.cancelStored(m)
 	case *phaseQuery:
 		c.phaseQuery(m)
+	case *phaseRead:
+		c.phases.updateRead(m.id, m.phase, c.now())
 	case *queueLengthQuery:
 		m.reply.Put(c.phases.queued[m.queue])
 	case *membersRead:
@@ -194,17 +199,6 @@
 // send queues a message for a link. The link ends if its queue is full.
 func (c *controller) send(l *peerLink, m msg.Control) { l.out.TrySend(m) }
 
-// publish records phases in the cache and sends them to the other entries.
-func (c *controller) publish(phases []msg.JobPhase) {
-	if len(phases) == 0 {
-		return
-	}
-	for _, p := range phases {
-		c.phases.update(p, c.now())
-	}
-	c.sendToEntries(&msg.JobPhases{Epoch: c.jobs.Epoch(), Jobs: phases})
-}
-
 // sendToEntries sends a message once to each linked entry.
 func (c *controller) sendToEntries(m msg.Control) {
 	sent := map[string]bool{}
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -36,7 +36,7 @@
 	c.announceConfig(l)
 	if c.jobs != nil {
 		c.send(l, &msg.OwnerClaim{Epoch: c.jobs.Epoch(), Owner: c.self.Name})
-		c.send(l, &msg.JobPhases{Epoch: c.jobs.Epoch(), Full: true, Jobs: c.jobs.AllPhases()})
+		c.startFeed(l)
 	}
 }
 
@@ -72,6 +72,7 @@
 		return
 	}
 	c.peerCommits.linkDown(name)
+	c.endFeed(l)
 	if c.entryLink(name) == nil {
 		c.owner.PeerDown(name, c.now())
 		c.config.sync.PeerDown(name, c.now())
@@ -156,15 +157,6 @@
 	}
 }
 
-func (c *controller) phasesReceived(m *msg.JobPhases) {
-	if m.Epoch < c.owner.Epoch() {
-		return
-	}
-	for _, p := range m.Jobs {
-		c.phases.update(p, c.now())
-	}
-}
-
 // addMembers records entries that were received from a peer or read from the
 // table service, and sends the list to all peers if it changed.
 func (c *controller) addMembers(entries []msg.Member) {
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -90,13 +90,7 @@
 }
 
 func (c *controller) startLinks(cfg EntryConfig) error {
-	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello {
-		h := &msg.PeerHello{Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true}
-		if epoch := c.published.epoch.Get(); epoch != nil {
-			h.Epoch = *epoch
-		}
-		return h
-	}}
+	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
 	listener, err := link.Listen(c.group, cfg.Links, link.Config{})
 	if err != nil {
 		return err
@@ -114,6 +108,18 @@
 	return nil
 }
 
+// hello returns the first message on a new link. Any goroutine may call it.
+func (c *controller) hello(cfg EntryConfig) *msg.PeerHello {
+	h := &msg.PeerHello{Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true}
+	if epoch := c.published.epoch.Get(); epoch != nil {
+		h.Epoch = *epoch
+	}
+	if mark := c.published.phases.Get(); mark != nil {
+		h.Phases = *mark
+	}
+	return h
+}
+
 // dialers starts one dialer for each address. It must be used by one goroutine
 // at a time.
 type dialers struct {
--- a/internal/jobdaemon/jobhandler.go
+++ b/internal/jobdaemon/jobhandler.go
@@ -88,6 +88,10 @@
 		queue workload.QueueName
 		reply actor.Reply[int]
 	}
+	phaseRead struct {
+		id    workload.JobID
+		phase workload.Phase
+	}
 	phaseAnswer struct {
 		phase workload.Phase
 		known bool // the job is in the cache
@@ -182,7 +186,11 @@
 	if answer.known {
 		return answer.phase, nil
 	}
-	return h.storedPhase(ctx, id)
+	phase, err := h.storedPhase(ctx, id)
+	if err == nil {
+		h.controller.address.TrySend(&phaseRead{id, phase}) // if the mailbox is full, the next call reads again
+	}
+	return phase, err
 }
 
 // storedPhase reads the phase of a job that is not in the cache from the table
@@ -265,7 +273,7 @@
 }
 
 func (c *controller) phaseQuery(m *phaseQuery) {
-	p, known := c.phases.phase(m.id)
+	p, known := c.phases.phase(m.id, c.now())
 	m.reply.Put(phaseAnswer{p, known})
 }
 
@@ -278,6 +286,7 @@
 }
 
 func (c *controller) cancelStored(m *cancelStored) {
+	c.phases.forgetRead(m.id)
 	c.sendToOwner(&msg.JobCancelled{ID: m.id})
 	m.applied.Put(true)
 }
--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -137,6 +137,7 @@
 		event.Log(c.log, event.OwnerStoreFailed, log.Fields{"epoch": m.epoch, "error": m.err.Error()})
 		return
 	}
+	first := c.loading
 	c.loading = false
 	for _, id := range m.state.cancelled {
 		c.jobs.Cancel(id)
@@ -164,7 +165,9 @@
 			c.jobs.Inventory(e)
 		}
 	}
-	c.sendToEntries(&msg.JobPhases{Epoch: m.epoch, Full: true, Jobs: c.jobs.AllPhases()})
+	if first {
+		c.startFeeds()
+	}
 }
 
 const (
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -129,7 +129,7 @@
 		return
 	}
 	event.Log(c.log, event.OwnershipEnded, log.Fields{"epoch": c.jobs.Epoch(), "reason": reason})
-	c.jobs, c.loading, c.deferred = nil, false, nil
+	c.jobs, c.loading, c.deferred, c.feeds = nil, false, nil, nil
 	c.ownerGroup.Cancel()
 }
 
--- a/internal/jobdaemon/phasecache.go
+++ b/internal/jobdaemon/phasecache.go
@@ -11,10 +11,22 @@
 // Later calls are answered from the table service.
 const phaseRetention = 200 * time.Second
 
+// readPhaseLifetime is how long an entry answers from a phase that it has read
+// from the table service. Until it receives the phase from the owner, it reads
+// the rows of a job at most once in that time.
+const readPhaseLifetime = time.Second
+
 // phaseCache caches the phases of the jobs at an entry.
 type phaseCache struct {
 	jobs   map[workload.JobID]*cachedPhase
 	queued map[workload.QueueName]int // number of queued jobs
+	read   map[workload.JobID]readPhase
+}
+
+// readPhase is a phase that was read from the table service.
+type readPhase struct {
+	phase workload.Phase
+	at    time.Duration
 }
 
 type cachedPhase struct {
@@ -23,7 +35,7 @@
 }
 
 func newPhaseCache() *phaseCache {
-	return &phaseCache{jobs: map[workload.JobID]*cachedPhase{}, queued: map[workload.QueueName]int{}}
+	return &phaseCache{jobs: map[workload.JobID]*cachedPhase{}, queued: map[workload.QueueName]int{}, read: map[workload.JobID]readPhase{}}
 }
 
 // update records a phase. Phases only advance: a message that arrives after a
@@ -53,19 +65,34 @@
 	}
 }
 
-func (c *phaseCache) phase(id workload.JobID) (workload.Phase, bool) {
-	j, ok := c.jobs[id]
-	if !ok {
-		return 0, false
+// phase returns the phase of a job, and whether the cache has it.
+func (c *phaseCache) phase(id workload.JobID, now time.Duration) (workload.Phase, bool) {
+	if j, ok := c.jobs[id]; ok {
+		return j.phase.Phase, true
 	}
-	return j.phase.Phase, true
+	r, ok := c.read[id]
+	return r.phase, ok && now-r.at < readPhaseLifetime
+}
+
+// updateRead records a phase that was read from the table service.
+func (c *phaseCache) updateRead(id workload.JobID, p workload.Phase, now time.Duration) {
+	c.read[id] = readPhase{p, now}
 }
 
-// prune removes jobs that ended more than phaseRetention ago.
+// forgetRead removes a phase that was read before the job's rows changed.
+func (c *phaseCache) forgetRead(id workload.JobID) { delete(c.read, id) }
+
+// prune removes jobs that ended more than phaseRetention ago, and phases that
+// were read more than readPhaseLifetime ago.
 func (c *phaseCache) prune(now time.Duration) {
 	for id, j := range c.jobs {
 		if j.phase.Phase.Final() && now-j.endedAt > phaseRetention {
 			delete(c.jobs, id)
 		}
 	}
+	for id, r := range c.read {
+		if now-r.at >= readPhaseLifetime {
+			delete(c.read, id)
+		}
+	}
 }
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -7,7 +7,6 @@
 
 import (
 	"container/list"
-	"sort"
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
@@ -86,9 +85,10 @@
 	recoveryDeadline time.Duration     // when the recovery ends at the latest; 0: no recovery
 	formerOwnerEnded bool              // the former owner had ended before this one began
 
-	messages  []HostMessage
-	phases    []msg.JobPhase
-	decisions []Decision
+	messages     []HostMessage
+	phases       []msg.JobPhase
+	phaseChanges uint64 // number of the newest change of a visible phase
+	decisions    []Decision
 }
 
 // New returns the core of an owner that has just claimed the jobs with an epoch.
@@ -113,13 +113,6 @@
 	return out
 }
 
-// Phases returns the changes of visible phases since the last call.
-func (c *Core) Phases() []msg.JobPhase {
-	out := c.phases
-	c.phases = nil
-	return out
-}
-
 // Decisions returns the decisions since the last call.
 func (c *Core) Decisions() []Decision {
 	out := c.decisions
@@ -127,16 +120,6 @@
 	return out
 }
 
-// AllPhases returns the visible phase of every job, ordered by job.
-func (c *Core) AllPhases() []msg.JobPhase {
-	list := make([]msg.JobPhase, 0, len(c.jobs))
-	for _, j := range c.jobs {
-		list = append(list, j.visiblePhase())
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
-	return list
-}
-
 func (c *Core) send(h *host, m msg.Control) {
 	c.messages = append(c.messages, HostMessage{h.info.Name, m})
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -44,6 +44,7 @@
 	spec        workload.Job
 	state       chart.State
 	storedPhase workload.Phase // phase of the stored row
+	phaseChange uint64         // number of the newest change of the visible phase
 	steps       []*step
 	admittedAt  time.Duration // when this owner admitted the job
 	deadline    time.Duration // by which the job should be completed
@@ -129,9 +130,6 @@
 	return msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p}
 }
 
-// publish adds the job's visible phase to the changes for callers.
-func (j *job) publish() { j.core.phases = append(j.core.phases, j.visiblePhase()) }
-
 func (j *job) step(e chart.Event) { jobChart.Step(j, &j.state, e) }
 
 // markDirty makes the next batch write the job's row.
@@ -170,6 +168,7 @@
 		return
 	}
 	j := newJob(c, spec)
+	j.numberPhase()
 	j.recovered = recovered
 	c.jobs[spec.ID] = j
 	if p != nil {
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -106,8 +106,8 @@
 		}
 		if before := j.visiblePhase(); j.storedPhase != w.Progress.Phase {
 			j.storedPhase = w.Progress.Phase
-			if after := j.visiblePhase(); after != before {
-				c.phases = append(c.phases, after)
+			if j.visiblePhase() != before {
+				j.publish()
 			}
 		}
 	}
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -24,6 +24,7 @@
 	// RequestsConfig says that the sender answers ConfigRequest, and requests
 	// configurations that are announced to it by their version.
 	RequestsConfig bool
+	Phases         PhaseMark // phases that the sender has; of an entry
 }
 
 // Members lists the entries that the sender knows.
@@ -172,11 +173,20 @@
 	Phase workload.Phase
 }
 
-// JobPhases reports phases of jobs from the owner to the entries. If Full is
-// set, the owner knows no other jobs.
+// PhaseMark says which changes of the jobs' phases an entry has applied: those
+// of the owner with an epoch up to a number, which counts the owner's changes.
+// The zero PhaseMark says nothing.
+type PhaseMark struct {
+	Epoch uint64
+	UpTo  uint64
+}
+
+// JobPhases reports phases of jobs from the owner to the entries. If UpTo is not
+// 0, the receiver has all changes of that epoch up to this number once it has
+// applied the message.
 type JobPhases struct {
 	Epoch uint64
-	Full  bool
+	UpTo  uint64
 	Jobs  []JobPhase
 }
 
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -17,7 +17,7 @@
 	case *msg.PeerHello:
 		p.Kind = &pb.Control_PeerHello{PeerHello: &pb.PeerHello{
 			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
-			RequestsConfig: m.RequestsConfig,
+			RequestsConfig: m.RequestsConfig, PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo,
 		}}
 	case *msg.Members:
 		p.Kind = &pb.Control_Members{Members: &pb.Members{Entries: mapSlice(m.Entries, memberToProto)}}
@@ -61,7 +61,7 @@
 	case *msg.JobCancelled:
 		p.Kind = &pb.Control_JobCancelled{JobCancelled: string(m.ID)}
 	case *msg.JobPhases:
-		p.Kind = &pb.Control_JobPhases{JobPhases: &pb.JobPhases{Epoch: m.Epoch, All: m.Full, Jobs: mapSlice(m.Jobs, jobPhaseToProto)}}
+		p.Kind = &pb.Control_JobPhases{JobPhases: &pb.JobPhases{Epoch: m.Epoch, UpTo: m.UpTo, Jobs: mapSlice(m.Jobs, jobPhaseToProto)}}
 	case *msg.ConfigAnnounced:
 		p.Kind = &pb.Control_ConfigAnnounced{ConfigAnnounced: &pb.ConfigAnnounced{Version: m.Version, Raw: m.Raw}}
 	case *msg.StoreCall:
@@ -85,6 +85,7 @@
 		return &msg.PeerHello{
 			Member: memberFromProto(h.GetMember()), Agent: h.GetAgent(), Boot: h.GetBoot(),
 			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(), RequestsConfig: h.GetRequestsConfig(),
+			Phases: msg.PhaseMark{Epoch: h.GetPhasesEpoch(), UpTo: h.GetPhasesUpTo()},
 		}, nil
 	case *pb.Control_Members:
 		return &msg.Members{Entries: mapSlice(k.Members.GetEntries(), memberFromProto)}, nil
@@ -261,7 +262,7 @@
 }
 
 func jobPhasesFromProto(p *pb.JobPhases) (msg.Control, error) {
-	m := &msg.JobPhases{Epoch: p.GetEpoch(), Full: p.GetAll()}
+	m := &msg.JobPhases{Epoch: p.GetEpoch(), UpTo: p.GetUpTo()}
 	for _, j := range p.GetJobs() {
 		if j.GetPhase() > uint32(workload.Cancelled) {
 			return nil, malformed("job %q has the unknown phase %d", j.GetId(), j.GetPhase())
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/binary"
 	"testing"
 	"time"
 
@@ -84,3 +85,14 @@
 	_, err = DecodeFrame([]byte{0xff})
 	require.ErrorIs(t, err, ErrMalformed)
 }
+
+// Guards against a link that ends during a rolling restart because an owner of the
+// former program marks a message as holding all phases (field 2).
+func TestPhasesOfTheFormerProgramAreDecoded(t *testing.T) {
+	const fieldOfPhases, bytesType = 44, 2
+	raw := binary.AppendUvarint(nil, fieldOfPhases<<3|bytesType)
+	raw = append(raw, 4, 1<<3, 7, 2<<3, 1)
+	m, err := DecodeControl(raw)
+	require.NoError(t, err)
+	require.Equal(t, &msg.JobPhases{Epoch: 7}, m)
+}
