--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -105,15 +105,7 @@
 }
 
 func (c *controller) startLinks(cfg EntryConfig, listener link.Listener, dial link.Dialer) {
-	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello {
-		h := &msg.PeerHello{
-			Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ProcessorShare: cfg.ProcessorShare,
-		}
-		if epoch := c.published.epoch.Get(); epoch != nil {
-			h.Epoch = *epoch
-		}
-		return h
-	}}
+	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
 	actor.Go(c.group, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
 	dialers := &dialers{links: l, dial: dial, self: cfg.Links, started: map[string]bool{}}
 	dialers.linked = func(address string) bool {
@@ -126,6 +118,20 @@
 	})
 }
 
+// hello returns the first message on a new link. Any goroutine may call it.
+func (c *controller) hello(cfg EntryConfig) *msg.PeerHello {
+	h := &msg.PeerHello{
+		Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ProcessorShare: cfg.ProcessorShare,
+	}
+	if epoch := c.published.epoch.Get(); epoch != nil {
+		h.Epoch = *epoch
+	}
+	if mark := c.published.phases.Get(); mark != nil {
+		h.Phases = *mark
+	}
+	return h
+}
+
 // dialers starts one dialer for each address. It must be used by one goroutine
 // at a time.
 type dialers struct {
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -28,6 +28,7 @@
 	// ProcessorShare is that of the host of an entry. It is 0 if it is not known
 	// or the sender is an agent.
 	ProcessorShare model.MilliCPU
+	Phases         PhaseMark // phases that the sender has; of an entry
 }
 
 // Members lists the entries that the sender knows.
@@ -176,11 +177,20 @@
 	Phase workload.Phase
 }
 
-// JobPhases reports phases of jobs from the owner to the entries. If Full is
-// set, the owner knows no other jobs.
+// PhaseMark says which changes of the jobs' phases an entry has applied: those
+// of the owner with an epoch up to a number, which counts the owner's changes.
+// The zero PhaseMark says nothing.
+type PhaseMark struct {
+	Epoch uint64
+	UpTo  uint64
+}
+
+// JobPhases reports phases of jobs from the owner to the entries. If UpTo is not
+// 0, the receiver has all changes of that epoch up to this number once it has
+// applied the message.
 type JobPhases struct {
 	Epoch uint64
-	Full  bool
+	UpTo  uint64
 	Jobs  []JobPhase
 }
 
