jobdaemon: send members whole once for each link, then what changed

Cause: whenever an entry learnt of a new or changed entry, it sent its whole list of members on every link, the links of agents included. With 15 other entries a link received 136 members instead of 16 while they appeared, from each entry, and so again after every change.

Change: the list is sent when a link comes up. After that a link gets the members that are new or changed, except those that it brought. A link whose queue overflows ends, and its successor gets the list again. Before, an entry whose hello was known got no list on a new link. Both programs add what they receive to what they know, so processes of the former one need nothing else.

TestOnlyChangedMembersAreSentOnLinksThatHaveTheList failed before: 136 members where 16 are the bound. go test -race passes for jobdaemon, shape, test and platform.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -156,7 +156,7 @@
 	case *queueLengthQuery:
 		m.reply.Put(c.phases.queued[m.queue])
 	case *membersRead:
-		c.addMembers(m.entries)
+		c.addMembers(m.entries, fromTable)
 	case *peerCommitRequest:
 		c.requestPeerCommit(m)
 	case *retireRequest:
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -21,6 +21,7 @@
 func (c *controller) linkUp(m *linkUp) {
 	l := &peerLink{m.id, m.hello, m.out}
 	c.links[m.id] = l
+	c.send(l, &msg.Members{Entries: c.memberList()})
 	name := m.hello.Member.Name
 	event.Log(c.log, event.PeerLinked, log.Fields{"peer": name, "agent": m.hello.Agent, "epoch": m.hello.Epoch})
 	if m.hello.Epoch > c.owner.Epoch() {
@@ -31,7 +32,7 @@
 		return
 	}
 	c.owner.PeerUp(name)
-	c.addMembers([]msg.Member{m.hello.Member})
+	c.addMembers([]msg.Member{m.hello.Member}, m.id)
 	c.publishLinked()
 	c.announceConfig(l)
 	if c.jobs != nil {
@@ -48,7 +49,6 @@
 		c.agents[name] = a
 	}
 	a.link = l
-	c.send(l, &msg.Members{Entries: c.memberList()})
 	if c.jobs != nil {
 		c.jobs.Linked(a.host)
 	}
@@ -95,7 +95,7 @@
 	switch m := m.(type) {
 	case *msg.Heartbeat:
 	case *msg.Members:
-		c.addMembers(m.Entries)
+		c.addMembers(m.Entries, l.id)
 	case *msg.HostAnnounced:
 		c.hostAnnounced(l, m.Host)
 	case *msg.OwnerClaim:
@@ -157,24 +157,30 @@
 	}
 }
 
-// addMembers records entries that were received from a peer or read from the
-// table service, and sends the list to all peers if it changed.
-func (c *controller) addMembers(entries []msg.Member) {
-	changed := false
+// fromTable is the source of members that were read from the table service.
+const fromTable linkID = 0
+
+// addMembers records entries that were received on a link or read from the table
+// service, and sends those that are new or changed on all other links. A link has
+// the rest: the whole list is sent when it comes up.
+func (c *controller) addMembers(entries []msg.Member, source linkID) {
+	var changed []msg.Member
 	for _, e := range entries {
 		if e.Name == c.self.Name || e.Address == "" || c.members[e.Name] == e {
 			continue
 		}
 		c.members[e.Name] = e
-		changed = true
+		changed = append(changed, e)
 	}
-	if !changed {
+	if len(changed) == 0 {
 		return
 	}
 	list := c.memberList()
 	c.published.members.Set(&list)
-	for _, l := range c.links {
-		c.send(l, &msg.Members{Entries: list})
+	for id, l := range c.links {
+		if id != source {
+			c.send(l, &msg.Members{Entries: changed})
+		}
 	}
 }
 
