operator: end the API without cutting a request that was just read

Cause: the operators' API ended with Shutdown of net/http when its group ended. Shutdown closes connections that it takes for idle, also if a request has just been read or still is in the socket. The contexts of requests in flight ended at once.

Change: the API is served by internal/httpserve, and the drain of an entry closes it after the callers' server, because the balancer reads /healthz there. Requests have 3 s to be answered, then their contexts are cancelled.

The other places that end an HTTP server or a listener: the callers' servers of bambooscaled and bamboojobd end in their drains as before. The servers for announcements (bambooscaled agent), registration, readiness and metrics (bamboojobd) end with the process and may cut a request; announcements and readiness checks are repeated. The listener for links closes with its group. internal/entry, internal/agent and internal/metrics have handlers only. Stand-ins close at once by design.

TestEndOfTheAPIAnswersARequestThatWasJustRead failed before. The new TestEndOfTheAPIAnswersAWaitForAConfiguration passed before too.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/configstore"
@@ -50,6 +51,7 @@
 type Entry struct {
 	callers    callerServer
 	api        *operator.API
+	operators  operatorServer // the API as a drain uses it
 	draining   *actor.Value[bool]
 	drainDelay time.Duration
 	log        log.Interface
@@ -62,6 +64,9 @@
 	Counts() httpserve.Counts
 }
 
+// operatorServer is the part of operator.API that a drain uses.
+type operatorServer interface{ Close(context.Context) error }
+
 // SetOperatorToken replaces the token of the operators' API.
 func (e *Entry) SetOperatorToken(token string) { e.api.SetToken(token) }
 
@@ -92,7 +97,7 @@
 		DataCentre: self.DataCentre, Region: cfg.Daemon.Region,
 	})
 	watchPauses(g, c.Log)
-	return &Entry{api: api, draining: v.draining, drainDelay: c.DrainDelay, log: c.Log, callers: serve(g, "callers listener", c.Callers, frontend, int(cfg.Entry.MaxHeader))}
+	return &Entry{api: api, operators: api, draining: v.draining, drainDelay: c.DrainDelay, log: c.Log, callers: serve(g, "callers listener", c.Callers, frontend, int(cfg.Entry.MaxHeader))}
 }
 
 // requestObserver returns a function that passes the result of a request to the
@@ -132,8 +137,9 @@
 
 // Drain reports the entry as unhealthy and asks the callers that it answers to
 // connect to another entry. After the drain delay it accepts no new callers and
-// waits until every request in progress has been answered. It returns an error
-// when ctx ends first.
+// waits until every request in progress has been answered; then it does the same
+// for operators, because the balancer reads /healthz from their listener. It
+// returns an error when ctx ends first.
 func (e *Entry) Drain(ctx context.Context) error {
 	draining, before, signalled := true, e.callers.Counts(), time.Now()
 	e.draining.Set(&draining)
@@ -147,7 +153,7 @@
 		"gone": now.Gone - before.Gone, "unanswered": now.InFlight,
 		"leaving-ms": closing.Sub(signalled).Milliseconds(), "closing-ms": time.Since(closing).Milliseconds(),
 	})
-	return err
+	return errors.CombineErrors(err, e.operators.Close(ctx))
 }
 
 // entryConfigSubscriber forwards configuration messages of agents to the
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -17,6 +17,8 @@
 	Name              string // of the actor
 	Handler           http.Handler
 	ReadHeaderTimeout time.Duration
+	ReadTimeout       time.Duration // of a whole request; 0: no limit
+	WriteTimeout      time.Duration // from the end of the header to that of the answer; 0: no limit
 	IdleTimeout       time.Duration
 	MaxHeaderBytes    int
 }
@@ -39,6 +41,7 @@
 	answers  context.Context // parent of the contexts of all requests
 	cancel   context.CancelFunc
 	settled  chan struct{} // holds a value after a connection was closed
+	done     <-chan struct{}
 }
 
 // Counts are numbers of requests. A request begins with its first byte that was
@@ -60,11 +63,12 @@
 	s.closing, s.endIdle = context.WithCancel(context.Background())
 	s.answers, s.cancel = context.WithCancel(context.Background())
 	s.http = &http.Server{
-		Handler: s.observe(c.Handler), ReadHeaderTimeout: c.ReadHeaderTimeout, IdleTimeout: c.IdleTimeout,
+		Handler: s.observe(c.Handler), ReadHeaderTimeout: c.ReadHeaderTimeout, ReadTimeout: c.ReadTimeout,
+		WriteTimeout: c.WriteTimeout, IdleTimeout: c.IdleTimeout,
 		MaxHeaderBytes: c.MaxHeaderBytes, ConnContext: withConn, ConnState: connState,
 		BaseContext: func(net.Listener) context.Context { return s.answers },
 	}
-	actor.Go(g, c.Name, func(ctx context.Context) error {
+	s.done = actor.Go(g, c.Name, func(ctx context.Context) error {
 		defer s.http.Close()
 		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 		defer stop()
@@ -101,6 +105,9 @@
 // handlers answer at once.
 func (s *Server) CancelRequests() { s.cancel() }
 
+// Done returns a channel that is closed when the server has ended with its group.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
 // Settled receives a value after a connection was closed.
 func (s *Server) Settled() <-chan struct{} { return s.settled }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,7 @@
 	"github.com/bambooscale/bambooscale/internal/configstore"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/finding"
+	"github.com/bambooscale/bambooscale/internal/httpserve"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/rows"
 	"github.com/bambooscale/bambooscale/internal/storage"
@@ -37,6 +38,9 @@
 	requestTimeout = 12 * time.Second
 	// maxWait is the largest wait parameter of GET /v1/config/status.
 	maxWait = 60 * time.Second
+	// answerTime is how long requests in flight may take when the API ends,
+	// before their contexts are cancelled.
+	answerTime = 3 * time.Second
 )
 
 // ConfigStore is the configuration store of the entry, implemented by
@@ -94,6 +98,7 @@
 	index  actor.Address[listRequest]
 	client *http.Client // to other entries
 	token  *actor.Value[token]
+	server *httpserve.Server // nil before Serve
 }
 
 // New starts the API's actors in g. The API accepts requests once Serve is
@@ -119,26 +124,29 @@
 	a.token.Set(&token{digest: sha256.Sum256([]byte(text)), required: text != ""})
 }
 
-// Serve serves the API on a listener until the group ends.
+// Serve serves the API on a listener until the group ends. The channel that it
+// returns is closed then. It may be called once, before Close.
 func (a *API) Serve(g *actor.Group, ln net.Listener) <-chan struct{} {
-	server := &http.Server{
-		Handler: a.Handler(), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: readHeaderTimeout,
+	a.server = httpserve.Start(g, ln, httpserve.Config{
+		Name: "operator-listener", Handler: a.Handler(), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout: readTimeout, WriteTimeout: maxWait + readTimeout, IdleTimeout: idleTimeout,
-		BaseContext: func(net.Listener) context.Context { return g.Context() },
-	}
-	actor.Go(g, "operator-shutdown", func(ctx context.Context) error {
-		<-ctx.Done()
-		closing, cancel := context.WithTimeout(context.Background(), readTimeout)
-		defer cancel()
-		return server.Shutdown(closing)
 	})
 	event.Log(a.Log, event.OperatorServes, log.Fields{"address": ln.Addr().String()})
-	return actor.Go(g, "operator-listener", func(context.Context) error {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
+	return a.server.Done()
+}
+
+// Close accepts no more connections, answers the requests that have arrived, and
+// waits until every connection is closed. The contexts of requests that take
+// longer than answerTime are cancelled. It returns the context's error if ctx
+// ends first. The API ends with its group in any case.
+func (a *API) Close(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	if a.server.Close(limited) == nil {
 		return nil
-	})
+	}
+	a.server.CancelRequests()
+	return a.server.Close(ctx)
 }
 
 // handler answers a request. Its error, if any, determines the HTTP status and
