link: refuse to send after the group of the link has ended

Stopping the group cancels the context of a link at once, but does not wait for the link's actor, which closes the socket. A Send in between succeeded and its message was lost.

--- a/internal/link/mux.go
+++ b/internal/link/mux.go
@@ -150,6 +150,9 @@
 }
 
 func (c *muxConn) Send(m msg.Control) error {
+	if c.ctx.Err() != nil { // the link's actor may not have closed the socket yet
+		return c.endError()
+	}
 	err := c.out.writeControl(m)
 	if err == nil || errors.Is(err, ErrTooLarge) {
 		return err
