jobs: search hosts once for the steps with equal requirements

Each pass also visited every host for requests to its agent. While a backlog grows, so does the cost of each input.

Change: waiting steps are grouped by what hostselect.Check depends on, and a group keeps what earlier passes found out about the hosts. Once no host is left for a group, the pass leaves its further steps out, except those whose tasks' waiting is not logged yet. The order of placement is unchanged: a pass goes through the groups by their most urgent step and merges the groups in which it continues. Hosts with queued requests are kept in a set and sent to in the order of their names.

A host of too low speed that a search finds to fit, and that is left when the step has started its tasks, is examined again for the next step of the group. A step that becomes ready within 100 ms after another one of its group found all hosts too slow waits until they are examined again.

During the recovery of a new owner (7.4 s at most) the steps that wait for it are still visited.

--- a/internal/jobs/backlog_test.go
+++ b/internal/jobs/backlog_test.go
@@ -44,6 +44,15 @@
 	return b
 }
 
+// allSteps returns every step with ready tasks.
+func (w *waiting) allSteps() []*step {
+	var list []*step
+	for _, g := range w.groups {
+		list = append(list, g.steps...)
+	}
+	return list
+}
+
 // drain plans until no work is left.
 func (b *backlog) drain() {
 	for b.core.planNeeded {
@@ -109,8 +118,8 @@
 		require.Greater(t, len(h.started), before, "each pass makes progress")
 		for id := range h.started {
 			priority := h.core.task(id.Task).step.job.spec.Priority
-			if len(h.core.waiting.steps) > 0 {
-				require.LessOrEqual(t, priority, h.core.waiting.steps[0].job.spec.Priority)
+			for _, s := range h.core.waiting.allSteps() {
+				require.LessOrEqual(t, priority, s.job.spec.Priority)
 			}
 		}
 	}
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -90,6 +90,7 @@
 	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
 	formerOwnerEnded bool               // the former owner had ended before this one began
 
+	unsent    map[*host]struct{} // hosts with queued requests for their agents
 	messages  []HostMessage
 	phases    []msg.JobPhase
 	decisions []Decision
@@ -102,7 +103,7 @@
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
 		cancelled: map[workload.JobID]struct{}{}, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
-		unstoredEnds: map[*host]struct{}{},
+		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
 	}
 }
 
--- a/internal/jobs/cost_test.go
+++ b/internal/jobs/cost_test.go
@@ -276,6 +276,34 @@
 	require.Empty(t, c.core.cancelled)
 }
 
+// Guards against passes that visit every waiting step, whose cost grows with the
+// backlog, and every host for requests to its agent. The end of a run changes one
+// host, which is examined once for each requirement and takes one task.
+func TestCostOfAnEndDoesNotGrowWithTheWaitingSteps(t *testing.T) {
+	c := newCell(t, smallCell)
+	for i := range 3 * cellStepTasks {
+		visits := c.costOf(input(t, "end"), i)
+		p := c.core.LastPass()
+		require.Equal(t, 1, p.Started)
+		require.LessOrEqual(t, p.Views, smallCell.kinds+p.Started)
+		groupsAndSteps := 2*smallCell.kinds + 1 // one more after a step whose last task started
+		const hostsWithRequests, jobsToStore = 1, 1
+		require.LessOrEqual(t, visits, groupsAndSteps+hostsWithRequests+jobsToStore)
+		c.store()
+	}
+}
+
+// Guards against submissions that visit every waiting step only to find that no
+// host is left for them.
+func TestCostOfASubmissionDoesNotGrowWithTheWaitingSteps(t *testing.T) {
+	c := newCell(t, smallCell)
+	for i := range 10 {
+		const submittedSteps = 1
+		require.LessOrEqual(t, c.costOf(input(t, "submit"), i), smallCell.kinds+submittedSteps)
+		require.Zero(t, c.core.LastPass().Views)
+	}
+}
+
 // smallCell is large enough that a visit of all hosts, runs, jobs or waiting
 // steps exceeds every bound of the tests.
 var smallCell = cellSize{hosts: 120, steps: 200, kinds: 8}
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -297,8 +297,7 @@
 	}
 	t := h.core.task(s.Run.Task)
 	if t == nil {
-		h.stops = append(h.stops, s.Run)
-		h.core.planNeeded = true
+		h.queueStop(s.Run)
 		return nil
 	}
 	r := h.charge(t, s.Run)
@@ -317,6 +316,13 @@
 	return r
 }
 
+// queueStop queues a stop request to the agent.
+func (h *host) queueStop(id workload.RunID) {
+	h.stops = append(h.stops, id)
+	h.core.unsent[h] = struct{}{}
+	h.core.planNeeded = true
+}
+
 // size returns what the agent has to know of the run to admit and throttle it.
 func (r *run) size() msg.RunSize {
 	s := r.task.step.spec
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -62,7 +62,7 @@
 	ready     []*task       // tasks that may start, ordered by index
 	lastReady time.Duration // when a task became ready last
 	unlogged  int           // ready tasks whose TaskUnplaced was not logged
-	searches  [searchKinds]search
+	group     *group        // while it has ready tasks
 }
 
 // task is one task of a step. It is ready to start when its step may start and
--- a/internal/jobs/placement.go
+++ b/internal/jobs/placement.go
@@ -10,7 +10,9 @@
 // placement places the ready tasks of a step during one pass.
 type placement struct {
 	step       *step
+	group      *group
 	begun      [searchKinds]bool
+	slowBegun  bool // begin examined the hosts that were too slow
 	candidates [searchKinds][]candidate
 	limit      int // views of the pass at which the placement ends
 }
@@ -72,6 +74,9 @@
 	return true
 }
 
+// noneLeft reports whether a search of the kind has found that no host is left.
+func (p *placement) noneLeft(k searchKind) bool { return p.begun[k] && len(p.candidates[k]) == 0 }
+
 // mayWait reports whether a ready task of the step may still wait for a host of
 // good speed.
 func (s *step) mayWait() bool {
@@ -88,7 +93,7 @@
 func (p *placement) begin(k searchKind) {
 	c := p.step.job.core
 	p.begun[k] = true
-	s := &p.step.searches[k]
+	s := &p.group.searches[k]
 	if n := len(c.hostsByName) - len(s.reasons); n > 0 {
 		s.reasons = append(s.reasons, make([]hostselect.Reason, n)...)
 	}
@@ -100,9 +105,10 @@
 		p.examine(k, h)
 	}
 	if k == goodSpeed && c.now-s.slowExaminedAt >= speedInterval {
-		s.slowExaminedAt = c.now
+		p.slowBegun = true
 		for _, h := range c.hostsByName {
-			if h.improvement <= s.examined && s.reasons[h.index] == hostselect.LowSpeed {
+			// One that fits was too slow until another step of the group examined it.
+			if r := s.reasons[h.index]; h.improvement <= s.examined && (r == hostselect.LowSpeed || r == hostselect.Fits) {
 				p.examine(k, h)
 			}
 		}
@@ -116,7 +122,7 @@
 	task.MayWait = k == goodSpeed
 	view := h.view(p.step)
 	reason := hostselect.Check(task, view)
-	p.step.searches[k].reasons[h.index] = reason
+	p.group.searches[k].reasons[h.index] = reason
 	if reason == hostselect.Fits {
 		p.candidates[k] = append(p.candidates[k], candidate{h, hostselect.Score(task, view)})
 	}
@@ -136,8 +142,13 @@
 // recordExhausted records that no host can run the tasks, if that is so. Only
 // improvements can change it.
 func (p *placement) recordExhausted(k searchKind) {
-	if len(p.candidates[k]) == 0 {
-		p.step.searches[k].examined = p.step.job.core.improvements
+	if len(p.candidates[k]) > 0 {
+		return
+	}
+	c, s := p.step.job.core, &p.group.searches[k]
+	s.examined = c.improvements
+	if k == goodSpeed && p.slowBegun {
+		s.slowExaminedAt = c.now
 	}
 }
 
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -1,7 +1,10 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -51,10 +54,7 @@
 		c.movesDue, c.movesExaminedAt = false, c.now
 		c.moveThrottled()
 	}
-	for _, h := range c.hostsByName {
-		c.visits++
-		h.flush()
-	}
+	c.flushHosts()
 	c.pass.Waiting = c.waiting.tasks
 	return true
 }
@@ -62,26 +62,6 @@
 // PlanPending reports whether Plan has work to do.
 func (c *Core) PlanPending() bool { return c.planNeeded }
 
-// placeWaiting starts ready tasks, the most urgent first, and reports whether it
-// examined all of them. During the recovery it leaves out the tasks that the
-// former owner may have started.
-func (c *Core) placeWaiting() bool {
-	for i := 0; i < len(c.waiting.steps); {
-		s := c.waiting.steps[i]
-		c.visits++
-		if c.recoveryDeadline == 0 || !s.mayHaveStarted() {
-			p := placement{step: s}
-			if !p.run() {
-				return false
-			}
-		}
-		if i < len(c.waiting.steps) && c.waiting.steps[i] == s {
-			i++
-		}
-	}
-	return true
-}
-
 // mayHaveStarted reports whether the former owner may have started tasks of the
 // step: those of a restored job, and of every job if it may still be active.
 func (s *step) mayHaveStarted() bool { return s.job.recovered || !s.job.core.formerOwnerEnded }
@@ -127,9 +107,9 @@
 		return
 	}
 	t.unplacedLogged = true
-	t.step.unlogged--
+	t.step.countLogged()
 	var excluded [hostselect.LowSpeed + 1]int
-	for _, r := range t.step.searches[t.searchKind()].reasons {
+	for _, r := range t.step.group.searches[t.searchKind()].reasons {
 		excluded[r]++
 	}
 	var parts []string
@@ -149,10 +129,22 @@
 	r := h.charge(t, id)
 	c.waiting.remove(t)
 	c.pass.Started++
+	c.unsent[h] = struct{}{}
 	h.starts = append(h.starts, msg.RunStart{Size: r.size(), Specification: t.step.job.spec.Specification, Checkpoint: t.checkpoint})
 	c.addDecision(Decision{Kind: RunOrdered, Job: t.step.job.spec.ID, Run: id, Host: h.info.Name, Age: c.now - t.readySince})
 }
 
+// flushHosts sends the queued requests to the agents in the order of the hosts'
+// names.
+func (c *Core) flushHosts() {
+	hosts := slices.SortedFunc(maps.Keys(c.unsent), func(a, b *host) int { return cmp.Compare(a.info.Name, b.info.Name) })
+	clear(c.unsent)
+	for _, h := range hosts {
+		c.visits++
+		h.flush()
+	}
+}
+
 // flush sends the queued requests to the agent.
 func (h *host) flush() {
 	if h.state != hostReady {
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -99,8 +99,7 @@
 // requestStop queues a stop request to the agent.
 func (r *run) requestStop() {
 	r.core().addDecision(Decision{Kind: RunStopped, Job: r.id.Task.Job, Run: r.id, Host: r.host.info.Name, Detail: r.stopReason})
-	r.host.stops = append(r.host.stops, r.id)
-	r.core().planNeeded = true
+	r.host.queueStop(r.id)
 }
 
 func (r *run) noteStarted() {
