jobs: count the reasons against the hosts once for equal tasks

Cause: the line that says why a task waits (event 913) has the number of hosts for each reason, which was counted over all hosts for each task. A job of 20,000 tasks that can't start held the owner's loop for 40 ms only to write these counts.

Change: the text is kept with the search that examined the hosts, until it examines one again. The lines are the same.

The rest is one line of the log and one insertion for each task, so it follows the input.

TestCostOfUnplacedTasksIsNotMultipliedByTheHosts failed before: 60,009 visits for 500 tasks on 120 hosts, bound 129.

--- a/internal/jobs/cost_test.go
+++ b/internal/jobs/cost_test.go
@@ -192,6 +192,10 @@
 	{"announced", func(c *cell, i int) { c.core.Announced(c.core.hosts[c.hostNames[i%len(c.hostNames)]].info) }},
 	{"end", func(c *cell, _ int) { c.end() }},
 	{"submit", func(c *cell, i int) { c.core.Submit(newSpec(fmt.Sprintf("x%06d", i), cellStep(1, 1000))) }},
+	{"submit-20000", func(c *cell, i int) {
+		c.core.Cancel(workload.JobID(fmt.Sprintf("l%06d", i-1)))
+		c.core.Submit(newSpec(fmt.Sprintf("l%06d", i), cellStep(20_000, 1000)))
+	}},
 	{"cancel", func(c *cell, i int) { c.core.Cancel(workload.JobID(fmt.Sprintf("w%04d", i%(c.steps/cellStepsPerJob)))) }},
 	{"batch", func(c *cell, _ int) {
 		c.core.NextBatch()
@@ -304,6 +308,16 @@
 	}
 }
 
+// Guards against a job of many tasks that can't start whose log lines count the
+// reasons of all hosts for each task.
+func TestCostOfUnplacedTasksIsNotMultipliedByTheHosts(t *testing.T) {
+	c := newCell(t, smallCell)
+	const tasks = 500
+	visits := c.costOf(func(c *cell, _ int) { c.core.Submit(newSpec("large", cellStep(tasks, 1000))) }, 0)
+	const submittedSteps = 1
+	require.LessOrEqual(t, visits, smallCell.hosts+smallCell.kinds+submittedSteps)
+}
+
 // smallCell is large enough that a visit of all hosts, runs, jobs or waiting
 // steps exceeds every bound of the tests.
 var smallCell = cellSize{hosts: 120, steps: 200, kinds: 8}
--- a/internal/jobs/placement.go
+++ b/internal/jobs/placement.go
@@ -96,6 +96,7 @@
 	s := &p.group.searches[k]
 	if n := len(c.hostsByName) - len(s.reasons); n > 0 {
 		s.reasons = append(s.reasons, make([]hostselect.Reason, n)...)
+		s.described = false
 	}
 	for e := c.improved.Front(); e != nil; e = e.Next() {
 		h := e.Value.(*host)
@@ -122,7 +123,8 @@
 	task.MayWait = k == goodSpeed
 	view := h.view(p.step)
 	reason := hostselect.Check(task, view)
-	p.group.searches[k].reasons[h.index] = reason
+	s := &p.group.searches[k]
+	s.reasons[h.index], s.described = reason, false
 	if reason == hostselect.Fits {
 		p.candidates[k] = append(p.candidates[k], candidate{h, hostselect.Score(task, view)})
 	}
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -106,10 +106,21 @@
 	if t.unplacedLogged {
 		return
 	}
+	c := t.step.job.core
 	t.unplacedLogged = true
+	detail := t.step.group.searches[t.searchKind()].describe(c)
 	t.step.countLogged()
+	c.addDecision(Decision{Kind: TaskUnplaced, Job: t.step.job.spec.ID, Run: workload.RunID{Task: t.id()}, Detail: detail})
+}
+
+// describe returns the number of hosts that each reason excluded.
+func (s *search) describe(c *Core) string {
+	if s.described {
+		return s.description
+	}
 	var excluded [hostselect.LowSpeed + 1]int
-	for _, r := range t.step.group.searches[t.searchKind()].reasons {
+	for _, r := range s.reasons {
+		c.visits++
 		excluded[r]++
 	}
 	var parts []string
@@ -118,7 +129,8 @@
 			parts = append(parts, fmt.Sprintf("%s=%d", r, excluded[r]))
 		}
 	}
-	t.step.job.core.addDecision(Decision{Kind: TaskUnplaced, Job: t.step.job.spec.ID, Run: workload.RunID{Task: t.id()}, Detail: strings.Join(parts, " ")})
+	s.described, s.description = true, strings.Join(parts, " ")
+	return s.description
 }
 
 // start charges a new run of the task to the host and queues its request.
--- a/internal/jobs/waiting.go
+++ b/internal/jobs/waiting.go
@@ -56,6 +56,9 @@
 type search struct {
 	examined uint64              // number of the last improvement that was examined
 	reasons  []hostselect.Reason // by index of the host, when it was examined
+	// description has the number of hosts for each reason, if described is true.
+	description string
+	described   bool
 	// slowExaminedAt is when the hosts that were too slow were examined last with
 	// the result that no host is left.
 	slowExaminedAt time.Duration
