jobs: look up each run of a report once

Cause: a report looked up each of its runs three times, twice of them for the interference model, also on hosts without serving runs.

Change: the runs are looked up once, and the model is passed over on hosts without serving runs. The order of the samples is unchanged.

No test: the cost follows the content of the report before and after.

--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -386,17 +386,33 @@
 	}
 	h.lastGrantAt = c.now
 	c.send(h, &msg.LeaseGrant{Epoch: c.epoch, StartedAtMS: m.StartedAtMS, ClockMS: m.ClockMS, Interference: h.coefficients()})
-	h.observeInterference(m)
-	for _, s := range m.Runs {
-		if r, ok := h.runs[s.Run]; ok {
-			r.updateStatus(s)
+	reported := h.reportedRuns(m)
+	h.observeInterference(reported)
+	for _, r := range reported {
+		r.run.updateStatus(r.status)
+	}
+}
+
+// reportedRun is a run with its status in a report.
+type reportedRun struct {
+	run    *run
+	status *msg.RunStatus
+}
+
+// reportedRuns returns the runs of a report that are charged to the host.
+func (h *host) reportedRuns(m *msg.RunsProgress) []reportedRun {
+	list := make([]reportedRun, 0, len(m.Runs))
+	for i := range m.Runs {
+		if r, ok := h.runs[m.Runs[i].Run]; ok {
+			list = append(list, reportedRun{r, &m.Runs[i]})
 		}
 	}
+	return list
 }
 
 // updateStatus records the reported status of the run.
-func (r *run) updateStatus(s msg.RunStatus) {
-	r.status, r.statusAt = s, r.core().now
+func (r *run) updateStatus(s *msg.RunStatus) {
+	r.status, r.statusAt = *s, r.core().now
 	r.updateThrottledSince(s)
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
--- a/internal/jobs/interference.go
+++ b/internal/jobs/interference.go
@@ -9,25 +9,27 @@
 	"github.com/bambooscale/bambooscale/internal/policy/contention"
 )
 
-// observeInterference updates the interference model with an agent's report. All
-// figures of a report are of one moment, so its latencies can be attributed to
-// the best-effort runs in it.
-func (h *host) observeInterference(m *msg.RunsProgress) {
+// observeInterference updates the interference model with the runs of an agent's
+// report. All figures of a report are of one moment, so its latencies can be
+// attributed to the best-effort runs in it.
+func (h *host) observeInterference(reported []reportedRun) {
+	if h.servingRuns == 0 {
+		return
+	}
 	shares := map[contention.Image]float64{}
-	for _, s := range m.Runs {
-		if r, ok := h.runs[s.Run]; ok && r.task.step.spec.BestEffort {
-			shares[contention.Image(r.task.step.spec.Image)] += h.cpuShare(float64(s.Usage))
+	for _, r := range reported {
+		if spec := r.run.task.step.spec; spec.BestEffort {
+			shares[contention.Image(spec.Image)] += h.cpuShare(float64(r.status.Usage))
 		}
 	}
-	for _, s := range m.Runs {
-		r, ok := h.runs[s.Run]
-		if !ok || !r.task.step.spec.Serves() || s.Usage <= 0 {
+	for _, r := range reported {
+		spec := r.run.task.step.spec
+		if !spec.Serves() || r.status.Usage <= 0 {
 			continue
 		}
-		spec := r.task.step.spec
 		h.core.contention.Observe(h.core.now, contention.Sample{
-			Image: contention.Image(spec.Image), Group: loadGroup(r.task.step.job),
-			Latency: time.Duration(s.Usage) * time.Millisecond, Target: spec.TargetLatency, Shares: shares,
+			Image: contention.Image(spec.Image), Group: loadGroup(r.run.task.step.job),
+			Latency: time.Duration(r.status.Usage) * time.Millisecond, Target: spec.TargetLatency, Shares: shares,
 		})
 	}
 }
--- a/internal/jobs/move.go
+++ b/internal/jobs/move.go
@@ -24,7 +24,7 @@
 
 // updateThrottledSince records since when the run is throttled, from its CPU
 // limit in the reported status.
-func (r *run) updateThrottledSince(s msg.RunStatus) {
+func (r *run) updateThrottledSince(s *msg.RunStatus) {
 	if s.CPULimitPercent > throttledPercent {
 		r.throttledSince = 0
 		delete(r.core().throttled, r)
