--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -297,8 +297,7 @@
 	}
 	t := h.core.task(s.Run.Task)
 	if t == nil {
-		h.stops = append(h.stops, s.Run)
-		h.core.planNeeded = true
+		h.queueStop(s.Run)
 		return nil
 	}
 	r := h.charge(t, s.Run)
@@ -317,6 +316,13 @@
 	return r
 }
 
+// queueStop queues a stop request to the agent.
+func (h *host) queueStop(id workload.RunID) {
+	h.stops = append(h.stops, id)
+	h.core.unsent[h] = struct{}{}
+	h.core.planNeeded = true
+}
+
 // size returns what the agent has to know of the run to admit and throttle it.
 func (r *run) size() msg.RunSize {
 	s := r.task.step.spec
@@ -380,17 +386,33 @@
 	}
 	h.lastGrantAt = c.now
 	c.send(h, &msg.LeaseGrant{Epoch: c.epoch, StartedAtMS: m.StartedAtMS, ClockMS: m.ClockMS, Interference: h.coefficients()})
-	h.observeInterference(m)
-	for _, s := range m.Runs {
-		if r, ok := h.runs[s.Run]; ok {
-			r.updateStatus(s)
+	reported := h.reportedRuns(m)
+	h.observeInterference(reported)
+	for _, r := range reported {
+		r.run.updateStatus(r.status)
+	}
+}
+
+// reportedRun is a run with its status in a report.
+type reportedRun struct {
+	run    *run
+	status *msg.RunStatus
+}
+
+// reportedRuns returns the runs of a report that are charged to the host.
+func (h *host) reportedRuns(m *msg.RunsProgress) []reportedRun {
+	list := make([]reportedRun, 0, len(m.Runs))
+	for i := range m.Runs {
+		if r, ok := h.runs[m.Runs[i].Run]; ok {
+			list = append(list, reportedRun{r, &m.Runs[i]})
 		}
 	}
+	return list
 }
 
 // updateStatus records the reported status of the run.
-func (r *run) updateStatus(s msg.RunStatus) {
-	r.status, r.statusAt = s, r.core().now
+func (r *run) updateStatus(s *msg.RunStatus) {
+	r.status, r.statusAt = *s, r.core().now
 	r.updateThrottledSince(s)
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
