jobs: start jobs of the owner's epoch during the recovery

Cause: since all tasks of an owner that replaced an unlinked one wait until every known host has answered or its leases have expired, because the former owner may start tasks of new jobs until it learns of the claim. Change: the entry that accepts a job writes the highest epoch that it knows into the job, its row and its message. An owner does not start a job of a higher epoch than its own, and gives up the ownership. The owner's row says that it does so, and that every owner before it that may be active does (`fenced`). If the former owners are fenced or have ended, a new owner of epoch E starts jobs of epoch E at once; other jobs wait as before. Why it is safe: an entry knows E only after its claim was committed, so a row of epoch E or higher was written after it. Every owner below E that may be active compares the epoch and leaves the job alone, however late it learns of the claim. - Submitted again at an entry that knows another epoch: the row is created once; the second entry forwards the job of the row that its conflict returns. The owner trusts a message that has an epoch. One without (an entry of a former program, or a row that was not read) is ignored until the watch delivers the row: it may be of a higher epoch. - Through a peer: the accepting entry has encoded the row already. - An epoch learned from a hello: it is committed too. A message that goes to the former owner makes it give up; the owner receives the row by its watch. - An epoch learned late: the job has a lower one and waits. - An owner that claims twice has a higher epoch the second time; jobs of the first wait. - Restored jobs of the owner's epoch were accepted after the claim. - A former program writes rows without the fields. Its successor, and an owner that follows before that one's recovery is complete, let all jobs wait.

--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -136,11 +136,15 @@
 	name := workload.HostName(l.hello.Member.Name)
 	switch m := m.(type) {
 	case *msg.JobSubmitted:
-		if c.loading {
+		switch {
+		case m.Job.Epoch == 0:
+			// The row may have a higher epoch, of an earlier submission that
+			// the sender did not read. The watch delivers the row.
+		case c.loading:
 			c.deferred = append(c.deferred, m)
-			return
+		default:
+			c.submit(m.Job)
 		}
-		c.jobs.Submit(m.Job)
 	case *msg.JobCancelled:
 		c.jobs.Cancel(m.ID)
 	case *msg.HostInventory:
--- a/internal/jobdaemon/jobhandler.go
+++ b/internal/jobdaemon/jobhandler.go
@@ -116,30 +116,61 @@
 	if answer, err := h.queryPhase(ctx, j.ID); err == nil && answer.known {
 		return nil // submitted before
 	}
+	if epoch := h.controller.published.epoch.Get(); epoch != nil {
+		j.Epoch = *epoch
+	}
 	value, err := wire.EncodeJob(&j)
 	if err != nil {
 		return fmt.Errorf("%w: %w", jobapi.ErrInvalid, err)
 	}
 	key := jobKey(j.ID)
 	txn := table.Txn{Checks: []table.Check{{Key: key}}, Puts: []table.Put{{Key: key, Value: value}}}
-	if err := h.persist(ctx, txn); err != nil {
+	r, err := h.create(ctx, txn)
+	if err != nil {
 		return err
 	}
-	event.Log(h.log, event.JobAccepted, log.Fields{"job": string(j.ID), "queue": string(j.Queue), "steps": len(j.Steps)})
+	j = storedJob(j, r)
+	event.Log(h.log, event.JobAccepted, log.Fields{"job": string(j.ID), "queue": string(j.Queue), "steps": len(j.Steps), "epoch": j.Epoch})
 	h.notifyController(ctx, func(r actor.Reply[bool]) any { return &jobStored{j, r} })
 	return nil
 }
 
+// storedJob returns the job as its row has it after the commit of j: if the job
+// had been submitted before, with the epoch of that acceptance. The epoch is 0 if
+// the row is not known.
+func storedJob(j workload.Job, r commitResult) workload.Job {
+	if r.outcome == table.Committed {
+		return j
+	}
+	for _, row := range r.rows {
+		if row.Key != jobKey(j.ID) || row.Deleted {
+			continue
+		}
+		if stored, err := wire.DecodeJob(row.Value); err == nil {
+			return stored
+		}
+	}
+	j.Epoch = 0
+	return j
+}
+
 // notifyController passes a stored change to the controller. If that fails, the
 // owner receives the change through its watch of the table service.
 func (h *jobHandler) notifyController(ctx context.Context, build func(actor.Reply[bool]) any) {
 	_, _ = actor.Ask(ctx, h.controller.address, build)
 }
 
-// persist commits a transaction that creates rows, and repeats it until the
-// outcome is known or the time is up. ErrNotAccepted means that no attempt took
-// effect or will take effect; ErrOutcomeUnknown that one may have.
+// persist is create for callers that need no result.
 func (h *jobHandler) persist(ctx context.Context, txn table.Txn) error {
+	_, err := h.create(ctx, txn)
+	return err
+}
+
+// create commits a transaction that creates rows, and repeats it until the
+// outcome is known or the time is up. The outcome without an error is Committed,
+// or Conflict if a row exists. ErrNotAccepted means that no attempt took effect or
+// will take effect; ErrOutcomeUnknown that one may have.
+func (h *jobHandler) create(ctx context.Context, txn table.Txn) (commitResult, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(submitTimeout)
@@ -153,17 +184,17 @@
 		r := h.controller.storeProxy.commit(ctx, txn)
 		switch r.outcome {
 		case table.Committed, table.Conflict:
-			return nil // a row with this key contains the same change
+			return r, nil // a row with this key contains the same change
 		case table.Refused:
-			return fmt.Errorf("%w: the table service refused the transaction", jobapi.ErrNotAccepted)
+			return commitResult{}, fmt.Errorf("%w: the table service refused the transaction", jobapi.ErrNotAccepted)
 		case table.Unknown:
 			unknown = true
 		}
 		switch {
 		case !unknown && (!time.Now().Before(retryUntil) || !actor.Sleep(ctx, submitRetryInterval)):
-			return fmt.Errorf("%w: the table service is unavailable", jobapi.ErrNotAccepted)
+			return commitResult{}, fmt.Errorf("%w: the table service is unavailable", jobapi.ErrNotAccepted)
 		case unknown && (time.Until(deadline) < answerMargin || !actor.Sleep(ctx, submitRetryInterval)):
-			return fmt.Errorf("%w: the table service did not answer", jobapi.ErrOutcomeUnknown)
+			return commitResult{}, fmt.Errorf("%w: the table service did not answer", jobapi.ErrOutcomeUnknown)
 		}
 	}
 }
--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -11,6 +11,7 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/jobs"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/storage"
 	"github.com/bambooscale/bambooscale/internal/table"
@@ -142,6 +143,7 @@
 		c.jobs.Cancel(id)
 	}
 	for _, j := range m.state.jobs {
+		c.owner.EpochObserved(j.Epoch, c.now())
 		c.jobs.Restore(j, m.state.progress[j.ID])
 	}
 	c.jobs.RestoreInterference(m.state.interference)
@@ -153,13 +155,13 @@
 	for _, name := range m.state.hosts {
 		c.jobs.ExpectHost(name)
 	}
-	c.jobs.Recover(c.owner.FormerOwnerEnded())
+	c.jobs.Recover(c.formerOwners())
 	deferred := c.deferred
 	c.deferred = nil
 	for _, e := range deferred {
 		switch e := e.(type) {
 		case *msg.JobSubmitted:
-			c.jobs.Submit(e.Job)
+			c.submit(e.Job)
 		case *msg.HostInventory:
 			c.jobs.Inventory(e)
 		}
@@ -167,6 +169,24 @@
 	c.sendToEntries(&msg.JobPhases{Epoch: m.epoch, Full: true, Jobs: c.jobs.AllPhases()})
 }
 
+// formerOwners returns what the ownership knows of the former owners.
+func (c *controller) formerOwners() jobs.FormerOwners {
+	switch {
+	case c.owner.FormerOwnerEnded():
+		return jobs.FormerOwnersEnded
+	case c.owner.FormerOwnersFenced():
+		return jobs.FormerOwnersFenced
+	}
+	return jobs.FormerOwnersActive
+}
+
+// submit adds a stored job to the jobs. A job of a higher epoch shows that another
+// entry owns them.
+func (c *controller) submit(j workload.Job) {
+	c.owner.EpochObserved(j.Epoch, c.now())
+	c.jobs.Submit(j)
+}
+
 const (
 	watchWait  = 2 * time.Second
 	watchPause = 200 * time.Millisecond // collects several rows for one answer
@@ -215,7 +235,7 @@
 				event.Log(c.log, event.RowUnreadable, log.Fields{"key": row.Key, "error": err.Error()})
 				continue
 			}
-			c.jobs.Submit(j)
+			c.submit(j)
 		}
 	}
 }
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if w.releasing {
-		c.storeBatch(workload.Owner{Epoch: w.owner.Epoch, Sequence: w.owner.Sequence + 1, Unsettled: c.unsettled()})
+		c.storeBatch(workload.Owner{Epoch: w.owner.Epoch, Sequence: w.owner.Sequence + 1, Unsettled: c.unsettled(), Fenced: c.fenced()})
 		return
 	}
 	pending, urgent := c.jobs.Pending()
@@ -71,7 +71,7 @@
 	if urgent || now-w.pendingSince >= batchDelay {
 		next := w.owner
 		next.Sequence++
-		next.Unsettled = c.unsettled()
+		next.Unsettled, next.Fenced = c.unsettled(), c.fenced()
 		c.storeBatch(next)
 	}
 }
@@ -80,6 +80,10 @@
 // this one.
 func (c *controller) unsettled() bool { return !c.owner.FormerOwnerEnded() && !c.jobs.Settled() }
 
+// fenced reports whether this owner, and every owner before it that may be active,
+// starts no task of a job that was accepted under a later owner.
+func (c *controller) fenced() bool { return c.owner.FormerOwnersFenced() || c.jobs.Settled() }
+
 // storeBatch stores the next batch of changes and the owner's row. An owner
 // without a name releases the jobs.
 func (c *controller) storeBatch(owner workload.Owner) {
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -84,13 +84,28 @@
 	removals         []workload.JobID  // jobs whose rows have to be deleted
 	pendingBatch     *Batch            // the batch that is being written, or nil
 	recoveryDeadline time.Duration     // when the recovery ends at the latest; 0: no recovery
-	formerOwnerEnded bool              // the former owner had ended before this one began
+	formerOwners     FormerOwners      // of Recover
 
 	messages  []HostMessage
 	phases    []msg.JobPhase
 	decisions []Decision
 }
 
+// FormerOwners says which tasks the former owners may still start.
+type FormerOwners uint8
+
+// Kinds of former owners.
+const (
+	// FormerOwnersActive may start tasks of any job until they learn of this
+	// owner.
+	FormerOwnersActive FormerOwners = iota
+	// FormerOwnersFenced are like FormerOwnersActive, but start no task of a job
+	// whose Epoch is higher than their own.
+	FormerOwnersFenced
+	// FormerOwnersEnded start no tasks.
+	FormerOwnersEnded
+)
+
 // New returns the core of an owner that has just claimed the jobs with an epoch.
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -158,15 +158,17 @@
 	}
 }
 
-// Submit adds a stored job. A job that is known already is ignored.
+// Submit adds a stored job, whose Epoch must be that of its row. It ignores a job
+// that is known already, and a job of a higher epoch than the owner's: its tasks
+// are started by a later owner.
 func (c *Core) Submit(spec workload.Job) { c.submit(spec, nil, false) }
 
-// Restore adds a job of an earlier owner with its stored progress, which is nil
-// if none was stored.
+// Restore is like Submit for a job that was stored before the owner began, with
+// its stored progress, which is nil if none was stored.
 func (c *Core) Restore(spec workload.Job, p *workload.Progress) { c.submit(spec, p, true) }
 
 func (c *Core) submit(spec workload.Job, p *workload.Progress, recovered bool) {
-	if _, known := c.jobs[spec.ID]; known {
+	if _, known := c.jobs[spec.ID]; known || spec.Epoch > c.epoch {
 		return
 	}
 	j := newJob(c, spec)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -120,7 +120,7 @@
 	h := newHarness(t, 2)
 	h.core.Restore(newSpec("j", newStep(2, 1000)), nil)
 	h.core.ExpectHost("b")
-	h.core.Recover(true)
+	h.core.Recover(FormerOwnersEnded)
 	h.link(readyHost("a", 4000), msg.RunStatus{Run: runID("j", 0, 0, 1)})
 	require.Empty(t, h.started, "host b may still run the second task")
 	h.core.Submit(newSpec("k", newStep(1, 1000)))
@@ -137,7 +137,7 @@
 func TestNewJobWaitsForHostsOfAFormerOwnerThatMayBeActive(t *testing.T) {
 	h := newHarness(t, 2)
 	h.core.ExpectHost("b")
-	h.core.Recover(false)
+	h.core.Recover(FormerOwnersActive)
 	h.link(readyHost("a", 4000))
 	h.core.Submit(newSpec("k", newStep(2, 1000)))
 	h.process()
@@ -147,13 +147,64 @@
 	require.Contains(t, h.started, runID("k", 0, 1, 1<<epochShift+1))
 }
 
+// Guards against new jobs that wait for a silent host although no former owner
+// starts them, and against jobs that do not wait although one may have.
+func TestJobsOfTheOwnersEpochStartDuringTheRecovery(t *testing.T) {
+	const epoch = 2
+	for _, c := range []struct {
+		former   FormerOwners
+		restored bool
+		epoch    uint64
+		starts   bool
+	}{
+		{FormerOwnersActive, false, epoch, false},
+		{FormerOwnersActive, true, epoch, false},
+		{FormerOwnersFenced, false, epoch, true},
+		{FormerOwnersFenced, true, epoch, true},
+		{FormerOwnersFenced, false, epoch - 1, false},
+		{FormerOwnersFenced, false, 0, false},
+		{FormerOwnersEnded, true, epoch, true},
+		{FormerOwnersEnded, true, epoch - 1, false},
+		{FormerOwnersEnded, false, 0, true},
+	} {
+		h := newHarness(t, epoch)
+		spec := newSpec("k", newStep(1, 1000))
+		spec.Epoch = c.epoch
+		if c.restored {
+			h.core.Restore(spec, nil)
+		}
+		h.core.ExpectHost("b")
+		h.core.Recover(c.former)
+		h.link(readyHost("a", 4000))
+		if !c.restored {
+			h.core.Submit(spec)
+		}
+		h.process()
+		require.Equal(t, c.starts, len(h.started) == 1, "%+v", c)
+	}
+}
+
+// Guards against a job that runs twice because an owner starts it that was
+// replaced before the job was accepted.
+func TestJobOfAHigherEpochIsNotStarted(t *testing.T) {
+	h := newHarness(t, 2)
+	h.link(readyHost("a", 4000))
+	spec := newSpec("j", newStep(1, 1000))
+	spec.Epoch = 3
+	h.core.Submit(spec)
+	h.core.Restore(spec, nil)
+	h.process()
+	require.Empty(t, h.started)
+	require.Empty(t, h.phases["j"], "its phase is not known")
+}
+
 // Guards against a recovery that never ends because an expected host does not
 // return: the tasks start after its lease has certainly expired.
 func TestRecoveryEndsWithoutAnUnavailableHost(t *testing.T) {
 	h := newHarness(t, 2)
 	h.core.Restore(newSpec("j", newStep(1, 1000)), nil)
 	h.core.ExpectHost("b")
-	h.core.Recover(true)
+	h.core.Recover(FormerOwnersEnded)
 	h.link(readyHost("a", 4000))
 	h.advance(LeaseExpiry - 200*time.Millisecond)
 	require.Empty(t, h.started)
@@ -321,7 +372,7 @@
 	next.core.Restore(newSpec("j", newStep(1, 1000)), nil)
 	next.core.Linked(workload.Host{Name: "b"}) // its agent knows no backend server
 	next.core.ExpectHost("a")
-	next.core.Recover(true)
+	next.core.Recover(FormerOwnersEnded)
 	next.link(readyHost("a", 4000))
 	require.Len(t, next.started, 1)
 }
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -80,9 +80,16 @@
 	return true
 }
 
-// mayHaveStarted reports whether the former owner may have started tasks of the
-// step: those of a restored job, and of every job if it may still be active.
-func (s *step) mayHaveStarted() bool { return s.job.recovered || !s.job.core.formerOwnerEnded }
+// mayHaveStarted reports whether a former owner may have started tasks of the
+// step: those of a restored job, and of every job if it may still be active. A
+// job of this owner's epoch was accepted after all of them had been replaced.
+func (s *step) mayHaveStarted() bool {
+	c := s.job.core
+	if c.formerOwners != FormerOwnersActive && s.job.spec.Epoch >= c.epoch {
+		return false
+	}
+	return s.job.recovered || c.formerOwners != FormerOwnersEnded
+}
 
 // selectionTask returns the tasks of the step as hostselect sees them.
 func (s *step) selectionTask() hostselect.Task {
@@ -169,11 +176,12 @@
 
 // Recover keeps the tasks of restored jobs from starting until every expected
 // host has sent its inventory or certainly has no runs, which is at most one
-// second after LeaseExpiry. If the former owner may still be active, this holds
+// second after LeaseExpiry. If a former owner may still be active, this holds
 // for all tasks, since it may have started tasks of jobs that were accepted
-// after the stored jobs were read.
-func (c *Core) Recover(formerOwnerEnded bool) {
-	c.formerOwnerEnded = formerOwnerEnded
+// after the stored jobs were read. Jobs of this owner's epoch do not wait if the
+// former owners have ended or are fenced.
+func (c *Core) Recover(former FormerOwners) {
+	c.formerOwners = former
 	c.recoveryDeadline = c.now + LeaseExpiry + time.Second
 	c.endRecoveryIfComplete()
 }
--- a/internal/jobs/plan_reference_test.go
+++ b/internal/jobs/plan_reference_test.go
@@ -47,7 +47,7 @@
 func readyByReference(c *Core) []*task {
 	var list []*task
 	for _, j := range c.jobs {
-		if j.phase().Final() || c.recoveryDeadline != 0 && (j.recovered || !c.formerOwnerEnded) {
+		if j.phase().Final() || c.recoveryDeadline != 0 && waitsByReference(j) {
 			continue
 		}
 		for _, s := range j.steps {
@@ -70,6 +70,18 @@
 	return list
 }
 
+// waitsByReference reports whether the tasks of the job wait for the recovery.
+func waitsByReference(j *job) bool {
+	sameEpoch := j.spec.Epoch == j.core.epoch
+	switch j.core.formerOwners {
+	case FormerOwnersEnded:
+		return j.recovered && !sameEpoch
+	case FormerOwnersFenced:
+		return !sameEpoch
+	}
+	return true
+}
+
 func viewByReference(h *host, t *task) hostselect.Host {
 	v := hostselect.Host{
 		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.core.hostList.stored[h.info.Name],
@@ -116,6 +128,9 @@
 	return max(0, budget-pressure) / max(minPressure, share(t.step.spec.Need.MilliCPU)*coefficient(t.step.spec.Image))
 }
 
+// twinEpoch is the epoch of the cores of a twin.
+const twinEpoch = 2
+
 // twin is two cores that get the same events. One plans by Plan, the other by
 // planByReference.
 type twin struct {
@@ -206,8 +221,21 @@
 }
 
 func (w *twin) submit() {
+	spec := w.drawJob()
+	w.apply(func(c *Core) { c.Submit(spec) })
+}
+
+func (w *twin) restore() {
+	spec := w.drawJob()
+	w.apply(func(c *Core) { c.Restore(spec, nil) })
+}
+
+// drawJob returns a job that was accepted under the owner, or under one before or
+// after it.
+func (w *twin) drawJob() workload.Job {
 	w.jobs++
 	spec := newSpec(fmt.Sprintf("j%03d", w.jobs))
+	spec.Epoch = rapid.SampledFrom([]uint64{0, twinEpoch - 1, twinEpoch, twinEpoch, twinEpoch + 1}).Draw(w.t, "epoch")
 	spec.MaxAttempts = 20
 	spec.Priority = rapid.IntRange(0, 2).Draw(w.t, "priority")
 	for i := range rapid.IntRange(1, 2).Draw(w.t, "steps") {
@@ -226,7 +254,7 @@
 		}
 		spec.Steps = append(spec.Steps, s)
 	}
-	w.apply(func(c *Core) { c.Submit(spec) })
+	return spec
 }
 
 // runs returns the runs of a host in the order of their identifiers.
@@ -252,7 +280,7 @@
 // report reports the latencies of the serving runs of a host.
 func (w *twin) report() {
 	h := rapid.SampledFrom(w.hosts).Draw(w.t, "host")
-	m := &msg.RunsProgress{Epoch: 1, Instance: h.Instance, StartedAtMS: h.StartedAtMS}
+	m := &msg.RunsProgress{Epoch: twinEpoch, Instance: h.Instance, StartedAtMS: h.StartedAtMS}
 	usage := rapid.IntRange(10, 200).Draw(w.t, "usage")
 	for _, r := range w.runs(h) {
 		m.Runs = append(m.Runs, msg.RunStatus{Run: r.id, Usage: int64(usage), CPULimitPercent: 100})
@@ -292,12 +320,15 @@
 // because of what it remembers of earlier passes.
 func TestPlanPlacesAsAFullExaminationDoes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &twin{t: t, cores: [2]*Core{New(1, 0), New(1, 0)}, ends: map[workload.HostName]uint64{}}
+		w := &twin{t: t, cores: [2]*Core{New(twinEpoch, 0), New(twinEpoch, 0)}, ends: map[workload.HostName]uint64{}}
 		if rapid.Bool().Draw(t, "recovery") {
-			ended := rapid.Bool().Draw(t, "former owner ended")
+			former := rapid.SampledFrom([]FormerOwners{FormerOwnersActive, FormerOwnersFenced, FormerOwnersEnded}).Draw(t, "former owners")
+			for range rapid.IntRange(0, 3).Draw(t, "restored jobs") {
+				w.restore()
+			}
 			w.apply(func(c *Core) {
 				c.ExpectHost("absent")
-				c.Recover(ended)
+				c.Recover(former)
 			})
 		}
 		for i := range rapid.IntRange(1, 5).Draw(t, "hosts") {
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -159,7 +159,8 @@
 	LastNumber  uint64
 }
 
-// JobSubmitted forwards a job, which is already stored, to the owner.
+// JobSubmitted forwards a job, which is already stored, to the owner. The epoch of
+// the job is that of its row, or 0 if the sender does not know it.
 type JobSubmitted struct{ Job workload.Job }
 
 // JobCancelled forwards a cancellation, which is already stored, to the owner.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -75,6 +75,7 @@
 	linked      map[string]bool // names of the linked entries
 	ownerSeenAt time.Duration   // start of the timeout after which the owner is replaced
 	formerEnded bool            // see FormerOwnerEnded
+	fenced      bool            // see FormerOwnersFenced
 
 	effects []Effect
 }
@@ -145,6 +146,10 @@
 // because it was unlinked may be active until it learns of the claim.
 func (c *Core) FormerOwnerEnded() bool { return c.formerEnded }
 
+// FormerOwnersFenced reports, at an owner, whether every former owner that may
+// still be active starts no task of a job whose Epoch is higher than its own.
+func (c *Core) FormerOwnersFenced() bool { return c.fenced }
+
 // Epoch returns the highest epoch that the entry knows.
 func (c *Core) Epoch() uint64 { return c.maxEpoch }
 
@@ -206,7 +211,11 @@
 // Claim returns the row that claims the jobs, and the version on which its commit
 // is conditional.
 func (c *Core) Claim() (workload.Owner, table.Revision) {
-	return workload.Owner{Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1, Unsettled: !c.priorOwnersEnded()}, c.rowVersion
+	owner := workload.Owner{
+		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
+		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
+	}
+	return owner, c.rowVersion
 }
 
 // priorOwnersEnded reports whether the owner of the row, and those before it, had
@@ -222,13 +231,17 @@
 	return c.namesSelf()
 }
 
+// priorOwnersFenced reports whether the owner of the row, and those before it,
+// start no task of a job whose Epoch is higher than their own.
+func (c *Core) priorOwnersFenced() bool { return c.row.Fenced || c.priorOwnersEnded() }
+
 // Claimed applies the outcome of the commit of a claim. version is that of the
 // committed row.
 func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) {
 	c.now = now
 	switch outcome {
 	case table.Committed:
-		c.formerEnded = !o.Unsettled
+		c.formerEnded, c.fenced = !o.Unsettled, o.Fenced
 		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
 		c.step(evClaimed)
 	case table.Conflict:
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -157,3 +157,34 @@
 		require.Equal(t, !v.unsettled, next.FormerOwnerEnded())
 	}
 }
+
+// Guards against an owner that takes former owners for fenced although one of them
+// may be active and does not look at the epochs of jobs, and against one that lets
+// new jobs wait for former owners that do.
+func TestFormerOwnersAreFencedIfTheirRowSaysSo(t *testing.T) {
+	for _, c := range []struct {
+		row  workload.Owner
+		want bool
+	}{
+		{workload.Owner{Name: "b", Boot: 9, Epoch: 4, Fenced: true}, true},
+		{workload.Owner{Name: "b", Boot: 9, Epoch: 4, Fenced: true, Unsettled: true}, true},
+		{workload.Owner{Name: "b", Boot: 9, Epoch: 4}, false},
+		{workload.Owner{Name: "b", Boot: 9, Epoch: 4, Unsettled: true}, false},
+		{workload.Owner{Epoch: 4}, true},
+		{workload.Owner{Epoch: 4, Unsettled: true}, false},
+		{workload.Owner{Epoch: 4, Unsettled: true, Fenced: true}, true},
+		{workload.Owner{Name: "a", Boot: 9, Epoch: 4}, true},
+		{workload.Owner{Name: "a", Boot: 1, Epoch: 4, Unsettled: true}, false},
+		{workload.Owner{Name: "a", Boot: 1, Epoch: 4, Unsettled: true, Fenced: true}, true},
+	} {
+		a := New("a", 1, 0)
+		a.Tick(time.Millisecond)
+		a.Effects()
+		a.Read(c.row, 3, 2*time.Second)
+		require.Contains(t, a.Effects(), ClaimRow)
+		owner, _ := a.Claim()
+		require.Equal(t, c.want, owner.Fenced, "%+v", c.row)
+		a.Claimed(owner, table.Committed, 4, 2*time.Second)
+		require.Equal(t, c.want, a.FormerOwnersFenced(), "%+v", c.row)
+	}
+}
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -204,3 +204,31 @@
 	sort.Strings(tested)
 	require.Equal(t, strings.Join(declared, " "), strings.Join(tested, " "))
 }
+
+// Guards against fields of the rows of jobs and of their owner that are not stored.
+func TestRowsOfJobsAndOfTheirOwnerKeepEveryField(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		job := generatorOf[workload.Job]().Draw(t, "job").(*workload.Job)
+		raw, err := EncodeJob(job)
+		require.NoError(t, err)
+		gotJob, err := DecodeJob(raw)
+		require.NoError(t, err)
+		require.Equal(t, *job, gotJob)
+
+		owner := generatorOf[workload.Owner]().Draw(t, "owner").(*workload.Owner)
+		raw, err = EncodeOwner(*owner)
+		require.NoError(t, err)
+		gotOwner, err := DecodeOwner(raw)
+		require.NoError(t, err)
+		require.Equal(t, *owner, gotOwner)
+	})
+}
+
+// Guards against an owner's row of a former program, which has no such field, that
+// is read as one of an owner that looks at the epochs of jobs.
+func TestOwnersRowOfAFormerProgramIsNotFenced(t *testing.T) {
+	row := []byte("\x0a\x01a\x11\x09\x00\x00\x00\x00\x00\x00\x00\x18\x04\x20\x02\x28\x01")
+	got, err := DecodeOwner(row)
+	require.NoError(t, err)
+	require.Equal(t, workload.Owner{Name: "a", Boot: 9, Epoch: 4, Sequence: 2, Unsettled: true}, got)
+}
--- a/internal/wire/workload.go
+++ b/internal/wire/workload.go
@@ -54,7 +54,7 @@
 
 // EncodeOwner encodes the owner of the jobs for the store.
 func EncodeOwner(o workload.Owner) ([]byte, error) {
-	return proto.Marshal(&pb.OwnerRow{Name: o.Name, Boot: o.Boot, Epoch: o.Epoch, Sequence: o.Sequence, Unsettled: o.Unsettled})
+	return proto.Marshal(&pb.OwnerRow{Name: o.Name, Boot: o.Boot, Epoch: o.Epoch, Sequence: o.Sequence, Unsettled: o.Unsettled, Fenced: o.Fenced})
 }
 
 // DecodeOwner is the inverse of EncodeOwner. Its error is ErrMalformed.
@@ -63,7 +63,9 @@
 	if err := proto.Unmarshal(raw, &p); err != nil {
 		return workload.Owner{}, malformed("owner: %v", err)
 	}
-	return workload.Owner{Name: p.GetName(), Boot: p.GetBoot(), Epoch: p.GetEpoch(), Sequence: p.GetSequence(), Unsettled: p.GetUnsettled()}, nil
+	return workload.Owner{
+		Name: p.GetName(), Boot: p.GetBoot(), Epoch: p.GetEpoch(), Sequence: p.GetSequence(), Unsettled: p.GetUnsettled(), Fenced: p.GetFenced(),
+	}, nil
 }
 
 // EncodeInterference encodes the interference coefficients of an owner for the
@@ -86,7 +88,7 @@
 	return &pb.FleetJob{
 		Id: string(j.ID), Queue: string(j.Queue), Service: string(j.Service), Priority: int64(j.Priority), MaxAttempts: int64(j.MaxAttempts),
 		Stretch: j.TargetSlowdown, TargetNs: int64(j.TargetLatency), Specification: j.Specification, Steps: mapSlice(j.Steps, stepToProto),
-		Repetitions: int64(j.Repetitions), FirstRunMs: j.FirstRunMS, IntervalMs: j.IntervalMS,
+		Repetitions: int64(j.Repetitions), FirstRunMs: j.FirstRunMS, IntervalMs: j.IntervalMS, Epoch: j.Epoch,
 	}
 }
 
@@ -95,7 +97,7 @@
 		ID: workload.JobID(p.GetId()), Queue: workload.QueueName(p.GetQueue()), Service: workload.Service(p.GetService()),
 		Priority: int(p.GetPriority()), MaxAttempts: int(p.GetMaxAttempts()), TargetSlowdown: p.GetStretch(), TargetLatency: time.Duration(p.GetTargetNs()),
 		Specification: p.GetSpecification(), Steps: mapSlice(p.GetSteps(), stepFromProto),
-		Repetitions: int(p.GetRepetitions()), FirstRunMS: p.GetFirstRunMs(), IntervalMS: p.GetIntervalMs(),
+		Repetitions: int(p.GetRepetitions()), FirstRunMS: p.GetFirstRunMs(), IntervalMS: p.GetIntervalMs(), Epoch: p.GetEpoch(),
 	}
 }
 
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -95,6 +95,10 @@
 	Repetitions    int   // 0: the steps run once
 	FirstRunMS     int64 // Unix time in milliseconds
 	IntervalMS     int64 // between repetitions
+	// Epoch is the highest epoch of an owner that the entry knew when it accepted
+	// the job; 0: none, or the entry's program did not record it. An owner with a
+	// lower epoch has been replaced and does not start the job's tasks.
+	Epoch uint64
 }
 
 // LongRunning reports whether the job has a step that runs until the job is
@@ -291,4 +295,8 @@
 	// Unsettled means that an owner before this one may still have been active
 	// when the row was written.
 	Unsettled bool
+	// Fenced means that this owner, and every owner before it that may still have
+	// been active when the row was written, starts no task of a job whose Epoch is
+	// higher than its own. The rows of former programs do not say so.
+	Fenced bool
 }
