jobdaemon: give the owners of the fencing tests a phase cache

The merge of the paced phases and of the fenced jobs left the test site without the cache that a new owner compares with; three tests failed with a nil dereference after the merge.

--- a/internal/jobdaemon/fencingsite_test.go
+++ b/internal/jobdaemon/fencingsite_test.go
@@ -58,7 +58,7 @@
 	name := fmt.Sprintf("entry-%d", len(s.owners))
 	o := &siteOwner{former: former, toAgent: map[*testHost][]msg.Control{}, toOwner: map[*testHost][]msg.Control{}}
 	o.controller = &controller{
-		self: msg.Member{Name: name}, log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, startedAt: time.Now(),
+		self: msg.Member{Name: name}, log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, startedAt: time.Now(), phases: newPhaseCache(),
 		owner: ownership.New(name, uint64(len(s.owners))+1, 0, 0), loading: true, published: &published{},
 	}
 	o.owner.Tick(time.Millisecond)
