link: end links in order when their context ends

Cause: the last messages of a process could be lost in three places. The writer of internal/peer left its queue when its context ended. The receiving side reported the end of a link while messages that it had read still waited.

Change: Shutdown of a link closes the control stream, goes on reading the socket, and waits until the peer, which finds that end after all messages, has ended the link. internal/peer sends what is queued and calls Shutdown when its context ends, 250 ms in all, and delivers what was read before it reports the end. The in-memory link does the same.

The connection of dispatcher_test.go in internal/entry has the new method.

--- a/internal/entry/dispatcher_test.go
+++ b/internal/entry/dispatcher_test.go
@@ -95,6 +95,7 @@
 func (flakyConn) Receive() (msg.Control, error)                     { return nil, io.EOF }
 func (flakyConn) AcceptStream(context.Context) (link.Stream, error) { return nil, io.EOF }
 func (flakyConn) Close() error                                      { return nil }
+func (flakyConn) Shutdown(context.Context) error                    { return nil }
 func (flakyConn) RemoteAddr() string                                { return "" }
 
 type okStream struct {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -29,7 +29,7 @@
 )
 
 // Conn is one side of a link. One goroutine may call Send, another Receive,
-// and others OpenStream or AcceptStream; Close may be called by any.
+// and others OpenStream or AcceptStream; Close and Shutdown may be called by any.
 type Conn interface {
 	// Send writes a control message. It blocks until the transport accepts
 	// the message.
@@ -40,8 +40,15 @@
 	OpenStream(ctx context.Context) (Stream, error)
 	// AcceptStream waits for the peer to open a stream.
 	AcceptStream(ctx context.Context) (Stream, error)
-	// Close ends the connection and all of its streams.
+	// Close ends the connection and all of its streams. The peer may lose
+	// messages that Send has accepted.
 	Close() error
+	// Shutdown ends the connection after the peer has received every message
+	// that Send has accepted: it sends the end of the control messages, waits
+	// until the peer, which then ends the connection, has done so, and calls
+	// Close. If ctx ends first, Shutdown calls Close and returns the context's
+	// error. Send must not be called from then on.
+	Shutdown(ctx context.Context) error
 	// RemoteAddr returns the peer's address, for logs.
 	RemoteAddr() string
 }
--- a/internal/link/listen.go
+++ b/internal/link/listen.go
@@ -138,4 +138,5 @@
 func (c failedConn) OpenStream(context.Context) (Stream, error)   { return nil, c.err }
 func (c failedConn) AcceptStream(context.Context) (Stream, error) { return nil, c.err }
 func (c failedConn) Close() error                                 { return nil }
+func (c failedConn) Shutdown(context.Context) error               { return nil }
 func (c failedConn) RemoteAddr() string                           { return c.remote }
--- a/internal/link/memconn.go
+++ b/internal/link/memconn.go
@@ -203,6 +203,10 @@
 
 func (c *memConn) Receive() (msg.Control, error) {
 	payload, err := c.receive(c.incoming, nil)
+	if err == io.EOF { // the peer shuts the link down
+		_ = c.Close()
+		return nil, c.endError()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -242,6 +246,20 @@
 	return nil
 }
 
+// Shutdown implements Conn. The far end closes the link when its Receive finds the
+// end of the messages.
+func (c *memConn) Shutdown(ctx context.Context) error {
+	_ = c.enqueue(packet{kind: packetEnd, direction: c.outgoing}) // fails only if the link has ended
+	var err error
+	select {
+	case <-c.ctx.Done():
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	_ = c.Close()
+	return err
+}
+
 func (c *memConn) RemoteAddr() string { return c.remote }
 
 // memStream is one end of an in-memory stream.
--- a/internal/link/mux.go
+++ b/internal/link/mux.go
@@ -220,4 +220,23 @@
 	return nil
 }
 
+// Shutdown closes the control stream, whose end the peer receives after all
+// messages. Meanwhile the session goes on to read the socket: a socket that is
+// closed with unread bytes is reset, and the peer then loses what it has not read.
+// Close of yamux can wait for the socket, so an actor calls it.
+func (c *muxConn) Shutdown(ctx context.Context) error {
+	actor.Go(c.group, "half-close", func(context.Context) error {
+		_ = c.control.Close() // fails only if the link has ended
+		return nil
+	})
+	var err error
+	select {
+	case <-c.ctx.Done():
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	_ = c.Close()
+	return err
+}
+
 func (c *muxConn) RemoteAddr() string { return c.remote }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,6 +27,9 @@
 	// reports of demand that fall due until a peer counts as silent. 1024 used
 	// 16 KiB on each side of a link, a fifth of an entry's memory.
 	outboundMessages = 256
+	// shutdownTimeout bounds the orderly end of a link, which takes a round trip
+	// and the time of the queued messages.
+	shutdownTimeout = 250 * time.Millisecond
 )
 
 // Errors that end a link.
@@ -60,7 +63,9 @@
 var DefaultTiming = Timing{Heartbeat: heartbeatInterval, Silence: silenceTimeout}
 
 // Run sends hello and serves the link with DefaultTiming until the link fails
-// or ctx ends. It closes conn and returns the reason.
+// or ctx ends. It closes conn and returns the reason. When ctx ends, the messages
+// that Out has accepted are sent first, and the peer has shutdownTimeout to
+// receive them.
 func Run(ctx context.Context, conn link.Conn, hello msg.Control, h Handler) error {
 	return RunWithTiming(ctx, conn, hello, h, DefaultTiming)
 }
@@ -81,11 +86,27 @@
 		readFailed.Put(read(ctx, conn, in))
 		return nil
 	})
-	s := &session{handler: h, out: out, overflow: overflow, silence: timing.Silence}
-	return s.serve(ctx, in, readFailed, out.Done())
+	s := &session{conn: conn, handler: h, out: out, overflow: overflow, silence: timing.Silence}
+	err := s.serve(ctx, in, readFailed, out.Done())
+	if ctx.Err() != nil {
+		shutdown(ctx, conn, out.Done())
+	}
+	return err
 }
 
-// write sends hello, and then messages and heartbeats until ctx ends.
+// shutdown ends a connection in an orderly way after its writer has ended.
+func shutdown(ctx context.Context, conn link.Conn, written <-chan struct{}) {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	select {
+	case <-written:
+		_ = conn.Shutdown(limited) // conn is closed in any case
+	case <-limited.Done():
+	}
+}
+
+// write sends hello, and then messages and heartbeats until ctx ends. It sends
+// the messages that are queued then.
 func write(ctx context.Context, conn link.Conn, hello msg.Control, in <-chan msg.Control, heartbeat time.Duration) error {
 	if err := conn.Send(hello); err != nil {
 		return err
@@ -99,7 +120,7 @@
 		case <-idle.C:
 			m = &msg.Heartbeat{}
 		case <-ctx.Done():
-			return nil
+			return flush(conn, in)
 		}
 		if err := conn.Send(m); err != nil {
 			return err
@@ -108,7 +129,19 @@
 	}
 }
 
-// read passes received messages to in until the connection fails.
+// flush sends the queued messages.
+func flush(conn link.Conn, in <-chan msg.Control) error {
+	for len(in) > 0 {
+		if err := conn.Send(<-in); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// read passes received messages to in until the connection fails. After the end
+// of ctx it discards them, so that it finds the end of a peer that ends at the
+// same time.
 func read(ctx context.Context, conn link.Conn, in chan<- msg.Control) error {
 	for {
 		m, err := conn.Receive()
@@ -118,7 +151,6 @@
 		select {
 		case in <- m:
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
 }
@@ -147,6 +179,7 @@
 
 // session is the state of a link. It belongs to the goroutine of Run.
 type session struct {
+	conn     link.Conn
 	handler  Handler
 	out      Out
 	overflow <-chan struct{} // signalled when a message for the peer was dropped
@@ -182,8 +215,10 @@
 		case s.current = <-in:
 			event = eventOf(s.current)
 		case err := <-readFailed.C():
+			s.deliverQueued(in)
 			s.err, event = err, evFailed
 		case <-writerDone:
+			s.deliverRest(in, readFailed)
 			s.err, event = link.ErrClosed, evFailed
 		case <-s.overflow:
 			s.err, event = ErrOverflow, evFailed
@@ -204,6 +239,36 @@
 	return s.err
 }
 
+// deliverRest closes the connection and delivers what was received before, until
+// the reader has ended. The peer may have ended the link in an orderly way, which
+// makes writes fail before everything has been read.
+func (s *session) deliverRest(in <-chan msg.Control, readFailed actor.Reply[error]) {
+	_ = s.conn.Close()
+	for s.open() {
+		select {
+		case m := <-in:
+			s.deliver(m)
+		case <-readFailed.C():
+			s.deliverQueued(in)
+			return
+		}
+	}
+}
+
+// deliverQueued delivers the messages in the queue of a reader that has ended.
+func (s *session) deliverQueued(in <-chan msg.Control) {
+	for len(in) > 0 && s.open() {
+		s.deliver(<-in)
+	}
+}
+
+func (s *session) open() bool { return !linkChart.Final(s.state) && s.err == nil }
+
+func (s *session) deliver(m msg.Control) {
+	s.current = m
+	linkChart.Step(s, &s.state, eventOf(m))
+}
+
 // eventOf returns the event of a received message.
 func eventOf(m msg.Control) chart.Event {
 	switch m.(type) {
