jobdaemon: end the links of a draining entry in order

Cause: an entry ended its process with messages for its peers still in the queues of its links, such as the release of the jobs and acknowledgements of ends, and with sockets that had unread bytes.

The actors that serve and dial links have a group of their own, so that the sockets outlive them.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -51,6 +51,7 @@
 	evTimeout
 	evReleased
 	evQuiet
+	evUnlinked
 )
 
 // Effect is an action that the entry has to perform.
@@ -62,6 +63,7 @@
 	ReleaseJobs                  // start the release of the jobs, and call Released when it is done
 	CloseIdle                    // accept no connection, end idle ones, and call Quiet when none is open
 	CancelRequests               // end the contexts of the requests in flight
+	EndLinks                     // end the links in an orderly way, and call Unlinked when that is done
 )
 
 // Core is the state of a drain. It is not safe for concurrent use.
@@ -70,6 +72,7 @@
 	state    chart.State
 	due      time.Duration // when the timeout of the state expires
 	released bool
+	unlinked bool
 	effects  []Effect
 }
 
@@ -77,15 +80,20 @@
 func Binding(p Plan) chart.Binding[Core] {
 	return chart.Binding[Core]{
 		Chart:  "drain",
-		States: []string{"serving", "leaving", "releasing", "closing", "cancelling", "stopped"},
-		Events: []string{"signal", "late", "released", "quiet"},
-		Guards: map[string]func(*Core) bool{"released": (*Core).JobsReleased},
+		States: []string{"serving", "leaving", "releasing", "closing", "cancelling", "unlinking", "stopped"},
+		Events: []string{"signal", "late", "released", "quiet", "unlinked"},
+		Guards: map[string]func(*Core) bool{
+			"released": (*Core).JobsReleased,
+			"unlinked": func(c *Core) bool { return c.unlinked },
+		},
 		Actions: map[string]func(*Core){
-			"leave":       func(c *Core) { c.emit(LeaveRotation) },
-			"release":     func(c *Core) { c.emit(ReleaseJobs) },
-			"noteRelease": func(c *Core) { c.released = true },
-			"close":       func(c *Core) { c.emit(CloseIdle) },
-			"cancel":      func(c *Core) { c.emit(CancelRequests) },
+			"leave":        func(c *Core) { c.emit(LeaveRotation) },
+			"release":      func(c *Core) { c.emit(ReleaseJobs) },
+			"noteRelease":  func(c *Core) { c.released = true },
+			"close":        func(c *Core) { c.emit(CloseIdle) },
+			"cancel":       func(c *Core) { c.emit(CancelRequests) },
+			"endLinks":     func(c *Core) { c.emit(EndLinks) },
+			"noteUnlinked": func(c *Core) { c.unlinked = true },
 		},
 		Delays: map[string]time.Duration{"leaveBy": p.LeaveBy, "releaseBy": p.ReleaseBy, "answerBy": p.AnswerBy, "stopBy": p.StopBy},
 	}
@@ -121,6 +129,9 @@
 // Quiet reports that no connection of a caller is open.
 func (c *Core) Quiet() { c.step(evQuiet) }
 
+// Unlinked reports that every link has ended.
+func (c *Core) Unlinked() { c.step(evUnlinked) }
+
 // Advance applies the timeouts that have expired at a time since the signal.
 func (c *Core) Advance(since time.Duration) {
 	for c.state != stServing && !c.Stopped() && since >= c.due {
--- a/internal/jobdaemon/drain.go
+++ b/internal/jobdaemon/drain.go
@@ -15,11 +15,12 @@
 
 // Drain prepares the end of the entry within its grace period, as
 // charts/drain.scxml says: it releases the jobs to another entry, waits until
-// the balancer sends no new callers, and answers the requests in flight. It
-// returns early if ctx ends.
+// the balancer sends no new callers, answers the requests in flight, and ends the
+// links after the peers have received the last messages. It returns early if ctx
+// ends.
 func (e *Entry) Drain(ctx context.Context) {
 	d := &drainRun{
-		entry: e, core: drain.New(drain.NewPlan(e.gracePeriod)), released: actor.NewReply[bool](),
+		entry: e, core: drain.New(drain.NewPlan(e.gracePeriod)), released: actor.NewReply[bool](), unlinked: actor.NewReply[bool](),
 		report: drainReport{server: e.callers, log: e.log, startedAt: time.Now(), before: e.callers.Counts()},
 	}
 	d.run(ctx)
@@ -33,6 +34,7 @@
 	entry    *Entry
 	core     *drain.Core
 	released actor.Reply[bool] // answered when the jobs are released
+	unlinked actor.Reply[bool] // answered when the links have ended
 	closing  bool              // connections are being closed
 	report   drainReport
 }
@@ -47,6 +49,8 @@
 		case <-timer.C:
 		case <-d.released.C():
 			d.core.Released()
+		case <-d.unlinked.C():
+			d.core.Unlinked()
 		case <-d.entry.callers.Settled():
 		case <-ctx.Done():
 			return
@@ -59,19 +63,19 @@
 // phases that it enters.
 func (d *drainRun) apply() {
 	for {
+		if d.closing && d.entry.callers.Counts().Open == 0 {
+			d.core.Quiet()
+		}
 		if !d.core.Stopped() {
 			d.report.phase(d.core.Phase())
 		}
 		effects := d.core.Effects()
-		for _, e := range effects {
-			d.perform(e)
-		}
-		if d.closing && d.entry.callers.Counts().Open == 0 {
-			d.core.Quiet()
-		}
 		if len(effects) == 0 {
 			return
 		}
+		for _, e := range effects {
+			d.perform(e)
+		}
 	}
 }
 
@@ -92,6 +96,12 @@
 		d.entry.callers.EndIdle()
 	case drain.CancelRequests:
 		d.entry.callers.CancelRequests()
+	case drain.EndLinks:
+		actor.Go(d.entry.controller.group, "link end", func(context.Context) error {
+			d.entry.links.Stop()
+			d.unlinked.Put(true)
+			return nil
+		})
 	}
 }
 
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -47,6 +47,7 @@
 type Entry struct {
 	controller *controller
 	callers    *httpserve.Server
+	links      *actor.Group // of the actors that serve and dial links
 	log        log.Interface
 	// gracePeriod is the time between the signal to stop and the kill of the
 	// process.
@@ -67,14 +68,15 @@
 	c.config = newConfigState(g, c, cfg.Config, configInUse)
 	c.storeProxy = &storeProxy{store: cfg.Store, commitViaPeer: c.commitViaPeer, log: cfg.Log}
 	c.address = actor.Spawn(g, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: c.run})
-	if err := c.startLinks(cfg); err != nil {
+	linkGroup := g.Sub()
+	if err := c.startLinks(linkGroup, cfg); err != nil {
 		return nil, err
 	}
 	actor.Go(g, "config watcher", c.watchConfig)
 	actor.Go(g, "member keeper", c.maintainMembers)
 
 	handler := &jobHandler{controller: c, config: configInUse, log: cfg.Log, metrics: c.metrics}
-	e := &Entry{controller: c, log: cfg.Log, gracePeriod: cfg.GracePeriod}
+	e := &Entry{controller: c, links: linkGroup, log: cfg.Log, gracePeriod: cfg.GracePeriod}
 	var err error
 	if e.callers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
 		return nil, err
@@ -89,20 +91,22 @@
 	return e, nil
 }
 
-func (c *controller) startLinks(cfg EntryConfig) error {
-	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
+// startLinks serves and dials links in g until g ends. The sockets outlive g, so
+// that each link can end in an orderly way.
+func (c *controller) startLinks(g *actor.Group, cfg EntryConfig) error {
+	l := &links{group: g, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
 	listener, err := link.Listen(c.group, cfg.Links, link.Config{})
 	if err != nil {
 		return err
 	}
-	actor.Go(c.group, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
+	actor.Go(g, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
 	dialers := &dialers{links: l, dial: link.NewDialer(c.group, link.Config{}), self: cfg.Links, started: map[string]bool{}}
 	dialers.linked = func(address string) bool {
 		linked := c.published.linked.Get()
 		return linked != nil && (*linked)[address]
 	}
 	dialers.start(cfg.Seeds)
-	actor.Go(c.group, "dialer starter", func(ctx context.Context) error {
+	actor.Go(g, "dialer starter", func(ctx context.Context) error {
 		return dialers.followMembers(ctx, &c.published.members)
 	})
 	return nil
