peer: make the time of the orderly end a part of the timing

TestQueuedMessagesAreReceivedBeforeTheLinkEnds used the 250 ms of a running system, which a busy machine can exceed.

--- a/internal/jobdaemon/links.go
+++ b/internal/jobdaemon/links.go
@@ -14,7 +14,7 @@
 )
 
 // linkTiming detects a silent process within a fraction of the owner's lease.
-var linkTiming = peer.Timing{Heartbeat: 300 * time.Millisecond, Silence: 1200 * time.Millisecond}
+var linkTiming = peer.Timing{Heartbeat: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Shutdown: peer.ShutdownTimeout}
 
 const (
 	dialTimeout       = 800 * time.Millisecond
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,9 +27,9 @@
 	// reports of demand that fall due until a peer counts as silent. 1024 used
 	// 16 KiB on each side of a link, a fifth of an entry's memory.
 	outboundMessages = 256
-	// shutdownTimeout bounds the orderly end of a link, which takes a round trip
+	// ShutdownTimeout bounds the orderly end of a link, which takes a round trip
 	// and the time of the queued messages.
-	shutdownTimeout = 250 * time.Millisecond
+	ShutdownTimeout = 250 * time.Millisecond
 )
 
 // Errors that end a link.
@@ -57,14 +57,15 @@
 type Timing struct {
 	Heartbeat time.Duration // maximum interval between two messages that are sent
 	Silence   time.Duration // time without a received message after which the link ends
+	Shutdown  time.Duration // maximum time of the orderly end when the context ends
 }
 
 // DefaultTiming is for entries with many links.
-var DefaultTiming = Timing{Heartbeat: heartbeatInterval, Silence: silenceTimeout}
+var DefaultTiming = Timing{Heartbeat: heartbeatInterval, Silence: silenceTimeout, Shutdown: ShutdownTimeout}
 
 // Run sends hello and serves the link with DefaultTiming until the link fails
 // or ctx ends. It closes conn and returns the reason. When ctx ends, the messages
-// that Out has accepted are sent first, and the peer has shutdownTimeout to
+// that Out has accepted are sent first, and the peer has ShutdownTimeout to
 // receive them.
 func Run(ctx context.Context, conn link.Conn, hello msg.Control, h Handler) error {
 	return RunWithTiming(ctx, conn, hello, h, DefaultTiming)
@@ -89,14 +90,14 @@
 	s := &session{conn: conn, handler: h, out: out, overflow: overflow, silence: timing.Silence}
 	err := s.serve(ctx, in, readFailed, out.Done())
 	if ctx.Err() != nil {
-		shutdown(ctx, conn, out.Done())
+		shutdown(ctx, conn, out.Done(), timing.Shutdown)
 	}
 	return err
 }
 
 // shutdown ends a connection in an orderly way after its writer has ended.
-func shutdown(ctx context.Context, conn link.Conn, written <-chan struct{}) {
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+func shutdown(ctx context.Context, conn link.Conn, written <-chan struct{}, limit time.Duration) {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	select {
 	case <-written:
