--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -100,7 +100,7 @@
 	e.controller = newController(e.group, cfg, newEntryMetrics(metrics.Start(e.group)), &actor.Value[workload.Config]{})
 	listener, err := s.net.Listen(name)
 	require.NoError(s.t, err)
-	e.controller.start(e.controller.loop(), cfg, listener, s.net.Dialer(name))
+	e.controller.start(e.controller.loop(), e.group.Sub(), cfg, listener, s.net.Dialer(name))
 }
 
 // advance lets the time pass.
