jobs: read only the coefficients of the images on a report's host

Cause: the lease grant that answers a report carries the interference coefficients of the images that serve on the host.

Change: the model keeps the pairs of each serving image in the order of the best-effort images. The messages are unchanged.

TestCostOfAReportFollowsTheImagesOnItsHost failed before: 900 pairs read for a host with one serving image among 30, bound 30.

--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -90,11 +90,12 @@
 	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
 	formerOwnerEnded bool               // the former owner had ended before this one began
 
-	unsent    map[*host]struct{} // hosts with queued requests for their agents
-	messages  []HostMessage
-	phases    []msg.JobPhase
-	decisions []Decision
-	visits    int // hosts, runs, jobs and steps that loops over all of them examined
+	unsent     map[*host]struct{} // hosts with queued requests for their agents
+	messages   []HostMessage
+	phases     []msg.JobPhase
+	decisions  []Decision
+	visits     int // hosts, runs, jobs and steps that loops over all of them examined
+	pairVisits int // pairs of images whose coefficients were read for lease grants and batches
 }
 
 // New returns the core of an owner that has just claimed the jobs with an epoch.
--- a/internal/jobs/cost_test.go
+++ b/internal/jobs/cost_test.go
@@ -318,6 +318,49 @@
 	require.LessOrEqual(t, visits, smallCell.hosts+smallCell.kinds+submittedSteps)
 }
 
+// Guards against reports that cost as much as the cell has pairs of images. A host
+// needs the coefficients of the images that serve there.
+func TestCostOfAReportFollowsTheImagesOnItsHost(t *testing.T) {
+	c := newCell(t, smallCell)
+	const images = 30
+	c.core.RestoreInterference(allPairs(images))
+	const servingOnHost = 1
+	for i := range 10 {
+		before := c.core.pairVisits
+		c.costOf(input(t, "report"), i)
+		require.LessOrEqual(t, c.core.pairVisits-before, servingOnHost*images)
+	}
+}
+
+// allPairs returns a coefficient for each pair of a number of serving images and
+// as many best-effort ones.
+func allPairs(images int) []msg.Interference {
+	var list []msg.Interference
+	for i := range images {
+		for k := range images {
+			list = append(list, msg.Interference{ServingImage: fmt.Sprintf("s%d", i), BestEffortImage: fmt.Sprintf("b%d", k), Coefficient: 0.1})
+		}
+	}
+	return list
+}
+
+// BenchmarkReport measures a report and its flush by the number of serving images
+// in the cell, with as many best-effort ones.
+func BenchmarkReport(b *testing.B) {
+	for _, images := range []int{5, 20, 40} {
+		site := newCell(b, cellSize{cellHosts, 40, 8})
+		site.core.RestoreInterference(allPairs(images))
+		b.Run(fmt.Sprintf("images=%d", images), func(b *testing.B) {
+			i := 0
+			for b.Loop() {
+				input(b, "report")(site, i)
+				site.flush()
+				i++
+			}
+		})
+	}
+}
+
 // smallCell is large enough that a visit of all hosts, runs, jobs or waiting
 // steps exceeds every bound of the tests.
 var smallCell = cellSize{hosts: 120, steps: 200, kinds: 8}
--- a/internal/jobs/interference.go
+++ b/internal/jobs/interference.go
@@ -1,8 +1,10 @@
 package jobs
 
 import (
+	"cmp"
+	"maps"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
@@ -101,30 +103,26 @@
 const minPressure = 0.001
 
 // coefficients returns the measured coefficients of the images that serve on the
-// host, or nil if it has no serving or no best-effort runs.
+// host, ordered by images, or nil if it has no serving or no best-effort runs.
 func (h *host) coefficients() []msg.Interference {
 	if h.servingRuns == 0 || h.bestEffortCPU == 0 {
 		return nil
 	}
-	return h.core.knownCoefficients(func(p contention.Pair) bool { return h.servingByImage[string(p.Serving)] > 0 })
-}
-
-// knownCoefficients returns the measured coefficients of the pairs that want
-// accepts, ordered by images.
-func (c *Core) knownCoefficients(want func(contention.Pair) bool) []msg.Interference {
 	var list []msg.Interference
-	c.contention.Coefficients(func(p contention.Pair, value float64) {
-		if want(p) {
-			list = append(list, msg.Interference{ServingImage: string(p.Serving), BestEffortImage: string(p.BestEffort), Coefficient: value})
-		}
-	})
-	sort.Slice(list, func(i, k int) bool {
-		a, b := list[i], list[k]
-		return a.ServingImage < b.ServingImage || a.ServingImage == b.ServingImage && a.BestEffortImage < b.BestEffortImage
-	})
+	for _, image := range slices.Sorted(maps.Keys(h.servingByImage)) {
+		h.core.contention.CoefficientsOf(contention.Image(image), h.core.appendCoefficient(&list))
+	}
 	return list
 }
 
+// appendCoefficient returns a function that appends the coefficient of a pair.
+func (c *Core) appendCoefficient(list *[]msg.Interference) func(contention.Pair, float64) {
+	return func(p contention.Pair, value float64) {
+		c.pairVisits++
+		*list = append(*list, msg.Interference{ServingImage: string(p.Serving), BestEffortImage: string(p.BestEffort), Coefficient: value})
+	}
+}
+
 const (
 	// interferenceInterval is the minimum time between two batches that store
 	// the coefficients.
@@ -133,14 +131,19 @@
 	maxStoredCoefficients = 1000
 )
 
-// interferenceToStore returns the coefficients for the next batch, or nil if
+// interferenceToStore returns the coefficients for the next batch, ordered by
+// images, or nil if
 // they were stored less than interferenceInterval ago.
 func (c *Core) interferenceToStore() []msg.Interference {
 	if c.now-c.interferenceStoredAt < interferenceInterval {
 		return nil
 	}
 	c.interferenceStoredAt = c.now
-	list := c.knownCoefficients(func(contention.Pair) bool { return true })
+	var list []msg.Interference
+	c.contention.Coefficients(c.appendCoefficient(&list))
+	slices.SortFunc(list, func(a, b msg.Interference) int {
+		return cmp.Or(cmp.Compare(a.ServingImage, b.ServingImage), cmp.Compare(a.BestEffortImage, b.BestEffortImage))
+	})
 	return list[:min(len(list), maxStoredCoefficients)]
 }
 
--- a/internal/policy/contention/contention.go
+++ b/internal/policy/contention/contention.go
@@ -9,6 +9,8 @@
 
 import (
 	"math"
+	"slices"
+	"sort"
 	"time"
 )
 
@@ -76,7 +78,8 @@
 type Model struct {
 	groups            map[Group]*load
 	pairs             map[Pair]*coefficient
-	fixedCoefficients bool // samples do not change the coefficients
+	byServing         map[Image][]known // the pairs, by serving image
+	fixedCoefficients bool              // samples do not change the coefficients
 }
 
 // load is the estimated load of a group, its slope per second, and their
@@ -90,6 +93,12 @@
 // coefficient is the estimated interference coefficient of a pair.
 type coefficient struct{ value, variance float64 }
 
+// known is the coefficient of a pair whose serving image is given.
+type known struct {
+	bestEffort  Image
+	coefficient *coefficient
+}
+
 const (
 	initialLoad                = 0.45
 	initialLoadVariance        = 0.04
@@ -124,7 +133,7 @@
 
 // NewModel returns a model without samples.
 func NewModel() *Model {
-	return &Model{groups: map[Group]*load{}, pairs: map[Pair]*coefficient{}}
+	return &Model{groups: map[Group]*load{}, pairs: map[Pair]*coefficient{}, byServing: map[Image][]known{}}
 }
 
 // NewLoadModel returns a model that estimates loads only, from the samples of one
@@ -150,10 +159,18 @@
 	if !ok {
 		c = &coefficient{DefaultCoefficient, initialCoefficientVariance}
 		m.pairs[p] = c
+		m.index(p, c)
 	}
 	return c
 }
 
+// index adds a new pair to those of its serving image.
+func (m *Model) index(p Pair, c *coefficient) {
+	list := m.byServing[p.Serving]
+	i := sort.Search(len(list), func(i int) bool { return list[i].bestEffort >= p.BestEffort })
+	m.byServing[p.Serving] = slices.Insert(list, i, known{p.BestEffort, c})
+}
+
 // Observe updates the estimates with a sample that was taken at now.
 func (m *Model) Observe(now time.Duration, s Sample) {
 	l := m.group(s.Group, now)
@@ -244,6 +261,14 @@
 	}
 }
 
+// CoefficientsOf calls visit for each pair with a serving image that has samples or
+// was set, in the order of the best-effort images.
+func (m *Model) CoefficientsOf(serving Image, visit func(Pair, float64)) {
+	for _, k := range m.byServing[serving] {
+		visit(Pair{serving, k.bestEffort}, k.coefficient.value)
+	}
+}
+
 // SetCoefficient sets the coefficient of a pair to the estimate of a model that
 // has the samples of all hosts.
 func (m *Model) SetCoefficient(p Pair, value float64) {
