--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -21,6 +21,7 @@
 func (c *controller) linkUp(m *linkUp) {
 	l := &peerLink{m.id, m.hello, m.out}
 	c.links[m.id] = l
+	c.send(l, &msg.Members{Entries: c.memberList()})
 	name := m.hello.Member.Name
 	event.Log(c.log, event.PeerLinked, log.Fields{"peer": name, "agent": m.hello.Agent, "epoch": m.hello.Epoch})
 	if m.hello.Epoch > c.owner.Epoch() {
@@ -30,13 +31,13 @@
 		c.agentLinkUp(l)
 		return
 	}
-	c.owner.PeerUp(name)
-	c.addMembers([]msg.Member{m.hello.Member})
+	c.owner.PeerUp(name, m.hello.ProcessorShare)
+	c.addMembers([]msg.Member{m.hello.Member}, m.id)
 	c.publishLinked()
 	c.announceConfig(l)
 	if c.jobs != nil {
 		c.send(l, &msg.OwnerClaim{Epoch: c.jobs.Epoch(), Owner: c.self.Name})
-		c.send(l, &msg.JobPhases{Epoch: c.jobs.Epoch(), Full: true, Jobs: c.jobs.AllPhases()})
+		c.startFeed(l)
 	}
 }
 
@@ -48,7 +49,6 @@
 		c.agents[name] = a
 	}
 	a.link = l
-	c.send(l, &msg.Members{Entries: c.memberList()})
 	if c.jobs != nil {
 		c.jobs.Linked(a.host)
 	}
@@ -72,6 +72,7 @@
 		return
 	}
 	c.peerCommits.linkDown(name)
+	c.endFeed(l)
 	if c.entryLink(name) == nil {
 		c.owner.PeerDown(name, c.now())
 		c.config.sync.PeerDown(name, c.now())
@@ -94,7 +95,7 @@
 	switch m := m.(type) {
 	case *msg.Heartbeat:
 	case *msg.Members:
-		c.addMembers(m.Entries)
+		c.addMembers(m.Entries, l.id)
 	case *msg.HostAnnounced:
 		c.hostAnnounced(l, m.Host)
 	case *msg.OwnerClaim:
@@ -136,11 +137,15 @@
 	name := workload.HostName(l.hello.Member.Name)
 	switch m := m.(type) {
 	case *msg.JobSubmitted:
-		if c.loading {
+		switch {
+		case m.Job.Epoch == 0:
+			// The row may have a higher epoch, of an earlier submission that
+			// the sender did not read. The watch delivers the row.
+		case c.loading:
 			c.deferred = append(c.deferred, m)
-			return
+		default:
+			c.submit(m.Job)
 		}
-		c.jobs.Submit(m.Job)
 	case *msg.JobCancelled:
 		c.jobs.Cancel(m.ID)
 	case *msg.HostInventory:
@@ -156,33 +161,30 @@
 	}
 }
 
-func (c *controller) phasesReceived(m *msg.JobPhases) {
-	if m.Epoch < c.owner.Epoch() {
-		return
-	}
-	for _, p := range m.Jobs {
-		c.phases.update(p, c.now())
-	}
-}
+// fromTable is the source of members that were read from the table service.
+const fromTable linkID = 0
 
-// addMembers records entries that were received from a peer or read from the
-// table service, and sends the list to all peers if it changed.
-func (c *controller) addMembers(entries []msg.Member) {
-	changed := false
+// addMembers records entries that were received on a link or read from the table
+// service, and sends those that are new or changed on all other links. A link has
+// the rest: the whole list is sent when it comes up.
+func (c *controller) addMembers(entries []msg.Member, source linkID) {
+	var changed []msg.Member
 	for _, e := range entries {
 		if e.Name == c.self.Name || e.Address == "" || c.members[e.Name] == e {
 			continue
 		}
 		c.members[e.Name] = e
-		changed = true
+		changed = append(changed, e)
 	}
-	if !changed {
+	if len(changed) == 0 {
 		return
 	}
 	list := c.memberList()
 	c.published.members.Set(&list)
-	for _, l := range c.links {
-		c.send(l, &msg.Members{Entries: list})
+	for id, l := range c.links {
+		if id != source {
+			c.send(l, &msg.Members{Entries: changed})
+		}
 	}
 }
 
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -7,7 +7,6 @@
 
 import (
 	"container/list"
-	"sort"
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/duetime"
@@ -88,16 +87,32 @@
 	removals         []workload.JobID   // jobs whose rows have to be deleted
 	pendingBatch     *Batch             // the batch that is being written, or nil
 	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
-	formerOwnerEnded bool               // the former owner had ended before this one began
-
-	unsent     map[*host]struct{} // hosts with queued requests for their agents
-	messages   []HostMessage
-	phases     []msg.JobPhase
-	decisions  []Decision
-	visits     int // hosts, runs, jobs and steps that loops over all of them examined
-	pairVisits int // pairs of images whose coefficients were read for lease grants and batches
+	formerOwners     FormerOwners       // of Recover
+
+	unsent       map[*host]struct{} // hosts with queued requests for their agents
+	messages     []HostMessage
+	phases       []msg.JobPhase
+	phaseChanges uint64 // number of the newest change of a visible phase
+	decisions    []Decision
+	visits       int // hosts, runs, jobs and steps that loops over all of them examined
+	pairVisits   int // pairs of images whose coefficients were read for lease grants and batches
 }
 
+// FormerOwners says which tasks the former owners may still start.
+type FormerOwners uint8
+
+// Kinds of former owners.
+const (
+	// FormerOwnersActive may start tasks of any job until they learn of this
+	// owner.
+	FormerOwnersActive FormerOwners = iota
+	// FormerOwnersFenced are like FormerOwnersActive, but start no task of a job
+	// whose Epoch is higher than their own.
+	FormerOwnersFenced
+	// FormerOwnersEnded start no tasks.
+	FormerOwnersEnded
+)
+
 // New returns the core of an owner that has just claimed the jobs with an epoch.
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
@@ -121,13 +136,6 @@
 	return out
 }
 
-// Phases returns the changes of visible phases since the last call.
-func (c *Core) Phases() []msg.JobPhase {
-	out := c.phases
-	c.phases = nil
-	return out
-}
-
 // Decisions returns the decisions since the last call.
 func (c *Core) Decisions() []Decision {
 	out := c.decisions
@@ -135,16 +143,6 @@
 	return out
 }
 
-// AllPhases returns the visible phase of every job, ordered by job.
-func (c *Core) AllPhases() []msg.JobPhase {
-	list := make([]msg.JobPhase, 0, len(c.jobs))
-	for _, j := range c.jobs {
-		list = append(list, j.visiblePhase())
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
-	return list
-}
-
 func (c *Core) send(h *host, m msg.Control) {
 	c.messages = append(c.messages, HostMessage{h.info.Name, m})
 }
--- a/internal/jobs/cost_test.go
+++ b/internal/jobs/cost_test.go
@@ -201,7 +201,7 @@
 		c.core.NextBatch()
 		c.core.BatchCommitted()
 	}},
-	{"phases", func(c *cell, _ int) { c.core.AllPhases() }},
+	{"phases", func(c *cell, _ int) { c.core.JobsChangedAfter(0) }},
 }
 
 // BenchmarkInputs measures each kind of input of an owner, with the flush after
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -44,6 +44,7 @@
 	spec        workload.Job
 	state       chart.State
 	storedPhase workload.Phase // phase of the stored row
+	phaseChange uint64         // number of the newest change of the visible phase
 	steps       []*step
 	admittedAt  time.Duration // when this owner admitted the job
 	deadline    time.Duration // by which the job should be completed
@@ -128,9 +129,6 @@
 	return msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p}
 }
 
-// publish adds the job's visible phase to the changes for callers.
-func (j *job) publish() { j.core.phases = append(j.core.phases, j.visiblePhase()) }
-
 func (j *job) step(e chart.Event) { jobChart.Step(j, &j.state, e) }
 
 // markDirty makes the next batch write the job's row.
@@ -162,18 +160,21 @@
 	}
 }
 
-// Submit adds a stored job. A job that is known already is ignored.
+// Submit adds a stored job, whose Epoch must be that of its row. It ignores a job
+// that is known already, and a job of a higher epoch than the owner's: its tasks
+// are started by a later owner.
 func (c *Core) Submit(spec workload.Job) { c.submit(spec, nil, false) }
 
-// Restore adds a job of an earlier owner with its stored progress, which is nil
-// if none was stored.
+// Restore is like Submit for a job that was stored before the owner began, with
+// its stored progress, which is nil if none was stored.
 func (c *Core) Restore(spec workload.Job, p *workload.Progress) { c.submit(spec, p, true) }
 
 func (c *Core) submit(spec workload.Job, p *workload.Progress, recovered bool) {
-	if _, known := c.jobs[spec.ID]; known {
+	if _, known := c.jobs[spec.ID]; known || spec.Epoch > c.epoch {
 		return
 	}
 	j := newJob(c, spec)
+	j.numberPhase()
 	j.recovered = recovered
 	c.jobs[spec.ID] = j
 	if p != nil {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -9,6 +9,7 @@
 
 	"github.com/bambooscale/bambooscale/charts"
 	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
@@ -42,8 +43,8 @@
 	// startOwnerTimeout replaces ownerTimeout after the start of an entry, until
 	// its links have had time to come up.
 	startOwnerTimeout = 900 * time.Millisecond
-	// rankDelay is added to the timeout once for each linked entry with a lower
-	// name, so that entries do not claim at the same time.
+	// rankDelay is added to the timeout once for each linked entry that precedes
+	// this one, so that entries do not claim at the same time.
 	rankDelay = 200 * time.Millisecond
 )
 
@@ -63,18 +64,20 @@
 // Core is the state of the ownership as one entry sees it. It is not safe for
 // concurrent use. Times are durations on the entry's monotonic clock.
 type Core struct {
-	self string
-	boot uint64 // distinguishes the processes of an entry
-	now  time.Duration
+	self  string
+	boot  uint64         // distinguishes the processes of an entry
+	share model.MilliCPU // processor share of the host of this entry; 0: unknown
+	now   time.Duration
 
 	state       chart.State
-	timeoutAt   time.Duration   // when the state's timeout expires; 0: none
-	row         workload.Owner  // newest known owner
-	rowVersion  table.Revision  // version of the row
-	maxEpoch    uint64          // highest known epoch
-	linked      map[string]bool // names of the linked entries
-	ownerSeenAt time.Duration   // start of the timeout after which the owner is replaced
-	formerEnded bool            // see FormerOwnerEnded
+	timeoutAt   time.Duration             // when the state's timeout expires; 0: none
+	row         workload.Owner            // newest known owner
+	rowVersion  table.Revision            // version of the row
+	maxEpoch    uint64                    // highest known epoch
+	linked      map[string]model.MilliCPU // processor shares of the linked entries, by name; 0: unknown
+	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
+	formerEnded bool                      // see FormerOwnerEnded
+	fenced      bool                      // see FormerOwnersFenced
 
 	effects []Effect
 }
@@ -101,9 +104,13 @@
 	}
 }
 
-// New returns the state of an entry of the name self that starts at now.
-func New(self string, boot uint64, now time.Duration) *Core {
-	c := &Core{self: self, boot: boot, now: now, linked: map[string]bool{}, ownerSeenAt: now + startOwnerTimeout - ownerTimeout}
+// New returns the state of an entry of the name self that starts at now. share is
+// the processor share of its host, 0 if it is not known.
+func New(self string, boot uint64, share model.MilliCPU, now time.Duration) *Core {
+	c := &Core{
+		self: self, boot: boot, share: share, now: now, linked: map[string]model.MilliCPU{},
+		ownerSeenAt: now + startOwnerTimeout - ownerTimeout,
+	}
 	c.state = ownershipChart.Initial()
 	c.timeoutAt = now + 1 // read at once; 0 means no timeout
 	return c
@@ -145,14 +152,19 @@
 // because it was unlinked may be active until it learns of the claim.
 func (c *Core) FormerOwnerEnded() bool { return c.formerEnded }
 
+// FormerOwnersFenced reports, at an owner, whether every former owner that may
+// still be active starts no task of a job whose Epoch is higher than its own.
+func (c *Core) FormerOwnersFenced() bool { return c.fenced }
+
 // Epoch returns the highest epoch that the entry knows.
 func (c *Core) Epoch() uint64 { return c.maxEpoch }
 
 // Owner returns the name of the owner, or "" if it is not known or there is none.
 func (c *Core) Owner() string { return c.row.Name }
 
-// PeerUp records that an entry is linked.
-func (c *Core) PeerUp(name string) { c.linked[name] = true }
+// PeerUp records that an entry is linked, and the processor share that it
+// announces: 0 if it announces none.
+func (c *Core) PeerUp(name string, share model.MilliCPU) { c.linked[name] = share }
 
 // PeerDown records that an entry is no longer linked.
 func (c *Core) PeerDown(name string, now time.Duration) {
@@ -206,7 +218,11 @@
 // Claim returns the row that claims the jobs, and the version on which its commit
 // is conditional.
 func (c *Core) Claim() (workload.Owner, table.Revision) {
-	return workload.Owner{Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1, Unsettled: !c.priorOwnersEnded()}, c.rowVersion
+	owner := workload.Owner{
+		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
+		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
+	}
+	return owner, c.rowVersion
 }
 
 // priorOwnersEnded reports whether the owner of the row, and those before it, had
@@ -222,13 +238,17 @@
 	return c.namesSelf()
 }
 
+// priorOwnersFenced reports whether the owner of the row, and those before it,
+// start no task of a job whose Epoch is higher than their own.
+func (c *Core) priorOwnersFenced() bool { return c.row.Fenced || c.priorOwnersEnded() }
+
 // Claimed applies the outcome of the commit of a claim. version is that of the
 // committed row.
 func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) {
 	c.now = now
 	switch outcome {
 	case table.Committed:
-		c.formerEnded = !o.Unsettled
+		c.formerEnded, c.fenced = !o.Unsettled, o.Fenced
 		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
 		c.step(evClaimed)
 	case table.Conflict:
@@ -261,13 +281,13 @@
 func (c *Core) mayClaim() bool { return c.namesSelf() || c.ownerAbsent() }
 
 // ownerAbsent reports whether the owner has been unlinked for so long that this
-// entry replaces it. Entries with lower names do so earlier. An owner with the
+// entry replaces it. Entries that precede it do so earlier. An owner with the
 // name of this entry is a former process of it, and is always absent.
 func (c *Core) ownerAbsent() bool {
 	if c.namesSelf() {
 		return true
 	}
-	if c.linked[c.row.Name] {
+	if _, linked := c.linked[c.row.Name]; linked {
 		return false
 	}
 	timeout := ownerTimeout + time.Duration(c.rank())*rankDelay
@@ -277,13 +297,25 @@
 	return c.now-c.ownerSeenAt >= timeout
 }
 
-// rank returns the number of linked entries with a lower name.
+// rank returns the number of linked entries that precede this one.
 func (c *Core) rank() int {
 	n := 0
-	for name := range c.linked {
-		if name < c.self {
+	for name, share := range c.linked {
+		if c.precededBy(name, share) {
 			n++
 		}
 	}
 	return n
 }
+
+// precededBy reports whether an entry comes before this one in claiming the jobs:
+// the one with the greater processor share, or the lower name if they are equal.
+// An unknown share counts as 0, so an entry that announces none comes last. During
+// a restart with a new program, entries of the former one rank by name alone; two
+// entries may then claim at the same time, and the table service accepts one.
+func (c *Core) precededBy(name string, share model.MilliCPU) bool {
+	if share != c.share {
+		return share > c.share
+	}
+	return name < c.self
+}
