jobs: leave out in groups the steps that wait for the recovery

Cause: while a new owner waits for the inventories, each pass visited every waiting step, only to find that it has to wait.

Change: what mayHaveStarted depends on is part of a group's requirement, so that a pass leaves out such a group whole.

TestCostOfATakeoverDoesNotMultiplyHostsByWaitingSteps failed before: 51,533 visits with 120 hosts, 200 waiting steps and 69 requirements, bound 8,600.

--- a/internal/jobs/cost_test.go
+++ b/internal/jobs/cost_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -396,3 +398,56 @@
 		}
 	})
 }
+
+// BenchmarkTakeover measures a new owner from the restored jobs until every host
+// has sent its inventory, each with a flush, by the waiting steps.
+func BenchmarkTakeover(b *testing.B) {
+	for _, size := range []cellSize{{cellHosts, 40, 8}, {cellHosts, cellWaitingSteps, 8}} {
+		site := newCell(b, size)
+		b.Run(fmt.Sprintf("hosts=%d/steps=%d", size.hosts, size.steps), func(b *testing.B) {
+			visits := 0
+			for b.Loop() {
+				visits += site.takeOver(FormerOwnersActive).visits
+			}
+			b.ReportMetric(float64(visits)/float64(b.N), "visits/op")
+		})
+	}
+}
+
+// takeOver returns the core of a next owner that has taken over the cell.
+func (c *cell) takeOver(former FormerOwners) *Core {
+	next := New(2, c.now)
+	next.Advance(c.now, c.now.Milliseconds())
+	for _, id := range slices.Sorted(maps.Keys(c.core.jobs)) {
+		p := c.core.jobs[id].progress()
+		next.Restore(c.core.jobs[id].spec, &p)
+	}
+	for _, name := range c.hostNames {
+		next.ExpectHost(name)
+	}
+	next.Recover(former)
+	for _, name := range c.hostNames {
+		h := c.core.hosts[name]
+		next.Linked(h.info)
+		next.Inventory(&msg.HostInventory{Epoch: 2, Host: h.info, Runs: c.reports[name].Runs})
+		next.Plan()
+		next.Messages()
+		next.Phases()
+		next.Decisions()
+		next.Pending()
+	}
+	require.True(c.t, next.Settled())
+	return next
+}
+
+// Guards against a new owner that visits every waiting step for each inventory,
+// though none of them may start before the last inventory. On a slow host the
+// leases of the runs then expire before they are granted again.
+func TestCostOfATakeoverDoesNotMultiplyHostsByWaitingSteps(t *testing.T) {
+	c := newCell(t, smallCell)
+	requirements := smallCell.kinds + 2*cellServingJobs + 1 // the tasks of the running jobs wait too
+	lastInventory := smallCell.hosts + smallCell.steps
+	for _, former := range []FormerOwners{FormerOwnersActive, FormerOwnersFenced, FormerOwnersEnded} {
+		require.LessOrEqual(t, c.takeOver(former).visits, smallCell.hosts*requirements+lastInventory)
+	}
+}
--- a/internal/jobs/pass.go
+++ b/internal/jobs/pass.go
@@ -67,7 +67,8 @@
 }
 
 // pass visits the steps with ready tasks, the most urgent first. It leaves out
-// those of a group once no host is left for the group.
+// those of a group once no host is left for the group, and during the recovery
+// the groups whose tasks the former owner may have started.
 type pass struct {
 	core   *Core
 	groups []*group // not begun, ordered by their most urgent step
@@ -86,8 +87,11 @@
 		p.core.visits++
 		g := p.groups[0]
 		u := &p.memory[len(p.groups)-1]
-		*u = p.core.newCursor(g)
 		p.groups = p.groups[1:]
+		if p.core.recoveryDeadline != 0 && g.mayHaveStarted() {
+			continue
+		}
+		*u = p.core.newCursor(g)
 		if u.step() == g.steps[0] {
 			return u
 		}
@@ -120,15 +124,10 @@
 }
 
 // visit places the tasks of the step at the cursor and advances the cursor. It
-// returns false if the pass has to end. During the recovery it leaves out the
-// tasks that the former owner may have started.
+// returns false if the pass has to end.
 func (c *Core) visit(u *cursor) bool {
 	c.visits++
 	s := u.step()
-	if c.recoveryDeadline != 0 && s.mayHaveStarted() {
-		u.advance(s)
-		return true
-	}
 	p := placement{step: s, group: u.group}
 	if !p.run() {
 		return false
--- a/internal/jobs/waiting.go
+++ b/internal/jobs/waiting.go
@@ -19,8 +19,8 @@
 	speedMatters      bool          // a task may wait for a host of good speed, or did at the last tick
 }
 
-// requirement is what hostselect.Check depends on. If no host is left for a task,
-// none is left for the other tasks with its requirement.
+// requirement is what hostselect.Check and mayHaveStarted depend on. If no host is
+// left for a task, none is left for the other tasks with its requirement.
 type requirement struct {
 	service    workload.Service
 	label      string
@@ -29,12 +29,14 @@
 	bestEffort bool   // accepts a low speed, or waits for a good one
 	image      string // of a best-effort task
 	step       *step  // of a task whose number on a host is limited
+	recovered  bool   // its job was stored before the owner began
+	ownEpoch   bool   // its job has the owner's epoch
 }
 
 // requirement returns the requirement of the tasks of the step.
 func (s *step) requirement() requirement {
 	j := &s.job.spec
-	r := requirement{service: j.Service, label: s.spec.Label, need: s.spec.Need, urgent: j.Priority <= 0, bestEffort: s.spec.BestEffort}
+	r := requirement{service: j.Service, label: s.spec.Label, need: s.spec.Need, urgent: j.Priority <= 0, bestEffort: s.spec.BestEffort, recovered: s.job.recovered, ownEpoch: j.Epoch >= s.job.core.epoch}
 	if s.spec.BestEffort {
 		r.image = s.spec.Image
 	}
@@ -51,6 +53,10 @@
 	searches [searchKinds]search
 }
 
+// mayHaveStarted reports whether the former owner may have started tasks of the
+// group.
+func (g *group) mayHaveStarted() bool { return g.steps[0].mayHaveStarted() }
+
 // search is what earlier passes found out about the hosts for the tasks of a
 // group. A host that could not run them is examined again only after it improved.
 type search struct {
