--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -95,6 +95,7 @@
 	phaseChanges uint64 // number of the newest change of a visible phase
 	decisions    []Decision
 	visits       int // hosts, runs, jobs and steps that loops over all of them examined
+	pairVisits   int // pairs of images whose coefficients were read for lease grants and batches
 }
 
 // FormerOwners says which tasks the former owners may still start.
