jobs: wait for runs that are listed before their job is known

What callers would see: a task that runs twice at the same time, or again after it was done, after a change of owner. Cause: a job that is accepted after a new owner has read the stored jobs may be started by the former owner, and reaches the new one through its watch up to 200 ms after the run is listed in an inventory. The owner requested the stop of the run, whose task it did not know, and forgot it. When the row arrived, it started the task at once on any host, while the run was still being stopped, or not even that if the agent had been claimed by a later owner. Ends of such runs were dropped, and acknowledged with the next batch. Change: the owner keeps such runs and ends for a minute. When the job becomes known, its runs are charged as runs that are being stopped, and its ends are applied. A run is dropped earlier if its host refuses the stop, lists it no more, or has certainly ended it.

--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -64,6 +64,7 @@
 	hosts      map[workload.HostName]*host
 	jobs       map[workload.JobID]*job
 	cancelled  map[workload.JobID]time.Duration // when jobs that are not known yet were cancelled
+	early      map[workload.RunID]earlyRun      // of jobs that are not known yet
 	waiting    waiting                          // tasks that may start
 	planNeeded bool                             // something changed that may let a task start
 	pass       PassStats                        // of the last planning pass
@@ -110,7 +111,7 @@
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
-		cancelled: map[workload.JobID]time.Duration{}, improved: list.New(), throttled: map[*run]struct{}{},
+		cancelled: map[workload.JobID]time.Duration{}, early: map[workload.RunID]earlyRun{}, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
 	}
 }
@@ -180,6 +181,7 @@
 			delete(c.cancelled, id)
 		}
 	}
+	c.dropOldEarly()
 	if c.recoveryDeadline != 0 && c.now >= c.recoveryDeadline {
 		c.recoveryDeadline = 0
 		c.planNeeded = true
--- /dev/null
+++ b/internal/jobs/early.go
@@ -0,0 +1,74 @@
+package jobs
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// earlyRunRetention is how long a run is kept whose job is not known. The job's
+// row arrives through the watch of the table service.
+const earlyRunRetention = time.Minute
+
+// earlyRun is a run, or the end of one, that a host reported before its job was
+// known: the former owner started it after this one had read the stored jobs.
+type earlyRun struct {
+	host       *host
+	status     msg.RunStatus
+	end        *msg.RunEnd // nil: the run may go on
+	reportedAt time.Duration
+}
+
+// keepEarly records a run whose task is not known, unless its job is.
+func (c *Core) keepEarly(id workload.RunID, e earlyRun) {
+	if _, known := c.jobs[id.Task.Job]; known {
+		return
+	}
+	e.reportedAt = c.now
+	c.early[id] = e
+}
+
+// dropEarlyRuns drops the runs of the host that have not ended.
+func (h *host) dropEarlyRuns() {
+	for id, e := range h.core.early {
+		if e.host == h && e.end == nil {
+			delete(h.core.early, id)
+		}
+	}
+}
+
+// dropOldEarly drops what has been kept for earlyRunRetention.
+func (c *Core) dropOldEarly() {
+	for id, e := range c.early {
+		if c.now-e.reportedAt > earlyRunRetention {
+			delete(c.early, id)
+		}
+	}
+}
+
+// applyEarly applies what hosts reported of the job before it was known. Its runs
+// are charged until the stops that were requested have been answered.
+func (j *job) applyEarly() {
+	c := j.core
+	var ids []workload.RunID
+	for id := range c.early {
+		if id.Task.Job == j.spec.ID {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, k int) bool { return runIDLess(ids[i], ids[k]) })
+	for _, id := range ids {
+		e := c.early[id]
+		delete(c.early, id)
+		t := j.task(id.Task)
+		switch {
+		case t == nil:
+		case e.end != nil:
+			t.applyEnd(*e.end, e.host)
+		default:
+			e.host.adoptRun(e.status).stop("not-wanted")
+		}
+	}
+}
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -230,6 +230,7 @@
 // inventory.
 func (h *host) adopt() {
 	m := h.inventory
+	h.dropEarlyRuns()
 	h.core.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "taken"})
 	listed := map[workload.RunID]bool{}
 	var sizes []msg.RunSize
@@ -269,6 +270,7 @@
 	}
 	t := h.core.task(s.Run.Task)
 	if t == nil {
+		h.core.keepEarly(s.Run, earlyRun{host: h, status: s})
 		h.stops = append(h.stops, s.Run)
 		h.core.planNeeded = true
 		return nil
@@ -298,6 +300,7 @@
 // loseRuns ends the runs of a host on which they have certainly ended.
 func (h *host) loseRuns() {
 	h.idleSince = h.core.now
+	h.dropEarlyRuns()
 	for _, r := range h.sortedRuns() {
 		r.step(evLost)
 	}
@@ -321,6 +324,7 @@
 		if r, ok := h.runs[id]; ok {
 			r.step(evRefused)
 		}
+		delete(c.early, id)
 	}
 	h.applyEnds(m.Ended)
 }
@@ -337,6 +341,8 @@
 			r.step(evEnded)
 		} else if t := h.core.task(e.Run.Task); t != nil {
 			t.applyEnd(e, h)
+		} else {
+			h.core.keepEarly(e.Run, earlyRun{host: h, end: &e})
 		}
 	}
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -185,6 +185,7 @@
 	}
 	j.publish()
 	if !j.phase().Final() {
+		j.applyEarly()
 		j.release()
 	}
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -184,6 +184,74 @@
 	}
 }
 
+// Guards against a task that runs twice at the same time because a host lists its
+// run before the owner knows the job, which was accepted after the owner had read
+// the stored jobs: the next run waits for the end of that one.
+func TestRunOfAJobThatIsNotKnownYetEndsBeforeTheNextStarts(t *testing.T) {
+	h := newHarness(t, 2)
+	early, next := runID("k", 0, 0, 1), runID("k", 0, 0, 1<<epochShift+1)
+	h.link(readyHost("a", 4000), msg.RunStatus{Run: early})
+	h.link(readyHost("b", 4000))
+	require.True(t, h.stopped[early])
+	h.core.Submit(newSpec("k", newStep(1, 1000)))
+	h.process()
+	require.Empty(t, h.started)
+	h.started[early] = "a"
+	h.reportEnd(early, workload.EndStopped, "c1")
+	require.Contains(t, h.started, next)
+	require.Equal(t, "c1", h.core.task(next.Task).checkpoint)
+}
+
+// Guards against a task that never starts because the run that its host listed
+// before the job was known is taken to go on: the host does not list it any more,
+// refuses its stop, or has lost it.
+func TestRunOfAJobThatIsNotKnownYetMayHaveEnded(t *testing.T) {
+	early, next := runID("k", 0, 0, 1), runID("k", 0, 0, 1<<epochShift+1)
+	for name, end := range map[string]func(h *harness){
+		"relinked": func(h *harness) { h.link(readyHost("a", 4000)) },
+		"refused": func(h *harness) {
+			h.core.RunsChanged("a", &msg.RunsChanged{Epoch: 2, Instance: "i-a", StartedAtMS: 1, Refused: []workload.RunID{early}})
+		},
+		"silent": func(h *harness) {
+			h.core.Unlinked("a")
+			h.advance(LeaseExpiry + 200*time.Millisecond)
+		},
+	} {
+		for _, endsFirst := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s before the job is known: %t", name, endsFirst), func(t *testing.T) {
+				h := newHarness(t, 2)
+				h.link(readyHost("b", 4000))
+				h.link(readyHost("a", 4000), msg.RunStatus{Run: early})
+				if endsFirst {
+					end(h)
+				}
+				h.core.Submit(newSpec("k", newStep(1, 1000)))
+				h.process()
+				if !endsFirst {
+					end(h)
+					h.process()
+				}
+				require.Contains(t, h.started, next)
+			})
+		}
+	}
+}
+
+// Guards against a task that runs again although its host reported before the job
+// was known that it is done.
+func TestEndOfAJobThatIsNotKnownYetIsApplied(t *testing.T) {
+	h := newHarness(t, 2)
+	early := runID("k", 0, 0, 1)
+	h.link(readyHost("a", 4000))
+	h.started[early] = "a"
+	h.reportEnd(early, workload.EndDone, "")
+	h.core.Submit(newSpec("k", newStep(1, 1000)))
+	h.process()
+	require.Len(t, h.started, 1, "the run of the former owner")
+	h.storeBatch()
+	require.Equal(t, workload.Completed, h.lastPhase("k"))
+}
+
 // Guards against a job that runs twice because an owner starts it that was
 // replaced before the job was accepted.
 func TestJobOfAHigherEpochIsNotStarted(t *testing.T) {
