jobs: keep the reason for which a run is being stopped

Found by reading. Change: the reason is that of the first stop. Test: TestRepeatedStopKeepsItsReason failed before (job-over instead of host-drains).

--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -297,6 +297,30 @@
 	require.Len(t, h.started, 2)
 }
 
+// Guards against a log that names another reason for a stop than the one for which
+// it was requested: the request is repeated until the end is reported.
+func TestRepeatedStopKeepsItsReason(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 4000))
+	h.core.Submit(newSpec("j", newStep(1, 1000)))
+	h.process()
+	leaving := readyHost("a", 4000)
+	leaving.State = workload.HostDraining
+	h.core.Announced(leaving)
+	h.process()
+	h.core.Cancel("j")
+	h.process()
+	h.core.Advance(2*stopRetry, 0)
+	h.core.Tick()
+	var reasons []string
+	for _, d := range h.core.Decisions() {
+		if d.Kind == RunStopped {
+			reasons = append(reasons, d.Detail)
+		}
+	}
+	require.Equal(t, []string{"host-drains"}, reasons)
+}
+
 // Guards against a task that uses up its attempts on one faulty host: the next
 // run starts on another host, and a host that failed several jobs gets no tasks
 // until the probation ends.
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -88,6 +88,9 @@
 
 // stop stops the run unless it is being stopped. The reason is logged.
 func (r *run) stop(reason string) {
+	if r.state == runStopping {
+		return
+	}
 	r.stopReason = reason
 	r.step(evStop)
 }
