jobs: publish final phases of restored jobs that were cancelled

Cause: a job that a new owner restores with a final phase and a stored cancellation was not published, because the cancellation, which has no effect on it, returned first. The other entries get all phases after a load; the cache of the owner's own entry did not have these jobs, so each query of one read the table service. Found by reading. Change: a final phase is published whether or not the job was cancelled. Test: TestRestoredFinalPhaseIsPublishedInSpiteOfACancellation failed before (nothing published).

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -178,13 +178,15 @@
 		j.restore(p)
 	}
 	c.addDecision(Decision{Kind: JobAdmitted, Job: spec.ID, Detail: j.phase().String()})
-	if _, cancelled := c.cancelled[spec.ID]; cancelled {
-		delete(c.cancelled, spec.ID)
+	_, cancelled := c.cancelled[spec.ID]
+	delete(c.cancelled, spec.ID)
+	switch {
+	case j.phase().Final():
+		j.publish()
+	case cancelled:
 		j.step(evCancel)
-		return
-	}
-	j.publish()
-	if !j.phase().Final() {
+	default:
+		j.publish()
 		j.applyEarly()
 		j.release()
 	}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -297,6 +297,18 @@
 	require.Len(t, h.started, 2)
 }
 
+// Guards against an ended job whose phase callers of the owner do not learn from
+// its cache: its cancellation, stored before or after its end, has no effect.
+func TestRestoredFinalPhaseIsPublishedInSpiteOfACancellation(t *testing.T) {
+	for _, phase := range []workload.Phase{workload.Completed, workload.Failed, workload.Cancelled} {
+		h := newHarness(t, 2)
+		h.core.Cancel("j")
+		h.core.Restore(newSpec("j", newStep(1, 1000)), &workload.Progress{Phase: phase, EndedAtMS: 1})
+		h.process()
+		require.Equal(t, []workload.Phase{phase}, h.phases["j"])
+	}
+}
+
 // Guards against a log that names another reason for a stop than the one for which
 // it was requested: the request is repeated until the end is reported.
 func TestRepeatedStopKeepsItsReason(t *testing.T) {
