--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -258,6 +258,7 @@
 // inventory.
 func (h *host) adopt() {
 	m := h.inventory
+	h.dropEarlyRuns()
 	h.core.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "taken"})
 	listed := map[workload.RunID]bool{}
 	var sizes []msg.RunSize
@@ -297,6 +298,7 @@
 	}
 	t := h.core.task(s.Run.Task)
 	if t == nil {
+		h.core.keepEarly(s.Run, earlyRun{host: h, status: s})
 		h.queueStop(s.Run)
 		return nil
 	}
@@ -332,6 +334,7 @@
 // loseRuns ends the runs of a host on which they have certainly ended.
 func (h *host) loseRuns() {
 	h.idleSince = h.core.now
+	h.dropEarlyRuns()
 	for _, r := range h.sortedRuns() {
 		r.step(evLost)
 	}
@@ -355,6 +358,7 @@
 		if r, ok := h.runs[id]; ok {
 			r.step(evRefused)
 		}
+		c.dropEarly(id)
 	}
 	h.applyEnds(m.Ended)
 }
@@ -372,6 +376,8 @@
 			r.step(evEnded)
 		} else if t := h.core.task(e.Run.Task); t != nil {
 			t.applyEnd(e, h)
+		} else {
+			h.core.keepEarly(e.Run, earlyRun{host: h, end: &e})
 		}
 	}
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -181,14 +181,19 @@
 		j.restore(p)
 	}
 	c.addDecision(Decision{Kind: JobAdmitted, Job: spec.ID, Detail: j.phase().String()})
-	if _, cancelled := c.cancelled[spec.ID]; cancelled {
+	_, cancelled := c.cancelled[spec.ID]
+	if cancelled {
 		delete(c.cancelled, spec.ID)
 		c.due.Remove(cancellation{c, spec.ID})
-		j.step(evCancel)
-		return
 	}
-	j.publish()
-	if !j.phase().Final() {
+	switch {
+	case j.phase().Final():
+		j.publish()
+	case cancelled:
+		j.step(evCancel)
+	default:
+		j.publish()
+		j.applyEarly()
 		j.release()
 	}
 }
