jobdaemon: keep the checks of a batch whose attempt is still queued

Cause: the writer repeated a batch of unknown outcome by changing the version in the checks of the former attempt. That attempt may still be queued for a peer as StoreCall, which shares the slice: the link's writer reads it while the controller changes it, and a late attempt may carry the check of the next one. Found by the race detector in a test in virtual time of an owner that releases the jobs in an outage of the table service.

Change: the repeated transaction gets checks of its own.

Measured: TestRepeatedBatchDoesNotChangeTheFormerAttempt failed before (version 7 for 5). go test -race of ./internal/jobdaemon, ./internal/shape and ./test passes.

--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -181,7 +181,8 @@
 		c.owner.Superseded(c.now())
 	default:
 		event.Log(c.log, event.OwnerStoreFailed, log.Fields{"epoch": m.epoch, "outcome": r.outcome.String()})
-		m.txn.Checks[0].Version = w.version
+		// The former attempt may still be queued for a peer, so its checks stay.
+		m.txn.Checks = []table.Check{{Key: ownerKey, Version: w.version}}
 		w.retryPause = min(maxStoreRetryInterval, max(minStoreRetryInterval, 2*w.retryPause))
 		c.commitBatch(m.owner, m.txn, w.retryPause)
 	}
