--- a/internal/jobs/cost_test.go
+++ b/internal/jobs/cost_test.go
@@ -209,7 +209,7 @@
 // BenchmarkInputs measures each kind of input of an owner, with the flush after
 // it, by the hosts and the waiting steps of its cell.
 func BenchmarkInputs(b *testing.B) {
-	for _, size := range []cellSize{{cellHosts, cellWaitingSteps, 8}, {cellHosts, cellWaitingSteps, cellWaitingSteps}, {cellHosts, 40, 8}, {90, cellWaitingSteps, 8}} {
+	for _, size := range []cellSize{{cellHosts, cellWaitingSteps, 8}, {cellHosts, cellWaitingSteps, 200}, {cellHosts, cellWaitingSteps, cellWaitingSteps}, {cellHosts, 40, 8}, {90, cellWaitingSteps, 8}} {
 		site := newCell(b, size)
 		for _, in := range cellInputs {
 			b.Run(fmt.Sprintf("hosts=%d/steps=%d/kinds=%d/%s", size.hosts, size.steps, size.kinds, in.name), func(b *testing.B) {
