jobs: acknowledge ends of unknown jobs after the job is stored

A task that was done ran again if the owner changed twice in quick succession. A host reported the end of a run whose job the second owner did not know yet, because the first one started it after the second had read the stored jobs. The end was kept in memory only, but the next batch acknowledged it, so the host forgot it too. If the second owner ended before the job's row arrived through the watch, or before the batch with its progress, the third owner started the task again.

Found by review. Ends up to the oldest one whose job is not known are now acknowledged; the others follow with the first batch after the job has arrived, and after earlyRunRetention if it never does. Hosts whose ends wait for that are not pending, so no empty batches are written meanwhile.

--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -84,7 +84,7 @@
 
 	hostList         hostList
 	dirty            map[*job]struct{}  // jobs whose row has to be written
-	unstoredEnds     map[*host]struct{} // hosts with ends that are applied and not acknowledged
+	unstoredEnds     map[*host]struct{} // hosts with ends that may be acknowledged after a batch
 	removals         []workload.JobID   // jobs whose rows have to be deleted
 	pendingBatch     *Batch             // the batch that is being written, or nil
 	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
--- a/internal/jobs/early.go
+++ b/internal/jobs/early.go
@@ -15,9 +15,10 @@
 // earlyRun is a run, or the end of one, that a host reported before its job was
 // known: the former owner started it after this one had read the stored jobs.
 type earlyRun struct {
-	host   *host
-	status msg.RunStatus
-	end    *msg.RunEnd // nil: the run may go on
+	host        *host
+	startedAtMS int64 // incarnation of the backend server that reported it
+	status      msg.RunStatus
+	end         *msg.RunEnd // nil: the run may go on
 }
 
 // earlyTimeout ends the retention of an earlyRun.
@@ -26,21 +27,40 @@
 	run  workload.RunID
 }
 
-func (t earlyTimeout) expire() { delete(t.core.early, t.run) }
+func (t earlyTimeout) expire() { t.core.dropEarly(t.run) }
 
 // keepEarly records a run whose task is not known, unless its job is.
 func (c *Core) keepEarly(id workload.RunID, e earlyRun) {
 	if _, known := c.jobs[id.Task.Job]; known {
 		return
 	}
+	e.startedAtMS = e.host.info.StartedAtMS
 	c.early[id] = e
 	c.due.Set(earlyTimeout{c, id}, c.now+earlyRunRetention)
 }
 
 // dropEarly drops a run whose task is not known.
 func (c *Core) dropEarly(id workload.RunID) {
+	e, kept := c.early[id]
+	if !kept {
+		return
+	}
 	delete(c.early, id)
 	c.due.Remove(earlyTimeout{c, id})
+	e.host.checkUnstoredEnds()
+}
+
+// lastStorableEnd returns the number of the last end that may be acknowledged once
+// every job is stored. The end of a run whose job is not known yet may not: if the
+// owner ended before the job arrives, the next one would start the task again.
+func (h *host) lastStorableEnd() uint64 {
+	last := h.endsApplied
+	for _, e := range h.core.early {
+		if e.host == h && e.end != nil && e.startedAtMS == h.info.StartedAtMS {
+			last = min(last, e.end.Number-1)
+		}
+	}
+	return last
 }
 
 // dropEarlyRuns drops the runs of the host that have not ended.
@@ -52,18 +72,30 @@
 	}
 }
 
-// applyEarly applies what hosts reported of the job before it was known. Its runs
-// are charged until the stops that were requested have been answered.
-func (j *job) applyEarly() {
-	c := j.core
+// earlyRuns returns the runs of the job that were reported before it was known.
+func (j *job) earlyRuns() []workload.RunID {
 	var ids []workload.RunID
-	for id := range c.early {
+	for id := range j.core.early {
 		if id.Task.Job == j.spec.ID {
 			ids = append(ids, id)
 		}
 	}
 	sort.Slice(ids, func(i, k int) bool { return runIDLess(ids[i], ids[k]) })
-	for _, id := range ids {
+	return ids
+}
+
+// dropEarly drops what hosts reported of the job before it was known.
+func (j *job) dropEarly() {
+	for _, id := range j.earlyRuns() {
+		j.core.dropEarly(id)
+	}
+}
+
+// applyEarly applies what hosts reported of the job before it was known. Its runs
+// are charged until the stops that were requested have been answered.
+func (j *job) applyEarly() {
+	c := j.core
+	for _, id := range j.earlyRuns() {
 		e := c.early[id]
 		c.dropEarly(id)
 		t := j.task(id.Task)
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -370,7 +370,6 @@
 			continue
 		}
 		h.endsApplied = e.Number
-		h.core.unstoredEnds[h] = struct{}{}
 		if r, ok := h.runs[e.Run]; ok {
 			r.end = e
 			r.step(evEnded)
@@ -380,6 +379,7 @@
 			h.core.keepEarly(e.Run, earlyRun{host: h, end: &e})
 		}
 	}
+	h.checkUnstoredEnds()
 }
 
 // RunsProgress applies an agent's report on its runs and grants them a new lease.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -188,8 +188,10 @@
 	}
 	switch {
 	case j.phase().Final():
+		j.dropEarly()
 		j.publish()
 	case cancelled:
+		j.dropEarly()
 		j.step(evCancel)
 	default:
 		j.publish()
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -252,6 +252,49 @@
 	require.Equal(t, workload.Completed, h.lastPhase("k"))
 }
 
+// Guards against a task that runs again under a third owner: its end is acknowledged
+// before its job is known, so neither the host nor the table has it when the second
+// owner ends.
+func TestEndOfAJobThatIsNotKnownYetIsAcknowledgedAfterTheJobIsStored(t *testing.T) {
+	acknowledged := func(h *harness) (last uint64) {
+		for _, m := range h.sent["a"] {
+			if a, ok := m.(*msg.EndsAcknowledged); ok {
+				last = a.LastNumber
+			}
+		}
+		return last
+	}
+	for name, want := range map[string]struct {
+		end  func(h *harness) // after which the ends may be acknowledged
+		jobs workload.Phase
+	}{
+		"stored":    {func(h *harness) { h.core.Submit(newSpec("k", newStep(1, 1000))) }, workload.Completed},
+		"cancelled": {func(h *harness) { h.core.Cancel("k"); h.core.Submit(newSpec("k", newStep(1, 1000))) }, workload.Cancelled},
+		"not known": {func(h *harness) { h.advance(earlyRunRetention) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.core.Submit(newSpec("j", newStep(1, 1000)))
+			h.link(readyHost("a", 4000))
+			first, early := runID("j", 0, 0, 1<<epochShift+1), runID("k", 0, 0, 1)
+			h.started[early] = "a"
+			h.reportEnd(first, workload.EndDone, "")
+			h.reportEnd(early, workload.EndDone, "")
+			h.storeBatch()
+			require.EqualValues(t, 1, acknowledged(h), "the end of a job that is stored")
+			pending, _ := h.core.Pending()
+			require.False(t, pending, "a batch would change nothing")
+			want.end(h)
+			h.process()
+			h.storeBatch()
+			require.EqualValues(t, 2, acknowledged(h))
+			if want.jobs != 0 {
+				require.Equal(t, want.jobs, h.lastPhase("k"))
+			}
+		})
+	}
+}
+
 // Guards against a job that runs twice because an owner starts it that was
 // replaced before the job was accepted.
 func TestJobOfAHigherEpochIsNotStarted(t *testing.T) {
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -76,7 +76,7 @@
 	// An end may be acknowledged only when every job that it changed is stored.
 	if allWritten {
 		for h := range c.unstoredEnds {
-			b.ends[h.info.Name] = appliedEnds{h.info.Instance, h.info.StartedAtMS, h.endsApplied}
+			b.ends[h.info.Name] = appliedEnds{h.info.Instance, h.info.StartedAtMS, h.lastStorableEnd()}
 		}
 	}
 	if hosts, changed := c.hostsToStore(); changed {
@@ -116,13 +116,20 @@
 			continue
 		}
 		h.endsAcknowledged = e.lastNumber
-		if h.endsApplied == h.endsAcknowledged {
-			delete(c.unstoredEnds, h)
-		}
+		h.checkUnstoredEnds()
 		c.send(h, &msg.EndsAcknowledged{Epoch: c.epoch, Instance: e.instance, StartedAtMS: e.startedAtMS, LastNumber: e.lastNumber})
 	}
 }
 
+// checkUnstoredEnds records whether the next batch may acknowledge ends of the host.
+func (h *host) checkUnstoredEnds() {
+	if h.lastStorableEnd() > h.endsAcknowledged {
+		h.core.unstoredEnds[h] = struct{}{}
+	} else {
+		delete(h.core.unstoredEnds, h)
+	}
+}
+
 // BatchFailed records that the pending batch was not stored. The next batches
 // repeat its job rows, its removals and the list of hosts. The coefficients are
 // stored again after interferenceInterval.
