--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -75,22 +75,22 @@
 
 // ownerView is the state of an entry after a step of its loop.
 type ownerView struct {
-	owns, handingOver, plans, formerOwnerEnded bool
-	epoch                                      uint64
-	jobs                                       []workload.JobID // that the owner manages
+	owns, handingOver, plans, formerOwnerEnded, formerOwnersFenced bool
+	epoch                                                          uint64
+	managesTestJob                                                 bool // the entry owns the jobs, and testJob is one of them
 }
 
+const testJob workload.JobID = "job-0"
+
 // publishView copies the state of the controller for the test.
 func (e *ownerSiteEntry) publishView() {
 	c := e.controller
 	v := ownerView{
 		owns: c.jobs != nil, handingOver: c.owner.HandingOver(), plans: c.plans(), formerOwnerEnded: c.owner.FormerOwnerEnded(),
-		epoch: c.owner.Epoch(),
+		formerOwnersFenced: c.owner.FormerOwnersFenced(), epoch: c.owner.Epoch(),
 	}
 	if v.owns {
-		for _, p := range c.jobs.AllPhases() {
-			v.jobs = append(v.jobs, p.ID)
-		}
+		_, v.managesTestJob = c.jobs.Phase(testJob)
 	}
 	e.view.Set(&v)
 }
@@ -155,7 +155,7 @@
 			time.Sleep(*cost)
 		}
 	}
-	e.controller.start(loop, cfg, listener, s.net.Dialer(name))
+	e.controller.start(loop, e.group.Sub(), cfg, listener, s.net.Dialer(name))
 }
 
 // advance lets the time pass.
@@ -212,14 +212,13 @@
 // the jobs.
 func (s *ownerSite) setStepCost(name string, d time.Duration) { s.entries[name].stepCost.Set(&d) }
 
-// storeJob stores an accepted job, as an entry that is not linked to the owner
-// does.
-func (s *ownerSite) storeJob(id workload.JobID) {
-	value, err := wire.EncodeJob(&workload.Job{ID: id, Queue: "q", Service: "desk", MaxAttempts: 1, Steps: []workload.Step{
+// storeTestJob stores testJob, as an entry that is not linked to the owner does.
+func (s *ownerSite) storeTestJob() {
+	value, err := wire.EncodeJob(&workload.Job{ID: testJob, Queue: "q", Service: "desk", MaxAttempts: 1, Steps: []workload.Step{
 		{Count: 1, Need: workload.Resources{MilliCPU: 100, MemoryMB: 1}, Estimate: time.Second},
 	}})
 	require.NoError(s.t, err)
-	_, err = s.store.Commit(s.t.Context(), table.Txn{Puts: []table.Put{{Key: jobKey(id), Value: value}}})
+	_, err = s.store.Commit(s.t.Context(), table.Txn{Puts: []table.Put{{Key: jobKey(testJob), Value: value}}})
 	require.NoError(s.t, err)
 }
 
@@ -241,14 +240,15 @@
 		s.advance(10 * time.Second)
 		require.Equal(t, []string{"entry-0"}, s.owners(), "a transfer without need only costs time")
 
-		s.storeJob("job-0")
+		s.storeTestJob()
 		s.advance(5 * time.Second)
 		s.setStepCost("entry-0", slowStep)
 		s.advance(transferBound)
 		require.Equal(t, []string{"entry-1"}, s.owners())
 		successor := s.entries["entry-1"].view.Get()
-		require.Equal(t, []workload.JobID{"job-0"}, successor.jobs)
+		require.True(t, successor.managesTestJob)
 		require.False(t, successor.formerOwnerEnded, "the former owner is slow and does not end")
+		require.True(t, successor.formerOwnersFenced, "jobs that are accepted after the claim start at once")
 		handed := s.entries["entry-0"].logged(event.OwnerHandsOver.ID)
 		require.Len(t, handed, 1)
 		require.Equal(t, "entry-1", handed[0]["successor"])
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -7,11 +7,12 @@
 
 import (
 	"container/list"
-	"sort"
 	"time"
 
+	"github.com/bambooscale/bambooscale/internal/duetime"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/policy/contention"
+	"github.com/bambooscale/bambooscale/internal/policy/hostselect"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -63,10 +64,12 @@
 
 	hosts      map[workload.HostName]*host
 	jobs       map[workload.JobID]*job
-	cancelled  map[workload.JobID]time.Duration // when jobs that are not known yet were cancelled
-	waiting    waiting                          // tasks that may start
-	planNeeded bool                             // something changed that may let a task start
-	pass       PassStats                        // of the last planning pass
+	cancelled  map[workload.JobID]struct{} // jobs that were cancelled and are not known yet
+	early      map[workload.RunID]earlyRun // of jobs that are not known yet
+	due        duetime.Queue[timed]
+	waiting    waiting   // tasks that may start
+	planNeeded bool      // something changed that may let a task start
+	pass       PassStats // of the last planning pass
 
 	hostsByName  []*host    // ordered by name, so that equal inputs give equal plans
 	improved     *list.List // of *host, the last improved first
@@ -80,23 +83,44 @@
 	interferenceStoredAt time.Duration // when the coefficients were last put into a batch
 
 	hostList         hostList
-	dirty            map[*job]struct{} // jobs whose row has to be written
-	removals         []workload.JobID  // jobs whose rows have to be deleted
-	pendingBatch     *Batch            // the batch that is being written, or nil
-	recoveryDeadline time.Duration     // when the recovery ends at the latest; 0: no recovery
-	formerOwnerEnded bool              // the former owner had ended before this one began
-
-	messages  []HostMessage
-	phases    []msg.JobPhase
-	decisions []Decision
+	dirty            map[*job]struct{}  // jobs whose row has to be written
+	unstoredEnds     map[*host]struct{} // hosts with ends that are applied and not acknowledged
+	removals         []workload.JobID   // jobs whose rows have to be deleted
+	pendingBatch     *Batch             // the batch that is being written, or nil
+	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
+	formerOwners     FormerOwners       // of Recover
+
+	unsent       map[*host]struct{} // hosts with queued requests for their agents
+	messages     []HostMessage
+	phases       []msg.JobPhase
+	phaseChanges uint64 // number of the newest change of a visible phase
+	decisions    []Decision
+	visits       int // hosts, runs, jobs and steps that loops over all of them examined
+	pairVisits   int // pairs of images whose coefficients were read for lease grants and batches
 }
 
+// FormerOwners says which tasks the former owners may still start.
+type FormerOwners uint8
+
+// Kinds of former owners.
+const (
+	// FormerOwnersActive may start tasks of any job until they learn of this
+	// owner.
+	FormerOwnersActive FormerOwners = iota
+	// FormerOwnersFenced are like FormerOwnersActive, but start no task of a job
+	// whose Epoch is higher than their own.
+	FormerOwnersFenced
+	// FormerOwnersEnded start no tasks.
+	FormerOwnersEnded
+)
+
 // New returns the core of an owner that has just claimed the jobs with an epoch.
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
-		cancelled: map[workload.JobID]time.Duration{}, improved: list.New(), throttled: map[*run]struct{}{},
+		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
+		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
 	}
 }
 
@@ -113,13 +137,6 @@
 	return out
 }
 
-// Phases returns the changes of visible phases since the last call.
-func (c *Core) Phases() []msg.JobPhase {
-	out := c.phases
-	c.phases = nil
-	return out
-}
-
 // Decisions returns the decisions since the last call.
 func (c *Core) Decisions() []Decision {
 	out := c.decisions
@@ -127,16 +144,6 @@
 	return out
 }
 
-// AllPhases returns the visible phase of every job, ordered by job.
-func (c *Core) AllPhases() []msg.JobPhase {
-	list := make([]msg.JobPhase, 0, len(c.jobs))
-	for _, j := range c.jobs {
-		list = append(list, j.visiblePhase())
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
-	return list
-}
-
 func (c *Core) send(h *host, m msg.Control) {
 	c.messages = append(c.messages, HostMessage{h.info.Name, m})
 }
@@ -151,20 +158,8 @@
 
 // Tick applies the timeouts that have expired.
 func (c *Core) Tick() {
-	for _, h := range c.hosts {
-		h.tick()
-	}
-	for _, j := range c.jobs {
-		if j.removeAt != 0 && c.now >= j.removeAt {
-			c.remove(j)
-		}
-	}
+	c.expireDue()
 	c.contention.DropIdleGroups(c.now)
-	for id, at := range c.cancelled {
-		if c.now-at > cancellationRetention {
-			delete(c.cancelled, id)
-		}
-	}
 	if c.recoveryDeadline != 0 && c.now >= c.recoveryDeadline {
 		c.recoveryDeadline = 0
 		c.planNeeded = true
@@ -174,19 +169,45 @@
 
 // scheduleTimedPlans makes the next pass look at what changes with time: the
 // speed that a waiting best-effort task accepts, and runs that are throttled for
-// long.
+// long. Once every waiting best-effort task accepts any speed, time changes nothing
+// for it.
 func (c *Core) scheduleTimedPlans() {
 	if len(c.throttled) > 0 && c.now-c.movesExaminedAt >= minMoveInterval {
 		c.movesDue, c.planNeeded = true, true
 	}
-	for _, s := range c.waiting.steps {
-		if s.spec.BestEffort {
-			c.planNeeded = true
+	if c.waiting.speedMatters {
+		c.waiting.speedMatters = c.now-c.waiting.bestEffortReadyAt < hostselect.MaxWait
+		c.planNeeded = true
+	}
+}
+
+// expireDue applies the timeouts that have expired. A timeout that is set again to
+// a time that has passed is left to the next tick.
+func (c *Core) expireDue() {
+	for range c.due.Len() {
+		item, ok := c.due.Next(c.now)
+		if !ok {
 			return
 		}
+		c.visits++
+		item.expire()
 	}
 }
 
+// timed is an item with a timeout: a host, a run, a job or a cancellation.
+type timed interface {
+	// expire applies the timeout.
+	expire()
+}
+
+// cancellation identifies a cancellation that arrived before its job.
+type cancellation struct {
+	core *Core
+	job  workload.JobID
+}
+
+func (c cancellation) expire() { delete(c.core.cancelled, c.job) }
+
 // cancellationRetention is how long a cancellation is kept that arrived before
 // its job.
 const cancellationRetention = time.Minute
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -58,6 +58,7 @@
 	info      workload.Host
 	state     chart.State
 	timeoutAt time.Duration // when the state's timeout expires; 0: none
+	dueAt     time.Duration // when the host expires in Core.due; 0: never
 
 	lastGrantAt          time.Duration // when the lease of the runs was last granted
 	runs                 map[workload.RunID]*run
@@ -75,6 +76,7 @@
 	pausedUntil          time.Duration // end of the pause after repeated refusals; 0: none
 	inventoryStartedAtMS int64         // incarnation whose inventory was accepted; 0: none
 	stored               bool          // it is in the stored list of hosts
+	listDiffers          bool          // it should not be in the stored list but is, or the reverse
 	expected             bool          // runs of an earlier owner may go on there
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
 	idleSince            time.Duration // when all runs on the host had certainly ended
@@ -101,6 +103,7 @@
 		c.hostsByName = slices.Insert(c.hostsByName, i, h)
 		h.position = c.improved.PushFront(h)
 		h.stored = c.hostList.stored[name]
+		h.schedule()
 		h.improve()
 	}
 	return h
@@ -112,31 +115,54 @@
 func (h *host) step(e chart.Event) {
 	before := h.state
 	hostChart.Step(h, &h.state, e)
-	if h.state == before && e != evClaimTimeout && e != evUp {
-		return
+	if h.state != before || e == evClaimTimeout || e == evUp {
+		h.restartTimeout()
+		h.improve()
 	}
+	h.schedule()
+}
+
+// restartTimeout sets the timeout of the host's state.
+func (h *host) restartTimeout() {
 	h.timeoutAt = 0
 	if h.state == hostSilent {
 		h.timeoutAt = h.lastGrantAt + LeaseExpiry
 	} else if d, _, ok := hostChart.Timeout(h.state); ok {
 		h.timeoutAt = h.core.now + d
 	}
-	h.improve()
 }
 
-func (h *host) tick() {
+// expire applies the times of the host that have passed.
+func (h *host) expire() {
+	h.dueAt = 0
 	if h.timeoutAt != 0 && h.core.now >= h.timeoutAt {
 		_, e, _ := hostChart.Timeout(h.state)
 		h.step(map[string]chart.Event{"lapse": evLeaseExpired, "late": evClaimTimeout}[hostChart.EventName(e)])
 	}
-	if h.health.probation && !h.failing() {
-		h.health.probation = false
-		h.improve()
-	}
+	h.endProbation()
 	h.endPause()
-	for _, r := range h.runs {
-		r.tick()
+	h.schedule()
+}
+
+// schedule sets when the host expires next. It is called after each change that a
+// time of the host or checkListed depends on.
+func (h *host) schedule() {
+	h.checkListed()
+	due := time.Duration(0)
+	for _, at := range [...]time.Duration{h.timeoutAt, h.pausedUntil, h.health.probationEnd, h.listedUntil()} {
+		if at != 0 && (due == 0 || at < due) {
+			due = at
+		}
 	}
+	switch {
+	case due == h.dueAt:
+		return
+	case due == 0:
+		h.core.due.Remove(h)
+	default:
+		h.core.due.Set(h, due)
+	}
+	h.dueAt = due
 }
 
 // improve records that tasks may fit on the host which did not fit before. A
@@ -184,12 +210,14 @@
 	}
 	if restarted {
 		h.endsApplied, h.endsAcknowledged = 0, 0
+		delete(h.core.unstoredEnds, h)
 		h.health = health{}
 	}
 	if info.State != old.State {
 		h.core.addDecision(Decision{Kind: HostChanged, Host: info.Name, Detail: info.State.String()})
 	}
 	h.info = info
+	h.schedule()
 	if restarted || info.State != old.State || info.Service != old.Service || info.Capacity != old.Capacity || !slices.Equal(info.Labels, old.Labels) || old.Instance == "" {
 		h.improve()
 	}
@@ -230,6 +258,7 @@
 // inventory.
 func (h *host) adopt() {
 	m := h.inventory
+	h.dropEarlyRuns()
 	h.core.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "taken"})
 	listed := map[workload.RunID]bool{}
 	var sizes []msg.RunSize
@@ -269,8 +298,8 @@
 	}
 	t := h.core.task(s.Run.Task)
 	if t == nil {
-		h.stops = append(h.stops, s.Run)
-		h.core.planNeeded = true
+		h.core.keepEarly(s.Run, earlyRun{host: h, status: s})
+		h.queueStop(s.Run)
 		return nil
 	}
 	r := h.charge(t, s.Run)
@@ -289,6 +318,13 @@
 	return r
 }
 
+// queueStop queues a stop request to the agent.
+func (h *host) queueStop(id workload.RunID) {
+	h.stops = append(h.stops, id)
+	h.core.unsent[h] = struct{}{}
+	h.core.planNeeded = true
+}
+
 // size returns what the agent has to know of the run to admit and throttle it.
 func (r *run) size() msg.RunSize {
 	s := r.task.step.spec
@@ -298,6 +334,7 @@
 // loseRuns ends the runs of a host on which they have certainly ended.
 func (h *host) loseRuns() {
 	h.idleSince = h.core.now
+	h.dropEarlyRuns()
 	for _, r := range h.sortedRuns() {
 		r.step(evLost)
 	}
@@ -321,6 +358,7 @@
 		if r, ok := h.runs[id]; ok {
 			r.step(evRefused)
 		}
+		c.dropEarly(id)
 	}
 	h.applyEnds(m.Ended)
 }
@@ -332,11 +370,14 @@
 			continue
 		}
 		h.endsApplied = e.Number
+		h.core.unstoredEnds[h] = struct{}{}
 		if r, ok := h.runs[e.Run]; ok {
 			r.end = e
 			r.step(evEnded)
 		} else if t := h.core.task(e.Run.Task); t != nil {
 			t.applyEnd(e, h)
+		} else {
+			h.core.keepEarly(e.Run, earlyRun{host: h, end: &e})
 		}
 	}
 }
@@ -351,17 +392,33 @@
 	}
 	h.lastGrantAt = c.now
 	c.send(h, &msg.LeaseGrant{Epoch: c.epoch, StartedAtMS: m.StartedAtMS, ClockMS: m.ClockMS, Interference: h.coefficients()})
-	h.observeInterference(m)
-	for _, s := range m.Runs {
-		if r, ok := h.runs[s.Run]; ok {
-			r.updateStatus(s)
+	reported := h.reportedRuns(m)
+	h.observeInterference(reported)
+	for _, r := range reported {
+		r.run.updateStatus(r.status)
+	}
+}
+
+// reportedRun is a run with its status in a report.
+type reportedRun struct {
+	run    *run
+	status *msg.RunStatus
+}
+
+// reportedRuns returns the runs of a report that are charged to the host.
+func (h *host) reportedRuns(m *msg.RunsProgress) []reportedRun {
+	list := make([]reportedRun, 0, len(m.Runs))
+	for i := range m.Runs {
+		if r, ok := h.runs[m.Runs[i].Run]; ok {
+			list = append(list, reportedRun{r, &m.Runs[i]})
 		}
 	}
+	return list
 }
 
 // updateStatus records the reported status of the run.
-func (r *run) updateStatus(s msg.RunStatus) {
-	r.status, r.statusAt = s, r.core().now
+func (r *run) updateStatus(s *msg.RunStatus) {
+	r.status, r.statusAt = *s, r.core().now
 	r.updateThrottledSince(s)
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -15,33 +15,59 @@
 // before its first run starts, so a new owner waits for the hosts of the list
 // only.
 type hostList struct {
-	stored map[workload.HostName]bool
+	stored    map[workload.HostName]bool
+	differing int // hosts for which mayHaveRuns and the stored list differ
 }
 
 // mayHaveRuns reports whether the host belongs into the stored list: it may have
 // runs, or may get some.
 func (h *host) mayHaveRuns() bool {
+	return !h.mayLeaveList() || h.stored && h.core.now-h.idleSince < hostRetention
+}
+
+// mayLeaveList reports whether the host has no runs and gets none at present.
+func (h *host) mayLeaveList() bool {
 	if len(h.runs) > 0 || h.state == hostSilent {
-		return true
+		return false
+	}
+	return h.info.Instance == "" || h.info.State == workload.HostUnavailable || h.state == hostUnavailable
+}
+
+// listedUntil returns when the host leaves the stored list if it stays as it is;
+// 0: it stays in the list or need not be in it.
+func (h *host) listedUntil() time.Duration {
+	if h.mayLeaveList() && h.mayHaveRuns() {
+		return h.idleSince + hostRetention
 	}
-	if h.info.Instance == "" || h.info.State == workload.HostUnavailable || h.state == hostUnavailable {
-		return h.core.now-h.idleSince < hostRetention && h.core.hostList.stored[h.info.Name]
+	return 0
+}
+
+// checkListed records whether the host is in the stored list as it should be.
+func (h *host) checkListed() {
+	differs := h.mayHaveRuns() != h.stored
+	switch {
+	case differs && !h.listDiffers:
+		h.core.hostList.differing++
+	case !differs && h.listDiffers:
+		h.core.hostList.differing--
 	}
-	return true
+	h.listDiffers = differs
 }
 
-// hostsToStore returns the names that the stored list should have, and whether
-// they differ from the present ones.
+// hostsToStore returns the names that the stored list should have if they differ
+// from the present ones, and whether they do.
 func (c *Core) hostsToStore() ([]workload.HostName, bool) {
+	if c.hostList.differing == 0 {
+		return nil, false
+	}
 	var names []workload.HostName
-	changed := false
 	for _, h := range c.hostsByName {
+		c.visits++
 		if h.mayHaveRuns() {
 			names = append(names, h.info.Name)
-			changed = changed || !c.hostList.stored[h.info.Name]
 		}
 	}
-	return names, changed || len(names) != len(c.hostList.stored)
+	return names, true
 }
 
 // hostsStored records the list that was stored.
@@ -55,6 +81,7 @@
 		if h.stored = c.hostList.stored[h.info.Name]; h.stored && !before {
 			h.improve()
 		}
+		h.schedule()
 	}
 	c.planNeeded = true
 }
@@ -69,6 +96,7 @@
 	if !known {
 		h.step(evExpect)
 	}
+	h.schedule()
 }
 
 // endRecoveryIfComplete lets all tasks start once every expected host has sent its inventory or certainly has no runs.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -44,12 +44,12 @@
 	spec        workload.Job
 	state       chart.State
 	storedPhase workload.Phase // phase of the stored row
+	phaseChange uint64         // number of the newest change of the visible phase
 	steps       []*step
 	admittedAt  time.Duration // when this owner admitted the job
 	deadline    time.Duration // by which the job should be completed
 	recovered   bool          // accepted under an earlier owner
 	endedAtMS   int64         // Unix milliseconds; 0: not ended
-	removeAt    time.Duration // when the job's rows are deleted; 0: not ended
 }
 
 // step is one step of a job.
@@ -63,7 +63,7 @@
 	ready     []*task       // tasks that may start, ordered by index
 	lastReady time.Duration // when a task became ready last
 	unlogged  int           // ready tasks whose TaskUnplaced was not logged
-	searches  [searchKinds]search
+	group     *group        // while it has ready tasks
 }
 
 // task is one task of a step. It is ready to start when its step may start and
@@ -129,18 +129,20 @@
 	return msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p}
 }
 
-// publish adds the job's visible phase to the changes for callers.
-func (j *job) publish() { j.core.phases = append(j.core.phases, j.visiblePhase()) }
-
 func (j *job) step(e chart.Event) { jobChart.Step(j, &j.state, e) }
 
 // markDirty makes the next batch write the job's row.
 func (j *job) markDirty() { j.core.dirty[j] = struct{}{} }
 
+// removeLater makes the job's rows be deleted after endedJobRetention.
+func (j *job) removeLater() { j.core.due.Set(j, j.core.now+endedJobRetention) }
+
+func (j *job) expire() { j.core.remove(j) }
+
 // finalise records the end of the job and stops its runs.
 func (j *job) finalise() {
 	j.endedAtMS = j.core.wallMS
-	j.removeAt = j.core.now + endedJobRetention
+	j.removeLater()
 	j.markDirty()
 	j.core.addDecision(Decision{Kind: JobEnded, Job: j.spec.ID, Detail: j.phase().String(), Age: j.core.now - j.admittedAt})
 	for _, s := range j.steps {
@@ -158,31 +160,40 @@
 	}
 }
 
-// Submit adds a stored job. A job that is known already is ignored.
+// Submit adds a stored job, whose Epoch must be that of its row. It ignores a job
+// that is known already, and a job of a higher epoch than the owner's: its tasks
+// are started by a later owner.
 func (c *Core) Submit(spec workload.Job) { c.submit(spec, nil, false) }
 
-// Restore adds a job of an earlier owner with its stored progress, which is nil
-// if none was stored.
+// Restore is like Submit for a job that was stored before the owner began, with
+// its stored progress, which is nil if none was stored.
 func (c *Core) Restore(spec workload.Job, p *workload.Progress) { c.submit(spec, p, true) }
 
 func (c *Core) submit(spec workload.Job, p *workload.Progress, recovered bool) {
-	if _, known := c.jobs[spec.ID]; known {
+	if _, known := c.jobs[spec.ID]; known || spec.Epoch > c.epoch {
 		return
 	}
 	j := newJob(c, spec)
+	j.numberPhase()
 	j.recovered = recovered
 	c.jobs[spec.ID] = j
 	if p != nil {
 		j.restore(p)
 	}
 	c.addDecision(Decision{Kind: JobAdmitted, Job: spec.ID, Detail: j.phase().String()})
-	if _, cancelled := c.cancelled[spec.ID]; cancelled {
+	_, cancelled := c.cancelled[spec.ID]
+	if cancelled {
 		delete(c.cancelled, spec.ID)
-		j.step(evCancel)
-		return
+		c.due.Remove(cancellation{c, spec.ID})
 	}
-	j.publish()
-	if !j.phase().Final() {
+	switch {
+	case j.phase().Final():
+		j.publish()
+	case cancelled:
+		j.step(evCancel)
+	default:
+		j.publish()
+		j.applyEarly()
 		j.release()
 	}
 }
@@ -191,7 +202,8 @@
 func (c *Core) Cancel(id workload.JobID) {
 	j, known := c.jobs[id]
 	if !known {
-		c.cancelled[id] = c.now
+		c.cancelled[id] = struct{}{}
+		c.due.Set(cancellation{c, id}, c.now+cancellationRetention)
 		return
 	}
 	j.step(evCancel)
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -1,7 +1,10 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -51,9 +54,7 @@
 		c.movesDue, c.movesExaminedAt = false, c.now
 		c.moveThrottled()
 	}
-	for _, h := range c.hostsByName {
-		h.flush()
-	}
+	c.flushHosts()
 	c.pass.Waiting = c.waiting.tasks
 	return true
 }
@@ -61,29 +62,17 @@
 // PlanPending reports whether Plan has work to do.
 func (c *Core) PlanPending() bool { return c.planNeeded }
 
-// placeWaiting starts ready tasks, the most urgent first, and reports whether it
-// examined all of them. During the recovery it leaves out the tasks that the
-// former owner may have started.
-func (c *Core) placeWaiting() bool {
-	for i := 0; i < len(c.waiting.steps); {
-		s := c.waiting.steps[i]
-		if c.recoveryDeadline == 0 || !s.mayHaveStarted() {
-			p := placement{step: s}
-			if !p.run() {
-				return false
-			}
-		}
-		if i < len(c.waiting.steps) && c.waiting.steps[i] == s {
-			i++
-		}
+// mayHaveStarted reports whether a former owner may have started tasks of the
+// step: those of a restored job, and of every job if it may still be active. A
+// job of this owner's epoch was accepted after all of them had been replaced.
+func (s *step) mayHaveStarted() bool {
+	c := s.job.core
+	if c.formerOwners != FormerOwnersActive && s.job.spec.Epoch >= c.epoch {
+		return false
 	}
-	return true
+	return s.job.recovered || c.formerOwners != FormerOwnersEnded
 }
 
-// mayHaveStarted reports whether the former owner may have started tasks of the
-// step: those of a restored job, and of every job if it may still be active.
-func (s *step) mayHaveStarted() bool { return s.job.recovered || !s.job.core.formerOwnerEnded }
-
 // selectionTask returns the tasks of the step as hostselect sees them.
 func (s *step) selectionTask() hostselect.Task {
 	j := &s.job.spec
@@ -124,10 +113,21 @@
 	if t.unplacedLogged {
 		return
 	}
+	c := t.step.job.core
 	t.unplacedLogged = true
-	t.step.unlogged--
+	detail := t.step.group.searches[t.searchKind()].describe(c)
+	t.step.countLogged()
+	c.addDecision(Decision{Kind: TaskUnplaced, Job: t.step.job.spec.ID, Run: workload.RunID{Task: t.id()}, Detail: detail})
+}
+
+// describe returns the number of hosts that each reason excluded.
+func (s *search) describe(c *Core) string {
+	if s.described {
+		return s.description
+	}
 	var excluded [hostselect.LowSpeed + 1]int
-	for _, r := range t.step.searches[t.searchKind()].reasons {
+	for _, r := range s.reasons {
+		c.visits++
 		excluded[r]++
 	}
 	var parts []string
@@ -136,7 +136,8 @@
 			parts = append(parts, fmt.Sprintf("%s=%d", r, excluded[r]))
 		}
 	}
-	t.step.job.core.addDecision(Decision{Kind: TaskUnplaced, Job: t.step.job.spec.ID, Run: workload.RunID{Task: t.id()}, Detail: strings.Join(parts, " ")})
+	s.described, s.description = true, strings.Join(parts, " ")
+	return s.description
 }
 
 // start charges a new run of the task to the host and queues its request.
@@ -147,10 +148,22 @@
 	r := h.charge(t, id)
 	c.waiting.remove(t)
 	c.pass.Started++
+	c.unsent[h] = struct{}{}
 	h.starts = append(h.starts, msg.RunStart{Size: r.size(), Specification: t.step.job.spec.Specification, Checkpoint: t.checkpoint})
 	c.addDecision(Decision{Kind: RunOrdered, Job: t.step.job.spec.ID, Run: id, Host: h.info.Name, Age: c.now - t.readySince})
 }
 
+// flushHosts sends the queued requests to the agents in the order of the hosts'
+// names.
+func (c *Core) flushHosts() {
+	hosts := slices.SortedFunc(maps.Keys(c.unsent), func(a, b *host) int { return cmp.Compare(a.info.Name, b.info.Name) })
+	clear(c.unsent)
+	for _, h := range hosts {
+		c.visits++
+		h.flush()
+	}
+}
+
 // flush sends the queued requests to the agent.
 func (h *host) flush() {
 	if h.state != hostReady {
@@ -169,11 +182,12 @@
 
 // Recover keeps the tasks of restored jobs from starting until every expected
 // host has sent its inventory or certainly has no runs, which is at most one
-// second after LeaseExpiry. If the former owner may still be active, this holds
+// second after LeaseExpiry. If a former owner may still be active, this holds
 // for all tasks, since it may have started tasks of jobs that were accepted
-// after the stored jobs were read.
-func (c *Core) Recover(formerOwnerEnded bool) {
-	c.formerOwnerEnded = formerOwnerEnded
+// after the stored jobs were read. Jobs of this owner's epoch do not wait if the
+// former owners have ended or are fenced.
+func (c *Core) Recover(former FormerOwners) {
+	c.formerOwners = former
 	c.recoveryDeadline = c.now + LeaseExpiry + time.Second
 	c.endRecoveryIfComplete()
 }
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -54,11 +54,11 @@
 
 // run is one run of a task on a host.
 type run struct {
-	id        workload.RunID
-	task      *task
-	host      *host
-	state     chart.State
-	timeoutAt time.Duration // when the state's timeout expires; 0: none
+	id    workload.RunID
+	task  *task
+	host  *host
+	state chart.State
+	timed bool // its state has a timeout
 
 	orderedAt  time.Duration
 	startedAt  time.Duration
@@ -75,19 +75,26 @@
 func (r *run) step(e chart.Event) {
 	before := r.state
 	runChart.Step(r, &r.state, e)
-	if d, _, ok := runChart.Timeout(r.state); ok && (r.state != before || e == evStopTimeout) {
-		r.timeoutAt = r.core().now + d
+	d, _, ok := runChart.Timeout(r.state)
+	switch {
+	case ok && (r.state != before || e == evStopTimeout):
+		r.core().due.Set(r, r.core().now+d)
+	case !ok && r.timed:
+		r.core().due.Remove(r)
 	}
+	r.timed = ok
 }
 
-func (r *run) tick() {
-	if r.timeoutAt != 0 && r.core().now >= r.timeoutAt && r.state == runStopping {
-		r.step(evStopTimeout)
-	}
+func (r *run) expire() {
+	r.timed = false
+	r.step(evStopTimeout)
 }
 
 // stop stops the run unless it is being stopped. The reason is logged.
 func (r *run) stop(reason string) {
+	if r.state == runStopping {
+		return
+	}
 	r.stopReason = reason
 	r.step(evStop)
 }
@@ -95,8 +102,7 @@
 // requestStop queues a stop request to the agent.
 func (r *run) requestStop() {
 	r.core().addDecision(Decision{Kind: RunStopped, Job: r.id.Task.Job, Run: r.id, Host: r.host.info.Name, Detail: r.stopReason})
-	r.host.stops = append(r.host.stops, r.id)
-	r.core().planNeeded = true
+	r.host.queueStop(r.id)
 }
 
 func (r *run) noteStarted() {
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -28,6 +28,7 @@
 	// ProcessorShare is that of the host of an entry. It is 0 if it is not known
 	// or the sender is an agent.
 	ProcessorShare model.MilliCPU
+	Phases         PhaseMark // phases that the sender has; of an entry
 }
 
 // Members lists the entries that the sender knows.
@@ -163,7 +164,8 @@
 	LastNumber  uint64
 }
 
-// JobSubmitted forwards a job, which is already stored, to the owner.
+// JobSubmitted forwards a job, which is already stored, to the owner. The epoch of
+// the job is that of its row, or 0 if the sender does not know it.
 type JobSubmitted struct{ Job workload.Job }
 
 // JobCancelled forwards a cancellation, which is already stored, to the owner.
@@ -176,11 +178,20 @@
 	Phase workload.Phase
 }
 
-// JobPhases reports phases of jobs from the owner to the entries. If Full is
-// set, the owner knows no other jobs.
+// PhaseMark says which changes of the jobs' phases an entry has applied: those
+// of the owner with an epoch up to a number, which counts the owner's changes.
+// The zero PhaseMark says nothing.
+type PhaseMark struct {
+	Epoch uint64
+	UpTo  uint64
+}
+
+// JobPhases reports phases of jobs from the owner to the entries. If UpTo is not
+// 0, the receiver has all changes of that epoch up to this number once it has
+// applied the message.
 type JobPhases struct {
 	Epoch uint64
-	Full  bool
+	UpTo  uint64
 	Jobs  []JobPhase
 }
 
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -82,6 +82,7 @@
 	linked      map[string]model.MilliCPU // processor shares of the linked entries, by name; 0: unknown
 	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
 	formerEnded bool                      // see FormerOwnerEnded
+	fenced      bool                      // see FormerOwnersFenced
 
 	lateness     lateness
 	handedOverAt time.Duration // when the entry last handed over the jobs; 0: never
@@ -164,6 +165,10 @@
 // because it was unlinked may be active until it learns of the claim.
 func (c *Core) FormerOwnerEnded() bool { return c.formerEnded }
 
+// FormerOwnersFenced reports, at an owner, whether every former owner that may
+// still be active starts no task of a job whose Epoch is higher than its own.
+func (c *Core) FormerOwnersFenced() bool { return c.fenced }
+
 // Epoch returns the highest epoch that the entry knows.
 func (c *Core) Epoch() uint64 { return c.maxEpoch }
 
@@ -226,7 +231,11 @@
 // Claim returns the row that claims the jobs, and the version on which its commit
 // is conditional.
 func (c *Core) Claim() (workload.Owner, table.Revision) {
-	return workload.Owner{Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1, Unsettled: !c.priorOwnersEnded()}, c.rowVersion
+	owner := workload.Owner{
+		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
+		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
+	}
+	return owner, c.rowVersion
 }
 
 // priorOwnersEnded reports whether the owner of the row, and those before it, had
@@ -242,13 +251,17 @@
 	return c.namesSelf()
 }
 
+// priorOwnersFenced reports whether the owner of the row, and those before it,
+// start no task of a job whose Epoch is higher than their own.
+func (c *Core) priorOwnersFenced() bool { return c.row.Fenced || c.priorOwnersEnded() }
+
 // Claimed applies the outcome of the commit of a claim. version is that of the
 // committed row.
 func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) {
 	c.now = now
 	switch outcome {
 	case table.Committed:
-		c.formerEnded, c.lateness = !o.Unsettled, lateness{steppedAt: now}
+		c.formerEnded, c.fenced, c.lateness = !o.Unsettled, o.Fenced, lateness{steppedAt: now}
 		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
 		c.step(evClaimed)
 	case table.Conflict:
