ownership: ignore late answers to earlier claims

An owner could stop storing anything, or give up the jobs for no reason, after the table service had been slow. A claim is repeated after 1 s, but its commit takes up to 1.9 s, 0.9 s at the table service and 1 s through a peer. So the answer to the first claim can arrive after the second one has made the entry the owner. The answer Conflict was taken for the loss of the ownership. The answer Committed set epoch and version back to those of the first claim, also in the writer, whose batches then carried another epoch than the jobs: their outcome was ignored, and no further batch was written.

In the same way an entry became the owner although it had already learned of the owner that replaced its claim, and lowered the epoch that it stamps on new jobs.

Found by review. Only the answer to the last claim counts now, only while the entry waits for it, and a committed claim whose epoch is lower than a known one is followed by a read of the row. The writer is replaced only when the claim has begun the ownership.

Both tests fail without the two conditions in Claimed.

--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -105,8 +105,7 @@
 			}
 		}
 	}
-	c.owner.Claimed(m.owner, r.outcome, r.revision, c.now())
-	if c.owner.Owns() {
+	if c.owner.Claimed(m.owner, r.outcome, r.revision, c.now()) {
 		c.writer = writer{owner: m.owner, version: r.revision}
 	}
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -73,6 +73,7 @@
 	timeoutAt   time.Duration             // when the state's timeout expires; 0: none
 	row         workload.Owner            // newest known owner
 	rowVersion  table.Revision            // version of the row
+	claim       workload.Owner            // row of the last claim
 	maxEpoch    uint64                    // highest known epoch
 	linked      map[string]model.MilliCPU // processor shares of the linked entries, by name; 0: unknown
 	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
@@ -218,11 +219,11 @@
 // Claim returns the row that claims the jobs, and the version on which its commit
 // is conditional.
 func (c *Core) Claim() (workload.Owner, table.Revision) {
-	owner := workload.Owner{
+	c.claim = workload.Owner{
 		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
 		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
 	}
-	return owner, c.rowVersion
+	return c.claim, c.rowVersion
 }
 
 // priorOwnersEnded reports whether the owner of the row, and those before it, had
@@ -242,20 +243,26 @@
 // start no task of a job whose Epoch is higher than their own.
 func (c *Core) priorOwnersFenced() bool { return c.row.Fenced || c.priorOwnersEnded() }
 
-// Claimed applies the outcome of the commit of a claim. version is that of the
-// committed row.
-func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) {
+// Claimed applies the outcome of the commit of a claim, and reports whether the
+// entry became the owner by it. version is that of the committed row. A late answer
+// to an earlier claim is ignored: the entry has read the row since. A claim of a
+// lower epoch than a known one was replaced before its answer arrived.
+func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) bool {
 	c.now = now
-	switch outcome {
-	case table.Committed:
+	if c.state != stClaiming || o != c.claim {
+		return false
+	}
+	switch {
+	case outcome == table.Committed && o.Epoch >= c.maxEpoch:
 		c.formerEnded, c.fenced = !o.Unsettled, o.Fenced
 		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
 		c.step(evClaimed)
-	case table.Conflict:
+	case outcome == table.Committed, outcome == table.Conflict:
 		c.step(evSuperseded)
 	default:
 		c.step(evOutcomeUnknown)
 	}
+	return c.Owns()
 }
 
 // Superseded records that a write of the owner was rejected because another entry
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -63,6 +63,65 @@
 	}
 }
 
+// takeClaim advances the time until the entry claims the row, and returns the claim.
+func (r *ownerRow) takeClaim(t *testing.T, c *Core, now *time.Duration) workload.Owner {
+	for range 100 {
+		c.Tick(*now)
+		for _, e := range c.Effects() {
+			switch e {
+			case ReadRow:
+				c.Read(r.owner, r.version, *now)
+			case ClaimRow:
+				claim, _ := c.Claim()
+				return claim
+			}
+		}
+		*now += 50 * time.Millisecond
+	}
+	t.Fatal("no claim")
+	return workload.Owner{}
+}
+
+// Guards against an owner that ends its ownership, or writes with the epoch and the
+// version of an earlier claim, because the answer to that claim arrives late: the
+// entry has claimed the row again meanwhile.
+func TestLateAnswerToAnEarlierClaimIsIgnored(t *testing.T) {
+	for _, outcome := range []table.Outcome{table.Committed, table.Conflict, table.Unknown} {
+		r, now := &ownerRow{}, time.Duration(0)
+		a := New("a", 1, 0, 0)
+		first := r.takeClaim(t, a, &now)
+		r.owner, r.version = first, 1
+		second := r.takeClaim(t, a, &now)
+		require.Greater(t, second.Epoch, first.Epoch)
+		require.True(t, a.Claimed(second, table.Committed, 2, now))
+		require.False(t, a.Claimed(first, outcome, 1, now))
+		require.True(t, a.Owns())
+		require.Equal(t, second.Epoch, a.Epoch())
+		require.Equal(t, []Effect{Begin}, a.Effects())
+	}
+}
+
+// Guards against an entry that begins to own the jobs, and stamps new ones with an
+// outdated epoch, after another one has replaced it: the news arrives before the
+// answer to its own claim.
+func TestClaimThatWasReplacedBeforeItsAnswerIsNotAnOwnership(t *testing.T) {
+	for name, learn := range map[string]func(*Core, uint64, time.Duration){
+		"owner": func(c *Core, epoch uint64, now time.Duration) { c.OwnerObserved("b", epoch, now) },
+		"epoch": func(c *Core, epoch uint64, now time.Duration) { c.EpochObserved(epoch, now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, now := &ownerRow{}, time.Duration(0)
+			a := New("a", 1, 0, 0)
+			claim := r.takeClaim(t, a, &now)
+			learn(a, claim.Epoch+1, now)
+			a.Claimed(claim, table.Committed, 1, now)
+			require.False(t, a.Owns())
+			require.Equal(t, claim.Epoch+1, a.Epoch())
+			require.Equal(t, []Effect{ReadRow}, a.Effects())
+		})
+	}
+}
+
 // Guards against two owners when entries start at the same time: one claims the
 // jobs, and the other reads its row.
 func TestOneOfManyEntriesOwnsTheJobs(t *testing.T) {
