jobs: delete the progress of an expired job after its other rows

An ended job could be run again 180 s after its end. The batch that deleted its progress row and the deletion of its specification were committed at the same time, and the latter was tried once. If it failed, or the owner was killed or replaced in between, the specification was stored without progress, and the next owner took the job for one that had not begun.

Found by review. The rows of specification and cancellation are now deleted first, until the table service confirms it, and the progress row by a later batch. That batch checks the owner's row, so it cannot take effect after another owner has begun to read the stored jobs. If the ownership ends in between, the next owner finds that the job has ended.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -145,6 +145,8 @@
 		c.jobsWatched(m)
 	case *batchStored:
 		c.batchStored(m)
+	case *jobRowsDeleted:
+		c.jobRowsDeleted(m)
 	case *jobStored:
 		c.jobStored(m)
 	case *cancelStored:
@@ -186,6 +188,7 @@
 		c.logDecision(d)
 	}
 	c.storePending()
+	c.removeExpired()
 }
 
 func (c *controller) sendToHost(s jobs.HostMessage) {
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -34,6 +34,7 @@
 	version table.Revision // of the owner's row
 
 	committing   bool          // a transaction is in flight or will be repeated
+	removing     bool          // rows of expired jobs are being deleted
 	retryPause   time.Duration // before the transaction is repeated
 	pendingSince time.Duration // when the first pending change was observed; 0: no change is pending
 	releasing    bool          // the next transaction releases the jobs
@@ -97,9 +98,6 @@
 	}
 	w.committing, w.pendingSince = true, 0
 	c.commitBatch(owner, txn, 0)
-	if len(batch.Removed) > 0 {
-		c.removeJobs(batch.Removed)
-	}
 }
 
 // commitBatch commits a transaction of the writer after a pause.
@@ -151,19 +149,55 @@
 	return txn, nil
 }
 
-// removeJobs deletes the rows of jobs whose retention has ended. If a deletion
-// fails, the next owner finds that the job has ended and deletes its rows again.
-func (c *controller) removeJobs(ids []workload.JobID) {
-	byPart := map[string][]string{}
+// jobRowsDeleted reports that the rows of expired jobs, except their progress, are
+// deleted.
+type jobRowsDeleted struct {
+	epoch uint64
+	ids   []workload.JobID
+}
+
+// removeExpired deletes the rows of jobs whose retention has ended, unless a deletion
+// is in progress. Their progress rows are deleted by a later batch. If the ownership
+// ends before, the next owner finds that the jobs have ended and deletes the rows
+// after another retention.
+func (c *controller) removeExpired() {
+	if c.writer.removing {
+		return
+	}
+	ids := c.jobs.Expired()
+	if len(ids) == 0 {
+		return
+	}
+	c.writer.removing = true
+	byPart := map[string]*table.Txn{}
 	for _, id := range ids {
-		byPart[jobPart(id)] = append(byPart[jobPart(id)], jobKey(id), cancelKey(id))
+		txn := byPart[jobPart(id)]
+		if txn == nil {
+			txn = &table.Txn{}
+			byPart[jobPart(id)] = txn
+		}
+		txn.Deletes = append(txn.Deletes, jobKey(id), cancelKey(id))
 	}
-	for _, keys := range byPart {
-		actor.Go(c.group, "row remover", func(ctx context.Context) error {
-			c.storeProxy.commit(ctx, table.Txn{Deletes: keys})
-			return nil
-		})
+	epoch := c.jobs.Epoch()
+	actor.Go(c.ownerGroup, "row remover", func(ctx context.Context) error {
+		for _, txn := range byPart {
+			for c.storeProxy.commit(ctx, *txn).outcome != table.Committed {
+				if !actor.Sleep(ctx, maxStoreRetryInterval) {
+					return nil
+				}
+			}
+		}
+		c.post(ctx, &jobRowsDeleted{epoch, ids})
+		return nil
+	})
+}
+
+func (c *controller) jobRowsDeleted(m *jobRowsDeleted) {
+	if c.jobs == nil || c.jobs.Epoch() != m.epoch {
+		return
 	}
+	c.writer.removing = false
+	c.jobs.RowsDeleted(m.ids)
 }
 
 func (c *controller) batchStored(m *batchStored) {
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -85,7 +85,8 @@
 	hostList         hostList
 	dirty            map[*job]struct{}  // jobs whose row has to be written
 	unstoredEnds     map[*host]struct{} // hosts with ends that may be acknowledged after a batch
-	removals         []workload.JobID   // jobs whose rows have to be deleted
+	expired          []workload.JobID   // dropped jobs whose rows are to be deleted
+	removals         []workload.JobID   // jobs whose progress rows are to be deleted
 	pendingBatch     *Batch             // the batch that is being written, or nil
 	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
 	formerOwners     FormerOwners       // of Recover
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -441,6 +441,22 @@
 	require.Equal(t, workload.Completed, h.lastPhase("j"))
 }
 
+// Guards against an ended job that a later owner runs again: its progress row is
+// deleted while its specification is still stored.
+func TestProgressOfAnExpiredJobIsDeletedLast(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.Restore(newSpec("j", newStep(1, 1000)), &workload.Progress{Phase: workload.Completed})
+	h.advance(endedJobRetention)
+	require.Empty(t, h.core.NextBatch().Removed)
+	h.core.BatchCommitted()
+	require.Equal(t, []workload.JobID{"j"}, h.core.Expired())
+	require.Empty(t, h.core.Expired(), "jobs that were returned before")
+	h.core.RowsDeleted([]workload.JobID{"j"})
+	pending, _ := h.core.Pending()
+	require.True(t, pending)
+	require.Equal(t, []workload.JobID{"j"}, h.core.NextBatch().Removed)
+}
+
 // Guards against a task that never starts because the agent refused its first
 // run.
 func TestRefusedStartIsPlannedAgain(t *testing.T) {
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -22,7 +22,7 @@
 // covers are acknowledged and its final phases become visible.
 type Batch struct {
 	Writes       []Write
-	Removed      []workload.JobID    // jobs whose rows are deleted
+	Removed      []workload.JobID    // jobs whose progress rows are deleted
 	Hosts        []workload.HostName // the list of hosts; nil: unchanged
 	Interference []msg.Interference  // coefficients; nil: unchanged
 	ends         map[workload.HostName]appliedEnds
@@ -69,8 +69,7 @@
 		b.Writes = append(b.Writes, Write{Job: j.spec.ID, Progress: j.progress()})
 		delete(c.dirty, j)
 	}
-	freeRows := (maxBatchRows - len(b.Writes)) / rowsPerJob
-	n := min(len(c.removals), freeRows)
+	n := min(len(c.removals), maxBatchRows-len(b.Writes))
 	b.Removed = c.removals[:n]
 	c.removals = c.removals[n:]
 	// An end may be acknowledged only when every job that it changed is stored.
@@ -87,9 +86,23 @@
 	return b
 }
 
-// rowsPerJob is the number of rows of a job: its specification, its cancellation
-// and its progress.
-const rowsPerJob = 3
+// maxExpired bounds the jobs whose rows are deleted together. Each has two rows
+// beside its progress, and the store accepts 100 entries in a transaction.
+const maxExpired = 50
+
+// Expired returns dropped jobs whose rows of specification and cancellation have to
+// be deleted, each once. The caller calls RowsDeleted when that is done: without its
+// progress row, a job that is still stored would be taken for one that has not begun.
+func (c *Core) Expired() []workload.JobID {
+	n := min(len(c.expired), maxExpired)
+	ids := c.expired[:n:n]
+	c.expired = c.expired[n:]
+	return ids
+}
+
+// RowsDeleted queues the deletion of the progress rows of jobs whose other rows have
+// been deleted.
+func (c *Core) RowsDeleted(ids []workload.JobID) { c.removals = append(c.removals, ids...) }
 
 // BatchCommitted records that the pending batch was stored.
 func (c *Core) BatchCommitted() {
@@ -144,11 +157,11 @@
 	c.removals = append(c.removals, b.Removed...)
 }
 
-// remove drops an ended job and queues the deletion of its rows.
+// remove drops an ended job, whose rows are to be deleted.
 func (c *Core) remove(j *job) {
 	delete(c.jobs, j.spec.ID)
 	delete(c.dirty, j)
-	c.removals = append(c.removals, j.spec.ID)
+	c.expired = append(c.expired, j.spec.ID)
 }
 
 // progress returns the progress row of the job. Done has a bit for each task, in
