jobdaemon: cache phases that the new owner had read itself

An owner's cache lacked a job that it had loaded, so the length of the job's queue was too low and each second one request for its phase was answered by the table service, until the next change of the phase. When the feeds start, jobs whose phase the cache already has are passed over, and a phase that the entry had just read from the table service counted as cached, although it is kept for a second only.

Every phase is now put into the cache.

--- a/internal/jobdaemon/phasecache.go
+++ b/internal/jobdaemon/phasecache.go
@@ -38,12 +38,12 @@
 	return &phaseCache{jobs: map[workload.JobID]*cachedPhase{}, queued: map[workload.QueueName]int{}, read: map[workload.JobID]readPhase{}}
 }
 
-// update records a phase. Phases only advance: a message that arrives after a
-// later phase is ignored.
-func (c *phaseCache) update(p msg.JobPhase, now time.Duration) {
+// update records a phase, and reports whether the cache did not have it. Phases only
+// advance: a message that arrives after a later phase is ignored.
+func (c *phaseCache) update(p msg.JobPhase, now time.Duration) bool {
 	j, known := c.jobs[p.ID]
 	if known && p.Phase <= j.phase.Phase {
-		return
+		return false
 	}
 	if known {
 		c.addQueued(j.phase, -1)
@@ -56,6 +56,7 @@
 	if p.Phase.Final() {
 		j.endedAt = now
 	}
+	return true
 }
 
 // addQueued adds n to the length of the queue if p is the phase of a queued job.
--- a/internal/jobdaemon/phasefeed.go
+++ b/internal/jobdaemon/phasefeed.go
@@ -174,12 +174,11 @@
 	var changed, others []workload.JobID
 	for _, id := range all {
 		p, _ := c.jobs.Phase(id)
-		if cached, known := c.phases.phase(id, c.now()); known && cached == p.Phase {
+		if c.phases.update(p, c.now()) {
+			changed = append(changed, id)
+		} else {
 			others = append(others, id)
-			continue
 		}
-		changed = append(changed, id)
-		c.phases.update(p, c.now())
 	}
 	c.jobs.Phases() // the backlogs contain them
 	c.feeds = newPhaseFeeds(c.jobs.Epoch(), c.jobs.PhaseChanges())
