ownership: identify claims by their epochs

The answer to a claim was compared with the whole row. Two claims of one process with the same epoch check the same version of the row, so their answers are interchangeable.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -73,7 +73,7 @@
 	timeoutAt   time.Duration             // when the state's timeout expires; 0: none
 	row         workload.Owner            // newest known owner
 	rowVersion  table.Revision            // version of the row
-	claim       workload.Owner            // row of the last claim
+	claimEpoch  uint64                    // of the last claim; 0: none
 	maxEpoch    uint64                    // highest known epoch
 	linked      map[string]model.MilliCPU // processor shares of the linked entries, by name; 0: unknown
 	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
@@ -219,11 +219,12 @@
 // Claim returns the row that claims the jobs, and the version on which its commit
 // is conditional.
 func (c *Core) Claim() (workload.Owner, table.Revision) {
-	c.claim = workload.Owner{
+	owner := workload.Owner{
 		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
 		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
 	}
-	return c.claim, c.rowVersion
+	c.claimEpoch = owner.Epoch
+	return owner, c.rowVersion
 }
 
 // priorOwnersEnded reports whether the owner of the row, and those before it, had
@@ -249,7 +250,7 @@
 // lower epoch than a known one was replaced before its answer arrived.
 func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) bool {
 	c.now = now
-	if c.state != stClaiming || o != c.claim {
+	if c.state != stClaiming || o.Epoch != c.claimEpoch {
 		return false
 	}
 	switch {
