--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -78,6 +78,7 @@
 	timeoutAt   time.Duration             // when the state's timeout expires; 0: none
 	row         workload.Owner            // newest known owner
 	rowVersion  table.Revision            // version of the row
+	claimEpoch  uint64                    // of the last claim; 0: none
 	maxEpoch    uint64                    // highest known epoch
 	linked      map[string]model.MilliCPU // processor shares of the linked entries, by name; 0: unknown
 	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
@@ -235,6 +236,7 @@
 		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
 		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
 	}
+	c.claimEpoch = owner.Epoch
 	return owner, c.rowVersion
 }
 
@@ -255,20 +257,26 @@
 // start no task of a job whose Epoch is higher than their own.
 func (c *Core) priorOwnersFenced() bool { return c.row.Fenced || c.priorOwnersEnded() }
 
-// Claimed applies the outcome of the commit of a claim. version is that of the
-// committed row.
-func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) {
+// Claimed applies the outcome of the commit of a claim, and reports whether the
+// entry became the owner by it. version is that of the committed row. A late answer
+// to an earlier claim is ignored: the entry has read the row since. A claim of a
+// lower epoch than a known one was replaced before its answer arrived.
+func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) bool {
 	c.now = now
-	switch outcome {
-	case table.Committed:
+	if c.state != stClaiming || o.Epoch != c.claimEpoch {
+		return false
+	}
+	switch {
+	case outcome == table.Committed && o.Epoch >= c.maxEpoch:
 		c.formerEnded, c.fenced, c.lateness = !o.Unsettled, o.Fenced, lateness{steppedAt: now}
 		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
 		c.step(evClaimed)
-	case table.Conflict:
+	case outcome == table.Committed, outcome == table.Conflict:
 		c.step(evSuperseded)
 	default:
 		c.step(evOutcomeUnknown)
 	}
+	return c.Owns()
 }
 
 // Superseded records that a write of the owner was rejected because another entry
