policy/interfere: raise a limit to its target without a further margin

Cause: a limit was raised only if the upper bound at the target stayed below 0 by 0.01. The target is the highest limit that suffices, so the bound at it is often closer to 0 than that. Then the limit was not raised at all: a task stayed at 5% where 95% sufficed, as long as the load stayed the same, and it held its processors. The time before a raise already keeps limits from oscillating.

TestLimitsRiseToTheHighestThatSuffices failed before (5 instead of 95 at load 0.56).

--- a/internal/policy/interfere/controller.go
+++ b/internal/policy/interfere/controller.go
@@ -72,9 +72,6 @@
 	defaultStopAfter = 30 * time.Second
 	minLimitPercent  = 5
 	limitStepPercent = 5
-	// raiseMargin prevents limits from oscillating: a limit is raised only if
-	// the predicted ln(p99/target) stays below 0 by this much.
-	raiseMargin = 0.01
 	// maxHarmlessCoefficient is the coefficient up to which a batch class is not
 	// throttled. It adds about 10% to the latency when the class has the whole
 	// host at full load.
--- a/internal/policy/interfere/controller_test.go
+++ b/internal/policy/interfere/controller_test.go
@@ -68,6 +68,23 @@
 	require.Equal(t, 100, actions[0].CPULimitPercent)
 }
 
+// Guards against a limit that stays at the lowest value because the highest
+// one that suffices leaves hardly any margin.
+func TestLimitsRiseToTheHighestThatSuffices(t *testing.T) {
+	for percent := 40; percent <= 100; percent++ {
+		c := trainedController(-1)
+		load, limited := float64(percent)/100, newTask("a", "noisy", 8)
+		want := c.Admit(hostAtLoad(load), limited)
+		limited.CPULimitPercent = minLimitPercent
+		for now := range 4 * time.Second / defaultRelaxAfter {
+			for _, a := range c.Decide(now*defaultRelaxAfter, hostAtLoad(load, limited)) {
+				limited.CPULimitPercent = a.CPULimitPercent
+			}
+		}
+		require.Equal(t, want, limited.CPULimitPercent, "load %.2f", load)
+	}
+}
+
 // Guards against evictions before limits were tried for StopAfter, more than
 // one eviction at a time, evictions of urgent tasks, and the wrong victim.
 func TestStopsOnlyAfterLimitsFailed(t *testing.T) {
--- a/internal/policy/interfere/decision.go
+++ b/internal/policy/interfere/decision.go
@@ -139,20 +139,15 @@
 	return d.raiseLimits()
 }
 
-// raiseLimits raises each limit to its target if the upper bound then stays
-// below 0 by raiseMargin.
+// raiseLimits raises the limits to their targets, for which chooseTargets found
+// the upper bound low enough.
 func (d *decision) raiseLimits() []Action {
 	var actions []Action
 	for i, t := range d.host.Tasks {
 		if d.targets[i] <= d.limits[i] || t.Stopping {
 			continue
 		}
-		present := d.limits[i]
 		d.limits[i] = d.targets[i]
-		if d.upperBound() > -raiseMargin && len(d.host.Services) > 0 {
-			d.limits[i] = present
-			continue
-		}
 		actions = append(actions, d.throttleAction(i, "the services on the host meet their targets without the lower limit"))
 	}
 	return actions
