--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -50,6 +50,7 @@
 type Entry struct {
 	controller *controller
 	callers    *httpserve.Server
+	links      *actor.Group // of the actors that serve and dial links
 	log        log.Interface
 	// gracePeriod is the time between the signal to stop and the kill of the
 	// process.
@@ -65,10 +66,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c.start(c.loop(), cfg, listener, link.NewDialer(g, link.Config{}))
+	linkGroup := g.Sub()
+	c.start(c.loop(), linkGroup, cfg, listener, link.NewDialer(g, link.Config{}))
 
 	handler := &jobHandler{controller: c, config: configInUse, log: cfg.Log, metrics: c.metrics}
-	e := &Entry{controller: c, log: cfg.Log, gracePeriod: cfg.GracePeriod}
+	e := &Entry{controller: c, links: linkGroup, log: cfg.Log, gracePeriod: cfg.GracePeriod}
 	if e.callers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
 		return nil, err
 	}
@@ -95,25 +97,27 @@
 	return c
 }
 
-// start starts the controller with its loop, the links of the entry and the actors
-// that keep its configuration and its list of entries up to date.
-func (c *controller) start(loop actor.BatchLoop[any], cfg EntryConfig, listener link.Listener, dial link.Dialer) {
+// start starts the controller with its loop, the links of the entry in linkGroup,
+// and the actors that keep its configuration and its list of entries up to date.
+func (c *controller) start(loop actor.BatchLoop[any], linkGroup *actor.Group, cfg EntryConfig, listener link.Listener, dial link.Dialer) {
 	c.address = actor.Spawn(c.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: loop.Run})
-	c.startLinks(cfg, listener, dial)
+	c.startLinks(linkGroup, cfg, listener, dial)
 	actor.Go(c.group, "config watcher", c.watchConfig)
 	actor.Go(c.group, "member keeper", c.maintainMembers)
 }
 
-func (c *controller) startLinks(cfg EntryConfig, listener link.Listener, dial link.Dialer) {
-	l := &links{group: c.group, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
-	actor.Go(c.group, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
+// startLinks serves and dials links in g until g ends. The sockets outlive g, so
+// that each link can end in an orderly way.
+func (c *controller) startLinks(g *actor.Group, cfg EntryConfig, listener link.Listener, dial link.Dialer) {
+	l := &links{group: g, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
+	actor.Go(g, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
 	dialers := &dialers{links: l, dial: dial, self: cfg.Links, started: map[string]bool{}}
 	dialers.linked = func(address string) bool {
 		linked := c.published.linked.Get()
 		return linked != nil && (*linked)[address]
 	}
 	dialers.start(cfg.Seeds)
-	actor.Go(c.group, "dialer starter", func(ctx context.Context) error {
+	actor.Go(g, "dialer starter", func(ctx context.Context) error {
 		return dialers.followMembers(ctx, &c.published.members)
 	})
 }
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -65,6 +65,7 @@
 	hosts      map[workload.HostName]*host
 	jobs       map[workload.JobID]*job
 	cancelled  map[workload.JobID]struct{} // jobs that were cancelled and are not known yet
+	early      map[workload.RunID]earlyRun // of jobs that are not known yet
 	due        duetime.Queue[timed]
 	waiting    waiting   // tasks that may start
 	planNeeded bool      // something changed that may let a task start
@@ -83,7 +84,7 @@
 
 	hostList         hostList
 	dirty            map[*job]struct{}  // jobs whose row has to be written
-	unstoredEnds     map[*host]struct{} // hosts with ends that are applied and not acknowledged
+	unstoredEnds     map[*host]struct{} // hosts with ends that may be acknowledged after a batch
 	removals         []workload.JobID   // jobs whose rows have to be deleted
 	pendingBatch     *Batch             // the batch that is being written, or nil
 	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
@@ -117,7 +118,7 @@
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
-		cancelled: map[workload.JobID]struct{}{}, improved: list.New(), throttled: map[*run]struct{}{},
+		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
 	}
