jobdaemon: release jobs that the owner has not read yet

The jobs had no owner for the rest of the grace period if an entry was stopped while it read them, for example when entries are stopped in series: it gave up the ownership without a change of its row, which named it on, and the other entries waited until its links ended. Leases were not granted meanwhile and could expire.

Found by review. The owner now stores the release in a transaction of its own, without the batch of a core that has read nothing, and then tells the other entries. The row says of former owners what the claim said.

TestJobsAreReleasedWhileTheyAreRead failed before: one second after the stop no entry owned the jobs.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -139,6 +139,8 @@
 		c.owner.Read(m.owner, m.version, c.now())
 	case *ownerClaimed:
 		c.ownerClaimed(m)
+	case *ownerReleased:
+		c.ownerReleased(m)
 	case *jobsLoaded:
 		c.jobsLoaded(m)
 	case *jobsWatched:
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -28,6 +28,10 @@
 		owner  workload.Owner
 		result commitResult
 	}
+	ownerReleased struct {
+		epoch   uint64
+		outcome table.Outcome
+	}
 	jobsLoaded struct {
 		epoch uint64
 		state *storedState
@@ -147,10 +151,41 @@
 // releaseJobs lets the writer store the pending changes and release the jobs in
 // one transaction.
 func (c *controller) releaseJobs() {
-	if c.jobs == nil || c.loading {
+	switch {
+	case c.jobs == nil:
+		c.writer.retireReply.Put(true)
+	case c.loading:
+		c.releaseUnread()
+	default:
+		c.writer.releasing = true
+	}
+}
+
+// releaseUnread releases jobs that this owner has not read yet. It has started none
+// of their tasks, so the next owner has to expect what this one had to.
+func (c *controller) releaseUnread() {
+	owner := workload.Owner{
+		Epoch: c.writer.owner.Epoch, Sequence: c.writer.owner.Sequence + 1,
+		Unsettled: !c.owner.FormerOwnerEnded(), Fenced: c.owner.FormerOwnersFenced(),
+	}
+	c.endOwnership("the process stops")
+	value, err := wire.EncodeOwner(owner)
+	if err != nil {
+		event.Log(c.log, event.RowUnreadable, log.Fields{"key": ownerKey, "error": err.Error()})
 		c.writer.retireReply.Put(true)
-		c.endOwnership("the process stops")
 		return
 	}
-	c.writer.releasing = true
+	txn := table.Txn{Checks: []table.Check{{Key: ownerKey, Version: c.writer.version}}, Puts: []table.Put{{Key: ownerKey, Value: value}}}
+	actor.Go(c.group, "owner releaser", func(ctx context.Context) error {
+		c.post(ctx, &ownerReleased{owner.Epoch, c.storeProxy.commit(ctx, txn).outcome})
+		return nil
+	})
+}
+
+// ownerReleased tells the other entries that the jobs were released unread.
+func (c *controller) ownerReleased(m *ownerReleased) {
+	if m.outcome == table.Committed {
+		c.sendToEntries(&msg.OwnerClaim{Epoch: m.epoch})
+	}
+	c.writer.retireReply.Put(true)
 }
--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -18,6 +18,7 @@
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/standin"
 	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/wire"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -152,3 +153,29 @@
 		require.Equal(t, []string{"entry-0"}, s.owners())
 	})
 }
+
+// Guards against jobs without an owner for the rest of the grace period, in which
+// leases expire: an entry was stopped while it read the jobs, and its row named it
+// until its links ended.
+func TestJobsAreReleasedWhileTheyAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400)
+		defer s.stop()
+		require.Equal(t, []string{"entry-0"}, s.owners())
+		c := s.entries["entry-0"].controller
+		c.loading = true
+		released := actor.NewReply[bool]()
+		c.post(t.Context(), &retireRequest{released})
+		s.advance(time.Second)
+		require.Equal(t, []string{"entry-1"}, s.owners())
+		answered, err := released.Get(t.Context())
+		require.NoError(t, err)
+		require.True(t, answered)
+		row, err := s.store.Read(t.Context(), ownerKey)
+		require.NoError(t, err)
+		owner, err := wire.DecodeOwner(row.Value)
+		require.NoError(t, err)
+		require.Equal(t, "entry-1", owner.Name)
+		require.False(t, owner.Unsettled, "nothing was running before the former owner")
+	})
+}
