ownership: release a claim that is committed after the stop

Cause: an entry that was stopped while its claim was in flight ignored the answer. The row then named it, it stayed linked until the end of its grace period, and no other entry claimed the jobs: callers' jobs waited for up to 5.5 s, and leases could expire. Found by the review, by reading.

Change: in the state retired a committed claim starts the release, as for jobs that the owner has not read yet.

TestClaimThatIsCommittedAfterTheStopIsReleased and TestJobsAreReleasedIfTheClaimIsCommittedAfterTheStop fail without the transition: no entry owns the jobs 3 s after the stop.

--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -112,7 +112,7 @@
 		}
 	}
 	if c.owner.Claimed(m.owner, r.outcome, r.revision, c.now()) {
-		c.writer = writer{owner: m.owner, version: r.revision}
+		c.writer = writer{owner: m.owner, version: r.revision, retireReply: c.writer.retireReply}
 	}
 }
 
@@ -153,14 +153,11 @@
 // releaseJobs lets the writer store the pending changes and release the jobs in
 // one transaction.
 func (c *controller) releaseJobs() {
-	switch {
-	case c.jobs == nil:
-		c.writer.retireReply.Put(true)
-	case c.loading:
+	if c.jobs == nil || c.loading {
 		c.releaseUnread()
-	default:
-		c.writer.releasing = true
+		return
 	}
+	c.writer.releasing = true
 }
 
 // releaseUnread releases jobs that this owner has not read yet. It has started none
--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -373,3 +373,21 @@
 		require.False(t, owner.Unsettled, "nothing was running before the former owner")
 	})
 }
+
+// Guards against a row that names a stopping entry until its links end, so that the
+// jobs have no owner meanwhile: the entry was stopped while its claim was in flight.
+func TestJobsAreReleasedIfTheClaimIsCommittedAfterTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 200)
+		defer s.stop()
+		const delay = 400 * time.Millisecond // of each call
+		require.NoError(t, s.store.SetFaults(t.Context(), standin.StoreFaults{DelayMs: delay.Milliseconds(), WritesPerSecond: -1, ReadsPerSecond: -1}))
+		s.kill("entry-0")
+		s.advance(300*time.Millisecond + delay + delay/2) // the row is read, and the claim is in flight
+		require.Empty(t, s.owners())
+		c := s.entries["entry-1"].controller
+		c.post(t.Context(), &retireRequest{actor.NewReply[bool]()})
+		s.advance(3 * time.Second) // the release, the read and the claim of another entry
+		require.Equal(t, []string{"entry-2"}, s.owners())
+	})
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -257,17 +257,19 @@
 // start no task of a job whose Epoch is higher than their own.
 func (c *Core) priorOwnersFenced() bool { return c.row.Fenced || c.priorOwnersEnded() }
 
-// Claimed applies the outcome of the commit of a claim, and reports whether the
-// entry became the owner by it. version is that of the committed row. A late answer
-// to an earlier claim is ignored: the entry has read the row since. A claim of a
-// lower epoch than a known one was replaced before its answer arrived.
+// Claimed applies the outcome of the commit of a claim, and reports whether the row
+// names the entry by it. version is that of the committed row. A late answer to an
+// earlier claim is ignored: the entry has read the row since. A claim of a lower
+// epoch than a known one was replaced before its answer arrived. An entry that was
+// stopped while its claim was in flight releases the jobs.
 func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) bool {
 	c.now = now
-	if c.state != stClaiming || o.Epoch != c.claimEpoch {
+	if c.state != stClaiming && c.state != stRetired || o.Epoch != c.claimEpoch {
 		return false
 	}
+	current := outcome == table.Committed && o.Epoch >= c.maxEpoch
 	switch {
-	case outcome == table.Committed && o.Epoch >= c.maxEpoch:
+	case current:
 		c.formerEnded, c.fenced, c.lateness = !o.Unsettled, o.Fenced, lateness{steppedAt: now}
 		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
 		c.step(evClaimed)
@@ -276,7 +278,7 @@
 	default:
 		c.step(evOutcomeUnknown)
 	}
-	return c.Owns()
+	return current
 }
 
 // Superseded records that a write of the owner was rejected because another entry
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -122,6 +122,22 @@
 	}
 }
 
+// Guards against jobs without an owner until the links of a stopping entry end: its
+// claim was in flight when it was stopped, and the row names it afterwards.
+func TestClaimThatIsCommittedAfterTheStopIsReleased(t *testing.T) {
+	for outcome, want := range map[table.Outcome][]Effect{
+		table.Committed: {Release}, table.Conflict: {End}, table.Unknown: nil,
+	} {
+		r, now := &ownerRow{}, time.Duration(0)
+		a := New("a", 1, 0, 0)
+		claim := r.takeClaim(t, a, &now)
+		a.Retire(now)
+		require.Equal(t, outcome == table.Committed, a.Claimed(claim, outcome, 1, now))
+		require.False(t, a.Owns())
+		require.Equal(t, want, a.Effects())
+	}
+}
+
 // Guards against two owners when entries start at the same time: one claims the
 // jobs, and the other reads its row.
 func TestOneOfManyEntriesOwnsTheJobs(t *testing.T) {
