peer: let the heartbeat interval of a link follow the ownership

Cause: both sides of each link sent a heartbeat every 300 ms, also on the links between agents and the entries that do not own the jobs. Their number is the product of both: 88,000 messages/s with 55 entries and 240 agents (computed). Change: an entry announces the interval of a link in a heartbeat (additive field): 1.5 s when an agent is linked or its ownership has ended, 300 ms when it becomes the owner. The agent's link follows at once, without its actor. The limit of silence is four announced intervals; after it has announced 300 ms the owner takes 1.2 s, which heartbeats at the longer interval do not extend. An interval is announced only to agents whose hello says that they follow it (additive field), so links with the former program keep their timing. Links between entries are unchanged. Cost: an agent notices the loss of an entry that does not own the jobs after up to 6 s instead of 1.2 s.

--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -91,6 +91,19 @@
 
 // StartAgent starts an agent. It ends with g.
 func StartAgent(g *actor.Group, cfg AgentConfig) (*Agent, error) {
+	a := startAgentActors(g, cfg, link.NewDialer(g, link.Config{}))
+	if _, err := serve(g, "registry", cfg.Registry, cfg.RegistryHandler(&registry{a})); err != nil {
+		return nil, err
+	}
+	if err := serveMetrics(g, cfg.Metrics, metrics.Start(g)); err != nil {
+		return nil, err
+	}
+	event.Log(cfg.Log, event.NodeStarted, log.Fields{"name": string(cfg.Core.Name), "role": "agent", "seeds": cfg.Seeds})
+	return &Agent{a, cfg.Runner, cfg.Log}, nil
+}
+
+// startAgentActors starts an agent and its links.
+func startAgentActors(g *actor.Group, cfg AgentConfig, dial link.Dialer) *agent {
 	a := &agent{
 		core: hostagent.New(cfg.Core), log: cfg.Log, startedAt: time.Now(), links: map[linkID]peer.Out{},
 		hellos: map[linkID]*msg.PeerHello{}, members: map[string]msg.Member{}, published: &published{},
@@ -102,26 +115,21 @@
 		return a.runPolls(ctx, cfg.Runner, in)
 	}})
 	a.address = actor.Spawn(g, actor.Spec[any]{Name: "guard", Mailbox: agentMailbox, Run: a.run})
-	a.startLinks(g, cfg)
-	if _, err := serve(g, "registry", cfg.Registry, cfg.RegistryHandler(&registry{a})); err != nil {
-		return nil, err
-	}
-	if err := serveMetrics(g, cfg.Metrics, metrics.Start(g)); err != nil {
-		return nil, err
-	}
-	event.Log(cfg.Log, event.NodeStarted, log.Fields{"name": string(cfg.Core.Name), "role": "agent", "seeds": cfg.Seeds})
-	return &Agent{a, cfg.Runner, cfg.Log}, nil
+	a.startLinks(g, cfg, dial)
+	return a
 }
 
-func (a *agent) startLinks(g *actor.Group, cfg AgentConfig) {
-	l := &links{group: g, send: a.address.Send, hello: func() *msg.PeerHello {
-		h := &msg.PeerHello{Member: msg.Member{Name: string(cfg.Core.Name)}, Agent: true, Boot: cfg.Boot, DataCentre: cfg.Core.DataCentre}
+func (a *agent) startLinks(g *actor.Group, cfg AgentConfig, dial link.Dialer) {
+	l := &links{group: g, send: a.address.Send, follow: true, hello: func() *msg.PeerHello {
+		h := &msg.PeerHello{
+			Member: msg.Member{Name: string(cfg.Core.Name)}, Agent: true, Boot: cfg.Boot, DataCentre: cfg.Core.DataCentre, FollowsHeartbeat: true,
+		}
 		if epoch := a.published.epoch.Get(); epoch != nil {
 			h.Epoch = *epoch
 		}
 		return h
 	}}
-	d := &dialers{links: l, dial: link.NewDialer(g, link.Config{}), started: map[string]bool{}}
+	d := &dialers{links: l, dial: dial, started: map[string]bool{}}
 	d.linked = func(address string) bool {
 		linked := a.published.linked.Get()
 		return linked != nil && (*linked)[address]
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -1,6 +1,8 @@
 package jobdaemon
 
 import (
+	"time"
+
 	"github.com/apex/log"
 
 	"github.com/bambooscale/bambooscale/internal/event"
@@ -49,8 +51,27 @@
 		c.agents[name] = a
 	}
 	a.link = l
-	if c.jobs != nil {
-		c.jobs.Linked(a.host)
+	if c.jobs == nil {
+		c.sendHeartbeat(l, idleHeartbeat)
+		return
+	}
+	c.jobs.Linked(a.host)
+}
+
+// sendHeartbeats announces an interval of heartbeats on all links to agents.
+func (c *controller) sendHeartbeats(interval time.Duration) {
+	for _, l := range c.links {
+		if l.hello.Agent {
+			c.sendHeartbeat(l, interval)
+		}
+	}
+}
+
+// sendHeartbeat announces an interval of heartbeats to an agent, if its program
+// follows it. One of the former program would end the link as silent.
+func (c *controller) sendHeartbeat(l *peerLink, interval time.Duration) {
+	if l.hello.FollowsHeartbeat {
+		c.send(l, &msg.Heartbeat{Interval: interval})
 	}
 }
 
--- a/internal/jobdaemon/links.go
+++ b/internal/jobdaemon/links.go
@@ -13,9 +13,15 @@
 	"github.com/bambooscale/bambooscale/internal/peer"
 )
 
-// linkTiming detects a silent process within a fraction of the owner's lease.
+// linkTiming detects a silent process within a fraction of the owner's lease. It is
+// that of links between entries, and between agents and the owner of the jobs.
 var linkTiming = peer.Timing{Heartbeat: 300 * time.Millisecond, Silence: 1200 * time.Millisecond, Shutdown: peer.ShutdownTimeout}
 
+// idleHeartbeat is the heartbeat interval between an agent and an entry that does
+// not own the jobs. The number of such links grows with the product of agents and
+// entries.
+const idleHeartbeat = 1500 * time.Millisecond
+
 const (
 	dialTimeout       = 800 * time.Millisecond
 	minRedialInterval = 50 * time.Millisecond
@@ -70,13 +76,16 @@
 	group *actor.Group
 	next  actor.Counter
 	hello func() *msg.PeerHello
-	send  func(context.Context, any) error
+	// follow makes the links send heartbeats at the intervals of their peers.
+	follow bool
+	send   func(context.Context, any) error
 }
 
 func (l *links) run(ctx context.Context, conn link.Conn) error {
 	handler := &linkHandler{ctx: ctx, id: linkID(l.next.Next()), send: l.send}
-	err := peer.RunWithTiming(ctx, conn, l.hello(), handler, linkTiming)
-	return err
+	timing := linkTiming
+	timing.Follow = l.follow
+	return peer.RunWithTiming(ctx, conn, l.hello(), handler, timing)
 }
 
 // accept serves the links that other processes open.
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -112,7 +112,8 @@
 }
 
 // startOwnership takes over the jobs: it notifies the other entries and loads the
-// stored jobs. jobsLoaded claims the hosts.
+// stored jobs. jobsLoaded claims the hosts. Until then the heartbeats show which
+// links to agents have failed without notice.
 func (c *controller) startOwnership() {
 	epoch := c.owner.Epoch()
 	event.Log(c.log, event.OwnershipStarted, log.Fields{"epoch": epoch})
@@ -120,6 +121,7 @@
 	c.jobs.Advance(c.now(), time.Now().UnixMilli())
 	c.loading, c.deferred = true, nil
 	c.sendToEntries(&msg.OwnerClaim{Epoch: epoch, Owner: c.self.Name})
+	c.sendHeartbeats(linkTiming.Heartbeat)
 	c.ownerGroup = c.group.Sub()
 	actor.Go(c.ownerGroup, "job loader", func(ctx context.Context) error { return c.load(ctx, epoch) })
 }
@@ -131,6 +133,7 @@
 	event.Log(c.log, event.OwnershipEnded, log.Fields{"epoch": c.jobs.Epoch(), "reason": reason})
 	c.jobs, c.loading, c.deferred, c.feeds = nil, false, nil, nil
 	c.ownerGroup.Cancel()
+	c.sendHeartbeats(idleHeartbeat)
 }
 
 // retireRequest asks the controller to release the jobs. The reply is sent when
--- a/internal/msg/control.go
+++ b/internal/msg/control.go
@@ -30,7 +30,11 @@
 }
 
 // Heartbeat is sent when nothing else was sent for a heartbeat interval.
-type Heartbeat struct{}
+type Heartbeat struct {
+	// Interval is that of the sender from this message on. 0: the fixed one of
+	// the kind of link.
+	Interval time.Duration
+}
 
 // BackendState announces a backend server and each change of its state. An
 // agent reports it to each entry when a link comes up and on every change.
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -29,6 +29,9 @@
 	// or the sender is an agent.
 	ProcessorShare model.MilliCPU
 	Phases         PhaseMark // phases that the sender has; of an entry
+	// FollowsHeartbeat says that the sender, an agent, sends its heartbeats at the
+	// interval that the peer announces, and expects those of the peer at it.
+	FollowsHeartbeat bool
 }
 
 // Members lists the entries that the sender knows.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,6 +27,12 @@
 	// reports of demand that fall due until a peer counts as silent. 1024 used
 	// 16 KiB on each side of a link, a fifth of an entry's memory.
 	outboundMessages = 256
+	// silenceIntervals is the number of announced heartbeat intervals without a
+	// received message after which the link ends.
+	silenceIntervals = 4
+	// maxHeartbeatInterval bounds the interval that a peer may announce, so that
+	// a silent peer is noticed at the latest after 40 s.
+	maxHeartbeatInterval = 10 * time.Second
 	// ShutdownTimeout bounds the orderly end of a link, which takes a round trip
 	// and the time of the queued messages.
 	ShutdownTimeout = 250 * time.Millisecond
@@ -39,7 +45,9 @@
 	ErrOverflow = errors.New("peer reads too slowly: outbound queue overflowed")
 )
 
-// Out is the actor address that accepts a link's outbound messages.
+// Out is the actor address that accepts a link's outbound messages. A
+// msg.Heartbeat with an interval is sent at once, and sets the interval of the
+// heartbeats that follow it. The peer must be one that follows it.
 type Out = actor.Address[msg.Control]
 
 // Handler receives the events of a link. One goroutine calls its methods: Up
@@ -58,6 +66,9 @@
 	Heartbeat time.Duration // maximum interval between two messages that are sent
 	Silence   time.Duration // time without a received message after which the link ends
 	Shutdown  time.Duration // maximum time of the orderly end when the context ends
+	// Follow makes the link send its heartbeats at the interval that the peer
+	// announces.
+	Follow bool
 }
 
 // DefaultTiming is for entries with many links.
@@ -77,9 +88,10 @@
 	defer group.Stop()
 	defer conn.Close()
 	overflow := make(chan struct{}, 1)
+	w := &writer{conn: conn, interval: timing.Heartbeat, announced: make(chan time.Duration, 1)}
 	out := actor.Spawn(group, actor.Spec[msg.Control]{Name: "link writer", Mailbox: outboundMessages, Overflow: overflow,
 		Run: func(ctx context.Context, in <-chan msg.Control) error {
-			return write(ctx, conn, hello, in, timing.Heartbeat)
+			return w.write(ctx, hello, in)
 		}})
 	in := make(chan msg.Control, 16)
 	readFailed := actor.NewReply[error]()
@@ -87,7 +99,7 @@
 		readFailed.Put(read(ctx, conn, in))
 		return nil
 	})
-	s := &session{conn: conn, handler: h, out: out, overflow: overflow, silence: timing.Silence}
+	s := &session{conn: conn, handler: h, out: out, overflow: overflow, announced: w.announced, timing: timing}
 	err := s.serve(ctx, in, readFailed, out.Done())
 	if ctx.Err() != nil {
 		shutdown(ctx, conn, out.Done(), timing.Shutdown)
@@ -106,28 +118,53 @@
 	}
 }
 
+// writer is the state of the actor that sends the messages of a link.
+type writer struct {
+	conn     link.Conn
+	interval time.Duration // maximum interval between two messages that are sent
+	// announced receives each interval that is announced to the peer. It holds
+	// the newest.
+	announced chan time.Duration
+	own       time.Duration // last interval that was announced; 0: none
+}
+
 // write sends hello, and then messages and heartbeats until ctx ends. It sends
 // the messages that are queued then.
-func write(ctx context.Context, conn link.Conn, hello msg.Control, in <-chan msg.Control, heartbeat time.Duration) error {
-	if err := conn.Send(hello); err != nil {
+func (w *writer) write(ctx context.Context, hello msg.Control, in <-chan msg.Control) error {
+	if err := w.conn.Send(hello); err != nil {
 		return err
 	}
-	idle := time.NewTimer(heartbeat)
+	idle := time.NewTimer(w.interval)
 	defer idle.Stop()
 	for {
 		var m msg.Control
 		select {
 		case m = <-in:
+			w.announce(m)
 		case <-idle.C:
-			m = &msg.Heartbeat{}
+			m = &msg.Heartbeat{Interval: w.own}
 		case <-ctx.Done():
-			return flush(conn, in)
+			return flush(w.conn, in)
 		}
-		if err := conn.Send(m); err != nil {
+		if err := w.conn.Send(m); err != nil {
 			return err
 		}
-		idle.Reset(heartbeat)
+		idle.Reset(w.interval)
+	}
+}
+
+// announce takes the interval of a heartbeat that is about to be sent.
+func (w *writer) announce(m msg.Control) {
+	h, ok := m.(*msg.Heartbeat)
+	if !ok || h.Interval == 0 {
+		return
 	}
+	w.interval, w.own = h.Interval, h.Interval
+	select {
+	case <-w.announced: // not read yet, and replaced
+	default:
+	}
+	w.announced <- h.Interval // has capacity: this is the only sender
 }
 
 // flush sends the queued messages.
@@ -162,15 +199,17 @@
 	evMessage
 	evSilence
 	evFailed
+	evInterval
+	evOutdated
 )
 
 var linkChart = chart.MustCompile(charts.Files, chart.Binding[session]{
 	Chart:  "link",
 	States: []string{"handshake", "up", "closed"},
-	Events: []string{"hello", "message", "silence", "failed"},
+	Events: []string{"hello", "message", "silence", "failed", "interval", "outdated"},
 	Actions: map[string]func(*session){
 		"announceUp":     (*session).announceUp,
-		"deliver":        func(s *session) { s.handler.Receive(s.current) },
+		"deliver":        (*session).receive,
 		"reportProtocol": func(s *session) { s.err = errors.Wrapf(ErrProtocol, "unexpected %T", s.current) },
 		"reportSilent":   func(s *session) { s.err = ErrSilent },
 		"reportFailed":   func(*session) {}, // serve has set err
@@ -184,11 +223,17 @@
 	handler  Handler
 	out      Out
 	overflow <-chan struct{} // signalled when a message for the peer was dropped
-	silence  time.Duration   // silence timeout of an established link
-	state    chart.State
-	current  msg.Control // message that is applied at present
-	wasUp    bool        // Up succeeded
-	err      error       // that ends the link
+	timing   Timing
+	// Heartbeat intervals that were announced; 0: none, so timing applies.
+	announced    <-chan time.Duration // intervals that the writer announces
+	ownInterval  time.Duration        // the last of them
+	peerInterval time.Duration        // announced by the peer
+	followed     time.Duration        // last one that was passed to the writer because of Timing.Follow
+
+	state   chart.State
+	current msg.Control // message that is applied at present
+	wasUp   bool        // Up succeeded
+	err     error       // that ends the link
 }
 
 // announceUp calls the handler with the peer's hello.
@@ -198,6 +243,50 @@
 	}
 }
 
+// receive applies a heartbeat and delivers a message to the handler.
+func (s *session) receive() {
+	if h, ok := s.current.(*msg.Heartbeat); ok {
+		s.heartbeat(h)
+	}
+	s.handler.Receive(s.current)
+}
+
+// heartbeat records the interval that the peer announces. A link that follows its
+// peer announces the same interval at once, without waiting for the handler.
+func (s *session) heartbeat(h *msg.Heartbeat) {
+	s.peerInterval = s.timing.bounded(h.Interval)
+	if !s.timing.Follow || s.peerInterval == s.followed {
+		return
+	}
+	s.followed = s.peerInterval
+	s.out.TrySend(&msg.Heartbeat{Interval: s.peerInterval})
+}
+
+// bounded returns the interval of a peer that announces d: 0 if it announces none.
+func (t Timing) bounded(d time.Duration) time.Duration {
+	if d == 0 {
+		return 0
+	}
+	return min(max(d, t.Heartbeat), maxHeartbeatInterval)
+}
+
+// silenceLimit returns how long an established link may be without a received
+// message. The peer may announce a longer interval before it receives a shorter
+// one of this side, which it then follows, so the shorter one counts.
+func (s *session) silenceLimit() time.Duration {
+	interval := s.peerInterval
+	if s.ownInterval != 0 {
+		interval = min(interval, s.ownInterval)
+	}
+	return max(s.timing.Silence, silenceIntervals*interval)
+}
+
+// outdated reports whether a heartbeat was sent by a peer that has not received
+// the interval that this side announced.
+func (s *session) outdated(h *msg.Heartbeat) bool {
+	return !s.timing.Follow && s.ownInterval != 0 && s.timing.bounded(h.Interval) > s.ownInterval
+}
+
 // serve handles messages, time-outs and failures until the link ends, and returns
 // the reason.
 func (s *session) serve(ctx context.Context, in <-chan msg.Control, readFailed actor.Reply[error], writerDone <-chan struct{}) error {
@@ -214,13 +303,15 @@
 		event := evMessage
 		select {
 		case s.current = <-in:
-			event = eventOf(s.current)
+			event = s.eventOf(s.current)
 		case err := <-readFailed.C():
 			s.deliverQueued(in)
 			s.err, event = err, evFailed
 		case <-writerDone:
 			s.deliverRest(in, readFailed)
 			s.err, event = link.ErrClosed, evFailed
+		case s.ownInterval = <-s.announced:
+			event = evInterval
 		case <-s.overflow:
 			s.err, event = ErrOverflow, evFailed
 		case <-timer.C:
@@ -230,9 +321,9 @@
 			return s.err
 		}
 		linkChart.Step(s, &s.state, event)
-		if d, _, ok := linkChart.Timeout(s.state); ok {
+		if d, _, ok := linkChart.Timeout(s.state); ok && event != evOutdated {
 			if s.wasUp {
-				d = s.silence
+				d = s.silenceLimit()
 			}
 			timer.Reset(d)
 		}
@@ -267,14 +358,18 @@
 
 func (s *session) deliver(m msg.Control) {
 	s.current = m
-	linkChart.Step(s, &s.state, eventOf(m))
+	linkChart.Step(s, &s.state, s.eventOf(m))
 }
 
 // eventOf returns the event of a received message.
-func eventOf(m msg.Control) chart.Event {
-	switch m.(type) {
+func (s *session) eventOf(m msg.Control) chart.Event {
+	switch m := m.(type) {
 	case *msg.AgentHello, *msg.EntryHello, *msg.PeerHello:
 		return evHello
+	case *msg.Heartbeat:
+		if s.outdated(m) {
+			return evOutdated
+		}
 	}
 	return evMessage
 }
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -49,7 +49,7 @@
 	case *msg.EntryHello:
 		p.Kind = &pb.Control_EntryHello{EntryHello: entryHelloToProto(m)}
 	case *msg.Heartbeat:
-		p.Kind = &pb.Control_Heartbeat{Heartbeat: &pb.Heartbeat{}}
+		p.Kind = &pb.Control_Heartbeat{Heartbeat: &pb.Heartbeat{IntervalNs: int64(m.Interval)}}
 	case *msg.BackendState:
 		p.Kind = &pb.Control_BackendState{BackendState: backendStateToProto(m)}
 	case *msg.CreditGrant:
@@ -91,7 +91,7 @@
 	case *pb.Control_EntryHello:
 		return entryHelloFromProto(k.EntryHello), nil
 	case *pb.Control_Heartbeat:
-		return &msg.Heartbeat{}, nil
+		return &msg.Heartbeat{Interval: time.Duration(k.Heartbeat.GetIntervalNs())}, nil
 	case *pb.Control_BackendState:
 		return backendStateFromProto(k.BackendState), nil
 	case *pb.Control_CreditGrant:
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -19,7 +19,7 @@
 		p.Kind = &pb.Control_PeerHello{PeerHello: &pb.PeerHello{
 			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
 			RequestsConfig: m.RequestsConfig, ProcessorShare: int64(m.ProcessorShare),
-			PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo,
+			PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo, FollowsHeartbeat: m.FollowsHeartbeat,
 		}}
 	case *msg.Members:
 		p.Kind = &pb.Control_Members{Members: &pb.Members{Entries: mapSlice(m.Entries, memberToProto)}}
@@ -88,7 +88,7 @@
 			Member: memberFromProto(h.GetMember()), Agent: h.GetAgent(), Boot: h.GetBoot(),
 			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(), RequestsConfig: h.GetRequestsConfig(),
 			ProcessorShare: model.MilliCPU(h.GetProcessorShare()),
-			Phases:         msg.PhaseMark{Epoch: h.GetPhasesEpoch(), UpTo: h.GetPhasesUpTo()},
+			Phases:         msg.PhaseMark{Epoch: h.GetPhasesEpoch(), UpTo: h.GetPhasesUpTo()}, FollowsHeartbeat: h.GetFollowsHeartbeat(),
 		}, nil
 	case *pb.Control_Members:
 		return &msg.Members{Entries: mapSlice(k.Members.GetEntries(), memberFromProto)}, nil
