--- /dev/null
+++ b/internal/jobs/inventory.go
@@ -0,0 +1,88 @@
+package jobs
+
+import (
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+func (h *host) sendClaim() {
+	h.core.send(h, &msg.OwnerClaim{Epoch: h.core.epoch})
+}
+
+// Inventory applies an agent's answer to a claim. An inventory for another epoch
+// is ignored.
+func (c *Core) Inventory(m *msg.HostInventory) {
+	if m.Epoch != c.epoch {
+		return
+	}
+	h := c.host(m.Host.Name)
+	h.update(m.Host)
+	h.inventory = m
+	h.step(evInventory)
+	h.inventory = nil
+	c.endRecoveryIfComplete()
+}
+
+// adopt reconciles the runs that are charged to the host with the agent's
+// inventory.
+func (h *host) adopt() {
+	m := h.inventory
+	h.dropEarlyRuns()
+	h.core.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "taken"})
+	listed := map[workload.RunID]bool{}
+	var sizes []msg.RunSize
+	for _, s := range m.Runs {
+		listed[s.Run] = true
+		if r := h.adoptRun(s); r != nil {
+			sizes = append(sizes, r.size())
+		}
+	}
+	for _, e := range m.Ended {
+		listed[e.Run] = true
+	}
+	for _, r := range h.sortedRuns() {
+		if !listed[r.id] {
+			r.step(evLost)
+		}
+	}
+	h.applyEnds(m.Ended)
+	h.core.send(h, &msg.InventoryAccepted{Epoch: h.core.epoch, Number: m.Number, ClockMS: m.ClockMS, Sizes: sizes})
+	h.lastGrantAt, h.inventoryStartedAtMS = h.core.now, h.info.StartedAtMS
+	h.improve()
+	for _, r := range h.sortedRuns() {
+		if r.state == runStopping {
+			r.requestStop()
+		}
+	}
+}
+
+// adoptRun charges a run of an inventory to the host. If the run belongs to no
+// known task, it stops the run and returns nil.
+func (h *host) adoptRun(s msg.RunStatus) *run {
+	if r, ok := h.runs[s.Run]; ok {
+		if !s.Unconfirmed {
+			r.step(evStarted)
+		}
+		return r
+	}
+	t := h.core.task(s.Run.Task)
+	if t == nil {
+		h.core.keepEarly(s.Run, earlyRun{host: h, status: s})
+		h.queueStop(s.Run)
+		return nil
+	}
+	r := h.charge(t, s.Run)
+	r.status, r.statusAt = s, h.core.now
+	// A number of this epoch must not be used for another run.
+	if s.Run.Number&numberMask > t.starts && s.Run.Number>>epochShift == h.core.epoch-1 {
+		t.starts = s.Run.Number & numberMask
+	}
+	if !s.Unconfirmed {
+		r.step(evStarted)
+	}
+	h.core.waiting.remove(t)
+	if t.done || t.step.job.phase().Final() || (len(t.runs) > 1 && !t.step.spec.AllowConcurrentRuns) {
+		r.stop("not-wanted")
+	}
+	return r
+}
