actor: return the answer of an actor that has ended

Cause: Ask waits for the answer and for the end of the actor. An actor that answers and then ends makes both ready, and select takes one of them at random. On a busy machine the asker may look only when both are.

Change: after the end of the actor Ask looks for an answer once more.

TestAnswerOfAnActorThatHasEndedIsReceived failed before (100 rounds with both ready).

--- a/internal/actor/actor_test.go
+++ b/internal/actor/actor_test.go
@@ -47,6 +47,21 @@
 	g.Stop()
 }
 
+// Guards against an answer that is lost because the actor ends right after it: the
+// asker finds the answer and the end of the actor at the same time.
+func TestAnswerOfAnActorThatHasEndedIsReceived(t *testing.T) {
+	const rounds = 100 // of two ready cases one is chosen at random
+	ended := make(chan struct{})
+	close(ended)
+	for range rounds {
+		r := NewReply[int]()
+		r.Put(1)
+		v, err := r.await(t.Context(), ended)
+		require.NoError(t, err)
+		require.Equal(t, 1, v)
+	}
+}
+
 // Guards against deadlines that fire late or out of order, or fire after they
 // were cleared.
 func TestTimersFireInOrder(t *testing.T) {
--- a/internal/actor/reply.go
+++ b/internal/actor/reply.go
@@ -32,19 +32,38 @@
 func (r Reply[T]) C() <-chan T { return r.ch }
 
 // Ask sends the message that build creates from a new Reply and waits for the
-// answer. It returns ErrStopped if the actor ends first, or the context's error.
+// answer. It returns ErrStopped if the actor ends without an answer, or the context's
+// error.
 func Ask[M, T any](ctx context.Context, to Address[M], build func(Reply[T]) M) (T, error) {
 	var zero T
 	r := NewReply[T]()
 	if err := to.Send(ctx, build(r)); err != nil {
 		return zero, err
 	}
+	return r.await(ctx, to.done)
+}
+
+// await waits for the answer of an actor until the actor has ended.
+func (r Reply[T]) await(ctx context.Context, ended <-chan struct{}) (T, error) {
+	var zero T
 	select {
 	case v := <-r.ch:
 		return v, nil
-	case <-to.done:
-		return zero, ErrStopped
+	case <-ended:
+		return r.answerOfStopped()
 	case <-ctx.Done():
 		return zero, ctx.Err()
 	}
 }
+
+// answerOfStopped returns the answer of an actor that has ended. The actor may have
+// answered before, so that both were ready when the asker looked.
+func (r Reply[T]) answerOfStopped() (T, error) {
+	select {
+	case v := <-r.ch:
+		return v, nil
+	default:
+		var zero T
+		return zero, ErrStopped
+	}
+}
