hostagent: do not send starts that have waited for a second

So a start could be sent seconds later, to a host that drains by then, while its task could have run elsewhere.

Change: a start has a time from which on it is not sent, a second after it was decided. The agent then reports it as refused, and the owner places the task.

--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -47,9 +47,16 @@
 	Stop        *workload.RunID
 	Throttle    *ThrottleCall
 	Poll        *runner.PollRequest
-	startedAtMS int64 // incarnation of the backend server that is called
+	SendBefore  time.Duration // time of the core from which on the call is not sent, but answered with runner.ErrNotSent; 0: no limit
+	startedAtMS int64         // incarnation of the backend server that is called
 }
 
+// maxStartWait is how long a start may wait for calls that the backend server does
+// not answer. It is half of the shortest time (2 s) after which nothing may start on
+// a host that has announced that it drains, and leaves urgent work time for another
+// host.
+const maxStartWait = time.Second
+
 // ThrottleCall sets the CPU limit of a run.
 type ThrottleCall struct {
 	Run     workload.RunID
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -129,7 +129,9 @@
 			continue
 		}
 		r := c.addRun(s.Size)
-		c.addCall(Call{Start: &runner.StartRequest{Run: r.id, Specification: s.Specification, Checkpoint: s.Checkpoint, LeaseMS: c.leaseMS()}})
+		c.addCall(Call{SendBefore: c.now + maxStartWait, Start: &runner.StartRequest{
+			Run: r.id, Specification: s.Specification, Checkpoint: s.Checkpoint, LeaseMS: c.leaseMS(),
+		}})
 	}
 }
 
--- a/internal/jobdaemon/agent_calls.go
+++ b/internal/jobdaemon/agent_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/hostagent"
@@ -9,7 +10,8 @@
 )
 
 // runCalls performs calls in the order of their arrival, up to maxCalls at a
-// time.
+// time. A call that has waited until its SendBefore is not sent: the state of the
+// host with which it was decided may be outdated.
 func (a *agent) runCalls(ctx context.Context, r runner.Runner, in <-chan hostagent.Call) error {
 	g := actor.NewGroup(ctx, nil)
 	defer g.Stop()
@@ -18,7 +20,11 @@
 			for {
 				select {
 				case c := <-in:
-					_ = a.address.Send(ctx, &callAnswered{perform(ctx, r, c)}) // an error means that the process ends
+					answer := hostagent.Answer{Call: c, Err: runner.ErrNotSent}
+					if c.SendBefore == 0 || time.Since(a.startedAt) < c.SendBefore {
+						answer = perform(ctx, r, c)
+					}
+					_ = a.address.Send(ctx, &callAnswered{answer}) // an error means that the process ends
 				case <-ctx.Done():
 					return nil
 				}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -25,6 +25,7 @@
 	ErrNotListening     = errors.New("the backend server does not listen")
 	ErrOutcomeUnknown   = errors.New("the backend server did not answer")
 	ErrInvalid          = errors.New("the backend server rejected the request as invalid")
+	ErrNotSent          = errors.New("the request waited too long for other requests and was not sent")
 )
 
 // Target is the backend server that a request is for, and the fencing token of
