--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -42,13 +42,15 @@
 
 // Call is a request to the backend server. Exactly one of the pointers is set.
 type Call struct {
-	Target      runner.Target
-	Start       *runner.StartRequest
-	Stop        *workload.RunID
-	Throttle    *ThrottleCall
-	Poll        *runner.PollRequest
-	SendBefore  time.Duration // time of the core from which on the call is not sent, but answered with runner.ErrNotSent; 0: no limit
-	startedAtMS int64         // incarnation of the backend server that is called
+	Target   runner.Target
+	Start    *runner.StartRequest
+	Stop     *workload.RunID
+	Throttle *ThrottleCall
+	Poll     *runner.PollRequest
+	// SendBefore is the time of the core from which on the call is not sent. It is
+	// then answered with runner.ErrNotSent. 0: no limit.
+	SendBefore  time.Duration
+	startedAtMS int64 // incarnation of the backend server that is called
 }
 
 // maxStartWait is how long a start may wait for calls that the backend server does
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -96,8 +96,8 @@
 	phases       []msg.JobPhase
 	phaseChanges uint64 // number of the newest change of a visible phase
 	decisions    []Decision
-	visits       int // hosts, runs, jobs and steps that loops over all of them examined
-	pairVisits   int // pairs of images whose coefficients were read for lease grants and batches
+	visits       int // hosts, runs, jobs and steps that loops have examined; for the tests of the cost
+	pairVisits   int // pairs of images whose coefficients were read; for the tests of the cost
 }
 
 // FormerOwners says which tasks the former owners may still start.
