jobdaemon: log reads of the configuration that are given up, and requests to peers

Change: event 954 for the first failed call and each one that did not end in time, with the bytes that had arrived; event 955 for each request to a peer.

The configuration tests of jobdaemon pass; two of them now give their controller a log, their checks are unchanged.

--- a/internal/jobdaemon/config.go
+++ b/internal/jobdaemon/config.go
@@ -1,8 +1,11 @@
 package jobdaemon
 
 import (
+	"github.com/apex/log"
+
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/configsync"
+	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -63,6 +66,7 @@
 	c.config.sync.Tick(now)
 	for _, r := range c.config.sync.Requests() {
 		if l := c.entryLink(r.Peer); l != nil {
+			event.Log(c.log, event.ConfigRequested, log.Fields{"peer": r.Peer, "have": r.Have})
 			c.send(l, &msg.ConfigRequest{Have: model.ConfigVersion(r.Have)})
 		}
 	}
--- a/internal/jobdaemon/config_test.go
+++ b/internal/jobdaemon/config_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
@@ -50,6 +52,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		g := actor.NewGroup(ctx, nil)
 		c := &controller{
+			log:        &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 			config:     &configState{source: ConfigSource{Key: "op//config", Prefix: "op//"}},
 			storeProxy: &storeProxy{store: store},
 			published:  &published{},
@@ -101,7 +104,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &failingWatchTable{}
 		ctx, cancel := context.WithCancel(t.Context())
-		c := &controller{config: &configState{source: ConfigSource{Key: "op//config", Prefix: "op//"}}, storeProxy: &storeProxy{store: store}, published: &published{}}
+		c := &controller{
+			log:        &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+			config:     &configState{source: ConfigSource{Key: "op//config", Prefix: "op//"}},
+			storeProxy: &storeProxy{store: store}, published: &published{},
+		}
 		done := make(chan error, 1)
 		go func() { done <- c.watchConfig(ctx) }()
 		const duration = 20 * time.Second
--- a/internal/jobdaemon/configwatch.go
+++ b/internal/jobdaemon/configwatch.go
@@ -6,7 +6,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/storage"
 	"github.com/bambooscale/bambooscale/internal/table"
 )
@@ -39,6 +42,19 @@
 	afterRevision table.Revision // of the next watch; 0: read the row first
 	forwarded     table.Revision // version of the row that was passed on
 	rereadAt      time.Time
+	failing       bool // the newest call failed
+}
+
+// record records the outcome of a call to the table service. It logs the first
+// failure after a success, and each call that did not end in time.
+func (w *configWatch) record(call string, began time.Time, timedOut bool, err error) {
+	w.controller.config.tableAnswers.Set(new(err == nil))
+	if err != nil && (timedOut || !w.failing) {
+		event.Log(w.controller.log, event.ConfigReadFailed, log.Fields{
+			"call": call, "elapsed-ms": time.Since(began).Milliseconds(), "error": err.Error(),
+		})
+	}
+	w.failing = err != nil
 }
 
 // rereadInterval returns the time until this entry reads the row again. The part
@@ -62,13 +78,14 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, configWait+configTimeout)
 	defer cancel()
+	began := time.Now()
 	src := w.controller.config.source
 	rows, revision, err := w.controller.storeProxy.store.Watch(limited, src.Prefix, w.afterRevision, configWait)
 	if errors.Is(err, storage.ErrCompacted) {
 		w.afterRevision = 0
 		return true
 	}
-	w.controller.config.tableAnswers.Set(new(err == nil))
+	w.record("watch", began, limited.Err() != nil, err)
 	if err != nil {
 		return false // the next watch returns what changed since afterRevision
 	}
@@ -81,9 +98,10 @@
 func (w *configWatch) read(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
+	began := time.Now()
 	src := w.controller.config.source
 	rows, revision, err := w.controller.storeProxy.store.Scan(limited, src.Key, 0)
-	w.controller.config.tableAnswers.Set(new(err == nil))
+	w.record("read", began, limited.Err() != nil, err)
 	if err != nil {
 		return false
 	}
--- a/internal/storage/http.go
+++ b/internal/storage/http.go
@@ -108,18 +108,34 @@
 		err = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	}
 	if err != nil {
-		return Response{}, transportError(ctx, true, err)
+		return Response{}, transportError(ctx, true, &incompleteError{len(body), resp.ContentLength, err})
 	}
 	return Response{resp.StatusCode, body}, nil
 }
 
+// incompleteError is the error of a response whose body was not received whole.
+type incompleteError struct {
+	received int   // bytes
+	expected int64 // bytes; -1: unknown
+	cause    error
+}
+
+func (e *incompleteError) Error() string {
+	if e.expected < 0 {
+		return fmt.Sprintf("%v after %d bytes of the response", e.cause, e.received)
+	}
+	return fmt.Sprintf("%v after %d of %d bytes of the response", e.cause, e.received, e.expected)
+}
+
+func (e *incompleteError) Unwrap() error { return e.cause }
+
 // transportError classifies the error of a request that was or was not sent.
 func transportError(ctx context.Context, sent bool, cause error) error {
 	class := ErrUnavailable
 	if sent {
 		class = ErrOutcomeUnknown
 		if ctx.Err() != nil {
-			return fmt.Errorf("%w: %w", class, ctx.Err())
+			return fmt.Errorf("%w: %w: %v", class, ctx.Err(), cause)
 		}
 	}
 	if errors.Is(cause, syscall.ECONNREFUSED) {
