jobdaemon: test that a configuration of any size is in force in time

The test site's tables hold contents that compress like the operators', and count the links that ended.

--- a/internal/jobdaemon/configsite_test.go
+++ b/internal/jobdaemon/configsite_test.go
@@ -4,14 +4,15 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/metrics"
 	"github.com/bambooscale/bambooscale/internal/msg"
@@ -105,7 +106,7 @@
 // tableConfig is one version of the configuration.
 type tableConfig struct {
 	version  uint64 // of the configuration, and of its row
-	bytes    int
+	content  []byte
 	replaced chan struct{} // closed when there is a higher version
 }
 
@@ -113,12 +114,34 @@
 	return binary.BigEndian.AppendUint64(nil, version)
 }
 
-func (s *configTable) put(version uint64) {
+func (s *configTable) put(version uint64) { s.putContent(version, make([]byte, configBytes)) }
+
+func (s *configTable) putContent(version uint64, content []byte) {
 	old := s.newest.Get()
-	s.newest.Set(&tableConfig{version, configBytes, make(chan struct{})})
+	s.newest.Set(&tableConfig{version, content, make(chan struct{})})
 	close(old.replaced)
 }
 
+// queueList returns a text of the given size that compresses like the operators'
+// configuration: names of random letters and digits in objects with equal fields.
+func queueList(size int) []byte {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	random := rand.New(rand.NewPCG(1, 2))
+	name := func(n int) string {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = letters[random.IntN(len(letters))]
+		}
+		return string(b)
+	}
+	var list []byte
+	for len(list) < size {
+		list = fmt.Appendf(list, `{"name":"r-%s","host":"%s.example","path-prefix":"/%s/","service":"permit-desk","timeout-ms":%d,"target-latency-ms":%d,"priority":%d,"max-attempts":3,"stretch":1.5},`,
+			name(7), name(4)+"2", name(8), 1000+random.IntN(9000), 250+random.IntN(2000), random.IntN(3))
+	}
+	return list[:size]
+}
+
 // tableClient is the Store of one entry. A call fails after its timeout while the
 // entry is cut off.
 type tableClient struct {
@@ -143,7 +166,7 @@
 	if version <= after {
 		return nil, table.Revision(version), nil
 	}
-	value := append(encodeTestConfig(version), make([]byte, newest.bytes)...)
+	value := append(encodeTestConfig(version), newest.content...)
 	if err := c.access.transfer(ctx, c.access.in, len(value)*4/3); err != nil {
 		return nil, 0, storage.ErrUnavailable
 	}
@@ -183,6 +206,8 @@
 	net     *link.Memory
 	table   *configTable
 	entries []*configEntry
+	// lostLinks counts the links that ended, once for each side.
+	lostLinks actor.Gauge
 }
 
 type configEntry struct {
@@ -205,7 +230,7 @@
 func newConfigSite(t *testing.T) *configSite {
 	ctx := t.Context()
 	s := &configSite{t: t, group: actor.NewGroup(ctx, nil), net: link.NewMemory(ctx, 1), table: &configTable{}}
-	s.table.newest.Set(&tableConfig{1, firstBytes, make(chan struct{})})
+	s.table.newest.Set(&tableConfig{1, make([]byte, firstBytes), make(chan struct{})})
 	s.net.SetDelay(link.Any, link.Any, 700*time.Microsecond, 0)
 	registry := metrics.Start(s.group)
 	for i := range fastEntries + slowEntries {
@@ -250,7 +275,12 @@
 func (s *configSite) startEntry(name string, rate float64, registry *metrics.Registry) *configEntry {
 	e := &configEntry{access: newAccessLink(rate), inUse: &actor.Value[workload.Config]{}}
 	e.client = &tableClient{table: s.table, access: e.access}
-	l := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	l := &log.Logger{Handler: log.HandlerFunc(func(e *log.Entry) error {
+		if e.Fields["event"] == event.PeerLost.ID {
+			s.lostLinks.Add(1)
+		}
+		return nil
+	}), Level: log.WarnLevel}
 	c := &controller{
 		self: msg.Member{Name: name, Address: name}, log: l, group: s.group, startedAt: time.Now(), metrics: newEntryMetrics(registry),
 		links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
