storage: bound reads by their progress, not by their size

What callers saw: entries with 10 Mbit/s handled requests with a configuration that had been replaced more than 3 s before (CONFIG).

Cause: a read of the configuration ended after 600 ms, a watch 600 ms after its wait. From 587,970 bytes on (0.63 s in base64 at 10 Mbit/s) a read depends on its luck, at 858,170 it never ends, and each repetition starts from the first byte and fills the connection.

Change: WithProgressTimeout ends a read only when 4 KB have not arrived within the limit. The store's client, the reads and the watch of the configuration, of the owner's row and of the members use it. A higher limit would fail again at the next size; this one does not depend on it, and a response that stops or drips still ends after the same 600 ms.

TestReadMayTakeLongerThanItsTimeout- WhileItMakesProgress fails with a bound on the whole read.

--- a/internal/jobdaemon/configsite_test.go
+++ b/internal/jobdaemon/configsite_test.go
@@ -64,6 +64,28 @@
 	return nil
 }
 
+// downloadPart is the number of bytes after which a download reports progress.
+const downloadPart = 16 << 10
+
+// download transfers an answer of the table service, which keeps the connection
+// until its end, as one that was sent at once does. It makes progress that
+// storage.ReportProgress reports.
+func (a *accessLink) download(ctx context.Context, size int) error {
+	select {
+	case a.in <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-a.in }()
+	for ; size > 0; size -= downloadPart {
+		if !actor.Sleep(ctx, time.Duration(float64(min(size, downloadPart))/a.bytesPerSecond*float64(time.Second))) {
+			return ctx.Err()
+		}
+		storage.ReportProgress(ctx)
+	}
+	return nil
+}
+
 // limitedConn is a link of a process with an access link.
 type limitedConn struct {
 	link.Conn
@@ -167,7 +189,7 @@
 		return nil, table.Revision(version), nil
 	}
 	value := append(encodeTestConfig(version), newest.content...)
-	if err := c.access.transfer(ctx, c.access.in, len(value)*4/3); err != nil {
+	if err := c.access.download(ctx, len(value)*4/3); err != nil {
 		return nil, 0, storage.ErrUnavailable
 	}
 	c.access.in <- struct{}{}
--- a/internal/jobdaemon/configwatch.go
+++ b/internal/jobdaemon/configwatch.go
@@ -21,7 +21,9 @@
 	// reads the row, in case all watches miss a change. An entry that finds a
 	// higher version announces it to the others.
 	configRereadInterval = 3 * time.Second
-	configTimeout        = 600 * time.Millisecond
+	// configTimeout bounds the time without progress of a read: the configuration
+	// may take a second of a small connection.
+	configTimeout = 600 * time.Millisecond
 )
 
 // watchConfig passes changes of the configuration in the table service to the
@@ -76,7 +78,7 @@
 	if w.afterRevision == 0 || time.Now().After(w.rereadAt) {
 		return w.read(ctx)
 	}
-	limited, cancel := context.WithTimeout(ctx, configWait+configTimeout)
+	limited, cancel := storage.WithProgressTimeout(ctx, configWait+configTimeout, configTimeout)
 	defer cancel()
 	began := time.Now()
 	src := w.controller.config.source
@@ -96,7 +98,7 @@
 
 // read reads the row of the configuration and the revision to watch from.
 func (w *configWatch) read(ctx context.Context) bool {
-	limited, cancel := context.WithTimeout(ctx, configTimeout)
+	limited, cancel := storage.WithProgressTimeout(ctx, configTimeout, configTimeout)
 	defer cancel()
 	began := time.Now()
 	src := w.controller.config.source
--- a/internal/jobdaemon/storeproxy.go
+++ b/internal/jobdaemon/storeproxy.go
@@ -20,6 +20,7 @@
 }
 
 const (
+	// directTimeout bounds a transaction, and the time without progress of a read.
 	directTimeout     = 900 * time.Millisecond
 	peerCommitTimeout = time.Second
 	// peerFirstPeriod is how long after a failed call of its own a process sends
@@ -132,13 +133,13 @@
 }
 
 func (p *storeProxy) read(ctx context.Context, key string) (table.Row, error) {
-	limited, cancel := context.WithTimeout(ctx, directTimeout)
+	limited, cancel := storage.WithProgressTimeout(ctx, directTimeout, directTimeout)
 	defer cancel()
 	return p.store.Read(limited, key)
 }
 
 func (p *storeProxy) scan(ctx context.Context, prefix string) ([]table.Row, table.Revision, error) {
-	limited, cancel := context.WithTimeout(ctx, 2*directTimeout)
+	limited, cancel := storage.WithProgressTimeout(ctx, 2*directTimeout, directTimeout)
 	defer cancel()
 	return p.store.Scan(limited, prefix, 0)
 }
--- a/internal/storage/http.go
+++ b/internal/storage/http.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// DefaultTimeout bounds one operation at a platform service.
+	// DefaultTimeout bounds the time without progress of one operation at a
+	// platform service.
 	DefaultTimeout = 5 * time.Second
 	connectTimeout = 2 * time.Second
 	idleTimeout    = 90 * time.Second // after which an unused connection is closed
@@ -29,7 +30,7 @@
 // HTTPConfig holds the parameters of a client of a platform service.
 type HTTPConfig struct {
 	URL     string        // for example http://10.0.0.1:7000
-	Timeout time.Duration // of one operation; 0: DefaultTimeout
+	Timeout time.Duration // of one operation while nothing is received; 0: DefaultTimeout
 	// Dial opens a connection; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -80,9 +81,10 @@
 // Do sends a request and reads the whole response. The error is ErrRefused if
 // the request is invalid, ErrUnavailable if it was not sent (with
 // ErrNotListening if the connection was refused), and otherwise
-// ErrOutcomeUnknown, which also matches the error of a ctx that has ended.
+// ErrOutcomeUnknown, which also matches the error of a ctx that has ended. The
+// response extends the timeouts that WithProgressTimeout has set for ctx.
 func (c *HTTPClient) Do(ctx context.Context, r Request) (Response, error) {
-	callCtx, cancel := context.WithTimeout(ctx, c.timeout)
+	callCtx, cancel := WithProgressTimeout(ctx, c.timeout, c.timeout)
 	defer cancel()
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
@@ -100,11 +102,17 @@
 		// was sent, and a read has no effect.
 		var opErr *net.OpError
 		sent := connected && !(errors.As(err, &opErr) && opErr.Op == "dial")
+		if callCtx.Err() != nil {
+			err = context.Cause(callCtx)
+		}
 		return Response{}, transportError(ctx, sent, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
+	body, err := io.ReadAll(io.LimitReader(&progressReader{ctx: callCtx, Reader: resp.Body}, maxResponseBytes+1))
+	switch {
+	case err != nil && callCtx.Err() != nil:
+		err = context.Cause(callCtx)
+	case err == nil && len(body) > maxResponseBytes:
 		err = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	}
 	if err != nil {
@@ -135,7 +143,7 @@
 	if sent {
 		class = ErrOutcomeUnknown
 		if ctx.Err() != nil {
-			return fmt.Errorf("%w: %w: %v", class, ctx.Err(), cause)
+			return fmt.Errorf("%w: %w: %w", class, ctx.Err(), cause)
 		}
 	}
 	if errors.Is(cause, syscall.ECONNREFUSED) {
