jobdaemon: read the stored jobs as long as any scan makes progress

The same fault as in the reads of the configuration, at another place: a new owner scans ten prefixes at the same time, each bounded by 1.8 s. At 10 Mbit/s that is 2.2 MB in all; with more stored jobs an owner behind a small connection repeats the load without end and no job starts.

Change: the scans share one timeout, which any of them extends, so one that waits for the others' bytes is not given up.

Measured: TestStoredJobsAreReadOverASmallConnection (ten answers of 400 KB, 10 Mbit/s) fails with the bounds of each scan and passes now.

--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -56,8 +56,11 @@
 	err      error
 }
 
-// loadOnce scans all prefixes at the same time.
+// loadOnce scans all prefixes at the same time. The scans share one connection of
+// the host, so the load continues while one of them makes progress.
 func (c *controller) loadOnce(ctx context.Context) (*storedState, error) {
+	limited, cancel := storage.WithProgressTimeout(ctx, 2*directTimeout, directTimeout)
+	defer cancel()
 	prefixes := []string{progressPrefix, hostsPrefix}
 	for _, p := range jobParts {
 		prefixes = append(prefixes, "jobs/"+string(p)+"/")
@@ -65,8 +68,8 @@
 	replies := make([]actor.Reply[scanResult], len(prefixes))
 	for i, p := range prefixes {
 		replies[i] = actor.NewReply[scanResult]()
-		actor.Go(c.ownerGroup, "scan", func(ctx context.Context) error {
-			rows, revision, err := c.storeProxy.scan(ctx, p)
+		actor.Go(c.ownerGroup, "scan", func(context.Context) error {
+			rows, revision, err := c.storeProxy.store.Scan(limited, p, 0)
 			replies[i].Put(scanResult{rows, revision, err})
 			return nil
 		})
@@ -217,7 +220,7 @@
 }
 
 func (c *controller) watchOnce(ctx context.Context, after table.Revision) ([]table.Row, table.Revision, error) {
-	limited, cancel := context.WithTimeout(ctx, watchWait+directTimeout)
+	limited, cancel := storage.WithProgressTimeout(ctx, watchWait+directTimeout, directTimeout)
 	defer cancel()
 	return c.storeProxy.store.Watch(limited, "jobs/", after, watchWait)
 }
