jobdaemon: send configurations between entries in compressed chunks

Cause: an entry that is behind requests the version from a peer, which sends it whole over the connection that the store's answer fills already. The answer is bounded by a time, whatever its size, the next request goes to another peer, and a link that ends discards what had arrived.

Change: an entry requests a version chunk by chunk. The chunks are made once for each version and kept in place of the encoded configuration. Programs without chunks get it whole, as before.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -2,7 +2,9 @@
 // that its own watch of the table service does not deliver. Entries announce
 // only the number of the version that they use: a configuration of 203 KB that
 // each of 16 entries sent to all others took 2.4 s of a connection of 10 Mbit/s
-// for each version. The package does no input or output.
+// for each version. A configuration is requested chunk by chunk, so that no
+// timeout depends on its size, and a transfer that one peer does not finish
+// continues at another. The package does no input or output.
 package configsync
 
 import (
@@ -26,11 +28,15 @@
 	evTableFailed
 	evAskedLost
 	evLate
+	evChunk
+	evComplete
 )
 
 // The sum of tablePatience, answerTimeout and its first repetition, which is
 // twice as long, is below the 3 s within which a version has to be in force.
 const (
+	// installTimeout is the time for the installer to decode a configuration.
+	installTimeout = 2 * time.Second
 	// tablePatience is the time for the entry's own read: 270 KB, a large
 	// configuration in base64, take 0.2 s of a connection of 10 Mbit/s.
 	tablePatience = 500 * time.Millisecond
@@ -46,6 +52,10 @@
 type Request struct {
 	Peer string
 	Have uint64 // version in use at this entry; 0: none
+	// Version and Index name the chunk that is missing. Version 0 is the one in
+	// use at the peer.
+	Version uint64
+	Index   int
 }
 
 // Core is the state of one entry. It is not safe for concurrent use. Times are
@@ -64,6 +74,7 @@
 	requestCount int
 	unanswered   int // requests in succession that were not answered in time
 	requests     []Request
+	transfer     transfer
 }
 
 var syncChart = chart.MustCompile(charts.Files, Binding())
@@ -72,11 +83,13 @@
 func Binding() chart.Binding[Core] {
 	return chart.Binding[Core]{
 		Chart:   "configsync",
-		States:  []string{"current", "reading", "gathering", "asking"},
-		Events:  []string{"behind", "caughtUp", "advanced", "tableFailed", "askedLost", "late"},
+		States:  []string{"current", "reading", "gathering", "asking", "installing"},
+		Events:  []string{"behind", "caughtUp", "advanced", "tableFailed", "askedLost", "late", "chunk", "complete"},
 		Guards:  map[string]func(*Core) bool{"tableFailing": func(c *Core) bool { return c.tableFailing }},
-		Actions: map[string]func(*Core){"ask": (*Core).ask, "countUnanswered": func(c *Core) { c.unanswered++ }},
-		Delays:  map[string]time.Duration{"tablePatience": tablePatience, "gatherTime": gatherTime, "answerTimeout": answerTimeout},
+		Actions: map[string]func(*Core){"ask": (*Core).ask, "askNext": (*Core).askNext, "countUnanswered": func(c *Core) { c.unanswered++ }},
+		Delays: map[string]time.Duration{
+			"tablePatience": tablePatience, "gatherTime": gatherTime, "answerTimeout": answerTimeout, "installTimeout": installTimeout,
+		},
 	}
 }
 
@@ -134,6 +147,12 @@
 	c.now = now
 	c.have = max(c.have, version)
 	c.unanswered = 0
+	c.transfer.drop(c.have)
+	c.advance()
+}
+
+// advance leaves the request for a version that has arrived.
+func (c *Core) advance() {
 	if c.behind() {
 		c.step(evAdvanced)
 	} else {
@@ -145,10 +164,30 @@
 // waits for a higher one.
 func (c *Core) Undecodable(version uint64, now time.Duration) {
 	c.now = now
-	c.unusable = max(c.unusable, version)
-	if !c.behind() {
-		c.step(evCaughtUp)
+	if version <= c.unusable {
+		return
+	}
+	c.unusable = version
+	c.transfer.drop(c.unusable)
+	c.advance()
+}
+
+// Received applies a chunk that a peer sent. It returns all chunks of the version
+// when none is missing any more.
+func (c *Core) Received(chunk Chunk, now time.Duration) [][]byte {
+	c.now = now
+	if chunk.Version <= max(c.have, c.unusable) || !c.transfer.add(chunk) {
+		return nil
+	}
+	c.unanswered = 0
+	if !c.transfer.complete() {
+		c.step(evChunk)
+		return nil
 	}
+	chunks := c.transfer.chunks
+	c.transfer = transfer{}
+	c.step(evComplete)
+	return chunks
 }
 
 // TableAnswered applies the outcome of the newest call to the table service.
@@ -201,5 +240,10 @@
 	_, _ = hash.Write([]byte(c.self))
 	c.asked = peers[(int(hash.Sum32()%1024)+c.requestCount)%len(peers)]
 	c.requestCount++
-	c.requests = append(c.requests, Request{c.asked, c.have})
+	c.askNext()
+}
+
+// askNext requests the next chunk from the peer that was asked last.
+func (c *Core) askNext() {
+	c.requests = append(c.requests, Request{Peer: c.asked, Have: c.have, Version: c.transfer.version, Index: len(c.transfer.chunks)})
 }
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -51,7 +51,7 @@
 	require.ElementsMatch(t, []string{"e2", "e3"}, []string{first[0].Peer, second[0].Peer})
 	c.PeerDown(second[0].Peer, 950*ms)
 	third := c.Requests()
-	require.Equal(t, []Request{{first[0].Peer, 0}}, third)
+	require.Equal(t, []Request{{Peer: first[0].Peer}}, third)
 	c.Installed(7, 1000*ms)
 	c.Tick(5000 * ms)
 	require.Empty(t, c.Requests())
--- a/internal/jobdaemon/config.go
+++ b/internal/jobdaemon/config.go
@@ -1,6 +1,8 @@
 package jobdaemon
 
 import (
+	"time"
+
 	"github.com/apex/log"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
@@ -19,6 +21,10 @@
 	Decode func([]byte) (*workload.Config, error)
 }
 
+// maxServedConfigs is the number of versions that an entry sends to peers, so that
+// a transfer ends although newer versions follow each other.
+const maxServedConfigs = 4
+
 // configState is the configuration of an entry. The watcher and the links pass
 // encoded configurations to the installer, which decodes them; the controller
 // announces the version in use and requests what the watch does not deliver.
@@ -35,7 +41,8 @@
 
 	// The controller owns the rest.
 	sync      *configsync.Core
-	announced uint64 // version that the linked entries know to be in use here
+	announced uint64           // version that the linked entries know to be in use here
+	served    []*encodedConfig // newest last
 }
 
 // newConfigState starts the installer of a controller.
@@ -55,6 +62,7 @@
 	}
 	if installed := c.config.installed.Get(); installed != nil && installed.version > c.config.announced {
 		c.config.announced = installed.version
+		c.config.serve(installed)
 		c.config.sync.Installed(installed.version, now)
 		for _, l := range c.entryLinks() {
 			c.announceConfig(l)
@@ -66,12 +74,28 @@
 	c.config.sync.Tick(now)
 	for _, r := range c.config.sync.Requests() {
 		if l := c.entryLink(r.Peer); l != nil {
-			event.Log(c.log, event.ConfigRequested, log.Fields{"peer": r.Peer, "have": r.Have})
-			c.send(l, &msg.ConfigRequest{Have: model.ConfigVersion(r.Have)})
+			c.requestConfig(l, r)
 		}
 	}
 }
 
+// requestConfig sends a request to a peer, for the whole configuration if its
+// program does not send chunks.
+func (c *controller) requestConfig(l *peerLink, r configsync.Request) {
+	event.Log(c.log, event.ConfigRequested, log.Fields{"peer": r.Peer, "have": r.Have, "version": r.Version, "chunk": r.Index})
+	if l.hello.ConfigChunks {
+		c.send(l, &msg.ConfigChunkRequest{Have: r.Have, Version: r.Version, Index: r.Index})
+		return
+	}
+	c.send(l, &msg.ConfigRequest{Have: model.ConfigVersion(r.Have)})
+}
+
+// serve adds a version to those that are sent to peers.
+func (s *configState) serve(e *encodedConfig) {
+	s.served = append(s.served, e)
+	s.served = s.served[max(0, len(s.served)-maxServedConfigs):]
+}
+
 // announceConfig sends the version in use to an entry, and the configuration too
 // if the entry cannot request it.
 func (c *controller) announceConfig(l *peerLink) {
@@ -79,11 +103,21 @@
 	if installed == nil {
 		return
 	}
-	m := &msg.ConfigAnnounced{Version: installed.version}
 	if !l.hello.RequestsConfig {
-		m.Raw = installed.raw
+		c.sendWholeConfig(l, installed)
+		return
 	}
-	c.send(l, m)
+	c.send(l, &msg.ConfigAnnounced{Version: installed.version})
+}
+
+// sendWholeConfig sends a configuration to an entry of a former program.
+func (c *controller) sendWholeConfig(l *peerLink, e *encodedConfig) {
+	raw, err := e.bytes()
+	if err != nil {
+		event.Log(c.log, event.ConfigUnreadable, log.Fields{"error": err.Error(), "from": e.from})
+		return
+	}
+	c.send(l, &msg.ConfigAnnounced{Version: e.version, Raw: raw})
 }
 
 // configAnnounced applies a version that a peer announces, or its answer to a
@@ -102,6 +136,33 @@
 // version.
 func (c *controller) configRequested(l *peerLink, m *msg.ConfigRequest) {
 	if installed := c.config.installed.Get(); installed != nil && installed.version > uint64(m.Have) {
-		c.send(l, &msg.ConfigAnnounced{Version: installed.version, Raw: installed.raw})
+		c.sendWholeConfig(l, installed)
+	}
+}
+
+// configChunkRequested sends a chunk to a peer: of the version that it names, or
+// the first one of the version in use if that is no longer available.
+func (c *controller) configChunkRequested(l *peerLink, m *msg.ConfigChunkRequest) {
+	if len(c.config.served) == 0 {
+		return
+	}
+	served, index := c.config.served[len(c.config.served)-1], 0
+	for _, e := range c.config.served {
+		if e.version == m.Version && m.Index >= 0 && m.Index < len(e.chunks) {
+			served, index = e, m.Index
+		}
+	}
+	if served.version > m.Have {
+		c.send(l, &msg.ConfigChunk{Version: served.version, Index: index, Count: len(served.chunks), Data: served.chunks[index]})
+	}
+}
+
+// configChunkReceived applies a chunk, and passes a complete configuration to the
+// installer.
+func (c *controller) configChunkReceived(m *msg.ConfigChunk) {
+	chunk := configsync.Chunk{Version: m.Version, Index: m.Index, Count: m.Count, Data: m.Data}
+	if chunks := c.config.sync.Received(chunk, c.now()); chunks != nil {
+		// If the mailbox is full, the configuration is requested again.
+		c.config.installer.TrySend(&encodedConfig{chunks: chunks, version: m.Version, from: fromPeer, receivedAt: time.Now()})
 	}
 }
--- a/internal/jobdaemon/config_messages_test.go
+++ b/internal/jobdaemon/config_messages_test.go
@@ -30,7 +30,7 @@
 	var list []msg.Control
 	for len(p.sent) > 0 {
 		switch m := (<-p.sent).(type) {
-		case *msg.ConfigAnnounced, *msg.ConfigRequest:
+		case *msg.ConfigAnnounced, *msg.ConfigRequest, *msg.ConfigChunk, *msg.ConfigChunkRequest:
 			list = append(list, m)
 		}
 	}
@@ -149,3 +149,36 @@
 	require.Equal(t, []*encodedConfig{read(4), sent(5)}, newestConfigs([]*encodedConfig{read(1), sent(5), read(4), sent(3)}))
 	require.Equal(t, []*encodedConfig{sent(3)}, newestConfigs([]*encodedConfig{sent(2), sent(3)}))
 }
+
+// Guards against a request that is answered with a chunk of another version than
+// the receiver assumes, and against versions that replace each other before a peer
+// has all their chunks.
+func TestEntryServesChunksOfItsRecentVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := actor.NewGroup(t.Context(), nil)
+		defer g.Stop()
+		e := newConfigEntryUnderTest(g)
+		peer := e.addPeer(g, "peer", true)
+		for v := byte(1); v <= maxServedConfigs+1; v++ {
+			e.config.installer.TrySend(newEncodedConfig([]byte{v}, 0, fromStore))
+			synctest.Wait()
+			e.flush()
+		}
+		peer.take()
+		answer := func(have, version uint64) uint64 {
+			e.received(peer.link, &msg.ConfigChunkRequest{Have: have, Version: version})
+			sent := peer.take()
+			if len(sent) == 0 {
+				return 0
+			}
+			return sent[0].(*msg.ConfigChunk).Version
+		}
+		newest := uint64(maxServedConfigs + 1)
+		require.EqualValues(t, 2, answer(0, 2), "the oldest that is kept")
+		require.Equal(t, newest, answer(0, 1), "no longer kept")
+		require.Equal(t, newest, answer(0, 0))
+		require.Zero(t, answer(newest, 0))
+		e.received(peer.link, &msg.ConfigChunkRequest{Version: newest, Index: 9})
+		require.Equal(t, 0, peer.take()[0].(*msg.ConfigChunk).Index, "an index that does not exist")
+	})
+}
--- a/internal/jobdaemon/configinstall.go
+++ b/internal/jobdaemon/configinstall.go
@@ -6,7 +6,9 @@
 
 	"github.com/apex/log"
 
+	"github.com/bambooscale/bambooscale/internal/configchunk"
 	"github.com/bambooscale/bambooscale/internal/event"
+	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
 // installerMailbox is small: what waits in it is replaced by a newer version.
@@ -20,12 +22,34 @@
 
 // encodedConfig is a configuration in the operators' encoding.
 type encodedConfig struct {
-	raw        []byte
-	version    uint64 // 0: not decoded yet
+	raw        []byte   // nil once it is divided into chunks
+	chunks     [][]byte // see package configchunk; nil: not divided yet
+	version    uint64   // 0: not decoded yet
 	from       string
 	receivedAt time.Time
 }
 
+// bytes returns the configuration in the operators' encoding.
+func (e *encodedConfig) bytes() ([]byte, error) {
+	if e.chunks == nil {
+		return e.raw, nil
+	}
+	return configchunk.Join(e.chunks)
+}
+
+// divide replaces the configuration by its chunks, which take about a tenth of
+// its memory.
+func (e *encodedConfig) divide() error {
+	if e.chunks != nil {
+		return nil
+	}
+	chunks, err := configchunk.Split(e.raw)
+	if err == nil {
+		e.chunks, e.raw = chunks, nil
+	}
+	return err
+}
+
 func newEncodedConfig(raw []byte, version uint64, from string) *encodedConfig {
 	return &encodedConfig{raw: raw, version: version, from: from, receivedAt: time.Now()}
 }
@@ -79,13 +103,23 @@
 	return newest
 }
 
+// decode returns a configuration and the number of its encoded bytes.
+func (i *configInstaller) decode(e *encodedConfig) (*workload.Config, int, error) {
+	raw, err := e.bytes()
+	if err != nil {
+		return nil, 0, err
+	}
+	config, err := i.state.source.Decode(raw)
+	return config, len(raw), err
+}
+
 // install decodes a configuration and brings it into use if its version is
 // higher than the present one.
 func (i *configInstaller) install(e *encodedConfig) {
 	if e.version != 0 && e.version <= i.version {
 		return
 	}
-	config, err := i.state.source.Decode(e.raw)
+	config, size, err := i.decode(e)
 	if err != nil {
 		event.Log(i.log, event.ConfigUnreadable, log.Fields{"error": err.Error(), "from": e.from})
 		if e.from == fromPeer {
@@ -98,10 +132,14 @@
 	}
 	i.version, e.version = config.Version, config.Version
 	i.state.inUse.Set(config)
+	if err := e.divide(); err != nil {
+		event.Log(i.log, event.ConfigUnreadable, log.Fields{"error": err.Error(), "from": e.from})
+		return // the entry uses the version and does not send it to peers
+	}
 	i.state.installed.Set(e)
 	delay := time.Since(e.receivedAt)
 	i.metrics.recordConfig(e.from, delay)
 	event.Log(i.log, event.ConfigInForce, log.Fields{
-		"version": config.Version, "from": e.from, "queues": len(config.Queues), "bytes": len(e.raw), "install-ms": delay.Milliseconds(),
+		"version": config.Version, "from": e.from, "queues": len(config.Queues), "bytes": size, "install-ms": delay.Milliseconds(),
 	})
 }
--- a/internal/jobdaemon/configsite_test.go
+++ b/internal/jobdaemon/configsite_test.go
@@ -322,7 +322,7 @@
 	listener, err := s.net.Listen(name)
 	require.NoError(s.t, err)
 	e.controller = c
-	links := &links{group: s.group, send: c.address.Send, hello: func() *msg.PeerHello { return &msg.PeerHello{Member: c.self, RequestsConfig: true} }}
+	links := &links{group: s.group, send: c.address.Send, hello: func() *msg.PeerHello { return &msg.PeerHello{Member: c.self, RequestsConfig: true, ConfigChunks: true} }}
 	e.links = links
 	actor.Go(s.group, "link acceptor", func(ctx context.Context) error {
 		for {
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -125,6 +125,10 @@
 		c.configAnnounced(l, m)
 	case *msg.ConfigRequest:
 		c.configRequested(l, m)
+	case *msg.ConfigChunkRequest:
+		c.configChunkRequested(l, m)
+	case *msg.ConfigChunk:
+		c.configChunkReceived(m)
 	case *msg.StoreCall:
 		c.commitForPeer(l, m)
 	case *msg.StoreResult:
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -125,7 +125,7 @@
 // hello returns the first message on a new link. Any goroutine may call it.
 func (c *controller) hello(cfg EntryConfig) *msg.PeerHello {
 	h := &msg.PeerHello{
-		Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ProcessorShare: cfg.ProcessorShare,
+		Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ConfigChunks: true, ProcessorShare: cfg.ProcessorShare,
 	}
 	if epoch := c.published.epoch.Get(); epoch != nil {
 		h.Epoch = *epoch
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -29,6 +29,8 @@
 	// or the sender is an agent.
 	ProcessorShare model.MilliCPU
 	Phases         PhaseMark // phases that the sender has; of an entry
+	// ConfigChunks says that the sender, an entry, answers ConfigChunkRequest.
+	ConfigChunks bool
 	// FollowsHeartbeat says that the sender, an agent, sends its heartbeats at the
 	// interval that the peer announces, and expects those of the peer at it.
 	FollowsHeartbeat bool
@@ -206,6 +208,23 @@
 	Raw     []byte // in the encoding of the store
 }
 
+// ConfigChunkRequest asks an entry for a chunk of a version of the operators'
+// configuration. An entry that does not have the version any more answers with
+// the first chunk of the version that it uses, if it is higher than Have.
+type ConfigChunkRequest struct {
+	Have    uint64 // version in use at the sender; 0: none
+	Version uint64 // 0: the one in use at the receiver
+	Index   int    // of the chunk, from 0
+}
+
+// ConfigChunk is one of the chunks of a version of the operators' configuration
+// (package configchunk).
+type ConfigChunk struct {
+	Version      uint64
+	Index, Count int
+	Data         []byte
+}
+
 // StoreCall asks a peer to commit a transaction, because the sender cannot reach
 // the table service.
 type StoreCall struct {
@@ -221,21 +240,23 @@
 	Rows     []table.Row // after a conflict: the rows of the failed checks
 }
 
-func (*PeerHello) isControl()         {}
-func (*Members) isControl()           {}
-func (*HostAnnounced) isControl()     {}
-func (*OwnerClaim) isControl()        {}
-func (*HostInventory) isControl()     {}
-func (*InventoryAccepted) isControl() {}
-func (*StartRuns) isControl()         {}
-func (*StopRuns) isControl()          {}
-func (*RunsChanged) isControl()       {}
-func (*RunsProgress) isControl()      {}
-func (*LeaseGrant) isControl()        {}
-func (*EndsAcknowledged) isControl()  {}
-func (*JobSubmitted) isControl()      {}
-func (*JobCancelled) isControl()      {}
-func (*JobPhases) isControl()         {}
-func (*ConfigAnnounced) isControl()   {}
-func (*StoreCall) isControl()         {}
-func (*StoreResult) isControl()       {}
+func (*PeerHello) isControl()          {}
+func (*Members) isControl()            {}
+func (*HostAnnounced) isControl()      {}
+func (*OwnerClaim) isControl()         {}
+func (*HostInventory) isControl()      {}
+func (*InventoryAccepted) isControl()  {}
+func (*StartRuns) isControl()          {}
+func (*StopRuns) isControl()           {}
+func (*RunsChanged) isControl()        {}
+func (*RunsProgress) isControl()       {}
+func (*LeaseGrant) isControl()         {}
+func (*EndsAcknowledged) isControl()   {}
+func (*JobSubmitted) isControl()       {}
+func (*JobCancelled) isControl()       {}
+func (*JobPhases) isControl()          {}
+func (*ConfigAnnounced) isControl()    {}
+func (*ConfigChunkRequest) isControl() {}
+func (*ConfigChunk) isControl()        {}
+func (*StoreCall) isControl()          {}
+func (*StoreResult) isControl()        {}
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -26,7 +26,7 @@
 	{"internal/chart", "internal/model", "internal/actor"},
 	{"internal/msg", "internal/labels"},
 	{"internal/policy/", "internal/wire"},
-	{"internal/link", "internal/storage", "internal/rows", "internal/metrics", "internal/settings", "internal/load", "internal/logsink", "internal/httpserve"},
+	{"internal/link", "internal/storage", "internal/rows", "internal/metrics", "internal/settings", "internal/load", "internal/logsink", "internal/httpserve", "internal/configchunk"},
 	{"internal/peer", "internal/directory", "internal/runner", "internal/jobapi"},
 	{"internal/entry", "internal/agent", "internal/taskagent", "internal/control", "internal/configstore", "internal/jobs", "internal/hostagent", "internal/ownership", "internal/drain", "internal/configsync"},
 	{"internal/operator", "internal/standin", "internal/jobdaemon", "platform"},
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -20,6 +20,7 @@
 			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
 			RequestsConfig: m.RequestsConfig, ProcessorShare: int64(m.ProcessorShare),
 			PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo, FollowsHeartbeat: m.FollowsHeartbeat,
+			ConfigChunks: m.ConfigChunks,
 		}}
 	case *msg.Members:
 		p.Kind = &pb.Control_Members{Members: &pb.Members{Entries: mapSlice(m.Entries, memberToProto)}}
@@ -66,6 +67,10 @@
 		p.Kind = &pb.Control_JobPhases{JobPhases: &pb.JobPhases{Epoch: m.Epoch, UpTo: m.UpTo, Jobs: mapSlice(m.Jobs, jobPhaseToProto)}}
 	case *msg.ConfigAnnounced:
 		p.Kind = &pb.Control_ConfigAnnounced{ConfigAnnounced: &pb.ConfigAnnounced{Version: m.Version, Raw: m.Raw}}
+	case *msg.ConfigChunkRequest:
+		p.Kind = &pb.Control_ConfigChunkRequest{ConfigChunkRequest: &pb.ConfigChunkRequest{Have: m.Have, Version: m.Version, Index: int64(m.Index)}}
+	case *msg.ConfigChunk:
+		p.Kind = &pb.Control_ConfigChunk{ConfigChunk: &pb.ConfigChunk{Version: m.Version, Index: int64(m.Index), Count: int64(m.Count), Data: m.Data}}
 	case *msg.StoreCall:
 		p.Kind = &pb.Control_StoreCall{StoreCall: storeCallToProto(m)}
 	case *msg.StoreResult:
@@ -89,6 +94,7 @@
 			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(), RequestsConfig: h.GetRequestsConfig(),
 			ProcessorShare: model.MilliCPU(h.GetProcessorShare()),
 			Phases:         msg.PhaseMark{Epoch: h.GetPhasesEpoch(), UpTo: h.GetPhasesUpTo()}, FollowsHeartbeat: h.GetFollowsHeartbeat(),
+			ConfigChunks: h.GetConfigChunks(),
 		}, nil
 	case *pb.Control_Members:
 		return &msg.Members{Entries: mapSlice(k.Members.GetEntries(), memberFromProto)}, nil
@@ -136,6 +142,12 @@
 		return jobPhasesFromProto(k.JobPhases)
 	case *pb.Control_ConfigAnnounced:
 		return &msg.ConfigAnnounced{Version: k.ConfigAnnounced.GetVersion(), Raw: k.ConfigAnnounced.GetRaw()}, nil
+	case *pb.Control_ConfigChunkRequest:
+		r := k.ConfigChunkRequest
+		return &msg.ConfigChunkRequest{Have: r.GetHave(), Version: r.GetVersion(), Index: int(r.GetIndex())}, nil
+	case *pb.Control_ConfigChunk:
+		c := k.ConfigChunk
+		return &msg.ConfigChunk{Version: c.GetVersion(), Index: int(c.GetIndex()), Count: int(c.GetCount()), Data: c.GetData()}, nil
 	case *pb.Control_StoreCall:
 		return storeCallFromProto(k.StoreCall), nil
 	case *pb.Control_StoreResult:
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -77,6 +77,8 @@
 	register[msg.JobCancelled]("JobCancelled")
 	register[msg.JobPhases]("JobPhases")
 	register[msg.ConfigAnnounced]("ConfigAnnounced")
+	register[msg.ConfigChunkRequest]("ConfigChunkRequest")
+	register[msg.ConfigChunk]("ConfigChunk")
 	register[msg.StoreCall]("StoreCall")
 	register[msg.StoreResult]("StoreResult")
 	register[msg.RequestHead]("RequestHead")
