jobdaemon: three entries watch the configuration for all

Cause: each entry reads each version from the store, in base64 and in one piece: 1.14 MB keep all else away from 10 Mbit/s for 0.92 s, beside heartbeats of 300 ms and links that end after 1.2 s. A store has no shorter answer, and each further version between two watches adds another copy (2.6 MB in one answer). Links that end cost the transfer, a member list and the phases again, which fill the connection further.

Change: an entry watches unless three linked entries with faster connections say that they do and that their newest call succeeded (charts/configwatch.scxml). The others request what these announce, as chunks. A failed watch is announced, a silent entry loses its link, and the next in order begin. Entries announce the rate of their connection (setting link-mbps). Former programs announce nothing and are not counted.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -58,19 +58,29 @@
 	Index   int
 }
 
+// peer is a linked entry.
+type peer struct {
+	version  uint64 // in use there; 0: not known
+	linkRate int64  // of its connection in bits per second; 0: not known
+	watches  bool   // it says that it watches the table service
+}
+
 // Core is the state of one entry. It is not safe for concurrent use. Times are
 // durations on the entry's monotonic clock.
 type Core struct {
 	self      string
+	linkRate  int64 // of the entry's connection in bits per second; 0: not known
 	now       time.Duration
 	state     chart.State
 	timeoutAt time.Duration // when the state's timeout expires; 0: none
 
-	have         uint64            // version in use; 0: none
-	announced    map[string]uint64 // versions in use at the linked peers, by name
-	tableFailing bool              // the newest call to the table service failed
-	unusable     uint64            // highest version that this entry cannot decode; 0: none
-	asked        string            // peer of the newest request
+	have         uint64          // version in use; 0: none
+	peers        map[string]peer // linked entries by name
+	watchState   chart.State
+	tableRead    bool   // the newest call to the table service succeeded
+	tableFailing bool   // the newest call to the table service failed
+	unusable     uint64 // highest version that this entry cannot decode; 0: none
+	asked        string // peer of the newest request
 	requestCount int
 	unanswered   int // requests in succession that were not answered in time
 	requests     []Request
@@ -85,7 +95,7 @@
 		Chart:   "configsync",
 		States:  []string{"current", "reading", "gathering", "asking", "installing"},
 		Events:  []string{"behind", "caughtUp", "advanced", "tableFailed", "askedLost", "late", "chunk", "complete"},
-		Guards:  map[string]func(*Core) bool{"tableFailing": func(c *Core) bool { return c.tableFailing }},
+		Guards:  map[string]func(*Core) bool{"tableUnread": func(c *Core) bool { return c.tableFailing || c.Follows() }},
 		Actions: map[string]func(*Core){"ask": (*Core).ask, "askNext": (*Core).askNext, "countUnanswered": func(c *Core) { c.unanswered++ }},
 		Delays: map[string]time.Duration{
 			"tablePatience": tablePatience, "gatherTime": gatherTime, "answerTimeout": answerTimeout, "installTimeout": installTimeout,
@@ -93,9 +103,10 @@
 	}
 }
 
-// New returns the state of an entry that has no configuration.
-func New(self string) *Core {
-	return &Core{self: self, announced: map[string]uint64{}, state: syncChart.Initial()}
+// New returns the state of an entry that has no configuration. linkRate is the
+// rate of its connection in bits per second; 0: not known.
+func New(self string, linkRate int64) *Core {
+	return &Core{self: self, linkRate: linkRate, peers: map[string]peer{}, state: syncChart.Initial(), watchState: watchChart.Initial()}
 }
 
 // step applies an event. A transition restarts the timeout of the state.
@@ -121,23 +132,36 @@
 	return d
 }
 
-// Announced applies the version in use at a linked peer that answers requests.
-func (c *Core) Announced(peer string, version uint64, now time.Duration) {
+// PeerUp records a linked entry and the rate of its connection in bits per second.
+func (c *Core) PeerUp(name string, linkRate int64) {
+	p := c.peers[name]
+	p.linkRate = linkRate
+	c.peers[name] = p
+	c.chooseWatch()
+}
+
+// Announced applies the version in use at a linked peer that answers requests, and
+// whether it watches the table service.
+func (c *Core) Announced(name string, version uint64, watches bool, now time.Duration) {
 	c.now = now
-	c.announced[peer] = max(c.announced[peer], version)
+	p := c.peers[name]
+	p.version, p.watches = max(p.version, version), watches
+	c.peers[name] = p
+	c.chooseWatch()
 	if c.behind() {
 		c.step(evBehind)
 	}
 }
 
 // PeerDown records that a peer is no longer linked.
-func (c *Core) PeerDown(peer string, now time.Duration) {
+func (c *Core) PeerDown(name string, now time.Duration) {
 	c.now = now
-	delete(c.announced, peer)
+	delete(c.peers, name)
+	c.chooseWatch()
 	switch {
 	case !c.behind():
 		c.step(evCaughtUp)
-	case peer == c.asked:
+	case name == c.asked:
 		c.step(evAskedLost)
 	}
 }
@@ -193,7 +217,10 @@
 // TableAnswered applies the outcome of the newest call to the table service.
 func (c *Core) TableAnswered(ok bool, now time.Duration) {
 	c.now = now
-	c.tableFailing = !ok
+	if c.Follows() {
+		return // the answer of a call that was made before
+	}
+	c.tableRead, c.tableFailing = ok, !ok
 	if !ok {
 		c.step(evTableFailed)
 	}
@@ -217,8 +244,8 @@
 // highest returns the highest version in use at a linked peer.
 func (c *Core) highest() uint64 {
 	var highest uint64
-	for _, v := range c.announced {
-		highest = max(highest, v)
+	for _, p := range c.peers {
+		highest = max(highest, p.version)
 	}
 	return highest
 }
@@ -230,8 +257,8 @@
 func (c *Core) ask() {
 	highest := c.highest()
 	var peers []string
-	for name, v := range c.announced {
-		if v == highest {
+	for name, p := range c.peers {
+		if p.version == highest {
 			peers = append(peers, name)
 		}
 	}
--- a/internal/configsync/transfer_test.go
+++ b/internal/configsync/transfer_test.go
@@ -16,10 +16,10 @@
 // behindTwoPeers returns an entry that does not read the table service and has
 // requested version 7 of e2 or e3, and the peer that it asked.
 func behindTwoPeers(t require.TestingT) (*Core, string) {
-	c := New("e1")
+	c := New("e1", 0)
 	c.TableAnswered(false, 0)
-	c.Announced("e2", 7, 0)
-	c.Announced("e3", 7, 0)
+	c.Announced("e2", 7, false, 0)
+	c.Announced("e3", 7, false, 0)
 	c.Tick(gatherTime)
 	requests := c.Requests()
 	require.Len(t, requests, 1)
--- a/internal/jobdaemon/config.go
+++ b/internal/jobdaemon/config.go
@@ -31,28 +31,42 @@
 type configState struct {
 	source    ConfigSource
 	installer actor.Address[*encodedConfig]
+	// watcher is told whether the entry leaves the watch to others.
+	watcher actor.Address[bool]
 	// Set by the installer. Only a higher version replaces one.
 	inUse     *actor.Value[workload.Config] // for callers
 	installed actor.Value[encodedConfig]    // encoded form of the configuration in use
 	// undecodable is the version that a peer sent and that could not be decoded.
 	undecodable actor.Value[uint64]
-	// Set by the watcher: whether its newest call to the table service succeeded.
+	// Set by the watcher: whether its newest call to the table service succeeded;
+	// nil: it has made none since it began to watch.
 	tableAnswers actor.Value[bool]
 
 	// The controller owns the rest.
 	sync      *configsync.Core
 	announced uint64           // version that the linked entries know to be in use here
+	watches   bool             // the linked entries know that this entry watches the table service
+	follows   bool             // the watcher knows that it leaves the watch to others
 	served    []*encodedConfig // newest last
 }
 
-// newConfigState starts the installer of a controller.
-func newConfigState(g *actor.Group, c *controller, source ConfigSource, inUse *actor.Value[workload.Config]) *configState {
-	s := &configState{source: source, inUse: inUse, sync: configsync.New(c.self.Name)}
+// watcherMailbox holds what the watcher is told during one call.
+const watcherMailbox = 4
+
+// newConfigState starts the installer of a controller. linkRate is the rate of
+// the entry's connection in bits per second; 0: not known.
+func newConfigState(g *actor.Group, c *controller, source ConfigSource, inUse *actor.Value[workload.Config], linkRate int64) *configState {
+	s := &configState{source: source, inUse: inUse, sync: configsync.New(c.self.Name, linkRate)}
 	i := &configInstaller{state: s, log: c.log, metrics: c.metrics}
 	s.installer = actor.Spawn(g, actor.Spec[*encodedConfig]{Name: "config installer", Mailbox: installerMailbox, Run: i.run})
 	return s
 }
 
+// startConfigWatch starts the watcher of the table service.
+func (c *controller) startConfigWatch() {
+	c.config.watcher = actor.Spawn(c.group, actor.Spec[bool]{Name: "config watcher", Mailbox: watcherMailbox, Run: c.watchConfig})
+}
+
 // syncConfig announces a version that came into use, and sends the requests that
 // are due.
 func (c *controller) syncConfig() {
@@ -60,6 +74,7 @@
 	if ok := c.config.tableAnswers.Get(); ok != nil {
 		c.config.sync.TableAnswered(*ok, now)
 	}
+	c.syncWatch()
 	if installed := c.config.installed.Get(); installed != nil && installed.version > c.config.announced {
 		c.config.announced = installed.version
 		c.config.serve(installed)
@@ -79,6 +94,23 @@
 	}
 }
 
+// syncWatch tells the watcher whether to watch the table service, and the linked
+// entries whether it does. What a full mailbox refuses is sent with the next batch.
+func (c *controller) syncWatch() {
+	if follows := c.config.sync.Follows(); follows != c.config.follows && c.config.watcher.TrySend(follows) {
+		c.config.follows = follows
+	}
+	if watches := c.config.sync.Watches(); watches != c.config.watches {
+		c.config.watches = watches
+		event.Log(c.log, event.ConfigWatchChanged, log.Fields{"watches": watches, "follows": c.config.follows})
+		for _, l := range c.entryLinks() {
+			if l.hello.RequestsConfig { // others would get the configuration again
+				c.announceConfig(l)
+			}
+		}
+	}
+}
+
 // requestConfig sends a request to a peer, for the whole configuration if its
 // program does not send chunks.
 func (c *controller) requestConfig(l *peerLink, r configsync.Request) {
@@ -96,18 +128,22 @@
 	s.served = s.served[max(0, len(s.served)-maxServedConfigs):]
 }
 
-// announceConfig sends the version in use to an entry, and the configuration too
-// if the entry cannot request it.
+// announceConfig sends the version in use to an entry, and whether this entry
+// watches the table service. An entry that cannot request the configuration gets
+// it too.
 func (c *controller) announceConfig(l *peerLink) {
 	installed := c.config.installed.Get()
-	if installed == nil {
+	m := &msg.ConfigAnnounced{Watches: c.config.watches}
+	switch {
+	case installed == nil && !m.Watches:
 		return
-	}
-	if !l.hello.RequestsConfig {
+	case installed != nil && !l.hello.RequestsConfig:
 		c.sendWholeConfig(l, installed)
 		return
+	case installed != nil:
+		m.Version = installed.version
 	}
-	c.send(l, &msg.ConfigAnnounced{Version: installed.version})
+	c.send(l, m)
 }
 
 // sendWholeConfig sends a configuration to an entry of a former program.
@@ -124,7 +160,7 @@
 // request. Peers that do not set RequestsConfig send each version whole.
 func (c *controller) configAnnounced(l *peerLink, m *msg.ConfigAnnounced) {
 	if l.hello.RequestsConfig {
-		c.config.sync.Announced(l.hello.Member.Name, m.Version, c.now())
+		c.config.sync.Announced(l.hello.Member.Name, m.Version, m.Watches, c.now())
 	}
 	if len(m.Raw) > 0 && m.Version > c.config.announced {
 		// If the mailbox is full, the request is repeated.
--- a/internal/jobdaemon/config_messages_test.go
+++ b/internal/jobdaemon/config_messages_test.go
@@ -58,7 +58,7 @@
 			return nil, errors.New("empty configuration")
 		}
 		return &workload.Config{Version: uint64(raw[0])}, nil
-	}}, &actor.Value[workload.Config]{})
+	}}, &actor.Value[workload.Config]{}, 0)
 	e.controller = c
 	return e
 }
--- a/internal/jobdaemon/config_test.go
+++ b/internal/jobdaemon/config_test.go
@@ -67,7 +67,7 @@
 			}}),
 		}
 		done := make(chan error, 1)
-		go func() { done <- c.watchConfig(ctx) }()
+		go func() { done <- c.watchConfig(ctx, nil) }()
 		const duration = 20 * time.Second
 		time.Sleep(duration)
 		cancel()
@@ -110,7 +110,7 @@
 			storeProxy: &storeProxy{store: store}, published: &published{},
 		}
 		done := make(chan error, 1)
-		go func() { done <- c.watchConfig(ctx) }()
+		go func() { done <- c.watchConfig(ctx, nil) }()
 		const duration = 20 * time.Second
 		time.Sleep(duration)
 		cancel()
--- a/internal/jobdaemon/configsite_test.go
+++ b/internal/jobdaemon/configsite_test.go
@@ -316,13 +316,15 @@
 		}
 		return &workload.Config{Version: binary.BigEndian.Uint64(raw)}, nil
 	}}
-	c.config = newConfigState(s.group, c, source, e.inUse)
+	c.config = newConfigState(s.group, c, source, e.inUse, int64(rate*8))
 	c.storeProxy = &storeProxy{store: e.client, log: l}
 	c.address = actor.Spawn(s.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: c.loop().Run})
 	listener, err := s.net.Listen(name)
 	require.NoError(s.t, err)
 	e.controller = c
-	links := &links{group: s.group, send: c.address.Send, hello: func() *msg.PeerHello { return &msg.PeerHello{Member: c.self, RequestsConfig: true, ConfigChunks: true} }}
+	links := &links{group: s.group, send: c.address.Send, hello: func() *msg.PeerHello {
+		return &msg.PeerHello{Member: c.self, RequestsConfig: true, ConfigChunks: true, LinkRate: int64(rate * 8)}
+	}}
 	e.links = links
 	actor.Go(s.group, "link acceptor", func(ctx context.Context) error {
 		for {
@@ -335,7 +337,7 @@
 			})
 		}
 	})
-	actor.Go(s.group, "config watcher", c.watchConfig)
+	c.startConfigWatch()
 	return e
 }
 
--- a/internal/jobdaemon/configwatch.go
+++ b/internal/jobdaemon/configwatch.go
@@ -27,10 +27,10 @@
 )
 
 // watchConfig passes changes of the configuration in the table service to the
-// installer until ctx ends.
-func (c *controller) watchConfig(ctx context.Context) error {
+// installer until ctx ends, except while it is told to leave the watch to others.
+func (c *controller) watchConfig(ctx context.Context, in <-chan bool) error {
 	w := configWatch{controller: c}
-	for ctx.Err() == nil {
+	for w.awaitTurn(ctx, in) {
 		if !w.poll(ctx) && !actor.Sleep(ctx, configRetryInterval) {
 			return nil
 		}
@@ -38,6 +38,24 @@
 	return nil
 }
 
+// awaitTurn waits while the entry leaves the watch to others. It reports false
+// when ctx has ended.
+func (w *configWatch) awaitTurn(ctx context.Context, in <-chan bool) bool {
+	for len(in) > 0 {
+		w.follows = <-in
+	}
+	for w.follows && ctx.Err() == nil {
+		w.afterRevision = 0 // the history may end before the next turn
+		w.failing = false
+		w.controller.config.tableAnswers.Set(nil)
+		select {
+		case w.follows = <-in:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err() == nil
+}
+
 // configWatch is the state of the actor that watches the configuration.
 type configWatch struct {
 	controller    *controller
@@ -45,6 +63,7 @@
 	forwarded     table.Revision // version of the row that was passed on
 	rereadAt      time.Time
 	failing       bool // the newest call failed
+	follows       bool // others watch for this entry
 }
 
 // record records the outcome of a call to the table service. It logs the first
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -36,6 +36,7 @@
 	c.owner.PeerUp(name, m.hello.ProcessorShare)
 	c.addMembers([]msg.Member{m.hello.Member}, m.id)
 	c.publishLinked()
+	c.config.sync.PeerUp(name, m.hello.LinkRate)
 	c.announceConfig(l)
 	if c.jobs != nil {
 		c.send(l, &msg.OwnerClaim{Epoch: c.jobs.Epoch(), Owner: c.self.Name})
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -38,8 +38,11 @@
 	GracePeriod time.Duration
 	// ProcessorShare is that of the host; 0 if it is not known.
 	ProcessorShare model.MilliCPU
-	Store          Store
-	Config         ConfigSource
+	// LinkRate is that of the host's network connection in bits per second; 0 if it
+	// is not known.
+	LinkRate int64
+	Store    Store
+	Config   ConfigSource
 	// The handlers decode requests and encode answers.
 	CallerHandler    func(jobapi.Handler) http.Handler
 	ReadinessHandler func(jobapi.Handler) http.Handler
@@ -92,7 +95,7 @@
 		phases: newPhaseCache(), owner: ownership.New(cfg.Name, cfg.Boot, cfg.ProcessorShare, 0), published: &published{},
 		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
 	}
-	c.config = newConfigState(g, c, cfg.Config, configInUse)
+	c.config = newConfigState(g, c, cfg.Config, configInUse, cfg.LinkRate)
 	c.storeProxy = &storeProxy{store: cfg.Store, commitViaPeer: c.commitViaPeer, log: cfg.Log}
 	return c
 }
@@ -102,7 +105,7 @@
 func (c *controller) start(loop actor.BatchLoop[any], linkGroup *actor.Group, cfg EntryConfig, listener link.Listener, dial link.Dialer) {
 	c.address = actor.Spawn(c.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: loop.Run})
 	c.startLinks(linkGroup, cfg, listener, dial)
-	actor.Go(c.group, "config watcher", c.watchConfig)
+	c.startConfigWatch()
 	actor.Go(c.group, "member keeper", c.maintainMembers)
 }
 
@@ -125,7 +128,7 @@
 // hello returns the first message on a new link. Any goroutine may call it.
 func (c *controller) hello(cfg EntryConfig) *msg.PeerHello {
 	h := &msg.PeerHello{
-		Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ConfigChunks: true, ProcessorShare: cfg.ProcessorShare,
+		Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ConfigChunks: true, ProcessorShare: cfg.ProcessorShare, LinkRate: cfg.LinkRate,
 	}
 	if epoch := c.published.epoch.Get(); epoch != nil {
 		h.Epoch = *epoch
--- a/internal/jobdaemon/phasesite_test.go
+++ b/internal/jobdaemon/phasesite_test.go
@@ -139,7 +139,7 @@
 	if index > 0 {
 		e.c.owner.Retire(0)
 	}
-	e.c.config = newConfigState(e.group, e.c, ConfigSource{}, &actor.Value[workload.Config]{})
+	e.c.config = newConfigState(e.group, e.c, ConfigSource{}, &actor.Value[workload.Config]{}, 0)
 	e.c.storeProxy = &storeProxy{store: s.table, log: l}
 	e.c.address = actor.Spawn(e.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: func(ctx context.Context, in <-chan any) error {
 		return actor.BatchLoop[any]{Limit: maxBatch, Interval: controllerTick, Tick: e.c.tick, Flush: e.c.flush, Pending: e.c.planPending, Apply: func(m any) {
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -28,7 +28,10 @@
 	// ProcessorShare is that of the host of an entry. It is 0 if it is not known
 	// or the sender is an agent.
 	ProcessorShare model.MilliCPU
-	Phases         PhaseMark // phases that the sender has; of an entry
+	// LinkRate is that of the network connection of an entry's host, in bits per
+	// second. It is 0 if it is not known or the sender is an agent.
+	LinkRate int64
+	Phases   PhaseMark // phases that the sender has; of an entry
 	// ConfigChunks says that the sender, an entry, answers ConfigChunkRequest.
 	ConfigChunks bool
 	// FollowsHeartbeat says that the sender, an agent, sends its heartbeats at the
@@ -204,8 +207,11 @@
 // one entry to another. Raw is empty if the receiver can request it with
 // ConfigRequest.
 type ConfigAnnounced struct {
-	Version uint64
+	Version uint64 // 0: none
 	Raw     []byte // in the encoding of the store
+	// Watches says that the sender watches the table service for the configuration
+	// and that its newest call succeeded.
+	Watches bool
 }
 
 // ConfigChunkRequest asks an entry for a chunk of a version of the operators'
--- a/internal/settings/job.go
+++ b/internal/settings/job.go
@@ -28,11 +28,14 @@
 	// ProcessorShare of an entry is the processor time of its host that the
 	// process may use. It is 0 if it is not known.
 	ProcessorShare model.MilliCPU
-	Registry       string        // agent: address for the backend server's announcements
-	Backend        string        // agent: address of the backend server
-	MaxLease       time.Duration // agent: how long runs continue after the last grant of their owner
-	Seeds          []string      // host:port of hosts on which entries may run
-	Store          string        // address of the store
+	// LinkRate of an entry is that of its host's network connection in bits per
+	// second. It is 0 if it is not known.
+	LinkRate int64
+	Registry string        // agent: address for the backend server's announcements
+	Backend  string        // agent: address of the backend server
+	MaxLease time.Duration // agent: how long runs continue after the last grant of their owner
+	Seeds    []string      // host:port of hosts on which entries may run
+	Store    string        // address of the store
 }
 
 // LinkAddress returns the address on which the process accepts links.
@@ -56,8 +59,8 @@
 
 // LoadJobDaemon reads and checks a settings file for a role, "entry" or
 // "agent". Unknown keys and lines that are no settings are ignored. Every key
-// that the role reads must be set, except seeds, grace-period-s, processor-share
-// and processor-cores. The error is a finding.List with every finding, unless the
+// that the role reads must be set, except seeds, grace-period-s, processor-share,
+// processor-cores and link-mbps. The error is a finding.List with every finding, unless the
 // file cannot be read or the role is unknown.
 func LoadJobDaemon(file, role string) (*JobDaemon, error) {
 	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: true}, file)
@@ -75,6 +78,7 @@
 		d.Callers, d.Readiness = r.text("entry", "callers"), r.text("entry", "readiness")
 		d.GracePeriod = r.seconds("entry", "grace-period-s", defaultGracePeriod)
 		d.ProcessorShare = r.processorShare()
+		d.LinkRate = int64(math.Round(r.limited("link-mbps", 0, maxLinkMbps) * bitsPerMegabit))
 	case "agent":
 		d.Registry, d.Backend = r.text("agent", "registry"), r.text("agent", "backend")
 		d.MaxLease = r.duration("agent", "max-lease")
@@ -141,20 +145,21 @@
 // the cores are faster or slower than that of other hosts. It is 0 if the share is
 // not known.
 func (r *jobDaemonReader) processorShare() model.MilliCPU {
-	share := r.cores("processor-share", 0)
-	cores := r.cores("processor-cores", 1)
+	share := r.limited("processor-share", 0, maxCores)
+	cores := r.limited("processor-cores", 1, maxCores)
 	return model.MilliCPU(math.Round(share * cores * milliCPUPerCore))
 }
 
-// cores returns the value of an optional key of an entry that counts cores.
-func (r *jobDaemonReader) cores(key string, absent float64) float64 {
+// limited returns the value of an optional key of an entry, a number from 0 to
+// highest.
+func (r *jobDaemonReader) limited(key string, absent float64, highest int) float64 {
 	text := r.ini.Section("entry").Key(key).String()
 	if text == "" {
 		return absent
 	}
 	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(v >= 0 && v <= maxCores) {
-		r.findings.Add(r.file, 0, "[entry] "+key, "is not a number from 0 to %d: %q", maxCores, text)
+	if err != nil || !(v >= 0 && v <= float64(highest)) {
+		r.findings.Add(r.file, 0, "[entry] "+key, "is not a number from 0 to %d: %q", highest, text)
 		return absent
 	}
 	return v
@@ -163,4 +168,6 @@
 const (
 	maxCores        = 4096
 	milliCPUPerCore = 1000
+	maxLinkMbps     = 1_000_000
+	bitsPerMegabit  = 1_000_000
 )
--- a/internal/settings/job_test.go
+++ b/internal/settings/job_test.go
@@ -49,10 +49,22 @@
 		require.NoError(t, err)
 		require.Equal(t, want, d.ProcessorShare, text)
 	}
-	for _, text := range []string{"processor-share = 40%", "processor-share = -1", "processor-share = NaN", "processor-cores = 1e300", "processor-cores = many"} {
+	for _, text := range []string{"processor-share = 40%", "processor-share = -1", "processor-share = NaN", "processor-cores = 1e300", "processor-cores = many", "link-mbps = fast", "link-mbps = -10"} {
 		file := filepath.Join(t.TempDir(), "node.conf")
 		require.NoError(t, os.WriteFile(file, []byte(rest+text+"\n"), 0o600))
 		_, err := LoadJobDaemon(file, "entry")
 		require.ErrorContains(t, err, "[entry] "+strings.Fields(text)[0])
 	}
 }
+
+// Guards against an entry with a small connection that reads each configuration
+// for the others, because its own rate is not known or wrong.
+func TestLinkRateOfAnEntry(t *testing.T) {
+	for text, want := range map[string]int64{"": 0, "link-mbps = ": 0, "link-mbps = 10": 10_000_000, "link-mbps = 200.0": 200_000_000, "link-mbps = 0.5": 500_000} {
+		file := filepath.Join(t.TempDir(), "node.conf")
+		require.NoError(t, os.WriteFile(file, []byte(rest+text+"\n"), 0o600))
+		d, err := LoadJobDaemon(file, "entry")
+		require.NoError(t, err)
+		require.Equal(t, want, d.LinkRate, text)
+	}
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -20,7 +20,7 @@
 			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
 			RequestsConfig: m.RequestsConfig, ProcessorShare: int64(m.ProcessorShare),
 			PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo, FollowsHeartbeat: m.FollowsHeartbeat,
-			ConfigChunks: m.ConfigChunks,
+			ConfigChunks: m.ConfigChunks, LinkRate: m.LinkRate,
 		}}
 	case *msg.Members:
 		p.Kind = &pb.Control_Members{Members: &pb.Members{Entries: mapSlice(m.Entries, memberToProto)}}
@@ -66,7 +66,7 @@
 	case *msg.JobPhases:
 		p.Kind = &pb.Control_JobPhases{JobPhases: &pb.JobPhases{Epoch: m.Epoch, UpTo: m.UpTo, Jobs: mapSlice(m.Jobs, jobPhaseToProto)}}
 	case *msg.ConfigAnnounced:
-		p.Kind = &pb.Control_ConfigAnnounced{ConfigAnnounced: &pb.ConfigAnnounced{Version: m.Version, Raw: m.Raw}}
+		p.Kind = &pb.Control_ConfigAnnounced{ConfigAnnounced: &pb.ConfigAnnounced{Version: m.Version, Raw: m.Raw, Watches: m.Watches}}
 	case *msg.ConfigChunkRequest:
 		p.Kind = &pb.Control_ConfigChunkRequest{ConfigChunkRequest: &pb.ConfigChunkRequest{Have: m.Have, Version: m.Version, Index: int64(m.Index)}}
 	case *msg.ConfigChunk:
@@ -94,7 +94,7 @@
 			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(), RequestsConfig: h.GetRequestsConfig(),
 			ProcessorShare: model.MilliCPU(h.GetProcessorShare()),
 			Phases:         msg.PhaseMark{Epoch: h.GetPhasesEpoch(), UpTo: h.GetPhasesUpTo()}, FollowsHeartbeat: h.GetFollowsHeartbeat(),
-			ConfigChunks: h.GetConfigChunks(),
+			ConfigChunks: h.GetConfigChunks(), LinkRate: h.GetLinkRate(),
 		}, nil
 	case *pb.Control_Members:
 		return &msg.Members{Entries: mapSlice(k.Members.GetEntries(), memberFromProto)}, nil
@@ -141,7 +141,9 @@
 	case *pb.Control_JobPhases:
 		return jobPhasesFromProto(k.JobPhases)
 	case *pb.Control_ConfigAnnounced:
-		return &msg.ConfigAnnounced{Version: k.ConfigAnnounced.GetVersion(), Raw: k.ConfigAnnounced.GetRaw()}, nil
+		return &msg.ConfigAnnounced{
+			Version: k.ConfigAnnounced.GetVersion(), Raw: k.ConfigAnnounced.GetRaw(), Watches: k.ConfigAnnounced.GetWatches(),
+		}, nil
 	case *pb.Control_ConfigChunkRequest:
 		r := k.ConfigChunkRequest
 		return &msg.ConfigChunkRequest{Have: r.GetHave(), Version: r.GetVersion(), Index: int(r.GetIndex())}, nil
