jobdaemon: report configurations that are larger than the store returns

Cause: the size of the operators' configuration has no bound here, and no line says that it has outgrown the 1 MB that the store returns in a call.

Change: event 957 for each version above it. The version is used: refusing one that the store has accepted would leave an older one in force.

Measured: TestOversizedConfigurationIsReportedAndUsed; without the event it counts 0 instead of 1.

--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -41,6 +41,7 @@
 	ConfigReadFailed        = define(954, log.WarnLevel, "config-read-failed", "a call to the table service for the operators' configuration failed or did not end in time; it is repeated", "check the table service and the connection of this host; the error says how much of the answer had arrived")
 	ConfigRequested         = define(955, log.InfoLevel, "config-requested", "this entry requested the operators' configuration from a peer, because its own read has not delivered it", "compare with event 954 if requests repeat")
 	ConfigWatchChanged      = define(956, log.InfoLevel, "config-watch-changed", "this entry began or ended to watch the table service for the operators' configuration for itself and others", "nothing")
+	ConfigOversized         = define(957, log.WarnLevel, "config-oversized", "the operators' configuration is larger than the table service returns at once; it is used, and the time until it is in force everywhere is not bounded", "remove what is not used, or use names that several queues share")
 	// The level warn exempts the two events of a drain from the rate limit of the
 	// log: a busy entry lost them.
 	DrainPhase = define(952, log.WarnLevel, "drain-phase", "a stopping entry began a phase of its drain", "if no drain-ended follows, the process was killed in this phase with this number of requests in flight, or more: check its grace period")
--- a/internal/jobdaemon/config_messages_test.go
+++ b/internal/jobdaemon/config_messages_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/metrics"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/ownership"
@@ -182,3 +183,32 @@
 		require.Equal(t, 0, peer.take()[0].(*msg.ConfigChunk).Index, "an index that does not exist")
 	})
 }
+
+// Guards against a configuration that outgrows the table service without a word to
+// the operators, and against one that is refused although it can be used.
+func TestOversizedConfigurationIsReportedAndUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := actor.NewGroup(t.Context(), nil)
+		defer g.Stop()
+		e := newConfigEntryUnderTest(g)
+		reported := 0
+		e.log.(*log.Logger).Level = log.WarnLevel
+		e.log.(*log.Logger).Handler = log.HandlerFunc(func(entry *log.Entry) error {
+			if entry.Fields["event"] == event.ConfigOversized.ID {
+				reported++
+			}
+			return nil
+		})
+		for version, size := range []int{1: maxConfigBytes, 2: maxConfigBytes + 1} {
+			if size == 0 {
+				continue
+			}
+			raw := make([]byte, size)
+			raw[0] = byte(version)
+			e.config.installer.TrySend(newEncodedConfig(raw, 0, fromStore))
+			synctest.Wait()
+			require.EqualValues(t, version, e.config.inUse.Get().Version)
+			require.Equal(t, version-1, reported)
+		}
+	})
+}
--- a/internal/jobdaemon/configinstall.go
+++ b/internal/jobdaemon/configinstall.go
@@ -11,6 +11,10 @@
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
+// maxConfigBytes is the size that the table service returns in one call. Larger
+// configurations are reported and used.
+const maxConfigBytes = 1_000_000
+
 // installerMailbox is small: what waits in it is replaced by a newer version.
 const installerMailbox = 4
 
@@ -137,6 +141,9 @@
 		return // the entry uses the version and does not send it to peers
 	}
 	i.state.installed.Set(e)
+	if size > maxConfigBytes {
+		event.Log(i.log, event.ConfigOversized, log.Fields{"version": config.Version, "bytes": size, "limit": maxConfigBytes})
+	}
 	delay := time.Since(e.receivedAt)
 	i.metrics.recordConfig(e.from, delay)
 	event.Log(i.log, event.ConfigInForce, log.Fields{
