hostagent: report that a backend server has crashed

Cause: the owner of the jobs cannot tell a crash from a planned end or an expired lease: each makes the host unavailable, so it cannot blame a task.

Change: the agent sets Crashed when the process of a backend server has ended that was not draining and has not deregistered. The types and the encoding of the counts that the owner stores with the progress of a job come with it; rows and messages of former programs have none of them.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -65,6 +65,13 @@
 	c.inventorySent, c.inventoryAccepted = false, false
 }
 
+// crashIncarnation ends an incarnation whose process has ended. Unless it was
+// draining, it has crashed.
+func (c *Core) crashIncarnation(reason string) {
+	c.host.Crashed = c.host.State == workload.HostReady
+	c.endIncarnation(reason)
+}
+
 // endIncarnation removes all runs, announces the host as unavailable, and sends
 // the owner a new inventory. The caller sets c.ended before, unless the same
 // incarnation may announce itself again.
@@ -149,13 +156,13 @@
 		c.connectionRefusals = 0
 	case errors.Is(err, runner.ErrOtherIncarnation):
 		c.ended = true
-		c.endIncarnation("another incarnation answered")
+		c.crashIncarnation("another incarnation answered")
 	case errors.Is(err, runner.ErrFenced):
 		c.token += fencedTokenStep
 	case errors.Is(err, runner.ErrNotListening):
 		if c.connectionRefusals++; c.connectionRefusals >= maxConnectionRefusals {
 			c.ended = true
-			c.endIncarnation("backend server refuses connections")
+			c.crashIncarnation("backend server refuses connections")
 		}
 	}
 }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -175,6 +175,7 @@
 	return &pb.FleetHost{
 		Name: string(h.Name), Instance: string(h.Instance), Born: h.StartedAtMS, Service: string(h.Service), DataCentre: string(h.DataCentre),
 		State: uint32(h.State), RemainingNs: int64(h.Remaining), Capacity: workloadResourcesToProto(h.Capacity), Labels: h.Labels, Guards: h.AdmissionCheck,
+		Crashed: h.Crashed,
 	}
 }
 
@@ -186,7 +187,7 @@
 		Name: workload.HostName(p.GetName()), Instance: workload.Instance(p.GetInstance()), StartedAtMS: p.GetBorn(),
 		Service: workload.Service(p.GetService()), DataCentre: workload.DataCentre(p.GetDataCentre()),
 		State: workload.HostState(p.GetState()), Remaining: time.Duration(p.GetRemainingNs()),
-		Capacity: workloadResourcesFromProto(p.GetCapacity()), Labels: p.GetLabels(), AdmissionCheck: p.GetGuards(),
+		Capacity: workloadResourcesFromProto(p.GetCapacity()), Labels: p.GetLabels(), AdmissionCheck: p.GetGuards(), Crashed: p.GetCrashed(),
 	}, nil
 }
 
--- a/internal/wire/workload.go
+++ b/internal/wire/workload.go
@@ -25,9 +25,12 @@
 // EncodeProgress encodes the progress of a job for the store.
 func EncodeProgress(j *workload.Progress) ([]byte, error) {
 	return proto.Marshal(&pb.JobProgress{
-		Phase: uint32(j.Phase), Done: j.Done, OverAtMs: j.EndedAtMS,
+		Phase: uint32(j.Phase), Done: j.Done, OverAtMs: j.EndedAtMS, Failure: j.Failure,
 		Attempts: mapSlice(j.Attempts, func(a workload.TaskAttempts) *pb.TaskAttempts {
-			return &pb.TaskAttempts{Step: int64(a.Step), Index: int64(a.Index), Failed: int64(a.Failed), Checkpoint: a.Checkpoint, LastFailed: a.LastFailed}
+			return &pb.TaskAttempts{
+				Step: int64(a.Step), Index: int64(a.Index), Failed: int64(a.Failed), Checkpoint: a.Checkpoint, LastFailed: a.LastFailed,
+				Crashes: int64(a.Crashes), CrashesAlone: int64(a.CrashesAlone), CrashAgeNs: int64(a.CrashAge),
+			}
 		}),
 	})
 }
@@ -42,11 +45,12 @@
 		return workload.Progress{}, malformed("progress has the unknown phase %d", p.GetPhase())
 	}
 	return workload.Progress{
-		Phase: workload.Phase(p.GetPhase()), Done: p.GetDone(), EndedAtMS: p.GetOverAtMs(),
+		Phase: workload.Phase(p.GetPhase()), Done: p.GetDone(), EndedAtMS: p.GetOverAtMs(), Failure: p.GetFailure(),
 		Attempts: mapSlice(p.GetAttempts(), func(a *pb.TaskAttempts) workload.TaskAttempts {
 			return workload.TaskAttempts{
 				Step: int(a.GetStep()), Index: int(a.GetIndex()), Failed: int(a.GetFailed()), LastFailed: a.GetLastFailed(),
 				Checkpoint: a.GetCheckpoint(),
+				Crashes:    int(a.GetCrashes()), CrashesAlone: int(a.GetCrashesAlone()), CrashAge: time.Duration(a.GetCrashAgeNs()),
 			}
 		}),
 	}, nil
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -183,15 +183,18 @@
 // Host describes a host and its backend server, as its agent knows them. An
 // incarnation of the backend server is identified by Instance and StartedAtMS.
 type Host struct {
-	Name           HostName
-	Instance       Instance
-	StartedAtMS    int64 // Unix time in milliseconds; a restarted backend server may keep its Instance
-	Service        Service
-	DataCentre     DataCentre
-	State          HostState
-	Remaining      time.Duration // while draining: minimum time until the backend server ends
-	Capacity       Resources
-	Labels         []string
+	Name        HostName
+	Instance    Instance
+	StartedAtMS int64 // Unix time in milliseconds; a restarted backend server may keep its Instance
+	Service     Service
+	DataCentre  DataCentre
+	State       HostState
+	Remaining   time.Duration // while draining: minimum time until the backend server ends
+	Capacity    Resources
+	Labels      []string
+	// Crashed means that the backend server is unavailable because it has ended
+	// without having announced it.
+	Crashed        bool
 	AdmissionCheck bool // the backend server itself rejects runs that exceed its capacity
 }
 
@@ -271,6 +274,7 @@
 // Progress is the stored progress of a job of which a task has started.
 type Progress struct {
 	Phase     Phase
+	Failure   string // why the job has failed, if not by its failed runs
 	Done      []byte // one bit per task, in the order of the steps; 1: completed
 	Attempts  []TaskAttempts
 	EndedAtMS int64 // Unix time in milliseconds at which the phase became final; 0: it is not final
@@ -283,6 +287,11 @@
 	Failed      int    // failed runs
 	LastFailed  uint64 // RunID.Number of the last failed run that Failed includes
 	Checkpoint  string
+	// Crashes counts the crashes of backend servers of which the task may be the
+	// cause, CrashesAlone those of which no other task can be. CrashAge is the
+	// greatest age of a run of the task at one of them.
+	Crashes, CrashesAlone int
+	CrashAge              time.Duration
 }
 
 // Owner is the stored owner of the jobs. Epoch increases with each change of
