jobs: isolate and give up tasks that crash their backend servers

Cause: a run that is lost with its host counts nothing, and its task is ready again at once, on the next host beside whatever runs there.

Change: tasks that were ordered within 500 ms of a crash are suspects and start apart from each other; after a second crash a task waits until its counts are stored and then starts on a host that was reserved for it; with three crashes, one of them while only it could be the cause, its job has failed. At most a quarter of the hosts is reserved or held (charts/crashsuspect.scxml). Event 915 has the steps, 903 the reason. The cause is named before a task is given up, so tasks beside it and tasks on hosts that crash for another reason are not.

Tests of an owner that changes, a store that is down, lasting tasks, other crashes and the quarter of the hosts come with it; the reference of the planner places suspects too.

--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -14,6 +14,7 @@
 	RunStopped              = define(912, log.InfoLevel, "run-stopped", "the owner requested the stop of a run", "see the reason")
 	TaskUnplaced            = define(913, log.InfoLevel, "task-waits", "no host can run a task at present", "the detail counts the hosts by reason")
 	TaskHostChanged         = define(914, log.InfoLevel, "task-host-changed", "the state of a host, as known to the owner of the jobs, changed", "nothing")
+	TaskSuspected           = define(915, log.WarnLevel, "task-suspected", "the owner of the jobs changed its view of whether a task crashes the backend servers that run it", "for rejected: correct the job, it has failed; crashes counts the crashes of which the task may be the cause, alone those of which only it can be")
 	OwnershipStarted        = define(920, log.InfoLevel, "owner-began", "this entry became the owner of the jobs", "nothing")
 	OwnershipEnded          = define(921, log.WarnLevel, "owner-ended", "this entry is no longer the owner of the jobs", "see the reason")
 	OwnerStoreFailed        = define(922, log.WarnLevel, "owner-store-failed", "the owner of the jobs could not read the jobs or store their progress; it retries", "check the table service")
--- a/internal/jobdaemon/decisions.go
+++ b/internal/jobdaemon/decisions.go
@@ -12,6 +12,7 @@
 var ownerEvents = map[jobs.DecisionKind]event.Event{
 	jobs.JobAdmitted: event.JobAdmitted, jobs.JobEnded: event.JobEnded, jobs.RunOrdered: event.RunOrdered, jobs.RunEnded: event.RunEnded,
 	jobs.RunStopped: event.RunStopped, jobs.HostChanged: event.TaskHostChanged, jobs.TaskUnplaced: event.TaskUnplaced,
+	jobs.TaskSuspected: event.TaskSuspected,
 }
 
 // logDecision counts and logs a decision of the owner.
@@ -27,6 +28,9 @@
 	if d.Host != "" {
 		fields["host"] = string(d.Host)
 	}
+	if d.Reason != "" {
+		fields["reason"] = d.Reason
+	}
 	event.Log(c.log, ownerEvents[d.Kind], fields)
 }
 
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -38,6 +38,7 @@
 	Run    workload.RunID
 	Host   workload.HostName
 	Detail string
+	Reason string        // why a job has failed, if not by its failed runs
 	Age    time.Duration // of the job, run, waiting task or lease grant that it is about
 }
 
@@ -53,6 +54,9 @@
 	RunStopped
 	HostChanged  // Detail is the state of its backend server, or what changed
 	TaskUnplaced // no host can run the task at present
+	// TaskSuspected: whether the task may be the cause of crashes of backend
+	// servers changed. Detail has the state and the counts.
+	TaskSuspected
 )
 
 // Core is the state of the owner of the jobs. It is not safe for concurrent use.
@@ -68,6 +72,8 @@
 	early      map[workload.RunID]earlyRun // of jobs that are not known yet
 	due        duetime.Queue[timed]
 	waiting    waiting   // tasks that may start
+	suspects   suspects  // tasks that may start apart from others
+	reserved   []*host   // for isolated tasks that wait
 	planNeeded bool      // something changed that may let a task start
 	pass       PassStats // of the last planning pass
 
@@ -176,6 +182,9 @@
 	if len(c.throttled) > 0 && c.now-c.movesExaminedAt >= minMoveInterval {
 		c.movesDue, c.planNeeded = true, true
 	}
+	if len(c.reserved) > 0 {
+		c.planNeeded = true
+	}
 	if c.waiting.speedMatters {
 		c.waiting.speedMatters = c.now-c.waiting.bestEffortReadyAt < hostselect.MaxWait
 		c.planNeeded = true
--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -52,3 +52,129 @@
 		})
 	}
 }
+
+// Guards against a count of crashes that is lost with its owner: each new owner
+// would start the task again as if it had crashed nothing. A batch that is being
+// written when the owner ends is lost, so each change may cost one crash.
+func TestCrashesOutliveTheOwner(t *testing.T) {
+	for _, delay := range []time.Duration{20, 60, 200, 700, 1500} {
+		t.Run(fmt.Sprint(delay*time.Millisecond), func(t *testing.T) {
+			s := newCrashSite(t, 11, crashTask(100*time.Millisecond))
+			s.load(2*time.Second, 100*time.Millisecond, 6)
+			s.submit(shortJob("bad", 2))
+			id := workload.TaskID{Job: "bad"}
+			changed := 0
+			for range 600 {
+				before := s.crashes[id]
+				s.run(siteTick)
+				if s.crashes[id] > before && changed < 2 {
+					changed++
+					s.run(delay * time.Millisecond)
+					s.replaceOwner()
+				}
+			}
+			require.Positive(t, changed)
+			require.Equal(t, workload.Failed, s.phases["bad"])
+			require.LessOrEqual(t, s.starts[id], maxCrashStarts)
+			s.requireShortJobsUnharmed("bad")
+		})
+	}
+}
+
+// Guards against a task that starts again while the count of its crashes cannot be
+// stored, and against one that never starts again afterwards.
+func TestTaskWithSeveralCrashesWaitsUntilTheyAreStored(t *testing.T) {
+	s := newCrashSite(t, 8, crashTask(100*time.Millisecond))
+	s.run(time.Second)
+	s.storeDown = true
+	s.submit(shortJob("bad", 1))
+	s.run(20 * time.Second)
+	id := workload.TaskID{Job: "bad"}
+	require.Equal(t, 2, s.starts[id])
+	s.storeDown = false
+	s.run(5 * time.Second)
+	require.Equal(t, workload.Failed, s.phases["bad"])
+	require.LessOrEqual(t, s.starts[id], maxCrashStarts)
+	require.Contains(t, s.rows["bad"].Failure, "crashed")
+}
+
+// Guards against a long-running task that crashes its hosts without end, because
+// failed runs of such tasks are not counted.
+func TestLongRunningTaskThatCrashesItsHostsIsGivenUp(t *testing.T) {
+	s := newCrashSite(t, 11, crashTask(60*time.Millisecond))
+	lasting := newStep(6, 1000)
+	lasting.LongRunning = true
+	s.submit(newSpec("good", lasting))
+	s.load(2*time.Second, 100*time.Millisecond, 6)
+	s.submit(newSpec("bad", lasting))
+	s.load(15*time.Second, 100*time.Millisecond, 6)
+	require.LessOrEqual(t, s.starts[workload.TaskID{Job: "bad"}], maxCrashStarts)
+	require.Equal(t, workload.Failed, s.phases["bad"])
+	s.requireShortJobsUnharmed("bad")
+	for i := range lasting.Count {
+		task := s.core.task(workload.TaskID{Job: "good", Index: i})
+		require.Len(t, task.runs, 1, "task %d of the job that lasts", i)
+	}
+}
+
+// Guards against tasks that are given up, or held back for seconds, because hosts
+// crash for another reason: single hosts by turns, and a whole rack twice.
+func TestCrashesForOtherReasonsHarmNoTask(t *testing.T) {
+	s := newCrashSite(t, 11, func(workload.TaskID) time.Duration { return 0 })
+	lasting := newStep(8, 1000)
+	lasting.LongRunning = true
+	s.submit(newSpec("lasting", lasting))
+	s.load(3*time.Second, 100*time.Millisecond, 6)
+	for round := range 12 {
+		s.crash(s.hosts[round%11])
+		s.load(900*time.Millisecond, 100*time.Millisecond, 6)
+	}
+	for range 2 {
+		for _, h := range s.hosts[:4] {
+			if h.downAt == 0 {
+				s.crash(h)
+			}
+		}
+		s.load(4*time.Second, 100*time.Millisecond, 6)
+	}
+	s.requireShortJobsUnharmed()
+	var longest time.Duration
+	for _, d := range s.decided {
+		require.NotContains(t, d.Reason, "crashed")
+		if d.Kind == RunOrdered {
+			longest = max(longest, d.Age)
+		}
+	}
+	t.Logf("longest wait of a task that was ready: %v", longest)
+	require.LessOrEqual(t, longest, maxSurvivalTime)
+	s.run(2 * time.Second)
+	for id, p := range s.phases {
+		if id != "lasting" {
+			require.Equal(t, workload.Completed, p, id)
+		}
+	}
+}
+
+// Guards against suspects that together take the hosts of the others.
+func TestIsolatedTasksTakeAQuarterOfTheHosts(t *testing.T) {
+	s := newCrashSite(t, 12, crashTask(100*time.Millisecond))
+	s.load(3*time.Second, 100*time.Millisecond, 6)
+	for i := range 10 {
+		s.submit(shortJob(fmt.Sprintf("bad-%d", i), 3))
+	}
+	for range 700 {
+		s.run(siteTick)
+		taken := 0
+		for _, h := range s.core.hostsByName {
+			if h.holds > 0 || h.reservedSince != 0 {
+				taken++
+			}
+		}
+		require.LessOrEqual(t, taken, len(s.hosts)/isolationShare)
+	}
+	for i := range 10 {
+		id := workload.JobID(fmt.Sprintf("bad-%d", i))
+		require.Equal(t, workload.Failed, s.phases[id], id)
+		require.LessOrEqual(t, s.starts[workload.TaskID{Job: id}], maxCrashStarts, id)
+	}
+}
--- a/internal/jobs/crashsite_test.go
+++ b/internal/jobs/crashsite_test.go
@@ -101,7 +101,9 @@
 		for _, p := range s.core.Phases() {
 			s.phases[p.ID] = p.Phase
 		}
-		s.decided = append(s.decided, s.core.Decisions()...)
+		for _, d := range s.core.Decisions() {
+			s.decided = append(s.decided, d)
+		}
 		if len(messages) == 0 {
 			return
 		}
@@ -188,7 +190,7 @@
 	if h.downAt != 0 {
 		if s.now-h.downAt >= restartTime {
 			h.downAt, h.endings = 0, 0
-			h.info.StartedAtMS, h.info.State = s.now.Milliseconds(), workload.HostReady
+			h.info.StartedAtMS, h.info.State, h.info.Crashed = s.now.Milliseconds(), workload.HostReady, false
 			s.core.Announced(h.info)
 			s.sendInventory(h)
 		}
@@ -224,7 +226,7 @@
 	}
 	clear(h.runs)
 	h.downAt = s.now
-	h.info.State = workload.HostUnavailable
+	h.info.State, h.info.Crashed = workload.HostUnavailable, true
 	s.core.Announced(h.info)
 }
 
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -65,6 +65,9 @@
 	used                 workload.Resources // charges of the runs
 	bestEffortCPU        int64              // thousandths of a core that best-effort runs declare
 	servingRuns          int
+	unproven             int           // runs that may show that their task crashes backend servers
+	holds                int           // those of isolated tasks; nothing else starts beside them
+	reservedSince        time.Duration // for an isolated task; 0: not reserved
 	runsByStep           map[*step]int
 	servingByImage       map[string]int
 	servingByGroup       map[servingGroup]int
@@ -205,6 +208,9 @@
 	}
 	if restarted || info.State == workload.HostUnavailable && old.State != workload.HostUnavailable {
 		h.core.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "ended"})
+		if info.Crashed || restarted && old.State == workload.HostReady {
+			h.attributeCrash()
+		}
 		h.loseRuns()
 		h.inventoryStartedAtMS = 0
 	}
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -77,10 +77,13 @@
 	if s.Run.Number&numberMask > t.starts && s.Run.Number>>epochShift == h.core.epoch-1 {
 		t.starts = s.Run.Number & numberMask
 	}
+	h.core.unready(t)
+	if t.isSuspect() {
+		r.observe()
+	}
 	if !s.Unconfirmed {
 		r.step(evStarted)
 	}
-	h.core.waiting.remove(t)
 	if t.done || t.step.job.phase().Final() || (len(t.runs) > 1 && !t.step.spec.AllowConcurrentRuns) {
 		r.stop("not-wanted")
 	}
--- /dev/null
+++ b/internal/jobs/isolation.go
@@ -0,0 +1,226 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/policy/hostselect"
+)
+
+const (
+	// isolationShare is the part of the hosts that isolated tasks may take at the
+	// same time: one host in so many, and at least one.
+	isolationShare = 4
+	// maxReservation is how long a host that is reserved for an isolated task gets no
+	// other tasks before the task starts there beside those that still run.
+	maxReservation = 1500 * time.Millisecond
+)
+
+// suspects holds the ready tasks that may be the cause of crashes, in the order in
+// which they became ready.
+type suspects []*task
+
+func compareSuspects(a, b *task) int {
+	if a.readySince != b.readySince {
+		return cmp.Compare(a.readySince, b.readySince)
+	}
+	return cmp.Compare(a.id().String(), b.id().String())
+}
+
+func (s *suspects) add(t *task) {
+	i, _ := slices.BinarySearchFunc(*s, t, compareSuspects)
+	*s = slices.Insert(*s, i, t)
+	t.readyApart = true
+}
+
+// remove makes a task no longer ready. It has no effect on a task that is not.
+func (s *suspects) remove(t *task) {
+	if !t.readyApart {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(*s, t, compareSuspects)
+	*s = slices.Delete(*s, i, i+1)
+	t.readyApart = false
+}
+
+// unready makes a task no longer ready, whether it is a suspect or not.
+func (c *Core) unready(t *task) {
+	c.waiting.remove(t)
+	c.suspects.remove(t)
+}
+
+// placeSuspects starts ready tasks that may be the cause of crashes: a suspect on
+// the host that has least to lose, and an isolated task on a host that was reserved
+// for it.
+func (c *Core) placeSuspects() {
+	if len(c.suspects) == 0 && len(c.reserved) == 0 {
+		return
+	}
+	var isolated []*task
+	for _, t := range slices.Clone(c.suspects) {
+		if c.recoveryDeadline != 0 && t.step.mayHaveStarted() {
+			continue
+		}
+		if t.suspicion == taskIsolated {
+			isolated = append(isolated, t)
+			continue
+		}
+		if c.pass.Views >= maxPassViews {
+			c.planNeeded = true
+			return
+		}
+		if h := c.hostForSuspect(t); h != nil {
+			h.startObserved(t)
+		} else {
+			t.logApart("no host for a suspect")
+		}
+	}
+	c.placeIsolated(isolated)
+}
+
+// startObserved starts a task that may be the cause of crashes.
+func (h *host) startObserved(t *task) {
+	h.start(t)
+	t.runs[len(t.runs)-1].observe()
+}
+
+// hostForSuspect returns the host that has least to lose among those that can run
+// the task, or nil: the one with the fewest runs that may be causes themselves, so
+// that a crash tells them apart, and of these the one with the fewest runs.
+func (c *Core) hostForSuspect(t *task) *host {
+	selection := t.step.selectionTask()
+	var best *host
+	for _, h := range c.hostsByName {
+		if hostselect.Check(selection, h.view(t.step)) != hostselect.Fits {
+			continue
+		}
+		if best == nil || h.unproven < best.unproven || h.unproven == best.unproven && len(h.runs) < len(best.runs) {
+			best = h
+		}
+	}
+	return best
+}
+
+// placeIsolated starts isolated tasks on the hosts that are reserved for them, and
+// reserves hosts for the others.
+func (c *Core) placeIsolated(tasks []*task) {
+	c.reserved = slices.DeleteFunc(c.reserved, func(h *host) bool {
+		if h.acceptsStarts() && len(tasks) > 0 {
+			return false
+		}
+		h.endReservation()
+		return true
+	})
+	for _, t := range tasks {
+		i := slices.IndexFunc(c.reserved, func(h *host) bool { return h.admitsIsolated(t) })
+		if i < 0 {
+			t.logApart("isolated")
+			continue
+		}
+		h := c.reserved[i]
+		c.reserved = slices.Delete(c.reserved, i, i+1)
+		h.startObserved(t)
+		h.reservedSince = 0 // the run holds the host
+		tasks = tasks[1:]
+	}
+	for _, t := range tasks[min(len(c.reserved), len(tasks)):] {
+		if len(c.reserved) >= c.freeIsolationHosts() {
+			return
+		}
+		h := c.hostToReserve(t)
+		if h == nil {
+			return
+		}
+		h.reservedSince = c.now
+		c.reserved = append(c.reserved, h)
+		c.planNeeded = true
+	}
+}
+
+// endReservation lets other tasks start on the host.
+func (h *host) endReservation() {
+	h.reservedSince = 0
+	h.improve()
+}
+
+// admitsIsolated reports whether the task may start on the host, which is reserved:
+// the runs that end by themselves have ended, or the reservation has lasted long
+// enough for them.
+func (h *host) admitsIsolated(t *task) bool {
+	if h.core.now-h.reservedSince < maxReservation && h.endingRuns() > 0 {
+		return false
+	}
+	view := h.view(t.step)
+	view.Reachable = h.acceptsStarts()
+	return hostselect.Check(t.step.selectionTask(), view) == hostselect.Fits
+}
+
+// endingRuns returns the number of runs on the host that end by themselves.
+func (h *host) endingRuns() int {
+	n := 0
+	for _, r := range h.runs {
+		h.core.visits++
+		if !r.task.step.spec.LongRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// freeIsolationHosts returns the number of hosts that may be reserved in all.
+func (c *Core) freeIsolationHosts() int {
+	ready, held := 0, 0
+	for _, h := range c.hostsByName {
+		c.visits++
+		if h.acceptsStarts() {
+			ready++
+		}
+		if h.holds > 0 {
+			held++
+		}
+	}
+	return max(1, ready/isolationShare) - held
+}
+
+// hostToReserve returns the host with the fewest runs, those of long-running tasks
+// first, among those that could run the task if nothing else that ends ran there.
+func (c *Core) hostToReserve(t *task) *host {
+	var best *host
+	for _, h := range c.hostsByName {
+		if h.unproven > 0 || h.reservedSince != 0 {
+			continue
+		}
+		view := h.view(t.step)
+		view.Free = h.info.Capacity
+		for _, r := range h.runs {
+			if r.task.step.spec.LongRunning {
+				view.Free = view.Free.Sub(r.task.step.spec.Charge())
+			}
+		}
+		if hostselect.Check(t.step.selectionTask(), view) != hostselect.Fits {
+			continue
+		}
+		if best == nil || h.fewerRuns(best) {
+			best = h
+		}
+	}
+	return best
+}
+
+func (h *host) fewerRuns(other *host) bool {
+	lasting, otherLasting := len(h.runs)-h.endingRuns(), len(other.runs)-other.endingRuns()
+	if lasting != otherLasting {
+		return lasting < otherLasting
+	}
+	return len(h.runs) < len(other.runs)
+}
+
+// logApart logs once why the task waits for a host on which it may run apart.
+func (t *task) logApart(reason string) {
+	if t.unplacedLogged {
+		return
+	}
+	t.unplacedLogged = true
+	t.step.job.core.addDecision(Decision{Kind: TaskUnplaced, Job: t.step.job.spec.ID, Run: t.lastRun(), Detail: reason})
+}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -50,6 +50,9 @@
 	deadline    time.Duration // by which the job should be completed
 	recovered   bool          // accepted under an earlier owner
 	endedAtMS   int64         // Unix milliseconds; 0: not ended
+	failure     string        // why it has failed, if not by its failed runs
+	// unstoredCrashes are the tasks whose counts of crashes the next batch stores.
+	unstoredCrashes []*task
 }
 
 // step is one step of a job.
@@ -80,6 +83,9 @@
 	failedHosts    map[workload.HostName]bool // hosts on which it failed
 	unplacedLogged bool                       // TaskUnplaced was logged since the task became ready
 	ready          bool                       // it may start
+	suspicion      chart.State                // of charts/crashsuspect.scxml
+	crashes        crashes
+	readyApart     bool // it may start, apart from others
 	readySince     time.Duration
 }
 
@@ -87,12 +93,21 @@
 	return workload.TaskID{Job: t.step.job.spec.ID, Step: t.step.number, Index: t.index}
 }
 
+// lastRun identifies the newest run of the task that has not ended, or the task
+// with the run number 0.
+func (t *task) lastRun() workload.RunID {
+	if n := len(t.runs); n > 0 {
+		return t.runs[n-1].id
+	}
+	return workload.RunID{Task: t.id()}
+}
+
 func newJob(c *Core, spec workload.Job) *job {
 	j := &job{core: c, spec: spec, state: jobChart.Initial(), admittedAt: c.now}
 	for i := range j.spec.Steps {
 		s := &step{job: j, number: i, spec: &j.spec.Steps[i], unfinished: j.spec.Steps[i].Count}
 		for k := range s.spec.Count {
-			s.tasks = append(s.tasks, &task{step: s, index: k})
+			s.tasks = append(s.tasks, &task{step: s, index: k, suspicion: suspectChart.Initial()})
 		}
 		j.steps = append(j.steps, s)
 	}
@@ -144,10 +159,10 @@
 	j.endedAtMS = j.core.wallMS
 	j.removeLater()
 	j.markDirty()
-	j.core.addDecision(Decision{Kind: JobEnded, Job: j.spec.ID, Detail: j.phase().String(), Age: j.core.now - j.admittedAt})
+	j.core.addDecision(Decision{Kind: JobEnded, Job: j.spec.ID, Detail: j.phase().String(), Reason: j.failure, Age: j.core.now - j.admittedAt})
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			j.core.waiting.remove(t)
+			j.core.unready(t)
 			t.stopRuns("job-over")
 		}
 	}
@@ -237,11 +252,19 @@
 // release makes the task ready unless it is done or has a run.
 func (t *task) release() {
 	j := t.step.job
-	if t.done || t.ready || len(t.runs) > 0 || j.phase().Final() {
+	if t.done || t.ready || t.readyApart || len(t.runs) > 0 || j.phase().Final() {
 		return
 	}
-	t.readySince, t.unplacedLogged = j.core.now, false
-	j.core.waiting.add(t)
+	switch t.suspicion {
+	case taskUnstored, taskRejected:
+		return
+	case taskSuspect, taskIsolated:
+		t.readySince, t.unplacedLogged = j.core.now, false
+		j.core.suspects.add(t)
+	default:
+		t.readySince, t.unplacedLogged = j.core.now, false
+		j.core.waiting.add(t)
+	}
 	j.core.planNeeded = true
 }
 
@@ -254,7 +277,7 @@
 	j := t.step.job
 	t.done = true
 	t.checkpoint = ""
-	j.core.waiting.remove(t)
+	j.core.unready(t)
 	t.step.unfinished--
 	t.stopRuns("done-elsewhere")
 	j.markDirty()
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -47,6 +47,7 @@
 	}
 	c.planNeeded = false
 	c.pass = PassStats{}
+	c.placeSuspects()
 	switch {
 	case !c.placeWaiting():
 		c.planNeeded = true
@@ -55,7 +56,7 @@
 		c.moveThrottled()
 	}
 	c.flushHosts()
-	c.pass.Waiting = c.waiting.tasks
+	c.pass.Waiting = c.waiting.tasks + len(c.suspects)
 	return true
 }
 
@@ -83,8 +84,8 @@
 func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.acceptsStarts(), Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
-		Suspect: h.suspect(), Failing: h.failing(),
+		Info: &h.info, Reachable: h.acceptsStarts() && h.holds == 0 && h.reservedSince == 0, Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
+		Suspect: h.suspect() || h.unproven > 0, Failing: h.failing(),
 	}
 	// Only some steps need the counts that cost a look-up.
 	if s.spec.MaxPerHost > 0 || s.spec.Serves() {
@@ -146,7 +147,7 @@
 	t.starts++
 	id := workload.RunID{Task: t.id(), Number: (c.epoch-1)<<epochShift + t.starts}
 	r := h.charge(t, id)
-	c.waiting.remove(t)
+	c.unready(t)
 	c.pass.Started++
 	c.unsent[h] = struct{}{}
 	h.starts = append(h.starts, msg.RunStart{Size: r.size(), Specification: t.step.job.spec.Specification, Checkpoint: t.checkpoint})
--- a/internal/jobs/plan_reference_test.go
+++ b/internal/jobs/plan_reference_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,7 +21,11 @@
 // planByReference plans without any record of earlier passes: it examines every
 // host for every ready task, and counts the runs on each host.
 func planByReference(c *Core) {
+	placeSuspectsByReference(c)
 	for _, t := range readyByReference(c) {
+		if t.suspicion != taskTrusted {
+			continue
+		}
 		views := make([]hostselect.Host, len(c.hostsByName))
 		for i, h := range c.hostsByName {
 			views[i] = viewByReference(h, t)
@@ -43,6 +48,49 @@
 	}
 }
 
+// unprovenByReference returns the number of runs on the host that may show that
+// their task crashes backend servers.
+func unprovenByReference(h *host) int {
+	n := 0
+	for _, r := range h.runs {
+		if r.unproven {
+			n++
+		}
+	}
+	return n
+}
+
+// placeSuspectsByReference starts the tasks that may be the cause of a crash, in
+// the order in which they became ready. No task of a twin is isolated, because
+// nothing is stored.
+func placeSuspectsByReference(c *Core) {
+	list := slices.DeleteFunc(readyByReference(c), func(t *task) bool { return t.suspicion != taskSuspect })
+	slices.SortStableFunc(list, func(a, b *task) int {
+		if a.readySince != b.readySince {
+			return int(a.readySince - b.readySince)
+		}
+		return strings.Compare(a.id().String(), b.id().String())
+	})
+	for _, t := range list {
+		var best *host
+		var least [2]int
+		for _, h := range c.hostsByName {
+			v := viewByReference(h, t)
+			v.Avoided = false
+			if hostselect.Check(t.step.selectionTask(), v) != hostselect.Fits {
+				continue
+			}
+			if cost := [2]int{unprovenByReference(h), len(h.runs)}; best == nil || slices.Compare(cost[:], least[:]) < 0 {
+				best, least = h, cost
+			}
+		}
+		if best != nil {
+			best.start(t)
+			t.runs[len(t.runs)-1].observe()
+		}
+	}
+}
+
 // readyByReference returns every task that may start, the most urgent first.
 func readyByReference(c *Core) []*task {
 	var list []*task
@@ -85,7 +133,7 @@
 func viewByReference(h *host, t *task) hostselect.Host {
 	v := hostselect.Host{
 		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.core.hostList.stored[h.info.Name],
-		Free: h.info.Capacity, Suspect: h.suspect(), Failing: h.failing(), Avoided: t.failedHosts[h.info.Name], BestEffortHeadroom: math.Inf(1),
+		Free: h.info.Capacity, Suspect: h.suspect() || unprovenByReference(h) > 0, Failing: h.failing(), Avoided: t.failedHosts[h.info.Name], BestEffortHeadroom: math.Inf(1),
 	}
 	for _, r := range h.runs {
 		spec := r.task.step.spec
@@ -203,6 +251,8 @@
 				bestEffort[s.spec.Image] = bestEffortUse{s.spec.Image, u.runs + 1, u.milliCPU + s.spec.Need.MilliCPU}
 			}
 		}
+		require.Equal(w.t, unprovenByReference(h), h.unproven)
+		require.Zero(w.t, h.holds)
 		require.Equal(w.t, steps, h.runsByStep)
 		require.Equal(w.t, images, h.servingByImage)
 		require.Equal(w.t, serving, h.servingByGroup)
@@ -295,6 +345,7 @@
 	switch rapid.IntRange(0, 5).Draw(w.t, "change") {
 	case 0:
 		h.State = rapid.SampledFrom([]workload.HostState{workload.HostReady, workload.HostDraining, workload.HostUnavailable}).Draw(w.t, "state")
+		h.Crashed = h.State == workload.HostUnavailable && rapid.Bool().Draw(w.t, "crashed")
 		w.apply(func(c *Core) { c.Announced(*h) })
 	case 1:
 		h.Labels = rapid.SampledFrom([][]string{nil, {"fast"}}).Draw(w.t, "labels")
@@ -304,7 +355,7 @@
 	case 3:
 		w.ends[h.Name] = 0
 		h.StartedAtMS++
-		h.State = workload.HostReady
+		h.State, h.Crashed = workload.HostReady, false
 		w.link(*h)
 	case 4:
 		h.Capacity.MilliCPU = 1000 * rapid.Int64Range(1, 8).Draw(w.t, "new capacity")
--- a/internal/jobs/reports.go
+++ b/internal/jobs/reports.go
@@ -86,6 +86,7 @@
 func (r *run) updateStatus(s *msg.RunStatus) {
 	r.status, r.statusAt = *s, r.core().now
 	r.updateThrottledSince(s)
+	r.checkSurvival()
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
 	}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -67,6 +67,9 @@
 	end        msg.RunEnd // set during the event ended only
 	stopReason string     // why it was stopped, for the log
 
+	unproven bool // it may show that its task crashes backend servers
+	holds    bool // nothing else starts beside it
+
 	throttledSince time.Duration // since when a best-effort run is throttled; 0: it is not
 }
 
@@ -162,6 +165,7 @@
 
 // release removes the run from its host and its task.
 func (r *run) release() {
+	r.endObservation()
 	r.host.uncharge(r)
 	for i, other := range r.task.runs {
 		if other == r {
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -26,6 +26,7 @@
 	Hosts        []workload.HostName // the list of hosts; nil: unchanged
 	Interference []msg.Interference  // coefficients; nil: unchanged
 	ends         map[workload.HostName]appliedEnds
+	crashes      []*task // whose counts of crashes Writes contains
 }
 
 // appliedEnds is the number of the last applied end of an incarnation.
@@ -48,7 +49,7 @@
 	for j := range c.dirty {
 		c.visits++
 		pending = true
-		if j.phase().Final() {
+		if j.phase().Final() || len(j.unstoredCrashes) > 0 {
 			return true, true
 		}
 	}
@@ -67,6 +68,8 @@
 	allWritten := len(jobs) <= maxBatchRows
 	for _, j := range jobs[:min(len(jobs), maxBatchRows)] {
 		b.Writes = append(b.Writes, Write{Job: j.spec.ID, Progress: j.progress()})
+		b.crashes = append(b.crashes, j.unstoredCrashes...)
+		j.unstoredCrashes = nil
 		delete(c.dirty, j)
 	}
 	n := min(len(c.removals), maxBatchRows-len(b.Writes))
@@ -120,6 +123,9 @@
 			}
 		}
 	}
+	for _, t := range b.crashes {
+		t.crashesStored()
+	}
 	if b.Hosts != nil {
 		c.hostsStored(b.Hosts)
 	}
@@ -154,6 +160,9 @@
 			c.dirty[j] = struct{}{}
 		}
 	}
+	for _, t := range b.crashes {
+		t.step.job.unstoredCrashes = append(t.step.job.unstoredCrashes, t)
+	}
 	c.removals = append(c.removals, b.Removed...)
 }
 
@@ -167,7 +176,7 @@
 // progress returns the progress row of the job. Done has a bit for each task, in
 // the order of the steps.
 func (j *job) progress() workload.Progress {
-	p := workload.Progress{Phase: j.phase(), EndedAtMS: j.endedAtMS}
+	p := workload.Progress{Phase: j.phase(), EndedAtMS: j.endedAtMS, Failure: j.failure}
 	if j.phase().Final() {
 		return p
 	}
@@ -181,9 +190,10 @@
 				p.Done[n/8] |= 1 << (n % 8)
 			}
 			n++
-			if t.failedRuns > 0 || t.checkpoint != "" && !t.done {
+			if t.failedRuns > 0 || t.checkpoint != "" && !t.done || t.crashes.possible > 0 && !t.done {
 				p.Attempts = append(p.Attempts, workload.TaskAttempts{
 					Step: s.number, Index: t.index, Failed: t.failedRuns, LastFailed: t.lastFailedRun, Checkpoint: t.checkpoint,
+					Crashes: t.crashes.possible, CrashesAlone: t.crashes.alone, CrashAge: t.crashes.age,
 				})
 			}
 		}
@@ -194,7 +204,7 @@
 // restore sets the job to the state of its progress row.
 func (j *job) restore(p *workload.Progress) {
 	j.storedPhase = p.Phase
-	j.endedAtMS = p.EndedAtMS
+	j.endedAtMS, j.failure = p.EndedAtMS, p.Failure
 	if p.Phase.Final() {
 		j.removeLater()
 		j.state = chart.State(p.Phase)
@@ -216,6 +226,7 @@
 	for _, a := range p.Attempts {
 		if t := j.task(workload.TaskID{Step: a.Step, Index: a.Index}); t != nil {
 			t.failedRuns, t.lastFailedRun, t.checkpoint = a.Failed, a.LastFailed, a.Checkpoint
+			t.restoreCrashes(a)
 		}
 	}
 }
--- a/internal/policy/hostselect/hostselect.go
+++ b/internal/policy/hostselect/hostselect.go
@@ -45,7 +45,7 @@
 	// BestEffortHeadroom is how many best-effort tasks like this one can be added
 	// while the serving runs keep their targets. It is set if Serving > 0.
 	BestEffortHeadroom float64
-	Suspect            bool // a run failed since the last completed one
+	Suspect            bool // a run failed since the last completed one, or one may crash the host's backend server
 	Failing            bool // several jobs failed there in succession
 	Avoided            bool // the task failed there
 }
