hostagent: announce changes of capacity, service and labels

What callers would see: tasks that wait although hosts have room.

Cause: an agent announced its host to the entries only when its state or incarnation changed. The owner kept the capacity of the last inventory: on a host that had shrunk it ordered starts that the agent refused, and a new owner, which had learned the small capacity from an inventory, never used the host again after it had grown. Class: a change that is applied where it arrives and not passed on.

Change: the agent also announces a changed capacity, service or labels.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -1,6 +1,8 @@
 package hostagent
 
 import (
+	"slices"
+
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,11 +38,17 @@
 	if !same {
 		c.addDecision(Decision{Kind: IncarnationStarted, Detail: string(c.host.Instance)})
 	}
-	if !same || before.State != c.host.State {
+	if !same || changesPlacement(before, c.host) {
 		c.announce()
 	}
 }
 
+// changesPlacement reports whether two states of a host differ in what the owner
+// places tasks by.
+func changesPlacement(a, b workload.Host) bool {
+	return a.State != b.State || a.Capacity != b.Capacity || a.Service != b.Service || !slices.Equal(a.Labels, b.Labels)
+}
+
 // Deregistered ends the incarnation of a backend server that deregistered.
 func (c *Core) Deregistered(id workload.Instance) {
 	if id == c.host.Instance && !c.ended {
--- a/internal/jobs/crashsite_test.go
+++ b/internal/jobs/crashsite_test.go
@@ -101,9 +101,7 @@
 		for _, p := range s.core.Phases() {
 			s.phases[p.ID] = p.Phase
 		}
-		for _, d := range s.core.Decisions() {
-			s.decided = append(s.decided, d)
-		}
+		s.decided = append(s.decided, s.core.Decisions()...)
 		if len(messages) == 0 {
 			return
 		}
