workload: refuse jobs of more than 100,000 tasks

Nothing bounds the number of tasks of a job. The owner makes an object for each task, so from reading a job with a count of 1e9 would take its memory, and that of each next owner, since the job is restored.

Change: such a job is refused as invalid before it is stored.

Measured: TestValidateReportsEveryViolation with counts of 2^62, two of them, and 100,001 tasks; the limit did not exist before.

--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -9,6 +9,10 @@
 // MaxSpecificationBytes is the maximum length of a job's specification.
 const MaxSpecificationBytes = 4000
 
+// MaxTasks is the maximum number of tasks of a job. The owner of the jobs keeps
+// each task in memory.
+const MaxTasks = 100_000
+
 // ErrUnsupported is wrapped by the errors for jobs that are well formed but use
 // a feature that this version does not implement.
 var ErrUnsupported = errors.New("not supported")
@@ -25,8 +29,13 @@
 	if len(j.Steps) == 0 {
 		found = append(found, errors.New("job has no steps"))
 	}
+	tasks := 0
 	for i := range j.Steps {
 		found = append(found, j.Steps[i].validate(i)...)
+		tasks += min(max(j.Steps[i].Count, 0), MaxTasks+1)
+	}
+	if tasks > MaxTasks {
+		found = append(found, fmt.Errorf("job has more than %d tasks", MaxTasks))
 	}
 	if j.Repetitions > 0 {
 		found = append(found, fmt.Errorf("repetitions: %w", ErrUnsupported))
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -18,6 +18,10 @@
 		require.ErrorContains(t, err, text)
 	}
 	require.ErrorContains(t, (&Job{ID: "0123456789abcdef"}).Validate(), "no steps")
+	for _, steps := range [][]Step{{{Count: 1 << 62}}, {{Count: 1 << 62}, {Count: 1 << 62}}, {{Count: MaxTasks}, {Count: 1}}} {
+		require.ErrorContains(t, (&Job{ID: "0123456789abcdef", Steps: steps}).Validate(), "tasks")
+	}
+	require.NoError(t, (&Job{ID: "0123456789abcdef", Steps: []Step{{Count: MaxTasks}}}).Validate())
 	gang := Job{ID: "0123456789abcdef", Steps: []Step{{Count: 1, Gang: true}}}
 	require.ErrorIs(t, gang.Validate(), ErrUnsupported)
 }
