jobdaemon: tell callers why a job was given up

Cause: a job that is given up because its task crashes backend servers was shown as failed, and the reason stood in the owner's log and row only.

--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -30,8 +30,8 @@
 	// Submit stores a job with the attributes of its queue. It succeeds without
 	// a change if a job with the same id was accepted before.
 	Submit(ctx context.Context, q workload.Queue, j workload.Job) error
-	// Phase returns the phase of a job.
-	Phase(ctx context.Context, q workload.Queue, id workload.JobID) (workload.Phase, error)
+	// Status returns the phase of a job and why it has failed.
+	Status(ctx context.Context, q workload.Queue, id workload.JobID) (workload.JobStatus, error)
 	// Cancel stores the cancellation of a job. It succeeds without a change if
 	// the job's phase is final.
 	Cancel(ctx context.Context, q workload.Queue, id workload.JobID) error
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -165,7 +165,7 @@
 	case *phaseQuery:
 		c.phaseQuery(m)
 	case *phaseRead:
-		c.phases.updateRead(m.id, m.phase, c.now())
+		c.phases.updateRead(m.id, m.status, c.now())
 	case *queueLengthQuery:
 		m.reply.Put(c.phases.queued[m.queue])
 	case *membersRead:
--- a/internal/jobdaemon/jobhandler.go
+++ b/internal/jobdaemon/jobhandler.go
@@ -89,12 +89,12 @@
 		reply actor.Reply[int]
 	}
 	phaseRead struct {
-		id    workload.JobID
-		phase workload.Phase
+		id     workload.JobID
+		status workload.JobStatus
 	}
 	phaseAnswer struct {
-		phase workload.Phase
-		known bool // the job is in the cache
+		status workload.JobStatus
+		known  bool // the job is in the cache
 	}
 )
 
@@ -203,82 +203,83 @@
 	}
 }
 
-// queryPhase asks the controller for the cached phase of a job.
+// queryPhase asks the controller for the cached status of a job.
 func (h *jobHandler) queryPhase(ctx context.Context, id workload.JobID) (phaseAnswer, error) {
 	return actor.Ask(ctx, h.controller.address, func(r actor.Reply[phaseAnswer]) any { return &phaseQuery{id, r} })
 }
 
-// Phase implements jobapi.Handler.
-func (h *jobHandler) Phase(ctx context.Context, _ workload.Queue, id workload.JobID) (workload.Phase, error) {
+// Status implements jobapi.Handler.
+func (h *jobHandler) Status(ctx context.Context, _ workload.Queue, id workload.JobID) (workload.JobStatus, error) {
 	answer, err := h.queryPhase(ctx, id)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", jobapi.ErrOutcomeUnknown, err)
+		return workload.JobStatus{}, fmt.Errorf("%w: %w", jobapi.ErrOutcomeUnknown, err)
 	}
 	if answer.known {
-		return answer.phase, nil
+		return answer.status, nil
 	}
-	phase, err := h.storedPhase(ctx, id)
+	status, err := h.storedStatus(ctx, id)
 	if err == nil {
-		h.controller.address.TrySend(&phaseRead{id, phase}) // if the mailbox is full, the next call reads again
+		h.controller.address.TrySend(&phaseRead{id, status}) // if the mailbox is full, the next call reads again
 	}
-	return phase, err
+	return status, err
 }
 
-// storedPhase reads the phase of a job that is not in the cache from the table
+// storedStatus reads the status of a job that is not in the cache from the table
 // service. It repeats failed reads until ctx ends.
-func (h *jobHandler) storedPhase(ctx context.Context, id workload.JobID) (workload.Phase, error) {
+func (h *jobHandler) storedStatus(ctx context.Context, id workload.JobID) (workload.JobStatus, error) {
 	if id == "" {
-		return 0, jobapi.ErrNoJob
+		return workload.JobStatus{}, jobapi.ErrNoJob
 	}
 	for {
-		phase, err := h.readPhase(ctx, id)
+		status, err := h.readStatus(ctx, id)
 		if err == nil || errors.Is(err, jobapi.ErrNoJob) {
-			return phase, err
+			return status, err
 		}
 		if !actor.Sleep(ctx, submitRetryInterval) {
-			return 0, fmt.Errorf("%w: %w", jobapi.ErrOutcomeUnknown, err)
+			return workload.JobStatus{}, fmt.Errorf("%w: %w", jobapi.ErrOutcomeUnknown, err)
 		}
 	}
 }
 
-// readPhase derives the phase of a job from its rows.
-func (h *jobHandler) readPhase(ctx context.Context, id workload.JobID) (workload.Phase, error) {
+// readStatus derives the status of a job from its rows.
+func (h *jobHandler) readStatus(ctx context.Context, id workload.JobID) (workload.JobStatus, error) {
+	var none workload.JobStatus
 	store := h.controller.storeProxy
 	_, err := store.read(ctx, jobKey(id))
 	switch {
 	case errors.Is(err, storage.ErrNotFound):
-		return 0, jobapi.ErrNoJob
+		return none, jobapi.ErrNoJob
 	case err != nil:
-		return 0, err
+		return none, err
 	}
 	_, err = store.read(ctx, cancelKey(id))
 	cancelled := err == nil
 	if err != nil && !errors.Is(err, storage.ErrNotFound) {
-		return 0, err
+		return none, err
 	}
 	row, err := store.read(ctx, progressKey(id))
 	switch {
 	case errors.Is(err, storage.ErrNotFound) && cancelled:
-		return workload.Cancelled, nil
+		return workload.JobStatus{Phase: workload.Cancelled}, nil
 	case errors.Is(err, storage.ErrNotFound):
-		return workload.Queued, nil
+		return workload.JobStatus{Phase: workload.Queued}, nil
 	case err != nil:
-		return 0, err
+		return none, err
 	}
 	p, err := wire.DecodeProgress(row.Value)
 	if cancelled && !p.Phase.Final() {
 		p.Phase = workload.Cancelled
 	}
-	return p.Phase, err
+	return workload.JobStatus{Phase: p.Phase, Failure: p.Failure}, err
 }
 
 // Cancel implements jobapi.Handler.
 func (h *jobHandler) Cancel(ctx context.Context, q workload.Queue, id workload.JobID) error {
-	phase, err := h.Phase(ctx, q, id)
+	status, err := h.Status(ctx, q, id)
 	if err != nil {
 		return err
 	}
-	if phase.Final() {
+	if status.Phase.Final() {
 		return nil
 	}
 	key := cancelKey(id)
@@ -304,8 +305,8 @@
 }
 
 func (c *controller) phaseQuery(m *phaseQuery) {
-	p, known := c.phases.phase(m.id, c.now())
-	m.reply.Put(phaseAnswer{p, known})
+	status, known := c.phases.status(m.id, c.now())
+	m.reply.Put(phaseAnswer{status, known})
 }
 
 // jobStored caches a job that a caller of this entry submitted, and passes it to
--- a/internal/jobdaemon/phasecache.go
+++ b/internal/jobdaemon/phasecache.go
@@ -25,8 +25,8 @@
 
 // readPhase is a phase that was read from the table service.
 type readPhase struct {
-	phase workload.Phase
-	at    time.Duration
+	status workload.JobStatus
+	at     time.Duration
 }
 
 type cachedPhase struct {
@@ -66,18 +66,18 @@
 	}
 }
 
-// phase returns the phase of a job, and whether the cache has it.
-func (c *phaseCache) phase(id workload.JobID, now time.Duration) (workload.Phase, bool) {
+// status returns the status of a job, and whether the cache has it.
+func (c *phaseCache) status(id workload.JobID, now time.Duration) (workload.JobStatus, bool) {
 	if j, ok := c.jobs[id]; ok {
-		return j.phase.Phase, true
+		return workload.JobStatus{Phase: j.phase.Phase, Failure: j.phase.Failure}, true
 	}
 	r, ok := c.read[id]
-	return r.phase, ok && now-r.at < readPhaseLifetime
+	return r.status, ok && now-r.at < readPhaseLifetime
 }
 
-// updateRead records a phase that was read from the table service.
-func (c *phaseCache) updateRead(id workload.JobID, p workload.Phase, now time.Duration) {
-	c.read[id] = readPhase{p, now}
+// updateRead records a status that was read from the table service.
+func (c *phaseCache) updateRead(id workload.JobID, s workload.JobStatus, now time.Duration) {
+	c.read[id] = readPhase{s, now}
 }
 
 // forgetRead removes a phase that was read before the job's rows changed.
--- a/internal/jobdaemon/phasecache_test.go
+++ b/internal/jobdaemon/phasecache_test.go
@@ -16,10 +16,10 @@
 func TestOwnerCachesJobsWhosePhaseItHadRead(t *testing.T) {
 	c := &controller{startedAt: time.Now(), jobs: jobs.New(1, 0), phases: newPhaseCache()}
 	c.jobs.Restore(workload.Job{ID: "j", Queue: "q", Steps: []workload.Step{{Count: 1}}}, nil)
-	c.phases.updateRead("j", workload.Queued, c.now())
+	c.phases.updateRead("j", workload.JobStatus{Phase: workload.Queued}, c.now())
 	c.startFeeds()
 	require.Equal(t, 1, c.phases.queued["q"])
-	phase, known := c.phases.phase("j", c.now()+2*readPhaseLifetime)
+	status, known := c.phases.status("j", c.now()+2*readPhaseLifetime)
 	require.True(t, known)
-	require.Equal(t, workload.Queued, phase)
+	require.Equal(t, workload.Queued, status.Phase)
 }
--- a/internal/jobdaemon/phasefeed.go
+++ b/internal/jobdaemon/phasefeed.go
@@ -165,7 +165,9 @@
 }
 
 // phaseBytes returns the size of a phase in a message.
-func phaseBytes(p msg.JobPhase) int { return len(p.ID) + len(p.Queue) + phaseOverheadBytes }
+func phaseBytes(p msg.JobPhase) int {
+	return len(p.ID) + len(p.Queue) + len(p.Failure) + phaseOverheadBytes
+}
 
 // startFeeds starts the feeds of an owner that has loaded the jobs. It knows what
 // the entries last heard from its own cache: what differs from it is sent first.
--- a/internal/jobdaemon/phasestorm_test.go
+++ b/internal/jobdaemon/phasestorm_test.go
@@ -56,7 +56,7 @@
 		s.net.Heal(owner.name, entry.name)
 		s.net.Heal(entry.name, owner.name)
 		s.waitUntil(waitingAge, func(e *phaseEntry) bool {
-			return ask(e, func(c *controller) bool { p, _ := c.phases.phase("0000000000000007", c.now()); return p.Final() })
+			return ask(e, func(c *controller) bool { s, _ := c.phases.status("0000000000000007", c.now()); return s.Phase.Final() })
 		})
 		time.Sleep(5 * time.Second)
 		received := entry.receivedBytes() - before
@@ -119,18 +119,18 @@
 		h := &jobHandler{controller: e.c, log: e.c.log}
 		const id, seconds, requests = "0000000000000000", 10, 200
 		for range requests {
-			phase, err := h.Phase(t.Context(), workload.Queue{}, id)
+			status, err := h.Status(t.Context(), workload.Queue{}, id)
 			require.NoError(t, err)
-			require.Equal(t, workload.Queued, phase)
+			require.Equal(t, workload.Queued, status.Phase)
 			time.Sleep(seconds * time.Second / requests)
 		}
 		require.LessOrEqual(t, s.table.reads.Next()-1, uint64(rowsOfPhase*seconds))
-		_, err := h.Phase(t.Context(), workload.Queue{}, "0000000000000001")
+		_, err := h.Status(t.Context(), workload.Queue{}, "0000000000000001")
 		require.ErrorIs(t, err, jobapi.ErrNoJob)
 		require.NoError(t, h.Cancel(t.Context(), workload.Queue{}, id))
-		phase, err := h.Phase(t.Context(), workload.Queue{}, id)
+		status, err := h.Status(t.Context(), workload.Queue{}, id)
 		require.NoError(t, err)
-		require.Equal(t, workload.Cancelled, phase)
+		require.Equal(t, workload.Cancelled, status.Phase)
 	})
 }
 
--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -45,6 +45,7 @@
 			for _, id := range bad {
 				require.LessOrEqual(t, s.starts[workload.TaskID{Job: workload.JobID(id)}], maxCrashStarts, id)
 				require.Equal(t, workload.Failed, s.phases[workload.JobID(id)], id)
+				require.Contains(t, s.failures[workload.JobID(id)], "task 0 of step 0 crashed", "the reason that callers see")
 			}
 			s.requireShortJobsUnharmed(bad...)
 			t.Logf("%d runs lost, %d ended", s.lost, s.ended)
--- a/internal/jobs/crashsite_test.go
+++ b/internal/jobs/crashsite_test.go
@@ -41,7 +41,9 @@
 	lost    int                     // runs of other tasks that were lost with their host
 	ended   int                     // runs of other tasks that ended as done
 	phases  map[workload.JobID]workload.Phase
-	decided []Decision
+	// failures are the reasons that callers see.
+	failures map[workload.JobID]string
+	decided  []Decision
 }
 
 // crashHost is a host of a crashSite.
@@ -60,6 +62,7 @@
 	s := &crashSite{
 		t: t, core: New(1, 0), crashAfter: crashAfter, specs: map[workload.JobID]workload.Job{}, rows: map[workload.JobID]workload.Progress{},
 		starts: map[workload.TaskID]int{}, crashes: map[workload.TaskID]int{}, phases: map[workload.JobID]workload.Phase{},
+		failures: map[workload.JobID]string{},
 	}
 	s.core.Recover(FormerOwnersEnded)
 	for i := range hosts {
@@ -99,7 +102,7 @@
 			s.receive(m)
 		}
 		for _, p := range s.core.Phases() {
-			s.phases[p.ID] = p.Phase
+			s.phases[p.ID], s.failures[p.ID] = p.Phase, p.Failure
 		}
 		s.decided = append(s.decided, s.core.Decisions()...)
 		if len(messages) == 0 {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -141,7 +141,11 @@
 	if p.Final() && p != workload.Cancelled && j.storedPhase != p {
 		p = workload.Running
 	}
-	return msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p}
+	visible := msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p}
+	if p == workload.Failed {
+		visible.Failure = j.failure
+	}
+	return visible
 }
 
 func (j *job) step(e chart.Event) { jobChart.Step(j, &j.state, e) }
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -184,6 +184,8 @@
 	ID    workload.JobID
 	Queue workload.QueueName
 	Phase workload.Phase
+	// Failure says why the job has failed, if not by its failed runs.
+	Failure string
 }
 
 // PhaseMark says which changes of the jobs' phases an entry has applied: those
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -276,7 +276,7 @@
 }
 
 func jobPhaseToProto(j msg.JobPhase) *pb.JobPhase {
-	return &pb.JobPhase{Id: string(j.ID), Queue: string(j.Queue), Phase: uint32(j.Phase)}
+	return &pb.JobPhase{Id: string(j.ID), Queue: string(j.Queue), Phase: uint32(j.Phase), Failure: j.Failure}
 }
 
 func jobPhasesFromProto(p *pb.JobPhases) (msg.Control, error) {
@@ -286,7 +286,7 @@
 			return nil, malformed("job %q has the unknown phase %d", j.GetId(), j.GetPhase())
 		}
 		m.Jobs = append(m.Jobs, msg.JobPhase{
-			ID: workload.JobID(j.GetId()), Queue: workload.QueueName(j.GetQueue()), Phase: workload.Phase(j.GetPhase()),
+			ID: workload.JobID(j.GetId()), Queue: workload.QueueName(j.GetQueue()), Phase: workload.Phase(j.GetPhase()), Failure: j.GetFailure(),
 		})
 	}
 	return m, nil
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -271,6 +271,12 @@
 	return best, best != nil
 }
 
+// JobStatus is what a caller may see of a job.
+type JobStatus struct {
+	Phase   Phase
+	Failure string // why the job has failed, if not by its failed runs
+}
+
 // Progress is the stored progress of a job of which a task has started.
 type Progress struct {
 	Phase     Phase
