jobs, jobdaemon: split the two largest test files

The reference of the planner and the parts of the configuration's test site stand in files of their own.

--- a/internal/jobdaemon/configsite_test.go
+++ b/internal/jobdaemon/configsite_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -17,9 +16,6 @@
 	"github.com/bambooscale/bambooscale/internal/metrics"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/ownership"
-	"github.com/bambooscale/bambooscale/internal/storage"
-	"github.com/bambooscale/bambooscale/internal/table"
-	"github.com/bambooscale/bambooscale/internal/wire"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -38,189 +34,6 @@
 	controlRate    = 11 << 10        // stated bytes per second for the control of a daemon
 )
 
-// accessLink is the network connection of a process. It transfers one message at
-// a time in each direction, and counts the bytes of peers.
-type accessLink struct {
-	bytesPerSecond float64
-	in, out        chan struct{} // held during a transfer
-	peerBytes      int           // received from peers; owned by the holder of in
-	tableBytes     int           // received from the table service; owned by the holder of in
-}
-
-func newAccessLink(bytesPerSecond float64) *accessLink {
-	return &accessLink{bytesPerSecond: bytesPerSecond, in: make(chan struct{}, 1), out: make(chan struct{}, 1)}
-}
-
-func (a *accessLink) transfer(ctx context.Context, direction chan struct{}, size int) error {
-	select {
-	case direction <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { <-direction }()
-	if !actor.Sleep(ctx, time.Duration(float64(size)/a.bytesPerSecond*float64(time.Second))) {
-		return ctx.Err()
-	}
-	return nil
-}
-
-// downloadPart is the number of bytes after which a download reports progress.
-const downloadPart = 16 << 10
-
-// download transfers an answer of the table service, which keeps the connection
-// until its end, as one that was sent at once does. It makes progress that
-// storage.ReportProgress reports.
-func (a *accessLink) download(ctx context.Context, size int) error {
-	select {
-	case a.in <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { <-a.in }()
-	for ; size > 0; size -= downloadPart {
-		if !actor.Sleep(ctx, time.Duration(float64(min(size, downloadPart))/a.bytesPerSecond*float64(time.Second))) {
-			return ctx.Err()
-		}
-		storage.ReportProgress(ctx)
-	}
-	return nil
-}
-
-// limitedConn is a link of a process with an access link.
-type limitedConn struct {
-	link.Conn
-	ctx    context.Context
-	access *accessLink
-}
-
-func (c *limitedConn) Send(m msg.Control) error {
-	if err := c.access.transfer(c.ctx, c.access.out, encodedSize(m)); err != nil {
-		return err
-	}
-	return c.Conn.Send(m)
-}
-
-func (c *limitedConn) Receive() (msg.Control, error) {
-	m, err := c.Conn.Receive()
-	if err != nil {
-		return nil, err
-	}
-	size := encodedSize(m)
-	err = c.access.transfer(c.ctx, c.access.in, size)
-	c.access.in <- struct{}{}
-	c.access.peerBytes += size
-	<-c.access.in
-	return m, err
-}
-
-func encodedSize(m msg.Control) int {
-	b, err := wire.AppendControl(nil, m)
-	if err != nil {
-		panic(err)
-	}
-	return len(b)
-}
-
-// configTable is a table service that holds the configuration. Its answers take
-// the access link of the caller.
-type configTable struct{ newest actor.Value[tableConfig] }
-
-// tableConfig is one version of the configuration.
-type tableConfig struct {
-	version  uint64 // of the configuration, and of its row
-	content  []byte
-	replaced chan struct{} // closed when there is a higher version
-}
-
-func encodeTestConfig(version uint64) []byte {
-	return binary.BigEndian.AppendUint64(nil, version)
-}
-
-func (s *configTable) put(version uint64) { s.putContent(version, make([]byte, configBytes)) }
-
-func (s *configTable) putContent(version uint64, content []byte) {
-	old := s.newest.Get()
-	s.newest.Set(&tableConfig{version, content, make(chan struct{})})
-	close(old.replaced)
-}
-
-// queueList returns a text of the given size that compresses like the operators'
-// configuration: names of random letters and digits in objects with equal fields.
-func queueList(size int) []byte {
-	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
-	random := rand.New(rand.NewPCG(1, 2))
-	name := func(n int) string {
-		b := make([]byte, n)
-		for i := range b {
-			b[i] = letters[random.IntN(len(letters))]
-		}
-		return string(b)
-	}
-	var list []byte
-	for len(list) < size {
-		list = fmt.Appendf(list, `{"name":"r-%s","host":"%s.example","path-prefix":"/%s/","service":"permit-desk","timeout-ms":%d,"target-latency-ms":%d,"priority":%d,"max-attempts":3,"stretch":1.5},`,
-			name(7), name(4)+"2", name(8), 1000+random.IntN(9000), 250+random.IntN(2000), random.IntN(3))
-	}
-	return list[:size]
-}
-
-// tableClient is the Store of one entry. A call fails after its timeout while the
-// entry is cut off.
-type tableClient struct {
-	Store
-	table  *configTable
-	access *accessLink
-	cut    actor.Value[bool]
-}
-
-func (c *tableClient) isCut() bool {
-	cut := c.cut.Get()
-	return cut != nil && *cut
-}
-
-func (c *tableClient) rows(ctx context.Context, after uint64) ([]table.Row, table.Revision, error) {
-	if c.isCut() {
-		<-ctx.Done()
-		return nil, 0, storage.ErrUnavailable
-	}
-	newest := c.table.newest.Get()
-	version := newest.version
-	if version <= after {
-		return nil, table.Revision(version), nil
-	}
-	value := append(encodeTestConfig(version), newest.content...)
-	if err := c.access.download(ctx, len(value)*4/3); err != nil {
-		return nil, 0, storage.ErrUnavailable
-	}
-	c.access.in <- struct{}{}
-	c.access.tableBytes += len(value) * 4 / 3
-	<-c.access.in
-	return []table.Row{{Key: "op//config", Version: table.Revision(version), Value: value}}, table.Revision(version), nil
-}
-
-func (c *tableClient) Scan(ctx context.Context, _ string, _ table.Revision) ([]table.Row, table.Revision, error) {
-	return c.rows(ctx, 0)
-}
-
-func (c *tableClient) Watch(ctx context.Context, _ string, after table.Revision, wait time.Duration) ([]table.Row, table.Revision, error) {
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	for !c.isCut() {
-		newest := c.table.newest.Get()
-		if newest.version > uint64(after) {
-			break
-		}
-		select {
-		case <-newest.replaced:
-		case <-timeout.C:
-			return nil, after, nil
-		case <-ctx.Done():
-			return nil, 0, storage.ErrUnavailable
-		}
-	}
-	return c.rows(ctx, uint64(after))
-}
-
 // configSite consists of linked entries that watch one table service.
 type configSite struct {
 	t       *testing.T
