--- a/internal/hostagent/core_test.go
+++ b/internal/hostagent/core_test.go
@@ -371,3 +371,31 @@
 		})
 	}
 }
+
+// Guards against a task in two places: an owner that was replaced goes on ordering
+// starts until it learns of it, also after the new owner may start runs.
+func TestReplacedOwnerStartsNothing(t *testing.T) {
+	const nextLink LinkID = 2
+	h := newHarness(t)
+	h.prepare()
+	h.claim(nextLink, 2)
+	h.acceptInventory(nextLink, 2)
+	h.start(ownerLink, 1, 0, 100)
+	h.start(ownerLink, 2, 1, 100)
+	h.start(nextLink, 1, 2, 100)
+	require.Zero(t, h.startCalls())
+	h.start(nextLink, 2, 3, 100)
+	require.Equal(t, 1, h.startCalls())
+}
+
+// Guards against a start after the owner's lease has expired, when its successor
+// may have started the task elsewhere, and before the agent has noticed it.
+func TestNothingStartsAfterTheOwnersLease(t *testing.T) {
+	h := newHarness(t)
+	h.prepare()
+	h.core.NextPoll()
+	h.core.Advance(6*time.Second + time.Second/2)
+	h.start(ownerLink, 1, 0, 100)
+	require.Zero(t, h.startCalls())
+	require.Equal(t, []workload.RunID{runID(0)}, h.refused())
+}
