jobs: test that ends are acknowledged only after their batch is stored

The agent drops an acknowledged end, so a task would run again after an owner that ends in between.

Change: a test; no code.

--- a/internal/jobs/recovery_test.go
+++ b/internal/jobs/recovery_test.go
@@ -248,3 +248,35 @@
 	next.link(readyHost("a", 4000))
 	require.Len(t, next.started, 1)
 }
+
+// Guards against an end that is lost: the agent drops it once it is acknowledged, so
+// if the owner ends before its batch is stored, the next one starts the task again.
+func TestEndsAreAcknowledgedOnlyAfterTheirBatchIsStored(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 2000))
+	h.core.Submit(newSpec("j", newStep(2, 1000)))
+	h.process()
+	acknowledged := func() uint64 {
+		var last uint64
+		for _, m := range h.sent["a"] {
+			if a, ok := m.(*msg.EndsAcknowledged); ok {
+				last = max(last, a.LastNumber)
+			}
+		}
+		return last
+	}
+	for run := range h.started {
+		h.reportEnd(run, workload.EndDone, "")
+	}
+	require.EqualValues(t, 2, h.ends["a"])
+	h.core.NextBatch()
+	h.process()
+	require.Zero(t, acknowledged(), "the batch is being written")
+	h.core.BatchFailed()
+	h.process()
+	require.Zero(t, acknowledged(), "the batch was not stored")
+	h.core.NextBatch()
+	h.core.BatchCommitted()
+	h.process()
+	require.EqualValues(t, 2, acknowledged())
+}
