jobs: reserve a host for each service that has isolated tasks

Cause: a host stayed reserved while any isolated task waited, and the reserved hosts were counted against the waiting tasks, whatever they suit. After the cancellation of the job that a reservation was for, an isolated task of another service waited for ever, and the host was not used. Found by reading.

Change: a reservation ends when no waiting task suits its host, and a host is reserved for each task that none of the reserved ones suits.

Measured: TestReservationForAnotherServiceKeepsNoTaskWaiting fails before. TestRestartOfADrainingBackendServerIsNoCrash is for a rule of which no test failed when it was taken out.

--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -206,3 +207,58 @@
 		})
 	}
 }
+
+// Guards against an isolated task that waits without end because the host that is
+// reserved suits only a task that does not wait any more.
+func TestReservationForAnotherServiceKeepsNoTaskWaiting(t *testing.T) {
+	s := newCrashSite(t, 7, crashTask(100*time.Millisecond))
+	for _, h := range s.hosts[5:] {
+		h.info.Service = "other"
+		s.core.Announced(h.info)
+	}
+	first, second := shortJob("bad-1", 1), shortJob("bad-2", 1)
+	second.Service = "other"
+	long := newStep(30, 1000)
+	long.Estimate = time.Minute // so that a reserved host does not drain
+	s.submit(newSpec("long", long))
+	s.run(2 * time.Second)
+	s.submit(first)
+	s.submit(second)
+	waiting := func(id workload.JobID) bool {
+		return slices.ContainsFunc(s.core.suspects, func(t *task) bool { return t.suspicion == taskIsolated && t.step.job.spec.ID == id })
+	}
+	for (len(s.core.reserved) == 0 || !waiting("bad-1") || !waiting("bad-2")) && s.now < 10*time.Second {
+		s.run(siteTick)
+	}
+	require.True(t, waiting("bad-1") && waiting("bad-2"))
+	require.Len(t, s.core.reserved, 1)
+	cancelled, other := workload.JobID("bad-1"), workload.JobID("bad-2")
+	if s.core.reserved[0].info.Service == "other" {
+		cancelled, other = other, cancelled
+	}
+	s.core.Cancel(cancelled)
+	s.run(8 * time.Second)
+	require.Equal(t, workload.Failed, s.phases[other])
+}
+
+// Guards against tasks that are blamed for the planned end of a backend server that
+// starts again before its agent has noticed the end.
+func TestRestartOfADrainingBackendServerIsNoCrash(t *testing.T) {
+	s := newCrashSite(t, 2, func(workload.TaskID) time.Duration { return 0 })
+	s.submit(shortJob("j", 4))
+	s.run(100 * time.Millisecond)
+	h := s.hosts[0]
+	require.NotEmpty(t, h.runs)
+	h.info.State = workload.HostDraining
+	h.info.Remaining = 5 * time.Second
+	s.core.Announced(h.info)
+	clear(h.runs)
+	h.info.State, h.info.StartedAtMS = workload.HostReady, s.now.Milliseconds()
+	s.core.Announced(h.info)
+	s.sendInventory(h)
+	s.run(3 * time.Second)
+	for _, d := range s.decided {
+		require.NotEqual(t, TaskSuspected, d.Kind)
+	}
+	require.Equal(t, workload.Completed, s.phases["j"])
+}
--- a/internal/jobs/isolation.go
+++ b/internal/jobs/isolation.go
@@ -113,7 +113,7 @@
 // reserves hosts for the others.
 func (c *Core) placeIsolated(tasks []*task) {
 	c.reserved = slices.DeleteFunc(c.reserved, func(h *host) bool {
-		if h.acceptsStarts() && len(tasks) > 0 {
+		if slices.ContainsFunc(tasks, h.suitsApart) {
 			return false
 		}
 		h.endReservation()
@@ -160,13 +160,18 @@
 
 // reserveHosts reserves hosts for the tasks that have none.
 func (c *Core) reserveHosts(tasks []*task) {
-	for _, t := range tasks[min(len(c.reserved), len(tasks)):] {
+	free := slices.Clone(c.reserved)
+	for _, t := range tasks {
+		if i := slices.IndexFunc(free, func(h *host) bool { return h.suitsApart(t) }); i >= 0 {
+			free = slices.Delete(free, i, i+1)
+			continue
+		}
 		if len(c.reserved)+c.heldHosts() >= c.isolationLimit() {
 			return
 		}
 		h := c.hostToReserve(t)
 		if h == nil {
-			return
+			continue
 		}
 		h.reservedSince = c.now
 		c.reserved = append(c.reserved, h)
@@ -193,6 +198,20 @@
 	return hostselect.Check(t.step.selectionTask(), view) == hostselect.Fits
 }
 
+// suitsApart reports whether the task could run on a host, reserved or not, if
+// nothing else that ends ran there.
+func (h *host) suitsApart(t *task) bool {
+	view := h.view(t.step)
+	view.Reachable = h.acceptsStarts()
+	view.Free = h.info.Capacity
+	for _, r := range h.runs {
+		if r.task.step.spec.LongRunning {
+			view.Free = view.Free.Sub(r.task.step.spec.Charge())
+		}
+	}
+	return hostselect.Check(t.step.selectionTask(), view) == hostselect.Fits
+}
+
 // endingRuns returns the number of runs on the host that end by themselves.
 func (h *host) endingRuns() int {
 	n := 0
@@ -234,17 +253,10 @@
 func (c *Core) hostToReserve(t *task) *host {
 	var best *host
 	for _, h := range c.hostsByName {
-		if h.unproven > 0 || h.reservedSince != 0 {
+		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 {
 			continue
 		}
-		view := h.view(t.step)
-		view.Free = h.info.Capacity
-		for _, r := range h.runs {
-			if r.task.step.spec.LongRunning {
-				view.Free = view.Free.Sub(r.task.step.spec.Charge())
-			}
-		}
-		if hostselect.Check(t.step.selectionTask(), view) != hostselect.Fits {
+		if !h.suitsApart(t) {
 			continue
 		}
 		if h.wasHeld() {
