jobs: test three rules of suspects that no test would have missed

Cause: with each of them taken out no test failed: the counts of a batch that is not stored are stored by the next, the first crash of a task is no proof, and a run that lasted for a minute clears its task.

Change: a test for each; no code.

--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -262,3 +262,53 @@
 	}
 	require.Equal(t, workload.Completed, s.phases["j"])
 }
+
+// Guards against a task that never starts again because the batch with the count of
+// its crashes was not stored.
+func TestCrashesOfABatchThatFailsAreStoredByTheNext(t *testing.T) {
+	s := newCrashSite(t, 8, crashTask(100*time.Millisecond))
+	s.run(time.Second)
+	s.submit(shortJob("bad", 1))
+	id := workload.TaskID{Job: "bad"}
+	for s.core.task(id).suspicion != taskUnstored {
+		s.run(siteTick)
+	}
+	s.failBatches = 2
+	s.run(8 * time.Second)
+	require.Zero(t, s.failBatches)
+	require.Equal(t, workload.Failed, s.phases["bad"])
+}
+
+// Guards against a task that is given up for the first crash of a host on which it
+// was the only new one: most hosts crash for no reason of a task.
+func TestFirstCrashOfATaskIsNoProof(t *testing.T) {
+	s := newCrashSite(t, 4, func(workload.TaskID) time.Duration { return 0 })
+	lasting := newStep(1, 1000)
+	lasting.LongRunning = true
+	s.submit(newSpec("lasting", lasting))
+	id := workload.TaskID{Job: "lasting"}
+	for range 2 {
+		s.run(200 * time.Millisecond)
+		s.crash(s.hostOf(id))
+	}
+	require.Equal(t, 1, s.core.task(id).crashes.alone, "the second crash counts, the first does not")
+	s.run(10 * time.Second)
+	require.Equal(t, taskTrusted, s.core.task(id).suspicion)
+}
+
+// Guards against a task that lasts and is a suspect for ever, because single hosts
+// on which it ran crash in the course of days.
+func TestRunThatLastedClearsItsTask(t *testing.T) {
+	s := newCrashSite(t, 4, func(workload.TaskID) time.Duration { return 0 })
+	lasting := newStep(1, 1000)
+	lasting.LongRunning = true
+	s.submit(newSpec("lasting", lasting))
+	id := workload.TaskID{Job: "lasting"}
+	for range minLosses + 2 {
+		s.run(lossMemory + 2*time.Second)
+		s.crash(s.hostOf(id))
+	}
+	for _, d := range s.decided {
+		require.NotEqual(t, TaskSuspected, d.Kind)
+	}
+}
--- a/internal/jobs/crashsite_test.go
+++ b/internal/jobs/crashsite_test.go
@@ -32,9 +32,10 @@
 	// server; 0: the task crashes none.
 	crashAfter func(workload.TaskID) time.Duration
 
-	storeDown bool
-	batch     *Batch        // being written
-	batchDone time.Duration // when it is stored
+	storeDown   bool
+	failBatches int           // number of the next batches that are not stored
+	batch       *Batch        // being written
+	batchDone   time.Duration // when it is stored
 
 	starts  map[workload.TaskID]int
 	crashes map[workload.TaskID]int // of backend servers under a task that crashes them
@@ -238,17 +239,33 @@
 		if s.now < s.batchDone {
 			return
 		}
-		for _, w := range s.batch.Writes {
-			s.rows[w.Job] = w.Progress
-		}
-		s.batch = nil
-		s.core.BatchCommitted()
+		s.endBatch()
 	}
 	if pending, _ := s.core.Pending(); pending && !s.storeDown {
 		s.batch, s.batchDone = s.core.NextBatch(), s.now+storeTime
 	}
 }
 
+// endBatch stores the batch that is being written, unless it is to fail.
+func (s *crashSite) endBatch() {
+	batch := s.batch
+	s.batch = nil
+	if s.failBatches > 0 {
+		s.failBatches--
+		s.core.BatchFailed()
+		return
+	}
+	for _, w := range batch.Writes {
+		s.rows[w.Job] = w.Progress
+	}
+	s.core.BatchCommitted()
+}
+
+// hostOf returns the host on which a task runs.
+func (s *crashSite) hostOf(id workload.TaskID) *crashHost {
+	return s.host(s.core.task(id).runs[0].host.info.Name)
+}
+
 func hostNames(hosts []*crashHost) []workload.HostName {
 	var names []workload.HostName
 	for _, h := range hosts {
