--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -5,12 +5,12 @@
 	"github.com/bambooscale/bambooscale/internal/chart"
 )
 
-// Watchers is the number of linked entries that watch the table service for one
+// requiredWatchers is the number of linked entries that watch the table service for one
 // that does not. A copy of the configuration from the service is about ten times as
 // large as its chunks, and is read in one piece: 1.1 MB take a connection of
 // 10 Mbit/s for as long as a link may be silent. With three, two may fail at the
 // same time as the configuration changes.
-const Watchers = 3
+const requiredWatchers = 3
 
 // stateFollowing is the number of the state following of charts/configwatch.scxml,
 // in the order of WatchBinding.
@@ -50,7 +50,7 @@
 			preceding++
 		}
 	}
-	if preceding >= Watchers {
+	if preceding >= requiredWatchers {
 		watchChart.Step(c, &c.watchState, evRelieved)
 	} else {
 		watchChart.Step(c, &c.watchState, evNeeded)
--- a/internal/configsync/watch_test.go
+++ b/internal/configsync/watch_test.go
@@ -42,8 +42,8 @@
 						preceding++
 					}
 				}
-				require.Equal(t, preceding >= Watchers, c.Follows(), name)
-				require.Equal(t, preceding < Watchers && healthy[name], c.Watches(), name)
+				require.Equal(t, preceding >= requiredWatchers, c.Follows(), name)
+				require.Equal(t, preceding < requiredWatchers && healthy[name], c.Watches(), name)
 			}
 		}
 	})
@@ -70,7 +70,7 @@
 // own read.
 func TestFollowerRequestsWithoutWaitingForItsOwnRead(t *testing.T) {
 	c := New("e9", 10)
-	for i := range Watchers {
+	for i := range requiredWatchers {
 		name := fmt.Sprintf("e%d", i)
 		c.PeerUp(name, 200)
 		c.Announced(name, 1, true, 0)
