--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -5,9 +5,9 @@
 	"github.com/bambooscale/bambooscale/internal/chart"
 )
 
-// requiredWatchers is the number of linked entries that watch the table service for one
-// that does not. A copy of the configuration from the service is about ten times as
-// large as its chunks, and is read in one piece: 1.1 MB take a connection of
+// requiredWatchers is the number of linked entries that watch the table service for
+// one that does not. A copy of the configuration from the service is several times
+// as large as its chunks, and is read in one piece: 1.1 MB take a connection of
 // 10 Mbit/s for as long as a link may be silent. With three, two may fail at the
 // same time as the configuration changes.
 const requiredWatchers = 3
