--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -25,6 +25,7 @@
 var scenarios = map[string]func(*system, bool) ([]string, error){
 	"reborn":   rebornScenario,
 	"misroute": misrouteScenario,
+	"deadly":   deadlyScenario,
 	"mute":     muteScenario,
 	"odd":      oddScenario,
 	"wide":     wideScenario,
