jobs, hostagent: attribute crashes only to runs that may have started

What callers saw: after the crash of a rack the job that was submitted next was shown as failed within 15 ms, as the cause of three crashes.

Cause: the owner counted a crash against every run that it had ordered within 500 ms. Ruled out: crashes that are announced twice, and a confusion with the job that had run there.

Change: the agent applies a call's outcome before it draws conclusions from its error, sends the collected outcomes before the crash, and reports unanswered starts as unconfirmed (a new field of RunsChanged, which a former owner ignores). Only runs reported as started or unconfirmed count. Why it works: without a report there is nothing to count, however slow the refusals arrive.

Tests of hostagent, jobs, wire and jobdaemon pass.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -85,6 +85,7 @@
 // incarnation may announce itself again.
 func (c *Core) endIncarnation(reason string) {
 	c.addDecision(Decision{Kind: IncarnationEnded, Detail: reason})
+	c.flushChanges() // the owner has to know which runs had started before the end
 	c.removeRuns()
 	c.host.State = workload.HostUnavailable
 	c.announce()
@@ -141,32 +142,41 @@
 
 // PollAnswered applies the answer to a poll that NextPoll returned.
 func (c *Core) PollAnswered(target runner.Target, startedAtMS int64, response runner.PollResponse, err error) {
-	c.answered(startedAtMS, response.ClockMS, err)
-	if err == nil && startedAtMS == c.host.StartedAtMS && !c.ended {
+	if startedAtMS != c.host.StartedAtMS || c.ended {
+		return
+	}
+	c.answered(response.ClockMS, err)
+	if err == nil {
 		c.pollIgnored = !c.applyPoll(target, response)
 	}
+	c.checkCrash(err)
 }
 
 // maxConnectionRefusals is the number of consecutive refused connections after
 // which the process of the backend server counts as ended.
 const maxConnectionRefusals = 2
 
-// answered applies the clock and the error of an answer to any call.
-func (c *Core) answered(startedAtMS, clockMS int64, err error) {
-	if startedAtMS != c.host.StartedAtMS || c.ended {
-		return
-	}
+// answered applies the clock of an answer to any call, and raises the token if the
+// call was fenced.
+func (c *Core) answered(clockMS int64, err error) {
 	if clockMS > 0 {
 		c.clock.set(clockMS, c.now)
 	}
+	if errors.Is(err, runner.ErrFenced) {
+		c.token += fencedTokenStep
+	}
+}
+
+// checkCrash ends the incarnation if the error of a call shows that its process has
+// ended. It is called after the call was applied, so that a refused start is
+// reported as refused before the crash, of which it cannot be the cause.
+func (c *Core) checkCrash(err error) {
 	switch {
 	case err == nil:
 		c.connectionRefusals = 0
 	case errors.Is(err, runner.ErrOtherIncarnation):
 		c.ended = true
 		c.crashIncarnation("another incarnation answered")
-	case errors.Is(err, runner.ErrFenced):
-		c.token += fencedTokenStep
 	case errors.Is(err, runner.ErrNotListening):
 		if c.connectionRefusals++; c.connectionRefusals >= maxConnectionRefusals {
 			c.ended = true
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -248,7 +248,7 @@
 func (c *Core) flushChanges() {
 	m := c.changed
 	c.changed = msg.RunsChanged{}
-	if c.owner == 0 || !c.inventorySent || len(m.Started)+len(m.Refused)+len(m.Ended) == 0 {
+	if c.owner == 0 || !c.inventorySent || len(m.Started)+len(m.Refused)+len(m.Unconfirmed)+len(m.Ended) == 0 {
 		return // the next inventory contains the changes
 	}
 	m.Epoch, m.Instance, m.StartedAtMS = c.epoch, c.host.Instance, c.host.StartedAtMS
--- a/internal/hostagent/crash_test.go
+++ b/internal/hostagent/crash_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/runner"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
@@ -45,3 +46,24 @@
 		})
 	}
 }
+
+// Guards against an owner that takes a start for the cause of a crash though the
+// backend server had ended before: the refused start has to be reported before the
+// crash that the refusals show.
+func TestOutcomeOfStartsIsReportedBeforeTheCrash(t *testing.T) {
+	h := newHarness(t)
+	h.prepare()
+	for i := range 3 {
+		h.start(ownerLink, 1, i, 100)
+	}
+	starts := h.calls[len(h.calls)-3:]
+	h.sends = nil
+	h.core.Answered(Answer{Call: starts[0], Err: runner.ErrOutcomeUnknown})
+	h.core.Answered(Answer{Call: starts[1], Err: runner.ErrNotListening})
+	h.core.Answered(Answer{Call: starts[2], Err: runner.ErrNotListening})
+	h.collect()
+	changed := h.sends[0].(*msg.RunsChanged)
+	require.Equal(t, []workload.RunID{runID(0)}, changed.Unconfirmed)
+	require.Equal(t, []workload.RunID{runID(1), runID(2)}, changed.Refused)
+	require.True(t, h.sends[1].(*msg.HostAnnounced).Host.Crashed)
+}
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -193,10 +193,10 @@
 
 // Answered applies the answer to a call that Calls returned.
 func (c *Core) Answered(a Answer) {
-	c.answered(a.Call.startedAtMS, a.ClockMS, a.Err)
 	if a.Call.startedAtMS != c.host.StartedAtMS || c.ended {
 		return
 	}
+	c.answered(a.ClockMS, a.Err)
 	switch {
 	case a.Call.Start != nil:
 		c.startAnswered(a)
@@ -205,6 +205,7 @@
 	case a.Call.Poll != nil && a.Err == nil:
 		c.applyPoll(a.Call.Target, a.Response)
 	}
+	c.checkCrash(a.Err)
 }
 
 func (c *Core) startAnswered(a Answer) {
--- a/internal/hostagent/run.go
+++ b/internal/hostagent/run.go
@@ -176,6 +176,7 @@
 func (r *run) raiseToken() {
 	r.core.token++
 	r.settlingToken = r.core.token
+	r.core.changed.Unconfirmed = append(r.core.changed.Unconfirmed, r.id)
 	r.core.addDecision(Decision{Kind: RunUnconfirmed, Run: r.id})
 }
 
--- a/internal/jobs/reports.go
+++ b/internal/jobs/reports.go
@@ -7,8 +7,8 @@
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
-// RunsChanged applies an agent's report of runs that started, were refused or
-// ended. It ignores a report for another epoch or incarnation, or while the
+// RunsChanged applies an agent's report of runs that started, may have
+// started, were refused or ended. It ignores a report for another epoch or incarnation, or while the
 // inventory of the host is missing.
 func (c *Core) RunsChanged(name workload.HostName, m *msg.RunsChanged) {
 	h, ok := c.hosts[name]
@@ -20,6 +20,11 @@
 			r.step(evStarted)
 		}
 	}
+	for _, id := range m.Unconfirmed {
+		if r, ok := h.runs[id]; ok {
+			r.mayHaveStarted = true
+		}
+	}
 	for _, id := range m.Refused {
 		if r, ok := h.runs[id]; ok {
 			r.step(evRefused)
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -67,6 +67,8 @@
 	end        msg.RunEnd // set during the event ended only
 	stopReason string     // why it was stopped, for the log
 
+	mayHaveStarted bool // its agent reported it as started or as unconfirmed
+
 	unproven bool // it may show that its task crashes backend servers
 	holds    bool // nothing else starts beside it
 
@@ -109,7 +111,7 @@
 }
 
 func (r *run) noteStarted() {
-	r.startedAt = r.core().now
+	r.startedAt, r.mayHaveStarted = r.core().now, true
 	r.host.refusals = 0
 	r.task.step.job.step(evBegin)
 }
--- a/internal/jobs/suspect.go
+++ b/internal/jobs/suspect.go
@@ -96,7 +96,7 @@
 // attributeCrash records for the tasks with runs on the host that its backend
 // server has crashed, and which of them may be the cause.
 func (h *host) attributeCrash() {
-	runs := h.sortedRuns()
+	runs := h.possiblyStartedRuns()
 	possible := possibleCauses(runs)
 	for _, r := range runs {
 		c, age := &r.task.crashes, r.age()
@@ -117,6 +117,19 @@
 	}
 }
 
+// possiblyStartedRuns returns the runs that the backend server has started or may
+// have started. A run that is only ordered cannot have crashed it: its start was
+// refused or not sent.
+func (h *host) possiblyStartedRuns() []*run {
+	var list []*run
+	for _, r := range h.sortedRuns() {
+		if r.mayHaveStarted {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // possibleCauses returns the runs that may have crashed their backend server:
 // those that were ordered within crashWindow, and those of tasks that may have
 // crashed one before. The latter do not clear the former: while many tasks are
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -135,12 +135,14 @@
 
 // RunsChanged reports runs that started or ended at an agent. The runs in
 // Refused did not start and never will, or are no longer at the backend server.
+// Those in Unconfirmed may have started: the backend server did not answer.
 type RunsChanged struct {
 	Epoch       uint64
 	Instance    workload.Instance
 	StartedAtMS int64
 	Started     []workload.RunID
 	Refused     []workload.RunID
+	Unconfirmed []workload.RunID
 	Ended       []RunEnd
 }
 
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -46,7 +46,7 @@
 	case *msg.RunsChanged:
 		p.Kind = &pb.Control_RunsChanged{RunsChanged: &pb.RunsChanged{
 			Epoch: m.Epoch, Instance: string(m.Instance), Born: m.StartedAtMS, Started: mapSlice(m.Started, runToProto),
-			Refused: mapSlice(m.Refused, runToProto), Ends: mapSlice(m.Ended, runEndToProto),
+			Refused: mapSlice(m.Refused, runToProto), Unconfirmed: mapSlice(m.Unconfirmed, runToProto), Ends: mapSlice(m.Ended, runEndToProto),
 		}}
 	case *msg.RunsProgress:
 		p.Kind = &pb.Control_RunsProgress{RunsProgress: &pb.RunsProgress{
@@ -271,7 +271,8 @@
 	ended, err := runEndsFromProto(p.GetEnds())
 	return &msg.RunsChanged{
 		Epoch: p.GetEpoch(), Instance: workload.Instance(p.GetInstance()), StartedAtMS: p.GetBorn(),
-		Started: mapSlice(p.GetStarted(), runFromProto), Refused: mapSlice(p.GetRefused(), runFromProto), Ended: ended,
+		Started: mapSlice(p.GetStarted(), runFromProto), Refused: mapSlice(p.GetRefused(), runFromProto),
+		Unconfirmed: mapSlice(p.GetUnconfirmed(), runFromProto), Ended: ended,
 	}, err
 }
 
