ownership: learn the name of an owner together with its epoch

Cause: a link begins with a hello, which carries an epoch and no name. It raised the highest epoch and left the name of the former owner, and the claim of that epoch, which follows on the same link, was ignored because its epoch was known. Ruled out: lost claims, and cancels that the owner drops.

Change: a name is valid only with its epoch. Meanwhile changes go to every linked entry. Event 925 tells what an entry learned of the owner, and from whom.

Why it works: no order of hello, claim and release leaves a former name in force, and a lost claim costs one read.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -145,7 +145,7 @@
 	case *linkDown:
 		c.linkDown(m)
 	case *ownerRead:
-		c.owner.Read(m.owner, m.version, c.now())
+		c.ownerRead(m)
 	case *ownerClaimed:
 		c.ownerClaimed(m)
 	case *ownerReleased:
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -26,8 +26,8 @@
 	c.send(l, &msg.Members{Entries: c.memberList()})
 	name := m.hello.Member.Name
 	event.Log(c.log, event.PeerLinked, log.Fields{"peer": name, "agent": m.hello.Agent, "epoch": m.hello.Epoch})
-	if m.hello.Epoch > c.owner.Epoch() {
-		c.owner.EpochObserved(m.hello.Epoch, c.now())
+	if c.owner.EpochObserved(m.hello.Epoch, c.now()) {
+		c.logOwner(name)
 	}
 	if m.hello.Agent {
 		c.agentLinkUp(l)
@@ -44,6 +44,11 @@
 	}
 }
 
+// logOwner logs what the entry has learned about the owner, and from whom.
+func (c *controller) logOwner(source string) {
+	event.Log(c.log, event.OwnerLearned, log.Fields{"epoch": c.owner.Epoch(), "owner": c.owner.Owner(), "source": source})
+}
+
 func (c *controller) agentLinkUp(l *peerLink) {
 	name := workload.HostName(l.hello.Member.Name)
 	a := c.agents[name]
@@ -121,7 +126,9 @@
 	case *msg.HostAnnounced:
 		c.hostAnnounced(l, m.Host)
 	case *msg.OwnerClaim:
-		c.owner.OwnerObserved(m.Owner, m.Epoch, c.now())
+		if c.owner.OwnerObserved(m.Owner, m.Epoch, c.now()) {
+			c.logOwner(l.hello.Member.Name)
+		}
 	case *msg.ConfigAnnounced:
 		c.configAnnounced(l, m)
 	case *msg.ConfigRequest:
--- a/internal/jobdaemon/jobhandler.go
+++ b/internal/jobdaemon/jobhandler.go
@@ -323,14 +323,20 @@
 	m.applied.Put(true)
 }
 
-// sendToOwner passes a stored change to the owner if it is known. Otherwise the
-// owner receives the change through its watch of the table service.
+// sendToOwner passes a stored change to the owner. If the owner is not known, each
+// linked entry receives it, and the one that owns the jobs applies it. An owner that is
+// not linked receives the change through its watch of the table service.
 func (c *controller) sendToOwner(m msg.Control) {
 	if c.jobs != nil {
 		c.applyToJobs(&peerLink{hello: &msg.PeerHello{Member: c.self}}, m)
 		return
 	}
-	if l := c.entryLink(c.owner.Owner()); l != nil {
+	owner := c.owner.Owner()
+	if owner == "" {
+		c.sendToEntries(m)
+		return
+	}
+	if l := c.entryLink(owner); l != nil {
 		c.send(l, m)
 	}
 }
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -202,3 +202,12 @@
 	})
 	c.writer.releasing = true
 }
+
+// ownerRead applies the row of the owner.
+func (c *controller) ownerRead(m *ownerRead) {
+	former, epoch := c.owner.Owner(), c.owner.Epoch()
+	c.owner.Read(m.owner, m.version, c.now())
+	if c.owner.Owner() != former || c.owner.Epoch() != epoch {
+		c.logOwner("table service")
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -80,6 +80,8 @@
 	rowVersion  table.Revision            // version of the row
 	claimEpoch  uint64                    // of the last claim; 0: none
 	maxEpoch    uint64                    // highest known epoch
+	askedEpoch  uint64                    // highest known epoch when the row was last requested
+	readEpoch   uint64                    // askedEpoch of the row
 	linked      map[string]model.MilliCPU // processor shares of the linked entries, by name; 0: unknown
 	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
 	formerEnded bool                      // see FormerOwnerEnded
@@ -105,7 +107,7 @@
 			"mayClaim": (*Core).mayClaim, "ownerAbsent": (*Core).ownerAbsent, "mayHandOver": (*Core).mayHandOver,
 		},
 		Actions: map[string]func(*Core){
-			"read":     func(c *Core) { c.emit(ReadRow) },
+			"read":     (*Core).requestRow,
 			"claim":    func(c *Core) { c.emit(ClaimRow) },
 			"begin":    func(c *Core) { c.emit(Begin) },
 			"end":      func(c *Core) { c.emit(End) },
@@ -174,7 +176,17 @@
 func (c *Core) Epoch() uint64 { return c.maxEpoch }
 
 // Owner returns the name of the owner, or "" if it is not known or there is none.
-func (c *Core) Owner() string { return c.row.Name }
+func (c *Core) Owner() string {
+	if !c.ownerKnown() {
+		return ""
+	}
+	return c.row.Name
+}
+
+// ownerKnown reports whether the row is that of the highest known epoch, or was read
+// since that epoch was observed. The name of an owner is only valid together with its
+// epoch.
+func (c *Core) ownerKnown() bool { return max(c.row.Epoch, c.readEpoch) >= c.maxEpoch }
 
 // PeerUp records that an entry is linked, and the processor share that it
 // announces: 0 if it announces none.
@@ -190,11 +202,13 @@
 }
 
 // OwnerObserved applies an owner and its epoch that a peer or an agent reports.
-// owner is "" if the owner of that epoch released the jobs.
-func (c *Core) OwnerObserved(owner string, epoch uint64, now time.Duration) {
+// owner is "" if the owner of that epoch released the jobs. OwnerObserved reports
+// whether this was not known.
+func (c *Core) OwnerObserved(owner string, epoch uint64, now time.Duration) bool {
 	c.now = now
-	if epoch < c.maxEpoch || epoch == c.maxEpoch && owner != "" {
-		return
+	released := owner == "" && c.row.Name != ""
+	if epoch < c.maxEpoch || epoch == c.maxEpoch && c.ownerKnown() && !released {
+		return false
 	}
 	c.maxEpoch = epoch
 	c.row = workload.Owner{Name: owner, Epoch: epoch}
@@ -203,19 +217,27 @@
 	if c.Owns() {
 		c.step(evSuperseded)
 	}
+	return true
 }
 
-// EpochObserved applies an epoch whose owner is not known.
-func (c *Core) EpochObserved(epoch uint64, now time.Duration) {
+// EpochObserved applies an epoch whose owner is not known: a claim or the row names
+// it later. EpochObserved reports whether the epoch was not known.
+func (c *Core) EpochObserved(epoch uint64, now time.Duration) bool {
 	c.now = now
 	if epoch <= c.maxEpoch {
-		return
+		return false
 	}
 	c.maxEpoch = epoch
 	c.ownerSeenAt = now
 	if c.Owns() {
 		c.step(evSuperseded)
 	}
+	return true
+}
+
+func (c *Core) requestRow() {
+	c.askedEpoch = c.maxEpoch
+	c.emit(ReadRow)
 }
 
 // Read applies the stored owner. Version 0 means that no row is stored.
@@ -224,7 +246,7 @@
 	if o.Name != "" && o.Name != c.row.Name && c.row.Name != "" {
 		c.ownerSeenAt = now
 	}
-	c.row, c.rowVersion = o, version
+	c.row, c.rowVersion, c.readEpoch = o, version, c.askedEpoch
 	c.maxEpoch = max(c.maxEpoch, o.Epoch)
 	c.step(evRead)
 }
@@ -300,14 +322,19 @@
 func (c *Core) namesSelf() bool { return c.row.Name == c.self }
 
 // mayClaim reports whether the entry may claim the jobs: the row names this
-// entry, whose former process owned them, or the owner is absent.
-func (c *Core) mayClaim() bool { return c.namesSelf() || c.ownerAbsent() }
+// entry, whose former process owned them, or the owner is absent. A row of a lower
+// epoch than a known one is outdated.
+func (c *Core) mayClaim() bool { return c.ownerKnown() && (c.namesSelf() || c.ownerAbsent()) }
 
 // ownerAbsent reports whether the owner has been unlinked for so long that this
-// entry replaces it. Entries that precede it do so earlier. An owner with the
-// name of this entry is a former process of it, and is always absent.
+// entry replaces it, or has not been known for ownerTimeout, so that the row has to be
+// read. Entries that precede it replace the owner earlier. An owner with the name of
+// this entry is a former process of it, and is always absent.
 func (c *Core) ownerAbsent() bool {
-	if c.namesSelf() {
+	switch {
+	case !c.ownerKnown():
+		return c.now-c.ownerSeenAt >= ownerTimeout
+	case c.namesSelf():
 		return true
 	}
 	if _, linked := c.linked[c.row.Name]; linked {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -329,3 +329,69 @@
 		require.Equal(t, c.want, a.FormerOwnersFenced(), "%+v", c.row)
 	}
 }
+
+// Guards against an entry that takes a former owner for the present one: it learned of
+// the epoch from a hello, which names no owner, and ignored the claim that followed.
+// What its callers cancelled went to the former owner for good.
+func TestClaimNamesTheOwnerOfAnEpochThatAHelloAnnounced(t *testing.T) {
+	for _, order := range []string{"hello first", "claim first"} {
+		t.Run(order, func(t *testing.T) {
+			r, now := &ownerRow{owner: workload.Owner{Name: "former", Epoch: 1}, version: 1}, time.Duration(0)
+			c := New("a", 1, 0, now)
+			c.PeerUp("former", 0)
+			r.advance(&now, time.Second, c)
+			require.Equal(t, "former", c.Owner())
+			if order == "hello first" {
+				require.True(t, c.EpochObserved(2, now))
+				require.Empty(t, c.Owner(), "the owner of epoch 2 is not known")
+			}
+			require.True(t, c.OwnerObserved("present", 2, now))
+			require.False(t, c.EpochObserved(2, now))
+			require.Equal(t, "present", c.Owner())
+			require.False(t, c.OwnerObserved("former", 1, now), "a late claim")
+			require.True(t, c.OwnerObserved("", 2, now))
+			require.False(t, c.OwnerObserved("present", 2, now), "a claim that arrives after its release")
+			require.Empty(t, c.Owner())
+		})
+	}
+}
+
+// Guards against an entry that never learns the owner of an epoch, because the claim was
+// lost and the former owner, whose row it knows, stays linked.
+func TestRowOfAnUnknownOwnerIsRead(t *testing.T) {
+	r, now := &ownerRow{owner: workload.Owner{Name: "former", Epoch: 1}, version: 1}, time.Duration(0)
+	c := New("a", 1, 0, now)
+	c.PeerUp("former", 0)
+	c.PeerUp("present", 0)
+	r.advance(&now, time.Second, c)
+	r.owner, r.version = workload.Owner{Name: "present", Epoch: 2}, 2
+	c.EpochObserved(2, now)
+	r.advance(&now, 2*ownerTimeout, c)
+	require.Equal(t, "present", c.Owner())
+	require.EqualValues(t, 2, r.version, "it must not claim the jobs")
+}
+
+// Guards against an entry that reads the row without end, and never claims the jobs,
+// because of an epoch that no stored owner has.
+func TestEpochThatNoOwnerHasEndsWithARead(t *testing.T) {
+	r, now := &ownerRow{owner: workload.Owner{Name: "gone", Epoch: 1}, version: 1}, time.Duration(0)
+	c := New("a", 1, 0, now)
+	c.EpochObserved(7, now)
+	r.advance(&now, 3*time.Second, c)
+	require.True(t, c.Owns())
+	require.EqualValues(t, 8, c.Epoch())
+}
+
+// Guards against a claim that is decided by a row which was read before a higher epoch
+// was observed: the entry has to read the row again.
+func TestRowThatWasRequestedBeforeAnEpochIsOutdated(t *testing.T) {
+	now := time.Duration(0)
+	c := New("a", 1, 0, now)
+	c.Tick(time.Second)
+	require.Equal(t, []Effect{ReadRow}, c.Effects())
+	c.EpochObserved(2, time.Second)
+	c.Read(workload.Owner{Name: "a", Epoch: 1}, 1, 2*time.Second)
+	require.Empty(t, c.Effects(), "the row names this entry, but another one has claimed the jobs")
+	c.Tick(3 * time.Second)
+	require.Equal(t, []Effect{ReadRow}, c.Effects())
+}
