hostagent: confirm every announced incarnation by its own answer

Cause: an announcement with another id and a later start replaced the present incarnation at once and all its runs were given up; the next call was answered 421, which counted as a crash (log in docs/incidents/foreign-announcement.md). Ruled out for the schedules of TestTasksRunOnceWhileAgentsAndBackendServersAreReplaced: agents that restart, and backend servers that deregister and start anew.

Change: an announcement only makes a candidate, for which the next poll asks. Announcements of the present incarnation are ordered by the backend server's clock, which has to fit its answers, so that a high sequence number hides nothing.

Why it works: only what answers at the address can become the present incarnation.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -12,28 +12,37 @@
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
-// Announced applies an announcement of the backend server. One of the present
-// incarnation updates its state, unless it is older than the newest. A later
-// incarnation with the id of the former one begins when the backend server has
-// confirmed it.
+// Announced applies an announcement. One of the present incarnation updates its state.
+// Another incarnation begins when the backend server has confirmed it: the
+// announcement may be late, or of a sender that is not the backend server.
 func (c *Core) Announced(a runner.Announcement) {
-	switch {
-	case c.present() && sameIncarnation(a.Host, c.host):
+	if c.present() && sameIncarnation(a.Host, c.host) {
 		c.refresh(a)
-	case a.Host.Instance == c.host.Instance:
+	} else {
 		c.ask(a)
-	case c.present() && a.Host.StartedAtMS < c.host.StartedAtMS:
-		return
-	default:
-		c.incarnation.confirmed = confirmation{announcement: a}
-		c.stepIncarnation(evBegin)
-		c.incarnation.confirmed = confirmation{}
 	}
 }
 
+// maxClockLead bounds how far the clock of an announcement may be ahead of the one that
+// the backend server's answers show.
+const maxClockLead = 2 * time.Second
+
+// outdated reports whether an announcement of the present incarnation is older than the
+// newest, or cannot be of its backend server. The clocks decide, because a sequence
+// number out of order would make all later announcements outdated for good.
+func (c *Core) outdated(a runner.Announcement) bool {
+	switch {
+	case a.ClockMS > c.clock.upperBound(c.now)+maxClockLead.Milliseconds():
+		return true
+	case a.ClockMS != c.announcedMS:
+		return a.ClockMS < c.announcedMS
+	}
+	return a.Sequence <= c.announcement
+}
+
 // refresh applies an announcement of the present incarnation.
 func (c *Core) refresh(a runner.Announcement) {
-	if a.Sequence <= c.announcement {
+	if c.outdated(a) {
 		return
 	}
 	before := c.host
@@ -42,15 +51,19 @@
 		// so the inventory is sent again after the next poll.
 		c.polled, c.inventorySent, c.inventoryAccepted = false, false, false
 	}
-	c.announcement = a.Sequence
-	c.host = a.Host
-	c.host.Name, c.host.DataCentre = c.cfg.Name, c.cfg.DataCentre
-	c.clock.set(a.ClockMS, c.now)
+	c.setAnnounced(a)
 	if changesPlacement(before, c.host) {
 		c.announce()
 	}
 }
 
+// setAnnounced sets the state of the host to an announcement.
+func (c *Core) setAnnounced(a runner.Announcement) {
+	c.announcement, c.announcedMS = a.Sequence, a.ClockMS
+	c.host = a.Host
+	c.host.Name, c.host.DataCentre = c.cfg.Name, c.cfg.DataCentre
+}
+
 // changesPlacement reports whether two states of a host differ in what the owner
 // places tasks by.
 func changesPlacement(a, b workload.Host) bool {
@@ -59,6 +72,11 @@
 
 // Deregistered ends the incarnation of a backend server that deregistered.
 func (c *Core) Deregistered(id workload.Instance) {
+	for _, k := range slices.Clone(c.candidates) {
+		if k.announcement.Host.Instance == id {
+			k.step(evCandidateDenied)
+		}
+	}
 	if c.present() && id == c.host.Instance {
 		c.processEnded("backend server deregistered", false)
 	}
@@ -70,7 +88,7 @@
 }
 
 // CanCall reports whether there is an incarnation of the backend server to poll.
-func (c *Core) CanCall() bool { return c.present() || c.candidate.state == candidateAsking }
+func (c *Core) CanCall() bool { return c.present() || len(c.candidates) > 0 }
 
 // leaseMS returns the end of the lease for a call, in milliseconds of the backend
 // server's clock, or 0 if the owner's lease has expired. It records the end in
@@ -96,13 +114,14 @@
 }
 
 // NextPoll returns the next poll of the backend server. A poll that asks for a
-// candidate goes first. After a call without an answer, which another incarnation may
+// candidate goes first; while it is not answered, it alternates with one of the present
+// incarnation, which extends the lease. After a call without an answer, which another incarnation may
 // have received, no ends are acknowledged: the numbers of its ends are others. A
 // backend server answers at once while it has unacknowledged ends, so the polls are spaced by
 // unacknowledgedPause until the owner has stored the ends, and while the agent
 // ignores the answers, which may contain ends.
 func (c *Core) NextPoll() Poll {
-	if c.candidate.state == candidateAsking {
+	if len(c.candidates) > 0 && !(c.present() && c.askPresentNext) {
 		return c.confirmingPoll()
 	}
 	poll := Poll{Target: c.target(), Request: runner.PollRequest{LeaseMS: c.leaseMS(), Wait: pollWait}, StartedAtMS: c.host.StartedAtMS}
@@ -125,6 +144,7 @@
 		c.candidateAnswered(poll, response, err)
 		return
 	}
+	c.askPresentNext = false
 	if !c.isPresent(poll.Target.Instance, poll.StartedAtMS) {
 		return
 	}
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -104,8 +104,9 @@
 
 	host         workload.Host
 	incarnation  incarnation
-	candidate    candidate
-	announcement uint64 // sequence number of the newest announcement
+	candidates   []*candidate // the first is asked for next
+	announcement uint64       // sequence number of the newest announcement
+	announcedMS  int64        // the backend server's clock in the newest announcement
 
 	epoch             uint64 // highest observed epoch
 	owner             LinkID // 0: none
@@ -128,6 +129,7 @@
 	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
 	connectionRefusals int   // consecutive refused connections
 	callFailed         bool  // a call was not answered since the last answered poll
+	askPresentNext     bool  // the last poll asked for a candidate and was not answered
 	nextReport         time.Duration
 	throttler          throttler
 
@@ -141,7 +143,7 @@
 // yet.
 func New(cfg Config) *Core {
 	return &Core{cfg: cfg, throttler: newThrottler(), token: cfg.Token, inventories: cfg.Token, runs: map[workload.RunID]*run{},
-		incarnation: incarnation{state: incarnationChart.Initial()}, candidate: candidate{state: candidateChart.Initial()}, host: workload.Host{Name: cfg.Name, DataCentre: cfg.DataCentre}}
+		incarnation: incarnation{state: incarnationChart.Initial()}, host: workload.Host{Name: cfg.Name, DataCentre: cfg.DataCentre}}
 }
 
 // Advance sets the current time. The caller must call it before each event.
@@ -207,6 +209,11 @@
 	}
 }
 
+// upperBound returns an upper bound, but for the time that the last answer took.
+func (c *clock) upperBound(now time.Duration) int64 {
+	return c.ms + (now - c.receivedAt).Milliseconds()
+}
+
 func (c *clock) lowerBound(now time.Duration) int64 {
 	elapsed := now - c.receivedAt
 	return c.ms + (elapsed - elapsed/driftDivisor).Milliseconds()
@@ -227,9 +234,7 @@
 	for _, r := range c.sorted() {
 		r.tick()
 	}
-	if c.candidate.timeoutAt != 0 && c.now >= c.candidate.timeoutAt {
-		c.stepCandidate(evCandidateTimeout)
-	}
+	c.expireCandidates()
 	if c.incarnation.timeoutAt != 0 && c.now >= c.incarnation.timeoutAt {
 		c.stepIncarnation(evCloseTimeout)
 	}
--- a/internal/hostagent/core_test.go
+++ b/internal/hostagent/core_test.go
@@ -60,7 +60,7 @@
 // confirm answers the poll that asks for the announced incarnation, unless it has
 // begun.
 func (h *harness) confirm() {
-	if poll := h.core.NextPoll(); poll.Candidate != nil && poll.StartedAtMS > h.core.Host().StartedAtMS {
+	if poll := h.core.NextPoll(); poll.Candidate != nil && poll.StartedAtMS >= h.core.Host().StartedAtMS {
 		h.core.PollAnswered(poll, runner.PollResponse{ClockMS: h.clockMS(), StartedAtMS: poll.StartedAtMS}, nil)
 		h.collect()
 	}
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -67,8 +67,8 @@
 // confirmation is an announcement with the answer that confirms it.
 type confirmation struct {
 	announcement runner.Announcement
-	token        uint64               // of the poll
-	response     *runner.PollResponse // nil: there was no poll
+	token        uint64 // of the poll
+	response     runner.PollResponse
 }
 
 func (c *Core) stepIncarnation(e chart.Event) {
@@ -95,24 +95,20 @@
 	k := c.incarnation.confirmed
 	former := c.host
 	c.flushChanges() // they are of the former incarnation
-	if k.response != nil && k.announcement.Host.Instance == former.Instance {
+	if k.announcement.Host.Instance == former.Instance {
 		c.doubtRuns(k.token)
 	} else {
 		c.removeRuns()
 	}
 	c.resetIncarnation()
-	c.announcement = k.announcement.Sequence
-	c.host = k.announcement.Host
-	c.host.Name, c.host.DataCentre = c.cfg.Name, c.cfg.DataCentre
+	c.setAnnounced(k.announcement)
+	c.announcedMS = min(c.announcedMS, k.response.ClockMS) // it was sent before the answer
 	if c.host.State == workload.HostUnavailable {
 		c.host.Crashed = former.State == workload.HostReady
 	}
-	c.clock.set(k.announcement.ClockMS, c.now)
 	c.addDecision(Decision{Kind: IncarnationStarted, Detail: string(c.host.Instance)})
 	c.announce()
-	if k.response != nil {
-		c.applyFirstPoll(k)
-	}
+	c.applyFirstPoll(k)
 }
 
 // applyFirstPoll applies the poll that confirmed the incarnation, and sends the
@@ -120,7 +116,7 @@
 func (c *Core) applyFirstPoll(k confirmation) {
 	c.clock.set(k.response.ClockMS, c.now)
 	c.polledMS, c.polled = k.response.ClockMS, true
-	c.applyLists(runner.Target{Instance: c.host.Instance, Token: k.token}, *k.response)
+	c.applyLists(runner.Target{Instance: c.host.Instance, Token: k.token}, k.response)
 	c.sendInventory()
 }
 
@@ -136,7 +132,7 @@
 // resetIncarnation discards what belongs to the former incarnation.
 func (c *Core) resetIncarnation() {
 	c.polled, c.polledMS, c.pollIgnored = false, 0, false
-	c.announcement, c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, 0, nil
+	c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, nil
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0
 	c.changed = msg.RunsChanged{}
 	c.inventorySent, c.inventoryAccepted, c.callFailed = false, false, false
--- a/internal/jobdaemon/incarnationsite_test.go
+++ b/internal/jobdaemon/incarnationsite_test.go
@@ -106,7 +106,7 @@
 	s.core.Recover(jobs.FormerOwnersEnded)
 	for i := range hosts {
 		h := &siteHost{site: s, name: workload.HostName(fmt.Sprintf("host-%d", i)), instance: workload.Instance(fmt.Sprintf("i-%d", i))}
-		h.agent = hostagent.New(hostagent.Config{Name: h.name, OwnerLease: jobs.LeaseDuration, RunLease: 5 * time.Second, Token: 100})
+		h.newAgent()
 		s.hosts = append(s.hosts, h)
 		s.core.Linked(h.agent.Host())
 		h.start()
@@ -182,7 +182,11 @@
 	for _, m := range s.core.Messages() {
 		i := slices.IndexFunc(s.hosts, func(h *siteHost) bool { return h.name == m.Host })
 		h := s.hosts[i]
+		agent := h.agent
 		s.after(siteLinkDelay, func() {
+			if h.agent != agent {
+				return
+			}
 			h.agent.Advance(s.now)
 			h.agent.Received(1, m.Message)
 			h.collect()
@@ -207,8 +211,13 @@
 	for _, c := range h.agent.Calls() {
 		h.call(c)
 	}
+	agent := h.agent
 	for _, m := range h.agent.Sends() {
-		s.after(siteLinkDelay, func() { s.received(h, m.Message) })
+		s.after(siteLinkDelay, func() {
+			if h.agent == agent {
+				s.received(h, m.Message)
+			}
+		})
 	}
 	for _, d := range h.agent.Decisions() {
 		s.note(string(h.name), "decision %d %v %s", d.Kind, d.Run, d.Detail)
@@ -232,8 +241,11 @@
 
 // call makes a call of the agent.
 func (h *siteHost) call(c hostagent.Call) {
-	s := h.site
+	s, agent := h.site, h.agent
 	answer := func(a hostagent.Answer) {
+		if h.agent != agent {
+			return
+		}
 		h.agent.Advance(s.now)
 		h.agent.Answered(a)
 		h.collect()
@@ -253,7 +265,11 @@
 	s := h.site
 	h.polling = true
 	p := h.agent.NextPoll()
+	agent := h.agent
 	s.after(max(pause, p.Pause)+s.randomDelay(siteCallDelay), func() {
+		if h.agent != agent {
+			return
+		}
 		if h.process != nil && p.Target.Instance == h.instance && h.process.admit(p.Target.Token, p.Request.LeaseMS) == nil {
 			h.process.forget(p.Request.Acknowledged)
 		}
@@ -263,12 +279,15 @@
 
 // waitPoll answers a poll of a process when there is an end or the wait is over.
 func (h *siteHost) waitPoll(p hostagent.Poll, until time.Duration, process *siteProcess) {
-	s := h.site
+	s, agent := h.site, h.agent
 	if process != nil && h.process == process && p.Target.Instance == h.instance && len(process.ends) == 0 && s.now < until {
 		s.after(siteTick, func() { h.waitPoll(p, until, process) })
 		return
 	}
 	answered := func(r runner.PollResponse, err error) {
+		if h.agent != agent {
+			return
+		}
 		h.polling = false
 		h.agent.Advance(s.now)
 		h.agent.PollAnswered(p, r, err)
@@ -349,6 +368,36 @@
 	h.site.after(d, h.start)
 }
 
+func (h *siteHost) newAgent() {
+	token := hostagent.FirstToken(1 + h.site.now.Milliseconds())
+	h.agent = hostagent.New(hostagent.Config{Name: h.name, OwnerLease: jobs.LeaseDuration, RunLease: 5 * time.Second, Token: token})
+	h.agent.Advance(h.site.now)
+	h.polling = false
+}
+
+// restartAgent replaces the process of the agent. Its link ends and is up again.
+func (h *siteHost) restartAgent() {
+	s := h.site
+	s.note(string(h.name), "agent restarts")
+	h.newAgent()
+	s.core.Unlinked(h.name)
+	s.after(300*time.Millisecond, func() {
+		s.core.Linked(h.agent.Host())
+		s.collectOwner()
+	})
+}
+
+// leave deregisters the backend server, which ends and starts again after d.
+func (h *siteHost) leave(d time.Duration) {
+	if h.process == nil {
+		return
+	}
+	h.agent.Advance(h.site.now)
+	h.agent.Deregistered(h.instance)
+	h.collect()
+	h.restart(d)
+}
+
 func (p *siteProcess) clockMS() int64 { return 1000 + (p.host.site.now - p.startedAt).Milliseconds() }
 
 // announcement is the state that the process announces.
@@ -376,6 +425,38 @@
 	s.after(announceInterval, p.announce)
 }
 
+// announceOther sends an announcement of another writer. Each kind differs from the
+// announcements of the backend server in another field.
+func (h *siteHost) announceOther(kind int) {
+	s, p := h.site, h.process
+	if p == nil {
+		return
+	}
+	a := p.announcement()
+	p.sequence--
+	a.Host.Service = "other"
+	nowMS := 1_000_000 + s.now.Milliseconds()
+	switch kind % otherKinds {
+	case 0:
+		a.Host.Instance, a.Host.StartedAtMS = "other-1", nowMS
+	case 1:
+		a.Host.Instance, a.Host.StartedAtMS, a.Sequence = "other-2", 1<<53, 1_000_000_000
+	case 2:
+		a.Host.Instance, a.Host.StartedAtMS, a.Host.Service = "other-3", 0, "desk"
+	case 3: // the id of the backend server, and a later start
+		a.Host.StartedAtMS = 1 << 53
+	case 4: // no start
+		a.Host.StartedAtMS = 0
+	case 5: // its id and start, the highest sequence and clock
+		a.Sequence, a.ClockMS = 1_000_000_000, 1<<53
+	case 6: // its id and start, the highest sequence
+		a.Sequence = 1_000_000_000
+	}
+	h.announced(a)
+}
+
+const otherKinds = 7 // of announceOther
+
 func (h *siteHost) announced(a runner.Announcement) {
 	h.agent.Advance(h.site.now)
 	h.agent.Announced(a)
