jobdaemon, hostagent: answer calls that do not fit into the queue

Cause: a start that did not fit into the agent's queue of calls was dropped, and the state starting has no timeout. The queue was full of stops, of which each run queued one every 300 ms. Ruled out: an owner that forgets the run, and starts that were sent.

Change: a call that does not fit is answered as not sent, and a run has one stop in the queue or in flight.

Why it works: every call of the core is answered exactly once.

Tests of hostagent and jobdaemon pass.

--- a/internal/hostagent/core_test.go
+++ b/internal/hostagent/core_test.go
@@ -372,3 +372,29 @@
 	require.Zero(t, h.startCalls())
 	require.Equal(t, []workload.RunID{runID(0)}, h.refused())
 }
+
+// Guards against a queue of calls that fills with stops while the backend server
+// answers nothing: each stop waits in it once, and is repeated after its answer.
+func TestStopIsQueuedOnceUntilItIsAnswered(t *testing.T) {
+	h := newHarness(t)
+	h.prepare()
+	h.start(ownerLink, 1, 0, 100)
+	h.answer(h.lastCall(), h.clockMS(), nil)
+	stops := func() (n int) {
+		for _, c := range h.calls {
+			if c.Stop != nil {
+				n++
+			}
+		}
+		return n
+	}
+	h.core.Received(ownerLink, &msg.StopRuns{Epoch: 1, Runs: []workload.RunID{runID(0)}})
+	h.collect()
+	require.Equal(t, 1, stops())
+	stop := h.lastCall()
+	h.advance(4 * stopRetryInterval)
+	require.Equal(t, 1, stops())
+	h.answer(stop, 0, runner.ErrNotSent)
+	h.advance(2 * stopRetryInterval)
+	require.Equal(t, 2, stops())
+}
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -124,7 +124,7 @@
 // token has been answered.
 func (c *Core) doubtRuns(token uint64) {
 	for _, r := range c.sorted() {
-		r.settlingToken, r.startAnswerMS = token, 0
+		r.settlingToken, r.startAnswerMS, r.stopCalled = token, 0, false
 		r.step(evReplaced)
 	}
 }
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -205,6 +205,10 @@
 	}
 	c.answered(a.ClockMS, a.Err)
 	switch {
+	case a.Call.Stop != nil:
+		if r, ok := c.runs[*a.Call.Stop]; ok {
+			r.stopCalled = false
+		}
 	case a.Call.Start != nil:
 		c.startAnswered(a)
 	case a.Call.Throttle != nil:
--- a/internal/hostagent/run.go
+++ b/internal/hostagent/run.go
@@ -81,6 +81,7 @@
 	latest            msg.RunStatus // newest status from the backend server
 	end               msg.RunEnd    // set while the event ended is applied
 	stopRequested     bool          // it is stopped as soon as it runs
+	stopCalled        bool          // a stop call has not been answered yet
 	startAnswerMS     int64         // backend server's clock in the answer to the start
 	settlingToken     uint64        // a poll with at least this token shows whether the start took effect
 	cpuLimitPercent   int           // may be unknownPercent
@@ -149,7 +150,13 @@
 	return false
 }
 
+// callStop calls the backend server to stop the run, unless such a call is queued or
+// in flight: a backend server that does not answer would fill the queue with stops.
 func (r *run) callStop() {
+	if r.stopCalled {
+		return
+	}
+	r.stopCalled = true
 	id := r.id
 	r.core.addCall(Call{Stop: &id})
 }
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -201,7 +201,9 @@
 // calls, and logs.
 func (a *agent) flush() {
 	for _, c := range a.core.Calls() {
-		a.calls.TrySend(c) // if the queue is full, the timeouts of the runs repeat the call
+		if !a.calls.TrySend(c) {
+			a.core.Answered(hostagent.Answer{Call: c, Err: runner.ErrNotSent}) // the queue is full
+		}
 	}
 	for _, s := range a.core.Sends() {
 		if s.Link != 0 {
--- a/internal/jobdaemon/agent_calls_test.go
+++ b/internal/jobdaemon/agent_calls_test.go
@@ -15,6 +15,7 @@
 	"github.com/bambooscale/bambooscale/internal/jobs"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/peer"
 	"github.com/bambooscale/bambooscale/internal/runner"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
@@ -93,3 +94,56 @@
 		require.GreaterOrEqual(t, len(refused), starts-sent, "the owner learns of the starts that were not sent")
 	})
 }
+
+// Guards against a start that is dropped because the queue of calls is full: nothing
+// repeated it, neither the agent nor the owner, and its job never ended. Its queue was
+// full of stops that were repeated while the backend server answered nothing.
+func TestStartThatDoesNotFitIntoTheQueueIsRefused(t *testing.T) {
+	g := actor.NewGroup(t.Context(), nil)
+	defer g.Stop()
+	block := make(chan struct{})
+	defer close(block)
+	a := &agent{
+		core: hostagent.New(hostagent.Config{Name: "h", OwnerLease: jobs.LeaseDuration, RunLease: 5 * time.Second, Token: 1}),
+		log:  &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, links: map[linkID]peer.Out{}, published: &published{},
+	}
+	a.calls = actor.Spawn(g, actor.Spec[hostagent.Call]{Name: "callers", Mailbox: 1, Run: func(context.Context, <-chan hostagent.Call) error {
+		<-block
+		return nil
+	}})
+	a.polls = actor.Spawn(g, actor.Spec[hostagent.Poll]{Name: "polls", Mailbox: 1, Run: func(context.Context, <-chan hostagent.Poll) error {
+		<-block
+		return nil
+	}})
+	refused := make(chan workload.RunID, 8)
+	a.links[1] = actor.Spawn(g, actor.Spec[msg.Control]{Name: "owner", Mailbox: 64, Run: func(ctx context.Context, in <-chan msg.Control) error {
+		for {
+			select {
+			case m := <-in:
+				if m, ok := m.(*msg.RunsChanged); ok {
+					for _, id := range m.Refused {
+						refused <- id
+					}
+				}
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	}})
+	host := workload.Host{Instance: "i", StartedAtMS: 1, Service: "s", State: workload.HostReady, Capacity: workload.Resources{MilliCPU: 64_000, MemoryMB: 1000}}
+	a.core.Announced(runner.Announcement{Host: host, Sequence: 1})
+	a.core.Received(1, &msg.OwnerClaim{Epoch: 1})
+	a.core.PollAnswered(a.core.NextPoll(), runner.PollResponse{ClockMS: 1, StartedAtMS: 1}, nil)
+	a.core.Received(1, &msg.InventoryAccepted{Epoch: 1, ClockMS: 1})
+	order := &msg.StartRuns{Epoch: 1, Instance: "i", StartedAtMS: 1}
+	for i := range 4 {
+		id := workload.RunID{Task: workload.TaskID{Job: "j", Index: i}, Number: 1}
+		order.Starts = append(order.Starts, msg.RunStart{Size: msg.RunSize{Run: id}})
+	}
+	a.core.Received(1, order)
+	a.flush() // one call fits
+	a.flush() // reports what the first has answered
+	for i := 1; i < 4; i++ {
+		require.Equal(t, i, (<-refused).Task.Index)
+	}
+}
