jobs, jobdaemon: store the attempts of large jobs in rows of their own

Cause: the progress row of a job held the attempts of all its tasks, more than a row of the store may have, and the writer repeated the refused transaction for ever. Ruled out: a slow store, a malformed row.

Change: a job of more than 256 tasks has rows of attempts of 256 tasks each, of which the changed ones are written; batches are bounded by rows and estimated size. After a refusal the next batch has half as many jobs, and the job that is refused alone fails with a reason (event 905).

Why it works: no row grows with the tasks of its job beyond a bit for each, and a refused transaction is never repeated unchanged while it contains a job.

Not measured: a takeover at 100,000 tasks.

--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -9,6 +9,7 @@
 	JobAdmitted             = define(902, log.InfoLevel, "job-taken", "the owner of the jobs started to manage a job", "nothing")
 	JobEnded                = define(903, log.InfoLevel, "job-over", "a job reached its final phase", "nothing")
 	JobCancelStored         = define(904, log.InfoLevel, "job-cancel-stored", "an entry stored a cancellation", "nothing")
+	JobUnstorable           = define(905, log.ErrorLevel, "job-unstorable", "the table service refuses the progress of a job; the job fails, and others are not affected", "see the limits of the table service; submit the job in smaller parts")
 	RunOrdered              = define(910, log.InfoLevel, "run-ordered", "the owner requested the start of a run of a task on a host", "nothing")
 	RunEnded                = define(911, log.InfoLevel, "run-over", "a run ended, was refused or was lost", "see the reason")
 	RunStopped              = define(912, log.InfoLevel, "run-stopped", "the owner requested the stop of a run", "see the reason")
--- a/internal/jobdaemon/decisions.go
+++ b/internal/jobdaemon/decisions.go
@@ -12,7 +12,7 @@
 var ownerEvents = map[jobs.DecisionKind]event.Event{
 	jobs.JobAdmitted: event.JobAdmitted, jobs.JobEnded: event.JobEnded, jobs.RunOrdered: event.RunOrdered, jobs.RunEnded: event.RunEnded,
 	jobs.RunStopped: event.RunStopped, jobs.HostChanged: event.TaskHostChanged, jobs.TaskUnplaced: event.TaskUnplaced,
-	jobs.TaskSuspected: event.TaskSuspected,
+	jobs.TaskSuspected: event.TaskSuspected, jobs.JobUnstorable: event.JobUnstorable,
 }
 
 // logDecision counts and logs a decision of the owner.
--- a/internal/jobdaemon/keys.go
+++ b/internal/jobdaemon/keys.go
@@ -5,6 +5,7 @@
 package jobdaemon
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -20,6 +21,7 @@
 	interferenceKey = hostsPrefix + "harms"
 	membersPrefix   = "members//"
 	cancelSuffix    = ".cancel"
+	partSeparator   = "." // between a job and the number of a row of its attempts
 )
 
 // jobParts are the parts of the jobs table. The table service runs the
@@ -43,6 +45,18 @@
 func cancelKey(id workload.JobID) string   { return jobKey(id) + cancelSuffix }
 func progressKey(id workload.JobID) string { return progressPrefix + string(id) }
 
+// attemptsKey is the key of a row with the attempts of some tasks of a large job.
+func attemptsKey(id workload.JobID, part int) string {
+	return progressKey(id) + partSeparator + strconv.Itoa(part)
+}
+
+// parseProgressKey returns the job of a row of the progress table, and whether the row
+// has the attempts of some of its tasks only.
+func parseProgressKey(key string) (id workload.JobID, attempts bool) {
+	name, _, attempts := strings.Cut(strings.TrimPrefix(key, progressPrefix), partSeparator)
+	return workload.JobID(name), attempts
+}
+
 // parseJobKey returns the job of a row of the jobs table, and whether the row
 // is the job's cancellation.
 func parseJobKey(key string) (id workload.JobID, cancel bool) {
--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -103,7 +103,7 @@
 		if err != nil {
 			return err
 		}
-		s.progress[workload.JobID(strings.TrimPrefix(row.Key, progressPrefix))] = &p
+		s.addProgress(row.Key, p)
 	case row.Key == hostsKey:
 		for _, name := range strings.Fields(string(row.Value)) {
 			s.hosts = append(s.hosts, workload.HostName(name))
@@ -132,6 +132,22 @@
 	return nil
 }
 
+// addProgress adds a row of the progress table: that of a job, or one with the
+// attempts of some of its tasks.
+func (s *storedState) addProgress(key string, row workload.Progress) {
+	id, attempts := parseProgressKey(key)
+	known := s.progress[id]
+	switch {
+	case known == nil:
+		s.progress[id] = &row
+	case attempts:
+		known.Attempts = append(known.Attempts, row.Attempts...)
+	default:
+		row.Attempts = append(row.Attempts, known.Attempts...)
+		s.progress[id] = &row
+	}
+}
+
 // jobsLoaded restores the stored state, and then applies the deferred messages.
 func (c *controller) jobsLoaded(m *jobsLoaded) {
 	if c.jobs == nil || c.jobs.Epoch() != m.epoch {
--- /dev/null
+++ b/internal/jobdaemon/progressrows_test.go
@@ -0,0 +1,58 @@
+package jobdaemon
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/jobs"
+	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/wire"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// Guards against attempts of a large job that a new owner does not read back: its tasks
+// would get more failed runs than allowed and lose their checkpoints. The rows are read
+// in any order.
+func TestRowsOfAttemptsAreReadBack(t *testing.T) {
+	c := &controller{writer: writer{owner: workload.Owner{Name: "a", Epoch: 1}, version: 1}}
+	const id = workload.JobID("00000000000000c0")
+	attempts := func(step, index int) workload.TaskAttempts {
+		return workload.TaskAttempts{Step: step, Index: index, Failed: 1, LastFailed: 7, Checkpoint: "00000bb87a21d94b"}
+	}
+	progress := workload.Progress{Phase: workload.Running, Done: []byte{1, 2, 3}}
+	batch := &jobs.Batch{Writes: []jobs.Write{{Job: id, Progress: progress, Parts: []jobs.AttemptsPart{
+		{Number: 0, Attempts: []workload.TaskAttempts{attempts(0, 1), attempts(0, 2)}},
+		{Number: 11, Attempts: []workload.TaskAttempts{attempts(1, 9)}},
+	}}}}
+	txn, err := c.batchTxn(c.writer.owner, batch)
+	require.NoError(t, err)
+	require.Len(t, txn.Puts, 4)
+	for first := range txn.Puts {
+		state := &storedState{progress: map[workload.JobID]*workload.Progress{}}
+		for i := range txn.Puts {
+			put := txn.Puts[(first+i)%len(txn.Puts)]
+			if put.Key != ownerKey {
+				require.NoError(t, state.addRow(table.Row{Key: put.Key, Value: put.Value}))
+			}
+		}
+		require.Len(t, state.progress, 1)
+		read := state.progress[id]
+		require.Equal(t, progress.Phase, read.Phase)
+		require.Equal(t, progress.Done, read.Done)
+		require.ElementsMatch(t, []workload.TaskAttempts{attempts(0, 1), attempts(0, 2), attempts(1, 9)}, read.Attempts)
+	}
+}
+
+// Guards against an estimate of the size of a row that is below its encoding: the
+// bounds of the batches would not hold.
+func TestEncodedAttemptsAreNotLargerThanEstimated(t *testing.T) {
+	const tasks, estimate = 256, 40
+	var list []workload.TaskAttempts
+	for i := range tasks {
+		list = append(list, workload.TaskAttempts{Step: 1000, Index: workload.MaxTasks - i, Failed: 1000, LastFailed: 1 << 50, Crashes: 5, CrashesAlone: 5, CrashAge: 1 << 40})
+	}
+	raw, err := wire.EncodeProgress(&workload.Progress{Attempts: list})
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(raw), tasks*estimate)
+}
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -131,6 +131,16 @@
 			return txn, err
 		}
 		txn.Puts = append(txn.Puts, table.Put{Key: progressKey(w.Job), Value: value})
+		for _, p := range w.Parts {
+			value, err := wire.EncodeProgress(&workload.Progress{Attempts: p.Attempts})
+			if err != nil {
+				return txn, err
+			}
+			txn.Puts = append(txn.Puts, table.Put{Key: attemptsKey(w.Job, p.Number), Value: value})
+		}
+	}
+	for _, r := range b.RemovedParts {
+		txn.Deletes = append(txn.Deletes, attemptsKey(r.Job, r.Part))
 	}
 	for _, id := range b.Removed {
 		txn.Deletes = append(txn.Deletes, progressKey(id))
@@ -222,6 +232,10 @@
 		c.owner.Superseded(c.now())
 	default:
 		event.Log(c.log, event.OwnerStoreFailed, log.Fields{"epoch": m.epoch, "outcome": r.outcome.String()})
+		if r.outcome == table.Refused && c.jobs.BatchRefused() {
+			w.committing = false
+			return
+		}
 		// The former attempt may still be queued for a peer, so its checks stay.
 		m.txn.Checks = []table.Check{{Key: ownerKey, Version: w.version}}
 		w.retryPause = min(maxStoreRetryInterval, max(minStoreRetryInterval, 2*w.retryPause))
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -57,6 +57,7 @@
 	// TaskSuspected: whether the task may be the cause of crashes of backend
 	// servers changed. Detail has the state and the counts.
 	TaskSuspected
+	JobUnstorable // the store refuses the progress of the job
 )
 
 // Core is the state of the owner of the jobs. It is not safe for concurrent use.
@@ -94,9 +95,12 @@
 	unstoredEnds     map[*host]struct{} // hosts with ends that may be acknowledged after a batch
 	expired          []workload.JobID   // dropped jobs whose rows are to be deleted
 	removals         []workload.JobID   // jobs whose progress rows are to be deleted
-	pendingBatch     *Batch             // the batch that is being written, or nil
-	recoveryDeadline time.Duration      // when the recovery ends at the latest; 0: no recovery
-	formerOwners     FormerOwners       // of Recover
+	batchJobs        int                // most jobs in a batch
+	partRemovals     []PartRow          // rows of attempts to be deleted, before those of their jobs
+	expiredParts     map[workload.JobID]int
+	pendingBatch     *Batch        // the batch that is being written, or nil
+	recoveryDeadline time.Duration // when the recovery ends at the latest; 0: no recovery
+	formerOwners     FormerOwners  // of Recover
 
 	unsent       map[*host]struct{} // hosts with queued requests for their agents
 	messages     []HostMessage
@@ -126,7 +130,7 @@
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
 		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
-		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, heldEnds: map[*task][]heldEnd{}, improved: list.New(), throttled: map[*run]struct{}{},
+		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, heldEnds: map[*task][]heldEnd{}, expiredParts: map[workload.JobID]int{}, batchJobs: maxBatchRows, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
 	}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -53,6 +53,7 @@
 	failure     string        // why it has failed, if not by its failed runs
 	// unstoredCrashes are the tasks whose counts of crashes the next batch stores.
 	unstoredCrashes []*task
+	dirtyParts      map[int]struct{} // rows of attempts that the next batches write
 }
 
 // step is one step of a job.
@@ -61,6 +62,7 @@
 	number     int
 	spec       *workload.Step
 	tasks      []*task
+	firstTask  int // number of its first task among those of the job
 	unfinished int // number of tasks that are not done
 
 	ready     []*task       // tasks that may start, ordered by index
@@ -104,8 +106,10 @@
 
 func newJob(c *Core, spec workload.Job) *job {
 	j := &job{core: c, spec: spec, state: jobChart.Initial(), admittedAt: c.now}
+	tasks := 0
 	for i := range j.spec.Steps {
-		s := &step{job: j, number: i, spec: &j.spec.Steps[i], unfinished: j.spec.Steps[i].Count}
+		s := &step{job: j, number: i, spec: &j.spec.Steps[i], firstTask: tasks, unfinished: j.spec.Steps[i].Count}
+		tasks += s.spec.Count
 		for k := range s.spec.Count {
 			s.tasks = append(s.tasks, &task{step: s, index: k, suspicion: suspectChart.Initial()})
 		}
@@ -316,6 +320,7 @@
 		return
 	}
 	t.failedRuns++
+	t.attemptsChanged()
 	j.markDirty()
 	if j.spec.MaxAttempts > 0 && t.failedRuns >= j.spec.MaxAttempts && !t.done {
 		j.step(evFail)
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -127,6 +127,7 @@
 	} else if r.status.Checkpoint != "" {
 		r.task.checkpoint = r.status.Checkpoint
 	}
+	r.task.attemptsChanged()
 	r.host.recordEnd(r.end)
 	r.task.applyEnd(r.end, r.host)
 }
@@ -162,6 +163,7 @@
 	c.addDecision(Decision{Kind: RunEnded, Job: r.id.Task.Job, Run: r.id, Host: r.host.info.Name, Detail: "lost", Age: c.now - r.orderedAt})
 	if r.status.Checkpoint != "" {
 		r.task.checkpoint = r.status.Checkpoint
+		r.task.attemptsChanged()
 	}
 	r.release()
 	r.task.release()
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -12,10 +12,26 @@
 // 100 entries in a transaction; the others are for the remaining rows.
 const maxBatchRows = 80
 
-// Write is the progress row of a job.
+// Write is the progress row of a job and those of its rows of attempts that have
+// changed.
 type Write struct {
 	Job      workload.JobID
 	Progress workload.Progress
+	Parts    []AttemptsPart
+}
+
+func (w *Write) size() int {
+	n := progressSize(&w.Progress)
+	for i := range w.Parts {
+		n += w.Parts[i].size()
+	}
+	return n
+}
+
+// PartRow identifies a row of attempts.
+type PartRow struct {
+	Job  workload.JobID
+	Part int
 }
 
 // Batch is the content of one transaction. After its commit the ends that it
@@ -23,6 +39,7 @@
 type Batch struct {
 	Writes       []Write
 	Removed      []workload.JobID    // jobs whose progress rows are deleted
+	RemovedParts []PartRow           // rows of attempts that are deleted
 	Hosts        []workload.HostName // the list of hosts; nil: unchanged
 	Interference []msg.Interference  // coefficients; nil: unchanged
 	ends         map[workload.HostName]appliedEnds
@@ -53,7 +70,7 @@
 			return true, true
 		}
 	}
-	return pending || len(c.unstoredEnds) > 0 || len(c.removals) > 0, false
+	return pending || len(c.unstoredEnds) > 0 || len(c.removals) > 0 || len(c.partRemovals) > 0, false
 }
 
 // NextBatch returns the next batch to write. The caller ends it with
@@ -65,16 +82,8 @@
 		jobs = append(jobs, j)
 	}
 	sort.Slice(jobs, func(i, k int) bool { return jobs[i].spec.ID < jobs[k].spec.ID })
-	allWritten := len(jobs) <= maxBatchRows
-	for _, j := range jobs[:min(len(jobs), maxBatchRows)] {
-		b.Writes = append(b.Writes, Write{Job: j.spec.ID, Progress: j.progress()})
-		b.crashes = append(b.crashes, j.unstoredCrashes...)
-		j.unstoredCrashes = nil
-		delete(c.dirty, j)
-	}
-	n := min(len(c.removals), maxBatchRows-len(b.Writes))
-	b.Removed = c.removals[:n]
-	c.removals = c.removals[n:]
+	allWritten := c.addWrites(b, jobs)
+	c.addRemovals(b)
 	// An end may be acknowledged only when every job that it changed is stored.
 	if allWritten {
 		for h := range c.unstoredEnds {
@@ -89,6 +98,46 @@
 	return b
 }
 
+// addWrites adds the rows of changed jobs to the batch as far as there is room. It
+// reports whether all are in it.
+func (c *Core) addWrites(b *Batch, jobs []*job) bool {
+	rows, bytes := maxBatchRows, maxBatchBytes
+	for i, j := range jobs {
+		w := Write{Job: j.spec.ID, Progress: j.progress()}
+		if size := w.size(); i == c.batchJobs || rows == 0 || i > 0 && size > bytes {
+			return false
+		}
+		if !j.phase().Final() {
+			w.Parts = j.nextParts(rows-1, bytes-w.size())
+		}
+		rows, bytes = rows-1-len(w.Parts), bytes-w.size()
+		b.Writes = append(b.Writes, w)
+		if len(j.dirtyParts) > 0 && !j.phase().Final() {
+			return false // the next batch continues with the job
+		}
+		b.crashes = append(b.crashes, j.unstoredCrashes...)
+		j.unstoredCrashes = nil
+		delete(c.dirty, j)
+	}
+	return true
+}
+
+// addRemovals adds rows to be deleted to the batch. The progress row of a job is
+// deleted after its rows of attempts.
+func (c *Core) addRemovals(b *Batch) {
+	room := maxBatchRows
+	for i := range b.Writes {
+		room -= 1 + len(b.Writes[i].Parts)
+	}
+	n := min(len(c.partRemovals), room)
+	b.RemovedParts, c.partRemovals = c.partRemovals[:n:n], c.partRemovals[n:]
+	if len(c.partRemovals) > 0 {
+		return
+	}
+	n = min(len(c.removals), room-n)
+	b.Removed, c.removals = c.removals[:n:n], c.removals[n:]
+}
+
 // maxExpired bounds the jobs whose rows are deleted together. Each has two rows
 // beside its progress, and the store accepts 100 entries in a transaction.
 const maxExpired = 50
@@ -105,12 +154,21 @@
 
 // RowsDeleted queues the deletion of the progress rows of jobs whose other rows have
 // been deleted.
-func (c *Core) RowsDeleted(ids []workload.JobID) { c.removals = append(c.removals, ids...) }
+func (c *Core) RowsDeleted(ids []workload.JobID) {
+	for _, id := range ids {
+		for part := range c.expiredParts[id] {
+			c.partRemovals = append(c.partRemovals, PartRow{id, part})
+		}
+		delete(c.expiredParts, id)
+	}
+	c.removals = append(c.removals, ids...)
+}
 
 // BatchCommitted records that the pending batch was stored.
 func (c *Core) BatchCommitted() {
 	b := c.pendingBatch
 	c.pendingBatch = nil
+	c.batchJobs = min(maxBatchRows, 2*c.batchJobs)
 	for _, w := range b.Writes {
 		j, ok := c.jobs[w.Job]
 		if !ok {
@@ -158,12 +216,46 @@
 	for _, w := range b.Writes {
 		if j, ok := c.jobs[w.Job]; ok {
 			c.dirty[j] = struct{}{}
+			for _, p := range w.Parts {
+				j.dirtyParts[p.Number] = struct{}{}
+			}
 		}
 	}
 	for _, t := range b.crashes {
 		t.step.job.unstoredCrashes = append(t.step.job.unstoredCrashes, t)
 	}
 	c.removals = append(c.removals, b.Removed...)
+	c.partRemovals = append(c.partRemovals, b.RemovedParts...)
+}
+
+// BatchRefused records that the store refuses the pending batch as invalid, which a
+// repetition would not change. The next batches have fewer jobs, until the one that
+// cannot be stored is alone and fails. BatchRefused reports whether the next batch is
+// another one: it is not if there are no jobs in it.
+func (c *Core) BatchRefused() bool {
+	writes := c.pendingBatch.Writes
+	if len(writes) == 0 {
+		return false
+	}
+	c.BatchFailed()
+	c.batchJobs = max(1, len(writes)/2)
+	if j, ok := c.jobs[writes[0].Job]; ok && len(writes) == 1 {
+		j.failUnstorable()
+	}
+	return true
+}
+
+// failUnstorable fails a job whose progress the store refuses. If it refuses the row of
+// the ended job too, the job is not stored any more.
+func (j *job) failUnstorable() {
+	j.core.addDecision(Decision{Kind: JobUnstorable, Job: j.spec.ID, Detail: j.phase().String()})
+	if j.phase().Final() {
+		delete(j.core.dirty, j)
+		return
+	}
+	j.failure = "the table service refuses the progress of the job"
+	j.unstoredCrashes = nil
+	j.step(evFail)
 }
 
 // remove drops an ended job, whose rows are to be deleted.
@@ -171,10 +263,13 @@
 	delete(c.jobs, j.spec.ID)
 	delete(c.dirty, j)
 	c.expired = append(c.expired, j.spec.ID)
+	if n := j.parts(); n > 0 {
+		c.expiredParts[j.spec.ID] = n
+	}
 }
 
 // progress returns the progress row of the job. Done has a bit for each task, in
-// the order of the steps.
+// the order of the steps. The attempts of a large job are in rows of their own.
 func (j *job) progress() workload.Progress {
 	p := workload.Progress{Phase: j.phase(), EndedAtMS: j.endedAtMS, Failure: j.failure}
 	if j.phase().Final() {
@@ -190,14 +285,11 @@
 				p.Done[n/8] |= 1 << (n % 8)
 			}
 			n++
-			if t.failedRuns > 0 || t.checkpoint != "" && !t.done || t.crashes.possible > 0 && !t.done {
-				p.Attempts = append(p.Attempts, workload.TaskAttempts{
-					Step: s.number, Index: t.index, Failed: t.failedRuns, LastFailed: t.lastFailedRun, Checkpoint: t.checkpoint,
-					Crashes: t.crashes.possible, CrashesAlone: t.crashes.alone, CrashAge: t.crashes.age,
-				})
-			}
 		}
 	}
+	if j.parts() == 0 {
+		p.Attempts = j.attempts(0, n)
+	}
 	return p
 }
 
--- a/internal/jobs/suspect.go
+++ b/internal/jobs/suspect.go
@@ -65,7 +65,7 @@
 			"possible": func(t *task) bool { return t.crashes.possible > 0 || t.crashes.losses >= minLosses },
 		},
 		Actions: map[string]func(*task){
-			"report": func(t *task) { t.reportSuspect("suspect"); t.step.job.markDirty() },
+			"report": (*task).reportFirstCrash,
 			"store":  (*task).storeCrashes,
 			"queue":  (*task).release,
 			"clear":  (*task).clearSuspicion,
@@ -191,12 +191,19 @@
 	t.step.job.core.addDecision(Decision{Kind: TaskSuspected, Job: t.step.job.spec.ID, Run: t.lastRun(), Detail: detail})
 }
 
+func (t *task) reportFirstCrash() {
+	t.reportSuspect("suspect")
+	t.attemptsChanged()
+	t.step.job.markDirty()
+}
+
 // storeCrashes makes the next batch store the counts, after which the task may
 // start again.
 func (t *task) storeCrashes() {
 	t.reportSuspect("isolated")
 	j := t.step.job
 	j.unstoredCrashes = append(j.unstoredCrashes, t)
+	t.attemptsChanged()
 	j.markDirty()
 }
 
@@ -206,6 +213,7 @@
 func (t *task) clearSuspicion() {
 	t.reportSuspect("cleared")
 	t.crashes = crashes{}
+	t.attemptsChanged()
 	t.step.job.markDirty()
 }
 
