hostagent: let silence settle nothing about a later incarnation

Cause, found by reading the change: a start that may have reached a later incarnation was taken for settled when the question for it had not been answered for 5 s, before the longest lease of such a run (6 s) had expired, and each denied announcement of another writer postponed the check of the leases. Change: only an answer or refused connections settle it; otherwise the end is reported when the leases have expired. The timeout of a state is restarted when the state changes. Check: TestEndIsReportedAfterTheOutcomeOfAllStarts, silence beside another writer, failed before and passes; tests of hostagent and jobdaemon pass.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-
 	"time"
 
 	"github.com/cockroachdb/errors"
--- a/internal/hostagent/candidate.go
+++ b/internal/hostagent/candidate.go
@@ -147,12 +147,12 @@
 	case err == nil:
 		c.otherAnswered(asked, response.StartedAtMS)
 	case errors.Is(err, runner.ErrOtherIncarnation):
-		c.deny(k)
+		c.denyID(asked, k)
 	case errors.Is(err, runner.ErrFenced):
 		c.token += fencedTokenStep
 	case errors.Is(err, runner.ErrNotListening) && k != nil:
 		if k.refusals++; k.refusals >= maxConnectionRefusals {
-			c.deny(k)
+			c.denyID(asked, k)
 		}
 	}
 	c.rotateCandidates()
@@ -203,6 +203,16 @@
 	if c.present() {
 		c.processEnded("a later incarnation with its id answered", true)
 	}
+	c.incarnation.laterMayRun = true
+}
+
+// denyID drops a candidate, which may be nil, after the answer has shown that no
+// incarnation of its id lives at the address.
+func (c *Core) denyID(asked runner.Announcement, k *candidate) {
+	if asked.Host.Instance == c.host.Instance {
+		c.incarnation.laterMayRun = false
+	}
+	c.deny(k)
 }
 
 // deny drops a candidate, which may be nil.
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -62,6 +62,9 @@
 	endReason      string
 	crashed        bool
 	leasesExpireAt time.Duration
+	// laterMayRun is set while a start may have reached a later incarnation of the same
+	// id. Silence does not settle that, only an answer or a refused connection.
+	laterMayRun bool
 }
 
 // confirmation is an announcement with the answer that confirms it.
@@ -71,10 +74,16 @@
 	response     runner.PollResponse
 }
 
+// stepIncarnation applies an event of the chart. A running timeout is restarted only if
+// the state changes or the timeout has expired.
 func (c *Core) stepIncarnation(e chart.Event) {
+	before := c.incarnation.state
 	incarnationChart.Step(c, &c.incarnation.state, e)
-	c.incarnation.timeoutAt = 0
-	if d, _, ok := incarnationChart.Timeout(c.incarnation.state); ok {
+	d, _, ok := incarnationChart.Timeout(c.incarnation.state)
+	switch {
+	case !ok:
+		c.incarnation.timeoutAt = 0
+	case c.incarnation.state != before || e == evCloseTimeout:
 		c.incarnation.timeoutAt = c.now + d
 	}
 }
@@ -141,7 +150,7 @@
 // processEnded records that the process of the present incarnation has ended.
 // crashed: it was not a planned end.
 func (c *Core) processEnded(reason string, crashed bool) {
-	c.incarnation.endReason = reason
+	c.incarnation.endReason, c.incarnation.laterMayRun = reason, false
 	c.incarnation.crashed = crashed && c.host.State == workload.HostReady
 	c.incarnation.leasesExpireAt = c.now + c.cfg.OwnerLease + c.cfg.OwnerLease/driftDivisor + maxStartWait
 	c.stepIncarnation(evProcessEnded)
@@ -159,7 +168,7 @@
 // startsSettled reports whether no start can have reached a later incarnation of the
 // same id.
 func (c *Core) startsSettled() bool {
-	if c.askingSameID() {
+	if c.incarnation.laterMayRun || c.askingSameID() {
 		return false
 	}
 	for _, r := range c.runs {
@@ -176,6 +185,7 @@
 func (c *Core) startAnsweredLate(a Answer) {
 	c.startAnswered(a)
 	if r, ok := c.runs[a.Call.Start.Run]; ok && r.state != runStarting {
+		c.incarnation.laterMayRun = true
 		c.askWhoAnswers(0)
 	}
 	c.checkSettled()
--- a/internal/hostagent/incarnation_test.go
+++ b/internal/hostagent/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -99,6 +100,24 @@
 		require.Equal(t, workload.HostUnavailable, h.core.Host().State)
 		require.Empty(t, h.lastInventory().Runs)
 	})
+	t.Run("silence beside another writer", func(t *testing.T) {
+		h, call := inFlight()
+		h.answer(call, 0, runner.ErrOutcomeUnknown)
+		for i := range 300 { // announcements that are denied must not postpone the end
+			h.core.Announced(runner.Announcement{Host: workload.Host{Instance: "other", StartedAtMS: 9}})
+			poll := h.core.NextPoll()
+			err := runner.ErrOutcomeUnknown
+			if poll.Target.Instance == "other" {
+				err = runner.ErrOtherIncarnation
+			}
+			h.core.PollAnswered(poll, runner.PollResponse{}, err)
+			h.advance(100 * time.Millisecond)
+			if time.Duration(i)*100*time.Millisecond < h.core.cfg.OwnerLease {
+				require.Equal(t, workload.HostReady, h.core.Host().State, "its run may go on")
+			}
+		}
+		require.Equal(t, workload.HostUnavailable, h.core.Host().State)
+	})
 	t.Run("silence", func(t *testing.T) {
 		h, call := inFlight()
 		h.answer(call, 0, runner.ErrOutcomeUnknown)
