jobs: store other jobs in the batch of a large one

Cause, found by reading the change: a large job with more changed rows of attempts than fit into a batch ended the batch, so jobs after it in the order of ids were not stored until it had no more such rows. Change: the batch goes on with the next jobs; ends are acknowledged when all is stored, as before. Check: TestLargeJobLeavesRoomForOthers failed before and passes.

--- a/internal/jobs/attempts_test.go
+++ b/internal/jobs/attempts_test.go
@@ -92,6 +92,20 @@
 	require.EqualValues(t, 1, h.acknowledged("a"))
 }
 
+// Guards against jobs that are not stored while a large job has more changed rows than
+// fit into a batch.
+func TestLargeJobLeavesRoomForOthers(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.Submit(newSpec("a-large", newStep(workload.MaxTasks, 1)))
+	h.core.Submit(newSpec("b-small", newStep(1, 1)))
+	h.core.jobs["a-large"].changeAttempts("")
+	h.core.jobs["b-small"].markDirty()
+	b := h.core.NextBatch()
+	require.Len(t, b.Writes, 2)
+	require.Len(t, b.Writes[0].Parts, maxJobParts)
+	require.Equal(t, workload.JobID("b-small"), b.Writes[1].Job)
+}
+
 // Guards against rows of attempts that outlive their job.
 func TestRowsOfAttemptsAreDeletedBeforeTheJob(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -101,7 +101,7 @@
 // addWrites adds the rows of changed jobs to the batch as far as there is room. It
 // reports whether all are in it.
 func (c *Core) addWrites(b *Batch, jobs []*job) bool {
-	rows, bytes := maxBatchRows, maxBatchBytes
+	rows, bytes, all := maxBatchRows, maxBatchBytes, true
 	for i, j := range jobs {
 		w := Write{Job: j.spec.ID, Progress: j.progress()}
 		if size := w.size(); i == c.batchJobs || rows == 0 || i > 0 && size > bytes {
@@ -113,13 +113,14 @@
 		rows, bytes = rows-1-len(w.Parts), bytes-w.size()
 		b.Writes = append(b.Writes, w)
 		if len(j.dirtyParts) > 0 && !j.phase().Final() {
-			return false // the next batch continues with the job
+			all = false // the next batch continues with the job
+			continue
 		}
 		b.crashes = append(b.crashes, j.unstoredCrashes...)
 		j.unstoredCrashes = nil
 		delete(c.dirty, j)
 	}
-	return true
+	return all
 }
 
 // addRemovals adds rows to be deleted to the batch. The progress row of a job is
