jobs: count failed runs by their numbers, in any order

Cause: the failed runs of a task were a count and the number of the last one. Ruled out: a plan before all inventories, a host missing in the stored list. Change: the numbers of the newest eight failed runs are kept and stored. Callers saw a job go on after its last allowed attempt. The bound of checkpoints in a row falls from 32 to 20 KB, so that 256 tasks with eight numbers each still fit.

--- a/internal/jobdaemon/progressrows_test.go
+++ b/internal/jobdaemon/progressrows_test.go
@@ -47,10 +47,14 @@
 // Guards against an estimate of the size of a row that is below its encoding: the
 // bounds of the batches would not hold.
 func TestEncodedAttemptsAreNotLargerThanEstimated(t *testing.T) {
-	const tasks, estimate = 256, 40
+	const tasks, estimate = 256, 42 + 8*8
+	var numbers []uint64
+	for n := range uint64(8) {
+		numbers = append(numbers, 1<<50+n)
+	}
 	var list []workload.TaskAttempts
 	for i := range tasks {
-		list = append(list, workload.TaskAttempts{Step: 1000, Index: workload.MaxTasks - i, Failed: 1000, LastFailed: 1 << 50, Crashes: 5, CrashesAlone: 5, CrashAge: 1 << 40})
+		list = append(list, workload.TaskAttempts{Step: 1000, Index: workload.MaxTasks - i, Failed: 1000, LastFailed: 1 << 50, FailedRuns: numbers, Crashes: 5, CrashesAlone: 5, CrashAge: 1 << 40})
 	}
 	raw, err := wire.EncodeProgress(&workload.Progress{Attempts: list})
 	require.NoError(t, err)
--- a/internal/jobs/attempts.go
+++ b/internal/jobs/attempts.go
@@ -11,18 +11,19 @@
 	// of no more tasks has them in its progress row, a larger one in rows of their own.
 	tasksPerPart = 256
 	// maxRowCheckpoints bounds the checkpoints in a row, in bytes. With the other
-	// figures of tasksPerPart tasks, 40 bytes each, a row stays below 48 KB, which is
-	// 64 KB in base64. A task whose checkpoint is not stored may lose its progress when
-	// the owner changes.
-	maxRowCheckpoints = 32 << 10
+	// figures of tasksPerPart tasks, 106 bytes each at most, a row stays below 48 KB,
+	// which is 64 KB in base64. A task whose checkpoint is not stored may lose its
+	// progress when the owner changes.
+	maxRowCheckpoints = 20 << 10
 	// maxJobParts bounds the rows of attempts of one job in a batch, so that a large job
 	// leaves room for others.
 	maxJobParts = 16
 	// maxBatchBytes bounds the job rows of a batch by their estimated size. The store
 	// accepts 1 MB in base64.
-	maxBatchBytes = 600 << 10
-	attemptBytes  = 40 // of the encoding of a task's attempts without its checkpoint
-	progressBytes = 64 // of the encoding of a progress row without its lists
+	maxBatchBytes  = 600 << 10
+	attemptBytes   = 42 // of the encoding of a task's attempts without its lists and checkpoint
+	failedRunBytes = 8  // of the number of a failed run
+	progressBytes  = 64 // of the encoding of a progress row without its lists
 )
 
 // AttemptsPart is a row with the attempts of some tasks of a job.
@@ -36,7 +37,7 @@
 func attemptsSize(attempts []workload.TaskAttempts) int {
 	n := 0
 	for _, a := range attempts {
-		n += attemptBytes + len(a.Checkpoint)
+		n += attemptBytes + failedRunBytes*len(a.FailedRuns) + len(a.Checkpoint)
 	}
 	return n
 }
@@ -121,8 +122,9 @@
 // there is anything.
 func (t *task) attempts() (workload.TaskAttempts, bool) {
 	a := workload.TaskAttempts{
-		Step: t.step.number, Index: t.index, Failed: t.failedRuns, LastFailed: t.lastFailedRun, Checkpoint: t.checkpoint,
+		Step: t.step.number, Index: t.index, Checkpoint: t.checkpoint,
 		Crashes: t.crashes.possible, CrashesAlone: t.crashes.alone, CrashAge: t.crashes.age,
 	}
-	return a, t.failedRuns > 0 || t.checkpoint != "" && !t.done || t.crashes.possible > 0 && !t.done
+	t.failedRuns.store(&a)
+	return a, a.Failed > 0 || t.checkpoint != "" && !t.done || t.crashes.possible > 0 && !t.done
 }
--- a/internal/jobs/attempts_test.go
+++ b/internal/jobs/attempts_test.go
@@ -20,7 +20,10 @@
 func (j *job) changeAttempts(checkpoint string) {
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			t.failedRuns, t.lastFailedRun, t.checkpoint = 1, 1<<40, checkpoint
+			t.failedRuns, t.checkpoint = failedRuns{}, checkpoint
+			for n := range maxFailedRunNumbers {
+				t.failedRuns.add(uint64(n) + 1)
+			}
 			t.crashes = crashes{possible: 2, alone: 1, age: time.Second}
 			t.attemptsChanged()
 		}
@@ -68,7 +71,8 @@
 			}
 			require.Len(t, stored, workload.MaxTasks+3*tasksPerPart)
 			for id, a := range stored {
-				require.Equal(t, 1, a.Failed, id)
+				require.Equal(t, maxFailedRunNumbers, a.Failed, id)
+				require.Len(t, a.FailedRuns, maxFailedRunNumbers, id)
 			}
 			t.Logf("%d batches", batches)
 		})
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -77,8 +77,7 @@
 	step           *step
 	index          int
 	done           bool
-	failedRuns     int                        // runs that count as attempts; always 0 for long-running tasks
-	lastFailedRun  uint64                     // number of the last failed run
+	failedRuns     failedRuns                 // runs that count as attempts; none of long-running tasks
 	checkpoint     string                     // from which the next run resumes
 	starts         uint64                     // counter of the run numbers of this epoch
 	runs           []*run                     // runs that have not ended
@@ -307,22 +306,17 @@
 // fail records that a run of the task failed, and fails the job when its
 // attempts are used up.
 func (t *task) fail(number uint64, hostName workload.HostName) {
-	if number <= t.lastFailedRun {
-		return // an earlier owner counted it
-	}
-	j := t.step.job
-	t.lastFailedRun = number
 	if t.failedHosts == nil {
 		t.failedHosts = map[workload.HostName]bool{}
 	}
 	t.failedHosts[hostName] = true
-	if t.step.spec.LongRunning {
+	if t.step.spec.LongRunning || !t.failedRuns.add(number) {
 		return
 	}
-	t.failedRuns++
+	j := t.step.job
 	t.attemptsChanged()
 	j.markDirty()
-	if j.spec.MaxAttempts > 0 && t.failedRuns >= j.spec.MaxAttempts && !t.done {
+	if j.spec.MaxAttempts > 0 && t.failedRuns.count >= j.spec.MaxAttempts && !t.done {
 		j.step(evFail)
 	}
 }
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -318,7 +318,7 @@
 	}
 	for _, a := range p.Attempts {
 		if t := j.task(workload.TaskID{Step: a.Step, Index: a.Index}); t != nil {
-			t.failedRuns, t.lastFailedRun, t.checkpoint = a.Failed, a.LastFailed, a.Checkpoint
+			t.failedRuns, t.checkpoint = restoreFailedRuns(a), a.Checkpoint
 			t.restoreCrashes(a)
 		}
 	}
--- a/internal/wire/workload.go
+++ b/internal/wire/workload.go
@@ -28,7 +28,7 @@
 		Phase: uint32(j.Phase), Done: j.Done, OverAtMs: j.EndedAtMS, Failure: j.Failure,
 		Attempts: mapSlice(j.Attempts, func(a workload.TaskAttempts) *pb.TaskAttempts {
 			return &pb.TaskAttempts{
-				Step: int64(a.Step), Index: int64(a.Index), Failed: int64(a.Failed), Checkpoint: a.Checkpoint, LastFailed: a.LastFailed,
+				Step: int64(a.Step), Index: int64(a.Index), Failed: int64(a.Failed), Checkpoint: a.Checkpoint, LastFailed: a.LastFailed, FailedRuns: a.FailedRuns,
 				Crashes: int64(a.Crashes), CrashesAlone: int64(a.CrashesAlone), CrashAgeNs: int64(a.CrashAge),
 			}
 		}),
@@ -49,8 +49,8 @@
 		Attempts: mapSlice(p.GetAttempts(), func(a *pb.TaskAttempts) workload.TaskAttempts {
 			return workload.TaskAttempts{
 				Step: int(a.GetStep()), Index: int(a.GetIndex()), Failed: int(a.GetFailed()), LastFailed: a.GetLastFailed(),
-				Checkpoint: a.GetCheckpoint(),
-				Crashes:    int(a.GetCrashes()), CrashesAlone: int(a.GetCrashesAlone()), CrashAge: time.Duration(a.GetCrashAgeNs()),
+				FailedRuns: a.GetFailedRuns(), Checkpoint: a.GetCheckpoint(),
+				Crashes: int(a.GetCrashes()), CrashesAlone: int(a.GetCrashesAlone()), CrashAge: time.Duration(a.GetCrashAgeNs()),
 			}
 		}),
 	}, nil
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -290,8 +290,9 @@
 // checkpoint.
 type TaskAttempts struct {
 	Step, Index int
-	Failed      int    // failed runs
-	LastFailed  uint64 // RunID.Number of the last failed run that Failed includes
+	Failed      int      // failed runs
+	LastFailed  uint64   // RunID.Number of the last failed run that Failed includes
+	FailedRuns  []uint64 // ascending RunID.Number of the newest runs that Failed includes
 	Checkpoint  string
 	// Crashes counts the crashes of backend servers of which the task may be the
 	// cause, CrashesAlone those of which no other task can be. CrashAge is the
