ownership: wait longer before replacing owners in succession

Cause: after the loss of all machines each new owner read the jobs over its connection and was silent for longer than its peers wait, so the next entry claimed the jobs and was as busy: 19 changes of the owner in 25 s, no recovery complete, 102 long-running tasks that did not run again (LOST). Ruled out: hosts that do not come back (all were linked), processor time alone. Change: the timeout after which an unlinked owner is replaced doubles with each change of the owner after the first within 10 s, up to 4 s. Callers saw jobs that stayed queued although there was room.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -86,6 +86,7 @@
 	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
 	formerEnded bool                      // see FormerOwnerEnded
 	fenced      bool                      // see FormerOwnersFenced
+	takeovers   takeovers                 // recent changes of the owner
 
 	lateness     lateness
 	handedOverAt time.Duration // when the entry last handed over the jobs; 0: never
@@ -210,7 +211,7 @@
 	if epoch < c.maxEpoch || epoch == c.maxEpoch && c.ownerKnown() && !released {
 		return false
 	}
-	c.maxEpoch = epoch
+	c.observeEpoch(epoch)
 	c.row = workload.Owner{Name: owner, Epoch: epoch}
 	c.rowVersion = 0
 	c.ownerSeenAt = now
@@ -227,7 +228,7 @@
 	if epoch <= c.maxEpoch {
 		return false
 	}
-	c.maxEpoch = epoch
+	c.observeEpoch(epoch)
 	c.ownerSeenAt = now
 	if c.Owns() {
 		c.step(evSuperseded)
@@ -247,7 +248,7 @@
 		c.ownerSeenAt = now
 	}
 	c.row, c.rowVersion, c.readEpoch = o, version, c.askedEpoch
-	c.maxEpoch = max(c.maxEpoch, o.Epoch)
+	c.observeEpoch(o.Epoch)
 	c.step(evRead)
 }
 
@@ -293,7 +294,8 @@
 	switch {
 	case current:
 		c.formerEnded, c.fenced, c.lateness = !o.Unsettled, o.Fenced, lateness{steppedAt: now}
-		c.row, c.rowVersion, c.maxEpoch = o, version, o.Epoch
+		c.row, c.rowVersion = o, version
+		c.observeEpoch(o.Epoch)
 		c.step(evClaimed)
 	case outcome == table.Committed, outcome == table.Conflict:
 		c.step(evSuperseded)
@@ -328,7 +330,7 @@
 
 // ownerAbsent reports whether the owner has been unlinked for so long that this
 // entry replaces it, or has not been known for ownerTimeout, so that the row has to be
-// read. Entries that precede it replace the owner earlier. An owner with the name of
+// read. An owner that released the jobs is replaced without the timeout. Entries that precede it replace the owner earlier. An owner with the name of
 // this entry is a former process of it, and is always absent.
 func (c *Core) ownerAbsent() bool {
 	switch {
@@ -340,9 +342,9 @@
 	if _, linked := c.linked[c.row.Name]; linked {
 		return false
 	}
-	timeout := ownerTimeout + time.Duration(c.rank())*rankDelay
-	if c.row.Name == "" && c.maxEpoch > 0 {
-		timeout -= ownerTimeout // the owner released the jobs
+	timeout := time.Duration(c.rank()) * rankDelay
+	if released := c.row.Name == "" && c.maxEpoch > 0; !released {
+		timeout += c.absenceTimeout()
 	}
 	return c.now-c.ownerSeenAt >= timeout
 }
