jobdaemon, platform: read the stored jobs in pages of bounded time

Cause: a new owner read all rows at once, so on a small connection heartbeats waited behind 300 KB for longer than links may be silent, and its peers replaced it. Change: a scan requests pages that take 20 ms of the connection's rate (setting link-mbps), ten scans at a time as before. Callers saw jobs that stayed queued while owners replaced each other.

--- a/cmd/bamboojobd/main.go
+++ b/cmd/bamboojobd/main.go
@@ -102,7 +102,7 @@
 	return jobdaemon.StartEntry(g, jobdaemon.EntryConfig{
 		Name: n.Name, DataCentre: workload.DataCentre(n.DataCentre), Links: n.LinkAddress(), Callers: n.Callers, Readiness: n.Readiness,
 		Metrics: net.JoinHostPort(n.IP, metricsPort), Seeds: n.SeedLinks(), Boot: newBootID(), GracePeriod: n.GracePeriod,
-		ProcessorShare: n.ProcessorShare, LinkRate: n.LinkRate, Store: platform.NewStore(n.Store, callTimeout),
+		ProcessorShare: n.ProcessorShare, LinkRate: n.LinkRate, Store: platform.NewStore(n.Store, callTimeout).WithPageBytes(jobdaemon.ScanPageBytes(n.LinkRate)),
 		Config:        jobdaemon.ConfigSource{Key: platform.ConfigKey, Prefix: platform.ConfigPrefix, Decode: platform.DecodeConfig},
 		CallerHandler: platform.CallerHandler, ReadinessHandler: platform.ReadinessHandler, Log: log.Log,
 	})
--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -50,6 +50,23 @@
 	}
 }
 
+const (
+	// scanPageTime is how long one page of a scan may occupy the network connection of
+	// the host. A new owner has ten scans under way, and the heartbeats of its peers
+	// must not wait behind them for longer than a link may be silent.
+	scanPageTime     = 20 * time.Millisecond
+	minScanPageBytes = 8 << 10
+)
+
+// ScanPageBytes returns the bytes of a page of a scan over a connection of linkRate
+// bits per second, or 0 if the rate is not known.
+func ScanPageBytes(linkRate int64) int {
+	if linkRate == 0 {
+		return 0
+	}
+	return max(minScanPageBytes, int(float64(linkRate)/8*scanPageTime.Seconds()))
+}
+
 type scanResult struct {
 	rows     []table.Row
 	revision table.Revision
