jobs: bound the start requests by the owner's connection

Cause: after the loss of all machines a new owner requested 555 starts within 0.1 s; over 2 Mbit/s they occupied its connection for more than a second, its links ended as silent, and its peers replaced it before a task had run. Change: start requests take half of the connection at most (setting link-mbps), the most urgent tasks first; the rest stay ready until a later tick. Nothing is bounded where the rate is not known, and at 20 Mbit/s a second has room for 1,200 requests of 1 KB. Callers saw jobs that stayed queued while owners replaced each other.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -35,6 +35,7 @@
 	startedAt  time.Time
 	metrics    *entryMetrics
 
+	linkRate    int64 // of the host's network connection, bits per second; 0: not known
 	links       map[linkID]*peerLink
 	agents      map[workload.HostName]*agentView
 	members     map[string]msg.Member // entries by name
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -91,7 +91,7 @@
 func newController(g *actor.Group, cfg EntryConfig, m *entryMetrics, configInUse *actor.Value[workload.Config]) *controller {
 	c := &controller{
 		self: msg.Member{Name: cfg.Name, Address: cfg.Links}, log: cfg.Log, group: g, startedAt: time.Now(), metrics: m,
-		links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
+		linkRate: cfg.LinkRate, links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
 		phases: newPhaseCache(), owner: ownership.New(cfg.Name, cfg.Boot, cfg.ProcessorShare, 0), published: &published{},
 		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
 	}
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -116,6 +116,10 @@
 	}
 }
 
+// ordersShare is the part of the owner's network connection that start requests may
+// take: one half.
+const ordersShare = 2
+
 // startOwnership takes over the jobs: it notifies the other entries and loads the
 // stored jobs. jobsLoaded claims the hosts. Until then the heartbeats show which
 // links to agents have failed without notice.
@@ -123,6 +127,7 @@
 	epoch := c.owner.Epoch()
 	event.Log(c.log, event.OwnershipStarted, log.Fields{"epoch": epoch})
 	c.jobs = jobs.New(epoch, c.now())
+	c.jobs.LimitOrders(c.linkRate / 8 / ordersShare)
 	c.jobs.Advance(c.now(), time.Now().UnixMilli())
 	c.loading, c.deferred = true, nil
 	c.sendToEntries(&msg.OwnerClaim{Epoch: epoch, Owner: c.self.Name})
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -78,6 +78,7 @@
 	reserved   []*host   // for isolated tasks that wait
 	planNeeded bool      // something changed that may let a task start
 	pass       PassStats // of the last planning pass
+	orders     orderRate
 
 	hostsByName  []*host    // ordered by name, so that equal inputs give equal plans
 	improved     *list.List // of *host, the last improved first
@@ -176,6 +177,9 @@
 		c.recoveryDeadline = 0
 		c.planNeeded = true
 	}
+	if c.orders.refill(c.now) {
+		c.planNeeded = true
+	}
 	c.scheduleTimedPlans()
 }
 
--- a/internal/jobs/placement.go
+++ b/internal/jobs/placement.go
@@ -49,7 +49,7 @@
 			i++
 			continue
 		}
-		if c.pass.Views >= p.limit {
+		if c.pass.Views >= p.limit || !c.orders.admits() {
 			return false
 		}
 		h := p.choose(k, t)
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -40,7 +40,8 @@
 // the start and stop requests for the agents. It does nothing and returns false
 // if no input since the last call may have changed the plan. If the pass has
 // reached maxPassViews, PlanPending is true afterwards and the next call
-// continues, the most urgent tasks first.
+// continues, the most urgent tasks first. A pass that has reached the bound of
+// LimitOrders continues after a Tick.
 func (c *Core) Plan() bool {
 	if !c.planNeeded {
 		return false
@@ -50,7 +51,7 @@
 	c.placeSuspects()
 	switch {
 	case !c.placeWaiting():
-		c.planNeeded = true
+		c.planNeeded = !c.orders.exhausted // otherwise the next tick lets the pass continue
 	case c.movesDue:
 		c.movesDue, c.movesExaminedAt = false, c.now
 		c.moveThrottled()
@@ -150,6 +151,7 @@
 	c.unready(t)
 	c.pass.Started++
 	c.unsent[h] = struct{}{}
+	c.orders.spend(len(t.step.job.spec.Specification) + len(t.checkpoint))
 	h.starts = append(h.starts, msg.RunStart{Size: r.size(), Specification: t.step.job.spec.Specification, Checkpoint: t.checkpoint})
 	c.addDecision(Decision{Kind: RunOrdered, Job: t.step.job.spec.ID, Run: id, Host: h.info.Name, Age: c.now - t.readySince})
 }
