jobdaemon: let backlogs of phases follow the owner's connection

Cause: backlogs took a quarter of 10 Mbit/s, whatever the owner's connection: at 55 entries with 2,000 jobs the last entry had the phases 10.7 s after a takeover (computed: 3.36 MB at 312 KB/s) and listed waiting jobs wrongly until then; at 2 Mbit/s they took all of the connection. Change: a quarter of the rate of the owner's host, at most of 100 Mbit/s. Without the setting it stays at 10 Mbit/s. Callers saw lists that left out jobs they had submitted.

--- a/internal/jobdaemon/phasefeed.go
+++ b/internal/jobdaemon/phasefeed.go
@@ -1,20 +1,21 @@
 package jobdaemon
 
 import (
-	"time"
-
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
 const (
-	// minLinkRate is the network connection of the smallest entry hosts, in
-	// bytes per second.
-	minLinkRate = 10_000_000 / 8
-	// backlogBytesPerTick bounds what is sent of all backlogs at a tick: a
-	// quarter of minLinkRate, so that leases and heartbeats are not late.
-	backlogBytesPerTick = minLinkRate / 4 * int(controllerTick) / int(time.Second)
-	// maxPhasesBytes bounds a JobPhases. It takes 3.3 ms at minLinkRate.
+	// assumedLinkRate is the rate of the host's network connection if it is not known,
+	// in bits per second.
+	assumedLinkRate = 10_000_000
+	// maxBacklogLinkRate bounds the rate of which backlogs take a part. At a tick they
+	// take 156 KB then, and not much of a small processor.
+	maxBacklogLinkRate = 100_000_000
+	// backlogShare is the part of the connection that backlogs may take: a quarter, so
+	// that leases and heartbeats are not late.
+	backlogShare = 4
+	// maxPhasesBytes bounds a JobPhases. It takes 3.3 ms at assumedLinkRate.
 	maxPhasesBytes = 4 << 10
 	// phaseOverheadBytes is the encoding of a phase beside the names of the job
 	// and of its queue, if these have less than 128 bytes each.
@@ -27,6 +28,7 @@
 type phaseFeeds struct {
 	epoch     uint64
 	published uint64 // number of the newest change that was published
+	budget    int    // bytes of all backlogs at a tick
 	byEntry   map[string]*phaseFeed
 	turns     []*phaseFeed // feeds with a backlog, the next one first
 }
@@ -48,9 +50,19 @@
 type phaseLookup func(workload.JobID) (msg.JobPhase, bool)
 
 // newPhaseFeeds returns the feeds of an owner that has published its changes up
-// to a number.
-func newPhaseFeeds(epoch, published uint64) *phaseFeeds {
-	return &phaseFeeds{epoch: epoch, published: published, byEntry: map[string]*phaseFeed{}}
+// to a number. linkRate is that of its host in bits per second, 0 if it is not known.
+func newPhaseFeeds(epoch, published uint64, linkRate int64) *phaseFeeds {
+	return &phaseFeeds{epoch: epoch, published: published, budget: backlogBytes(linkRate), byEntry: map[string]*phaseFeed{}}
+}
+
+// backlogBytes bounds what is sent of all backlogs at a tick. One message is always
+// sent.
+func backlogBytes(linkRate int64) int {
+	if linkRate == 0 {
+		linkRate = assumedLinkRate
+	}
+	rate := float64(min(linkRate, maxBacklogLinkRate)) / 8 / backlogShare
+	return max(maxPhasesBytes, int(rate*controllerTick.Seconds()))
 }
 
 // start begins the feed of an entry on a link. A former feed of the entry ends.
@@ -106,7 +118,7 @@
 // tick returns the messages of the backlogs that are due, of each feed in turn.
 func (f *phaseFeeds) tick(lookup phaseLookup) []phaseMessage {
 	var out []phaseMessage
-	for budget := backlogBytesPerTick; len(f.turns) > 0 && budget >= maxPhasesBytes; {
+	for budget := f.budget; len(f.turns) > 0 && budget >= maxPhasesBytes; {
 		feed := f.turns[0]
 		f.turns = f.turns[1:]
 		phases := feed.next(lookup)
@@ -183,7 +195,7 @@
 		}
 	}
 	c.jobs.Phases() // the backlogs contain them
-	c.feeds = newPhaseFeeds(c.jobs.Epoch(), c.jobs.PhaseChanges())
+	c.feeds = newPhaseFeeds(c.jobs.Epoch(), c.jobs.PhaseChanges(), c.linkRate)
 	backlog := append(changed, others...)
 	for _, l := range c.entryLinks() {
 		c.feeds.start(l, backlog)
--- a/internal/jobdaemon/phasestorm_test.go
+++ b/internal/jobdaemon/phasestorm_test.go
@@ -159,7 +159,7 @@
 			return msg.JobPhase{ID: id, Queue: queue, Phase: p}, known
 		}
 		change(rapid.IntRange(0, 400).Draw(t, "restored"), workload.Queued)
-		feeds := newPhaseFeeds(1, newest)
+		feeds := newPhaseFeeds(1, newest, 0)
 		entry := map[workload.JobID]workload.Phase{}
 		mark := uint64(0)
 		var transit []*msg.JobPhases
@@ -216,3 +216,34 @@
 		require.Equal(t, phases, entry)
 	})
 }
+
+// Pattern: an owner takes over at a site of 55 entries with 2,000 jobs.
+// Guards against entries that list the waiting jobs wrongly for seconds because
+// backlogs take the rate of the smallest connection, whatever that of the owner is; and
+// against backlogs that take all of a connection which is smaller than that.
+func TestBacklogsTakeAQuarterOfTheOwnersConnection(t *testing.T) {
+	const entries, jobs = 54, 2000
+	for linkRate, limit := range map[int64]time.Duration{2_000_000: time.Hour, 20_000_000: 10 * time.Second, 200_000_000: 2 * time.Second} {
+		feeds := newPhaseFeeds(1, jobs, linkRate)
+		var backlog []workload.JobID
+		for i := range jobs {
+			backlog = append(backlog, workload.JobID(fmt.Sprintf("%016d", i)))
+		}
+		for i := range entries {
+			feeds.start(&peerLink{hello: &msg.PeerHello{Member: msg.Member{Name: fmt.Sprint(i)}}}, backlog)
+		}
+		lookup := func(id workload.JobID) (msg.JobPhase, bool) { return msg.JobPhase{ID: id, Queue: "consent-1"}, true }
+		ticks, bytes := 0, 0
+		for len(feeds.turns) > 0 {
+			ticks++
+			for _, m := range feeds.tick(lookup) {
+				bytes += encodedSize(m.message)
+			}
+		}
+		took := time.Duration(ticks) * controllerTick
+		t.Logf("%d bits/s: %v, %d bytes", linkRate, took, bytes)
+		require.LessOrEqual(t, took, limit)
+		// A message of 4 KB a tick is the least.
+		require.LessOrEqual(t, float64(bytes)/took.Seconds(), max(float64(linkRate)/8/3, 1.2*maxPhasesBytes/controllerTick.Seconds()))
+	}
+}
