ownership: bound the time for which an unlinked owner acts

Cause: nothing but the news of its successor ended an owner's permission to grant leases and request starts. An owner that was cut off together with hosts from the other entries and the table service kept their runs alive, while its successor took the leases for expired and started the tasks elsewhere (TWICE). Ruled out: a limit on every owner (an outage of the table service would end all runs), a majority seen by agents (they notice lost entries after 6 s). Change: an owner acts while all known entries are linked, otherwise for 2 s after each write to its row, 10 s with a majority (charts/permission.scxml); a successor waits for as long before it counts leases of silent hosts, unless the former owner's entry shows that it has stopped. An owner whose host was suspended confirms its row first. Callers saw a long-running job whose tasks ran on two hosts.

--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -22,6 +22,8 @@
 	OwnerBehind             = define(923, log.WarnLevel, "owner-behind", "the loop of the owner of the jobs is late, so leases and ends of runs are late too", "compare the metrics of planning passes; give the entry more processor time")
 	OwnerHandsOver          = define(924, log.WarnLevel, "owner-hands-over", "the loop of the owner of the jobs is persistently late; the owner releases the jobs to an entry whose host has clearly more processor share", "compare events 923 and the metrics of planning passes; if the owner changes often, give the entries more processor time")
 	OwnerLearned            = define(925, log.InfoLevel, "owner-learned", "this entry learned of an owner of the jobs, or of an epoch whose owner it does not know yet", "nothing; an epoch without an owner for seconds means that the row of the owner cannot be read")
+	OwnerPermission         = define(926, log.WarnLevel, "owner-permission", "the owner of the jobs may extend leases and start tasks again, or may not because an entry that is not linked may have replaced it", "for acts=false: check the table service and the network between the entries; runs end when their leases expire")
+	HostSuspended           = define(927, log.WarnLevel, "host-suspended", "the host of the owner of the jobs was suspended; the owner confirms its row before it acts", "nothing")
 	AgentOwnerAdopted       = define(930, log.InfoLevel, "guard-owner", "the agent accepted a new owner of the jobs", "nothing")
 	AgentOwnerRefused       = define(931, log.WarnLevel, "guard-owner-refused", "the agent refused a command of an owner that has been replaced", "nothing")
 	AgentRunRefused         = define(932, log.WarnLevel, "guard-run-refused", "the agent or the backend server refused a run", "see the reason")
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -47,6 +47,8 @@
 	feeds       *phaseFeeds     // nil unless this entry owns the jobs and has read them
 	deferred    []any           // messages for the owner that arrived while loading
 	writer      writer
+	clock       hostClock
+	acts        bool // the owner may extend leases and start tasks
 	peerCommits peerCommits
 	ownerGroup  *actor.Group // actors that end with the ownership: they load and watch the jobs
 	prunedAt    time.Duration
@@ -91,7 +93,7 @@
 	c.checkLag(now)
 	c.owner.Tick(now)
 	if c.jobs != nil {
-		c.jobs.Advance(now, time.Now().UnixMilli())
+		c.advanceJobs()
 		c.jobs.Tick()
 	}
 	c.sendBacklogs()
@@ -102,6 +104,22 @@
 	}
 }
 
+// advanceJobs sets the time of the jobs, and whether leases may be extended.
+func (c *controller) advanceJobs() {
+	now := c.now()
+	if c.clock.suspendedSinceLastCall() {
+		event.Log(c.log, event.HostSuspended, log.Fields{"epoch": c.jobs.Epoch()})
+		c.owner.Suspended(now)
+	}
+	may := c.owner.MayAct()
+	if may != c.acts {
+		event.Log(c.log, event.OwnerPermission, log.Fields{"epoch": c.jobs.Epoch(), "acts": may})
+		c.acts = may
+	}
+	c.jobs.Advance(now, time.Now().UnixMilli())
+	c.jobs.PermitLeases(may)
+}
+
 // checkLag records how late the tick is. It logs a lag above the bound of the owner
 // of the jobs, which hands them over if it is persistently late.
 func (c *controller) checkLag(now time.Duration) {
@@ -134,7 +152,7 @@
 
 func (c *controller) apply(m any) {
 	if c.jobs != nil {
-		c.jobs.Advance(c.now(), time.Now().UnixMilli())
+		c.advanceJobs()
 	}
 	switch m := m.(type) {
 	case *linkUp:
@@ -178,13 +196,17 @@
 	}
 }
 
-// plans reports whether this entry plans the jobs. An owner that hands them over
-// does not plan any more, so that it applies the outcome of the release at once,
-// unless the table service is unreachable and the release has to wait.
+// plans reports whether this entry plans the jobs. An owner that another entry may
+// have replaced does not, nor one that hands them over, so that it applies the outcome
+// of the release at once, unless the table service is unreachable and the release has
+// to wait.
 func (c *controller) plans() bool {
 	if c.jobs == nil || c.loading {
 		return false
 	}
+	if !c.owner.MayAct() {
+		return false
+	}
 	return !c.owner.HandingOver() || c.storeProxy.outageDuration() > 0
 }
 
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -39,6 +39,8 @@
 	c.config.sync.PeerUp(name, m.hello.LinkRate)
 	c.announceConfig(l)
 	if c.jobs != nil {
+		c.owner.EntryLinked(name, m.hello.Boot, m.hello.Epoch, c.now())
+		c.limitFormerOwners()
 		c.send(l, &msg.OwnerClaim{Epoch: c.jobs.Epoch(), Owner: c.self.Name})
 		c.startFeed(l)
 	}
@@ -209,6 +211,9 @@
 		if e.Name == c.self.Name || e.Address == "" || c.members[e.Name] == e || c.contradictsLink(e) {
 			continue
 		}
+		if _, known := c.members[e.Name]; !known {
+			c.owner.EntryKnown(e.Name, c.now())
+		}
 		c.members[e.Name] = e
 		changed = append(changed, e)
 	}
--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -193,6 +193,7 @@
 		c.jobs.ExpectHost(name)
 	}
 	c.jobs.Recover(c.formerOwners())
+	c.limitFormerOwners()
 	deferred := c.deferred
 	c.deferred = nil
 	for _, e := range deferred {
@@ -208,6 +209,13 @@
 	}
 }
 
+// limitFormerOwners tells the jobs until when former owners may extend leases.
+func (c *controller) limitFormerOwners() {
+	if !c.loading {
+		c.jobs.FormerOwnersActUntil(c.owner.FormerOwnersActUntil())
+	}
+}
+
 // formerOwners returns what the ownership knows of the former owners.
 func (c *controller) formerOwners() jobs.FormerOwners {
 	switch {
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/apex/log"
 
@@ -128,7 +127,8 @@
 	event.Log(c.log, event.OwnershipStarted, log.Fields{"epoch": epoch})
 	c.jobs = jobs.New(epoch, c.now())
 	c.jobs.LimitOrders(c.linkRate / 8 / ordersShare)
-	c.jobs.Advance(c.now(), time.Now().UnixMilli())
+	c.acts = true
+	c.advanceJobs()
 	c.loading, c.deferred = true, nil
 	c.sendToEntries(&msg.OwnerClaim{Epoch: epoch, Owner: c.self.Name})
 	c.sendHeartbeats(linkTiming.Heartbeat)
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -44,6 +44,7 @@
 // batchStored reports the outcome of a transaction of the writer.
 type batchStored struct {
 	epoch  uint64
+	sentAt time.Duration  // when the last attempt began
 	owner  workload.Owner // as written in the owner's row
 	result commitResult
 	txn    table.Txn
@@ -61,6 +62,9 @@
 		return
 	}
 	pending, urgent := c.jobs.Pending()
+	if c.owner.ConfirmationDue() {
+		pending, urgent = true, true
+	}
 	now := c.now()
 	switch {
 	case !pending:
@@ -110,7 +114,8 @@
 		if pause > 0 && !actor.Sleep(ctx, pause) {
 			return nil
 		}
-		c.post(ctx, &batchStored{epoch, owner, c.storeProxy.commit(ctx, txn), txn})
+		sentAt := c.now()
+		c.post(ctx, &batchStored{epoch, sentAt, owner, c.storeProxy.commit(ctx, txn), txn})
 		return nil
 	})
 }
@@ -271,6 +276,7 @@
 	w.committing, w.retryPause, w.version, w.owner.Sequence = false, 0, version, m.owner.Sequence
 	c.jobs.BatchCommitted()
 	if m.owner.Name != "" {
+		c.owner.Confirmed(m.sentAt, c.now())
 		return
 	}
 	c.sendFinalEffects()
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -102,6 +102,7 @@
 	pendingBatch     *Batch        // the batch that is being written, or nil
 	recoveryDeadline time.Duration // when the recovery ends at the latest; 0: no recovery
 	formerOwners     FormerOwners  // of Recover
+	leasesBarred     bool          // of PermitLeases
 
 	unsent       map[*host]struct{} // hosts with queued requests for their agents
 	messages     []HostMessage
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -82,6 +82,7 @@
 	stored               bool          // it is in the stored list of hosts
 	listDiffers          bool          // it should not be in the stored list but is, or the reverse
 	expected             bool          // runs of an earlier owner may go on there
+	adopted              bool          // it has answered this owner, and obeys no former one
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
 	idleSince            time.Duration // when all runs on the host had certainly ended
 
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -10,12 +10,19 @@
 }
 
 // Inventory applies an agent's answer to a claim. An inventory for another epoch
-// is ignored.
+// is ignored. While leases are barred the host is claimed again from time to time,
+// since accepting its inventory would extend its leases.
 func (c *Core) Inventory(m *msg.HostInventory) {
 	if m.Epoch != c.epoch {
 		return
 	}
 	h := c.host(m.Host.Name)
+	if c.leasesBarred {
+		if h.state == hostReady {
+			h.step(evUp)
+		}
+		return
+	}
 	h.update(m.Host)
 	h.inventory = m
 	h.step(evInventory)
@@ -27,6 +34,7 @@
 // inventory.
 func (h *host) adopt() {
 	m := h.inventory
+	h.adopted = true
 	h.dropEarlyRuns()
 	h.core.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "taken"})
 	listed := map[workload.RunID]bool{}
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -183,15 +183,19 @@
 	}
 }
 
+// maxRecovery is how long a recovery takes at most after the last grant of a former
+// owner.
+const maxRecovery = LeaseExpiry + time.Second
+
 // Recover keeps the tasks of restored jobs from starting until every expected
 // host has sent its inventory or certainly has no runs, which is at most one
-// second after LeaseExpiry. If a former owner may still be active, this holds
+// second after LeaseExpiry, counted from the time of FormerOwnersActUntil. If a former owner may still be active, this holds
 // for all tasks, since it may have started tasks of jobs that were accepted
 // after the stored jobs were read. Jobs of this owner's epoch do not wait if the
 // former owners have ended or are fenced.
 func (c *Core) Recover(former FormerOwners) {
 	c.formerOwners = former
-	c.recoveryDeadline = c.now + LeaseExpiry + time.Second
+	c.recoveryDeadline = c.now + maxRecovery
 	c.endRecoveryIfComplete()
 }
 
--- a/internal/jobs/recovery_test.go
+++ b/internal/jobs/recovery_test.go
@@ -280,3 +280,56 @@
 	h.process()
 	require.EqualValues(t, 2, acknowledged())
 }
+
+// Guards against tasks that start while a former owner may still extend the lease of
+// their host, and against a recovery that waits for one that has stopped.
+func TestRecoveryWaitsForTheGrantsOfAFormerOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		former  FormerOwners
+		stopped bool
+		last    time.Duration // of the former owner's grants
+	}{
+		"active":  {FormerOwnersActive, false, 2 * time.Second},
+		"fenced":  {FormerOwnersFenced, false, 2 * time.Second},
+		"ended":   {FormerOwnersEnded, false, 0},
+		"stopped": {FormerOwnersActive, true, 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.core.Restore(newSpec("j", newStep(1, 1000)), nil)
+			h.core.ExpectHost("b")
+			h.core.Recover(c.former)
+			h.core.FormerOwnersActUntil(2 * time.Second)
+			h.link(readyHost("a", 4000))
+			if c.stopped {
+				h.advance(c.last)
+				h.core.FormerOwnersActUntil(h.now)
+			}
+			h.advance(c.last + LeaseExpiry - h.now - 200*time.Millisecond)
+			require.Empty(t, h.started)
+			h.advance(400 * time.Millisecond)
+			require.Len(t, h.started, 1)
+		})
+	}
+}
+
+// Guards against leases that an owner extends after another entry may have replaced
+// it, by a grant or by accepting an inventory.
+func TestOwnerWithoutPermissionExtendsNoLeases(t *testing.T) {
+	h := newHarness(t, 1)
+	info := readyHost("a", 4000)
+	h.link(info)
+	h.core.PermitLeases(false)
+	h.process()
+	h.sent = map[workload.HostName][]msg.Control{}
+	h.core.RunsProgress("a", &msg.RunsProgress{Epoch: 1, Instance: info.Instance, StartedAtMS: info.StartedAtMS})
+	h.core.Inventory(&msg.HostInventory{Epoch: 1, Host: info})
+	h.process()
+	require.Len(t, h.sent["a"], 1)
+	require.IsType(t, &msg.OwnerClaim{}, h.sent["a"][0], "the inventory is requested again")
+	h.core.PermitLeases(true)
+	h.advance(claimRetry)
+	h.core.Inventory(&msg.HostInventory{Epoch: 1, Host: info})
+	h.process()
+	require.IsType(t, &msg.InventoryAccepted{}, h.sent["a"][len(h.sent["a"])-1])
+}
--- a/internal/jobs/reports.go
+++ b/internal/jobs/reports.go
@@ -53,7 +53,8 @@
 	h.checkUnstoredEnds()
 }
 
-// RunsProgress applies an agent's report on its runs and grants them a new lease.
+// RunsProgress applies an agent's report on its runs and grants them a new lease,
+// unless PermitLeases forbids it.
 // It ignores a report for another epoch or incarnation, or while the inventory
 // of the host is missing.
 func (c *Core) RunsProgress(name workload.HostName, m *msg.RunsProgress) {
@@ -61,8 +62,10 @@
 	if !ok || m.Epoch != c.epoch || h.state != hostReady || m.Instance != h.info.Instance || m.StartedAtMS != h.info.StartedAtMS {
 		return
 	}
-	h.lastGrantAt = c.now
-	c.send(h, &msg.LeaseGrant{Epoch: c.epoch, StartedAtMS: m.StartedAtMS, ClockMS: m.ClockMS, Interference: h.coefficients()})
+	if !c.leasesBarred {
+		h.lastGrantAt = c.now
+		c.send(h, &msg.LeaseGrant{Epoch: c.epoch, StartedAtMS: m.StartedAtMS, ClockMS: m.ClockMS, Interference: h.coefficients()})
+	}
 	reported := h.reportedRuns(m)
 	h.observeInterference(reported)
 	for _, r := range reported {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -83,10 +83,16 @@
 	askedEpoch  uint64                    // highest known epoch when the row was last requested
 	readEpoch   uint64                    // askedEpoch of the row
 	linked      map[string]model.MilliCPU // processor shares of the linked entries, by name; 0: unknown
+	unlinked    map[string]time.Duration  // known entries that are not linked, since when
 	ownerSeenAt time.Duration             // start of the timeout after which the owner is replaced
 	formerEnded bool                      // see FormerOwnerEnded
 	fenced      bool                      // see FormerOwnersFenced
 	takeovers   takeovers                 // recent changes of the owner
+	claimedAt   time.Duration             // when the last claim was sent
+	former      workload.Owner            // the row before the claim of this owner
+	// formerStoppedAt is when the former owner was known to act no more; 0: never.
+	formerStoppedAt time.Duration
+	permission      permission // of this owner to act
 
 	lateness     lateness
 	handedOverAt time.Duration // when the entry last handed over the jobs; 0: never
@@ -125,8 +131,8 @@
 // the processor share of its host, 0 if it is not known.
 func New(self string, boot uint64, share model.MilliCPU, now time.Duration) *Core {
 	c := &Core{
-		self: self, boot: boot, share: share, now: now, linked: map[string]model.MilliCPU{},
-		ownerSeenAt: now + startOwnerTimeout - ownerTimeout,
+		self: self, boot: boot, share: share, now: now, linked: map[string]model.MilliCPU{}, unlinked: map[string]time.Duration{},
+		ownerSeenAt: now + startOwnerTimeout - ownerTimeout, permission: newPermission(now, 0),
 	}
 	c.state = ownershipChart.Initial()
 	c.timeoutAt = now + 1 // read at once; 0 means no timeout
@@ -155,6 +161,7 @@
 // Tick applies the timeout of the state if it has expired.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
+	c.permission.advance(now)
 	if c.timeoutAt != 0 && now >= c.timeoutAt {
 		c.step(evTimeout)
 	}
@@ -191,15 +198,22 @@
 
 // PeerUp records that an entry is linked, and the processor share that it
 // announces: 0 if it announces none.
-func (c *Core) PeerUp(name string, share model.MilliCPU) { c.linked[name] = share }
+func (c *Core) PeerUp(name string, share model.MilliCPU) {
+	c.linked[name] = share
+	delete(c.unlinked, name)
+	c.permission.linked = len(c.linked)
+	c.permission.entryPresent(name)
+}
 
 // PeerDown records that an entry is no longer linked.
 func (c *Core) PeerDown(name string, now time.Duration) {
 	c.now = now
 	delete(c.linked, name)
+	c.permission.linked = len(c.linked)
 	if name == c.row.Name {
 		c.ownerSeenAt = now
 	}
+	c.entryUnlinked(name)
 }
 
 // OwnerObserved applies an owner and its epoch that a peer or an agent reports.
@@ -259,7 +273,7 @@
 		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
 		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
 	}
-	c.claimEpoch = owner.Epoch
+	c.claimEpoch, c.claimedAt = owner.Epoch, c.now
 	return owner, c.rowVersion
 }
 
@@ -294,9 +308,10 @@
 	switch {
 	case current:
 		c.formerEnded, c.fenced, c.lateness = !o.Unsettled, o.Fenced, lateness{steppedAt: now}
-		c.row, c.rowVersion = o, version
+		c.former, c.row, c.rowVersion = c.row, o, version
 		c.observeEpoch(o.Epoch)
 		c.step(evClaimed)
+		c.beginPermission()
 	case outcome == table.Committed, outcome == table.Conflict:
 		c.step(evSuperseded)
 	default:
--- /dev/null
+++ b/internal/ownership/permission.go
@@ -0,0 +1,220 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/charts"
+	"github.com/bambooscale/bambooscale/internal/chart"
+)
+
+// States of charts/permission.scxml, in the order of PermissionBinding.
+const (
+	permissionUndisputed chart.State = iota
+	permissionDisputed
+	permissionLapsed
+	permissionUnconfirmed
+)
+
+// Events of charts/permission.scxml, in the order of PermissionBinding.
+const (
+	evMissing chart.Event = iota
+	evComplete
+	evConfirmed
+	evPermissionLate
+	evSuspended
+)
+
+const (
+	// PermissionTime is how long an owner that another entry may have replaced goes on
+	// extending leases and starting tasks after its last write to its row was sent. A
+	// successor that cannot reach a host waits for as long before the leases there run
+	// out.
+	PermissionTime = 2 * time.Second
+	// MajorityPermissionTime replaces PermissionTime for an owner that is linked with
+	// the majority of the entries, so that runs outlive an outage of the table service
+	// in which some entries are lost. A successor waits for as long if it has no
+	// majority itself: only one of the two can have one.
+	MajorityPermissionTime = 10 * time.Second
+	// confirmInterval is how old the last confirmation may become before the owner
+	// rewrites its row.
+	confirmInterval = 500 * time.Millisecond
+	// missingRetention is how long an entry counts as missing while the owner can write
+	// its row. One that does not come back was removed, and would end all runs in the
+	// next outage of the table service.
+	missingRetention = time.Minute
+)
+
+var permissionChart *chart.Machine[permission]
+
+func init() { permissionChart = chart.MustCompile(charts.Files, PermissionBinding()) }
+
+// PermissionBinding binds charts/permission.scxml.
+func PermissionBinding() chart.Binding[permission] {
+	return chart.Binding[permission]{
+		Chart:  "permission",
+		States: []string{"undisputed", "disputed", "lapsed", "unconfirmed"},
+		Events: []string{"missing", "complete", "confirmed", "late", "suspended"},
+		Guards: map[string]func(*permission) bool{"complete": (*permission).complete},
+		Delays: map[string]time.Duration{"permissionTime": PermissionTime}, // or MajorityPermissionTime
+	}
+}
+
+// permission says whether the owner may act. An entry that is linked does not claim the
+// jobs, and without the table service no entry can. So the owner may act while all
+// entries are linked, and otherwise for a time after each write to its row.
+type permission struct {
+	state       chart.State
+	linked      int                      // entries that are linked
+	confirmedAt time.Duration            // when the last write to the row that succeeded was sent
+	suspendedAt time.Duration            // when the host was last found to have been suspended
+	missing     map[string]time.Duration // entries that are not linked, since when
+}
+
+// newPermission returns the permission of an owner whose claim was sent at claimedAt,
+// and that is linked with a number of entries.
+func newPermission(claimedAt time.Duration, linked int) permission {
+	return permission{state: permissionChart.Initial(), linked: linked, confirmedAt: claimedAt, missing: map[string]time.Duration{}}
+}
+
+// limit returns how long the owner may act after a write to its row.
+func (p *permission) limit() time.Duration {
+	if p.hasMajority() {
+		return MajorityPermissionTime
+	}
+	return PermissionTime
+}
+
+// hasMajority reports whether the owner and the linked entries are more than the
+// missing ones.
+func (p *permission) hasMajority() bool { return p.linked+1 > len(p.missing) }
+
+func (p *permission) step(e chart.Event) { permissionChart.Step(p, &p.state, e) }
+
+func (p *permission) complete() bool { return len(p.missing) == 0 }
+
+func (p *permission) mayAct() bool {
+	return p.state == permissionUndisputed || p.state == permissionDisputed
+}
+
+// entryMissing records that an entry is not linked, which the next call of advance
+// takes into account.
+func (p *permission) entryMissing(name string, now time.Duration) {
+	p.missing[name] = now
+	p.step(evMissing)
+}
+
+// entryPresent records that an entry is linked, or counts as removed.
+func (p *permission) entryPresent(name string) {
+	delete(p.missing, name)
+	if p.complete() {
+		p.step(evComplete)
+	}
+}
+
+// advance applies the time.
+func (p *permission) advance(now time.Duration) {
+	for name, since := range p.missing {
+		if now-since >= missingRetention && now-p.confirmedAt < PermissionTime {
+			p.entryPresent(name)
+		}
+	}
+	if _, _, ok := permissionChart.Timeout(p.state); ok && now-p.confirmedAt >= p.limit() {
+		p.step(evPermissionLate)
+	}
+}
+
+// confirmed records a write to the row that succeeded, and was sent at sentAt.
+func (p *permission) confirmed(sentAt, now time.Duration) {
+	if sentAt < p.suspendedAt || sentAt < p.confirmedAt {
+		return
+	}
+	p.confirmedAt = sentAt
+	if now-sentAt < p.limit() {
+		p.step(evConfirmed)
+	}
+}
+
+// suspended records that the host was suspended until now.
+func (p *permission) suspended(now time.Duration) {
+	p.suspendedAt = now
+	p.step(evSuspended)
+}
+
+// MayAct reports whether the entry owns the jobs and no other entry can have replaced
+// it for so long that leases which it extends, or tasks that it starts, may run beside
+// those of its successor.
+func (c *Core) MayAct() bool { return c.Owns() && c.permission.mayAct() }
+
+// ConfirmationDue reports whether the owner has to rewrite its row to act on.
+func (c *Core) ConfirmationDue() bool {
+	return c.Owns() && c.permission.state != permissionUndisputed && c.now-c.permission.confirmedAt >= confirmInterval
+}
+
+// Confirmed records that the owner's row was rewritten by a transaction which was sent
+// at sentAt.
+func (c *Core) Confirmed(sentAt, now time.Duration) {
+	c.now = now
+	c.permission.confirmed(sentAt, now)
+}
+
+// Suspended records that the host was suspended until now, which its monotonic clock
+// does not show.
+func (c *Core) Suspended(now time.Duration) {
+	c.now = now
+	c.permission.suspended(now)
+}
+
+// EntryKnown records an entry that need not be linked yet.
+func (c *Core) EntryKnown(name string, now time.Duration) {
+	c.now = now
+	if _, linked := c.linked[name]; !linked {
+		c.entryUnlinked(name)
+	}
+}
+
+// entryUnlinked records that an entry is not linked.
+func (c *Core) entryUnlinked(name string) {
+	c.unlinked[name] = c.now
+	if c.Owns() {
+		c.permission.entryMissing(name, c.now)
+	}
+}
+
+// beginPermission sets the permission of an owner that has just claimed the jobs. The
+// former owner counts as missing unless it is linked, since it may claim them again.
+func (c *Core) beginPermission() {
+	c.permission = newPermission(c.claimedAt, len(c.linked))
+	c.formerStoppedAt = 0
+	if name := c.former.Name; name != "" && name != c.self {
+		c.EntryKnown(name, c.now)
+	}
+	for name, since := range c.unlinked {
+		c.permission.entryMissing(name, since)
+	}
+	c.permission.advance(c.now)
+}
+
+// EntryLinked records what the hello of an entry shows: its boot number and the highest
+// epoch that it knows. If it is the former owner, and its process has ended or knows of
+// this owner, no owner before this one acts any more.
+func (c *Core) EntryLinked(name string, boot, epoch uint64, now time.Duration) {
+	c.now = now
+	if !c.Owns() || c.formerStoppedAt != 0 || c.former.Unsettled || name != c.former.Name {
+		return
+	}
+	if boot != c.former.Boot || epoch >= c.maxEpoch {
+		c.formerStoppedAt = now
+	}
+}
+
+// FormerOwnersActUntil returns until when former owners that do not know of this one
+// may extend leases.
+func (c *Core) FormerOwnersActUntil() time.Duration {
+	switch {
+	case c.formerStoppedAt != 0:
+		return c.formerStoppedAt
+	case c.permission.hasMajority():
+		return c.claimedAt + PermissionTime
+	}
+	return c.claimedAt + MajorityPermissionTime
+}
--- /dev/null
+++ b/internal/ownership/permission_test.go
@@ -0,0 +1,181 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// newLinkedOwner returns an owner a that is linked with b and c, and the time.
+func newLinkedOwner(t *testing.T) (*Core, time.Duration) {
+	r, now := &ownerRow{}, time.Duration(0)
+	a := New("a", 1, 0, 0)
+	a.PeerUp("b", 0)
+	a.PeerUp("c", 0)
+	r.advance(&now, 3*time.Second, a)
+	require.True(t, a.Owns())
+	require.True(t, a.MayAct())
+	return a, now
+}
+
+// Guards against an owner that acts for longer than its successor allows for: an entry
+// that is not linked may have claimed the jobs.
+func TestOwnerActsForABoundedTimeAfterItLostAnEntry(t *testing.T) {
+	a, now := newLinkedOwner(t)
+	a.Confirmed(now, now)
+	a.PeerDown("b", now+time.Second)
+	a.PeerDown("c", now+time.Second)
+	for at := now; at < now+PermissionTime; at += 50 * time.Millisecond {
+		a.Tick(at)
+		require.True(t, a.MayAct(), at-now)
+	}
+	a.Tick(now + PermissionTime)
+	require.False(t, a.MayAct())
+	require.True(t, a.ConfirmationDue())
+
+	sentAt := now + 10*time.Second
+	a.Confirmed(sentAt, sentAt+time.Second)
+	require.True(t, a.MayAct())
+	a.Tick(sentAt + PermissionTime)
+	require.False(t, a.MayAct(), "the time runs from when the write was sent")
+	a.Confirmed(sentAt+time.Second, sentAt+time.Second+PermissionTime)
+	require.False(t, a.MayAct(), "the answer arrived too late")
+}
+
+// Guards against runs that end although no entry can have replaced the owner: the table
+// service is down for all, all entries are linked, or the one that was lost is linked
+// again.
+func TestOwnerActsWithoutTheTableServiceWhileAllEntriesAreLinked(t *testing.T) {
+	a, now := newLinkedOwner(t)
+	a.Tick(now + time.Hour)
+	require.True(t, a.MayAct())
+	require.False(t, a.ConfirmationDue(), "an owner that all entries see writes nothing")
+	now += time.Hour
+	a.PeerDown("b", now)
+	a.Tick(now)
+	require.False(t, a.MayAct(), "the last write is old")
+	a.PeerUp("b", 0)
+	require.True(t, a.MayAct())
+	a.PeerDown("b", now)
+	a.Tick(now + missingRetention)
+	require.False(t, a.MayAct(), "an owner that cannot write its row may be the one that is cut off")
+	a.Confirmed(now+missingRetention, now+missingRetention)
+	a.Tick(now + missingRetention)
+	a.Tick(now + time.Hour)
+	require.True(t, a.MayAct(), "an entry that does not come back was removed")
+}
+
+// Guards against runs that end in an outage of the table service because one of three
+// entries is lost meanwhile.
+func TestOwnerWithTheMajorityActsForLongerAfterItLostAnEntry(t *testing.T) {
+	a, now := newLinkedOwner(t)
+	a.Confirmed(now, now)
+	a.PeerDown("b", now)
+	a.Tick(now + MajorityPermissionTime - time.Millisecond)
+	require.True(t, a.MayAct())
+	a.PeerDown("c", now+MajorityPermissionTime-time.Millisecond)
+	a.Tick(now + MajorityPermissionTime - time.Millisecond)
+	require.False(t, a.MayAct())
+}
+
+// Guards against an owner that acts on a permission which ran out while its host was
+// suspended: its monotonic clock did not go on.
+func TestOwnerThatWasSuspendedConfirmsItsRowBeforeItActs(t *testing.T) {
+	a, now := newLinkedOwner(t)
+	a.Suspended(now)
+	require.False(t, a.MayAct())
+	require.True(t, a.ConfirmationDue() || now < confirmInterval)
+	a.Confirmed(now-time.Millisecond, now)
+	require.False(t, a.MayAct(), "the write was sent before the suspension")
+	a.PeerUp("b", 0)
+	require.False(t, a.MayAct(), "links that came up before the suspension prove nothing")
+	a.Confirmed(now, now+time.Millisecond)
+	require.True(t, a.MayAct())
+}
+
+// Guards against hosts that wait for a former owner which has ended or knows its
+// successor, and against ones that do not wait for one that may be active.
+func TestFormerOwnersActUntilTheyStop(t *testing.T) {
+	for name, c := range map[string]struct {
+		entry       string
+		boot, epoch uint64 // epoch: 0 is that of the former owner
+		unsettled   bool
+		stopped     bool
+	}{
+		"unaware":             {"f", 7, 1, false, false},
+		"another entry":       {"b", 8, 2, false, false},
+		"aware":               {"f", 7, 2, false, true},
+		"another process":     {"f", 8, 0, false, true},
+		"an owner before too": {"f", 8, 0, true, false},
+	} {
+		r, now := &ownerRow{}, time.Duration(0)
+		former, a := New("f", 7, 0, 0), New("a", 1, 0, 0)
+		r.advance(&now, 2*time.Second, former)
+		r.advance(&now, 3*time.Second, a)
+		require.True(t, a.Owns())
+		require.False(t, a.permission.hasMajority(), "one of two entries")
+		require.Equal(t, a.claimedAt+MajorityPermissionTime, a.FormerOwnersActUntil())
+		a.PeerUp("b", 0)
+		require.Equal(t, a.claimedAt+PermissionTime, a.FormerOwnersActUntil())
+		a.former.Unsettled = c.unsettled
+		a.EntryLinked(c.entry, c.boot, c.epoch, now)
+		require.Equal(t, c.stopped, a.FormerOwnersActUntil() == now, name)
+	}
+}
+
+// Guards against two owners that act at the same time after the entries have been cut
+// into two groups, in any way: the time that the former one acts after its claim was
+// replaced is at most the time for which the successor waits.
+func TestSuccessorWaitsForAsLongAsItsPredecessorActs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(2, 9).Draw(t, "entries")
+		withOwner := rapid.IntRange(1, entries-1).Draw(t, "entries on the owner's side")
+		r, now := &ownerRow{}, time.Duration(0)
+		var cores []*Core
+		for i := range entries {
+			cores = append(cores, New(string(rune('a'+i)), uint64(i)+1, 0, 0))
+		}
+		link(cores...)
+		r.advance(&now, 2*time.Second, cores...)
+		require.True(t, cores[0].Owns())
+		for _, c := range cores[1:] {
+			c.OwnerObserved("a", cores[0].Epoch(), now)
+		}
+		cores[0].Confirmed(now, now)
+		cut := now
+		side := func(i int) bool { return i < withOwner }
+		noticed := rapid.IntRange(0, 24).Draw(t, "delay until links end")
+		for step := range 40 * 20 {
+			if step == noticed {
+				for i, c := range cores {
+					for k, peer := range cores {
+						if side(i) != side(k) {
+							c.PeerDown(peer.self, now)
+						}
+					}
+				}
+			}
+			for i, c := range cores {
+				c.Tick(now)
+				if !side(i) {
+					r.apply(c, now)
+				}
+				if c.Owns() && i > 0 {
+					for k, peer := range cores {
+						if !side(k) && peer != c {
+							peer.OwnerObserved(c.self, c.Epoch(), now)
+						}
+					}
+				}
+			}
+			for _, c := range cores[withOwner:] {
+				if c.Owns() && now > c.FormerOwnersActUntil() {
+					require.False(t, cores[0].MayAct(), "%v after the cut", now-cut)
+				}
+			}
+			now += 50 * time.Millisecond
+		}
+	})
+}
