jobs, jobdaemon: ignore reports and rows with impossible numbers

Cause: a report of an agent, or a stored job, with a negative or too large number of a step, task or predecessor passed its decoder and was used as an index; the controller of the owner panicked and ended, and its process went on without it. Each next owner met the same row. Change: a task with such numbers is one that does not exist; rows and submissions whose steps are invalid are refused with event 946 like rows that cannot be decoded. Callers would have seen an entry that answers nothing, and jobs without an owner.

--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -112,6 +112,16 @@
 	return state, nil
 }
 
+// decodeJobRow decodes the row of a job. Rows whose steps are invalid, on which the
+// owner relies, are refused as those that cannot be decoded.
+func decodeJobRow(raw []byte) (workload.Job, error) {
+	j, err := wire.DecodeJob(raw)
+	if err == nil {
+		err = j.ValidateSteps()
+	}
+	return j, err
+}
+
 // addRow decodes a row and adds it to the state.
 func (s *storedState) addRow(row table.Row) error {
 	switch {
@@ -137,7 +147,7 @@
 			s.cancelled = append(s.cancelled, id)
 			return nil
 		}
-		j, err := wire.DecodeJob(row.Value)
+		j, err := decodeJobRow(row.Value)
 		if err != nil {
 			return err
 		}
@@ -230,6 +240,10 @@
 // submit adds a stored job to the jobs. A job of a higher epoch shows that another
 // entry owns them.
 func (c *controller) submit(j workload.Job) {
+	if err := j.ValidateSteps(); err != nil {
+		event.Log(c.log, event.RowUnreadable, log.Fields{"key": jobKey(j.ID), "error": err.Error()})
+		return
+	}
 	c.owner.EpochObserved(j.Epoch, c.now())
 	c.jobs.Submit(j)
 }
@@ -277,7 +291,7 @@
 		case cancel:
 			c.jobs.Cancel(id)
 		default:
-			j, err := wire.DecodeJob(row.Value)
+			j, err := decodeJobRow(row.Value)
 			if err != nil {
 				event.Log(c.log, event.RowUnreadable, log.Fields{"key": row.Key, "error": err.Error()})
 				continue
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -323,10 +323,14 @@
 
 // task returns a task of the job, or nil if the job has no such task.
 func (j *job) task(id workload.TaskID) *task {
-	if id.Occurrence != 0 || id.Step >= len(j.steps) || id.Index >= len(j.steps[id.Step].tasks) {
+	if id.Occurrence != 0 || id.Step < 0 || id.Step >= len(j.steps) {
 		return nil
 	}
-	return j.steps[id.Step].tasks[id.Index]
+	tasks := j.steps[id.Step].tasks
+	if id.Index < 0 || id.Index >= len(tasks) {
+		return nil
+	}
+	return tasks[id.Index]
 }
 
 func (c *Core) task(id workload.TaskID) *task {
--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -26,6 +26,19 @@
 	if len(j.Specification) > MaxSpecificationBytes {
 		found = append(found, fmt.Errorf("specification has %d bytes, the limit is %d", len(j.Specification), MaxSpecificationBytes))
 	}
+	if err := j.ValidateSteps(); err != nil {
+		found = append(found, err)
+	}
+	if j.Repetitions > 0 {
+		found = append(found, fmt.Errorf("repetitions: %w", ErrUnsupported))
+	}
+	return errors.Join(found...)
+}
+
+// ValidateSteps checks the steps of a job, on whose order and numbers the owner of the
+// jobs relies. The error joins every violation.
+func (j *Job) ValidateSteps() error {
+	var found []error
 	if len(j.Steps) == 0 {
 		found = append(found, errors.New("job has no steps"))
 	}
@@ -37,9 +50,6 @@
 	if tasks > MaxTasks {
 		found = append(found, fmt.Errorf("job has more than %d tasks", MaxTasks))
 	}
-	if j.Repetitions > 0 {
-		found = append(found, fmt.Errorf("repetitions: %w", ErrUnsupported))
-	}
 	return errors.Join(found...)
 }
 
