jobdaemon: begin anew after a step that panics

Cause: a panic in a step of the controller or of an agent ended the actor for good, and its process went on without it: an entry that answers nothing, a host whose leases expire. One malformed message was enough. Change: the loop reports the panic (event 102) and goes on; an owner claims the jobs again under a new epoch, an agent starts a new core with a higher token and new links. Callers would have seen an entry that accepts connections and never answers.

--- a/cmd/bamboojobd/main.go
+++ b/cmd/bamboojobd/main.go
@@ -57,7 +57,8 @@
 // drainer prepares the end of a role.
 type drainer interface{ Drain(context.Context) }
 
-type startFunc func(g *actor.Group, n *settings.JobDaemon) (drainer, error)
+// startFunc starts a role. failed is called with an error if the role has ended.
+type startFunc func(g *actor.Group, n *settings.JobDaemon, failed func(error)) (drainer, error)
 
 func roleCommand(role, short string, begin startFunc) *cobra.Command {
 	var file string
@@ -81,16 +82,17 @@
 	g := actor.NewGroup(context.Background(), func(e actor.Exit) {
 		event.Log(log.Log, event.ActorFailed, log.Fields{"actor": e.Actor, "error": e.Err.Error(), "restart": e.WillRestart})
 	})
-	d, err := begin(g, n)
+	failures := make(chan error, 1)
+	d, err := begin(g, n, func(err error) {
+		if err != nil {
+			failures <- err
+		}
+	})
 	if err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			event.Log(log.Log, event.NodeStopping, log.Fields{"role": role, "signal": s.String()})
-			break
-		}
-		event.Log(log.Log, event.NodeReloaded, log.Fields{"role": role})
+	if err := serve(role, signals, failures); err != nil {
+		return err
 	}
 	// The actors end with the process. Waiting for them kept an entry from
 	// ending within its grace time in a simulated day (issue 10).
@@ -98,17 +100,34 @@
 	return nil
 }
 
-func startEntry(g *actor.Group, n *settings.JobDaemon) (drainer, error) {
+// serve waits for a signal to stop. It returns an error if the role has failed, which
+// ends the process at once: a new one begins without what made the old one fail.
+func serve(role string, signals <-chan os.Signal, failures <-chan error) error {
+	for {
+		select {
+		case err := <-failures:
+			return err
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				event.Log(log.Log, event.NodeStopping, log.Fields{"role": role, "signal": s.String()})
+				return nil
+			}
+			event.Log(log.Log, event.NodeReloaded, log.Fields{"role": role})
+		}
+	}
+}
+
+func startEntry(g *actor.Group, n *settings.JobDaemon, failed func(error)) (drainer, error) {
 	return jobdaemon.StartEntry(g, jobdaemon.EntryConfig{
 		Name: n.Name, DataCentre: workload.DataCentre(n.DataCentre), Links: n.LinkAddress(), Callers: n.Callers, Readiness: n.Readiness,
 		Metrics: net.JoinHostPort(n.IP, metricsPort), Seeds: n.SeedLinks(), Boot: newBootID(), GracePeriod: n.GracePeriod,
 		ProcessorShare: n.ProcessorShare, LinkRate: n.LinkRate, Store: platform.NewStore(n.Store, callTimeout).WithPageBytes(jobdaemon.ScanPageBytes(n.LinkRate)),
 		Config:        jobdaemon.ConfigSource{Key: platform.ConfigKey, Prefix: platform.ConfigPrefix, Decode: platform.DecodeConfig},
-		CallerHandler: platform.CallerHandler, ReadinessHandler: platform.ReadinessHandler, Log: log.Log,
+		CallerHandler: platform.CallerHandler, ReadinessHandler: platform.ReadinessHandler, Log: log.Log, Failed: failed,
 	})
 }
 
-func startAgent(g *actor.Group, n *settings.JobDaemon) (drainer, error) {
+func startAgent(g *actor.Group, n *settings.JobDaemon, failed func(error)) (drainer, error) {
 	refused := func(id string, err error) {
 		event.Log(log.Log, event.AnnounceRefused, log.Fields{"instance": id, "error": err.Error()})
 	}
@@ -119,7 +138,7 @@
 		},
 		Boot: newBootID(), Registry: n.Registry, Metrics: net.JoinHostPort(n.IP, metricsPort), Seeds: n.SeedLinks(),
 		Runner: platform.NewRunner(n.Backend, callTimeout), Store: platform.NewStore(n.Store, callTimeout),
-		RegistryHandler: func(r runner.Registry) http.Handler { return platform.RegistryHandler(r, refused) }, Log: log.Log,
+		RegistryHandler: func(r runner.Registry) http.Handler { return platform.RegistryHandler(r, refused) }, Log: log.Log, Failed: failed,
 	})
 }
 
--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -192,10 +192,12 @@
 	}
 }
 
+func stack() []byte { return debug.Stack() }
+
 func runOnce[M any](ctx context.Context, s Spec[M], in <-chan M) (err error) {
 	defer func() {
 		if r := recover(); r != nil {
-			err = errors.Newf("actor %s panicked: %v\n%s", s.Name, r, debug.Stack())
+			err = errors.Newf("actor %s panicked: %v\n%s", s.Name, r, stack())
 		}
 	}()
 	if err := s.Run(ctx, in); err != nil {
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -279,3 +279,6 @@
 	sort.Slice(list, func(i, k int) bool { return list[i].sequence < list[k].sequence })
 	return list
 }
+
+// Token returns the highest fencing token that the core has used.
+func (c *Core) Token() uint64 { return c.token }
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -30,19 +30,28 @@
 	// RegistryHandler decodes the backend server's announcements.
 	RegistryHandler func(runner.Registry) http.Handler
 	Log             log.Interface
+	// Failed is called with nil or an error when the agent's loop has ended. The agent
+	// does not work any more after an error. May be nil.
+	Failed func(error)
 }
 
 // agent is the actor that owns the hostagent.Core of a host.
 type agent struct {
+	cfg       AgentConfig
 	core      *hostagent.Core
+	life      int // number of cores before the present one
 	log       log.Interface
+	group     *actor.Group
+	dial      link.Dialer
+	linkGroup *actor.Group // of the actors that serve links
+	linkIDs   *actor.Counter
 	address   actor.Address[any]
 	startedAt time.Time
 	links     map[linkID]peer.Out
 	hellos    map[linkID]*msg.PeerHello // of the linked entries
 	members   map[string]msg.Member     // known entries by name
-	calls     actor.Address[hostagent.Call]
-	polls     actor.Address[hostagent.Poll]
+	calls     actor.Address[agentCall]
+	polls     actor.Address[agentPoll]
 	polling   bool // a poll is in flight
 
 	published *published
@@ -73,8 +82,12 @@
 		instance workload.Instance
 		applied  actor.Reply[bool]
 	}
-	callAnswered struct{ answer hostagent.Answer }
+	callAnswered struct {
+		life   int
+		answer hostagent.Answer
+	}
 	pollAnswered struct {
+		life     int
 		poll     hostagent.Poll
 		response runner.PollResponse
 		err      error
@@ -105,22 +118,46 @@
 // startAgentActors starts an agent and its links.
 func startAgentActors(g *actor.Group, cfg AgentConfig, dial link.Dialer) *agent {
 	a := &agent{
-		core: hostagent.New(cfg.Core), log: cfg.Log, startedAt: time.Now(), links: map[linkID]peer.Out{},
+		cfg: cfg, core: hostagent.New(cfg.Core), log: cfg.Log, group: g, dial: dial, linkGroup: g.Sub(), linkIDs: &actor.Counter{},
+		startedAt: time.Now(), links: map[linkID]peer.Out{},
 		hellos: map[linkID]*msg.PeerHello{}, members: map[string]msg.Member{}, published: &published{},
 	}
-	a.calls = actor.Spawn(g, actor.Spec[hostagent.Call]{Name: "callers", Mailbox: callMailbox, Run: func(ctx context.Context, in <-chan hostagent.Call) error {
+	a.calls = actor.Spawn(g, actor.Spec[agentCall]{Name: "callers", Mailbox: callMailbox, Run: func(ctx context.Context, in <-chan agentCall) error {
 		return a.runCalls(ctx, cfg.Runner, in)
 	}})
-	a.polls = actor.Spawn(g, actor.Spec[hostagent.Poll]{Name: "holder", Mailbox: 1, Run: func(ctx context.Context, in <-chan hostagent.Poll) error {
+	a.polls = actor.Spawn(g, actor.Spec[agentPoll]{Name: "holder", Mailbox: 1, Run: func(ctx context.Context, in <-chan agentPoll) error {
 		return a.runPolls(ctx, cfg.Runner, in)
 	}})
-	a.address = actor.Spawn(g, actor.Spec[any]{Name: "guard", Mailbox: agentMailbox, Run: a.run})
-	a.startLinks(g, cfg, dial)
+	a.address = actor.Spawn(g, actor.Spec[any]{Name: "guard", Mailbox: agentMailbox, Run: a.run, OnExit: cfg.Failed})
+	a.startLinks(a.linkGroup)
+	actor.Go(g, "entry finder", func(ctx context.Context) error { return a.findEntries(ctx, cfg) })
 	return a
 }
 
-func (a *agent) startLinks(g *actor.Group, cfg AgentConfig, dial link.Dialer) {
-	l := &links{group: g, send: a.address.Send, follow: true, hello: func() *msg.PeerHello {
+// failed applies the failure of a step of the loop. The state of the runs may be half
+// changed, so the agent begins anew like a process that was started again: it asks the
+// backend server for its runs with a higher token, and its links are set up again. The
+// runs go on under their leases.
+func (a *agent) failed(err error) {
+	event.Log(a.log, event.ActorFailed, log.Fields{"actor": "guard", "error": err.Error(), "restart": true})
+	a.life++
+	core := a.cfg.Core
+	core.Token = max(hostagent.FirstToken(time.Now().UnixMilli()), a.core.Token()) + 1
+	epoch := a.core.Epoch()
+	a.core = hostagent.New(core)
+	a.core.Advance(time.Since(a.startedAt))
+	a.core.EpochObserved(epoch)
+	a.linkGroup.Cancel()
+	clear(a.links)
+	clear(a.hellos)
+	a.publishLinked()
+	a.linkGroup = a.group.Sub()
+	a.startLinks(a.linkGroup)
+}
+
+func (a *agent) startLinks(g *actor.Group) {
+	cfg := a.cfg
+	l := &links{group: g, next: a.linkIDs, send: a.address.Send, follow: true, hello: func() *msg.PeerHello {
 		h := &msg.PeerHello{
 			Member: msg.Member{Name: string(cfg.Core.Name)}, Agent: true, Boot: cfg.Boot, DataCentre: cfg.Core.DataCentre, FollowsHeartbeat: true,
 		}
@@ -129,14 +166,13 @@
 		}
 		return h
 	}}
-	d := &dialers{links: l, dial: dial, started: map[string]bool{}}
+	d := &dialers{links: l, dial: a.dial, started: map[string]bool{}}
 	d.linked = func(address string) bool {
 		linked := a.published.linked.Get()
 		return linked != nil && (*linked)[address]
 	}
 	d.start(cfg.Seeds)
 	actor.Go(g, "dialer starter", func(ctx context.Context) error { return d.followMembers(ctx, &a.published.members) })
-	actor.Go(g, "entry finder", func(ctx context.Context) error { return a.findEntries(ctx, cfg) })
 }
 
 // unlinkedInterval is the interval at which an agent without links reads the
@@ -159,7 +195,7 @@
 }
 
 func (a *agent) run(ctx context.Context, in <-chan any) error {
-	return actor.BatchLoop[any]{Limit: maxBatch, Interval: agentTick, Apply: a.apply, Tick: a.tick, Flush: a.flush}.Run(ctx, in)
+	return actor.BatchLoop[any]{Limit: maxBatch, Interval: agentTick, Apply: a.apply, Tick: a.tick, Flush: a.flush, Failed: a.failed}.Run(ctx, in)
 }
 
 func (a *agent) tick() {
@@ -185,9 +221,14 @@
 		a.core.Deregistered(m.instance)
 		m.applied.Put(true)
 	case *callAnswered:
-		a.core.Answered(m.answer)
+		if m.life == a.life {
+			a.core.Answered(m.answer)
+		}
 	case *pollAnswered:
 		a.polling = false
+		if m.life != a.life {
+			return // of a core that has failed
+		}
 		a.core.PollAnswered(m.poll, m.response, m.err)
 		if m.err != nil {
 			a.startPoll(pollRetryInterval)
@@ -201,7 +242,7 @@
 // calls, and logs.
 func (a *agent) flush() {
 	for _, c := range a.core.Calls() {
-		if !a.calls.TrySend(c) {
+		if !a.calls.TrySend(agentCall{a.life, c}) {
 			a.core.Answered(hostagent.Answer{Call: c, Err: runner.ErrNotSent}) // the queue is full
 		}
 	}
@@ -229,7 +270,7 @@
 	}
 	poll := a.core.NextPoll()
 	poll.Pause = max(poll.Pause, pause)
-	a.polling = a.polls.TrySend(poll)
+	a.polling = a.polls.TrySend(agentPoll{a.life, poll})
 }
 
 func (a *agent) linkUp(m *linkUp) {
--- a/internal/jobdaemon/agent_calls_test.go
+++ b/internal/jobdaemon/agent_calls_test.go
@@ -107,11 +107,11 @@
 		core: hostagent.New(hostagent.Config{Name: "h", OwnerLease: jobs.LeaseDuration, RunLease: 5 * time.Second, Token: 1}),
 		log:  &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, links: map[linkID]peer.Out{}, published: &published{},
 	}
-	a.calls = actor.Spawn(g, actor.Spec[hostagent.Call]{Name: "callers", Mailbox: 1, Run: func(context.Context, <-chan hostagent.Call) error {
+	a.calls = actor.Spawn(g, actor.Spec[agentCall]{Name: "callers", Mailbox: 1, Run: func(context.Context, <-chan agentCall) error {
 		<-block
 		return nil
 	}})
-	a.polls = actor.Spawn(g, actor.Spec[hostagent.Poll]{Name: "polls", Mailbox: 1, Run: func(context.Context, <-chan hostagent.Poll) error {
+	a.polls = actor.Spawn(g, actor.Spec[agentPoll]{Name: "polls", Mailbox: 1, Run: func(context.Context, <-chan agentPoll) error {
 		<-block
 		return nil
 	}})
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -85,7 +85,19 @@
 // loop returns the loop of the controller, which applies messages in batches and
 // sends their effects after each batch.
 func (c *controller) loop() actor.BatchLoop[any] {
-	return actor.BatchLoop[any]{Limit: maxBatch, Interval: controllerTick, Apply: c.apply, Tick: c.tick, Flush: c.flush, Pending: c.planPending}
+	return actor.BatchLoop[any]{Limit: maxBatch, Interval: controllerTick, Apply: c.apply, Tick: c.tick, Flush: c.flush, Pending: c.planPending, Failed: c.failed}
+}
+
+// failed applies the failure of a step of the loop. The state of the jobs may be half
+// changed, so an owner ends its ownership and claims the jobs again under a new epoch,
+// with the state that is stored and that the agents report.
+func (c *controller) failed(err error) {
+	event.Log(c.log, event.ActorFailed, log.Fields{"actor": "controller", "error": err.Error(), "restart": true})
+	if c.jobs == nil {
+		return
+	}
+	c.endOwnership("a step of the owner failed")
+	c.owner.Superseded(c.now())
 }
 
 func (c *controller) tick() {
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -47,6 +47,9 @@
 	CallerHandler    func(jobapi.Handler) http.Handler
 	ReadinessHandler func(jobapi.Handler) http.Handler
 	Log              log.Interface
+	// Failed is called with nil or an error when the controller has ended. The entry
+	// does not work any more after an error. May be nil.
+	Failed func(error)
 }
 
 // Entry is a running entry. Its methods may be called by any goroutine.
@@ -103,7 +106,7 @@
 // start starts the controller with its loop, the links of the entry in linkGroup,
 // and the actors that keep its configuration and its list of entries up to date.
 func (c *controller) start(loop actor.BatchLoop[any], linkGroup *actor.Group, cfg EntryConfig, listener link.Listener, dial link.Dialer) {
-	c.address = actor.Spawn(c.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: loop.Run})
+	c.address = actor.Spawn(c.group, actor.Spec[any]{Name: "controller", Mailbox: controllerMailbox, Run: loop.Run, OnExit: cfg.Failed})
 	c.startLinks(linkGroup, cfg, listener, dial)
 	c.startConfigWatch()
 	actor.Go(c.group, "member keeper", c.maintainMembers)
@@ -112,7 +115,7 @@
 // startLinks serves and dials links in g until g ends. The sockets outlive g, so
 // that each link can end in an orderly way.
 func (c *controller) startLinks(g *actor.Group, cfg EntryConfig, listener link.Listener, dial link.Dialer) {
-	l := &links{group: g, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
+	l := &links{group: g, next: &actor.Counter{}, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
 	actor.Go(g, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
 	dialers := &dialers{links: l, dial: dial, self: cfg.Links, started: map[string]bool{}}
 	dialers.linked = func(address string) bool {
--- a/internal/jobdaemon/links.go
+++ b/internal/jobdaemon/links.go
@@ -74,7 +74,7 @@
 // links serves the links of a process and assigns their numbers.
 type links struct {
 	group *actor.Group
-	next  actor.Counter
+	next  *actor.Counter
 	hello func() *msg.PeerHello
 	// follow makes the links send heartbeats at the intervals of their peers.
 	follow bool
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -35,6 +35,8 @@
 	runs       map[workload.RunID]bool
 	ends       []msg.RunEnd
 	lastEnd    uint64
+	agent      *agent
+	panics     actor.Flag // polls panic
 }
 
 func (b *memoryBackend) clockMS() int64 { return 1000 + time.Since(b.startedAt).Milliseconds() }
@@ -95,6 +97,9 @@
 
 func (b *memoryBackend) Poll(ctx context.Context, t runner.Target, p runner.PollRequest) (runner.PollResponse, error) {
 	actor.Sleep(ctx, min(p.Wait, 50*time.Millisecond))
+	if b.panics.Get() {
+		panic("malformed answer")
+	}
 	response := runner.PollResponse{StartedAtMS: b.startedAt.UnixMilli()}
 	clock, err := b.call(t, p.LeaseMS, func() error {
 		b.ends = slices.DeleteFunc(b.ends, func(e msg.RunEnd) bool { return e.Number <= p.Acknowledged })
@@ -173,12 +178,12 @@
 	for i := range count {
 		name := fmt.Sprintf("agent-%d", i)
 		b := &memoryBackend{instance: workload.Instance("i-" + name), startedAt: time.Now(), runs: map[workload.RunID]bool{}}
-		a := startAgentActors(s.group, AgentConfig{
+		b.agent = startAgentActors(s.group, AgentConfig{
 			Core: hostagent.Config{Name: workload.HostName(name), OwnerLease: jobs.LeaseDuration, RunLease: 5 * time.Second, Token: 1},
 			Boot: uint64(i) + 1, Seeds: entries, Store: s.store, Runner: b,
 			Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		}, s.net.Dialer(name))
-		actor.Go(s.group, "announcer", func(ctx context.Context) error { return b.announce(ctx, a) })
+		actor.Go(s.group, "announcer", func(ctx context.Context) error { return b.announce(ctx, b.agent) })
 		backends = append(backends, b)
 	}
 	s.advance(3 * time.Second)
