bamboojobd: reload the settings on SIGHUP

Cause: SIGHUP was only logged, as if the settings had been reloaded. Changed seeds needed a restart, and nobody was told of a defect until then. Findings named the key and not its line. Change: the file is read and checked as at the start. Seeds and the grace period take effect at once, event 942 names what needs a restart; an invalid file leaves the former settings in use, event 107 has each key and line.

--- a/cmd/bamboojobd/main.go
+++ b/cmd/bamboojobd/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -54,11 +55,14 @@
 	}
 }
 
-// drainer prepares the end of a role.
-type drainer interface{ Drain(context.Context) }
+// role is a running entry or agent.
+type role interface {
+	Drain(context.Context) // prepares the end of the process
+	Change(jobdaemon.ChangedSettings)
+}
 
 // startFunc starts a role. failed is called with an error if the role has ended.
-type startFunc func(g *actor.Group, n *settings.JobDaemon, failed func(error)) (drainer, error)
+type startFunc func(g *actor.Group, n *settings.JobDaemon, failed func(error)) (role, error)
 
 func roleCommand(role, short string, begin startFunc) *cobra.Command {
 	var file string
@@ -91,7 +95,8 @@
 	if err != nil {
 		return err
 	}
-	if err := serve(role, signals, failures); err != nil {
+	p := process{role: role, file: file, settings: n, running: d}
+	if err := p.serve(signals, failures); err != nil {
 		return err
 	}
 	// The actors end with the process. Waiting for them kept an entry from
@@ -100,24 +105,47 @@
 	return nil
 }
 
-// serve waits for a signal to stop. It returns an error if the role has failed, which
-// ends the process at once: a new one begins without what made the old one fail.
-func serve(role string, signals <-chan os.Signal, failures <-chan error) error {
+// process is a process that runs a role.
+type process struct {
+	role     string
+	file     string // of the settings
+	settings *settings.JobDaemon
+	running  role
+}
+
+// serve waits for a signal to stop, and reloads the settings on SIGHUP. It returns an
+// error if the role has failed, which ends the process at once: a new one begins
+// without what made the old one fail.
+func (p *process) serve(signals <-chan os.Signal, failures <-chan error) error {
 	for {
 		select {
 		case err := <-failures:
 			return err
 		case s := <-signals:
 			if s != syscall.SIGHUP {
-				event.Log(log.Log, event.NodeStopping, log.Fields{"role": role, "signal": s.String()})
+				event.Log(log.Log, event.NodeStopping, log.Fields{"role": p.role, "signal": s.String()})
 				return nil
 			}
-			event.Log(log.Log, event.NodeReloaded, log.Fields{"role": role})
+			p.reload()
 		}
 	}
 }
 
-func startEntry(g *actor.Group, n *settings.JobDaemon, failed func(error)) (drainer, error) {
+// reload reads the settings file again. An invalid file leaves the former settings in
+// use.
+func (p *process) reload() {
+	next, err := settings.LoadJobDaemon(p.file, p.role)
+	if err != nil {
+		event.Log(log.Log, event.SettingsRejected, log.Fields{"file": p.file, "findings": err.Error()})
+		return
+	}
+	atOnce, restart := p.settings.Changes(next)
+	p.settings.Seeds, p.settings.GracePeriod = next.Seeds, next.GracePeriod
+	p.running.Change(jobdaemon.ChangedSettings{Seeds: p.settings.SeedLinks(), GracePeriod: next.GracePeriod})
+	event.Log(log.Log, event.NodeReloaded, log.Fields{"role": p.role, "changed": strings.Join(atOnce, ","), "restart-for": strings.Join(restart, ",")})
+}
+
+func startEntry(g *actor.Group, n *settings.JobDaemon, failed func(error)) (role, error) {
 	return jobdaemon.StartEntry(g, jobdaemon.EntryConfig{
 		Name: n.Name, DataCentre: workload.DataCentre(n.DataCentre), Links: n.LinkAddress(), Callers: n.Callers, Readiness: n.Readiness,
 		Metrics: net.JoinHostPort(n.IP, metricsPort), Seeds: n.SeedLinks(), Boot: newBootID(), GracePeriod: n.GracePeriod,
@@ -127,7 +155,7 @@
 	})
 }
 
-func startAgent(g *actor.Group, n *settings.JobDaemon, failed func(error)) (drainer, error) {
+func startAgent(g *actor.Group, n *settings.JobDaemon, failed func(error)) (role, error) {
 	refused := func(id string, err error) {
 		event.Log(log.Log, event.AnnounceRefused, log.Fields{"instance": id, "error": err.Error()})
 	}
--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -34,7 +34,7 @@
 	AgentRunThrottled       = define(936, log.InfoLevel, "guard-run-paced", "the share of processor time allowed to a best-effort run was changed", "nothing")
 	NodeStarted             = define(940, log.InfoLevel, "node-started", "a process of the job scheduler started", "nothing")
 	NodeStopping            = define(941, log.InfoLevel, "node-stopping", "a process of the job scheduler is stopping", "nothing")
-	NodeReloaded            = define(942, log.InfoLevel, "node-reloaded", "the settings were reloaded", "nothing")
+	NodeReloaded            = define(942, log.InfoLevel, "node-reloaded", "the settings were reloaded; changed names the keys that are in use now", "restart the process to apply the keys of restart-for")
 	PeerLinked              = define(943, log.InfoLevel, "peer-linked", "a link to another process is up", "nothing")
 	PeerLost                = define(944, log.WarnLevel, "peer-lost", "a link to another process is lost", "see the reason")
 	ConfigInForce           = define(945, log.InfoLevel, "config-in-force", "a new version of the operators' configuration is in use", "nothing")
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -172,7 +172,7 @@
 		return linked != nil && (*linked)[address]
 	}
 	d.start(cfg.Seeds)
-	actor.Go(g, "dialer starter", func(ctx context.Context) error { return d.followMembers(ctx, &a.published.members) })
+	actor.Go(g, "dialer starter", func(ctx context.Context) error { return d.followMembers(ctx, a.published) })
 }
 
 // unlinkedInterval is the interval at which an agent without links reads the
@@ -341,6 +341,9 @@
 	return err
 }
 
+// Change applies changed settings.
+func (a *Agent) Change(s ChangedSettings) { a.agent.published.seeds.Set(&s.Seeds) }
+
 // Drain prepares the end of the agent: a last poll extends the lease of the runs
 // as far as allowed, so that they outlive a restart of the agent.
 func (a *Agent) Drain(ctx context.Context) {
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -64,7 +64,8 @@
 	linked   actor.Value[map[string]bool] // addresses of linked entries
 	members  actor.Value[[]msg.Member]
 	phases   actor.Value[msg.PhaseMark]
-	retiring actor.Value[bool] // the entry is draining
+	retiring actor.Value[bool]     // the entry is draining
+	seeds    actor.Value[[]string] // further addresses to dial, of changed settings
 }
 
 // peerLink is a link to an agent or to another entry.
--- a/internal/jobdaemon/drain.go
+++ b/internal/jobdaemon/drain.go
@@ -20,7 +20,7 @@
 // ends.
 func (e *Entry) Drain(ctx context.Context) {
 	d := &drainRun{
-		entry: e, core: drain.New(drain.NewPlan(e.gracePeriod)), released: actor.NewReply[bool](), unlinked: actor.NewReply[bool](),
+		entry: e, core: drain.New(drain.NewPlan(*e.gracePeriod.Get())), released: actor.NewReply[bool](), unlinked: actor.NewReply[bool](),
 		report: drainReport{server: e.callers, log: e.log, startedAt: time.Now(), before: e.callers.Counts()},
 	}
 	d.run(ctx)
--- a/internal/jobdaemon/drain_test.go
+++ b/internal/jobdaemon/drain_test.go
@@ -69,7 +69,8 @@
 		}
 	}})
 	server := httpserve.Start(g, f.listener, httpserve.Config{Name: "callers", Handler: h, IdleTimeout: idleTimeout})
-	f.entry = &Entry{controller: c, callers: server, links: g.Sub(), log: c.log, gracePeriod: siteGracePeriod}
+	f.entry = &Entry{controller: c, callers: server, links: g.Sub(), log: c.log}
+	f.entry.gracePeriod.Set(new(siteGracePeriod))
 	return f
 }
 
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -60,7 +60,19 @@
 	log        log.Interface
 	// gracePeriod is the time between the signal to stop and the kill of the
 	// process.
-	gracePeriod time.Duration
+	gracePeriod actor.Value[time.Duration]
+}
+
+// Changed settings of a running process.
+type ChangedSettings struct {
+	Seeds       []string      // link addresses of entries to dial
+	GracePeriod time.Duration // of an entry
+}
+
+// Change applies changed settings.
+func (e *Entry) Change(s ChangedSettings) {
+	e.gracePeriod.Set(&s.GracePeriod)
+	e.controller.published.seeds.Set(&s.Seeds)
 }
 
 // StartEntry starts an entry. It ends with g.
@@ -76,7 +88,8 @@
 	c.start(c.loop(), linkGroup, cfg, listener, link.NewDialer(g, link.Config{}))
 
 	handler := &jobHandler{controller: c, config: configInUse, log: cfg.Log, metrics: c.metrics}
-	e := &Entry{controller: c, links: linkGroup, log: cfg.Log, gracePeriod: cfg.GracePeriod}
+	e := &Entry{controller: c, links: linkGroup, log: cfg.Log}
+	e.gracePeriod.Set(&cfg.GracePeriod)
 	if e.callers, err = serve(g, "callers", cfg.Callers, cfg.CallerHandler(handler)); err != nil {
 		return nil, err
 	}
@@ -124,7 +137,7 @@
 	}
 	dialers.start(cfg.Seeds)
 	actor.Go(g, "dialer starter", func(ctx context.Context) error {
-		return dialers.followMembers(ctx, &c.published.members)
+		return dialers.followMembers(ctx, c.published)
 	})
 }
 
@@ -163,18 +176,21 @@
 	}
 }
 
-// memberPollInterval is the interval at which the published members are checked
-// for new addresses.
+// memberPollInterval is the interval at which the published members and seeds are
+// checked for new addresses.
 const memberPollInterval = 200 * time.Millisecond
 
-// followMembers starts dialers for new members until ctx ends.
-func (d *dialers) followMembers(ctx context.Context, members *actor.Value[[]msg.Member]) error {
+// followMembers starts dialers for new members and seeds until ctx ends.
+func (d *dialers) followMembers(ctx context.Context, p *published) error {
 	for actor.Sleep(ctx, memberPollInterval) {
-		if list := members.Get(); list != nil {
+		if list := p.members.Get(); list != nil {
 			for _, m := range *list {
 				d.start([]string{m.Address})
 			}
 		}
+		if seeds := p.seeds.Get(); seeds != nil {
+			d.start(*seeds)
+		}
 	}
 	return nil
 }
--- a/internal/settings/job.go
+++ b/internal/settings/job.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -63,11 +65,15 @@
 // processor-cores and link-mbps. The error is a finding.List with every finding, unless the
 // file cannot be read or the role is unknown.
 func LoadJobDaemon(file, role string) (*JobDaemon, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: true}, file)
+	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	r := jobDaemonReader{file: file, ini: f}
+	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: true}, text)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	r := jobDaemonReader{file: file, ini: f, lines: keyLines(string(text))}
 	d := &JobDaemon{
 		Name: r.text("node", "name"), IP: r.text("node", "ip"), DataCentre: r.text("node", "data-centre"),
 		LinkPort: r.number("node", "link-port"), Store: r.text("store", "address"),
@@ -96,13 +102,37 @@
 type jobDaemonReader struct {
 	file     string
 	ini      *ini.File
+	lines    map[string]int // "[section] key" to its line number
 	findings finding.List
 }
 
+// keyLines returns the line number of each key, as "[section] key".
+func keyLines(text string) map[string]int {
+	lines := map[string]int{}
+	section := ""
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
+			section = line
+			continue
+		}
+		if key, _, found := strings.Cut(line, "="); found {
+			lines[section+" "+strings.TrimSpace(key)] = i + 1
+		}
+	}
+	return lines
+}
+
+// add adds a finding about a key with its line; 0 if the key is missing.
+func (r *jobDaemonReader) add(section, key, format string, args ...any) {
+	name := "[" + section + "] " + key
+	r.findings.Add(r.file, r.lines[name], name, format, args...)
+}
+
 func (r *jobDaemonReader) text(section, key string) string {
 	v := r.ini.Section(section).Key(key).String()
 	if v == "" {
-		r.findings.Add(r.file, 0, "["+section+"] "+key, "is missing")
+		r.add(section, key, "is missing")
 	}
 	return v
 }
@@ -110,7 +140,7 @@
 func (r *jobDaemonReader) number(section, key string) int {
 	v, err := strconv.Atoi(r.text(section, key))
 	if err != nil {
-		r.findings.Add(r.file, 0, "["+section+"] "+key, "is not a number: %v", err)
+		r.add(section, key, "is not a number: %v", err)
 	}
 	return v
 }
@@ -118,7 +148,7 @@
 func (r *jobDaemonReader) duration(section, key string) time.Duration {
 	v, err := time.ParseDuration(r.text(section, key))
 	if err != nil || v <= 0 {
-		r.findings.Add(r.file, 0, "["+section+"] "+key, "is not a positive duration: %v", err)
+		r.add(section, key, "is not a positive duration: %v", err)
 	}
 	return v
 }
@@ -132,7 +162,7 @@
 	}
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(v > 0 && v < maxSeconds) {
-		r.findings.Add(r.file, 0, "["+section+"] "+key, "is not a number of seconds above 0 and below %d: %q", maxSeconds, text)
+		r.add(section, key, "is not a number of seconds above 0 and below %d: %q", maxSeconds, text)
 		return absent
 	}
 	return time.Duration(v * float64(time.Second))
@@ -159,7 +189,7 @@
 	}
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(v >= 0 && v <= float64(highest)) {
-		r.findings.Add(r.file, 0, "[entry] "+key, "is not a number from 0 to %d: %q", highest, text)
+		r.add("entry", key, "is not a number from 0 to %d: %q", highest, text)
 		return absent
 	}
 	return v
--- a/internal/settings/job_test.go
+++ b/internal/settings/job_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -68,3 +69,39 @@
 		require.Equal(t, want, d.LinkRate, text)
 	}
 }
+
+// Guards against a defect that the operator cannot find in the file, and against one
+// that hides the others.
+func TestFindingsOfAJobDaemonNameKeyAndLine(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "node.conf")
+	text := strings.Replace(rest, "link-port=1", "link-port=one", 1) + "grace-period-s = soon\n"
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	_, err := LoadJobDaemon(file, "entry")
+	require.ErrorContains(t, err, "node.conf:5: [node] link-port: ")
+	require.ErrorContains(t, err, "node.conf:11: [entry] grace-period-s: ")
+	require.NoError(t, os.WriteFile(file, []byte(strings.Replace(rest, "name=e\n", "", 1)), 0o600))
+	_, err = LoadJobDaemon(file, "entry")
+	require.ErrorContains(t, err, "node.conf: [node] name: is missing")
+}
+
+// Guards against a changed key that nobody is told of: it neither takes effect nor is
+// named as one that needs a restart.
+func TestEveryChangedKeyIsNamed(t *testing.T) {
+	before := JobDaemon{}
+	v := reflect.ValueOf(&before).Elem()
+	for i := range v.NumField() {
+		next := JobDaemon{}
+		switch f := reflect.ValueOf(&next).Elem().Field(i); f.Kind() {
+		case reflect.String:
+			f.SetString("x")
+		case reflect.Slice:
+			f.Set(reflect.ValueOf([]string{"x"}))
+		default:
+			f.SetInt(1)
+		}
+		atOnce, restart := before.Changes(&next)
+		require.Len(t, append(atOnce, restart...), 1, v.Type().Field(i).Name)
+	}
+	atOnce, restart := before.Changes(&before)
+	require.Empty(t, append(atOnce, restart...))
+}
