jobdaemon: number the links of an agent's lives without shared counters

Each life of an agent's core numbers its links from a base of its own now, and the zero value of links works again. internal/jobdaemon passes (22.7 s).

--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -44,7 +44,6 @@
 	group     *actor.Group
 	dial      link.Dialer
 	linkGroup *actor.Group // of the actors that serve links
-	linkIDs   *actor.Counter
 	address   actor.Address[any]
 	startedAt time.Time
 	links     map[linkID]peer.Out
@@ -118,7 +117,7 @@
 // startAgentActors starts an agent and its links.
 func startAgentActors(g *actor.Group, cfg AgentConfig, dial link.Dialer) *agent {
 	a := &agent{
-		cfg: cfg, core: hostagent.New(cfg.Core), log: cfg.Log, group: g, dial: dial, linkGroup: g.Sub(), linkIDs: &actor.Counter{},
+		cfg: cfg, core: hostagent.New(cfg.Core), log: cfg.Log, group: g, dial: dial, linkGroup: g.Sub(),
 		startedAt: time.Now(), links: map[linkID]peer.Out{},
 		hellos: map[linkID]*msg.PeerHello{}, members: map[string]msg.Member{}, published: &published{},
 	}
@@ -155,9 +154,13 @@
 	a.startLinks(a.linkGroup)
 }
 
+// lifeShift is the number of low bits of a linkID that number the links of one life of
+// an agent's core, so that late events of former links are told apart.
+const lifeShift = 32
+
 func (a *agent) startLinks(g *actor.Group) {
 	cfg := a.cfg
-	l := &links{group: g, next: a.linkIDs, send: a.address.Send, follow: true, hello: func() *msg.PeerHello {
+	l := &links{group: g, base: linkID(a.life) << lifeShift, send: a.address.Send, follow: true, hello: func() *msg.PeerHello {
 		h := &msg.PeerHello{
 			Member: msg.Member{Name: string(cfg.Core.Name)}, Agent: true, Boot: cfg.Boot, DataCentre: cfg.Core.DataCentre, FollowsHeartbeat: true,
 		}
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -128,7 +128,7 @@
 // startLinks serves and dials links in g until g ends. The sockets outlive g, so
 // that each link can end in an orderly way.
 func (c *controller) startLinks(g *actor.Group, cfg EntryConfig, listener link.Listener, dial link.Dialer) {
-	l := &links{group: g, next: &actor.Counter{}, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
+	l := &links{group: g, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
 	actor.Go(g, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
 	dialers := &dialers{links: l, dial: dial, self: cfg.Links, started: map[string]bool{}}
 	dialers.linked = func(address string) bool {
--- a/internal/jobdaemon/links.go
+++ b/internal/jobdaemon/links.go
@@ -74,7 +74,8 @@
 // links serves the links of a process and assigns their numbers.
 type links struct {
 	group *actor.Group
-	next  *actor.Counter
+	next  actor.Counter
+	base  linkID // below the numbers of the links
 	hello func() *msg.PeerHello
 	// follow makes the links send heartbeats at the intervals of their peers.
 	follow bool
@@ -82,7 +83,7 @@
 }
 
 func (l *links) run(ctx context.Context, conn link.Conn) error {
-	handler := &linkHandler{ctx: ctx, id: linkID(l.next.Next()), send: l.send}
+	handler := &linkHandler{ctx: ctx, id: l.base + linkID(l.next.Next()), send: l.send}
 	timing := linkTiming
 	timing.Follow = l.follow
 	return peer.RunWithTiming(ctx, conn, l.hello(), handler, timing)
