jobdaemon: tests of cancellations and configurations after a restart

Two rules on things that were withdrawn had no test that failed without them, found by taking them out on a scratch copy: a new owner applies the stored cancellations, and only a higher version replaces a configuration. TestCancelledJobStaysCancelledUnderTheNextOwner and TestOlderConfigurationNeverReplacesANewerOne fail without the rule. No change of the product.

--- a/internal/jobdaemon/config_messages_test.go
+++ b/internal/jobdaemon/config_messages_test.go
@@ -212,3 +212,19 @@
 		}
 	})
 }
+
+// Guards against a configuration that goes back to an older version, with queues that
+// were removed since: a read of the table service that was delayed, or one by a new
+// process, arrives after a newer version from a peer.
+func TestOlderConfigurationNeverReplacesANewerOne(t *testing.T) {
+	for _, from := range []string{fromStore, fromPeer} {
+		e := newConfigEntryUnderTest(actor.NewGroup(t.Context(), nil))
+		i := &configInstaller{state: e.config, log: e.log, metrics: e.metrics}
+		inUse := []uint64{}
+		for _, version := range []byte{7, 5, 7, 9, 8} {
+			i.install(&encodedConfig{raw: []byte{version}, from: from, receivedAt: time.Now()})
+			inUse = append(inUse, e.config.inUse.Get().Version)
+		}
+		require.Equal(t, []uint64{7, 7, 7, 9, 9}, inUse)
+	}
+}
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -299,3 +299,22 @@
 func TestLostEntriesAreNoticedWithinThePermission(t *testing.T) {
 	require.Less(t, linkTiming.Silence, ownership.PermissionTime)
 }
+
+// Guards against a cancelled job that runs on after its owner was replaced: the
+// cancellation was stored, and the owner ended before it had stored the end of the job.
+func TestCancelledJobStaysCancelledUnderTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 190)
+		defer s.stop()
+		backends := s.startBackends(3)
+		s.submitLongRunning(2)
+		s.kill("entry-0")
+		_, err := s.store.Commit(t.Context(), table.Txn{Puts: []table.Put{{Key: cancelKey("00000000000000a1"), Value: []byte{}}}})
+		require.NoError(t, err)
+		s.advance(10 * time.Second)
+		require.Equal(t, []string{"entry-1"}, s.owners())
+		for _, b := range backends {
+			require.Empty(t, b.running())
+		}
+	})
+}
