ownership: treat a gap in the owner's steps like a suspension

Found by reading the diff: the permission was advanced at ticks only, so the first message after a pause of the process could extend a lease by a permission that had run out; and an owner that had been stopped took its links for alive. Change: the permission is advanced when it is asked for. After a gap of a second each entry counts as missing until it is linked anew, and the owner acts after the next write to its row. The state unconfirmed of the chart is not needed any more.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -124,7 +124,7 @@
 		event.Log(c.log, event.HostSuspended, log.Fields{"epoch": c.jobs.Epoch()})
 		c.owner.Suspended(now)
 	}
-	may := c.owner.MayAct()
+	may := c.owner.MayAct(now)
 	if may != c.acts {
 		event.Log(c.log, event.OwnerPermission, log.Fields{"epoch": c.jobs.Epoch(), "acts": may})
 		c.acts = may
@@ -217,7 +217,7 @@
 	if c.jobs == nil || c.loading {
 		return false
 	}
-	if !c.owner.MayAct() {
+	if !c.owner.MayAct(c.now()) {
 		return false
 	}
 	return !c.owner.HandingOver() || c.storeProxy.outageDuration() > 0
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -132,8 +132,9 @@
 func New(self string, boot uint64, share model.MilliCPU, now time.Duration) *Core {
 	c := &Core{
 		self: self, boot: boot, share: share, now: now, linked: map[string]model.MilliCPU{}, unlinked: map[string]time.Duration{},
-		ownerSeenAt: now + startOwnerTimeout - ownerTimeout, permission: newPermission(now, 0),
+		ownerSeenAt: now + startOwnerTimeout - ownerTimeout,
 	}
+	c.permission = newPermission(now, c.linked)
 	c.state = ownershipChart.Initial()
 	c.timeoutAt = now + 1 // read at once; 0 means no timeout
 	return c
@@ -161,7 +162,9 @@
 // Tick applies the timeout of the state if it has expired.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
-	c.permission.advance(now)
+	if c.Owns() {
+		c.permission.advance(now)
+	}
 	if c.timeoutAt != 0 && now >= c.timeoutAt {
 		c.step(evTimeout)
 	}
@@ -201,7 +204,6 @@
 func (c *Core) PeerUp(name string, share model.MilliCPU) {
 	c.linked[name] = share
 	delete(c.unlinked, name)
-	c.permission.linked = len(c.linked)
 	c.permission.entryPresent(name)
 }
 
@@ -209,7 +211,6 @@
 func (c *Core) PeerDown(name string, now time.Duration) {
 	c.now = now
 	delete(c.linked, name)
-	c.permission.linked = len(c.linked)
 	if name == c.row.Name {
 		c.ownerSeenAt = now
 	}
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -5,6 +5,7 @@
 
 	"github.com/bambooscale/bambooscale/charts"
 	"github.com/bambooscale/bambooscale/internal/chart"
+	"github.com/bambooscale/bambooscale/internal/model"
 )
 
 // States of charts/permission.scxml, in the order of PermissionBinding.
@@ -12,7 +13,6 @@
 	permissionUndisputed chart.State = iota
 	permissionDisputed
 	permissionLapsed
-	permissionUnconfirmed
 )
 
 // Events of charts/permission.scxml, in the order of PermissionBinding.
@@ -38,6 +38,9 @@
 	// confirmInterval is how old the last confirmation may become before the owner
 	// rewrites its row.
 	confirmInterval = 500 * time.Millisecond
+	// maxGap is the time between two steps of a process from which on its peers may
+	// have ended their links with it. It is below their limit of silence (1.2 s).
+	maxGap = time.Second
 	// missingRetention is how long an entry counts as missing while the owner can write
 	// its row. One that does not come back was removed, and would end all runs in the
 	// next outage of the table service.
@@ -52,9 +55,8 @@
 func PermissionBinding() chart.Binding[permission] {
 	return chart.Binding[permission]{
 		Chart:  "permission",
-		States: []string{"undisputed", "disputed", "lapsed", "unconfirmed"},
+		States: []string{"undisputed", "disputed", "lapsed"},
 		Events: []string{"missing", "complete", "confirmed", "late", "suspended"},
-		Guards: map[string]func(*permission) bool{"complete": (*permission).complete},
 		Delays: map[string]time.Duration{"permissionTime": PermissionTime}, // or MajorityPermissionTime
 	}
 }
@@ -64,15 +66,15 @@
 // entries are linked, and otherwise for a time after each write to its row.
 type permission struct {
 	state       chart.State
-	linked      int                      // entries that are linked
-	confirmedAt time.Duration            // when the last write to the row that succeeded was sent
-	suspendedAt time.Duration            // when the host was last found to have been suspended
-	missing     map[string]time.Duration // entries that are not linked, since when
+	linked      map[string]model.MilliCPU // of the Core; entries with a link, some of which may be missing
+	confirmedAt time.Duration             // when the last write to the row that succeeded was sent
+	suspendedAt time.Duration             // when the process was last found to have been suspended
+	advancedAt  time.Duration             // time of the last call of advance; 0: none
+	missing     map[string]time.Duration  // entries that are not known to be linked, since when
 }
 
-// newPermission returns the permission of an owner whose claim was sent at claimedAt,
-// and that is linked with a number of entries.
-func newPermission(claimedAt time.Duration, linked int) permission {
+// newPermission returns the permission of an owner whose claim was sent at claimedAt.
+func newPermission(claimedAt time.Duration, linked map[string]model.MilliCPU) permission {
 	return permission{state: permissionChart.Initial(), linked: linked, confirmedAt: claimedAt, missing: map[string]time.Duration{}}
 }
 
@@ -84,9 +86,17 @@
 	return PermissionTime
 }
 
-// hasMajority reports whether the owner and the linked entries are more than the
-// missing ones.
-func (p *permission) hasMajority() bool { return p.linked+1 > len(p.missing) }
+// hasMajority reports whether the owner and the entries that are not missing are more
+// than the missing ones.
+func (p *permission) hasMajority() bool {
+	present := 1
+	for name := range p.linked {
+		if _, missing := p.missing[name]; !missing {
+			present++
+		}
+	}
+	return present > len(p.missing)
+}
 
 func (p *permission) step(e chart.Event) { permissionChart.Step(p, &p.state, e) }
 
@@ -111,8 +121,13 @@
 	}
 }
 
-// advance applies the time.
+// advance applies the time. A gap since the last call means that the process did not
+// run.
 func (p *permission) advance(now time.Duration) {
+	if p.advancedAt != 0 && now-p.advancedAt >= maxGap {
+		p.suspended(now)
+	}
+	p.advancedAt = now
 	for name, since := range p.missing {
 		if now-since >= missingRetention && now-p.confirmedAt < PermissionTime {
 			p.entryPresent(name)
@@ -134,16 +149,28 @@
 	}
 }
 
-// suspended records that the host was suspended until now.
+// suspended records that the process did not run until now. Its links may have ended
+// meanwhile, so each entry is missing until it is linked anew.
 func (p *permission) suspended(now time.Duration) {
 	p.suspendedAt = now
-	p.step(evSuspended)
+	for name := range p.linked {
+		p.missing[name] = now
+	}
+	if !p.complete() {
+		p.step(evSuspended)
+	}
 }
 
-// MayAct reports whether the entry owns the jobs and no other entry can have replaced
-// it for so long that leases which it extends, or tasks that it starts, may run beside
-// those of its successor.
-func (c *Core) MayAct() bool { return c.Owns() && c.permission.mayAct() }
+// MayAct reports whether the entry owns the jobs at a time and no other entry can have
+// replaced it for so long that leases which it extends, or tasks that it starts, may run
+// beside those of its successor. The caller asks right before it acts.
+func (c *Core) MayAct(now time.Duration) bool {
+	if !c.Owns() {
+		return false
+	}
+	c.permission.advance(now)
+	return c.permission.mayAct()
+}
 
 // ConfirmationDue reports whether the owner has to rewrite its row to act on.
 func (c *Core) ConfirmationDue() bool {
@@ -183,7 +210,7 @@
 // beginPermission sets the permission of an owner that has just claimed the jobs. The
 // former owner counts as missing unless it is linked, since it may claim them again.
 func (c *Core) beginPermission() {
-	c.permission = newPermission(c.claimedAt, len(c.linked))
+	c.permission = newPermission(c.claimedAt, c.linked)
 	c.formerStoppedAt = 0
 	if name := c.former.Name; name != "" && name != c.self {
 		c.EntryKnown(name, c.now)
