--- a/internal/httpserve/server_test.go
+++ b/internal/httpserve/server_test.go
@@ -13,48 +13,15 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/httpserve/servetest"
 )
 
-// pipeListener accepts in-memory connections, which work in virtual time.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// dial returns the caller's end of a new connection; the server reads through
-// wrap.
-func (l *pipeListener) dial(wrap func(net.Conn) net.Conn) *caller {
-	here, there := net.Pipe()
-	l.conns <- wrap(there)
+// dial returns the caller's end of a new connection, see servetest.Listener.Dial.
+func dial(l *servetest.Listener, wrap func(net.Conn) net.Conn) *caller {
+	here := l.Dial(wrap)
 	return &caller{conn: here, in: bufio.NewReader(here)}
 }
 
-func unwrapped(c net.Conn) net.Conn { return c }
-
 // caller is the caller's end of a connection.
 type caller struct {
 	conn net.Conn
@@ -76,26 +43,6 @@
 	return resp, err
 }
 
-// heldConn is a server's connection that passes on what it has read only when
-// it is released, as if the reading goroutine had no processor yet.
-type heldConn struct {
-	net.Conn
-	hold     chan bool // true: the next Read is held
-	held     chan struct{}
-	released chan struct{}
-}
-
-func (c *heldConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	select {
-	case <-c.hold:
-		c.held <- struct{}{}
-		<-c.released
-	default:
-	}
-	return n, err
-}
-
 func echo() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
@@ -117,18 +64,18 @@
 // answered because the server closes idle connections at that moment.
 func TestCloseAnswersARequestThatWasJustRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newPipeListener()
+		l := servetest.Listen(t.Context())
 		s := start(t, l, echo())
-		held := &heldConn{hold: make(chan bool, 1), held: make(chan struct{}), released: make(chan struct{})}
-		c := l.dial(func(inner net.Conn) net.Conn { held.Conn = inner; return held })
+		held := servetest.NewHeldConn()
+		c := dial(l, held.Wrap)
 		require.NoError(t, c.send())
 		_, err := c.answer()
 		require.NoError(t, err)
 
-		held.hold <- true
+		held.Hold <- true
 		sent := actor.NewReply[error]()
 		go func() { sent.Put(c.send()) }()
-		<-held.held // the server has the request, and net/http does not know it yet
+		<-held.Held // the server has the request, and net/http does not know it yet
 		closed := actor.NewReply[error]()
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -136,7 +83,7 @@
 			closed.Put(s.Close(ctx))
 		}()
 		synctest.Wait()
-		held.released <- struct{}{}
+		held.Released <- struct{}{}
 		_, err = c.answer()
 		require.NoError(t, err)
 		require.NoError(t, <-closed.C())
@@ -148,7 +95,7 @@
 // Guards against counts that do not show a request which the server cut.
 func TestCountsTellAnsweredCutAndAbandonedRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newPipeListener()
+		l := servetest.Listen(t.Context())
 		arrived, proceed := make(chan struct{}), make(chan struct{})
 		s := start(t, l, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			// net/http notices the end of the caller only after the body.
@@ -156,7 +103,7 @@
 			arrived <- struct{}{}
 			<-proceed
 		}))
-		c := l.dial(unwrapped)
+		c := dial(l, nil)
 		require.NoError(t, c.send())
 		<-arrived
 		require.Equal(t, Counts{Open: 1, InFlight: 1}, s.Counts())
@@ -174,7 +121,7 @@
 		synctest.Wait()
 		require.Equal(t, Counts{Answered: 1, Gone: 1}, s.Counts())
 
-		c = l.dial(unwrapped)
+		c = dial(l, nil)
 		require.NoError(t, c.send())
 		<-arrived
 		require.NoError(t, s.http.Close())
@@ -188,11 +135,11 @@
 // between the first and the last byte of the request.
 func TestCloseWaitsForTheRestOfARequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newPipeListener()
+		l := servetest.Listen(t.Context())
 		s := start(t, l, echo())
 		for _, first := range []string{"P", "POST / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nh"} {
 			whole := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
-			c := l.dial(unwrapped)
+			c := dial(l, nil)
 			_, err := io.WriteString(c.conn, first)
 			require.NoError(t, err)
 			t.Cleanup(func() { _ = c.conn.Close() })
@@ -249,13 +196,13 @@
 // it learns that its time is up, and its answer is still sent.
 func TestCancelledRequestsAreAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l, arrived := newPipeListener(), make(chan struct{})
+		l, arrived := servetest.Listen(t.Context()), make(chan struct{})
 		s := start(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			close(arrived)
 			<-r.Context().Done()
 			w.WriteHeader(http.StatusGatewayTimeout)
 		}))
-		c := l.dial(unwrapped)
+		c := dial(l, nil)
 		require.NoError(t, c.send())
 		<-arrived
 		go func() { _ = s.Close(t.Context()) }()
@@ -295,12 +242,12 @@
 
 // slowListener delays connections between their acceptance and the return of Accept.
 type slowListener struct {
-	*pipeListener
+	*servetest.Listener
 	delay time.Duration
 }
 
 func (l *slowListener) Accept() (net.Conn, error) {
-	c, err := l.pipeListener.Accept()
+	c, err := l.Listener.Accept()
 	if err == nil {
 		time.Sleep(l.delay)
 	}
@@ -312,9 +259,9 @@
 // it was read.
 func TestCloseWaitsForAConnectionThatWasJustAccepted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &slowListener{newPipeListener(), 100 * time.Millisecond}
+		l := &slowListener{servetest.Listen(t.Context()), 100 * time.Millisecond}
 		s := start(t, l, echo())
-		c := l.dial(unwrapped)
+		c := dial(l.Listener, nil)
 		closed := actor.NewReply[error]()
 		go func() { closed.Put(s.Close(context.Background())) }()
 		sent := actor.NewReply[error]()
--- a/internal/jobdaemon/drain_test.go
+++ b/internal/jobdaemon/drain_test.go
@@ -18,43 +18,24 @@
 	"github.com/bambooscale/bambooscale/internal/drain"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/httpserve"
+	"github.com/bambooscale/bambooscale/internal/httpserve/servetest"
 	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
-// pipeListener accepts in-memory connections, which work in virtual time.
-type pipeListener struct {
-	conns chan net.Conn
-	ctx   context.Context
-	close context.CancelFunc
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.ctx.Done():
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error   { l.close(); return nil }
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // drainFixture is an entry with a caller's connection and a controller that
 // releases the jobs after a delay.
 type drainFixture struct {
 	entry    *Entry
-	listener *pipeListener
+	listener *servetest.Listener
 	events   *memoryLog
 }
 
 func newDrainFixture(t *testing.T, releaseDelay time.Duration, h http.Handler) *drainFixture {
 	g := actor.NewGroup(t.Context(), nil)
 	t.Cleanup(g.Stop)
-	f := &drainFixture{listener: &pipeListener{conns: make(chan net.Conn)}, events: &memoryLog{Handler: discard.New()}}
-	f.listener.ctx, f.listener.close = context.WithCancel(t.Context())
+	f := &drainFixture{listener: servetest.Listen(t.Context()), events: &memoryLog{Handler: discard.New()}}
 	c := &controller{group: g, published: &published{}, log: f.events.logger()}
 	c.address = actor.Spawn(g, actor.Spec[any]{Name: "controller", Mailbox: 1, Run: func(ctx context.Context, in <-chan any) error {
 		for {
@@ -100,11 +81,7 @@
 	return nil
 }
 
-func (f *drainFixture) dial() net.Conn {
-	here, there := net.Pipe()
-	f.listener.conns <- there
-	return here
-}
+func (f *drainFixture) dial() net.Conn { return f.listener.Dial(nil) }
 
 // request sends a request and returns the status and the Connection field of
 // the whole answer, or 0.
--- a/internal/operator/end_test.go
+++ b/internal/operator/end_test.go
@@ -14,64 +14,23 @@
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/configstore"
+	"github.com/bambooscale/bambooscale/internal/httpserve/servetest"
 	"github.com/bambooscale/bambooscale/internal/model"
 )
 
-// oneConn is a listener that accepts one in-memory connection.
-type oneConn struct {
-	conns  chan net.Conn
-	closed context.Context
-	close  context.CancelFunc
-}
-
-func (l *oneConn) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed.Done():
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *oneConn) Close() error   { l.close(); return nil }
-func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
-
-// heldConn passes on what it has read only when it is released, as if the reading
-// goroutine had no processor yet.
-type heldConn struct {
-	net.Conn
-	hold     chan bool // holds a value: the next Read is held
-	held     chan struct{}
-	released chan struct{}
-}
-
-func (c *heldConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	select {
-	case <-c.hold:
-		c.held <- struct{}{}
-		<-c.released
-	default:
-	}
-	return n, err
-}
-
 // operatorConn is an operator's connection to the API of a fixture.
 type operatorConn struct {
 	here   net.Conn
 	in     *bufio.Reader
-	server *heldConn
+	server *servetest.HeldConn
 }
 
 func (f *fixture) serveOne() *operatorConn {
-	l := &oneConn{conns: make(chan net.Conn)}
-	l.closed, l.close = context.WithCancel(f.t.Context())
+	l := servetest.Listen(f.t.Context())
 	f.api.Serve(f.group, l)
-	here, there := net.Pipe()
-	c := &operatorConn{here: here, in: bufio.NewReader(here), server: &heldConn{
-		Conn: there, hold: make(chan bool, 1), held: make(chan struct{}), released: make(chan struct{}),
-	}}
-	l.conns <- c.server
+	c := &operatorConn{server: servetest.NewHeldConn()}
+	c.here = l.Dial(c.server.Wrap)
+	c.in = bufio.NewReader(c.here)
 	return c
 }
 
@@ -113,13 +72,13 @@
 		c := f.serveOne()
 		require.NoError(f.t, c.send("/healthz"))
 		require.Equal(f.t, 200, c.status())
-		c.server.hold <- true
+		c.server.Hold <- true
 		sent := actor.NewReply[error]()
 		go func() { sent.Put(c.send("/healthz")) }()
-		<-c.server.held // the server has the request, and net/http does not know it yet
+		<-c.server.Held // the server has the request, and net/http does not know it yet
 		closed := f.closeAPI()
 		synctest.Wait()
-		c.server.released <- struct{}{}
+		c.server.Released <- struct{}{}
 		require.Equal(f.t, 200, c.status())
 		require.NoError(f.t, <-sent.C())
 		require.NoError(f.t, <-closed.C())
