jobdaemon: log at the agent who ordered each run

The record of the agents does not tell who ordered the later run, so an owner that was cut off with a host, an owner that was paused and an early end at an agent look alike in it.

Change: the agent logs each start that it sends to its backend server (event 938) with the name and the epoch of the owner and the remaining time of its lease; the loss of its owner (939) with the reason; the name at the adoption of an owner (930); and the sender, its epoch and the reason at a refusal (931, 932). No decision changes.

Command: go test ./internal/hostagent ./internal/jobdaemon

--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -73,12 +73,17 @@
 	Err      error
 }
 
-// Decision is a decision that is logged.
+// Decision is a decision that is logged. Fields that do not apply to its kind are
+// zero.
 type Decision struct {
-	Kind   DecisionKind
-	Run    workload.RunID
-	Detail string
-	Epoch  uint64
+	Kind        DecisionKind
+	Run         workload.RunID
+	Detail      string
+	Epoch       uint64        // highest epoch that the agent had observed
+	Entry       string        // name of the entry that the decision is about
+	SenderEpoch uint64        // of a message that was refused
+	LeaseLeft   time.Duration // remaining time of the owner's lease; negative: expired
+	Runs        int           // number of runs on the host
 }
 
 // DecisionKind is the kind of a Decision.
@@ -87,8 +92,11 @@
 // Kinds of decisions.
 const (
 	OwnerAdopted   DecisionKind = iota
-	OwnerRefused                // a message was ignored because its sender is not the owner
-	RunRefused                  // a start was refused, or a run is no longer listed and no end was reported
+	OwnerLeft                   // Detail is why the agent has no owner any more; Entry is the former one
+	OwnerRefused                // a message was ignored because its sender is not the owner; Detail is the reason
+	RunSent                     // the start of a run that Entry ordered is sent to the backend server
+	StartRefused                // the agent refused a start; Detail is the reason
+	RunRefused                  // the backend server refused a start, or a run is no longer listed and no end was reported
 	RunUnconfirmed              // a start was not answered
 	IncarnationStarted
 	IncarnationEnded   // Detail is the reason
@@ -108,9 +116,10 @@
 	announcement uint64       // sequence number of the newest announcement
 	announcedMS  int64        // the backend server's clock in the newest announcement
 
-	epoch             uint64 // highest observed epoch
-	owner             LinkID // 0: none
-	inventoryAccepted bool   // the owner has the newest inventory, so it may start runs
+	epoch             uint64            // highest observed epoch
+	owner             LinkID            // 0: none
+	entries           map[LinkID]string // names of the linked entries, for the log
+	inventoryAccepted bool              // the owner has the newest inventory, so it may start runs
 	inventorySent     bool
 	inventories       uint64 // number of the newest inventory; a process begins above those of former processes
 
@@ -142,7 +151,7 @@
 // New returns the Core of a host whose backend server has not announced itself
 // yet.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, throttler: newThrottler(), token: cfg.Token, inventories: cfg.Token, runs: map[workload.RunID]*run{},
+	return &Core{cfg: cfg, throttler: newThrottler(), token: cfg.Token, inventories: cfg.Token, runs: map[workload.RunID]*run{}, entries: map[LinkID]string{},
 		incarnation: incarnation{state: incarnationChart.Initial()}, host: workload.Host{Name: cfg.Name, DataCentre: cfg.DataCentre}}
 }
 
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -1,6 +1,8 @@
 package hostagent
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
@@ -41,20 +43,41 @@
 	c.leaseEndMS = max(c.leaseEndMS, clockMS+c.cfg.OwnerLease.Milliseconds())
 }
 
+// leaseLeft returns the remaining time of the owner's lease: 0 if none was granted,
+// negative if it has expired.
+func (c *Core) leaseLeft() time.Duration {
+	if c.leaseEndMS == 0 {
+		return 0
+	}
+	return time.Duration(c.leaseEndMS-c.clock.lowerBound(c.now)) * time.Millisecond
+}
+
 // EpochObserved applies the epoch in an entry's hello or claim. A higher epoch
 // replaces the present owner.
 func (c *Core) EpochObserved(epoch uint64) {
 	if epoch > c.epoch {
+		c.leaveOwner("an owner of a higher epoch is known")
 		c.epoch = epoch
-		c.owner, c.inventorySent, c.inventoryAccepted = 0, false, false
 	}
 }
 
+// Linked records the name of the entry at a new link.
+func (c *Core) Linked(link LinkID, entry string) { c.entries[link] = entry }
+
 // Unlinked records that a link has ended.
 func (c *Core) Unlinked(link LinkID) {
 	if link == c.owner {
-		c.owner, c.inventorySent, c.inventoryAccepted = 0, false, false
+		c.leaveOwner("its link has ended")
 	}
+	delete(c.entries, link)
+}
+
+// leaveOwner ends the relation to the present owner, if there is one.
+func (c *Core) leaveOwner(reason string) {
+	if c.owner != 0 {
+		c.addDecision(Decision{Kind: OwnerLeft, Entry: c.entries[c.owner], Detail: reason, LeaseLeft: c.leaseLeft(), Runs: len(c.runs)})
+	}
+	c.owner, c.inventorySent, c.inventoryAccepted = 0, false, false
 }
 
 // owns reports whether a message comes from the present owner, and logs it if
@@ -63,10 +86,23 @@
 	if epoch == c.epoch && from == c.owner {
 		return true
 	}
-	c.addDecision(Decision{Kind: OwnerRefused})
+	reason := "it has not claimed the host on this link"
+	switch {
+	case epoch < c.epoch:
+		reason = reasonHigherEpoch
+	case epoch > c.epoch:
+		reason = "its epoch was not claimed"
+	}
+	c.refuseOwner(from, epoch, reason)
 	return false
 }
 
+const reasonHigherEpoch = "a higher epoch is known"
+
+func (c *Core) refuseOwner(from LinkID, epoch uint64, reason string) {
+	c.addDecision(Decision{Kind: OwnerRefused, Entry: c.entries[from], SenderEpoch: epoch, Detail: reason})
+}
+
 // claimed applies a claim. Its sender becomes the owner unless a higher epoch has
 // been observed.
 func (c *Core) claimed(from LinkID, m *msg.OwnerClaim) {
@@ -75,12 +111,12 @@
 		return
 	}
 	if m.Epoch < c.epoch {
-		c.addDecision(Decision{Kind: OwnerRefused})
+		c.refuseOwner(from, m.Epoch, reasonHigherEpoch)
 		return
 	}
 	c.EpochObserved(m.Epoch)
 	c.owner, c.inventorySent, c.inventoryAccepted = from, false, false
-	c.addDecision(Decision{Kind: OwnerAdopted})
+	c.addDecision(Decision{Kind: OwnerAdopted, Entry: c.entries[from], LeaseLeft: c.leaseLeft(), Runs: len(c.runs)})
 	c.sendInventory()
 }
 
@@ -122,13 +158,14 @@
 func (c *Core) startRuns(from LinkID, m *msg.StartRuns) {
 	for _, s := range m.Starts {
 		if reason := c.refusalReason(from, m, &s); reason != "" {
-			c.addDecision(Decision{Kind: RunRefused, Run: s.Size.Run, Detail: reason})
+			c.addDecision(Decision{Kind: StartRefused, Run: s.Size.Run, Detail: reason, Entry: c.entries[from], SenderEpoch: m.Epoch})
 			if from == c.owner {
 				c.changed.Refused = append(c.changed.Refused, s.Size.Run)
 			}
 			continue
 		}
 		r := c.addRun(s.Size)
+		c.addDecision(Decision{Kind: RunSent, Run: r.id, Entry: c.entries[from], LeaseLeft: c.leaseLeft()})
 		c.addCall(Call{SendBefore: c.now + maxStartWait, Start: &runner.StartRequest{
 			Run: r.id, Specification: s.Specification, Checkpoint: s.Checkpoint, LeaseMS: c.leaseMS(),
 		}})
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -279,6 +279,7 @@
 func (a *agent) linkUp(m *linkUp) {
 	a.links[m.id], a.hellos[m.id] = m.out, m.hello
 	event.Log(a.log, event.PeerLinked, log.Fields{"peer": m.hello.Member.Name, "epoch": m.hello.Epoch})
+	a.core.Linked(hostagent.LinkID(m.id), m.hello.Member.Name)
 	a.core.EpochObserved(m.hello.Epoch)
 	a.addMembers([]msg.Member{m.hello.Member})
 	a.publishLinked()
--- a/internal/jobdaemon/decisions.go
+++ b/internal/jobdaemon/decisions.go
@@ -35,7 +35,8 @@
 }
 
 var agentEvents = map[hostagent.DecisionKind]event.Event{
-	hostagent.OwnerAdopted: event.AgentOwnerAdopted, hostagent.OwnerRefused: event.AgentOwnerRefused, hostagent.RunRefused: event.AgentRunRefused,
+	hostagent.OwnerAdopted: event.AgentOwnerAdopted, hostagent.OwnerLeft: event.AgentOwnerLeft, hostagent.OwnerRefused: event.AgentOwnerRefused,
+	hostagent.RunSent: event.AgentRunSent, hostagent.StartRefused: event.AgentRunRefused, hostagent.RunRefused: event.AgentRunRefused,
 	hostagent.RunUnconfirmed: event.AgentRunUnconfirmed, hostagent.IncarnationStarted: event.AgentIncarnationStarted, hostagent.IncarnationEnded: event.AgentIncarnationEnded,
 	hostagent.RunThrottled: event.AgentRunThrottled, hostagent.AnnouncementDenied: event.AgentAnnouncementDenied,
 }
@@ -46,5 +47,13 @@
 	if (d.Run != workload.RunID{}) {
 		fields["run"] = d.Run.String()
 	}
+	switch d.Kind {
+	case hostagent.OwnerAdopted, hostagent.OwnerLeft:
+		fields["entry"], fields["lease-ms"], fields["runs"] = d.Entry, d.LeaseLeft.Milliseconds(), d.Runs
+	case hostagent.RunSent:
+		fields["entry"], fields["lease-ms"] = d.Entry, d.LeaseLeft.Milliseconds()
+	case hostagent.OwnerRefused, hostagent.StartRefused:
+		fields["entry"], fields["sender-epoch"] = d.Entry, d.SenderEpoch
+	}
 	event.Log(a.log, agentEvents[d.Kind], fields)
 }
--- a/internal/jobdaemon/memorybackend_test.go
+++ b/internal/jobdaemon/memorybackend_test.go
@@ -24,7 +24,8 @@
 	ends       []msg.RunEnd
 	lastEnd    uint64
 	agent      *agent
-	panics     actor.Flag // polls panic
+	events     eventRecorder // log of the agent
+	panics     actor.Flag    // polls panic
 }
 
 func (b *memoryBackend) clockMS() int64 { return 1000 + time.Since(b.startedAt).Milliseconds() }
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
@@ -72,11 +71,11 @@
 	var backends []*memoryBackend
 	for i := range count {
 		name := fmt.Sprintf("agent-%d", i)
-		b := &memoryBackend{instance: workload.Instance("i-" + name), startedAt: time.Now(), runs: map[workload.RunID]bool{}}
+		b := &memoryBackend{instance: workload.Instance("i-" + name), startedAt: time.Now(), runs: map[workload.RunID]bool{}, events: make(eventRecorder, 10_000)}
 		b.agent = startAgentActors(s.group, AgentConfig{
 			Core: hostagent.Config{Name: workload.HostName(name), OwnerLease: jobs.LeaseDuration, RunLease: 5 * time.Second, Token: 1},
 			Boot: uint64(i) + 1, Seeds: entries, Store: s.store, Runner: b,
-			Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+			Log: &log.Logger{Handler: b.events, Level: log.DebugLevel},
 		}, s.net.Dialer(name))
 		actor.Go(s.group, "announcer", func(ctx context.Context) error { return b.announce(ctx, b.agent) })
 		backends = append(backends, b)
