ownership: count a former owner's time from the claim's answer

What callers saw: a task could run twice if the store carried out a claim late. Cause: a successor counted the time for which its predecessor acts (2 s or 10 s) from when its claim was sent. The predecessor's last write succeeds until the claim is committed, which may be later, up to the time limit of the call, or of an earlier attempt that got no answer. Change: the successor counts from the arrival of the answer, which is not before the commit. Its own permission still counts from when the claim was sent. Test: TestSuccessorWaitsFromTheCommitOfItsClaim (go test ./internal/ownership) failed before: the successor waited until 4.05 s, the predecessor acted until 4.948 s. TestFormerOwnersActUntilTheyStop compares with the new field; its claims are answered at once, so it requires the same times as before.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -88,8 +88,11 @@
 	formerEnded bool                      // see FormerOwnerEnded
 	fenced      bool                      // see FormerOwnersFenced
 	takeovers   takeovers                 // recent changes of the owner
-	claimedAt   time.Duration             // when the last claim was sent
-	former      workload.Owner            // the row before the claim of this owner
+	claimSentAt time.Duration             // when the last claim was sent
+	// ownerSince is when the answer to the claim of this owner arrived, which is not
+	// before the claim was committed.
+	ownerSince time.Duration
+	former     workload.Owner // the row before the claim of this owner
 	// formerStoppedAt is when the former owner was known to act no more; 0: never.
 	formerStoppedAt time.Duration
 	permission      permission // of this owner to act
@@ -274,7 +277,7 @@
 		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
 		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
 	}
-	c.claimEpoch, c.claimedAt = owner.Epoch, c.now
+	c.claimEpoch, c.claimSentAt = owner.Epoch, c.now
 	return owner, c.rowVersion
 }
 
@@ -309,7 +312,7 @@
 	switch {
 	case current:
 		c.formerEnded, c.fenced, c.lateness = !o.Unsettled, o.Fenced, lateness{steppedAt: now}
-		c.former, c.row, c.rowVersion = c.row, o, version
+		c.former, c.row, c.rowVersion, c.ownerSince = c.row, o, version, now
 		c.observeEpoch(o.Epoch)
 		c.step(evClaimed)
 		c.beginPermission()
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -73,9 +73,9 @@
 	missing     map[string]time.Duration  // entries that are not known to be linked, since when
 }
 
-// newPermission returns the permission of an owner whose claim was sent at claimedAt.
-func newPermission(claimedAt time.Duration, linked map[string]model.MilliCPU) permission {
-	return permission{state: permissionChart.Initial(), linked: linked, confirmedAt: claimedAt, missing: map[string]time.Duration{}}
+// newPermission returns the permission of an owner whose claim was sent at claimSentAt.
+func newPermission(claimSentAt time.Duration, linked map[string]model.MilliCPU) permission {
+	return permission{state: permissionChart.Initial(), linked: linked, confirmedAt: claimSentAt, missing: map[string]time.Duration{}}
 }
 
 // limit returns how long the owner may act after a write to its row.
@@ -210,7 +210,7 @@
 // beginPermission sets the permission of an owner that has just claimed the jobs. The
 // former owner counts as missing unless it is linked, since it may claim them again.
 func (c *Core) beginPermission() {
-	c.permission = newPermission(c.claimedAt, c.linked)
+	c.permission = newPermission(c.claimSentAt, c.linked)
 	c.formerStoppedAt = 0
 	if name := c.former.Name; name != "" && name != c.self {
 		c.EntryKnown(name, c.now)
@@ -235,13 +235,14 @@
 }
 
 // FormerOwnersActUntil returns until when former owners that do not know of this one
-// may extend leases.
+// may extend leases. It counts from the answer to the claim: the last write of a former
+// owner may have been sent after the claim, if the store committed the claim late.
 func (c *Core) FormerOwnersActUntil() time.Duration {
 	switch {
 	case c.formerStoppedAt != 0:
 		return c.formerStoppedAt
 	case c.permission.hasMajority():
-		return c.claimedAt + PermissionTime
+		return c.ownerSince + PermissionTime
 	}
-	return c.claimedAt + MajorityPermissionTime
+	return c.ownerSince + MajorityPermissionTime
 }
--- a/internal/ownership/permission_test.go
+++ b/internal/ownership/permission_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/bambooscale/bambooscale/internal/table"
 )
 
 // newLinkedOwner returns an owner a that is linked with b and c, and the time.
@@ -139,15 +141,41 @@
 		r.advance(&now, 3*time.Second, a)
 		require.True(t, a.Owns())
 		require.False(t, a.permission.hasMajority(), "one of two entries")
-		require.Equal(t, a.claimedAt+MajorityPermissionTime, a.FormerOwnersActUntil())
+		require.Equal(t, a.ownerSince+MajorityPermissionTime, a.FormerOwnersActUntil())
 		a.PeerUp("b", 0)
-		require.Equal(t, a.claimedAt+PermissionTime, a.FormerOwnersActUntil())
+		require.Equal(t, a.ownerSince+PermissionTime, a.FormerOwnersActUntil())
 		a.former.Unsettled = c.unsettled
 		a.EntryLinked(c.entry, c.boot, c.epoch, now)
 		require.Equal(t, c.stopped, a.FormerOwnersActUntil() == now, name)
 	}
 }
 
+// Guards against a successor that waits for too short a time because the store carries
+// out its claim late: the former owner confirms its row after the claim was sent, and
+// acts on that.
+func TestSuccessorWaitsFromTheCommitOfItsClaim(t *testing.T) {
+	r, now := &ownerRow{}, time.Duration(0)
+	former, a := New("f", 7, 0, 0), New("a", 1, 0, 0)
+	a.PeerUp("b", 0)
+	r.advance(&now, 2*time.Second, former)
+	require.True(t, former.Owns())
+	former.EntryKnown("a", now)
+	claim := r.takeClaim(t, a, &now)
+	sentAt := now
+
+	committedAt := sentAt + 900*time.Millisecond
+	former.tickUntil(sentAt, committedAt-time.Millisecond)
+	former.Confirmed(committedAt-time.Millisecond, committedAt-time.Millisecond)
+	former.tickUntil(committedAt, committedAt+PermissionTime-2*time.Millisecond)
+	last := committedAt + PermissionTime - 2*time.Millisecond
+	require.True(t, former.MayAct(last))
+
+	r.owner, r.version = claim, r.version+1
+	require.True(t, a.Claimed(claim, table.Committed, r.version, committedAt))
+	require.GreaterOrEqual(t, a.FormerOwnersActUntil(), last)
+	require.Equal(t, sentAt, a.permission.confirmedAt, "its own permission runs from the sending of the claim")
+}
+
 // Guards against two owners that act at the same time after the entries have been cut
 // into two groups, in any way: the time that the former one acts after its claim was
 // replaced is at most the time for which the successor waits.
