ownership: notice suspensions in every state of an entry

What callers saw: a task could run twice after a process was stopped (SIGSTOP) or its host suspended while its claim of the jobs was in flight, or right before. Cause: only an owner noticed that it had not run. An entry that claimed began as one that all entries see, since its links looked up, and acted until they were found silent, although another entry had given it up and replaced it meanwhile. Change: a gap in the steps, and a suspension of the host, are noticed in every state. Test: TestEntryThatWasSuspendedBeforeItsClaimWasAnsweredConfirmsItsRow (go test ./internal/ownership) failed before in all four cases: the owner acts at once.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -104,6 +104,7 @@
 func (c *controller) tick() {
 	now := c.now()
 	c.checkLag(now)
+	c.noticeSuspension(now)
 	c.owner.Tick(now)
 	if c.jobs != nil {
 		c.advanceJobs()
@@ -120,10 +121,7 @@
 // advanceJobs sets the time of the jobs, and whether leases may be extended.
 func (c *controller) advanceJobs() {
 	now := c.now()
-	if c.clock.suspendedSinceLastCall() {
-		event.Log(c.log, event.HostSuspended, log.Fields{"epoch": c.jobs.Epoch()})
-		c.owner.Suspended(now)
-	}
+	c.noticeSuspension(now)
 	may := c.owner.MayAct(now)
 	if may != c.acts {
 		event.Log(c.log, event.OwnerPermission, log.Fields{"epoch": c.jobs.Epoch(), "acts": may})
@@ -133,6 +131,14 @@
 	c.jobs.PermitLeases(may)
 }
 
+// noticeSuspension tells the ownership if the host was suspended since the last call.
+func (c *controller) noticeSuspension(now time.Duration) {
+	if c.clock.suspendedSinceLastCall() {
+		event.Log(c.log, event.HostSuspended, log.Fields{"epoch": c.owner.Epoch()})
+		c.owner.Suspended(now)
+	}
+}
+
 // checkLag records how late the tick is. It logs a lag above the bound of the owner
 // of the jobs, which hands them over if it is persistently late.
 func (c *controller) checkLag(now time.Duration) {
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -101,6 +101,7 @@
 }
 
 func (c *controller) ownerClaimed(m *ownerClaimed) {
+	c.noticeSuspension(c.now())
 	r := m.result
 	if r.outcome == table.Conflict {
 		for _, row := range r.rows {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -96,6 +96,7 @@
 	// formerStoppedAt is when the former owner was known to act no more; 0: never.
 	formerStoppedAt time.Duration
 	permission      permission // of this owner to act
+	suspension      suspension
 
 	lateness     lateness
 	handedOverAt time.Duration // when the entry last handed over the jobs; 0: never
@@ -165,6 +166,7 @@
 // Tick applies the timeout of the state if it has expired.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
+	c.noticeGap(now)
 	if c.Owns() {
 		c.permission.advance(now)
 	}
@@ -207,6 +209,7 @@
 func (c *Core) PeerUp(name string, share model.MilliCPU) {
 	c.linked[name] = share
 	delete(c.unlinked, name)
+	delete(c.suspension.linked, name)
 	c.permission.entryPresent(name)
 }
 
@@ -305,6 +308,7 @@
 // stopped while its claim was in flight releases the jobs.
 func (c *Core) Claimed(o workload.Owner, outcome table.Outcome, version table.Revision, now time.Duration) bool {
 	c.now = now
+	c.noticeGap(now)
 	if c.state != stClaiming && c.state != stRetired || o.Epoch != c.claimEpoch {
 		return false
 	}
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -38,9 +38,6 @@
 	// confirmInterval is how old the last confirmation may become before the owner
 	// rewrites its row.
 	confirmInterval = 500 * time.Millisecond
-	// maxGap is the time between two steps of a process from which on its peers may
-	// have ended their links with it. It is below their limit of silence (1.2 s).
-	maxGap = time.Second
 	// missingRetention is how long an entry counts as missing while the owner can write
 	// its row. One that does not come back was removed, and would end all runs in the
 	// next outage of the table service.
@@ -69,7 +66,6 @@
 	linked      map[string]model.MilliCPU // of the Core; entries with a link, some of which may be missing
 	confirmedAt time.Duration             // when the last write to the row that succeeded was sent
 	suspendedAt time.Duration             // when the process was last found to have been suspended
-	advancedAt  time.Duration             // time of the last call of advance; 0: none
 	missing     map[string]time.Duration  // entries that are not known to be linked, since when
 }
 
@@ -121,13 +117,8 @@
 	}
 }
 
-// advance applies the time. A gap since the last call means that the process did not
-// run.
+// advance applies the time.
 func (p *permission) advance(now time.Duration) {
-	if p.advancedAt != 0 && now-p.advancedAt >= maxGap {
-		p.suspended(now)
-	}
-	p.advancedAt = now
 	for name, since := range p.missing {
 		if now-since >= missingRetention && now-p.confirmedAt < PermissionTime {
 			p.entryPresent(name)
@@ -149,12 +140,12 @@
 	}
 }
 
-// suspended records that the process did not run until now. Its links may have ended
-// meanwhile, so each entry is missing until it is linked anew.
-func (p *permission) suspended(now time.Duration) {
-	p.suspendedAt = now
-	for name := range p.linked {
-		p.missing[name] = now
+// suspended records that the process did not run until a given time. Its links may have
+// ended meanwhile, so each entry that was linked then is missing until it is linked anew.
+func (p *permission) suspended(until time.Duration, linked map[string]struct{}) {
+	p.suspendedAt = until
+	for name := range linked {
+		p.missing[name] = until
 	}
 	if !p.complete() {
 		p.step(evSuspended)
@@ -168,6 +159,7 @@
 	if !c.Owns() {
 		return false
 	}
+	c.noticeGap(now)
 	c.permission.advance(now)
 	return c.permission.mayAct()
 }
@@ -184,13 +176,6 @@
 	c.permission.confirmed(sentAt, now)
 }
 
-// Suspended records that the host was suspended until now, which its monotonic clock
-// does not show.
-func (c *Core) Suspended(now time.Duration) {
-	c.now = now
-	c.permission.suspended(now)
-}
-
 // EntryKnown records an entry that need not be linked yet.
 func (c *Core) EntryKnown(name string, now time.Duration) {
 	c.now = now
@@ -218,6 +203,9 @@
 	for name, since := range c.unlinked {
 		c.permission.entryMissing(name, since)
 	}
+	if s := &c.suspension; s.concerns(c.claimSentAt) {
+		c.permission.suspended(s.until, s.linked)
+	}
 	c.permission.advance(c.now)
 }
 
--- a/internal/ownership/permission_test.go
+++ b/internal/ownership/permission_test.go
@@ -120,6 +120,55 @@
 	}
 }
 
+// Guards against an entry that begins as an owner and acts although another one has
+// replaced it: its process or its host did not run while its claim was in flight, or
+// right before, so it has not found yet that its links have ended.
+func TestEntryThatWasSuspendedBeforeItsClaimWasAnsweredConfirmsItsRow(t *testing.T) {
+	for name, suspend := range map[string]func(*Core, *time.Duration){
+		"host":    func(a *Core, now *time.Duration) { a.Suspended(*now) },
+		"process": func(a *Core, now *time.Duration) { *now += 5 * time.Second },
+	} {
+		for _, inFlight := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				r, now := &ownerRow{}, time.Duration(0)
+				a := New("a", 1, 0, 0)
+				a.PeerUp("b", 0)
+				a.PeerUp("c", 0)
+				a.Tick(now + time.Millisecond)
+				now += 500 * time.Millisecond
+				if !inFlight {
+					suspend(a, &now)
+				}
+				claim := r.takeClaim(t, a, &now)
+				if inFlight {
+					suspend(a, &now)
+				}
+				require.True(t, a.Claimed(claim, table.Committed, 1, now))
+				require.False(t, a.MayAct(now))
+				require.True(t, a.ConfirmationDue() || now-a.claimSentAt < confirmInterval)
+				a.Confirmed(now, now+time.Millisecond)
+				require.True(t, a.MayAct(now+time.Millisecond))
+			})
+		}
+	}
+}
+
+// Guards against an owner that rewrites its row without need because its process did
+// not run for a while, long before it claimed the jobs.
+func TestSuspensionLongBeforeTheClaimIsForgotten(t *testing.T) {
+	r, now := &ownerRow{}, time.Duration(0)
+	a := New("a", 1, 0, 0)
+	a.PeerUp("b", 0)
+	a.Tick(now + time.Millisecond)
+	now += 5 * time.Second
+	a.Tick(now)
+	a.tickUntil(now, now+3*time.Second)
+	now += 3 * time.Second
+	r.advance(&now, time.Second, a)
+	require.True(t, a.Owns())
+	require.False(t, a.ConfirmationDue())
+}
+
 // Guards against hosts that wait for a former owner which has ended or knows its
 // successor, and against ones that do not wait for one that may be active.
 func TestFormerOwnersActUntilTheyStop(t *testing.T) {
