ownership: wait as long as a former owner with a majority acts

What callers saw: a task could run twice in a partition that is not transitive: the owner a and an entry b are cut off from the table service, b is linked with both a and c, and c reaches the service and not a. Cause: a successor with a majority waited for 2 s, because only one of the two could have one. An entry that is linked with both counts for both: a has {a,b}, c {b,c}. Change: a successor that does not know that the former owner has stopped waits for 10 s, with a majority or without. Price: 8 s more at a takeover with a majority while a host is silent and the former owner's entry does not come back. Test: TestSuccessorWaitsForAnOwnerThatSharesItsMajority (go test ./internal/ownership) failed before: a acts although c waits no more. TestFormerOwnersActUntilTheyStop required the short time with a majority; it requires the long one.

--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -32,8 +32,9 @@
 	PermissionTime = 2 * time.Second
 	// MajorityPermissionTime replaces PermissionTime for an owner that is linked with
 	// the majority of the entries, so that runs outlive an outage of the table service
-	// in which some entries are lost. A successor waits for as long if it has no
-	// majority itself: only one of the two can have one.
+	// in which some entries are lost. A successor waits for as long, unless it knows that
+	// the former owner has stopped: both may have a majority if an entry is linked with
+	// both.
 	MajorityPermissionTime = 10 * time.Second
 	// confirmInterval is how old the last confirmation may become before the owner
 	// rewrites its row.
@@ -226,11 +227,8 @@
 // may extend leases. It counts from the answer to the claim: the last write of a former
 // owner may have been sent after the claim, if the store committed the claim late.
 func (c *Core) FormerOwnersActUntil() time.Duration {
-	switch {
-	case c.formerStoppedAt != 0:
+	if c.formerStoppedAt != 0 {
 		return c.formerStoppedAt
-	case c.permission.hasMajority():
-		return c.ownerSince + PermissionTime
 	}
 	return c.ownerSince + MajorityPermissionTime
 }
