faultproxy: serve accepted connections, drop what a sender gave up

A partition between many processes needs one proxy for each ordered pair behind one address, so a proxy can be started without a listener and takes over connections that its caller accepted.

Behind a blackhole a connection whose client had closed it was connected to the server when the fault was removed, and its request was carried out; a handshake that was given up never arrives. Bytes in front of a reset passed too, although a sender that resets transmits nothing again.

TestPartitionDropsConnectionsThatWereGivenUp and TestResetBehindBlackholeDiscardsBytes fail without the change:

go test -count=5 ./internal/faultproxy

--- a/internal/faultproxy/conn.go
+++ b/internal/faultproxy/conn.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/bambooscale/bambooscale/internal/actor"
 )
 
@@ -147,6 +149,9 @@
 		return c.sockets[1-*m.halfOpen] != nil
 	case m.set != nil:
 		c.faults[m.set.direction] = m.set.faults
+		if !c.dialling && clientEnded(c.sockets[Client]) {
+			return false
+		}
 		c.dial()
 		_, _ = actor.Ask(ctx, c.injectors[m.set.direction], func(r actor.Reply[struct{}]) setFaults {
 			return setFaults{m.set.direction, m.set.faults, r}
@@ -155,6 +160,22 @@
 	return true
 }
 
+// clientEnded reports whether the client has closed its connection. If that happens
+// before the server is dialled, the server never hears of the connection, as of a TCP
+// handshake that the client has given up.
+func clientEnded(s *net.TCPConn) bool {
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := true
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		ended = err != nil || info.State != unix.BPF_TCP_ESTABLISHED
+	})
+	return ended || err != nil
+}
+
 // abort resets the connection to one side by closing the socket without linger.
 func (c *conn) abort(side Side) {
 	if s := c.sockets[side]; s != nil {
--- a/internal/faultproxy/injector_test.go
+++ b/internal/faultproxy/injector_test.go
@@ -92,6 +92,19 @@
 	})
 }
 
+// Guards against bytes that pass although their sender reset the connection behind a
+// blackhole.
+func TestResetBehindBlackholeDiscardsBytes(t *testing.T) {
+	inVirtualTime(t, Faults{Blackhole: true}, func(f injectorFixture) {
+		f.send("a")
+		f.read <- chunk{end: endedByReset}
+		synctest.Wait()
+		f.set(Faults{})
+		require.Equal(t, chunk{end: endedByReset}, withoutDue(<-f.out))
+		<-f.address.Done()
+	})
+}
+
 // Guards against a blackhole that queues bytes without bound.
 func TestBlackholeIsBounded(t *testing.T) {
 	inVirtualTime(t, Faults{Blackhole: true}, func(f injectorFixture) {
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -38,7 +38,8 @@
 	Delay time.Duration // delays all bytes that are read after the change
 	// Blackhole stops all bytes and the end of the stream without notifying
 	// either side. They are queued and pass after the fault is removed, as TCP
-	// would retransmit them. The sender blocks when the buffers are full.
+	// would retransmit them. The sender blocks when the buffers are full. A reset
+	// discards what is queued.
 	Blackhole bool
 	// Truncate passes After more bytes on each connection and then closes the
 	// connection without a reset.
@@ -62,10 +63,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{group: g.Sub(), address: sock.Addr().String()}
-	s := &proxyState{group: p.group, upstream: upstream, conns: map[uint64]actor.Address[connCommand]{}}
-	p.commands = actor.Spawn(p.group, actor.Spec[message]{Name: "fault-proxy", Mailbox: 16, Run: s.run})
-	s.self = p.commands
+	p := New(g, upstream)
+	p.address = sock.Addr().String()
 	actor.Go(p.group, "fault-proxy-closer", func(ctx context.Context) error {
 		<-ctx.Done()
 		return sock.Close()
@@ -76,14 +75,29 @@
 			if err != nil {
 				return nil // closed
 			}
-			if p.commands.Send(ctx, message{accepted: c.(*net.TCPConn)}) != nil {
-				_ = c.Close()
-			}
+			p.Serve(ctx, c.(*net.TCPConn))
 		}
 	})
 	return p, nil
 }
 
+// New returns a proxy without a listener, which forwards the connections that are
+// passed to Serve. It ends with g.
+func New(g *actor.Group, upstream string) *Proxy {
+	p := &Proxy{group: g.Sub()}
+	s := &proxyState{group: p.group, upstream: upstream, conns: map[uint64]actor.Address[connCommand]{}}
+	p.commands = actor.Spawn(p.group, actor.Spec[message]{Name: "fault-proxy", Mailbox: 16, Run: s.run})
+	s.self = p.commands
+	return p
+}
+
+// Serve takes over an accepted connection and forwards it to the upstream.
+func (p *Proxy) Serve(ctx context.Context, c *net.TCPConn) {
+	if p.commands.Send(ctx, message{accepted: c}) != nil {
+		_ = c.Close()
+	}
+}
+
 // Addr returns the address to connect to instead of the upstream.
 func (p *Proxy) Addr() string { return p.address }
 
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -187,6 +188,42 @@
 	f.requireRead(f.accept(), "early")
 }
 
+// Guards against a connection that reaches the server although its client gave it up
+// during the partition.
+func TestPartitionDropsConnectionsThatWereGivenUp(t *testing.T) {
+	f := newFixture(t)
+	f.proxy.Partition()
+	given, kept := f.dial(), f.dial()
+	f.write(given, "given up")
+	f.write(kept, "kept")
+	require.NoError(t, given.Close())
+	f.proxy.Heal()
+	f.requireRead(f.accept(), "kept")
+	require.Eventually(t, func() bool { return f.proxy.Connections() == 1 }, time.Second, time.Millisecond)
+}
+
+// Guards against a connection that is passed to a proxy without a listener and is not
+// forwarded, or not subject to its faults.
+func TestServe(t *testing.T) {
+	f := newFixture(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	p := New(f.proxy.group, f.upstream.Addr().String())
+	client, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = client.Close() }()
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	p.Serve(t.Context(), accepted.(*net.TCPConn))
+	server := f.accept()
+	f.write(client, "x")
+	f.requireRead(server, "x")
+	p.Reset()
+	f.requireReset(client)
+	f.requireReset(server)
+}
+
 // Guards against a truncation after a wrong number of bytes or of the wrong
 // direction.
 func TestTruncation(t *testing.T) {
--- a/internal/faultproxy/pump.go
+++ b/internal/faultproxy/pump.go
@@ -116,6 +116,9 @@
 			m.reply.Put(struct{}{})
 		case c := <-read:
 			c.due = time.Now().Add(f.faults.Delay)
+			if f.faults.Blackhole && c.data == nil && c.end == endedByReset {
+				f.queue = nil // a sender that resets the connection transmits nothing again
+			}
 			f.queue = append(f.queue, c)
 		case out <- next:
 			if f.handleSent(next) {
