hostagent: end a silent host's runs once, and not while polls are answered

Cause: Tick ended the runs when the clock had passed the last lease that a call carried, and each announcement made the host available again. Without an owner no call carries a lease, so the agent repeated event 935 at each announcement, also if its backend server answered every poll.

Change: the leases count as expired without an answer only if no poll was answered for 1.5 s; otherwise the lists show what has lapsed. A host that was ended so gets no lease, and returns when it has announced itself and answered a poll with a later clock.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -44,10 +44,15 @@
 	if c.outdated(a) {
 		return
 	}
+	if c.silent {
+		c.announcement, c.announcedMS = a.Sequence, a.ClockMS
+		c.returning = &a
+		return
+	}
 	before := c.host
 	if before.State == workload.HostUnavailable {
-		// It was silent, or has not announced itself before. Its runs may have changed,
-		// so the inventory is sent again after the next poll.
+		// It has not announced itself before. The inventory is sent again after the
+		// next poll.
 		c.polled, c.inventorySent, c.inventoryAccepted = false, false, false
 	}
 	c.setAnnounced(a)
@@ -90,9 +95,12 @@
 func (c *Core) CanCall() bool { return c.present() || len(c.candidates) > 0 }
 
 // leaseMS returns the end of the lease for a call, in milliseconds of the backend
-// server's clock, or 0 if the owner's lease has expired. It records the end in
-// sentLeaseMS.
+// server's clock, or 0 if the owner's lease has expired or the backend server is silent.
+// It records the end in sentLeaseMS.
 func (c *Core) leaseMS() int64 {
+	if c.silent {
+		return 0
+	}
 	now := c.clock.lowerBound(c.now)
 	end := min(c.leaseEndMS, now+c.cfg.RunLease.Milliseconds())
 	if end <= now {
@@ -216,6 +224,9 @@
 		return false
 	}
 	c.polledMS, c.callFailed = response.ClockMS, false
+	if c.silent && c.returning != nil && response.ClockMS > c.sentLeaseMS {
+		c.returnFromSilence()
+	}
 	if c.host.State == workload.HostUnavailable {
 		return false // only an announcement makes the host available again
 	}
@@ -229,6 +240,31 @@
 	return true
 }
 
+// maxPollAge is the age of the newest answer to a poll above which the backend server
+// counts as silent. A poll that is not answered fails earlier, and the next one may take
+// the rest.
+const maxPollAge = 1500 * time.Millisecond
+
+// leasesExpiredInSilence reports whether the runs have ended because no call that the
+// backend server may have received extends their lease any more, and its lists do not
+// show it. If it answers polls, the lists show which runs have ended, also after the
+// last grant of an owner has expired.
+func (c *Core) leasesExpiredInSilence() bool {
+	clockMS := c.clock.lowerBound(c.now)
+	return c.present() && c.host.State != workload.HostUnavailable &&
+		c.sentLeaseMS > 0 && clockMS > c.sentLeaseMS && clockMS > c.polledMS+maxPollAge.Milliseconds()
+}
+
+// returnFromSilence makes the host available again with the newest announcement. The
+// answer to the poll shows what runs there, and the owner gets a new inventory.
+func (c *Core) returnFromSilence() {
+	a := *c.returning
+	c.silent, c.returning = false, nil
+	c.polled, c.inventorySent, c.inventoryAccepted = false, false, false
+	c.setAnnounced(a)
+	c.announce()
+}
+
 // applyLists applies the runs and ends that the present incarnation lists.
 func (c *Core) applyLists(target runner.Target, response runner.PollResponse) {
 	c.applyEnds(response.Ended)
