jobs: give up runs only if no successor can have extended their leases

Cause: an owner took the leases of a silent host for expired 6.42 s after its last grant. With the majority of the entries it acts for 10 s after its last write, and in that time a successor that alone reaches the host and the table service extends these leases. With 2 s the same happens if the host was cut off earlier.

Change: the ownership says until when no other entry had replaced the owner: now while all entries are linked, otherwise when its last successful write was sent. A lease has expired, and a recovery ends, only if that time is not before its end. While an entry is missing the row is rewritten every 0.5 s, so this costs 0.5 s then; without the table service such a host's tasks wait.

TestOwnerWithTheMajorityGivesUpNoRunsThatItsSuccessorExtends failed before (a task on two hosts 6.0 s after the cut) and passes now: go test -run OwnerWithTheMajorityGives ./internal/jobdaemon. The two unit tests of internal/jobs do not compile without the change. Pass: internal/jobs, internal/jobdaemon, internal/ownership, internal/shape.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -129,6 +129,7 @@
 	}
 	c.jobs.Advance(now, time.Now().UnixMilli())
 	c.jobs.PermitLeases(may)
+	c.jobs.NotReplacedUntil(c.owner.NotReplacedUntil(now))
 }
 
 // noticeSuspension tells the ownership if the host was suspended since the last call.
--- /dev/null
+++ b/internal/jobdaemon/majoritypartition_test.go
@@ -0,0 +1,32 @@
+package jobdaemon
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against tasks that run twice at a time because an owner that is linked with the
+// majority of the entries, but not with the table service, gives up the runs of a host
+// whose leases its successor extends.
+func TestOwnerWithTheMajorityGivesUpNoRunsThatItsSuccessorExtends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 300, 190, 180)
+		defer s.stop()
+		backends := s.startBackends(3)
+		require.Equal(t, []string{"entry-0"}, s.owners())
+		s.submitLongRunning(2)
+		require.Len(t, backends[0].running(), 1)
+		require.Len(t, backends[1].running(), 1)
+		s.kill("entry-4") // so that the owner rewrites its row all the time
+		s.advance(5 * time.Second)
+
+		members, others := []string{"entry-0", "entry-1", "entry-2", "agent-0", "agent-2"}, []string{"entry-3", "agent-1"}
+		s.cutOff(members, others)
+		s.requireSingleRuns(backends, 90*time.Second)
+		s.heal(members, others)
+		s.requireSingleRuns(backends, 10*time.Second)
+	})
+}
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -103,6 +103,7 @@
 	recoveryDeadline time.Duration // when the recovery ends at the latest; 0: no recovery
 	formerOwners     FormerOwners  // of Recover
 	leasesBarred     bool          // of PermitLeases
+	notReplacedUntil time.Duration // of NotReplacedUntil
 
 	unsent       map[*host]struct{} // hosts with queued requests for their agents
 	messages     []HostMessage
@@ -131,7 +132,7 @@
 // New returns the core of an owner that has just claimed the jobs with an epoch.
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
-		epoch: epoch, now: now, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
+		epoch: epoch, now: now, notReplacedUntil: neverReplaced, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
 		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, heldEnds: map[*task][]heldEnd{}, expiredParts: map[workload.JobID]int{}, batchJobs: maxBatchRows, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
@@ -174,7 +175,7 @@
 func (c *Core) Tick() {
 	c.expireDue()
 	c.contention.DropIdleGroups(c.now)
-	if c.recoveryDeadline != 0 && c.now >= c.recoveryDeadline {
+	if c.recoveryDeadline != 0 && c.certainlyPassed(c.recoveryDeadline) {
 		c.recoveryDeadline = 0
 		c.planNeeded = true
 	}
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -140,7 +140,11 @@
 // expire applies the times of the host that have passed.
 func (h *host) expire() {
 	h.dueAt = 0
-	if h.timeoutAt != 0 && h.core.now >= h.timeoutAt {
+	switch {
+	case h.timeoutAt == 0 || h.core.now < h.timeoutAt:
+	case h.state == hostSilent && !h.core.certainlyPassed(h.lastGrantAt+LeaseExpiry):
+		h.timeoutAt = h.core.now + replacementCheck
+	default:
 		_, e, _ := hostChart.Timeout(h.state)
 		h.step(map[string]chart.Event{"lapse": evLeaseExpired, "late": evClaimTimeout}[hostChart.EventName(e)])
 	}
--- a/internal/jobs/permission.go
+++ b/internal/jobs/permission.go
@@ -1,11 +1,32 @@
 package jobs
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // PermitLeases sets whether the owner may extend leases. Another entry may have
 // replaced an owner that may not. The caller does not call Plan meanwhile.
 func (c *Core) PermitLeases(may bool) { c.leasesBarred = !may }
 
+// neverReplaced is the time of NotReplacedUntil for an owner that has no successor.
+const neverReplaced time.Duration = math.MaxInt64
+
+// replacementCheck is the interval at which a lease that has expired is examined again
+// while another entry may have extended it.
+const replacementCheck = 50 * time.Millisecond
+
+// NotReplacedUntil sets the newest time at which no other entry had replaced the owner.
+// A successor may extend the leases of hosts that do not reach this owner, so leases
+// that end later have not certainly expired.
+func (c *Core) NotReplacedUntil(at time.Duration) { c.notReplacedUntil = at }
+
+// certainlyPassed reports whether a time at which leases end has passed and no other
+// entry can have extended them before.
+func (c *Core) certainlyPassed(leaseEnd time.Duration) bool {
+	return c.now >= leaseEnd && c.notReplacedUntil >= leaseEnd
+}
+
 // FormerOwnersActUntil sets until when former owners may extend the leases of hosts
 // that have not answered this one. It has an effect during a recovery, unless the
 // former owners have ended.
--- /dev/null
+++ b/internal/jobs/permission_test.go
@@ -0,0 +1,44 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a task that runs twice at a time because the owner gives up a run whose
+// lease a successor extends: a lease has expired only if the owner was not replaced
+// before its end.
+func TestRunsOfASilentHostAreNotLostBeforeTheOwnerIsConfirmed(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 4000))
+	h.core.Submit(newSpec("j", newStep(1, 1000)))
+	h.process()
+	require.Contains(t, h.started, runID("j", 0, 0, 1))
+	h.core.Unlinked("a")
+	h.link(readyHost("b", 4000))
+	h.core.NotReplacedUntil(h.now + LeaseExpiry - time.Millisecond)
+	h.advance(2 * LeaseExpiry)
+	require.Len(t, h.started, 1)
+	h.core.NotReplacedUntil(h.now)
+	h.advance(200 * time.Millisecond)
+	require.Contains(t, h.started, runID("j", 0, 0, 2))
+}
+
+// Guards against tasks that start beside those of a host that is linked and does not
+// send its inventory, while a successor may extend its leases.
+func TestRecoveryEndsWhenTheOwnerIsConfirmed(t *testing.T) {
+	h := newHarness(t, 2)
+	h.core.Restore(newSpec("j", newStep(1, 1000)), nil)
+	h.core.ExpectHost("b")
+	h.core.Recover(FormerOwnersEnded)
+	h.core.Linked(readyHost("b", 4000))
+	h.link(readyHost("a", 4000))
+	h.core.NotReplacedUntil(h.now + maxRecovery - time.Millisecond)
+	h.advance(2 * maxRecovery)
+	require.Empty(t, h.started)
+	h.core.NotReplacedUntil(h.now)
+	h.advance(200 * time.Millisecond)
+	require.Len(t, h.started, 1)
+}
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -165,6 +165,17 @@
 	return c.permission.mayAct()
 }
 
+// NotReplacedUntil returns the newest time at which no other entry had replaced this
+// owner: now while every entry is linked, and otherwise when its last write was sent. A
+// successor extends the leases of hosts that this owner does not reach.
+func (c *Core) NotReplacedUntil(now time.Duration) time.Duration {
+	c.permission.advance(now)
+	if c.permission.state == permissionUndisputed {
+		return now
+	}
+	return c.permission.confirmedAt
+}
+
 // ConfirmationDue reports whether the owner has to rewrite its row to act on.
 func (c *Core) ConfirmationDue() bool {
 	return c.Owns() && c.permission.state != permissionUndisputed && c.now-c.permission.confirmedAt >= confirmInterval
