jobdaemon: log why an owner gives up runs and whether it may act

The log of an owner says "lost" alike for a run whose lease should have expired and for one that an agent reported as ended, and not when it granted the lease last. So an owner that was cut off with a host looks like one that was paused.

Change: event 916 when the owner gives up the runs of a host by their leases (age of the last grant, time without a link, number of runs, granted by this owner or assumed of former ones); a field cause at event 911 of a lost run; at the claim (920) the former owner, its epoch, for how long it is expected to act and the entries that are not linked, and 928 when that changes; 926 at each change of the state of the permission, with the missing entries and the time since which another entry may have replaced the owner. No decision changes.

Command: go test ./internal/jobs ./internal/jobdaemon

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -48,7 +48,7 @@
 	deferred    []any           // messages for the owner that arrived while loading
 	writer      writer
 	clock       hostClock
-	acts        bool // the owner may extend leases and start tasks
+	ownerLog    ownerLog
 	peerCommits peerCommits
 	ownerGroup  *actor.Group // actors that end with the ownership: they load and watch the jobs
 	prunedAt    time.Duration
@@ -122,13 +122,9 @@
 func (c *controller) advanceJobs() {
 	now := c.now()
 	c.noticeSuspension(now)
-	may := c.owner.MayAct(now)
-	if may != c.acts {
-		event.Log(c.log, event.OwnerPermission, log.Fields{"epoch": c.jobs.Epoch(), "acts": may})
-		c.acts = may
-	}
+	c.logPermission(now)
 	c.jobs.Advance(now, time.Now().UnixMilli())
-	c.jobs.PermitLeases(may)
+	c.jobs.PermitLeases(c.owner.MayAct(now))
 	c.jobs.NotReplacedUntil(c.owner.NotReplacedUntil(now))
 }
 
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -34,6 +34,7 @@
 		return
 	}
 	c.owner.PeerUp(name, m.hello.ProcessorShare)
+	c.ownerLog.entryLinked(name)
 	c.addMembers([]msg.Member{m.hello.Member}, m.id)
 	c.publishLinked()
 	c.config.sync.PeerUp(name, m.hello.LinkRate)
@@ -104,6 +105,7 @@
 	c.endFeed(l)
 	if c.entryLink(name) == nil {
 		c.owner.PeerDown(name, c.now())
+		c.ownerLog.entryUnlinked(name, c.now())
 		c.config.sync.PeerDown(name, c.now())
 	}
 	c.publishLinked()
@@ -213,6 +215,9 @@
 		}
 		if _, known := c.members[e.Name]; !known {
 			c.owner.EntryKnown(e.Name, c.now())
+			if c.entryLink(e.Name) == nil {
+				c.ownerLog.entryUnlinked(e.Name, c.now())
+			}
 		}
 		c.members[e.Name] = e
 		changed = append(changed, e)
--- a/internal/jobdaemon/decisions.go
+++ b/internal/jobdaemon/decisions.go
@@ -13,6 +13,7 @@
 	jobs.JobAdmitted: event.JobAdmitted, jobs.JobEnded: event.JobEnded, jobs.RunOrdered: event.RunOrdered, jobs.RunEnded: event.RunEnded,
 	jobs.RunStopped: event.RunStopped, jobs.HostChanged: event.TaskHostChanged, jobs.TaskUnplaced: event.TaskUnplaced,
 	jobs.TaskSuspected: event.TaskSuspected, jobs.JobUnstorable: event.JobUnstorable,
+	jobs.LeasesExpired: event.TaskLeasesExpired,
 }
 
 // logDecision counts and logs a decision of the owner.
@@ -31,6 +32,12 @@
 	if d.Reason != "" {
 		fields["reason"] = d.Reason
 	}
+	if d.Cause != "" {
+		fields["cause"] = string(d.Cause)
+	}
+	if d.Kind == jobs.LeasesExpired {
+		fields["unlinked-ms"], fields["runs"] = d.Unlinked.Milliseconds(), d.Runs
+	}
 	event.Log(c.log, ownerEvents[d.Kind], fields)
 }
 
--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -221,9 +221,12 @@
 
 // limitFormerOwners tells the jobs until when former owners may extend leases.
 func (c *controller) limitFormerOwners() {
-	if !c.loading {
-		c.jobs.FormerOwnersActUntil(c.owner.FormerOwnersActUntil())
+	if c.loading {
+		return
 	}
+	until := c.owner.FormerOwnersActUntil()
+	c.jobs.FormerOwnersActUntil(until)
+	c.logFormerOwners(until)
 }
 
 // formerOwners returns what the ownership knows of the former owners.
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -87,6 +87,7 @@
 }
 
 func (c *controller) claimOwnership() {
+	c.recordFormerOwner()
 	owner, version := c.owner.Claim()
 	value, err := wire.EncodeOwner(owner)
 	if err != nil {
@@ -125,10 +126,9 @@
 // links to agents have failed without notice.
 func (c *controller) startOwnership() {
 	epoch := c.owner.Epoch()
-	event.Log(c.log, event.OwnershipStarted, log.Fields{"epoch": epoch})
+	c.logOwnershipStarted()
 	c.jobs = jobs.New(epoch, c.now())
 	c.jobs.LimitOrders(c.linkRate / 8 / ordersShare)
-	c.acts = true
 	c.advanceJobs()
 	c.loading, c.deferred = true, nil
 	c.sendToEntries(&msg.OwnerClaim{Epoch: epoch, Owner: c.self.Name})
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -40,6 +40,10 @@
 	Detail string
 	Reason string        // why a job has failed, if not by its failed runs
 	Age    time.Duration // of the job, run, waiting task or lease grant that it is about
+	Cause  LossCause     // of a run that ended as lost
+
+	Unlinked time.Duration // how long the host has been unlinked
+	Runs     int           // number of runs on the host
 }
 
 // DecisionKind is the kind of a Decision.
@@ -58,6 +62,10 @@
 	// servers changed. Detail has the state and the counts.
 	TaskSuspected
 	JobUnstorable // the store refuses the progress of the job
+	// LeasesExpired: the runs of an unlinked host were given up because their leases
+	// have expired. Age is the time since the last grant. Detail says whether this owner
+	// granted it, or it is the latest that former owners may have granted.
+	LeasesExpired
 )
 
 // Core is the state of the owner of the jobs. It is not safe for concurrent use.
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -61,6 +61,8 @@
 	dueAt     time.Duration // when the host expires in Core.due; 0: never
 
 	lastGrantAt          time.Duration // when the lease of the runs was last granted
+	unlinkedAt           time.Duration // when its last link ended, or it was expected without a link
+	endCause             LossCause     // of runs that were there before the incarnation ended; "": none has ended since the last inventory
 	runs                 map[workload.RunID]*run
 	used                 workload.Resources // charges of the runs
 	bestEffortCPU        int64              // thousandths of a core that best-effort runs declare
@@ -194,6 +196,7 @@
 func (c *Core) Unlinked(name workload.HostName) {
 	if h, ok := c.hosts[name]; ok {
 		c.addDecision(Decision{Kind: HostChanged, Host: name, Detail: "silent", Age: c.now - h.lastGrantAt})
+		h.unlinkedAt = c.now
 		h.step(evDown)
 	}
 }
@@ -219,8 +222,10 @@
 			h.attributeCrash()
 		}
 		h.inventoryStartedAtMS = 0
+		h.endCause = LostUnavailable
 	}
 	if restarted {
+		h.endCause = LostIncarnationEnded
 		h.endsApplied, h.endsAcknowledged = 0, 0
 		delete(h.core.unstoredEnds, h)
 		h.health = health{}
@@ -264,9 +269,10 @@
 // loseRuns ends the runs of a host on which they have certainly ended.
 func (h *host) loseRuns() {
 	h.idleSince = h.core.now
+	h.logExpiredLeases()
 	h.dropEarlyRuns()
 	for _, r := range h.sortedRuns() {
-		r.step(evLost)
+		r.lose(LostLeaseExpired)
 	}
 	h.core.endRecoveryIfComplete()
 }
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -94,6 +94,7 @@
 	h.expected, h.stored = true, true
 	c.hostList.stored[name] = true
 	if !known {
+		h.unlinkedAt = c.now
 		h.step(evExpect)
 	}
 	h.schedule()
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -50,9 +50,10 @@
 	}
 	for _, r := range h.sortedRuns() {
 		if !listed[r.id] {
-			r.step(evLost)
+			r.lose(h.unlistedCause())
 		}
 	}
+	h.endCause = ""
 	if len(m.Runs) == 0 {
 		h.idleSince = h.core.now
 	}
--- /dev/null
+++ b/internal/jobs/loss.go
@@ -0,0 +1,50 @@
+package jobs
+
+// LossCause says why the owner took a run for ended without a report of its end.
+type LossCause string
+
+// Causes of losses.
+const (
+	LostLeaseExpired     LossCause = "lease-expired"       // its host was unlinked for longer than its lease
+	LostUnlisted         LossCause = "not-in-inventory"    // the host's inventory neither lists it nor its end
+	LostIncarnationEnded LossCause = "incarnation-ended"   // another incarnation of the backend server began
+	LostUnavailable      LossCause = "backend-server-gone" // its agent reported the backend server as unavailable
+)
+
+// lose ends a run that has certainly ended without a report.
+func (r *run) lose(cause LossCause) {
+	r.lossCause = cause
+	r.step(evLost)
+}
+
+// unlistedCause returns why runs are lost that the host's inventory does not list.
+func (h *host) unlistedCause() LossCause {
+	if h.endCause != "" {
+		return h.endCause
+	}
+	return LostUnlisted
+}
+
+// logExpiredLeases logs that the runs of the host are given up because their leases
+// have expired.
+func (h *host) logExpiredLeases() {
+	c := h.core
+	detail := "assumed"
+	if h.adopted {
+		detail = "granted"
+	}
+	c.addDecision(Decision{
+		Kind: LeasesExpired, Host: h.info.Name, Detail: detail, Age: c.now - h.lastGrantAt, Unlinked: c.now - h.unlinkedAt, Runs: len(h.runs),
+	})
+}
+
+// SilentHosts returns the number of unlinked hosts whose leases have not expired.
+func (c *Core) SilentHosts() int {
+	n := 0
+	for _, h := range c.hostsByName {
+		if h.state == hostSilent {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -66,6 +66,7 @@
 	statusAt   time.Duration
 	end        msg.RunEnd // set during the event ended only
 	stopReason string     // why it was stopped, for the log
+	lossCause  LossCause  // set during the event lost only
 
 	mayHaveStarted bool // its agent reported it as started or as unconfirmed
 
@@ -160,7 +161,7 @@
 // becomes ready again, and resumes from the last reported checkpoint.
 func (r *run) settleLost() {
 	c := r.core()
-	c.addDecision(Decision{Kind: RunEnded, Job: r.id.Task.Job, Run: r.id, Host: r.host.info.Name, Detail: "lost", Age: c.now - r.orderedAt})
+	c.addDecision(Decision{Kind: RunEnded, Job: r.id.Task.Job, Run: r.id, Host: r.host.info.Name, Detail: "lost", Cause: r.lossCause, Age: c.now - r.orderedAt})
 	if r.status.Checkpoint != "" {
 		r.task.checkpoint = r.status.Checkpoint
 		r.task.attemptsChanged()
