jobdaemon: count lost runs, refused starts and the owner's permission

Without metrics of the permission and of the losses an operator finds a partitioned owner only by reading logs.

Change: gauges of the permission, of the time since which another entry may have replaced the owner, and of silent hosts, set once a second; counters of lost runs by cause and of starts that an agent refuses by reason.

--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	tally "github.com/uber-go/tally/v4"
 
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
@@ -30,6 +31,7 @@
 	// RegistryHandler decodes the backend server's announcements.
 	RegistryHandler func(runner.Registry) http.Handler
 	Log             log.Interface
+	metrics         *agentMetrics // nil: none
 	// Failed is called with nil or an error when the agent's loop has ended. The agent
 	// does not work any more after an error. May be nil.
 	Failed func(error)
@@ -103,11 +105,13 @@
 
 // StartAgent starts an agent. It ends with g.
 func StartAgent(g *actor.Group, cfg AgentConfig) (*Agent, error) {
+	series := metrics.Start(g)
+	cfg.metrics = newAgentMetrics(series)
 	a := startAgentActors(g, cfg, link.NewDialer(g, link.Config{}))
 	if _, err := serve(g, "registry", cfg.Registry, cfg.RegistryHandler(&registry{a})); err != nil {
 		return nil, err
 	}
-	if err := serveMetrics(g, cfg.Metrics, metrics.Start(g)); err != nil {
+	if err := serveMetrics(g, cfg.Metrics, series); err != nil {
 		return nil, err
 	}
 	event.Log(cfg.Log, event.NodeStarted, log.Fields{"name": string(cfg.Core.Name), "role": "agent", "seeds": cfg.Seeds})
@@ -116,6 +120,9 @@
 
 // startAgentActors starts an agent and its links.
 func startAgentActors(g *actor.Group, cfg AgentConfig, dial link.Dialer) *agent {
+	if cfg.metrics == nil {
+		cfg.metrics = &agentMetrics{tally.NoopScope}
+	}
 	a := &agent{
 		cfg: cfg, core: hostagent.New(cfg.Core), log: cfg.Log, group: g, dial: dial, linkGroup: g.Sub(),
 		startedAt: time.Now(), links: map[linkID]peer.Out{},
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -22,6 +22,8 @@
 	maxBatch       = 128
 	pruneInterval  = 10 * time.Second
 	lagLogInterval = 10 * time.Second
+	// ownerRecordInterval is the interval at which the metrics of the ownership are set.
+	ownerRecordInterval = time.Second
 )
 
 // controller is the actor that owns the state of an entry: its links, its cache
@@ -35,25 +37,26 @@
 	startedAt  time.Time
 	metrics    *entryMetrics
 
-	linkRate    int64 // of the host's network connection, bits per second; 0: not known
-	links       map[linkID]*peerLink
-	agents      map[workload.HostName]*agentView
-	members     map[string]msg.Member // entries by name
-	config      *configState
-	phases      *phaseCache
-	owner       *ownership.Core // which entry owns the jobs
-	jobs        *jobs.Core      // nil unless this entry owns the jobs
-	loading     bool            // this entry owns the jobs but has not read them yet
-	feeds       *phaseFeeds     // nil unless this entry owns the jobs and has read them
-	deferred    []any           // messages for the owner that arrived while loading
-	writer      writer
-	clock       hostClock
-	ownerLog    ownerLog
-	peerCommits peerCommits
-	ownerGroup  *actor.Group // actors that end with the ownership: they load and watch the jobs
-	prunedAt    time.Duration
-	tickedAt    time.Duration // 0: not yet
-	lagLoggedAt time.Duration // 0: never
+	linkRate        int64 // of the host's network connection, bits per second; 0: not known
+	links           map[linkID]*peerLink
+	agents          map[workload.HostName]*agentView
+	members         map[string]msg.Member // entries by name
+	config          *configState
+	phases          *phaseCache
+	owner           *ownership.Core // which entry owns the jobs
+	jobs            *jobs.Core      // nil unless this entry owns the jobs
+	loading         bool            // this entry owns the jobs but has not read them yet
+	feeds           *phaseFeeds     // nil unless this entry owns the jobs and has read them
+	deferred        []any           // messages for the owner that arrived while loading
+	writer          writer
+	clock           hostClock
+	ownerLog        ownerLog
+	peerCommits     peerCommits
+	ownerGroup      *actor.Group // actors that end with the ownership: they load and watch the jobs
+	prunedAt        time.Duration
+	tickedAt        time.Duration // 0: not yet
+	lagLoggedAt     time.Duration // 0: never
+	ownerRecordedAt time.Duration // when the metrics of the ownership were last set
 
 	published *published
 }
@@ -104,6 +107,7 @@
 func (c *controller) tick() {
 	now := c.now()
 	c.checkLag(now)
+	c.recordOwner(now)
 	c.noticeSuspension(now)
 	c.owner.Tick(now)
 	if c.jobs != nil {
--- a/internal/jobdaemon/decisions.go
+++ b/internal/jobdaemon/decisions.go
@@ -48,8 +48,9 @@
 	hostagent.RunThrottled: event.AgentRunThrottled, hostagent.AnnouncementDenied: event.AgentAnnouncementDenied,
 }
 
-// logDecision logs a decision of the agent.
+// logDecision counts and logs a decision of the agent.
 func (a *agent) logDecision(d hostagent.Decision) {
+	a.cfg.metrics.countDecision(d)
 	fields := log.Fields{"epoch": d.Epoch, "detail": d.Detail}
 	if (d.Run != workload.RunID{}) {
 		fields["run"] = d.Run.String()
--- a/internal/jobdaemon/metrics.go
+++ b/internal/jobdaemon/metrics.go
@@ -6,6 +6,7 @@
 
 	tally "github.com/uber-go/tally/v4"
 
+	"github.com/bambooscale/bambooscale/internal/hostagent"
 	"github.com/bambooscale/bambooscale/internal/jobapi"
 	"github.com/bambooscale/bambooscale/internal/jobs"
 	"github.com/bambooscale/bambooscale/internal/metrics"
@@ -13,7 +14,7 @@
 
 // entryMetrics counts the submissions of an entry and the decisions of an owner,
 // and records the cost of its planning passes and the lag of its loop. The labels
-// are the queue, the outcome, how a run ended, and the final phase.
+// are the queue, the outcome, how a run ended, why it was lost, and the final phase.
 type entryMetrics struct{ scope tally.Scope }
 
 func newEntryMetrics(r *metrics.Registry) *entryMetrics { return &entryMetrics{r.Scope("jobs")} }
@@ -44,6 +45,9 @@
 		m.recordDuration("run_wait_seconds", d.Age)
 	case jobs.RunEnded:
 		m.scope.Tagged(map[string]string{"end": d.Detail}).Counter("runs_over_total").Inc(1)
+		if d.Cause != "" {
+			m.scope.Tagged(map[string]string{"cause": string(d.Cause)}).Counter("runs_lost_total").Inc(1)
+		}
 	case jobs.JobEnded:
 		m.scope.Tagged(map[string]string{"phase": d.Detail}).Counter("jobs_over_total").Inc(1)
 		m.recordDuration("job_seconds", d.Age)
@@ -63,3 +67,38 @@
 func (m *entryMetrics) recordDuration(name string, d time.Duration) {
 	m.scope.Histogram(name, metrics.LatencyBuckets).RecordDuration(d)
 }
+
+// ownerStatus is what an entry records of its ownership from time to time.
+type ownerStatus struct {
+	permission  permissionState
+	confirmedAt time.Duration // newest time at which no other entry had replaced the owner
+	silentHosts int
+}
+
+// permissionValues are the values of the gauge of the permission. An entry that does
+// not own the jobs has 0.
+var permissionValues = map[permissionState]float64{permissionUndisputed: 1, permissionDisputed: 2, permissionLapsed: 3}
+
+// recordOwner records the status of the ownership at a time. The status of an entry
+// that does not own the jobs is zero.
+func (m *entryMetrics) recordOwner(s ownerStatus, now time.Duration) {
+	age := time.Duration(0)
+	if s.permission != "" {
+		age = now - s.confirmedAt
+	}
+	m.scope.Gauge("owner_permission").Update(permissionValues[s.permission])
+	m.scope.Gauge("owner_confirmation_age_seconds").Update(age.Seconds())
+	m.scope.Gauge("silent_hosts").Update(float64(s.silentHosts))
+}
+
+// agentMetrics counts the starts that an agent refuses.
+type agentMetrics struct{ scope tally.Scope }
+
+func newAgentMetrics(r *metrics.Registry) *agentMetrics { return &agentMetrics{r.Scope("agent")} }
+
+// countDecision counts a decision of the agent.
+func (m *agentMetrics) countDecision(d hostagent.Decision) {
+	if d.Kind == hostagent.StartRefused {
+		m.scope.Tagged(map[string]string{"reason": d.Detail}).Counter("starts_refused_total").Inc(1)
+	}
+}
--- a/internal/jobdaemon/ownerlog.go
+++ b/internal/jobdaemon/ownerlog.go
@@ -42,6 +42,20 @@
 	return permissionDisputed, confirmedAt
 }
 
+// recordOwner sets the metrics of the ownership if that is due.
+func (c *controller) recordOwner(now time.Duration) {
+	if now-c.ownerRecordedAt < ownerRecordInterval {
+		return
+	}
+	c.ownerRecordedAt = now
+	var s ownerStatus
+	if c.jobs != nil {
+		s.permission, s.confirmedAt = c.permission(now)
+		s.silentHosts = c.jobs.SilentHosts()
+	}
+	c.metrics.recordOwner(s, now)
+}
+
 // logPermission logs the permission of the owner if its state has changed.
 func (c *controller) logPermission(now time.Duration) {
 	l := &c.ownerLog
