ownership: count an entry by its echoes instead of its link

What callers saw: a task ran twice in a division that is not transitive, in a test of whole processes: the owner and entry-1 are cut off from the table service, entry-1 is linked with both the owner and entry-2, which claims. And an owner acted for as long as heartbeats of an entry arrived that had given it up long before. Cause: "linked" was what the own end of a link looked like. It says neither that the other end has not given up and claimed, nor that the peer does not know a newer owner. Change: the owner acts without a write while each known entry has echoed a heartbeat that is at most 2 s old, and counts only such entries for its majority. A heartbeat with a higher epoch ends the ownership. A successor waits for 2 s from when the majority of the entries has echoed a heartbeat that was sent after its claim, and for 10 s from the claim until then. From an echo of 1.2 s on the owner rewrites its row, so that it does not stop for a moment when the entry counts as missing. Why it works: an entry that echoes a heartbeat without a higher epoch did not own the jobs when it received it, so its claim is answered later than the heartbeat was sent, and it waits 2 s from that answer. An entry that has echoed the successor's heartbeat names the epoch in each later heartbeat to the former owner, which therefore counts it for at most 2 s more. Two majorities have an entry in common. Links with entries of a former program count as before. Without trouble no write.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -64,6 +64,7 @@
 // published holds the values that other goroutines of the process may read.
 type published struct {
 	epoch    actor.Value[uint64]
+	epochs   peer.Epochs                  // for heartbeats
 	linked   actor.Value[map[string]bool] // addresses of linked entries
 	members  actor.Value[[]msg.Member]
 	phases   actor.Value[msg.PhaseMark]
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -34,6 +34,10 @@
 		return
 	}
 	c.owner.PeerUp(name, m.hello.ProcessorShare)
+	c.owner.EntryEchoes(name, m.hello.EchoesHeartbeat)
+	if m.hello.EchoesHeartbeat {
+		c.send(l, &msg.Heartbeat{}) // its echo shows soon that the entry is linked
+	}
 	c.ownerLog.entryLinked(name)
 	c.addMembers([]msg.Member{m.hello.Member}, m.id)
 	c.publishLinked()
@@ -125,6 +129,7 @@
 func (c *controller) received(l *peerLink, m msg.Control) {
 	switch m := m.(type) {
 	case *msg.Heartbeat:
+		c.heartbeat(l.hello.Member.Name, m)
 	case *msg.Members:
 		c.addMembers(m.Entries, l.id)
 	case *msg.HostAnnounced:
@@ -152,6 +157,17 @@
 	}
 }
 
+// heartbeat applies the epoch that an entry knows, and then its echo. The heartbeats of
+// agents carry neither.
+func (c *controller) heartbeat(name string, m *msg.Heartbeat) {
+	if c.owner.EpochObserved(m.Epoch, c.now()) {
+		c.logOwner(name)
+	}
+	if m.Echo != 0 && c.owner.Echoed(name, m.Echo, c.now()) {
+		c.limitFormerOwners()
+	}
+}
+
 // hostAnnounced records the state of a host from the present link of its agent.
 func (c *controller) hostAnnounced(l *peerLink, h workload.Host) {
 	a := c.agents[workload.HostName(l.hello.Member.Name)]
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -111,6 +111,7 @@
 		phases: newPhaseCache(), owner: ownership.New(cfg.Name, cfg.Boot, cfg.ProcessorShare, 0), published: &published{},
 		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
 	}
+	c.published.epochs.StartedAt = c.startedAt
 	c.config = newConfigState(g, c, cfg.Config, configInUse, cfg.LinkRate)
 	c.storeProxy = &storeProxy{store: cfg.Store, commitViaPeer: c.commitViaPeer, log: cfg.Log}
 	return c
@@ -128,7 +129,7 @@
 // startLinks serves and dials links in g until g ends. The sockets outlive g, so
 // that each link can end in an orderly way.
 func (c *controller) startLinks(g *actor.Group, cfg EntryConfig, listener link.Listener, dial link.Dialer) {
-	l := &links{group: g, send: c.address.Send, hello: func() *msg.PeerHello { return c.hello(cfg) }}
+	l := &links{group: g, send: c.address.Send, epochs: &c.published.epochs, hello: func() *msg.PeerHello { return c.hello(cfg) }}
 	actor.Go(g, "link acceptor", func(ctx context.Context) error { return l.accept(ctx, listener) })
 	dialers := &dialers{links: l, dial: dial, self: cfg.Links, started: map[string]bool{}}
 	dialers.linked = func(address string) bool {
@@ -145,6 +146,7 @@
 func (c *controller) hello(cfg EntryConfig) *msg.PeerHello {
 	h := &msg.PeerHello{
 		Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ConfigChunks: true, ProcessorShare: cfg.ProcessorShare, LinkRate: cfg.LinkRate,
+		EchoesHeartbeat: true,
 	}
 	if epoch := c.published.epoch.Get(); epoch != nil {
 		h.Epoch = *epoch
--- a/internal/jobdaemon/links.go
+++ b/internal/jobdaemon/links.go
@@ -79,13 +79,14 @@
 	hello func() *msg.PeerHello
 	// follow makes the links send heartbeats at the intervals of their peers.
 	follow bool
+	epochs *peer.Epochs // of an entry; nil: of an agent
 	send   func(context.Context, any) error
 }
 
 func (l *links) run(ctx context.Context, conn link.Conn) error {
 	handler := &linkHandler{ctx: ctx, id: l.base + linkID(l.next.Next()), send: l.send}
 	timing := linkTiming
-	timing.Follow = l.follow
+	timing.Follow, timing.Epochs = l.follow, l.epochs
 	return peer.RunWithTiming(ctx, conn, l.hello(), handler, timing)
 }
 
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -68,6 +68,7 @@
 	}
 	epoch := c.owner.Epoch()
 	c.published.epoch.Set(&epoch)
+	c.published.epochs.Highest.Raise(epoch)
 }
 
 func (c *controller) readOwner(ctx context.Context) error {
@@ -112,6 +113,11 @@
 			}
 		}
 	}
+	if r.outcome == table.Committed {
+		// Before the time of the claim is taken: a heartbeat that is sent, or echoed,
+		// after that time carries the epoch.
+		c.published.epochs.Highest.Raise(m.owner.Epoch)
+	}
 	if c.owner.Claimed(m.owner, r.outcome, r.revision, c.now()) {
 		c.writer = writer{owner: m.owner, version: r.revision, retireReply: c.writer.retireReply}
 	}
@@ -132,6 +138,7 @@
 	c.advanceJobs()
 	c.loading, c.deferred = true, nil
 	c.sendToEntries(&msg.OwnerClaim{Epoch: epoch, Owner: c.self.Name})
+	c.sendToEntries(&msg.Heartbeat{})
 	c.sendHeartbeats(linkTiming.Heartbeat)
 	c.ownerGroup = c.group.Sub()
 	actor.Go(c.ownerGroup, "job loader", func(ctx context.Context) error { return c.load(ctx, epoch) })
@@ -213,6 +220,8 @@
 func (c *controller) ownerRead(m *ownerRead) {
 	former, epoch := c.owner.Owner(), c.owner.Epoch()
 	c.owner.Read(m.owner, m.version, c.now())
+	c.published.epochs.Highest.Raise(c.owner.Epoch())
+	c.published.epochs.Known.Set(true)
 	if c.owner.Owner() != former || c.owner.Epoch() != epoch {
 		c.logOwner("table service")
 	}
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -158,6 +158,53 @@
 	})
 }
 
+// Guards against tasks that run twice at a time in a division that is not transitive: the
+// owner and entry-1 are cut off from the table service, entry-2 from the owner, and one
+// host from all but the owner. entry-1 counted for the majority of both.
+func TestOwnerAndItsSuccessorDoNotShareAMajority(t *testing.T) {
+	// The owner confirms its row when it misses entry-2, after 1.2 s, and entry-2 claims
+	// the jobs 250 ms later.
+	for storeCutAfter := 1200 * time.Millisecond; storeCutAfter < 1700*time.Millisecond; storeCutAfter += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			s := newOwnerSite(t, 800, 400, 190)
+			defer s.stop()
+			backends := s.startBackends(3)
+			require.Equal(t, []string{"entry-0"}, s.owners())
+			s.submitLongRunning(2)
+			require.Len(t, backends[0].running(), 1)
+
+			for _, pair := range [][2]string{{"entry-0", "entry-2"}, {"agent-0", "entry-1"}, {"agent-0", "entry-2"}, {"entry-0", "agent-1"}, {"entry-0", "agent-2"}} {
+				s.net.CutBoth(pair[0], pair[1])
+			}
+			s.entries["entry-1"].store.cut.Set(new(true))
+			s.requireSingleRuns(backends, storeCutAfter)
+			s.entries["entry-0"].store.cut.Set(new(true))
+			s.requireSingleRuns(backends, 30*time.Second)
+			require.Equal(t, []string{"entry-2"}, s.owners())
+			require.Len(t, backends[2].running(), 1, "the successor starts the task of the host that it does not reach")
+		})
+	}
+}
+
+// Guards against tasks that wait for longer than needed at a takeover while a host is
+// silent: the majority knows of the successor soon after its claim.
+func TestSuccessorWithAMajorityGivesUpSilentHostsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 190)
+		defer s.stop()
+		backends := s.startBackends(3)
+		s.submitLongRunning(2)
+		members, others := []string{"entry-0", "agent-0"}, []string{"entry-1", "entry-2", "agent-1", "agent-2"}
+		s.cutOff(members, others)
+		began := time.Now()
+		for len(backends[2].running()) == 0 {
+			s.advance(10 * time.Millisecond)
+			require.Less(t, time.Since(began), 12*time.Second)
+		}
+		t.Logf("the task of the silent host starts %v after the cut", time.Since(began))
+	})
+}
+
 // Guards against runs that end because the table service is down for all processes:
 // nobody can replace the owner then.
 func TestRunsGoOnWhileTheTableServiceIsDownForAll(t *testing.T) {
--- /dev/null
+++ b/internal/ownership/divisions_test.go
@@ -0,0 +1,501 @@
+package ownership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+const (
+	heartbeatEvery = 300 * time.Millisecond
+	silenceLimit   = 1200 * time.Millisecond
+	storeTimeout   = 900 * time.Millisecond
+	dividedStep    = 50 * time.Millisecond
+	maxPause       = 10 * time.Second
+	maxDelay       = 15 * time.Second
+	maxLateWrite   = 6 * time.Second
+)
+
+// dividedSite consists of entries whose links, calls of the store and processes fail in
+// any combination. The time is that of the site; each process has a clock of its own.
+type dividedSite struct {
+	random    *rand.Rand
+	now       time.Duration
+	row       workload.Owner
+	version   table.Revision
+	entries   map[string]*dividedEntry
+	names     []string
+	events    []dividedEvent
+	delays    map[[2]string]time.Duration // of messages from one entry to another
+	blocked   map[[2]string]bool          // messages wait
+	noStore   map[string]bool
+	lateStore bool   // writes may take effect late
+	newest    uint64 // highest epoch of an owner that waits for former owners no more
+	newestBy  string
+	boot      uint64
+	linkIDs   int
+	takeovers int
+	acted     time.Duration // for how long an owner acted
+	log       []string
+}
+
+// dividedEvent is an arrival of a message or an effect of a call.
+type dividedEvent struct {
+	at    time.Duration
+	order int
+	to    string // entry whose process has to run; "": the store
+	apply func()
+}
+
+// dividedEntry is a process of an entry.
+type dividedEntry struct {
+	site        *dividedSite
+	core        *Core
+	name        string
+	startedAt   time.Duration
+	pausedUntil time.Duration
+	highest     uint64
+	known       bool
+	links       map[int]*dividedLink
+	committing  bool
+	owner       workload.Owner // as written by this owner
+	version     table.Revision
+	dialledAt   map[string]time.Duration
+	gone        bool
+}
+
+// dividedLink is one side of a link.
+type dividedLink struct {
+	id       int
+	peer     string
+	heardAt  time.Duration // on the clock of this entry
+	sentAt   time.Duration
+	received time.Duration
+	lastAt   time.Duration // arrival of the newest message to the peer, on the clock of the site
+}
+
+func newDividedSite(seed uint64, names []string) *dividedSite {
+	s := &dividedSite{random: rand.New(rand.NewPCG(seed, 1)), entries: map[string]*dividedEntry{}, delays: map[[2]string]time.Duration{}, blocked: map[[2]string]bool{}, noStore: map[string]bool{}}
+	for _, name := range names {
+		s.start(name)
+	}
+	return s
+}
+
+func (s *dividedSite) note(format string, args ...any) {
+	s.log = append(s.log, fmt.Sprintf("%8.2f  ", s.now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *dividedSite) upTo(d time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(d) + 1))
+}
+
+// start starts a process of an entry. It knows the entries that are stored then, as
+// the list of members has them.
+func (s *dividedSite) start(name string) {
+	if old := s.entries[name]; old != nil {
+		old.gone = true
+	} else {
+		s.names = append(s.names, name)
+	}
+	s.boot++
+	e := &dividedEntry{site: s, name: name, startedAt: s.now - time.Duration(s.boot)*time.Millisecond, links: map[int]*dividedLink{}, dialledAt: map[string]time.Duration{}}
+	e.core = New(name, s.boot, 0, e.clock())
+	s.entries[name] = e
+	for _, other := range s.names {
+		if other != name {
+			e.core.EntryKnown(other, e.clock())
+		}
+	}
+	s.note("%s starts as %d", name, s.boot)
+}
+
+func (e *dividedEntry) clock() time.Duration { return e.site.now - e.startedAt }
+func (e *dividedEntry) runs() bool           { return !e.gone && e.site.now >= e.pausedUntil }
+
+func (s *dividedSite) after(d time.Duration, to string, f func()) {
+	s.events = append(s.events, dividedEvent{s.now + d, len(s.events), to, f})
+}
+
+// send sends a message on a link. Messages of one side arrive in order.
+func (e *dividedEntry) send(l *dividedLink, f func(*dividedEntry, *dividedLink)) {
+	s := e.site
+	delay := s.delays[[2]string{e.name, l.peer}]
+	l.lastAt = max(l.lastAt, s.now+time.Millisecond+delay/2+s.upTo(delay/2))
+	id, from, to := l.id, e.name, l.peer
+	target := s.entries[to]
+	var arrive func()
+	arrive = func() {
+		if s.blocked[[2]string{from, to}] {
+			s.after(dividedStep, to, arrive)
+			return
+		}
+		if far := target.links[id]; !target.gone && far != nil {
+			far.heardAt = target.clock()
+			f(target, far)
+		}
+	}
+	s.after(l.lastAt-s.now, to, arrive)
+}
+
+// dial sets up a link if both directions are open.
+func (s *dividedSite) dial(e *dividedEntry) {
+	for _, name := range s.names {
+		if name <= e.name || e.linkedWith(name) || e.clock()-e.dialledAt[name] < 250*time.Millisecond {
+			continue
+		}
+		e.dialledAt[name] = e.clock()
+		peer := s.entries[name]
+		if s.blocked[[2]string{e.name, name}] || s.blocked[[2]string{name, e.name}] || !peer.runs() {
+			continue
+		}
+		s.linkIDs++
+		id := s.linkIDs
+		e.up(id, peer)
+		peer.up(id, e)
+	}
+}
+
+func (e *dividedEntry) linkedWith(name string) bool {
+	for _, l := range e.links {
+		if l.peer == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *dividedEntry) up(id int, peer *dividedEntry) {
+	e.links[id] = &dividedLink{id: id, peer: peer.name, heardAt: e.clock(), sentAt: -heartbeatEvery}
+	e.core.EpochObserved(peer.highest, e.clock())
+	e.highest = max(e.highest, peer.highest)
+	e.core.PeerUp(peer.name, 0)
+	e.core.EntryEchoes(peer.name, true)
+	if e.core.Owns() {
+		e.core.EntryLinked(peer.name, peer.core.boot, peer.core.Epoch(), e.clock())
+	}
+}
+
+func (e *dividedEntry) down(id int) {
+	l := e.links[id]
+	delete(e.links, id)
+	if !e.linkedWith(l.peer) {
+		e.core.PeerDown(l.peer, e.clock())
+	}
+}
+
+// serveLinks ends silent links and sends heartbeats.
+func (e *dividedEntry) serveLinks() {
+	for _, id := range sortedIDs(e.links) {
+		l := e.links[id]
+		if e.clock()-l.heardAt >= silenceLimit {
+			e.send(l, func(far *dividedEntry, l *dividedLink) { far.down(l.id) })
+			e.down(id)
+			continue
+		}
+		if e.clock()-l.sentAt < heartbeatEvery {
+			continue
+		}
+		l.sentAt = e.clock()
+		sentAt, epoch, echo := e.clock(), e.highest, time.Duration(0)
+		if e.known {
+			echo = l.received
+		}
+		e.send(l, func(far *dividedEntry, l *dividedLink) { far.heartbeat(l, sentAt, epoch, echo) })
+	}
+}
+
+func (e *dividedEntry) heartbeat(l *dividedLink, sentAt time.Duration, epoch uint64, echo time.Duration) {
+	e.highest = max(e.highest, epoch)
+	l.received = max(l.received, sentAt)
+	e.core.EpochObserved(epoch, e.clock())
+	if echo != 0 {
+		e.core.Echoed(l.peer, echo, e.clock())
+	}
+}
+
+func sortedIDs(links map[int]*dividedLink) []int {
+	var ids []int
+	for id := range links {
+		at := len(ids)
+		for at > 0 && ids[at-1] > id {
+			at--
+		}
+		ids = append(ids[:at], append([]int{id}, ids[at:]...)...)
+	}
+	return ids
+}
+
+// commit writes the row and calls answered with the outcome and the present row. A call
+// whose answer is late has an unknown outcome, and may take effect later.
+func (e *dividedEntry) commit(owner workload.Owner, version table.Revision, answered func(table.Outcome, workload.Owner, table.Revision)) {
+	s := e.site
+	done := false
+	answer := func(o table.Outcome, row workload.Owner, v table.Revision) {
+		if !done {
+			done = true
+			answered(o, row, v)
+		}
+	}
+	s.after(storeTimeout, e.name, func() { answer(table.Unknown, workload.Owner{}, 0) })
+	if s.noStore[e.name] {
+		return
+	}
+	delay := s.upTo(20 * time.Millisecond)
+	if s.lateStore && s.random.IntN(3) == 0 {
+		delay = s.upTo(maxLateWrite)
+	}
+	s.after(delay, "", func() {
+		outcome := table.Conflict
+		if version == s.version {
+			outcome = table.Committed
+			if owner.Name != s.row.Name || owner.Epoch != s.row.Epoch {
+				s.note("row: %+v", owner)
+			}
+			s.row, s.version = owner, s.version+1
+		}
+		row, v := s.row, s.version
+		if !s.noStore[e.name] {
+			late := 20 * time.Millisecond
+			if s.lateStore {
+				late = storeTimeout
+			}
+			s.after(s.upTo(late), e.name, func() { answer(outcome, row, v) })
+		}
+	})
+}
+
+func (e *dividedEntry) perform() {
+	s := e.site
+	for _, effect := range e.core.Effects() {
+		switch effect {
+		case ReadRow:
+			if s.noStore[e.name] {
+				continue
+			}
+			s.after(s.upTo(20*time.Millisecond), "", func() {
+				row, version := s.row, s.version
+				s.after(s.upTo(20*time.Millisecond), e.name, func() {
+					e.core.Read(row, version, e.clock())
+					e.highest, e.known = max(e.highest, e.core.Epoch()), true
+				})
+			})
+		case ClaimRow:
+			e.claim()
+		case Begin:
+			s.note("%s owns the jobs with epoch %d", e.name, e.core.Epoch())
+			s.takeovers++
+			for _, id := range sortedIDs(e.links) {
+				epoch := e.core.Epoch()
+				e.send(e.links[id], func(far *dividedEntry, _ *dividedLink) { far.core.OwnerObserved(e.name, epoch, far.clock()) })
+			}
+		case End:
+			s.note("%s ends", e.name)
+		}
+	}
+	e.highest = max(e.highest, e.core.Epoch())
+	if e.core.ConfirmationDue() && !e.committing {
+		next := e.owner
+		next.Sequence++
+		e.committing = true
+		e.confirm(next)
+	}
+}
+
+func (e *dividedEntry) claim() {
+	owner, version := e.core.Claim()
+	e.commit(owner, version, func(outcome table.Outcome, row workload.Owner, v table.Revision) {
+		if outcome == table.Conflict && row == owner {
+			outcome = table.Committed
+		}
+		if outcome == table.Committed {
+			e.highest = max(e.highest, owner.Epoch)
+		}
+		if e.core.Claimed(owner, outcome, v, e.clock()) {
+			e.owner, e.version, e.committing = owner, v, false
+		}
+	})
+}
+
+// confirm rewrites the row as the owner's writer does.
+func (e *dividedEntry) confirm(next workload.Owner) {
+	sentAt := e.clock()
+	e.commit(next, e.version, func(outcome table.Outcome, row workload.Owner, v table.Revision) {
+		if !e.core.Owns() || e.owner.Epoch != next.Epoch {
+			return
+		}
+		if outcome == table.Conflict {
+			switch {
+			case row == next:
+				outcome = table.Committed
+			case row.Name == e.owner.Name && row.Boot == e.owner.Boot && row.Epoch == e.owner.Epoch:
+				e.version, outcome = v, table.Unknown
+			}
+		}
+		switch outcome {
+		case table.Committed:
+			e.committing, e.version, e.owner = false, v, next
+			e.core.Confirmed(sentAt, e.clock())
+		case table.Conflict:
+			e.committing = false
+			e.core.Superseded(e.clock())
+		default:
+			e.confirm(next)
+		}
+	})
+}
+
+// run advances the time by d.
+func (s *dividedSite) run(t *rapid.T, d time.Duration) {
+	for end := s.now + d; s.now < end; s.now += dividedStep {
+		s.deliver()
+		for _, name := range s.names {
+			e := s.entries[name]
+			if !e.runs() {
+				continue
+			}
+			e.core.Tick(e.clock())
+			s.dial(e)
+			e.serveLinks()
+			e.perform()
+		}
+		s.check(t)
+	}
+}
+
+// deliver applies the events that are due, in their order. Those of a process that does
+// not run wait.
+func (s *dividedSite) deliver() {
+	for progress := true; progress; {
+		progress = false
+		events := s.events
+		s.events = nil
+		for _, ev := range events {
+			if ev.at > s.now || ev.to != "" && !s.entries[ev.to].runs() {
+				s.events = append(s.events, ev)
+				continue
+			}
+			progress = true
+			ev.apply()
+			for _, name := range s.names {
+				if e := s.entries[name]; e.runs() {
+					e.perform()
+				}
+			}
+		}
+	}
+}
+
+// check requires that no owner acts once one of a higher epoch waits for it no more.
+func (s *dividedSite) check(t *rapid.T) {
+	for _, name := range s.names {
+		e := s.entries[name]
+		if !e.runs() || !e.core.Owns() {
+			continue
+		}
+		if epoch := e.core.Epoch(); epoch > s.newest && (e.core.FormerOwnerEnded() || e.clock() > e.core.FormerOwnersActUntil()) {
+			s.newest, s.newestBy = epoch, name
+			s.note("%s waits no more", name)
+		}
+	}
+	for _, name := range s.names {
+		e := s.entries[name]
+		if !e.runs() || !e.core.MayAct(e.clock()) {
+			continue
+		}
+		s.acted += dividedStep
+		if e.core.Epoch() < s.newest {
+			for _, line := range s.log {
+				t.Log(line)
+			}
+			t.Fatalf("%s acts with epoch %d at %v, and %s with epoch %d", name, e.core.Epoch(), s.now, s.newestBy, s.newest)
+		}
+	}
+}
+
+// fail changes the state of the network, of the store or of a process.
+func (s *dividedSite) fail(restarts, joins bool) {
+	pick := func() string { return s.names[s.random.IntN(len(s.names))] }
+	a, b := pick(), pick()
+	switch kind := s.random.IntN(18); {
+	case kind >= 16:
+		s.blocked, s.noStore = map[[2]string]bool{}, map[string]bool{}
+		s.note("healed")
+	case kind >= 12:
+		s.divide()
+	case kind < 4 && a != b:
+		cut := s.random.IntN(3) > 0
+		s.blocked[[2]string{a, b}] = cut
+		if s.random.IntN(4) > 0 {
+			s.blocked[[2]string{b, a}] = cut
+		}
+		s.note("%s-%s blocked: %v", a, b, cut)
+	case kind < 6:
+		s.noStore[a] = !s.noStore[a]
+		s.note("%s without store: %v", a, s.noStore[a])
+	case kind == 6:
+		pause := s.upTo(maxPause)
+		s.entries[a].pausedUntil = s.now + pause
+		s.note("%s pauses for %v", a, pause)
+	case kind == 7:
+		delay := s.upTo(maxDelay)
+		s.delays[[2]string{a, b}] = delay
+		s.note("%s-%s delay %v", a, b, delay)
+	case kind == 8:
+		s.delays = map[[2]string]time.Duration{}
+		s.note("no delays")
+	case kind == 9:
+		s.lateStore = !s.lateStore
+		s.note("late store: %v", s.lateStore)
+	case kind == 10 && restarts:
+		s.start(a)
+	case kind == 11 && joins && len(s.names) < 8:
+		s.start(fmt.Sprintf("n%d", len(s.names)))
+	}
+}
+
+// divide cuts the owner off from some of the entries, in one direction or in both, and
+// perhaps from the store.
+func (s *dividedSite) divide() {
+	for _, owner := range s.names {
+		if !s.entries[owner].core.Owns() {
+			continue
+		}
+		s.noStore[owner] = s.random.IntN(4) > 0
+		for _, other := range s.names {
+			if other != owner && s.random.IntN(2) == 0 {
+				s.blocked[[2]string{owner, other}] = s.random.IntN(4) > 0
+				s.blocked[[2]string{other, owner}] = s.random.IntN(4) > 0
+			}
+		}
+		s.note("%s is cut off: %v, store %v", owner, s.blocked, s.noStore)
+	}
+}
+
+// Guards against two owners that act at the same time, in divisions that are directed and
+// not transitive and change with time, with messages that are late, writes that take
+// effect late, and processes that pause and are started again.
+func TestFormerOwnersDoNotActOnceTheirSuccessorWaitsNoMore(t *testing.T) {
+	takeovers, acted, total := 0, time.Duration(0), time.Duration(0)
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(2, 5).Draw(t, "entries")
+		s := newDividedSite(rapid.Uint64().Draw(t, "seed"), []string{"a", "b", "c", "d", "e"}[:entries])
+		s.run(t, 3*time.Second)
+		for range rapid.IntRange(1, 25).Draw(t, "faults") {
+			s.fail(true, false)
+			if s.random.IntN(4) == 0 {
+				s.run(t, s.upTo(12*time.Second))
+			}
+			s.run(t, s.upTo(2*time.Second))
+		}
+		s.run(t, 15*time.Second)
+		takeovers, acted, total = takeovers+s.takeovers, acted+s.acted, total+s.now
+	})
+	t.Logf("%d changes of the owner; an owner acted for %.0f%% of the time", takeovers, 100*float64(acted)/float64(total))
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -97,6 +97,11 @@
 	formerStoppedAt time.Duration
 	permission      permission // of this owner to act
 	suspension      suspension
+	echoes          echoes
+	// informed holds the entries that know this owner, and informedAt when they became
+	// the majority; 0: they have not.
+	informed   map[string]struct{}
+	informedAt time.Duration
 
 	lateness     lateness
 	handedOverAt time.Duration // when the entry last handed over the jobs; 0: never
@@ -136,9 +141,9 @@
 func New(self string, boot uint64, share model.MilliCPU, now time.Duration) *Core {
 	c := &Core{
 		self: self, boot: boot, share: share, now: now, linked: map[string]model.MilliCPU{}, unlinked: map[string]time.Duration{},
-		ownerSeenAt: now + startOwnerTimeout - ownerTimeout,
+		ownerSeenAt: now + startOwnerTimeout - ownerTimeout, echoes: echoes{},
 	}
-	c.permission = newPermission(now, c.linked)
+	c.permission = newPermission(now, c.linked, c.echoes)
 	c.state = ownershipChart.Initial()
 	c.timeoutAt = now + 1 // read at once; 0 means no timeout
 	return c
@@ -217,6 +222,7 @@
 func (c *Core) PeerDown(name string, now time.Duration) {
 	c.now = now
 	delete(c.linked, name)
+	delete(c.echoes, name)
 	if name == c.row.Name {
 		c.ownerSeenAt = now
 	}
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -32,9 +32,8 @@
 	PermissionTime = 2 * time.Second
 	// MajorityPermissionTime replaces PermissionTime for an owner that is linked with
 	// the majority of the entries, so that runs outlive an outage of the table service
-	// in which some entries are lost. A successor waits for as long, unless it knows that
-	// the former owner has stopped: both may have a majority if an entry is linked with
-	// both.
+	// in which some entries are lost. A successor waits for as long until it knows that
+	// the former owner has stopped, or has no majority any more.
 	MajorityPermissionTime = 10 * time.Second
 	// confirmInterval is how old the last confirmation may become before the owner
 	// rewrites its row.
@@ -59,20 +58,21 @@
 	}
 }
 
-// permission says whether the owner may act. An entry that is linked does not claim the
-// jobs, and without the table service no entry can. So the owner may act while all
-// entries are linked, and otherwise for a time after each write to its row.
+// permission says whether the owner may act. It may while each known entry has shown
+// shortly before that it does not own the jobs, and otherwise for a time after each write
+// to its row, which fails once another entry has claimed the jobs.
 type permission struct {
 	state       chart.State
 	linked      map[string]model.MilliCPU // of the Core; entries with a link, some of which may be missing
+	echoes      echoes                    // of the Core
 	confirmedAt time.Duration             // when the last write to the row that succeeded was sent
 	suspendedAt time.Duration             // when the process was last found to have been suspended
 	missing     map[string]time.Duration  // entries that are not known to be linked, since when
 }
 
 // newPermission returns the permission of an owner whose claim was sent at claimSentAt.
-func newPermission(claimSentAt time.Duration, linked map[string]model.MilliCPU) permission {
-	return permission{state: permissionChart.Initial(), linked: linked, confirmedAt: claimSentAt, missing: map[string]time.Duration{}}
+func newPermission(claimSentAt time.Duration, linked map[string]model.MilliCPU, e echoes) permission {
+	return permission{state: permissionChart.Initial(), linked: linked, echoes: e, confirmedAt: claimSentAt, missing: map[string]time.Duration{}}
 }
 
 // limit returns how long the owner may act after a write to its row.
@@ -120,7 +120,11 @@
 
 // advance applies the time.
 func (p *permission) advance(now time.Duration) {
+	p.applyEchoes(now)
 	for name, since := range p.missing {
+		if _, echoes := p.echoes[name]; echoes {
+			continue // its link is up, so it was not removed
+		}
 		if now-since >= missingRetention && now-p.confirmedAt < PermissionTime {
 			p.entryPresent(name)
 		}
@@ -178,7 +182,10 @@
 
 // ConfirmationDue reports whether the owner has to rewrite its row to act on.
 func (c *Core) ConfirmationDue() bool {
-	return c.Owns() && c.permission.state != permissionUndisputed && c.now-c.permission.confirmedAt >= confirmInterval
+	if !c.Owns() || c.now-c.permission.confirmedAt < confirmInterval {
+		return false
+	}
+	return c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
 }
 
 // Confirmed records that the owner's row was rewritten by a transaction which was sent
@@ -207,8 +214,9 @@
 // beginPermission sets the permission of an owner that has just claimed the jobs. The
 // former owner counts as missing unless it is linked, since it may claim them again.
 func (c *Core) beginPermission() {
-	c.permission = newPermission(c.claimSentAt, c.linked)
+	c.permission = newPermission(c.claimSentAt, c.linked, c.echoes)
 	c.formerStoppedAt = 0
+	c.informed, c.informedAt = map[string]struct{}{}, 0
 	if name := c.former.Name; name != "" && name != c.self {
 		c.EntryKnown(name, c.now)
 	}
@@ -238,8 +246,12 @@
 // may extend leases. It counts from the answer to the claim: the last write of a former
 // owner may have been sent after the claim, if the store committed the claim late.
 func (c *Core) FormerOwnersActUntil() time.Duration {
-	if c.formerStoppedAt != 0 {
+	until := c.ownerSince + MajorityPermissionTime
+	switch {
+	case c.formerStoppedAt != 0:
 		return c.formerStoppedAt
+	case c.informedAt != 0:
+		return min(until, c.informedAt+PermissionTime)
 	}
-	return c.ownerSince + MajorityPermissionTime
+	return until
 }
--- a/internal/ownership/permission_test.go
+++ b/internal/ownership/permission_test.go
@@ -200,7 +200,8 @@
 
 // Guards against a successor that waits for too short a time because the store carries
 // out its claim late: the former owner confirms its row after the claim was sent, and
-// acts on that.
+// acts on that. It repeats a write that got no answer, and the answer shows that its row
+// is unchanged, so the version that the claim depends on stays.
 func TestSuccessorWaitsFromTheCommitOfItsClaim(t *testing.T) {
 	r, now := &ownerRow{}, time.Duration(0)
 	former, a := New("f", 7, 0, 0), New("a", 1, 0, 0)
