jobdaemon: tell agents the epoch in heartbeats of all entries

Cause: an agent that its new owner does not reach obeyed the former one, although another entry that reaches the agent knew of the change. This is a second line: the former owner stops by itself. Test: TestAgentLearnsOfANewOwnerFromAnotherEntry (go test ./internal/jobdaemon) failed before: the agent knows epoch 1 for 3 s and more after the claim of epoch 2.

--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -318,8 +318,12 @@
 	if _, up := a.links[m.id]; !up {
 		return
 	}
-	if members, ok := m.message.(*msg.Members); ok {
-		a.addMembers(members.Entries)
+	switch m := m.message.(type) {
+	case *msg.Members:
+		a.addMembers(m.Entries)
+		return
+	case *msg.Heartbeat:
+		a.core.EpochObserved(m.Epoch)
 		return
 	}
 	a.core.Received(hostagent.LinkID(m.id), m.message)
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// Guards against an agent that goes on to obey a former owner because the new one does
+// not reach it: an entry that knows the new epoch and reaches the agent tells it.
+func TestAgentLearnsOfANewOwnerFromAnotherEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 190)
+		defer s.stop()
+		backends := s.startBackends(1)
+		s.net.CutBoth("entry-0", "entry-2")
+		s.net.CutBoth("agent-0", "entry-2")
+		s.advance(1400 * time.Millisecond)
+		s.entries["entry-0"].store.cut.Set(new(true))
+		s.entries["entry-1"].store.cut.Set(new(true))
+		s.advance(3 * time.Second)
+		require.Equal(t, []string{"entry-2"}, s.owners())
+		require.EqualValues(t, 2, *backends[0].agent.published.epoch.Get())
+	})
+}
+
 // Guards against tasks that wait for longer than needed at a takeover while a host is
 // silent: the majority knows of the successor soon after its claim.
 func TestSuccessorWithAMajorityGivesUpSilentHostsSoon(t *testing.T) {
