--- /dev/null
+++ b/internal/jobdaemon/divisions_test.go
@@ -0,0 +1,78 @@
+package jobdaemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// divideAtRandom changes one direction between two processes, or the connection of an
+// entry with the table service.
+func (s *ownerSite) divideAtRandom(random *rand.Rand, names []string) string {
+	a, b := names[random.IntN(len(names))], names[random.IntN(len(names))]
+	switch kind := random.IntN(10); {
+	case kind < 5 && a != b:
+		cut := s.net.Cut
+		if random.IntN(2) == 0 {
+			cut = s.net.CutBoth
+		}
+		cut(a, b)
+		return fmt.Sprintf("cut %s %s", a, b)
+	case kind < 7 && s.entries[a] != nil:
+		cut := random.IntN(3) > 0
+		s.entries[a].store.cut.Set(&cut)
+		return fmt.Sprintf("%s without table service: %v", a, cut)
+	case kind == 7 && a != b:
+		delay := time.Duration(random.Int64N(int64(10 * time.Second)))
+		s.net.SetDelay(a, b, delay, 0)
+		return fmt.Sprintf("delay %v from %s to %s", delay, a, b)
+	case kind == 8:
+		for _, n := range names {
+			for _, m := range names {
+				s.net.Heal(n, m)
+				s.net.SetDelay(n, m, time.Millisecond, 0)
+			}
+			if e := s.entries[n]; e != nil {
+				e.store.cut.Set(new(false))
+			}
+		}
+		return "healed"
+	}
+	return "nothing"
+}
+
+// Guards against tasks that run twice at a time in divisions of entries and agents that
+// are directed, not transitive, and change with time, and with messages that are late.
+func TestNoTaskRunsTwiceInChangingDivisions(t *testing.T) {
+	const sites, faults = 15, 25
+	for seed := range uint64(sites) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			s := newOwnerSite(t, 800, 400, 190)
+			defer s.stop()
+			backends := s.startBackends(3)
+			s.submitLongRunning(2)
+			names := []string{"entry-0", "entry-1", "entry-2", "agent-0", "agent-1", "agent-2"}
+			var log []string
+			defer func() {
+				if t.Failed() {
+					t.Log("seed", seed, log)
+				}
+			}()
+			began := time.Now()
+			for range faults {
+				log = append(log, fmt.Sprintf("%v %s", time.Since(began), s.divideAtRandom(random, names)))
+				pause := 1500 * time.Millisecond
+				if random.IntN(4) == 0 {
+					pause = 15 * time.Second
+				}
+				s.requireSingleRuns(backends, time.Duration(random.Int64N(int64(pause))))
+			}
+			require.NotEmpty(t, log)
+		})
+	}
+}
