ownership: name in the owner's row the entries that it counts

What could happen: an owner that all entries it knew saw acted without a limit, while an entry that it had not heard of, or counted as removed, claimed on the other side of a division and gave up the runs there. Two owners that know different entries could also have majorities without an entry in common. Change: the row names the entries that the owner counts. A new one counts at once, and is named by the next write. One that counts as removed leaves the row first. Majorities are of the named entries, and of those of a write in flight. The names stay while an owner before may be active, so all that may act rely on the same ones. An owner that misses nobody acts for 5 minutes after a write (chart permission, state undisputed), and an entry that the row does not name waits for as long, and claims 1 s later than others. Price: the names in each write of the row, a write when an entry joins or leaves, one in 2.5 minutes without other writes. An outage of the table service of 5 minutes ends the runs. Mixed programs: a row without names is one of a former program; its successor waits 10 s. Tests (go test ./internal/ownership), on scratch copies without their rule: TestOwnerActsForALimitedTimeBesideAnEntryThatItDoesNotKnow fails, both act at 16.15 s; TestMajorityIsOfTheEntriesThatTheRowNames fails. Tests that changed: TestOwnerActsWithoutTheTableServiceWhileAllEntriesAreLinked required an hour without a write; it requires what the new limit allows, and that it ends there. A removed entry is missing in it until the row without it is stored. The owners of TestFormerOwnersActUntilTheyStop and TestMajorityKnowsTheSuccessorOnceItHasEchoed know their successor. The entries of fencingsite_test.go do not hear of each other, and their rows name none. permission/undisputed has a timeout now and left the list of states without one.

--- a/internal/jobdaemon/fencingsite_test.go
+++ b/internal/jobdaemon/fencingsite_test.go
@@ -67,6 +67,7 @@
 	claim, version := o.owner.Claim()
 	require.Equal(s.t, s.version, version)
 	claim.Fenced = claim.Fenced && !former
+	claim.Entries = "" // the entries of this site do not hear of each other
 	s.row, s.version = claim, s.version+1
 	o.owner.Claimed(claim, table.Committed, s.version, unlinkedFor)
 	o.owner.Effects()
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -58,11 +58,13 @@
 		return
 	}
 	if w.releasing {
-		c.storeBatch(workload.Owner{Epoch: w.owner.Epoch, Sequence: w.owner.Sequence + 1, Unsettled: c.unsettled(), Fenced: c.fenced()})
+		released := c.nextOwnerRow()
+		released.Name, released.Boot = "", 0
+		c.storeBatch(released)
 		return
 	}
 	pending, urgent := c.jobs.Pending()
-	if c.owner.ConfirmationDue() {
+	if c.owner.ConfirmationDue() || c.entriesToStore() != w.owner.Entries {
 		pending, urgent = true, true
 	}
 	now := c.now()
@@ -74,13 +76,27 @@
 		w.pendingSince = now
 	}
 	if urgent || now-w.pendingSince >= batchDelay {
-		next := w.owner
-		next.Sequence++
-		next.Unsettled, next.Fenced = c.unsettled(), c.fenced()
-		c.storeBatch(next)
+		c.storeBatch(c.nextOwnerRow())
 	}
 }
 
+// nextOwnerRow returns the row of the owner with the next batch.
+func (c *controller) nextOwnerRow() workload.Owner {
+	next := c.writer.owner
+	next.Sequence++
+	next.Unsettled, next.Fenced, next.Entries = c.unsettled(), c.fenced(), c.entriesToStore()
+	return next
+}
+
+// entriesToStore returns the entries that the owner's row names. While an owner before
+// this one may be active they are those that it has named.
+func (c *controller) entriesToStore() string {
+	if c.unsettled() {
+		return c.writer.owner.Entries
+	}
+	return c.owner.Entries()
+}
+
 // unsettled reports whether the next owner has to expect runs of owners before
 // this one, or that this one is active until it learns that the row is stored: an
 // owner that hands over is slow and does not end.
@@ -104,6 +120,7 @@
 		return
 	}
 	w.committing, w.pendingSince = true, 0
+	c.owner.EntriesSent(owner.Entries)
 	c.commitBatch(owner, txn, 0)
 }
 
@@ -273,7 +290,8 @@
 
 func (c *controller) batchCommitted(m *batchStored, version table.Revision) {
 	w := &c.writer
-	w.committing, w.retryPause, w.version, w.owner.Sequence = false, 0, version, m.owner.Sequence
+	w.committing, w.retryPause, w.version, w.owner.Sequence, w.owner.Entries = false, 0, version, m.owner.Sequence, m.owner.Entries
+	c.owner.EntriesStored(m.owner.Entries)
 	c.jobs.BatchCommitted()
 	if m.owner.Name != "" {
 		c.owner.Confirmed(m.sentAt, c.now())
--- a/internal/ownership/echo.go
+++ b/internal/ownership/echo.go
@@ -66,9 +66,15 @@
 // majorityInformed reports whether this owner and the entries that know it are the
 // majority of the entries. Each heartbeat of theirs to a former owner shows that it was
 // replaced, so that owner has no majority of entries with fresh echoes from echoTime on.
+// The former owner counts the entries that its row names.
 func (c *Core) majorityInformed() bool {
-	entries := 1 + len(c.linked) + len(c.unlinked)
-	return 2*(1+len(c.informed)) > entries
+	names, informed := parseEntries(c.former.Entries), 0
+	for _, name := range names {
+		if _, ok := c.informed[name]; ok || name == c.self {
+			informed++
+		}
+	}
+	return 2*informed > len(names)
 }
 
 // applyEchoes counts each linked entry as missing while its newest echo is old, or of a
--- a/internal/ownership/echo_test.go
+++ b/internal/ownership/echo_test.go
@@ -70,6 +70,9 @@
 func TestMajorityKnowsTheSuccessorOnceItHasEchoed(t *testing.T) {
 	r, now := &ownerRow{}, time.Duration(0)
 	former, a := New("f", 7, 0, 0), New("a", 1, 0, 0)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		former.EntryKnown(name, now)
+	}
 	r.advance(&now, 2*time.Second, former)
 	for _, peer := range []string{"b", "c", "d"} {
 		a.PeerUp(peer, 0)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -98,6 +98,7 @@
 	permission      permission // of this owner to act
 	suspension      suspension
 	echoes          echoes
+	entries         entries
 	// informed holds the entries that know this owner, and informedAt when they became
 	// the majority; 0: they have not.
 	informed   map[string]struct{}
@@ -173,7 +174,8 @@
 	c.now = now
 	c.noticeGap(now)
 	if c.Owns() {
-		c.permission.advance(now)
+		c.advancePermission()
+		c.expireEntries()
 	}
 	if c.timeoutAt != 0 && now >= c.timeoutAt {
 		c.step(evTimeout)
@@ -215,6 +217,7 @@
 	c.linked[name] = share
 	delete(c.unlinked, name)
 	delete(c.suspension.linked, name)
+	delete(c.entries.leaving, name)
 	c.permission.entryPresent(name)
 }
 
@@ -284,7 +287,10 @@
 func (c *Core) Claim() (workload.Owner, table.Revision) {
 	owner := workload.Owner{
 		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
-		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(),
+		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(), Entries: c.row.Entries,
+	}
+	if !owner.Unsettled {
+		owner.Entries = c.Entries()
 	}
 	c.claimEpoch, c.claimSentAt = owner.Epoch, c.now
 	return owner, c.rowVersion
@@ -372,6 +378,9 @@
 		return false
 	}
 	timeout := time.Duration(c.rank()) * rankDelay
+	if !c.knownToOwners(c.row.Entries) {
+		timeout += unknownEntryDelay
+	}
 	if released := c.row.Name == "" && c.maxEpoch > 0; !released {
 		timeout += c.absenceTimeout()
 	}
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -35,6 +35,10 @@
 	// in which some entries are lost. A successor waits for as long until it knows that
 	// the former owner has stopped, or has no majority any more.
 	MajorityPermissionTime = 10 * time.Second
+	// UndisputedTime replaces PermissionTime for an owner that misses no entry. A successor
+	// that the former owner may not know waits for as long. It is the longest outage of
+	// the table service that no run notices while no entry is lost.
+	UndisputedTime = 5 * time.Minute
 	// confirmInterval is how old the last confirmation may become before the owner
 	// rewrites its row.
 	confirmInterval = 500 * time.Millisecond
@@ -54,7 +58,7 @@
 		Chart:  "permission",
 		States: []string{"undisputed", "disputed", "lapsed"},
 		Events: []string{"missing", "complete", "confirmed", "late", "suspended"},
-		Delays: map[string]time.Duration{"permissionTime": PermissionTime}, // or MajorityPermissionTime
+		Delays: map[string]time.Duration{"undisputedTime": UndisputedTime, "permissionTime": PermissionTime}, // or MajorityPermissionTime
 	}
 }
 
@@ -76,8 +80,11 @@
 }
 
 // limit returns how long the owner may act after a write to its row.
-func (p *permission) limit() time.Duration {
-	if p.hasMajority() {
+func (c *Core) limit() time.Duration {
+	switch {
+	case c.permission.complete():
+		return UndisputedTime
+	case c.hasMajority():
 		return MajorityPermissionTime
 	}
 	return PermissionTime
@@ -119,30 +126,24 @@
 }
 
 // advance applies the time.
-func (p *permission) advance(now time.Duration) {
-	p.applyEchoes(now)
-	for name, since := range p.missing {
-		if _, echoes := p.echoes[name]; echoes {
-			continue // its link is up, so it was not removed
-		}
-		if now-since >= missingRetention && now-p.confirmedAt < PermissionTime {
-			p.entryPresent(name)
-		}
-	}
-	if _, _, ok := permissionChart.Timeout(p.state); ok && now-p.confirmedAt >= p.limit() {
+func (p *permission) advance(now, limit time.Duration) {
+	if _, _, ok := permissionChart.Timeout(p.state); ok && now-p.confirmedAt >= limit {
 		p.step(evPermissionLate)
 	}
 }
 
 // confirmed records a write to the row that succeeded, and was sent at sentAt.
-func (p *permission) confirmed(sentAt, now time.Duration) {
+func (p *permission) confirmed(sentAt, now, limit time.Duration) {
 	if sentAt < p.suspendedAt || sentAt < p.confirmedAt {
 		return
 	}
 	p.confirmedAt = sentAt
-	if now-sentAt < p.limit() {
+	if now-sentAt < limit {
 		p.step(evConfirmed)
 	}
+	if p.complete() {
+		p.step(evComplete)
+	}
 }
 
 // suspended records that the process did not run until a given time. Its links may have
@@ -164,8 +165,9 @@
 	if !c.Owns() {
 		return false
 	}
+	c.now = now
 	c.noticeGap(now)
-	c.permission.advance(now)
+	c.advancePermission()
 	return c.permission.mayAct()
 }
 
@@ -173,26 +175,34 @@
 // owner: now while every entry is linked, and otherwise when its last write was sent. A
 // successor extends the leases of hosts that this owner does not reach.
 func (c *Core) NotReplacedUntil(now time.Duration) time.Duration {
-	c.permission.advance(now)
+	c.now = now
+	c.advancePermission()
 	if c.permission.state == permissionUndisputed {
 		return now
 	}
 	return c.permission.confirmedAt
 }
 
+// advancePermission applies the time, and the echoes, to the permission.
+func (c *Core) advancePermission() {
+	c.permission.applyEchoes(c.now)
+	c.permission.advance(c.now, c.limit())
+}
+
 // ConfirmationDue reports whether the owner has to rewrite its row to act on.
 func (c *Core) ConfirmationDue() bool {
-	if !c.Owns() || c.now-c.permission.confirmedAt < confirmInterval {
+	age := c.now - c.permission.confirmedAt
+	if !c.Owns() || age < confirmInterval {
 		return false
 	}
-	return c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
+	return age >= UndisputedTime/2 || c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
 }
 
 // Confirmed records that the owner's row was rewritten by a transaction which was sent
 // at sentAt.
 func (c *Core) Confirmed(sentAt, now time.Duration) {
 	c.now = now
-	c.permission.confirmed(sentAt, now)
+	c.permission.confirmed(sentAt, now, c.limit())
 }
 
 // EntryKnown records an entry that need not be linked yet.
@@ -220,13 +230,19 @@
 	if name := c.former.Name; name != "" && name != c.self {
 		c.EntryKnown(name, c.now)
 	}
+	c.entries = entries{stored: parseEntries(c.row.Entries), leaving: map[string]struct{}{}}
+	for _, name := range c.entries.stored {
+		if name != c.self {
+			c.EntryKnown(name, c.now)
+		}
+	}
 	for name, since := range c.unlinked {
 		c.permission.entryMissing(name, since)
 	}
 	if s := &c.suspension; s.concerns(c.claimSentAt) {
 		c.permission.suspended(s.until, s.linked)
 	}
-	c.permission.advance(c.now)
+	c.advancePermission()
 }
 
 // EntryLinked records what the hello of an entry shows: its boot number and the highest
@@ -250,6 +266,8 @@
 	switch {
 	case c.formerStoppedAt != 0:
 		return c.formerStoppedAt
+	case !c.knownToOwners(c.former.Entries):
+		return c.ownerSince + UndisputedTime
 	case c.informedAt != 0:
 		return min(until, c.informedAt+PermissionTime)
 	}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -315,4 +315,8 @@
 	// been active when the row was written, starts no task of a job whose Epoch is
 	// higher than its own. The rows of former programs do not say so.
 	Fenced bool
+	// Entries are the names, in order and separated by spaces, of entries that this
+	// owner, and every owner before it that may still be active, counts as missing while
+	// they are not linked. It is empty if a former program wrote the row.
+	Entries string
 }
