jobs: give up runs only after a write shows that the owner was not replaced

What callers saw: a task could run twice if an entry claimed the jobs that the owner did not count: one that had been missing for a minute, or a new one. Cause: an owner that all entries it knows are linked with took its own clock for the time until which nobody had replaced it. Links and echoes do not show that of an entry it does not know, and the successor extends the leases of hosts that only it reaches. Change: the time is always that of the last write to the owner's row, and the owner rewrites the row when the leases of a silent host have ended. Why it works: the write succeeds only if no other entry had claimed before it was sent, and then nobody has extended those leases before they ended. Price: one write when the leases of a silent host end; while the table service is down, the tasks of a lost host wait. Test: TestOwnerGivesUpNoRunsThatARemovedEntryExtends (go test ./internal/jobdaemon) failed before, a task on hosts 1 and 2, 6.0 s after the division.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -130,7 +130,7 @@
 	c.logPermission(now)
 	c.jobs.Advance(now, time.Now().UnixMilli())
 	c.jobs.PermitLeases(c.owner.MayAct(now))
-	c.jobs.NotReplacedUntil(c.owner.NotReplacedUntil(now))
+	c.jobs.NotReplacedUntil(c.owner.NotReplacedUntil())
 }
 
 // noticeSuspension tells the ownership if the host was suspended since the last call.
--- a/internal/jobdaemon/majoritypartition_test.go
+++ b/internal/jobdaemon/majoritypartition_test.go
@@ -30,3 +30,28 @@
 		s.requireSingleRuns(backends, 10*time.Second)
 	})
 }
+
+// Guards against tasks that run twice at a time because an owner that all entries it
+// knows are linked with gives up the runs of a host whose leases another entry extends:
+// one that was missing for so long that it counts as removed, and claims the jobs on the
+// other side of a partition.
+func TestOwnerGivesUpNoRunsThatARemovedEntryExtends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 300, 200)
+		defer s.stop()
+		backends := s.startBackends(3)
+		require.Equal(t, []string{"entry-0"}, s.owners())
+		s.submitLongRunning(2)
+		require.Len(t, backends[0].running(), 1)
+		require.Len(t, backends[1].running(), 1)
+
+		members := []string{"entry-0", "entry-1", "entry-2", "agent-0", "agent-2"}
+		s.cutOff([]string{"entry-3"}, members)
+		s.requireSingleRuns(backends, 75*time.Second)
+		s.cutOff(members, []string{"agent-1"})
+		s.entries["entry-3"].store.cut.Set(new(false))
+		s.requireSingleRuns(backends, 60*time.Second)
+		s.heal(members, []string{"agent-1", "entry-3"})
+		s.requireSingleRuns(backends, 10*time.Second)
+	})
+}
--- a/internal/jobdaemon/ownerlog.go
+++ b/internal/jobdaemon/ownerlog.go
@@ -32,11 +32,11 @@
 // permission returns whether the owner may act, and the newest time at which no other
 // entry had replaced it.
 func (c *controller) permission(now time.Duration) (permissionState, time.Duration) {
-	confirmedAt := c.owner.NotReplacedUntil(now)
+	confirmedAt := c.owner.NotReplacedUntil()
 	switch {
 	case !c.owner.MayAct(now):
 		return permissionLapsed, confirmedAt
-	case confirmedAt == now:
+	case c.owner.Undisputed():
 		return permissionUndisputed, confirmedAt
 	}
 	return permissionDisputed, confirmedAt
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -64,7 +64,7 @@
 		return
 	}
 	pending, urgent := c.jobs.Pending()
-	if c.owner.ConfirmationDue() || c.entriesToStore() != w.owner.Entries {
+	if c.owner.ConfirmationDue() || c.jobs.ConfirmationAwaited() || c.entriesToStore() != w.owner.Entries {
 		pending, urgent = true, true
 	}
 	now := c.now()
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -112,6 +112,7 @@
 	formerOwners     FormerOwners  // of Recover
 	leasesBarred     bool          // of PermitLeases
 	notReplacedUntil time.Duration // of NotReplacedUntil
+	confirmAfter     time.Duration // newest end of leases that certainlyPassed was asked for
 
 	unsent       map[*host]struct{} // hosts with queued requests for their agents
 	messages     []HostMessage
--- a/internal/jobs/permission.go
+++ b/internal/jobs/permission.go
@@ -22,11 +22,20 @@
 func (c *Core) NotReplacedUntil(at time.Duration) { c.notReplacedUntil = at }
 
 // certainlyPassed reports whether a time at which leases end has passed and no other
-// entry can have extended them before.
+// entry can have extended them before. If it has passed and that is not known yet, the
+// owner's row has to be rewritten.
 func (c *Core) certainlyPassed(leaseEnd time.Duration) bool {
-	return c.now >= leaseEnd && c.notReplacedUntil >= leaseEnd
+	if c.now < leaseEnd {
+		return false
+	}
+	c.confirmAfter = max(c.confirmAfter, leaseEnd)
+	return c.notReplacedUntil >= leaseEnd
 }
 
+// ConfirmationAwaited reports whether leases have ended since NotReplacedUntil, so that
+// a write to the owner's row is needed to show that they were not extended.
+func (c *Core) ConfirmationAwaited() bool { return c.notReplacedUntil < c.confirmAfter }
+
 // FormerOwnersActUntil sets until when former owners may extend the leases of hosts
 // that have not answered this one. It has an effect during a recovery, unless the
 // former owners have ended.
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -171,17 +171,15 @@
 	return c.permission.mayAct()
 }
 
+// Undisputed reports whether the owner acts without a write to its row, because each
+// known entry has shown shortly before that it does not own the jobs.
+func (c *Core) Undisputed() bool { return c.Owns() && c.permission.state == permissionUndisputed }
+
 // NotReplacedUntil returns the newest time at which no other entry had replaced this
-// owner: now while every entry is linked, and otherwise when its last write was sent. A
-// successor extends the leases of hosts that this owner does not reach.
-func (c *Core) NotReplacedUntil(now time.Duration) time.Duration {
-	c.now = now
-	c.advancePermission()
-	if c.permission.state == permissionUndisputed {
-		return now
-	}
-	return c.permission.confirmedAt
-}
+// owner: when its last write was sent. Echoes do not show it, since an entry that this
+// owner does not know may have claimed the jobs. A successor extends the leases of hosts
+// that this owner does not reach.
+func (c *Core) NotReplacedUntil() time.Duration { return c.permission.confirmedAt }
 
 // advancePermission applies the time, and the echoes, to the permission.
 func (c *Core) advancePermission() {
