bamboojobd: end a stopping process although its log blocks

What callers saw: an entry whose standard output is a pipe that nobody reads does not end after SIGTERM and is killed at the end of its grace period.

Cause: after the drain, which has a deadline, the process waited without a bound for the actor that writes the log. Nothing after the drain was bounded in time, and nothing bounded a drain whose effects block.

Change: the drain and the rest of the log together end at half of the margin that the drain leaves before the end of the grace period (5.75 s of 6 s), and the process ends then in any case. The log of a role that has failed gets 250 ms.

--- a/cmd/bamboojobd/main.go
+++ b/cmd/bamboojobd/main.go
@@ -57,7 +57,8 @@
 
 // role is a running entry or agent.
 type role interface {
-	Drain(context.Context) // prepares the end of the process
+	Drain(context.Context)   // prepares the end of the process
+	StopTime() time.Duration // from the signal until the process ends in any case
 	Change(jobdaemon.ChangedSettings)
 }
 
@@ -81,30 +82,39 @@
 		return err
 	}
 	logs := actor.NewGroup(context.Background(), nil)
-	defer logs.Stop()
 	log.SetHandler(logsink.Start(logs, os.Stdout, func(w io.Writer) log.Handler { return logfmt.New(w) }))
 	g := actor.NewGroup(context.Background(), func(e actor.Exit) {
 		event.Log(log.Log, event.ActorFailed, log.Fields{"actor": e.Actor, "error": e.Err.Error(), "restart": e.WillRestart})
 	})
-	failures := make(chan error, 1)
-	d, err := begin(g, n, func(err error) {
-		if err != nil {
-			failures <- err
-		}
-	})
-	if err != nil {
-		return err
-	}
-	p := process{role: role, file: file, settings: n, running: d}
-	if err := p.serve(signals, failures); err != nil {
+	p := process{role: role, file: file, settings: n}
+	if err := p.serve(g, begin, signals); err != nil {
+		runWithin(logTime, logs.Stop)
 		return err
 	}
 	// The actors end with the process. Waiting for them kept an entry from
 	// ending within its grace time in a simulated day (issue 10).
-	d.Drain(g.Context())
+	runWithin(p.running.StopTime(), func() {
+		p.running.Drain(g.Context())
+		logs.Stop()
+	})
 	return nil
 }
 
+// logTime bounds the time to write the rest of the log of a role that has failed.
+const logTime = 250 * time.Millisecond
+
+// runWithin calls f and returns when it has returned, or after limit.
+func runWithin(limit time.Duration, f func()) {
+	done := actor.Go(actor.NewGroup(context.Background(), nil), "end of the process", func(context.Context) error {
+		f()
+		return nil
+	})
+	select {
+	case <-done:
+	case <-time.After(limit):
+	}
+}
+
 // process is a process that runs a role.
 type process struct {
 	role     string
@@ -113,10 +123,20 @@
 	running  role
 }
 
-// serve waits for a signal to stop, and reloads the settings on SIGHUP. It returns an
-// error if the role has failed, which ends the process at once: a new one begins
-// without what made the old one fail.
-func (p *process) serve(signals <-chan os.Signal, failures <-chan error) error {
+// serve starts the role in g, waits for a signal to stop, and reloads the settings on
+// SIGHUP. It returns an error if the role has failed, which ends the process at once: a
+// new one begins without what made the old one fail.
+func (p *process) serve(g *actor.Group, begin startFunc, signals <-chan os.Signal) error {
+	failures := make(chan error, 1)
+	var err error
+	p.running, err = begin(g, p.settings, func(err error) {
+		if err != nil {
+			failures <- err
+		}
+	})
+	if err != nil {
+		return err
+	}
 	for {
 		select {
 		case err := <-failures:
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -42,6 +42,12 @@
 	return Plan{LeaveBy: leave, ReleaseBy: max(leave, answer-maxClosingTime), AnswerBy: answer, StopBy: stop}
 }
 
+// ExitBy returns when a process with a grace period ends in any case, as a duration
+// since the signal: half of what StopBy leaves is for the end of its log.
+func ExitBy(grace time.Duration) time.Duration {
+	return grace - (grace-NewPlan(grace).StopBy)/2
+}
+
 // stServing is the first state of Binding.
 const stServing chart.State = 0
 
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -73,3 +73,14 @@
 	c.Unlinked()
 	require.True(t, c.Stopped())
 }
+
+// Guards against a process that ends before its drain, or after its grace period.
+func TestProcessEndsBetweenItsDrainAndTheEndOfTheGracePeriod(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.IntRange(1, 60_000).Draw(t, "grace in ms")) * time.Millisecond
+		exit := ExitBy(grace)
+		require.Greater(t, exit, NewPlan(grace).StopBy)
+		require.Less(t, exit, grace)
+	})
+	require.Equal(t, 5750*time.Millisecond, ExitBy(6*time.Second))
+}
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -359,6 +359,13 @@
 // Change applies changed settings.
 func (a *Agent) Change(s ChangedSettings) { a.agent.published.seeds.Set(&s.Seeds) }
 
+// agentStopTime is longer than the last poll of an agent takes.
+const agentStopTime = 2 * time.Second
+
+// StopTime returns the time from the signal to stop until the process has to end, also
+// if the drain or the log has not ended.
+func (a *Agent) StopTime() time.Duration { return agentStopTime }
+
 // Drain prepares the end of the agent: a last poll extends the lease of the runs
 // as far as allowed, so that they outlive a restart of the agent.
 func (a *Agent) Drain(ctx context.Context) {
--- a/internal/jobdaemon/drain.go
+++ b/internal/jobdaemon/drain.go
@@ -28,6 +28,10 @@
 	event.Log(e.log, event.NodeStopping, log.Fields{"role": "entry", "jobs-given": d.core.JobsReleased(), "answered": now.InFlight == 0})
 }
 
+// StopTime returns the time from the signal to stop until the process has to end, also
+// if the drain or the log has not ended.
+func (e *Entry) StopTime() time.Duration { return drain.ExitBy(*e.gracePeriod.Get()) }
+
 // drainRun is the state of the task that drains an entry. It performs the
 // effects of the drain's chart and tells the chart what has happened.
 type drainRun struct {
