jobs: keep early ends until the stored jobs were read

Cause: the end of a run whose job is not known was dropped after a minute, and with it acknowledged. In an outage of the watch of more than a minute the job becomes known later, and its task starts again.

Change: the run is dropped only if the stored jobs were read by a request that was sent after the run was reported, and a minute later after an outage. The job was stored before the run started.

TestEndOfAJobThatIsNotKnownYetIsKeptDuringAnOutageOfTheWatch failed with the new condition taken out (acknowledged: 1, expected 0) and passes now: go test -run OutageOfTheWatch ./internal/jobs. Pass: internal/jobs, internal/jobdaemon, internal/shape.

--- a/internal/jobdaemon/fencingsite_test.go
+++ b/internal/jobdaemon/fencingsite_test.go
@@ -161,7 +161,7 @@
 	j := s.decode(o, raw)
 	value, err := wire.EncodeJob(&j)
 	require.NoError(s.t, err)
-	o.jobsWatched(&jobsWatched{o.epoch, []table.Row{{Key: jobKey(id), Version: 1, Value: value}}})
+	o.jobsWatched(&jobsWatched{epoch: o.epoch, rows: []table.Row{{Key: jobKey(id), Version: 1, Value: value}}})
 	s.collect(o)
 }
 
--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -35,12 +35,13 @@
 // changes.
 func (c *controller) load(ctx context.Context, epoch uint64) error {
 	for {
+		sentAt := c.now()
 		state, err := c.loadOnce(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err == nil {
-			c.post(ctx, &jobsLoaded{epoch: epoch, state: state})
+			c.post(ctx, &jobsLoaded{epoch: epoch, state: state, sentAt: sentAt})
 			return c.watchJobs(ctx, epoch, state.revision)
 		}
 		c.post(ctx, &jobsLoaded{epoch: epoch, err: err})
@@ -193,6 +194,7 @@
 		c.owner.EpochObserved(j.Epoch, c.now())
 		c.jobs.Restore(j, m.state.progress[j.ID])
 	}
+	c.jobs.StoredJobsRead(m.sentAt)
 	c.jobs.RestoreInterference(m.state.interference)
 	for _, a := range c.agents {
 		if a.link != nil {
@@ -260,6 +262,7 @@
 // the jobs again if the history after the revision is no longer available.
 func (c *controller) watchJobs(ctx context.Context, epoch uint64, after table.Revision) error {
 	for actor.Sleep(ctx, watchPause) {
+		sentAt := c.now()
 		rows, revision, err := c.watchOnce(ctx, after)
 		switch {
 		case ctx.Err() != nil:
@@ -270,9 +273,7 @@
 			continue
 		}
 		after = revision
-		if len(rows) > 0 {
-			c.post(ctx, &jobsWatched{epoch, rows})
-		}
+		c.post(ctx, &jobsWatched{epoch: epoch, rows: rows, sentAt: sentAt})
 	}
 	return nil
 }
@@ -302,4 +303,5 @@
 			c.submit(j)
 		}
 	}
+	c.jobs.StoredJobsRead(m.sentAt)
 }
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/apex/log"
 
@@ -32,13 +33,15 @@
 		outcome table.Outcome
 	}
 	jobsLoaded struct {
-		epoch uint64
-		state *storedState
-		err   error
+		epoch  uint64
+		state  *storedState
+		sentAt time.Duration // when the state was requested
+		err    error
 	}
 	jobsWatched struct {
-		epoch uint64
-		rows  []table.Row
+		epoch  uint64
+		rows   []table.Row
+		sentAt time.Duration // when the rows were requested
 	}
 )
 
@@ -134,6 +137,7 @@
 	epoch := c.owner.Epoch()
 	c.logOwnershipStarted()
 	c.jobs = jobs.New(epoch, c.now())
+	c.jobs.StoredJobsRead(0)
 	c.jobs.LimitOrders(c.linkRate / 8 / ordersShare)
 	c.advanceJobs()
 	c.loading, c.deferred = true, nil
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -113,6 +113,7 @@
 	leasesBarred     bool          // of PermitLeases
 	notReplacedUntil time.Duration // of NotReplacedUntil
 	confirmAfter     time.Duration // newest end of leases that certainlyPassed was asked for
+	storedJobsReadAt time.Duration // of StoredJobsRead
 
 	unsent       map[*host]struct{} // hosts with queued requests for their agents
 	messages     []HostMessage
@@ -141,7 +142,7 @@
 // New returns the core of an owner that has just claimed the jobs with an epoch.
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
-		epoch: epoch, now: now, notReplacedUntil: neverReplaced, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
+		epoch: epoch, now: now, notReplacedUntil: neverReplaced, storedJobsReadAt: storedJobsRead, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
 		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, heldEnds: map[*task][]heldEnd{}, expiredParts: map[workload.JobID]int{}, batchJobs: maxBatchRows, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
--- a/internal/jobs/early.go
+++ b/internal/jobs/early.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -8,15 +9,24 @@
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
-// earlyRunRetention is how long a run is kept whose job is not known. The job's
-// row arrives through the watch of the table service.
+// earlyRunRetention is how long a run is kept at least whose job is not known. The
+// job's row arrives through the watch of the table service.
 const earlyRunRetention = time.Minute
 
+// storedJobsRead is the time of StoredJobsRead for an owner that reads the stored jobs
+// without delay.
+const storedJobsRead time.Duration = math.MaxInt64
+
+// StoredJobsRead records that the owner knows all jobs that were stored at a time.
+func (c *Core) StoredJobsRead(at time.Duration) { c.storedJobsReadAt = at }
+
 // earlyRun is a run, or the end of one, that a host reported before its job was
 // known: the former owner started it after this one had read the stored jobs.
 type earlyRun struct {
 	host        *host
 	startedAtMS int64 // incarnation of the backend server that reported it
+	keptAt      time.Duration
+	outage      bool // the watch has not returned anything since keptAt
 	status      msg.RunStatus
 	end         *msg.RunEnd // nil: the run may go on
 }
@@ -27,14 +37,27 @@
 	run  workload.RunID
 }
 
-func (t earlyTimeout) expire() { t.core.dropEarly(t.run) }
+// expire drops the run if no job of it is stored: its job was stored before it started.
+// After an outage of the watch it waits once more, because the watch returns what it has
+// missed in pieces.
+func (t earlyTimeout) expire() {
+	e := t.core.early[t.run]
+	missed := e.keptAt > t.core.storedJobsReadAt
+	if !missed && !e.outage {
+		t.core.dropEarly(t.run)
+		return
+	}
+	e.outage = missed
+	t.core.early[t.run] = e
+	t.core.due.Set(t, t.core.now+earlyRunRetention)
+}
 
 // keepEarly records a run whose task is not known, unless its job is.
 func (c *Core) keepEarly(id workload.RunID, e earlyRun) {
 	if _, known := c.jobs[id.Task.Job]; known {
 		return
 	}
-	e.startedAtMS = e.host.info.StartedAtMS
+	e.startedAtMS, e.keptAt = e.host.info.StartedAtMS, c.now
 	c.early[id] = e
 	c.due.Set(earlyTimeout{c, id}, c.now+earlyRunRetention)
 }
--- a/internal/jobs/recovery_test.go
+++ b/internal/jobs/recovery_test.go
@@ -193,6 +193,39 @@
 	}
 }
 
+// Guards against a task that runs again after an outage of the watch of more than
+// earlyRunRetention: the end of its run was acknowledged before its job was known.
+func TestEndOfAJobThatIsNotKnownYetIsKeptDuringAnOutageOfTheWatch(t *testing.T) {
+	h := newHarness(t, 2)
+	early := runID("k", 0, 0, 1)
+	h.core.StoredJobsRead(h.now)
+	h.advance(time.Second)
+	h.link(readyHost("a", 4000))
+	h.started[early] = "a"
+	h.reportEnd(early, workload.EndDone, "")
+	h.advance(5 * earlyRunRetention)
+	h.storeBatch()
+	require.Zero(t, h.acknowledged("a"))
+	h.core.Submit(newSpec("k", newStep(1, 1000)))
+	h.process()
+	require.Len(t, h.started, 1, "the run of the former owner")
+	h.storeBatch()
+	require.Equal(t, workload.Completed, h.lastPhase("k"))
+	require.EqualValues(t, 1, h.acknowledged("a"))
+
+	other := runID("l", 0, 0, 1)
+	h.started[other] = "a"
+	h.reportEnd(other, workload.EndDone, "")
+	h.advance(earlyRunRetention)
+	h.core.StoredJobsRead(h.now)
+	h.advance(earlyRunRetention)
+	h.storeBatch()
+	require.EqualValues(t, 1, h.acknowledged("a"), "the watch may not have returned all that it has missed")
+	h.advance(earlyRunRetention)
+	h.storeBatch()
+	require.EqualValues(t, 2, h.acknowledged("a"), "no such job is stored")
+}
+
 // Guards against a job that runs twice because an owner starts it that was
 // replaced before the job was accepted.
 func TestJobOfAHigherEpochIsNotStarted(t *testing.T) {
