hostagent: shorten the owner's lease by a suspension of the host

Cause: a suspension of a host stops the clocks of its agent and of its backend server, not that of the owner. The owner gives up the runs after 6.42 s and starts their tasks elsewhere; after the suspension the runs go on for the rest of their lease, or until the owner stops them.

Change: the agent compares its clocks before each event, as entries do. If the first answer shows that the backend server's clock has counted the time, nothing changes.

No host was suspended.

--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -35,6 +35,7 @@
 	AgentAnnouncementDenied = define(937, log.WarnLevel, "guard-announcement-denied", "a backend server that was announced did not answer at its address", "find out who sends the announcements; nothing if the backend server has just ended")
 	AgentRunSent            = define(938, log.InfoLevel, "guard-run-sent", "the agent sends the start of a run to its backend server", "nothing; entry and epoch name the owner that ordered the run, lease-ms is the remaining time of its lease")
 	AgentOwnerLeft          = define(939, log.WarnLevel, "guard-owner-left", "the agent has no owner of the jobs any more", "see the detail: if the link has ended and no event 930 follows, the runs end when their lease expires (lease-ms)")
+	AgentSuspended          = define(929, log.WarnLevel, "guard-suspended", "the host of an agent was suspended; the agent shortens the owner's lease by that time and stops the runs when it has expired", "nothing")
 	AgentRunThrottled       = define(936, log.InfoLevel, "guard-run-paced", "the share of processor time allowed to a best-effort run was changed", "nothing")
 	NodeStarted             = define(940, log.InfoLevel, "node-started", "a process of the job scheduler started", "nothing")
 	NodeStopping            = define(941, log.InfoLevel, "node-stopping", "a process of the job scheduler is stopping", "nothing")
--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -174,6 +174,7 @@
 // call was fenced.
 func (c *Core) answered(clockMS int64, err error) {
 	if clockMS > 0 {
+		c.clockAfterSuspension(clockMS)
 		c.clock.set(clockMS, c.now)
 	}
 	if errors.Is(err, runner.ErrFenced) {
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -131,11 +131,12 @@
 	acknowledged   uint64             // number of the last end that the owner has stored
 
 	clock              clock
-	polled             bool                 // this incarnation has answered a poll
-	polledMS           int64                // clock of the newest poll response
-	pollIgnored        bool                 // the newest poll response was ignored
-	leaseEndMS         int64                // end of the owner's lease, in the backend server's clock
-	sentLeaseMS        int64                // latest end of a lease that a call carried, in the same clock
+	polled             bool  // this incarnation has answered a poll
+	polledMS           int64 // clock of the newest poll response
+	pollIgnored        bool  // the newest poll response was ignored
+	leaseEndMS         int64 // end of the owner's lease, in the backend server's clock
+	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
+	suspension         suspension
 	connectionRefusals int                  // consecutive refused connections
 	callFailed         bool                 // a call was not answered since the last answered poll
 	silent             bool                 // the runs were ended by leasesExpiredInSilence
@@ -249,6 +250,7 @@
 	if c.incarnation.timeoutAt != 0 && c.now >= c.incarnation.timeoutAt {
 		c.stepIncarnation(evCloseTimeout)
 	}
+	c.stopAfterSuspension()
 	if c.leasesExpiredInSilence() {
 		c.silent = true
 		c.endRuns("its leases expired without an answer")
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -145,7 +145,7 @@
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0
 	c.changed = msg.RunsChanged{}
 	c.inventorySent, c.inventoryAccepted, c.callFailed = false, false, false
-	c.silent, c.returning = false, nil
+	c.silent, c.returning, c.suspension = false, nil, suspension{}
 }
 
 // processEnded records that the process of the present incarnation has ended.
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -40,6 +40,9 @@
 // extendLease extends the owner's lease to OwnerLease after clockMS, a time of
 // the backend server's clock that this agent sent.
 func (c *Core) extendLease(clockMS int64) {
+	if c.grantedBeforeSuspension(clockMS) {
+		return
+	}
 	c.leaseEndMS = max(c.leaseEndMS, clockMS+c.cfg.OwnerLease.Milliseconds())
 }
 
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -48,6 +48,7 @@
 	linkGroup *actor.Group // of the actors that serve links
 	address   actor.Address[any]
 	startedAt time.Time
+	clock     hostClock
 	links     map[linkID]peer.Out
 	hellos    map[linkID]*msg.PeerHello // of the linked entries
 	members   map[string]msg.Member     // known entries by name
@@ -208,13 +209,23 @@
 	return actor.BatchLoop[any]{Limit: maxBatch, Interval: agentTick, Apply: a.apply, Tick: a.tick, Flush: a.flush, Failed: a.failed}.Run(ctx, in)
 }
 
-func (a *agent) tick() {
+// advance sets the time of the core, and tells it of a suspension of the host before
+// anything that was received is applied.
+func (a *agent) advance() {
 	a.core.Advance(time.Since(a.startedAt))
+	if d := a.clock.suspendedSinceLastCall(); d > 0 {
+		event.Log(a.log, event.AgentSuspended, log.Fields{"suspended-ms": d.Milliseconds()})
+		a.core.Suspended(d)
+	}
+}
+
+func (a *agent) tick() {
+	a.advance()
 	a.core.Tick()
 }
 
 func (a *agent) apply(m any) {
-	a.core.Advance(time.Since(a.startedAt))
+	a.advance()
 	switch m := m.(type) {
 	case *linkUp:
 		a.linkUp(m)
--- a/internal/jobdaemon/hostclock.go
+++ b/internal/jobdaemon/hostclock.go
@@ -18,8 +18,9 @@
 	suspended  time.Duration // how long the host has been suspended
 }
 
-// suspendedSinceLastCall reports whether the host was suspended since the last call.
-func (c *hostClock) suspendedSinceLastCall() bool {
+// suspendedSinceLastCall returns how long the host was suspended since the last call; 0:
+// not, or too briefly to be noticed.
+func (c *hostClock) suspendedSinceLastCall() time.Duration {
 	now := time.Now()
 	if c.startedAt.IsZero() {
 		c.startedAt = now
@@ -30,17 +31,26 @@
 // observe applies the times of the wall clock and of the monotonic one. suspended
 // returns how long the host has been suspended; if that is not known, each jump of the
 // wall clock counts as a suspension.
-func (c *hostClock) observe(wall, monotonic time.Duration, suspended func() (time.Duration, bool)) bool {
+func (c *hostClock) observe(wall, monotonic time.Duration, suspended func() (time.Duration, bool)) time.Duration {
 	offset := wall - monotonic
 	first := c.wallOffset == 0
-	if !first && (offset-c.wallOffset).Abs() < minSuspension {
-		return false
+	jump := (offset - c.wallOffset).Abs()
+	if !first && jump < minSuspension {
+		return 0
 	}
 	c.wallOffset = offset
 	total, known := suspended()
 	before := c.suspended
 	c.suspended = total
-	return !first && (!known || total-before >= minSuspension)
+	switch {
+	case first:
+		return 0
+	case !known:
+		return jump
+	case total-before >= minSuspension:
+		return total - before
+	}
+	return 0
 }
 
 // timeSuspended returns how long the host has been suspended since it started.
