hostagent: ignore a leaving report of a former incarnation

Cause: the report that a backend server leaves was applied to any incarnation of its id. An agent that was paused may read it after the next incarnation has begun; it then gave up that one's runs, which go on.

Change: the report's start time is read, and concerns that incarnation only. Without one it is applied as before.

TestReportThatAFormerIncarnationLeavesIsIgnored fails with the condition taken out: go test -run FormerIncarnationLeaves ./internal/hostagent.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -74,14 +74,19 @@
 	return a.State != b.State || a.Capacity != b.Capacity || a.Service != b.Service || !slices.Equal(a.Labels, b.Labels)
 }
 
-// Deregistered ends the incarnation of a backend server that deregistered.
-func (c *Core) Deregistered(id workload.Instance) {
+// Deregistered ends the incarnation of a backend server that deregistered. The report may
+// be applied after the next incarnation of the id has begun, which it does not concern.
+// startedAtMS is 0 if it was not reported.
+func (c *Core) Deregistered(id workload.Instance, startedAtMS int64) {
+	concerns := func(h workload.Host) bool {
+		return h.Instance == id && (startedAtMS == 0 || h.StartedAtMS == 0 || h.StartedAtMS == startedAtMS)
+	}
 	for _, k := range slices.Clone(c.candidates) {
-		if k.announcement.Host.Instance == id {
+		if concerns(k.announcement.Host) {
 			k.step(evCandidateDenied)
 		}
 	}
-	if c.present() && id == c.host.Instance {
+	if c.present() && concerns(c.host) {
 		c.processEnded("backend server deregistered", false)
 	}
 }
--- a/internal/hostagent/crash_test.go
+++ b/internal/hostagent/crash_test.go
@@ -33,7 +33,7 @@
 			h.announce(1, workload.HostDraining, 2)
 			refuse(h)
 		}, false},
-		"deregistered": {func(h *harness) { h.core.Deregistered("i") }, false},
+		"deregistered": {func(h *harness) { h.core.Deregistered("i", 0) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
--- a/internal/hostagent/incarnation_test.go
+++ b/internal/hostagent/incarnation_test.go
@@ -147,7 +147,7 @@
 func TestEndedIncarnationThatAnswersBeginsAgain(t *testing.T) {
 	h := newHarness(t)
 	h.prepare()
-	h.core.Deregistered("i")
+	h.core.Deregistered("i", 0)
 	h.collect()
 	require.False(t, h.core.CanCall())
 	h.core.Announced(runner.Announcement{Sequence: 2, Host: workload.Host{Instance: "i", StartedAtMS: 1, Service: "desk", State: workload.HostReady}})
@@ -174,7 +174,7 @@
 			h := newHarness(t)
 			h.announce(2, workload.HostReady, 1)
 			if c.ended {
-				h.core.Deregistered("i")
+				h.core.Deregistered("i", 0)
 				h.collect()
 			}
 			h.core.Announced(late)
@@ -192,3 +192,19 @@
 		})
 	}
 }
+
+// Guards against the runs of an incarnation that are given up because a former one of the
+// same id deregisters: an agent that was paused may read the report last.
+func TestReportThatAFormerIncarnationLeavesIsIgnored(t *testing.T) {
+	h := newHarness(t)
+	h.prepare()
+	h.announce(2, workload.HostReady, 1)
+	require.EqualValues(t, 2, h.core.Host().StartedAtMS)
+	h.core.Deregistered("i", 1)
+	h.collect()
+	require.Equal(t, workload.HostReady, h.core.Host().State)
+	require.True(t, h.core.CanCall())
+	h.core.Deregistered("i", 2)
+	h.collect()
+	require.Equal(t, workload.HostUnavailable, h.core.Host().State)
+}
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -81,8 +81,9 @@
 		applied      actor.Reply[bool]
 	}
 	deregistered struct {
-		instance workload.Instance
-		applied  actor.Reply[bool]
+		instance    workload.Instance
+		startedAtMS int64 // 0: not reported
+		applied     actor.Reply[bool]
 	}
 	callAnswered struct {
 		life   int
@@ -239,7 +240,7 @@
 		a.core.Announced(m.announcement)
 		m.applied.Put(true)
 	case *deregistered:
-		a.core.Deregistered(m.instance)
+		a.core.Deregistered(m.instance, m.startedAtMS)
 		m.applied.Put(true)
 	case *callAnswered:
 		if m.life == a.life {
@@ -362,8 +363,8 @@
 	return err
 }
 
-func (r *registry) Leave(ctx context.Context, id workload.Instance) error {
-	_, err := actor.Ask(ctx, r.agent.address, func(rep actor.Reply[bool]) any { return &deregistered{id, rep} })
+func (r *registry) Leave(ctx context.Context, id workload.Instance, startedAtMS int64) error {
+	_, err := actor.Ask(ctx, r.agent.address, func(rep actor.Reply[bool]) any { return &deregistered{id, startedAtMS, rep} })
 	return err
 }
 
--- a/internal/jobdaemon/incarnationsite_test.go
+++ b/internal/jobdaemon/incarnationsite_test.go
@@ -270,7 +270,7 @@
 		return
 	}
 	h.agent.Advance(h.site.now)
-	h.agent.Deregistered(h.instance)
+	h.agent.Deregistered(h.instance, h.process.startedAtMS)
 	h.collect()
 	h.restart(d)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -82,8 +82,8 @@
 
 // Registry accepts announcements of the backend server on the agent's host. An
 // error rejects the announcement. Leave reports that the backend server shuts
-// down.
+// down that started at startedAtMS, in Unix milliseconds; 0: not reported.
 type Registry interface {
 	Announce(ctx context.Context, a Announcement) error
-	Leave(ctx context.Context, id workload.Instance) error
+	Leave(ctx context.Context, id workload.Instance, startedAtMS int64) error
 }
