hostagent: extend no lease by the answer to a former inventory

Cause: the owner's answer to an inventory extends the lease to 6 s after the clock in that inventory. It was applied also if another incarnation of the backend server had begun meanwhile, whose clock starts anew. Its lease then lasted for as long as the former one had been up, without a grant. A host that was cut off later kept its runs while the owner started their tasks elsewhere.

Change: only the answer to the newest inventory, sent since the present incarnation began, extends the lease.

TestAnswerToAnInventoryOfAFormerIncarnationExtendsNoLease failed before (a lease of 5100 instead of none): go test -run FormerIncarnationExtends ./internal/hostagent. Pass: internal/hostagent, internal/jobdaemon (without the known red test), internal/shape.

--- a/internal/hostagent/incarnation_test.go
+++ b/internal/hostagent/incarnation_test.go
@@ -208,3 +208,24 @@
 	h.collect()
 	require.Equal(t, workload.HostUnavailable, h.core.Host().State)
 }
+
+// Guards against runs whose lease is extended for as long as the former incarnation had
+// lived: its clock, in the answer to an inventory that was sent before the present one
+// began, was taken for a time on the present clock.
+func TestAnswerToAnInventoryOfAFormerIncarnationExtendsNoLease(t *testing.T) {
+	h := newHarness(t)
+	h.prepare()
+	h.advance(30 * time.Second)
+	h.claim(ownerLink, 1)
+	sent := h.inventories()
+	former := sent[len(sent)-1]
+	h.core.Announced(runner.Announcement{Sequence: 1, ClockMS: 100, Host: workload.Host{Instance: "i", StartedAtMS: 2, Service: "desk", State: workload.HostReady}})
+	poll := h.core.NextPoll()
+	require.NotNil(t, poll.Candidate)
+	h.core.PollAnswered(poll, runner.PollResponse{ClockMS: 100, StartedAtMS: 2}, nil)
+	h.collect()
+	require.EqualValues(t, 2, h.core.Host().StartedAtMS)
+	h.core.Received(ownerLink, &msg.InventoryAccepted{Epoch: 1, Number: former.Number, ClockMS: former.ClockMS})
+	h.collect()
+	require.Zero(t, h.core.NextPoll().Request.LeaseMS)
+}
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -144,7 +144,8 @@
 // agent started, and allows starts if the owner has accepted the newest
 // inventory. Starts that the owner sent before it received that inventory are
 // refused, because the owner takes runs that the inventory does not list for
-// lost and starts their tasks elsewhere.
+// lost and starts their tasks elsewhere. The answer to a former inventory extends no
+// lease: it may have the clock of a former incarnation of the backend server.
 func (c *Core) applyInventoryAccepted(m *msg.InventoryAccepted) {
 	for _, s := range m.Sizes {
 		if r, ok := c.runs[s.Run]; ok {
@@ -152,10 +153,10 @@
 			r.size = s
 		}
 	}
-	if m.Number == 0 || m.Number == c.inventories {
-		c.inventoryAccepted = c.inventorySent
+	if c.inventorySent && (m.Number == 0 || m.Number == c.inventories) {
+		c.inventoryAccepted = true
+		c.extendLease(m.ClockMS)
 	}
-	c.extendLease(m.ClockMS)
 }
 
 func (c *Core) startRuns(from LinkID, m *msg.StartRuns) {
