--- a/internal/jobdaemon/majoritypartition_test.go
+++ b/internal/jobdaemon/majoritypartition_test.go
@@ -55,3 +55,27 @@
 		s.requireSingleRuns(backends, 10*time.Second)
 	})
 }
+
+// Guards against tasks that run twice at a time because the former owner and its
+// successor, which are not linked, are both linked with the majority of the entries: the
+// former owner was not told of the claim.
+func TestFormerOwnerLearnsOfTheClaimFromEntriesThatBothReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 390, 380, 370, 360, 350)
+		defer s.stop()
+		backends := s.startBackends(3)
+		require.Equal(t, []string{"entry-0"}, s.owners())
+		s.submitLongRunning(2)
+		s.kill("entry-6") // so that the owner rewrites its row all the time
+		s.advance(5 * time.Second)
+
+		members, others := []string{"entry-0", "agent-0"}, []string{"entry-3", "entry-4", "agent-1", "agent-2"}
+		s.cutOff(members, others)
+		for _, reachedByBoth := range []string{"entry-1", "entry-2", "entry-5"} {
+			s.entries[reachedByBoth].store.cut.Set(new(true))
+			s.net.CutBoth(reachedByBoth, "agent-0")
+		}
+		s.requireSingleRuns(backends, 30*time.Second)
+		require.Len(t, s.owners(), 1)
+	})
+}
--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -63,12 +63,14 @@
 	net     *link.Memory
 	store   watchedTable
 	entries map[string]*ownerSiteEntry
+	boots   uint64 // entries that were started
 }
 
 type ownerSiteEntry struct {
 	controller *controller // only its address may be used outside its loop
 	group      *actor.Group
 	store      *cuttableStore
+	listener   link.Listener
 	view       actor.Value[ownerView]
 	events     chan *log.Entry
 	stepCost   actor.Value[time.Duration] // of a step of the loop while the entry plans the jobs; nil: 0
@@ -139,14 +141,16 @@
 func (s *ownerSite) start(name string, share model.MilliCPU) {
 	e := &ownerSiteEntry{group: actor.NewGroup(s.t.Context(), nil), store: &cuttableStore{Store: s.store}, events: make(chan *log.Entry, 10_000)}
 	s.entries[name] = e
+	s.boots++
 	cfg := EntryConfig{
-		Name: name, Links: name, Seeds: []string{"entry-0"}, Boot: uint64(len(s.entries)), ProcessorShare: share, Store: e.store,
+		Name: name, Links: name, Seeds: []string{"entry-0"}, Boot: s.boots, ProcessorShare: share, Store: e.store,
 		Config: ConfigSource{Key: "op//config", Prefix: "op//"},
 		Log:    &log.Logger{Handler: e, Level: log.DebugLevel},
 	}
 	e.controller = newController(e.group, cfg, newEntryMetrics(metrics.Start(e.group)), &actor.Value[workload.Config]{})
 	listener, err := s.net.Listen(name)
 	require.NoError(s.t, err)
+	e.listener = listener
 	loop := e.controller.loop()
 	flush := loop.Flush
 	loop.Flush = func() {
@@ -179,6 +183,7 @@
 // kill ends an entry without a release of the jobs.
 func (s *ownerSite) kill(name string) {
 	s.entries[name].group.Stop()
+	_ = s.entries[name].listener.Close()
 	delete(s.entries, name)
 }
 
