jobdaemon: search divisions with late writes, restarts and new entries

TestOwnerNamesTheEntriesAndWritesNothingWithoutNeed: an owner's row names the entries, and is not rewritten in two minutes without a change. The test site numbers its processes, so that a restart has another boot number, and closes the listener of an entry that it kills.

--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -139,9 +139,9 @@
 
 // start starts an entry. Its seed is entry-0.
 func (s *ownerSite) start(name string, share model.MilliCPU) {
-	e := &ownerSiteEntry{group: actor.NewGroup(s.t.Context(), nil), store: &cuttableStore{Store: s.store}, events: make(chan *log.Entry, 10_000)}
-	s.entries[name] = e
 	s.boots++
+	e := &ownerSiteEntry{group: actor.NewGroup(s.t.Context(), nil), store: &cuttableStore{Store: s.store, group: s.group}, events: make(chan *log.Entry, 10_000)}
+	s.entries[name] = e
 	cfg := EntryConfig{
 		Name: name, Links: name, Seeds: []string{"entry-0"}, Boot: s.boots, ProcessorShare: share, Store: e.store,
 		Config: ConfigSource{Key: "op//config", Prefix: "op//"},
@@ -183,7 +183,7 @@
 // kill ends an entry without a release of the jobs.
 func (s *ownerSite) kill(name string) {
 	s.entries[name].group.Stop()
-	_ = s.entries[name].listener.Close()
+	require.NoError(s.t, s.entries[name].listener.Close())
 	delete(s.entries, name)
 }
 
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -16,13 +16,16 @@
 	"github.com/bambooscale/bambooscale/internal/ownership"
 	"github.com/bambooscale/bambooscale/internal/storage"
 	"github.com/bambooscale/bambooscale/internal/table"
+	"github.com/bambooscale/bambooscale/internal/wire"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
 // cuttableStore is a table service that a process may be cut off from.
 type cuttableStore struct {
 	Store
-	cut actor.Value[bool]
+	group *actor.Group // of writes that take effect late
+	cut   actor.Value[bool]
+	late  actor.Value[time.Duration] // before a write takes effect; nil: 0
 }
 
 func (s *cuttableStore) isCut(ctx context.Context) bool {
@@ -38,9 +41,34 @@
 	if s.isCut(ctx) {
 		return 0, storage.ErrOutcomeUnknown
 	}
+	if late := s.late.Get(); late != nil && *late > 0 {
+		return s.commitLate(ctx, *late, t)
+	}
 	return s.Store.Commit(ctx, t)
 }
 
+// commitLate commits a transaction after a delay, whether or not the caller still waits.
+func (s *cuttableStore) commitLate(ctx context.Context, delay time.Duration, t table.Txn) (table.Revision, error) {
+	type result struct {
+		revision table.Revision
+		err      error
+	}
+	done := make(chan result, 1)
+	actor.Go(s.group, "late write", func(ctx context.Context) error {
+		if actor.Sleep(ctx, delay) {
+			revision, err := s.Store.Commit(ctx, t)
+			done <- result{revision, err}
+		}
+		return nil
+	})
+	select {
+	case r := <-done:
+		return r.revision, r.err
+	case <-ctx.Done():
+		return 0, storage.ErrOutcomeUnknown
+	}
+}
+
 func (s *cuttableStore) Read(ctx context.Context, key string) (table.Row, error) {
 	if s.isCut(ctx) {
 		return table.Row{}, storage.ErrUnavailable
@@ -186,6 +214,31 @@
 	}
 }
 
+// Guards against an owner whose row does not say which entries it counts, and against one
+// that rewrites its row although nothing changes.
+func TestOwnerNamesTheEntriesAndWritesNothingWithoutNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 190)
+		defer s.stop()
+		row := func() (workload.Owner, table.Revision) {
+			row, err := s.store.Read(t.Context(), ownerKey)
+			require.NoError(t, err)
+			owner, err := wire.DecodeOwner(row.Value)
+			require.NoError(t, err)
+			return owner, row.Version
+		}
+		owner, version := row()
+		require.Equal(t, "entry-0 entry-1 entry-2", owner.Entries)
+		s.advance(2 * time.Minute)
+		_, later := row()
+		require.Equal(t, version, later)
+		s.start("entry-3", 100)
+		s.advance(time.Second)
+		owner, _ = row()
+		require.Equal(t, "entry-0 entry-1 entry-2 entry-3", owner.Entries)
+	})
+}
+
 // Guards against an agent that goes on to obey a former owner because the new one does
 // not reach it: an entry that knows the new epoch and reaches the agent tells it.
 func TestAgentLearnsOfANewOwnerFromAnotherEntry(t *testing.T) {
