httpserve: accept the connections that wait before the listener closes

Cause: the entry got no processor for 2.3 s while callers were still sent to it. When it ran again, its drain was due to accept no more, so it closed its listener at once. The kernel resets the connections that wait to be accepted; their callers had sent requests. Evidence: no line of its log for 2.3 s, then the phase closing, which found no connection open after 2 ms, and a report without these requests (cut=0).

Change: the server accepts what waits and then closes the listener, at the first millisecond in which no connection waits, or after 512.

Result: TestWaitingConnectionsAreAcceptedBeforeTheListenerCloses failed before (connection reset by peer) and passes. Command: go test -count=30 ./internal/httpserve

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -15,11 +15,54 @@
 // listener wraps the connections that it accepts.
 type listener struct {
 	net.Listener
-	server *Server
+	server   *Server
+	accepted int // connections that were accepted while the listener ends
 }
 
-func (l *listener) Accept() (net.Conn, error) {
+// deadlineListener is a listener whose Accept can be interrupted.
+type deadlineListener interface {
+	SetDeadline(time.Time) error
+}
+
+const (
+	// lastAcceptTime is how long a listener that ends waits for one more connection.
+	lastAcceptTime = time.Millisecond
+	// maxLastAccepts bounds the connections that a listener accepts while it ends, so
+	// that callers who connect again at once do not keep it open.
+	maxLastAccepts = 512
+)
+
+// acceptWaiting accepts a connection that was opened before the listener ends, and
+// closes the listener if none waits. A listener that is closed resets the connections
+// that wait. Their callers may have sent requests while this process had no processor.
+func (l *listener) acceptWaiting() (net.Conn, error) {
+	d, ok := l.Listener.(deadlineListener)
+	// The deadline that EndIdle sets at the same time can end one attempt.
+	for attempts := 2; ok && attempts > 0 && l.accepted < maxLastAccepts && d.SetDeadline(time.Now().Add(lastAcceptTime)) == nil; attempts-- {
+		c, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			l.accepted++
+			return c, err
+		}
+	}
+	_ = l.Close()
+	return nil, net.ErrClosed
+}
+
+// accept accepts connections until EndIdle, and then those that wait.
+func (l *listener) accept() (net.Conn, error) {
+	if l.server.closing.Err() != nil {
+		return l.acceptWaiting()
+	}
 	c, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return l.acceptWaiting()
+	}
+	return c, err
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -73,7 +73,7 @@
 		defer s.http.Close()
 		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 		defer stop()
-		err := s.http.Serve(&listener{l, s})
+		err := s.http.Serve(&listener{Listener: l, server: s})
 		s.accepted.Set(true)
 		s.notifySettled()
 		if ctx.Err() == nil && s.closing.Err() == nil {
@@ -109,11 +109,14 @@
 	s.leaving.Set(&leaving)
 }
 
-// EndIdle accepts no more connections and ends the idle ones. A request that has
-// arrived on one of them is answered first.
+// EndIdle accepts the connections that wait, no later ones, and ends the idle ones. A
+// request that has arrived on one of them is answered first.
 func (s *Server) EndIdle() {
 	s.Leave()
 	s.endIdle()
+	if l, ok := s.listener.(deadlineListener); ok && l.SetDeadline(time.Now()) == nil {
+		return // listener.Accept closes it
+	}
 	_ = s.listener.Close()
 }
 
