event: describe the owner's permission by the entries that answer

The permission counts an entry by its echoes since, and the newest time at which no other entry had replaced the owner is that of its last write.

--- a/internal/jobdaemon/ownerlog.go
+++ b/internal/jobdaemon/ownerlog.go
@@ -24,7 +24,7 @@
 type permissionState string
 
 const (
-	permissionUndisputed permissionState = "undisputed" // every entry is linked
+	permissionUndisputed permissionState = "undisputed" // every known entry has answered lately
 	permissionDisputed   permissionState = "disputed"   // an entry that is missing may have replaced it; it acts for a time after each write
 	permissionLapsed     permissionState = "lapsed"     // it may not act
 )
