ownership: act no longer than a successor without names waits

A task could run twice in a partition during a restart with a new program. Cause: an owner that took over from one of a former program stores no names of entries until its recovery is complete. It acted for 5 minutes after a write if it missed nobody, while a successor that finds no names waits for 10 s. Change: 5 minutes are for owners whose row names entries; others act for 10 s, and rewrite their row in time. Test: TestOwnerWhoseRowNamesNoEntriesActsForAsLongAsItsSuccessorWaits (go test ./internal/ownership) failed before: MayAct is true when the successor waits no more.

--- a/internal/ownership/entries_test.go
+++ b/internal/ownership/entries_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
 // Guards against an entry that replaces an owner which has not heard of it: that owner
@@ -51,3 +53,23 @@
 	a.EntriesSent("a b c d e g")
 	require.False(t, a.hasMajority(), "either write may have taken effect")
 }
+
+// Guards against an owner that acts for longer than its successor waits because it took
+// over from an owner of a former program, whose row names no entries: its own row names
+// none either until the recovery is complete.
+func TestOwnerWhoseRowNamesNoEntriesActsForAsLongAsItsSuccessorWaits(t *testing.T) {
+	r, now := &ownerRow{owner: workload.Owner{Name: "f", Boot: 9, Epoch: 3}, version: 1}, time.Duration(0)
+	a, unknown := New("a", 1, 0, now), New("u", 2, 0, now)
+	a.PeerUp("b", 0)
+	r.advance(&now, 3*time.Second, a)
+	require.True(t, a.Owns())
+	require.Empty(t, r.owner.Entries)
+	a.PeerUp("f", 0)
+	require.True(t, a.MayAct(now))
+
+	for !unknown.Owns() || now <= unknown.FormerOwnersActUntil() {
+		a.Tick(now) // cut off from the table service
+		r.advance(&now, 50*time.Millisecond, unknown)
+	}
+	require.False(t, a.MayAct(now))
+}
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -79,10 +79,12 @@
 	return permission{state: permissionChart.Initial(), linked: linked, echoes: e, confirmedAt: claimSentAt, missing: map[string]time.Duration{}}
 }
 
-// limit returns how long the owner may act after a write to its row.
+// limit returns how long the owner may act after a write to its row. A successor that
+// finds no names in the row can't tell whether this owner knows it, and waits for
+// MajorityPermissionTime.
 func (c *Core) limit() time.Duration {
 	switch {
-	case c.permission.complete():
+	case c.permission.complete() && len(c.entries.stored) > 0:
 		return UndisputedTime
 	case c.hasMajority():
 		return MajorityPermissionTime
@@ -193,7 +195,7 @@
 	if !c.Owns() || age < confirmInterval {
 		return false
 	}
-	return age >= UndisputedTime/2 || c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
+	return age >= c.limit()/2 || c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
 }
 
 // Confirmed records that the owner's row was rewritten by a transaction which was sent
