jobs: count former owners' leases on hosts that have answered too

A task ran twice in TestAgentThatIsStartedAgainLetsNoTaskRunTwice: the agent of a host that had answered the new owner was started again and reached the former owner only. The new process knows no epoch, so it obeyed that owner, which had the majority and extended its leases.

The owner counts the leases of every silent host from when former owners act no more, also of those that have answered it.

go test -run 'TestAgentThatIsStartedAgainLetsNoTaskRunTwice' ./internal/jobdaemon go test -run 'TestRunsOfAnAdoptedHostAreNotLostWhileFormerOwnersMayAct' ./internal/jobs failed before and pass now.

--- /dev/null
+++ b/internal/jobdaemon/agentrestart_test.go
@@ -0,0 +1,70 @@
+package jobdaemon
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/actor"
+	"github.com/bambooscale/bambooscale/internal/hostagent"
+	"github.com/bambooscale/bambooscale/internal/jobs"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// startAgent starts an agent for a host. Its backend server is started too.
+func (s *ownerSite) startAgent(i int, b *memoryBackend) *actor.Group {
+	name := fmt.Sprintf("agent-%d", i)
+	g := s.group.Sub()
+	var entries []string
+	for entry := range s.entries {
+		entries = append(entries, entry)
+	}
+	b.agent = startAgentActors(g, AgentConfig{
+		Core: hostagent.Config{Name: workload.HostName(name), OwnerLease: jobs.LeaseDuration, RunLease: 5 * time.Second, Token: hostagent.FirstToken(time.Now().UnixMilli())},
+		Boot: uint64(time.Now().UnixNano()), Seeds: entries, Store: s.store, Runner: b,
+		Log: &log.Logger{Handler: b.events, Level: log.DebugLevel},
+	}, s.net.Dialer(name))
+	actor.Go(g, "announcer", func(ctx context.Context) error { return b.announce(ctx, b.agent) })
+	return g
+}
+
+// Guards against a task that runs twice at a time because the agent of a host that has
+// answered the new owner is started again: the new process knows no epoch, and obeys the
+// former owner, which has the majority and does not know yet that it was replaced.
+func TestAgentThatIsStartedAgainLetsNoTaskRunTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 190)
+		defer s.stop()
+		backends := s.startBackends(0)
+		var agents []*actor.Group
+		for i := range 3 {
+			name := fmt.Sprintf("agent-%d", i)
+			b := &memoryBackend{instance: workload.Instance("i-" + name), startedAt: time.Now(), runs: map[workload.RunID]bool{}, events: make(eventRecorder, 10_000)}
+			agents = append(agents, s.startAgent(i, b))
+			backends = append(backends, b)
+		}
+		s.advance(3 * time.Second)
+		require.Equal(t, []string{"entry-0"}, s.owners())
+		s.submitLongRunning(2)
+		require.Len(t, backends[0].running(), 1)
+
+		s.cutOff([]string{"entry-0", "entry-1"}, []string{"entry-2", "agent-1", "agent-2"})
+		s.entries["entry-0"].store.cut.Set(new(false))
+		s.requireSingleRuns(backends, 1300*time.Millisecond)
+		s.entries["entry-0"].store.cut.Set(new(true))
+		for backends[0].agent.published.epoch.Get() == nil || *backends[0].agent.published.epoch.Get() < 2 {
+			s.requireSingleRuns(backends, 20*time.Millisecond)
+		}
+		s.requireSingleRuns(backends, 200*time.Millisecond)
+		s.net.CutBoth("agent-0", "entry-2")
+		agents[0].Cancel()
+		s.requireSingleRuns(backends, 100*time.Millisecond)
+		s.startAgent(0, backends[0])
+		s.requireSingleRuns(backends, 60*time.Second)
+	})
+}
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -99,21 +99,22 @@
 	contention           *contention.Model
 	interferenceStoredAt time.Duration // when the coefficients were last put into a batch
 
-	hostList         hostList
-	dirty            map[*job]struct{}  // jobs whose row has to be written
-	unstoredEnds     map[*host]struct{} // hosts with ends that may be acknowledged after a batch
-	expired          []workload.JobID   // dropped jobs whose rows are to be deleted
-	removals         []workload.JobID   // jobs whose progress rows are to be deleted
-	batchJobs        int                // most jobs in a batch
-	partRemovals     []PartRow          // rows of attempts to be deleted, before those of their jobs
-	expiredParts     map[workload.JobID]int
-	pendingBatch     *Batch        // the batch that is being written, or nil
-	recoveryDeadline time.Duration // when the recovery ends at the latest; 0: no recovery
-	formerOwners     FormerOwners  // of Recover
-	leasesBarred     bool          // of PermitLeases
-	notReplacedUntil time.Duration // of NotReplacedUntil
-	confirmAfter     time.Duration // newest end of leases that certainlyPassed was asked for
-	storedJobsReadAt time.Duration // of StoredJobsRead
+	hostList             hostList
+	dirty                map[*job]struct{}  // jobs whose row has to be written
+	unstoredEnds         map[*host]struct{} // hosts with ends that may be acknowledged after a batch
+	expired              []workload.JobID   // dropped jobs whose rows are to be deleted
+	removals             []workload.JobID   // jobs whose progress rows are to be deleted
+	batchJobs            int                // most jobs in a batch
+	partRemovals         []PartRow          // rows of attempts to be deleted, before those of their jobs
+	expiredParts         map[workload.JobID]int
+	pendingBatch         *Batch        // the batch that is being written, or nil
+	recoveryDeadline     time.Duration // when the recovery ends at the latest; 0: no recovery
+	formerOwners         FormerOwners  // of Recover
+	formerOwnersActUntil time.Duration // of FormerOwnersActUntil
+	leasesBarred         bool          // of PermitLeases
+	notReplacedUntil     time.Duration // of NotReplacedUntil
+	confirmAfter         time.Duration // newest end of leases that certainlyPassed was asked for
+	storedJobsReadAt     time.Duration // of StoredJobsRead
 
 	unsent       map[*host]struct{} // hosts with queued requests for their agents
 	messages     []HostMessage
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -84,7 +84,7 @@
 	stored               bool          // it is in the stored list of hosts
 	listDiffers          bool          // it should not be in the stored list but is, or the reverse
 	expected             bool          // runs of an earlier owner may go on there
-	adopted              bool          // it has answered this owner, and obeys no former one
+	adopted              bool          // it has answered this owner
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
 	idleSince            time.Duration // when all runs on the host had certainly ended
 
@@ -133,7 +133,7 @@
 func (h *host) restartTimeout() {
 	h.timeoutAt = 0
 	if h.state == hostSilent {
-		h.timeoutAt = h.lastGrantAt + LeaseExpiry
+		h.timeoutAt = h.leaseEnd()
 	} else if d, _, ok := hostChart.Timeout(h.state); ok {
 		h.timeoutAt = h.core.now + d
 	}
@@ -144,7 +144,7 @@
 	h.dueAt = 0
 	switch {
 	case h.timeoutAt == 0 || h.core.now < h.timeoutAt:
-	case h.state == hostSilent && !h.core.certainlyPassed(h.lastGrantAt+LeaseExpiry):
+	case h.state == hostSilent && !h.core.certainlyPassed(h.leaseEnd()):
 		h.timeoutAt = h.core.now + replacementCheck
 	default:
 		_, e, _ := hostChart.Timeout(h.state)
--- a/internal/jobs/permission.go
+++ b/internal/jobs/permission.go
@@ -36,23 +36,28 @@
 // a write to the owner's row is needed to show that they were not extended.
 func (c *Core) ConfirmationAwaited() bool { return c.notReplacedUntil < c.confirmAfter }
 
-// FormerOwnersActUntil sets until when former owners may extend the leases of hosts
-// that have not answered this one. It has an effect during a recovery, unless the
-// former owners have ended.
+// FormerOwnersActUntil sets until when former owners may extend the leases of hosts that
+// this one does not reach. That includes hosts which have answered it: the agent may have
+// been started again, and then obeys an owner of a lower epoch if it reaches no other. It
+// has no effect if the former owners have ended.
 func (c *Core) FormerOwnersActUntil(at time.Duration) {
-	if c.recoveryDeadline == 0 || c.formerOwners == FormerOwnersEnded {
+	if c.formerOwners == FormerOwnersEnded {
 		return
 	}
-	at = max(at, c.now)
-	c.recoveryDeadline = at + maxRecovery
+	c.formerOwnersActUntil = max(at, c.now)
+	if c.recoveryDeadline != 0 {
+		c.recoveryDeadline = c.formerOwnersActUntil + maxRecovery
+	}
 	for _, h := range c.hostsByName {
-		if h.adopted || h.state != hostSilent && h.state != hostClaiming {
-			continue
-		}
-		h.lastGrantAt = at
 		if h.state == hostSilent {
 			h.restartTimeout()
 			h.schedule()
 		}
 	}
 }
+
+// leaseEnd returns when leases of the host that this owner, or a former one, may have
+// granted have ended, if the host is unlinked.
+func (h *host) leaseEnd() time.Duration {
+	return max(h.lastGrantAt, h.core.formerOwnersActUntil) + LeaseExpiry
+}
--- a/internal/jobs/permission_test.go
+++ b/internal/jobs/permission_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
 )
 
 // Guards against a task that runs twice at a time because the owner gives up a run whose
@@ -44,3 +46,22 @@
 	h.advance(200 * time.Millisecond)
 	require.Len(t, h.started, 1)
 }
+
+// Guards against a task that runs twice at a time because the agent of a host that has
+// answered the owner is started again: the new process knows no epoch, and obeys a former
+// owner that does not know of this one yet.
+func TestRunsOfAnAdoptedHostAreNotLostWhileFormerOwnersMayAct(t *testing.T) {
+	h := newHarness(t, 2)
+	h.core.Restore(newSpec("j", newStep(1, 1000)), nil)
+	h.core.ExpectHost("a")
+	h.core.Recover(FormerOwnersActive)
+	former := h.now + 10*time.Second
+	h.core.FormerOwnersActUntil(former)
+	h.link(readyHost("a", 4000), msg.RunStatus{Run: runID("j", 0, 0, 1)})
+	h.link(readyHost("b", 4000))
+	h.core.Unlinked("a")
+	for h.now < former+LeaseExpiry-time.Second {
+		h.advance(200 * time.Millisecond)
+		require.Empty(t, h.started, "%v before the former owners' leases end", former+LeaseExpiry-h.now)
+	}
+}
