ownership: count the time of a suspension of the owner's host

After a suspension the owner could be undisputed again by links that came up anew, with up to 5 minutes from a write whose age its monotonic clock does not show. An entry that it does not know waits 5 minutes by a clock that went on.

go test -run TestOwnerWhoseHostWasSuspendedForLongActsOnlyAfterAWrite ./internal/ownership failed before (MayAct true without a write) and passes now.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -135,9 +135,9 @@
 
 // noticeSuspension tells the ownership if the host was suspended since the last call.
 func (c *controller) noticeSuspension(now time.Duration) {
-	if c.clock.suspendedSinceLastCall() > 0 {
+	if d := c.clock.suspendedSinceLastCall(); d > 0 {
 		event.Log(c.log, event.HostSuspended, log.Fields{"epoch": c.owner.Epoch()})
-		c.owner.Suspended(now)
+		c.owner.Suspended(d, now)
 	}
 }
 
--- a/internal/ownership/permission_test.go
+++ b/internal/ownership/permission_test.go
@@ -111,7 +111,7 @@
 // stopped: it acts after a write, or when each entry was linked anew.
 func TestOwnerThatWasSuspendedConfirmsItsRowBeforeItActs(t *testing.T) {
 	for name, suspend := range map[string]func(*Core, *time.Duration){
-		"host":    func(a *Core, now *time.Duration) { a.Suspended(*now) },
+		"host":    func(a *Core, now *time.Duration) { a.Suspended(time.Second, *now) },
 		"process": func(a *Core, now *time.Duration) { *now += 5 * time.Second },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -139,7 +139,7 @@
 // right before, so it has not found yet that its links have ended.
 func TestEntryThatWasSuspendedBeforeItsClaimWasAnsweredConfirmsItsRow(t *testing.T) {
 	for name, suspend := range map[string]func(*Core, *time.Duration){
-		"host":    func(a *Core, now *time.Duration) { a.Suspended(*now) },
+		"host":    func(a *Core, now *time.Duration) { a.Suspended(time.Second, *now) },
 		"process": func(a *Core, now *time.Duration) { *now += 5 * time.Second },
 	} {
 		for _, inFlight := range []bool{true, false} {
@@ -318,3 +318,18 @@
 		}
 	})
 }
+
+// Guards against an owner that acts beside its successor because its host was suspended
+// for longer than an entry that it does not know waits: its clock does not show for how
+// long, and each entry that it knows is linked anew.
+func TestOwnerWhoseHostWasSuspendedForLongActsOnlyAfterAWrite(t *testing.T) {
+	a, now := newLinkedOwner(t)
+	a.Suspended(10*time.Minute, now)
+	a.PeerDown("b", now)
+	a.PeerDown("c", now)
+	a.PeerUp("b", 0)
+	a.PeerUp("c", 0)
+	require.False(t, a.MayAct(now+time.Millisecond))
+	a.Confirmed(now+time.Millisecond, now+2*time.Millisecond)
+	require.True(t, a.MayAct(now+2*time.Millisecond))
+}
--- a/internal/ownership/suspension.go
+++ b/internal/ownership/suspension.go
@@ -28,15 +28,17 @@
 // noticeGap notices that the process did not run between its last step and this one.
 func (c *Core) noticeGap(now time.Duration) {
 	if last := c.suspension.steppedAt; last != 0 && now-last >= maxGap {
-		c.Suspended(now)
+		c.Suspended(0, now)
 	}
 	c.suspension.steppedAt = now
 }
 
-// Suspended records that the host was suspended until now, which its monotonic clock
-// does not show.
-func (c *Core) Suspended(now time.Duration) {
+// Suspended records that the host was suspended until now, for a time that its monotonic
+// clock does not count. The clocks of successors do.
+func (c *Core) Suspended(uncounted, now time.Duration) {
 	c.now = now
+	c.claimSentAt -= uncounted
+	c.permission.confirmedAt -= uncounted
 	c.suspension.until = now
 	c.suspension.linked = make(map[string]struct{}, len(c.linked))
 	for name := range c.linked {
