jobs: leave the owner's row unsettled while former owners act

The row said that no owner before this one may be active once each host had answered. An agent that is started again forgets the epoch and obeys the former owner. If the new owner is started again too, it took its own row for the end of all former owners and did not wait: a task ran on two hosts in TestOwnerThatIsStartedAgainWithAnAgentLetsNoTaskRunTwice.

The row stays unsettled until the former owners act no more.

--- a/internal/jobdaemon/agentrestart_test.go
+++ b/internal/jobdaemon/agentrestart_test.go
@@ -33,38 +33,62 @@
 	return g
 }
 
+// newAgentRestart divides a site so that entry-0 with the majority does not know that
+// entry-2 owns the jobs, while agent-0, which reaches both, has answered entry-2.
+func newAgentRestart(t *testing.T) (*ownerSite, []*memoryBackend, []*actor.Group) {
+	s := newOwnerSite(t, 800, 400, 190)
+	var backends []*memoryBackend
+	var agents []*actor.Group
+	for i := range 3 {
+		b := &memoryBackend{instance: workload.Instance(fmt.Sprintf("i-agent-%d", i)), startedAt: time.Now(), runs: map[workload.RunID]bool{}, events: make(eventRecorder, 10_000)}
+		agents = append(agents, s.startAgent(i, b))
+		backends = append(backends, b)
+	}
+	s.advance(3 * time.Second)
+	require.Equal(t, []string{"entry-0"}, s.owners())
+	s.submitLongRunning(2)
+	require.Len(t, backends[0].running(), 1)
+
+	s.cutOff([]string{"entry-0", "entry-1"}, []string{"entry-2", "agent-1", "agent-2"})
+	s.entries["entry-0"].store.cut.Set(new(false))
+	s.requireSingleRuns(backends, 1300*time.Millisecond)
+	s.entries["entry-0"].store.cut.Set(new(true))
+	for backends[0].agent.published.epoch.Get() == nil || *backends[0].agent.published.epoch.Get() < 2 {
+		s.requireSingleRuns(backends, 20*time.Millisecond)
+	}
+	s.requireSingleRuns(backends, 200*time.Millisecond)
+	return s, backends, agents
+}
+
 // Guards against a task that runs twice at a time because the agent of a host that has
 // answered the new owner is started again: the new process knows no epoch, and obeys the
 // former owner, which has the majority and does not know yet that it was replaced.
 func TestAgentThatIsStartedAgainLetsNoTaskRunTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newOwnerSite(t, 800, 400, 190)
+		s, backends, agents := newAgentRestart(t)
 		defer s.stop()
-		backends := s.startBackends(0)
-		var agents []*actor.Group
-		for i := range 3 {
-			name := fmt.Sprintf("agent-%d", i)
-			b := &memoryBackend{instance: workload.Instance("i-" + name), startedAt: time.Now(), runs: map[workload.RunID]bool{}, events: make(eventRecorder, 10_000)}
-			agents = append(agents, s.startAgent(i, b))
-			backends = append(backends, b)
-		}
-		s.advance(3 * time.Second)
-		require.Equal(t, []string{"entry-0"}, s.owners())
-		s.submitLongRunning(2)
-		require.Len(t, backends[0].running(), 1)
+		s.net.CutBoth("agent-0", "entry-2")
+		agents[0].Cancel()
+		s.requireSingleRuns(backends, 100*time.Millisecond)
+		s.startAgent(0, backends[0])
+		s.requireSingleRuns(backends, 60*time.Second)
+	})
+}
 
-		s.cutOff([]string{"entry-0", "entry-1"}, []string{"entry-2", "agent-1", "agent-2"})
-		s.entries["entry-0"].store.cut.Set(new(false))
-		s.requireSingleRuns(backends, 1300*time.Millisecond)
-		s.entries["entry-0"].store.cut.Set(new(true))
-		for backends[0].agent.published.epoch.Get() == nil || *backends[0].agent.published.epoch.Get() < 2 {
-			s.requireSingleRuns(backends, 20*time.Millisecond)
-		}
-		s.requireSingleRuns(backends, 200*time.Millisecond)
+// Guards against a task that runs twice at a time because the new owner is started again
+// too: its row says that no owner before it may be active once each host has answered, so
+// its next process does not wait for the former owner.
+func TestOwnerThatIsStartedAgainWithAnAgentLetsNoTaskRunTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, backends, agents := newAgentRestart(t)
+		defer s.stop()
+		s.requireSingleRuns(backends, 300*time.Millisecond)
+		s.kill("entry-2")
 		s.net.CutBoth("agent-0", "entry-2")
 		agents[0].Cancel()
 		s.requireSingleRuns(backends, 100*time.Millisecond)
 		s.startAgent(0, backends[0])
+		s.start("entry-2", 190)
 		s.requireSingleRuns(backends, 60*time.Second)
 	})
 }
--- a/internal/jobdaemon/fencing_test.go
+++ b/internal/jobdaemon/fencing_test.go
@@ -164,6 +164,9 @@
 		s.exchange(o, h)
 	}
 	s.store(o, false)
+	require.True(t, s.row.Unsettled, "an agent that is started again may obey a former owner")
+	o.jobs.Advance(o.owner.FormerOwnersActUntil(), 0)
+	s.store(o, false)
 	require.True(t, s.row.Fenced)
 	require.False(t, s.row.Unsettled)
 }
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -200,5 +200,7 @@
 }
 
 // Settled reports whether no former owner can have runs that the core does not
-// know.
-func (c *Core) Settled() bool { return c.recoveryDeadline == 0 }
+// know, or get any: while one acts, an agent that is started again may obey it.
+func (c *Core) Settled() bool {
+	return c.recoveryDeadline == 0 && c.now >= c.formerOwnersActUntil
+}
