jobdaemon: let an owner act no more once a link has a higher epoch

A link raises the epoch of the process and echoes the heartbeat before the controller, whose mailbox may be long, applies it. The successor counts that echo and waits for 2 s in place of 10 s, so it relied on the controller being fast. The controller now looks at the epoch of the links before it acts.

The controller of TestProgressOfAnExpiredJobIsDeletedAfterItsOtherRows gets the field that each real one has; its checks are as before.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -127,12 +127,22 @@
 func (c *controller) advanceJobs() {
 	now := c.now()
 	c.noticeSuspension(now)
+	c.observeLinkedEpochs(now)
 	c.logPermission(now)
 	c.jobs.Advance(now, time.Now().UnixMilli())
 	c.jobs.PermitLeases(c.owner.MayAct(now))
 	c.jobs.NotReplacedUntil(c.owner.NotReplacedUntil())
 }
 
+// observeLinkedEpochs applies the highest epoch that the links have received. They may
+// have echoed it already, which a successor relies on, while the message that carried it
+// is still queued.
+func (c *controller) observeLinkedEpochs(now time.Duration) {
+	if c.owner.EpochObserved(c.published.epochs.Highest.Get(), now) {
+		c.logOwner("heartbeat")
+	}
+}
+
 // noticeSuspension tells the ownership if the host was suspended since the last call.
 func (c *controller) noticeSuspension(now time.Duration) {
 	if d := c.clock.suspendedSinceLastCall(); d > 0 {
@@ -225,6 +235,7 @@
 	if c.jobs == nil || c.loading {
 		return false
 	}
+	c.observeLinkedEpochs(c.now())
 	if !c.owner.MayAct(c.now()) {
 		return false
 	}
--- a/internal/jobdaemon/writer_test.go
+++ b/internal/jobdaemon/writer_test.go
@@ -73,7 +73,7 @@
 		store.state <- deletions{failures: 3}
 		l := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 		c := &controller{
-			group: g, ownerGroup: g.Sub(), log: l, jobs: jobs.New(1, 0), startedAt: time.Now(), owner: ownership.New("a", 1, 0, 0),
+			group: g, ownerGroup: g.Sub(), log: l, jobs: jobs.New(1, 0), startedAt: time.Now(), owner: ownership.New("a", 1, 0, 0), published: &published{},
 			storeProxy: &storeProxy{store: store, commitViaPeer: noPeer, log: l}, writer: writer{owner: workload.Owner{Name: "a", Epoch: 1}, version: 1},
 		}
 		c.jobs.Restore(workload.Job{ID: id}, &workload.Progress{Phase: workload.Completed})
