--- a/internal/jobdaemon/agentrestart_test.go
+++ b/internal/jobdaemon/agentrestart_test.go
@@ -35,7 +35,7 @@
 
 // newAgentRestart divides a site so that entry-0 with the majority does not know that
 // entry-2 owns the jobs, while agent-0, which reaches both, has answered entry-2.
-func newAgentRestart(t *testing.T) (*ownerSite, []*memoryBackend, []*actor.Group) {
+func newAgentRestart(t *testing.T, tasks int, longRunning bool) (*ownerSite, []*memoryBackend, []*actor.Group) {
 	s := newOwnerSite(t, 800, 400, 190)
 	var backends []*memoryBackend
 	var agents []*actor.Group
@@ -46,7 +46,7 @@
 	}
 	s.advance(3 * time.Second)
 	require.Equal(t, []string{"entry-0"}, s.owners())
-	s.submitLongRunning(2)
+	s.submitFilling(tasks, longRunning)
 	require.Len(t, backends[0].running(), 1)
 
 	s.cutOff([]string{"entry-0", "entry-1"}, []string{"entry-2", "agent-1", "agent-2"})
@@ -65,7 +65,7 @@
 // former owner, which has the majority and does not know yet that it was replaced.
 func TestAgentThatIsStartedAgainLetsNoTaskRunTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, backends, agents := newAgentRestart(t)
+		s, backends, agents := newAgentRestart(t, 2, true)
 		defer s.stop()
 		s.net.CutBoth("agent-0", "entry-2")
 		agents[0].Cancel()
@@ -80,7 +80,7 @@
 // its next process does not wait for the former owner.
 func TestOwnerThatIsStartedAgainWithAnAgentLetsNoTaskRunTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, backends, agents := newAgentRestart(t)
+		s, backends, agents := newAgentRestart(t, 2, true)
 		defer s.stop()
 		s.requireSingleRuns(backends, 300*time.Millisecond)
 		s.kill("entry-2")
@@ -92,3 +92,29 @@
 		s.requireSingleRuns(backends, 60*time.Second)
 	})
 }
+
+// Guards against a task that runs twice at a time because it waits for room at the former
+// owner too, which starts it on a host whose agent was started again and obeys it.
+func TestFormerOwnerStartsNoTaskOnAnAgentThatIsStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, backends, agents := newAgentRestart(t, 4, false) // one task waits
+		defer s.stop()
+		s.net.CutBoth("agent-0", "entry-2")
+		agents[0].Cancel()
+		s.requireSingleRuns(backends, 100*time.Millisecond)
+		s.startAgent(0, backends[0])
+		s.requireSingleRuns(backends, 500*time.Millisecond)
+		backends[1].endRuns(workload.EndDone)
+		backends[0].endRuns(workload.EndDone)
+		s.requireSingleRuns(backends, 60*time.Second)
+	})
+}
+
+// endRuns ends the runs of the backend server.
+func (b *memoryBackend) endRuns(reason workload.EndReason) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.runs {
+		b.end(id, reason)
+	}
+}
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -112,11 +112,14 @@
 	return backends
 }
 
-// submitLongRunning stores a job whose tasks fill a host each.
-func (s *ownerSite) submitLongRunning(tasks int) {
+// submitLongRunning stores a long-running job whose tasks fill a host each.
+func (s *ownerSite) submitLongRunning(tasks int) { s.submitFilling(tasks, true) }
+
+// submitFilling stores a job whose tasks fill a host each.
+func (s *ownerSite) submitFilling(tasks int, longRunning bool) {
 	h := &jobHandler{controller: s.entries["entry-1"].controller, log: s.entries["entry-1"].controller.log, metrics: s.entries["entry-1"].controller.metrics}
 	require.NoError(s.t, h.Submit(s.t.Context(), workload.Queue{Name: "q", Service: "desk", MaxAttempts: 3}, workload.Job{ID: "00000000000000a1", Queue: "q", Service: "desk", MaxAttempts: 3, Steps: []workload.Step{
-		{Count: tasks, LongRunning: true, Need: workload.Resources{MilliCPU: 3000, MemoryMB: 1}, Estimate: time.Second},
+		{Count: tasks, LongRunning: longRunning, Need: workload.Resources{MilliCPU: 3000, MemoryMB: 1}, Estimate: time.Second},
 	}}))
 	s.advance(3 * time.Second)
 }
