jobdaemon: let an agent read the stored epoch before it obeys an owner

An agent that was started again knew no epoch and obeyed a former owner if it reached no other. The new owner starts tasks once each host has answered, so a task that waited for room at both started at both.

An agent holds claims until it has read the owner's row. A claim that its former process obeyed was committed before, so the row has that epoch or a higher one. Price: a read at the start; while the table service is down, an agent that is started again obeys nobody, and its runs end with their leases.

TestStartsThatWaitedAreNotSentToADrainingBackendServer has no table service; it delivers the epoch in place of it. No check of it has changed.

--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -16,6 +17,8 @@
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/peer"
 	"github.com/bambooscale/bambooscale/internal/runner"
+	"github.com/bambooscale/bambooscale/internal/storage"
+	"github.com/bambooscale/bambooscale/internal/wire"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -55,6 +58,10 @@
 	calls     actor.Address[agentCall]
 	polls     actor.Address[agentPoll]
 	polling   bool // a poll is in flight
+	// epochKnown is set when the stored epoch was read. A former process of the agent may
+	// have known a higher epoch than the entries that this one reaches.
+	epochKnown bool
+	heldClaims map[linkID]*msg.OwnerClaim // until epochKnown
 
 	published *published
 }
@@ -96,6 +103,7 @@
 		err      error
 	}
 	finalPoll struct{ reply actor.Reply[hostagent.Poll] }
+	epochRead struct{ epoch uint64 }
 )
 
 // Agent is a running agent. Its methods may be called by any goroutine.
@@ -128,7 +136,7 @@
 	a := &agent{
 		cfg: cfg, core: hostagent.New(cfg.Core), log: cfg.Log, group: g, dial: dial, linkGroup: g.Sub(),
 		startedAt: time.Now(), links: map[linkID]peer.Out{},
-		hellos: map[linkID]*msg.PeerHello{}, members: map[string]msg.Member{}, published: &published{},
+		hellos: map[linkID]*msg.PeerHello{}, heldClaims: map[linkID]*msg.OwnerClaim{}, members: map[string]msg.Member{}, published: &published{},
 	}
 	a.calls = actor.Spawn(g, actor.Spec[agentCall]{Name: "callers", Mailbox: callMailbox, Run: func(ctx context.Context, in <-chan agentCall) error {
 		return a.runCalls(ctx, cfg.Runner, in)
@@ -139,6 +147,7 @@
 	a.address = actor.Spawn(g, actor.Spec[any]{Name: "guard", Mailbox: agentMailbox, Run: a.run, OnExit: cfg.Failed})
 	a.startLinks(a.linkGroup)
 	actor.Go(g, "entry finder", func(ctx context.Context) error { return a.findEntries(ctx, cfg) })
+	actor.Go(g, "epoch reader", func(ctx context.Context) error { return a.readEpoch(ctx, cfg) })
 	return a
 }
 
@@ -206,6 +215,49 @@
 	return nil
 }
 
+// epochRetry is the pause before the stored epoch is read again after a failure.
+const epochRetry = 300 * time.Millisecond
+
+// readEpoch reads the stored epoch once. Until then the agent obeys no owner.
+func (a *agent) readEpoch(ctx context.Context, cfg AgentConfig) error {
+	p := &storeProxy{store: cfg.Store, log: cfg.Log}
+	for {
+		if epoch, err := readEpoch(ctx, p); err == nil {
+			_ = a.address.Send(ctx, &epochRead{epoch}) // an error means that the process ends
+			return nil
+		}
+		if !actor.Sleep(ctx, epochRetry) {
+			return nil
+		}
+	}
+}
+
+// readEpoch reads the epoch of the newest owner: 0 if there was none.
+func readEpoch(ctx context.Context, p *storeProxy) (uint64, error) {
+	row, err := p.read(ctx, ownerKey)
+	if errors.Is(err, storage.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	owner, err := wire.DecodeOwner(row.Value)
+	return owner.Epoch, err
+}
+
+// applyStoredEpoch applies the stored epoch, and the claims that were held until it was
+// read.
+func (a *agent) applyStoredEpoch(epoch uint64) {
+	a.epochKnown = true
+	a.core.EpochObserved(epoch)
+	for id, claim := range a.heldClaims {
+		if _, up := a.links[id]; up {
+			a.core.Received(hostagent.LinkID(id), claim)
+		}
+	}
+	clear(a.heldClaims)
+}
+
 func (a *agent) run(ctx context.Context, in <-chan any) error {
 	return actor.BatchLoop[any]{Limit: maxBatch, Interval: agentTick, Apply: a.apply, Tick: a.tick, Flush: a.flush, Failed: a.failed}.Run(ctx, in)
 }
@@ -255,6 +307,8 @@
 		if m.err != nil {
 			a.startPoll(pollRetryInterval)
 		}
+	case *epochRead:
+		a.applyStoredEpoch(m.epoch)
 	case *finalPoll:
 		m.reply.Put(a.core.NextPoll())
 	}
@@ -312,6 +366,7 @@
 	}
 	delete(a.links, m.id)
 	delete(a.hellos, m.id)
+	delete(a.heldClaims, m.id)
 	logLinkDown(a.log, hello.Member.Name, m.err)
 	a.core.Unlinked(hostagent.LinkID(m.id))
 	a.publishLinked()
@@ -330,6 +385,7 @@
 	if _, up := a.links[m.id]; !up {
 		return
 	}
+	id := m.id
 	switch m := m.message.(type) {
 	case *msg.Members:
 		a.addMembers(m.Entries)
@@ -337,6 +393,11 @@
 	case *msg.Heartbeat:
 		a.core.EpochObserved(m.Epoch)
 		return
+	case *msg.OwnerClaim:
+		if !a.epochKnown && m.Owner == "" {
+			a.heldClaims[id] = m
+			return
+		}
 	}
 	a.core.Received(hostagent.LinkID(m.id), m.message)
 }
--- a/internal/jobdaemon/agent_calls_test.go
+++ b/internal/jobdaemon/agent_calls_test.go
@@ -72,6 +72,7 @@
 		}})
 		send := func(m any) { require.NoError(t, a.address.Send(t.Context(), m)) }
 		send(&linkUp{1, &msg.PeerHello{Member: msg.Member{Name: "owner", Address: "owner"}, Epoch: 1}, owner})
+		send(&epochRead{1})
 		send(&linkMessage{1, &msg.OwnerClaim{Epoch: 1}})
 		time.Sleep(time.Second)
 		send(&linkMessage{1, &msg.InventoryAccepted{Epoch: 1, ClockMS: 1}})
