--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -17,8 +16,6 @@
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/peer"
 	"github.com/bambooscale/bambooscale/internal/runner"
-	"github.com/bambooscale/bambooscale/internal/storage"
-	"github.com/bambooscale/bambooscale/internal/wire"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -215,49 +212,6 @@
 	return nil
 }
 
-// epochRetry is the pause before the stored epoch is read again after a failure.
-const epochRetry = 300 * time.Millisecond
-
-// readEpoch reads the stored epoch once. Until then the agent obeys no owner.
-func (a *agent) readEpoch(ctx context.Context, cfg AgentConfig) error {
-	p := &storeProxy{store: cfg.Store, log: cfg.Log}
-	for {
-		if epoch, err := readEpoch(ctx, p); err == nil {
-			_ = a.address.Send(ctx, &epochRead{epoch}) // an error means that the process ends
-			return nil
-		}
-		if !actor.Sleep(ctx, epochRetry) {
-			return nil
-		}
-	}
-}
-
-// readEpoch reads the epoch of the newest owner: 0 if there was none.
-func readEpoch(ctx context.Context, p *storeProxy) (uint64, error) {
-	row, err := p.read(ctx, ownerKey)
-	if errors.Is(err, storage.ErrNotFound) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, err
-	}
-	owner, err := wire.DecodeOwner(row.Value)
-	return owner.Epoch, err
-}
-
-// applyStoredEpoch applies the stored epoch, and the claims that were held until it was
-// read.
-func (a *agent) applyStoredEpoch(epoch uint64) {
-	a.epochKnown = true
-	a.core.EpochObserved(epoch)
-	for id, claim := range a.heldClaims {
-		if _, up := a.links[id]; up {
-			a.core.Received(hostagent.LinkID(id), claim)
-		}
-	}
-	clear(a.heldClaims)
-}
-
 func (a *agent) run(ctx context.Context, in <-chan any) error {
 	return actor.BatchLoop[any]{Limit: maxBatch, Interval: agentTick, Apply: a.apply, Tick: a.tick, Flush: a.flush, Failed: a.failed}.Run(ctx, in)
 }
@@ -416,19 +370,6 @@
 	a.published.members.Set(&list)
 }
 
-// registry implements runner.Registry: it passes announcements to the agent.
-type registry struct{ agent *agent }
-
-func (r *registry) Announce(ctx context.Context, announcement runner.Announcement) error {
-	_, err := actor.Ask(ctx, r.agent.address, func(rep actor.Reply[bool]) any { return &announced{announcement, rep} })
-	return err
-}
-
-func (r *registry) Leave(ctx context.Context, id workload.Instance, startedAtMS int64) error {
-	_, err := actor.Ask(ctx, r.agent.address, func(rep actor.Reply[bool]) any { return &deregistered{id, startedAtMS, rep} })
-	return err
-}
-
 // Change applies changed settings.
 func (a *Agent) Change(s ChangedSettings) { a.agent.published.seeds.Set(&s.Seeds) }
 
