faultproxy: wait until the proxy has accepted what a partition holds

Change: the test waits until the proxy has both connections before one is given up and the partition heals. Its checks and bounds are as before.

--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -162,6 +162,11 @@
 	f.requireRead(client, "held")
 }
 
+// requireConnections waits until the proxy has n connections.
+func (f fixture) requireConnections(n int) {
+	require.Eventually(f.t, func() bool { return f.proxy.Connections() == n }, time.Second, time.Millisecond)
+}
+
 // Guards against queued bytes that pass when a blackholed connection is reset.
 func TestBlackholeWithholdsBytes(t *testing.T) {
 	f := newFixture(t)
@@ -196,10 +201,11 @@
 	given, kept := f.dial(), f.dial()
 	f.write(given, "given up")
 	f.write(kept, "kept")
+	f.requireConnections(2) // a connection that is accepted after the partition is forwarded
 	require.NoError(t, given.Close())
 	f.proxy.Heal()
 	f.requireRead(f.accept(), "kept")
-	require.Eventually(t, func() bool { return f.proxy.Connections() == 1 }, time.Second, time.Millisecond)
+	f.requireConnections(1)
 }
 
 // Guards against a connection that is passed to a proxy without a listener and is not
