jobdaemon: apply echoes that precede the jobs of a new owner

What callers would see: a step of the new owner's loop fails (event 946) and the ownership is begun anew, jobs wait for a claim more. Cause: an echo in the same batch of messages as the answer to the claim lets the owner tell the jobs how long former owners act, before it has any. Change: it waits until the jobs are loaded, which tells them anyway. Test: TestEchoBeforeTheOwnerHasJobsIsApplied (go test ./internal/jobdaemon) failed before with a nil pointer and passes now.

--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -223,8 +223,8 @@
 
 // limitFormerOwners tells the jobs until when former owners may extend leases.
 func (c *controller) limitFormerOwners() {
-	if c.loading {
-		return
+	if c.jobs == nil || c.loading {
+		return // jobsLoaded calls it again
 	}
 	until := c.owner.FormerOwnersActUntil()
 	c.jobs.FormerOwnersActUntil(until)
