hostagent: keep the silence of a backend server in its chart

Cause: the state of a backend server whose leases expired without an answer was a flag beside charts/incarnation.scxml. Change: the chart has the state "silent", which begins with the expiry and ends with an answer after a new announcement, a later incarnation or its end. What the agent does is as before.

--- a/charts/waiting_test.go
+++ b/charts/waiting_test.go
@@ -29,6 +29,7 @@
 	"heldrun/running":        "ends with an end, a stop, a poll that no longer lists it, or the end of the incarnation or of its leases",
 	"incarnation/unknown":    "at rest until an announcement is confirmed",
 	"incarnation/present":    "at rest; Core.Tick ends its runs when the leases expire without an answer",
+	"incarnation/silent":     "at rest until the backend server announces itself and answers a poll, or ends",
 	"incarnation/ended":      "at rest until an announcement is confirmed",
 	"ownership/owner":        "ends when another entry claims the jobs; each batch checks the row",
 	"ownership/handing-over": "ends when the release is stored or refused, which the writer repeats",
--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -44,9 +44,9 @@
 	if c.outdated(a) {
 		return
 	}
-	if c.silent {
+	if c.silent() {
 		c.announcement, c.announcedMS = a.Sequence, a.ClockMS
-		c.returning = &a
+		c.incarnation.returning = &a
 		return
 	}
 	before := c.host
@@ -103,7 +103,7 @@
 // server's clock, or 0 if the owner's lease has expired or the backend server is silent.
 // It records the end in sentLeaseMS.
 func (c *Core) leaseMS() int64 {
-	if c.silent {
+	if c.silent() {
 		return 0
 	}
 	now := c.clock.lowerBound(c.now)
@@ -230,8 +230,8 @@
 		return false
 	}
 	c.polledMS, c.callFailed = response.ClockMS, false
-	if c.silent && c.returning != nil && response.ClockMS > c.sentLeaseMS {
-		c.returnFromSilence()
+	if response.ClockMS > c.sentLeaseMS {
+		c.stepIncarnation(evPollAnswered)
 	}
 	if c.host.State == workload.HostUnavailable {
 		return false // only an announcement makes the host available again
@@ -264,8 +264,8 @@
 // returnFromSilence makes the host available again with the newest announcement. The
 // answer to the poll shows what runs there, and the owner gets a new inventory.
 func (c *Core) returnFromSilence() {
-	a := *c.returning
-	c.silent, c.returning = false, nil
+	a := *c.incarnation.returning
+	c.incarnation.returning = nil
 	c.polled, c.inventorySent, c.inventoryAccepted = false, false, false
 	c.setAnnounced(a)
 	c.announce()
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -137,11 +137,9 @@
 	leaseEndMS         int64 // end of the owner's lease, in the backend server's clock
 	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
 	suspension         suspension
-	connectionRefusals int                  // consecutive refused connections
-	callFailed         bool                 // a call was not answered since the last answered poll
-	silent             bool                 // the runs were ended by leasesExpiredInSilence
-	returning          *runner.Announcement // the newest while silent; nil: none
-	askPresentNext     bool                 // the last poll asked for a candidate and was not answered
+	connectionRefusals int  // consecutive refused connections
+	callFailed         bool // a call was not answered since the last answered poll
+	askPresentNext     bool // the last poll asked for a candidate and was not answered
 	nextReport         time.Duration
 	throttler          throttler
 
@@ -252,8 +250,7 @@
 	}
 	c.stopAfterSuspension()
 	if c.leasesExpiredInSilence() {
-		c.silent = true
-		c.endRuns("its leases expired without an answer")
+		c.stepIncarnation(evSilent)
 	}
 	c.report()
 }
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -14,6 +14,7 @@
 const (
 	incarnationUnknown chart.State = iota
 	incarnationPresent
+	incarnationSilent
 	incarnationClosing
 	incarnationEnded
 )
@@ -24,6 +25,8 @@
 	evProcessEnded
 	evSettled
 	evCloseTimeout
+	evSilent
+	evPollAnswered
 )
 
 // closeCheck is the interval at which it is checked whether the leases of an ended
@@ -38,15 +41,18 @@
 func IncarnationBinding() chart.Binding[Core] {
 	return chart.Binding[Core]{
 		Chart:  "incarnation",
-		States: []string{"unknown", "present", "closing", "ended"},
-		Events: []string{"confirmed", "gone", "settled", "late"},
+		States: []string{"unknown", "present", "silent", "closing", "ended"},
+		Events: []string{"confirmed", "gone", "settled", "late", "silent", "answered"},
 		Guards: map[string]func(*Core) bool{
 			"startsSettled": (*Core).startsSettled,
 			"leasesExpired": func(c *Core) bool { return c.now >= c.incarnation.leasesExpireAt },
+			"announcedAnew": func(c *Core) bool { return c.incarnation.returning != nil },
 		},
 		Actions: map[string]func(*Core){
-			"begin": (*Core).beginIncarnation,
-			"end":   (*Core).reportEndOfIncarnation,
+			"begin":     (*Core).beginIncarnation,
+			"end":       (*Core).reportEndOfIncarnation,
+			"endSilent": func(c *Core) { c.endRuns("its leases expired without an answer") },
+			"return":    (*Core).returnFromSilence,
 		},
 		Delays: map[string]time.Duration{"closeCheck": closeCheck},
 	}
@@ -55,8 +61,9 @@
 // incarnation is the state of charts/incarnation.scxml.
 type incarnation struct {
 	state     chart.State
-	timeoutAt time.Duration // when the state's timeout expires; 0: none
-	confirmed confirmation  // during the event confirmed only
+	timeoutAt time.Duration        // when the state's timeout expires; 0: none
+	confirmed confirmation         // during the event confirmed only
+	returning *runner.Announcement // the newest while silent; nil: none
 
 	// Set when its process has ended.
 	endReason      string
@@ -90,7 +97,11 @@
 
 // present reports whether an incarnation of the backend server is known that has
 // not ended.
-func (c *Core) present() bool { return c.incarnation.state == incarnationPresent }
+func (c *Core) present() bool { return c.incarnation.state == incarnationPresent || c.silent() }
+
+// silent reports whether the present incarnation answered no poll until the leases of
+// its runs had expired, and has not returned.
+func (c *Core) silent() bool { return c.incarnation.state == incarnationSilent }
 
 func sameIncarnation(a, b workload.Host) bool {
 	return a.Instance == b.Instance && a.StartedAtMS == b.StartedAtMS
@@ -145,7 +156,7 @@
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0
 	c.changed = msg.RunsChanged{}
 	c.inventorySent, c.inventoryAccepted, c.callFailed = false, false, false
-	c.silent, c.returning, c.suspension = false, nil, suspension{}
+	c.incarnation.returning, c.suspension = nil, suspension{}
 }
 
 // processEnded records that the process of the present incarnation has ended.
