peer: end a link in order although its writer has ended first

The last messages of a stopping process, such as the release of the jobs, could be lost. Cause: when the context ends, the writer sends what is queued and ends too. If the session looks at both only then, because its handler was busy, it takes one of the two at random, and the end of the writer for a failure: it closes the connection before its orderly shutdown. Change: the end of the writer after the context counts as the end of the context.

--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -131,6 +131,10 @@
 			s.deliverQueued(in)
 			s.err, event = err, evFailed
 		case <-writerDone:
+			if ctx.Err() != nil {
+				s.err = ctx.Err() // it has ended in order
+				return s.err
+			}
 			s.deliverRest(in, readFailed)
 			s.err, event = link.ErrClosed, evFailed
 		case s.ownInterval = <-s.announced:
