--- a/review/testdata/world/cases.go
+++ b/review/testdata/world/cases.go
@@ -239,9 +239,9 @@
 }
 
 // gone: an agent is stopped in order and starts again; meanwhile its backend server, one of
-// eight, is lost for good.
+// 17, is lost for good.
 func gone(w *world, trouble bool) bool {
-	w.begin(sameLabels(8)...)
+	w.begin(sameLabels(17)...)
 	end := w.traffic()
 	time.Sleep(lostBefore)
 	agent := w.agents[0]
