internal/jobs: give up runs of linked hosts that get no lease

The owner counted the leases of a host only while it was unlinked. A host that is linked and has answered the claim, but whose reports the owner does not get or ignores, was charged with its runs for ever.

While the owner may not act it gives up nothing: leases that end then count as ended only after a write to its row. A host without runs is not claimed again.

--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -132,7 +132,7 @@
 // restartTimeout sets the timeout of the host's state.
 func (h *host) restartTimeout() {
 	h.timeoutAt = 0
-	if h.state == hostSilent {
+	if h.state == hostSilent || h.state == hostReady {
 		h.timeoutAt = h.leaseEnd()
 	} else if d, _, ok := hostChart.Timeout(h.state); ok {
 		h.timeoutAt = h.core.now + d
@@ -144,6 +144,12 @@
 	h.dueAt = 0
 	switch {
 	case h.timeoutAt == 0 || h.core.now < h.timeoutAt:
+	case h.state == hostReady && h.core.now < h.leaseEnd(): // of a later grant
+		h.timeoutAt = h.leaseEnd()
+	case h.state == hostReady && len(h.runs) == 0:
+		h.timeoutAt = h.core.now + LeaseExpiry
+	case h.state == hostReady && !h.core.certainlyPassed(h.leaseEnd()):
+		h.timeoutAt = h.core.now + linkedReplacementCheck
 	case h.state == hostSilent && !h.core.certainlyPassed(h.leaseEnd()):
 		h.timeoutAt = h.core.now + replacementCheck
 	default:
@@ -155,6 +161,16 @@
 	h.schedule()
 }
 
+// granted records that the lease of the runs is granted. The timeout of the state is
+// moved only when half of the time has passed, since agents report often.
+func (h *host) granted() {
+	h.lastGrantAt = h.core.now
+	if h.state == hostReady && h.timeoutAt-h.core.now < LeaseExpiry/2 {
+		h.restartTimeout()
+		h.schedule()
+	}
+}
+
 // schedule sets when the host expires next. It is called after each change that a
 // time of the host or checkListed depends on.
 func (h *host) schedule() {
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -59,7 +59,7 @@
 	}
 	h.applyEnds(m.Ended)
 	h.core.send(h, &msg.InventoryAccepted{Epoch: h.core.epoch, Number: m.Number, ClockMS: m.ClockMS, Sizes: sizes})
-	h.lastGrantAt = h.core.now
+	h.granted()
 	if h.info.State != workload.HostUnavailable {
 		h.inventoryStartedAtMS = h.info.StartedAtMS
 	}
--- a/internal/jobs/linkedsilence_test.go
+++ b/internal/jobs/linkedsilence_test.go
@@ -47,3 +47,29 @@
 		})
 	}
 }
+
+// Guards against an owner that gives up the runs of its hosts when it may not grant
+// leases, although another entry may have replaced it and extends them.
+func TestOwnerWithoutPermissionGivesUpNoRunsOfLinkedHosts(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 4000))
+	h.core.Submit(newLongRunningJob("j"))
+	h.process()
+	h.link(readyHost("b", 4000))
+	h.core.PermitLeases(false)
+	h.core.NotReplacedUntil(h.now)
+	h.advance(3 * LeaseExpiry)
+	require.Len(t, h.started, 1)
+	require.True(t, h.core.ConfirmationAwaited())
+}
+
+// Guards against hosts without runs that are claimed again and again because they have
+// nothing to report.
+func TestLinkedHostWithoutRunsIsNotClaimedAgain(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 4000))
+	h.noReports["a"] = true
+	sent := len(h.sent["a"])
+	h.advance(5 * LeaseExpiry)
+	require.Len(t, h.sent["a"], sent)
+}
--- a/internal/jobs/permission.go
+++ b/internal/jobs/permission.go
@@ -16,6 +16,10 @@
 // while another entry may have extended it.
 const replacementCheck = 50 * time.Millisecond
 
+// linkedReplacementCheck replaces replacementCheck for linked hosts, all of which get no
+// lease while the owner may not act.
+const linkedReplacementCheck = 500 * time.Millisecond
+
 // NotReplacedUntil sets the newest time at which no other entry had replaced the owner.
 // A successor may extend the leases of hosts that do not reach this owner, so leases
 // that end later have not certainly expired.
--- a/internal/jobs/reports.go
+++ b/internal/jobs/reports.go
@@ -63,7 +63,7 @@
 		return
 	}
 	if !c.leasesBarred {
-		h.lastGrantAt = c.now
+		h.granted()
 		c.send(h, &msg.LeaseGrant{Epoch: c.epoch, StartedAtMS: m.StartedAtMS, ClockMS: m.ClockMS, Interference: h.coefficients()})
 	}
 	reported := h.reportedRuns(m)
