internal/jobs: end the leases of a host that answers no claim

Cause: the state claiming had no limit. The agent's new process sends no inventory until it has heard of its backend server, so a lost one kept its runs charged for ever. Without the restart of the agent, or if it was not linked again, the leases ended in the state silent.

Change: in claiming the leases end as in silent, at leaseEnd() and once no other entry can have extended them; the host is claimed on. A host whose runs were given up so, or that none was expected on, does not delay the recovery.

--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -48,17 +48,19 @@
 			"adopt":     (*host).adopt,
 			"loseRuns":  (*host).loseRuns,
 		},
+		Guards: map[string]func(*host) bool{"leasesPassed": (*host).leasesPassed},
 		Delays: map[string]time.Duration{"claimRetry": claimRetry, "leaseExpiry": LeaseExpiry},
 	}
 }
 
 // host is a host with the runs that count against its capacity.
 type host struct {
-	core      *Core
-	info      workload.Host
-	state     chart.State
-	timeoutAt time.Duration // when the state's timeout expires; 0: none
-	dueAt     time.Duration // when the host expires in Core.due; 0: never
+	core       *Core
+	info       workload.Host
+	state      chart.State
+	timeoutAt  time.Duration // when the state's timeout expires; 0: none
+	claimDueAt time.Duration // when an unanswered claim is sent again
+	dueAt      time.Duration // when the host expires in Core.due; 0: never
 
 	lastGrantAt          time.Duration // when the lease of the runs was last granted
 	unlinkedAt           time.Duration // when its last link ended, or it was expected without a link
@@ -85,6 +87,7 @@
 	listDiffers          bool          // it should not be in the stored list but is, or the reverse
 	expected             bool          // runs of an earlier owner may go on there
 	adopted              bool          // it has answered this owner
+	vacated              bool          // it certainly has no runs: none was expected, or the leases have ended since it answered last
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
 	idleSince            time.Duration // when all runs on the host had certainly ended
 
@@ -102,7 +105,7 @@
 	h, ok := c.hosts[name]
 	if !ok {
 		h = &host{
-			core: c, info: workload.Host{Name: name}, runs: map[workload.RunID]*run{}, lastGrantAt: c.now, idleSince: c.now, index: len(c.hosts),
+			core: c, info: workload.Host{Name: name}, runs: map[workload.RunID]*run{}, lastGrantAt: c.now, idleSince: c.now, vacated: true, index: len(c.hosts),
 			runsByStep: map[*step]int{}, servingByImage: map[string]int{}, servingByGroup: map[servingGroup]int{},
 		}
 		c.hosts[name] = h
@@ -129,13 +132,26 @@
 	h.schedule()
 }
 
-// restartTimeout sets the timeout of the host's state.
+// restartTimeout sets the timeout of the host's state, counted from now.
 func (h *host) restartTimeout() {
-	h.timeoutAt = 0
-	if h.state == hostSilent {
+	if d, _, ok := hostChart.Timeout(h.state); ok {
+		h.claimDueAt = h.core.now + d
+	}
+	h.updateTimeout()
+}
+
+// updateTimeout sets the timeout of the host's state after a change of the time at which
+// its leases end. A claim is sent again before that time too.
+func (h *host) updateTimeout() {
+	switch {
+	case h.state == hostSilent:
 		h.timeoutAt = h.leaseEnd()
-	} else if d, _, ok := hostChart.Timeout(h.state); ok {
-		h.timeoutAt = h.core.now + d
+	case h.state == hostClaiming && h.vacated:
+		h.timeoutAt = h.claimDueAt
+	case h.state == hostClaiming:
+		h.timeoutAt = min(h.claimDueAt, h.leaseEnd())
+	default:
+		h.timeoutAt = 0
 	}
 }
 
@@ -144,11 +160,12 @@
 	h.dueAt = 0
 	switch {
 	case h.timeoutAt == 0 || h.core.now < h.timeoutAt:
-	case h.state == hostSilent && !h.core.certainlyPassed(h.leaseEnd()):
-		h.timeoutAt = h.core.now + replacementCheck
+	case h.state == hostSilent && h.core.certainlyPassed(h.leaseEnd()):
+		h.step(evLeaseExpired)
+	case h.state == hostClaiming && (h.core.now >= h.claimDueAt || h.leasesPassed()):
+		h.step(evClaimTimeout)
 	default:
-		_, e, _ := hostChart.Timeout(h.state)
-		h.step(map[string]chart.Event{"lapse": evLeaseExpired, "late": evClaimTimeout}[hostChart.EventName(e)])
+		h.timeoutAt = h.core.now + replacementCheck
 	}
 	h.endProbation()
 	h.endPause()
@@ -266,8 +283,13 @@
 	return msg.RunSize{Run: r.id, Charge: s.Charge(), TargetLatency: s.TargetLatency, BestEffort: s.BestEffort, Image: s.Image, MilliCPU: s.Need.MilliCPU}
 }
 
+// leasesPassed reports whether leases of the host have certainly ended and its runs are
+// not given up yet.
+func (h *host) leasesPassed() bool { return !h.vacated && h.core.certainlyPassed(h.leaseEnd()) }
+
 // loseRuns ends the runs of a host on which they have certainly ended.
 func (h *host) loseRuns() {
+	h.vacated = true
 	h.idleSince = h.core.now
 	h.logExpiredLeases()
 	h.dropEarlyRuns()
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -91,12 +91,13 @@
 func (c *Core) ExpectHost(name workload.HostName) {
 	_, known := c.hosts[name]
 	h := c.host(name)
-	h.expected, h.stored = true, true
+	h.expected, h.stored, h.vacated = true, true, false
 	c.hostList.stored[name] = true
 	if !known {
 		h.unlinkedAt = c.now
 		h.step(evExpect)
 	}
+	h.updateTimeout()
 	h.schedule()
 }
 
@@ -106,7 +107,7 @@
 		return
 	}
 	for _, h := range c.hosts {
-		if h.expected && (h.state == hostSilent || h.state == hostClaiming) {
+		if h.expected && !h.vacated && (h.state == hostSilent || h.state == hostClaiming) {
 			return
 		}
 	}
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -34,7 +34,7 @@
 // inventory.
 func (h *host) adopt() {
 	m := h.inventory
-	h.adopted = true
+	h.adopted, h.vacated = true, false
 	h.dropEarlyRuns()
 	h.core.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "taken"})
 	listed := map[workload.RunID]bool{}
--- a/internal/jobs/permission.go
+++ b/internal/jobs/permission.go
@@ -49,15 +49,13 @@
 		c.recoveryDeadline = c.formerOwnersActUntil + maxRecovery
 	}
 	for _, h := range c.hostsByName {
-		if h.state == hostSilent {
-			h.restartTimeout()
-			h.schedule()
-		}
+		h.updateTimeout()
+		h.schedule()
 	}
 }
 
 // leaseEnd returns when leases of the host that this owner, or a former one, may have
-// granted have ended, if the host is unlinked.
+// granted have ended, if the host is unlinked or has not sent its inventory.
 func (h *host) leaseEnd() time.Duration {
 	return max(h.lastGrantAt, h.core.formerOwnersActUntil) + LeaseExpiry
 }
