internal/jobs: keep a host listed while a former owner's runs may go on

Cause: a host whose agent does not know its backend server counted as empty, so it left the stored list after 8 s although it had not answered, and a third owner did not expect it.

Change: an expected host that has not answered stays in the list until its leases have certainly ended.

Measured: TestHostThatAnswersNoClaimStaysListedWhileRunsMayGoOn failed after 8 s, 8.4 s before the leases of the former owner end, and passes (go test ./internal/jobs).

--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -25,9 +25,10 @@
 	return !h.mayLeaveList() || h.stored && h.core.now-h.idleSince < hostRetention
 }
 
-// mayLeaveList reports whether the host has no runs and gets none at present.
+// mayLeaveList reports whether the host has no runs and gets none at present. Those of a
+// former owner are known once the host has answered.
 func (h *host) mayLeaveList() bool {
-	if len(h.runs) > 0 || h.state == hostSilent {
+	if len(h.runs) > 0 || h.state == hostSilent || !h.vacated && !h.adopted {
 		return false
 	}
 	return h.info.Instance == "" || h.info.State == workload.HostUnavailable || h.state == hostUnavailable
