--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -25,9 +25,10 @@
 	return !h.mayLeaveList() || h.stored && h.core.now-h.idleSince < hostRetention
 }
 
-// mayLeaveList reports whether the host has no runs and gets none at present.
+// mayLeaveList reports whether the host has no runs and gets none at present. Those of a
+// former owner are known once the host has answered.
 func (h *host) mayLeaveList() bool {
-	if len(h.runs) > 0 || h.state == hostSilent {
+	if len(h.runs) > 0 || h.state == hostSilent || !h.vacated && !h.adopted {
 		return false
 	}
 	return h.info.Instance == "" || h.info.State == workload.HostUnavailable || h.state == hostUnavailable
@@ -91,12 +92,13 @@
 func (c *Core) ExpectHost(name workload.HostName) {
 	_, known := c.hosts[name]
 	h := c.host(name)
-	h.expected, h.stored = true, true
+	h.expected, h.stored, h.vacated = true, true, false
 	c.hostList.stored[name] = true
 	if !known {
 		h.unlinkedAt = c.now
 		h.step(evExpect)
 	}
+	h.updateTimeout()
 	h.schedule()
 }
 
@@ -106,7 +108,7 @@
 		return
 	}
 	for _, h := range c.hosts {
-		if h.expected && (h.state == hostSilent || h.state == hostClaiming) {
+		if h.expected && !h.vacated && (h.state == hostSilent || h.state == hostClaiming) {
 			return
 		}
 	}
