internal/jobdaemon: show the waits of a load after a lost history

When the store has lost the history of its watch (410) the owner loads the jobs again, and repeats the waits of its takeover each time.

--- a/internal/jobdaemon/lostbackend_test.go
+++ b/internal/jobdaemon/lostbackend_test.go
@@ -76,3 +76,27 @@
 		t.Logf("the task runs again after %v", s.requireRunsWithin(backends[1:], restartBound))
 	})
 }
+
+// Guards against waits of a takeover that is long over, which an owner repeats whenever it
+// loads the jobs again because the table service has lost the history of its watch: the
+// tasks of a silent host then never start again.
+func TestJobsThatAreLoadedAgainRepeatNoWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 190)
+		defer s.stop()
+		backends, agents := s.newRestartableBackends(2)
+		s.submitLongRunning(1)
+		require.Len(t, backends[0].running(), 1)
+		s.kill("entry-0")
+		s.advance(20 * time.Second)
+		require.Equal(t, []string{"entry-1"}, s.owners())
+		require.Len(t, backends[0].running(), 1)
+
+		s.entries["entry-1"].store.compacted.Set(true)
+		agents[0].Cancel()
+		t.Logf("the task runs again after %v", s.requireRunsWithin(backends[1:], restartBound))
+		s.storeTestJob()
+		s.advance(time.Second)
+		require.True(t, s.entries["entry-1"].view.Get().managesTestJob, "the rows that are read again are applied")
+	})
+}
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -23,9 +23,10 @@
 // cuttableStore is a table service that a process may be cut off from.
 type cuttableStore struct {
 	Store
-	group *actor.Group // of writes that take effect late
-	cut   actor.Value[bool]
-	late  actor.Value[time.Duration] // before a write takes effect; nil: 0
+	group     *actor.Group // of writes that take effect late
+	cut       actor.Value[bool]
+	late      actor.Value[time.Duration] // before a write takes effect; nil: 0
+	compacted actor.Flag                 // watches of the jobs fail, because the history is lost
 }
 
 func (s *cuttableStore) isCut(ctx context.Context) bool {
@@ -87,6 +88,9 @@
 	if s.isCut(ctx) {
 		return nil, 0, storage.ErrUnavailable
 	}
+	if prefix == "jobs/" && s.compacted.Get() {
+		return nil, 0, storage.ErrCompacted
+	}
 	return s.Store.Watch(ctx, prefix, after, wait)
 }
 
