internal/jobdaemon: begin the recovery at the first load only

Cause: jobsLoaded expected the stored hosts, began a recovery and counted the time of the former owners anew whenever the history of the watch was lost, so each such load put off the end of the leases of silent hosts.

Change: a later load adds the jobs and cancellations that the watch has missed. It does not claim the hosts again, nor replace the coefficients that were learned meanwhile by the stored ones.

--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -176,7 +176,8 @@
 	}
 }
 
-// jobsLoaded restores the stored state, and then applies the deferred messages.
+// jobsLoaded restores the stored jobs. The first load of an owner begins its recovery; a
+// later one, after the history of the watch was lost, only adds what the watch has missed.
 func (c *controller) jobsLoaded(m *jobsLoaded) {
 	if c.jobs == nil || c.jobs.Epoch() != m.epoch {
 		return
@@ -185,8 +186,6 @@
 		event.Log(c.log, event.OwnerStoreFailed, log.Fields{"epoch": m.epoch, "error": m.err.Error()})
 		return
 	}
-	first := c.loading
-	c.loading = false
 	for _, id := range m.state.cancelled {
 		c.jobs.Cancel(id)
 	}
@@ -195,13 +194,23 @@
 		c.jobs.Restore(j, m.state.progress[j.ID])
 	}
 	c.jobs.StoredJobsRead(m.sentAt)
-	c.jobs.RestoreInterference(m.state.interference)
+	if c.loading {
+		c.loading = false
+		c.beginRecovery(m.state)
+		c.startFeeds()
+	}
+}
+
+// beginRecovery claims the linked hosts, waits for those that may have runs of former
+// owners, and applies the messages that were deferred during the load.
+func (c *controller) beginRecovery(state *storedState) {
+	c.jobs.RestoreInterference(state.interference)
 	for _, a := range c.agents {
 		if a.link != nil {
 			c.jobs.Linked(a.host)
 		}
 	}
-	for _, name := range m.state.hosts {
+	for _, name := range state.hosts {
 		c.jobs.ExpectHost(name)
 	}
 	c.jobs.Recover(c.formerOwners())
@@ -216,15 +225,12 @@
 			c.jobs.Inventory(e)
 		}
 	}
-	if first {
-		c.startFeeds()
-	}
 }
 
 // limitFormerOwners tells the jobs until when former owners may extend leases.
 func (c *controller) limitFormerOwners() {
 	if c.jobs == nil || c.loading {
-		return // jobsLoaded calls it again
+		return // beginRecovery calls it again
 	}
 	until := c.owner.FormerOwnersActUntil()
 	c.jobs.FormerOwnersActUntil(until)
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -131,7 +131,7 @@
 const ordersShare = 2
 
 // startOwnership takes over the jobs: it notifies the other entries and loads the
-// stored jobs. jobsLoaded claims the hosts. Until then the heartbeats show which
+// stored jobs. beginRecovery claims the hosts. Until then the heartbeats show which
 // links to agents have failed without notice.
 func (c *controller) startOwnership() {
 	epoch := c.owner.Epoch()
