internal/jobs: store the time that remains of the leases of silent hosts

Cause: an owner counted the leases of a silent host from its own beginning, and did not know how long former owners had been waiting. So owners that follow one another within 6.4 s put the end off for ever.

Change: the owner's row names hosts on which no owner extends leases before a later row omits them, with the time that remains of their leases. A claim carries the list over; ExpectHost counts from the answer to the claim plus that time. The owner accepts no inventory of a host, and so grants and starts nothing there, while its row or a write whose outcome is not known names the host; the write that omits it is urgent, and the host is claimed again when it is stored. Former owners that act on do not lengthen an inherited time: they had to rewrite the row first, which fails after the claim. New names wait for a write that succeeded within 2 s: during an outage of the store the owner could not take them back. A host that has not answered does not keep the row unsettled if the row has its time.

--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -137,6 +137,7 @@
 	epoch := c.owner.Epoch()
 	c.logOwnershipStarted()
 	c.jobs = jobs.New(epoch, c.now())
+	c.jobs.InheritEndingLeases(c.writer.owner.EndingLeases)
 	c.jobs.StoredJobsRead(0)
 	c.jobs.LimitOrders(c.linkRate / 8 / ordersShare)
 	c.advanceJobs()
@@ -186,6 +187,7 @@
 	owner := workload.Owner{
 		Epoch: c.writer.owner.Epoch, Sequence: c.writer.owner.Sequence + 1,
 		Unsettled: !c.owner.FormerOwnerEnded(), Fenced: c.owner.FormerOwnersFenced(), Entries: c.writer.owner.Entries,
+		EndingLeases: c.writer.owner.EndingLeases,
 	}
 	c.endOwnership("the process stops")
 	value, err := wire.EncodeOwner(owner)
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -113,6 +113,7 @@
 func (c *controller) storeBatch(owner workload.Owner) {
 	w := &c.writer
 	batch := c.jobs.NextBatch()
+	owner.EndingLeases = batch.EndingLeases
 	txn, err := c.batchTxn(owner, batch)
 	if err != nil {
 		event.Log(c.log, event.RowUnreadable, log.Fields{"key": ownerKey, "error": err.Error()})
@@ -291,6 +292,7 @@
 func (c *controller) batchCommitted(m *batchStored, version table.Revision) {
 	w := &c.writer
 	w.committing, w.retryPause, w.version, w.owner.Sequence, w.owner.Entries = false, 0, version, m.owner.Sequence, m.owner.Entries
+	w.owner.EndingLeases = m.owner.EndingLeases
 	c.owner.EntriesStored(m.owner.Entries)
 	c.jobs.BatchCommitted()
 	if m.owner.Name != "" {
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -115,6 +115,7 @@
 	notReplacedUntil     time.Duration // of NotReplacedUntil
 	confirmAfter         time.Duration // newest end of leases that certainlyPassed was asked for
 	storedJobsReadAt     time.Duration // of StoredJobsRead
+	ending               endingLeases
 
 	unsent       map[*host]struct{} // hosts with queued requests for their agents
 	messages     []HostMessage
@@ -145,7 +146,7 @@
 	return &Core{
 		epoch: epoch, now: now, notReplacedUntil: neverReplaced, storedJobsReadAt: storedJobsRead, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
 		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, heldEnds: map[*task][]heldEnd{}, expiredParts: map[workload.JobID]int{}, batchJobs: maxBatchRows, improved: list.New(), throttled: map[*run]struct{}{},
-		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, dirty: map[*job]struct{}{},
+		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, ending: newEndingLeases(), dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
 	}
 }
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -86,6 +86,7 @@
 	stored               bool          // it is in the stored list of hosts
 	listDiffers          bool          // it should not be in the stored list but is, or the reverse
 	expected             bool          // runs of an earlier owner may go on there
+	soughtAt             time.Duration // when its agent was linked, or sent an inventory
 	adopted              bool          // it has answered this owner
 	vacated              bool          // it certainly has no runs: none was expected, or the leases have ended since it answered last
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
@@ -109,6 +110,7 @@
 			runsByStep: map[*step]int{}, servingByImage: map[string]int{}, servingByGroup: map[servingGroup]int{},
 		}
 		c.hosts[name] = h
+		c.ending.unanswered[h] = struct{}{}
 		i := sort.Search(len(c.hostsByName), func(i int) bool { return c.hostsByName[i].info.Name >= name })
 		c.hostsByName = slices.Insert(c.hostsByName, i, h)
 		h.position = c.improved.PushFront(h)
@@ -125,6 +127,11 @@
 func (h *host) step(e chart.Event) {
 	before := h.state
 	hostChart.Step(h, &h.state, e)
+	if h.state == hostReady {
+		delete(h.core.ending.unanswered, h)
+	} else {
+		h.core.ending.unanswered[h] = struct{}{}
+	}
 	if h.state != before || e == evClaimTimeout || e == evUp {
 		h.restartTimeout()
 		h.improve()
@@ -169,6 +176,7 @@
 	}
 	h.endProbation()
 	h.endPause()
+	h.checkRow()
 	h.schedule()
 }
 
@@ -177,7 +185,7 @@
 func (h *host) schedule() {
 	h.checkListed()
 	due := time.Duration(0)
-	for _, at := range [...]time.Duration{h.timeoutAt, h.pausedUntil, h.health.probationEnd, h.listedUntil()} {
+	for _, at := range [...]time.Duration{h.timeoutAt, h.pausedUntil, h.health.probationEnd, h.listedUntil(), h.rowCheckAt()} {
 		if at != 0 && (due == 0 || at < due) {
 			due = at
 		}
@@ -206,6 +214,7 @@
 func (c *Core) Linked(info workload.Host) {
 	h := c.host(info.Name)
 	h.update(info)
+	h.seekLease()
 	h.step(evUp)
 }
 
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -102,13 +102,19 @@
 	h.schedule()
 }
 
+// delaysRecovery reports whether runs of a former owner that are not known may go on at
+// the host.
+func (h *host) delaysRecovery() bool {
+	return h.expected && !h.vacated && (h.state == hostSilent || h.state == hostClaiming)
+}
+
 // endRecoveryIfComplete lets all tasks start once every expected host has sent its inventory or certainly has no runs.
 func (c *Core) endRecoveryIfComplete() {
 	if c.recoveryDeadline == 0 {
 		return
 	}
 	for _, h := range c.hosts {
-		if h.expected && !h.vacated && (h.state == hostSilent || h.state == hostClaiming) {
+		if h.delaysRecovery() {
 			return
 		}
 	}
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -11,12 +11,16 @@
 
 // Inventory applies an agent's answer to a claim. An inventory for another epoch
 // is ignored. While leases are barred the host is claimed again from time to time,
-// since accepting its inventory would extend its leases.
+// since accepting its inventory would extend its leases. While the owner's row may name
+// the host, its leases are not extended either.
 func (c *Core) Inventory(m *msg.HostInventory) {
 	if m.Epoch != c.epoch {
 		return
 	}
 	h := c.host(m.Host.Name)
+	if h.seekLease() {
+		return
+	}
 	if c.leasesBarred {
 		if h.state == hostReady {
 			h.step(evUp)
--- a/internal/jobs/loss.go
+++ b/internal/jobs/loss.go
@@ -30,7 +30,9 @@
 func (h *host) logExpiredLeases() {
 	c := h.core
 	detail := "assumed"
-	if h.adopted {
+	if _, inherited := h.inheritedEnd(); inherited {
+		detail = "inherited"
+	} else if h.adopted {
 		detail = "granted"
 	}
 	c.addDecision(Decision{
--- a/internal/jobs/permission.go
+++ b/internal/jobs/permission.go
@@ -57,5 +57,9 @@
 // leaseEnd returns when leases of the host that this owner, or a former one, may have
 // granted have ended, if the host is unlinked or has not sent its inventory.
 func (h *host) leaseEnd() time.Duration {
-	return max(h.lastGrantAt, h.core.formerOwnersActUntil) + LeaseExpiry
+	end := max(h.lastGrantAt, h.core.formerOwnersActUntil) + LeaseExpiry
+	if inherited, ok := h.inheritedEnd(); ok {
+		return min(end, inherited)
+	}
+	return end
 }
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -200,7 +200,9 @@
 }
 
 // Settled reports whether no former owner can have runs that the core does not
-// know, or get any: while one acts, an agent that is started again may obey it.
+// know, or get any: while one acts, an agent that is started again may obey it. Runs that
+// the core does not know may go on at hosts that the stored row names, where a successor
+// waits for the rest of their leases.
 func (c *Core) Settled() bool {
-	return c.recoveryDeadline == 0 && c.now >= c.formerOwnersActUntil
+	return c.now >= c.formerOwnersActUntil && (c.recoveryDeadline == 0 || c.waitsAreStored())
 }
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -42,6 +42,7 @@
 	RemovedParts []PartRow           // rows of attempts that are deleted
 	Hosts        []workload.HostName // the list of hosts; nil: unchanged
 	Interference []msg.Interference  // coefficients; nil: unchanged
+	EndingLeases string              // for the owner's row
 	ends         map[workload.HostName]appliedEnds
 	crashes      []*task // whose counts of crashes Writes contains
 }
@@ -60,9 +61,10 @@
 	if c.pendingBatch != nil {
 		return false, false
 	}
-	if _, changed := c.hostsToStore(); changed {
+	if _, changed := c.hostsToStore(); changed || c.ending.urgent {
 		return true, true
 	}
+	pending = c.ending.due
 	for j := range c.dirty {
 		c.visits++
 		pending = true
@@ -94,6 +96,8 @@
 		b.Hosts = append([]workload.HostName{}, hosts...)
 	}
 	b.Interference = c.interferenceToStore()
+	b.EndingLeases = c.endingLeasesRow()
+	c.endingLeasesSent(b.EndingLeases)
 	c.pendingBatch = b
 	return b
 }
@@ -188,6 +192,7 @@
 	if b.Hosts != nil {
 		c.hostsStored(b.Hosts)
 	}
+	c.endingLeasesStored(b.EndingLeases)
 	for name, e := range b.ends {
 		h := c.hosts[name]
 		if h == nil || h.info.Instance != e.instance || h.info.StartedAtMS != e.startedAtMS {
@@ -209,11 +214,12 @@
 }
 
 // BatchFailed records that the pending batch was not stored. The next batches
-// repeat its job rows, its removals and the list of hosts. The coefficients are
+// repeat its job rows, its removals and the lists of hosts. The coefficients are
 // stored again after interferenceInterval.
 func (c *Core) BatchFailed() {
 	b := c.pendingBatch
 	c.pendingBatch = nil
+	c.endingLeasesFailed(b.EndingLeases)
 	for _, w := range b.Writes {
 		if j, ok := c.jobs[w.Job]; ok {
 			c.dirty[j] = struct{}{}
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -14,6 +14,7 @@
 	owner := workload.Owner{
 		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
 		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(), Entries: c.row.Entries,
+		EndingLeases: c.row.EndingLeases,
 	}
 	if !owner.Unsettled {
 		owner.Entries = c.Entries()
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -319,4 +319,7 @@
 	// owner, and every owner before it that may still be active, counts as missing while
 	// they are not linked. It is empty if a former program wrote the row.
 	Entries string
+	// EndingLeases names hosts on which no owner extends leases before a later row omits
+	// them, as FormatEndingLeases does.
+	EndingLeases string
 }
