--- a/internal/jobs/endinglease.go
+++ b/internal/jobs/endinglease.go
@@ -127,9 +127,12 @@
 // While the row is about to be rewritten it is 0: then it is determined again.
 func (h *host) rowCheckAt() time.Duration {
 	c := h.core
+	if h.state == hostReady || c.ending.due || c.pendingBatch != nil {
+		return 0
+	}
 	stored, named := c.ending.stored[h.info.Name]
 	switch {
-	case c.ending.due || c.pendingBatch != nil || h.state == hostReady || !h.stored && !named:
+	case !h.stored && !named:
 		return 0
 	case !h.leasesEnding() && named:
 		return c.now
