--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -86,6 +86,7 @@
 	stored               bool          // it is in the stored list of hosts
 	listDiffers          bool          // it should not be in the stored list but is, or the reverse
 	expected             bool          // runs of an earlier owner may go on there
+	soughtAt             time.Duration // when its agent was linked, or sent an inventory
 	adopted              bool          // it has answered this owner
 	vacated              bool          // it certainly has no runs: none was expected, or the leases have ended since it answered last
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
@@ -109,6 +110,7 @@
 			runsByStep: map[*step]int{}, servingByImage: map[string]int{}, servingByGroup: map[servingGroup]int{},
 		}
 		c.hosts[name] = h
+		c.ending.unanswered[h] = struct{}{}
 		i := sort.Search(len(c.hostsByName), func(i int) bool { return c.hostsByName[i].info.Name >= name })
 		c.hostsByName = slices.Insert(c.hostsByName, i, h)
 		h.position = c.improved.PushFront(h)
@@ -125,6 +127,11 @@
 func (h *host) step(e chart.Event) {
 	before := h.state
 	hostChart.Step(h, &h.state, e)
+	if h.state == hostReady {
+		delete(h.core.ending.unanswered, h)
+	} else {
+		h.core.ending.unanswered[h] = struct{}{}
+	}
 	if h.state != before || e == evClaimTimeout || e == evUp {
 		h.restartTimeout()
 		h.improve()
@@ -132,83 +139,6 @@
 	h.schedule()
 }
 
-// restartTimeout sets the timeout of the host's state, counted from now.
-func (h *host) restartTimeout() {
-	if d, _, ok := hostChart.Timeout(h.state); ok {
-		h.claimDueAt = h.core.now + d
-	}
-	h.updateTimeout()
-}
-
-// updateTimeout sets the timeout of the host's state after a change of the time at which
-// its leases end. A claim is sent again before that time too.
-func (h *host) updateTimeout() {
-	switch {
-	case h.state == hostSilent || h.state == hostReady:
-		h.timeoutAt = h.leaseEnd()
-	case h.state == hostClaiming && h.vacated:
-		h.timeoutAt = h.claimDueAt
-	case h.state == hostClaiming:
-		h.timeoutAt = min(h.claimDueAt, h.leaseEnd())
-	default:
-		h.timeoutAt = 0
-	}
-}
-
-// expire applies the times of the host that have passed.
-func (h *host) expire() {
-	h.dueAt = 0
-	switch {
-	case h.timeoutAt == 0 || h.core.now < h.timeoutAt:
-	case h.state == hostReady && h.core.now < h.leaseEnd():
-		h.updateTimeout() // to the end of a later grant
-	case h.state == hostReady && len(h.runs) == 0:
-		h.timeoutAt = h.core.now + LeaseExpiry
-	case (h.state == hostSilent || h.state == hostReady) && h.core.certainlyPassed(h.leaseEnd()):
-		h.step(evLeaseExpired)
-	case h.state == hostReady:
-		h.timeoutAt = h.core.now + linkedReplacementCheck
-	case h.state == hostClaiming && (h.core.now >= h.claimDueAt || h.leasesPassed()):
-		h.step(evClaimTimeout)
-	default:
-		h.timeoutAt = h.core.now + replacementCheck
-	}
-	h.endProbation()
-	h.endPause()
-	h.schedule()
-}
-
-// granted records that the lease of the runs is granted. The timeout of the state is
-// moved only when half of the time has passed, since agents report often.
-func (h *host) granted() {
-	h.lastGrantAt = h.core.now
-	if h.state == hostReady && h.timeoutAt-h.core.now < LeaseExpiry/2 {
-		h.restartTimeout()
-		h.schedule()
-	}
-}
-
-// schedule sets when the host expires next. It is called after each change that a
-// time of the host or checkListed depends on.
-func (h *host) schedule() {
-	h.checkListed()
-	due := time.Duration(0)
-	for _, at := range [...]time.Duration{h.timeoutAt, h.pausedUntil, h.health.probationEnd, h.listedUntil()} {
-		if at != 0 && (due == 0 || at < due) {
-			due = at
-		}
-	}
-	switch {
-	case due == h.dueAt:
-		return
-	case due == 0:
-		h.core.due.Remove(h)
-	default:
-		h.core.due.Set(h, due)
-	}
-	h.dueAt = due
-}
-
 // improve records that tasks may fit on the host which did not fit before. A
 // change that can only exclude tasks, such as a charge, is not recorded.
 func (h *host) improve() {
@@ -222,6 +152,7 @@
 func (c *Core) Linked(info workload.Host) {
 	h := c.host(info.Name)
 	h.update(info)
+	h.seekLease()
 	h.step(evUp)
 }
 
