internal/hostagent: end each lease by the backend server's newest answer

Cause: the end of a lease followed the agent's extrapolated clock and the owner's grants, which answered reports that the agent made from memory. Nothing ended it for a backend server that hung, rejected each poll, or answered other calls only, or for an agent whose polls were stuck.

Change: a call carries a lease that ends at most RunLease (5 s) after the clock in the newest answer to a poll. OwnerLease (6 s) was weighed: a prompt poll after an answer carries 5 s anyway, so the longer bound would be carried only by polls after one that has failed, and each silent backend server would be given up a second later. Instead a poll after one that has failed is answered without delay, so that the next extends the lease. Reports end when the newest answer is older than maxPollAge (1.5 s). A process of the agent that has sent no lease counts 5 s from its first answer: a former process extended the lease by an answer that was no newer. Late calls carry a lease that was bounded when they were sent.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -100,15 +100,16 @@
 func (c *Core) CanCall() bool { return c.present() || len(c.candidates) > 0 }
 
 // leaseMS returns the end of the lease for a call, in milliseconds of the backend
-// server's clock, or 0 if the owner's lease has expired or the backend server is silent.
-// It records the end in sentLeaseMS.
+// server's clock, or 0 if it would have expired or the backend server is silent. It is
+// at most RunLease after the newest clock in an answer to a poll: a backend server that
+// does not say what runs there gets no later lease, whatever the owner grants, so the
+// end of its runs is known. It records the end in sentLeaseMS.
 func (c *Core) leaseMS() int64 {
 	if c.silent() {
 		return 0
 	}
-	now := c.clock.lowerBound(c.now)
-	end := min(c.leaseEndMS, now+c.cfg.RunLease.Milliseconds())
-	if end <= now {
+	end := min(c.leaseEndMS, c.polledMS+c.cfg.RunLease.Milliseconds())
+	if end <= c.clock.lowerBound(c.now) {
 		return 0
 	}
 	c.sentLeaseMS = max(c.sentLeaseMS, end)
@@ -131,12 +132,17 @@
 // have received, no ends are acknowledged: the numbers of its ends are others. A
 // backend server answers at once while it has unacknowledged ends, so the polls are spaced by
 // unacknowledgedPause until the owner has stored the ends, and while the agent
-// ignores the answers, which may contain ends.
+// ignores the answers, which may contain ends. After a poll that has failed the answer is
+// not delayed: the lease of the runs may be about to expire, and only the poll after the
+// answer extends it.
 func (c *Core) NextPoll() Poll {
 	if len(c.candidates) > 0 && !(c.present() && c.askPresentNext) {
 		return c.confirmingPoll()
 	}
 	poll := Poll{Target: c.target(), Request: runner.PollRequest{LeaseMS: c.leaseMS(), Wait: pollWait}, StartedAtMS: c.host.StartedAtMS}
+	if c.pollFailed {
+		poll.Request.Wait = 0
+	}
 	if !c.callFailed {
 		poll.Request.Acknowledged = c.acknowledged
 	}
@@ -161,6 +167,7 @@
 		return
 	}
 	c.answered(response.ClockMS, err)
+	c.pollFailed = err != nil
 	if err == nil {
 		c.pollIgnored = !c.applyPoll(poll.Target, response)
 	}
@@ -230,7 +237,7 @@
 		return false
 	}
 	c.polledMS, c.callFailed = response.ClockMS, false
-	if response.ClockMS > c.sentLeaseMS {
+	if response.ClockMS > c.lastLeaseMS() {
 		c.stepIncarnation(evPollAnswered)
 	}
 	if c.host.State == workload.HostUnavailable {
@@ -246,19 +253,27 @@
 	return true
 }
 
-// maxPollAge is the age of the newest answer to a poll above which the backend server
-// counts as silent. A poll that is not answered fails earlier, and the next one may take
-// the rest.
+// maxPollAge is the age of the newest answer to a poll above which the agent does not
+// report the runs any more, and takes them for ended when their leases have expired. A
+// poll that is not answered fails earlier, and the next one may take the rest.
 const maxPollAge = 1500 * time.Millisecond
 
+// pollOutdated reports whether the newest answer to a poll is older than maxPollAge.
+func (c *Core) pollOutdated() bool {
+	return c.clock.lowerBound(c.now) > c.polledMS+maxPollAge.Milliseconds()
+}
+
+// lastLeaseMS returns the latest end of a lease that the backend server may have: of this
+// process of the agent or of a former one.
+func (c *Core) lastLeaseMS() int64 { return max(c.sentLeaseMS, c.formerLeaseMS) }
+
 // leasesExpiredInSilence reports whether the runs have ended because no call that the
 // backend server may have received extends their lease any more, and its lists do not
 // show it. If it answers polls, the lists show which runs have ended, also after the
 // last grant of an owner has expired.
 func (c *Core) leasesExpiredInSilence() bool {
-	clockMS := c.clock.lowerBound(c.now)
 	return c.present() && c.host.State != workload.HostUnavailable &&
-		c.sentLeaseMS > 0 && clockMS > c.sentLeaseMS && clockMS > c.polledMS+maxPollAge.Milliseconds()
+		c.clock.lowerBound(c.now) > c.lastLeaseMS() && c.pollOutdated()
 }
 
 // returnFromSilence makes the host available again with the newest announcement. The
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -22,9 +22,10 @@
 	// OwnerLease is how long runs may continue after the owner last granted
 	// the lease.
 	OwnerLease time.Duration
-	// RunLease is the lease of the runs at the backend server. The agent
-	// extends it, so it bounds how long the runs outlive a crash of the agent,
-	// and how long a silent backend server keeps its tasks.
+	// RunLease is the lease of the runs at the backend server, from its newest
+	// answer to a poll on. The agent extends it, so it bounds how long the runs
+	// outlive a crash of the agent, and how long a silent backend server keeps
+	// its tasks.
 	RunLease time.Duration
 	// Token is the first fencing token. It is higher than the tokens of former
 	// processes of the agent; see FirstToken.
@@ -134,8 +135,10 @@
 	polled             bool  // this incarnation has answered a poll
 	polledMS           int64 // clock of the newest poll response
 	pollIgnored        bool  // the newest poll response was ignored
+	pollFailed         bool  // the newest poll of the present incarnation was not answered, or rejected
 	leaseEndMS         int64 // end of the owner's lease, in the backend server's clock
 	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
+	formerLeaseMS      int64 // latest end of a lease of a former process of the agent, in the same clock
 	suspension         suspension
 	connectionRefusals int  // consecutive refused connections
 	callFailed         bool // a call was not answered since the last answered poll
@@ -256,9 +259,10 @@
 }
 
 // report sends the status of the runs to the owner at most once per
-// reportInterval. The owner answers by a lease grant.
+// reportInterval. The owner answers by a lease grant. What the backend server has not
+// confirmed for maxPollAge is not reported.
 func (c *Core) report() {
-	if c.owner == 0 || !c.inventoryAccepted || c.now < c.nextReport || c.host.State == workload.HostUnavailable || !c.present() {
+	if c.owner == 0 || !c.inventoryAccepted || c.now < c.nextReport || c.host.State == workload.HostUnavailable || !c.present() || c.pollOutdated() {
 		return
 	}
 	c.nextReport = c.now + reportInterval
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -132,10 +132,12 @@
 }
 
 // applyFirstPoll applies the poll that confirmed the incarnation, and sends the
-// owner what runs there.
+// owner what runs there. A former process of the agent, which makes no calls any more,
+// may have extended the lease by an answer that is no newer.
 func (c *Core) applyFirstPoll(k confirmation) {
 	c.clock.set(k.response.ClockMS, c.now)
 	c.polledMS, c.polled = k.response.ClockMS, true
+	c.formerLeaseMS = k.response.ClockMS + c.cfg.RunLease.Milliseconds()
 	c.applyLists(runner.Target{Instance: c.host.Instance, Token: k.token}, k.response)
 	c.sendInventory()
 }
@@ -151,9 +153,9 @@
 
 // resetIncarnation discards what belongs to the former incarnation.
 func (c *Core) resetIncarnation() {
-	c.polled, c.polledMS, c.pollIgnored = false, 0, false
+	c.polled, c.polledMS, c.pollIgnored, c.pollFailed = false, 0, false, false
 	c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, nil
-	c.clock, c.leaseEndMS, c.sentLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0
+	c.clock, c.leaseEndMS, c.sentLeaseMS, c.formerLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0, 0
 	c.changed = msg.RunsChanged{}
 	c.inventorySent, c.inventoryAccepted, c.callFailed = false, false, false
 	c.incarnation.returning, c.suspension = nil, suspension{}
