internal/jobdaemon: show a backend server that is too slow for every poll

A poll ends after 1 s, or 0.6 s if it is not delayed. A backend server that takes longer for each answer is never heard, and its runs lapse.

TestTasksStayOnASlowBackendServer fails for 1 s and 1.4 s, passes for 0.5 s and 0.9 s.

TestTasksOfABackendServerThatAnswersNothingStartElsewhere passes: the task starts elsewhere after 5.22 s. Command: go test -run 'AnswersNothing|SlowBackend' -v ./internal/jobdaemon

--- a/internal/jobdaemon/memorybackend_test.go
+++ b/internal/jobdaemon/memorybackend_test.go
@@ -26,6 +26,19 @@
 	agent      *agent
 	events     eventRecorder // log of the agent
 	panics     actor.Flag    // polls panic
+	trouble    actor.Value[backendTrouble]
+}
+
+// backendTrouble is called before each call is carried out. An error is the answer of the
+// call, which is not carried out.
+type backendTrouble func(ctx context.Context) error
+
+// suffer passes a call through the present trouble.
+func (b *memoryBackend) suffer(ctx context.Context) error {
+	if trouble := b.trouble.Get(); trouble != nil {
+		return (*trouble)(ctx)
+	}
+	return nil
 }
 
 func (b *memoryBackend) clockMS() int64 { return 1000 + time.Since(b.startedAt).Milliseconds() }
@@ -61,7 +74,10 @@
 	b.ends = append(b.ends, msg.RunEnd{Number: b.lastEnd, Run: id, Reason: reason})
 }
 
-func (b *memoryBackend) Start(_ context.Context, t runner.Target, s runner.StartRequest) (int64, error) {
+func (b *memoryBackend) Start(ctx context.Context, t runner.Target, s runner.StartRequest) (int64, error) {
+	if err := b.suffer(ctx); err != nil {
+		return 0, err
+	}
 	return b.call(t, s.LeaseMS, func() error {
 		if s.LeaseMS <= b.clockMS() {
 			return runner.ErrLeaseExpired
@@ -71,7 +87,10 @@
 	})
 }
 
-func (b *memoryBackend) Stop(_ context.Context, t runner.Target, id workload.RunID) (int64, error) {
+func (b *memoryBackend) Stop(ctx context.Context, t runner.Target, id workload.RunID) (int64, error) {
+	if err := b.suffer(ctx); err != nil {
+		return 0, err
+	}
 	return b.call(t, 0, func() error {
 		if b.runs[id] {
 			b.end(id, workload.EndStopped)
@@ -89,6 +108,9 @@
 	if b.panics.Get() {
 		panic("malformed answer")
 	}
+	if err := b.suffer(ctx); err != nil {
+		return runner.PollResponse{}, err
+	}
 	response := runner.PollResponse{StartedAtMS: b.startedAt.UnixMilli()}
 	clock, err := b.call(t, p.LeaseMS, func() error {
 		b.ends = slices.DeleteFunc(b.ends, func(e msg.RunEnd) bool { return e.Number <= p.Acknowledged })
