internal/hostagent: wait longer for a slow backend server's polls

Cause: a poll ended 0.6 s after the time for which its answer may be delayed, always. A backend server that takes a second for each answer was never heard.

Change: the core sets the time of each poll. Every other one after a poll that has failed, and each one while answers are slow, waits 1.5 s; a poll that asks for a candidate does too. Short ones in between find a new connection sooner if several are silent. Ruled out: the longer time for polls after a failure only, with which the run lapsed at 1.4 s for each answer, since every other poll ended in vain.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -122,6 +122,8 @@
 	Request     runner.PollRequest
 	StartedAtMS int64         // incarnation of the backend server
 	Pause       time.Duration // before the call
+	Timeout     time.Duration // of the call, without the pause
+	madeAt      time.Duration // time of the core
 	// Candidate is the incarnation that the poll asks for; nil: the present one.
 	Candidate *runner.Announcement
 }
@@ -140,9 +142,10 @@
 		return c.confirmingPoll()
 	}
 	poll := Poll{Target: c.target(), Request: runner.PollRequest{LeaseMS: c.leaseMS(), Wait: pollWait}, StartedAtMS: c.host.StartedAtMS}
-	if c.pollFailed {
+	if c.failedPolls > 0 {
 		poll.Request.Wait = 0
 	}
+	poll.Timeout, poll.madeAt = poll.Request.Wait+c.pollMargin(), c.now
 	if !c.callFailed {
 		poll.Request.Acknowledged = c.acknowledged
 	}
@@ -152,6 +155,24 @@
 	return poll
 }
 
+const (
+	// answerTime is the time for the answer to a poll beyond the time that the backend
+	// server may delay it.
+	answerTime = 600 * time.Millisecond
+	// slowAnswerTime is the same for a backend server that may be slow.
+	slowAnswerTime = 1500 * time.Millisecond
+)
+
+// pollMargin returns the time for the answer to the next poll of the present incarnation.
+// Every other poll after one that has failed waits for a slow backend server. The others
+// end soon, because further connections may be silent.
+func (c *Core) pollMargin() time.Duration {
+	if c.answersSlowly || c.failedPolls%2 == 1 {
+		return slowAnswerTime
+	}
+	return answerTime
+}
+
 // unacknowledgedPause bounds the delay until a new end is noticed while former
 // ends wait to be stored.
 const unacknowledgedPause = 50 * time.Millisecond
@@ -167,8 +188,9 @@
 		return
 	}
 	c.answered(response.ClockMS, err)
-	c.pollFailed = err != nil
+	c.failedPolls++
 	if err == nil {
+		c.failedPolls, c.answersSlowly = 0, c.now-poll.madeAt-poll.Pause > poll.Request.Wait+answerTime
 		c.pollIgnored = !c.applyPoll(poll.Target, response)
 	}
 	c.checkCrash(err)
--- a/internal/hostagent/candidate.go
+++ b/internal/hostagent/candidate.go
@@ -130,7 +130,7 @@
 // nothing at the backend server but its token.
 func (c *Core) confirmingPoll() Poll {
 	a := c.candidates[0].announcement
-	return Poll{Target: runner.Target{Instance: a.Host.Instance, Token: c.token}, StartedAtMS: a.Host.StartedAtMS, Candidate: &a}
+	return Poll{Target: runner.Target{Instance: a.Host.Instance, Token: c.token}, StartedAtMS: a.Host.StartedAtMS, Candidate: &a, Timeout: slowAnswerTime}
 }
 
 // candidateAnswered applies the answer to a confirming poll.
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -135,7 +135,8 @@
 	polled             bool  // this incarnation has answered a poll
 	polledMS           int64 // clock of the newest poll response
 	pollIgnored        bool  // the newest poll response was ignored
-	pollFailed         bool  // the newest poll of the present incarnation was not answered, or rejected
+	answersSlowly      bool  // the newest answer to a poll took longer than answerTime
+	failedPolls        int   // consecutive polls of the present incarnation that were not answered, or rejected
 	leaseEndMS         int64 // end of the owner's lease, in the backend server's clock
 	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
 	formerLeaseMS      int64 // latest end of a lease of a former process of the agent, in the same clock
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -153,7 +153,7 @@
 
 // resetIncarnation discards what belongs to the former incarnation.
 func (c *Core) resetIncarnation() {
-	c.polled, c.polledMS, c.pollIgnored, c.pollFailed = false, 0, false, false
+	c.polled, c.polledMS, c.pollIgnored, c.answersSlowly, c.failedPolls = false, 0, false, false, 0
 	c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, nil
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.formerLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0, 0
 	c.changed = msg.RunsChanged{}
--- a/internal/hostagent/silences_test.go
+++ b/internal/hostagent/silences_test.go
@@ -125,7 +125,7 @@
 				finish(r, nil)
 			})
 		})
-		s.after(p.Request.Wait+600*time.Millisecond, func() { finish(runner.PollResponse{}, runner.ErrOutcomeUnknown) })
+		s.after(p.Timeout, func() { finish(runner.PollResponse{}, runner.ErrOutcomeUnknown) })
 	})
 }
 
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -70,10 +70,7 @@
 	// the poll.
 	maxCalls = 2
 	// callTimeout bounds a call that the backend server answers at once.
-	callTimeout = 500 * time.Millisecond
-	// pollMargin is the time for a poll beyond the time that the backend server
-	// may delay its answer.
-	pollMargin        = 600 * time.Millisecond
+	callTimeout       = 500 * time.Millisecond
 	pollRetryInterval = 100 * time.Millisecond
 	agentTick         = 100 * time.Millisecond
 )
--- a/internal/jobdaemon/agent_calls.go
+++ b/internal/jobdaemon/agent_calls.go
@@ -91,7 +91,7 @@
 			if poll.Pause > 0 && !actor.Sleep(ctx, poll.Pause) {
 				return nil
 			}
-			limited, cancel := context.WithTimeout(ctx, poll.Request.Wait+pollMargin)
+			limited, cancel := context.WithTimeout(ctx, poll.Timeout)
 			response, err := runner.PollResponse{}, runner.ErrOutcomeUnknown // if Poll fails
 			a.try("holder", func() { response, err = r.Poll(limited, poll.Target, poll.Request) })
 			cancel()
