--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -238,6 +238,8 @@
 	// reportInterval is the interval at which the agent reports the progress
 	// of the runs. The owner answers each report by a lease grant.
 	reportInterval = 500 * time.Millisecond
+	// ownerAnswerTimeout is the time for the owner's answer to an inventory or a report.
+	ownerAnswerTimeout = 2 * time.Second
 )
 
 // NextTick returns the time at which Tick should be called next.
