internal/hostagent: send the inventory again when the owner does not answer

Cause: an inventory was sent once for a claim, and a report without a grant had no consequence. A lost answer, or an owner with the state of another incarnation, left the runs without leases while the owner took them for active.

Change: without a grant or an acceptance for 2 s after an inventory or a report, the inventory is sent again, until the owner answers. As after a claim, nothing starts before it is accepted. An accepted inventory of an unavailable host is not repeated.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -53,7 +53,8 @@
 	if before.State == workload.HostUnavailable {
 		// It has not announced itself before. The inventory is sent again after the
 		// next poll.
-		c.polled, c.inventorySent, c.inventoryAccepted = false, false, false
+		c.polled = false
+		c.discardInventory()
 	}
 	c.setAnnounced(a)
 	if changesPlacement(before, c.host) {
@@ -303,7 +304,8 @@
 func (c *Core) returnFromSilence() {
 	a := *c.incarnation.returning
 	c.incarnation.returning = nil
-	c.polled, c.inventorySent, c.inventoryAccepted = false, false, false
+	c.polled = false
+	c.discardInventory()
 	c.setAnnounced(a)
 	c.announce()
 }
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -122,7 +122,8 @@
 	entries           map[LinkID]string // names of the linked entries, for the log
 	inventoryAccepted bool              // the owner has the newest inventory, so it may start runs
 	inventorySent     bool
-	inventories       uint64 // number of the newest inventory; a process begins above those of former processes
+	inventories       uint64        // number of the newest inventory; a process begins above those of former processes
+	ownerAnswerDue    time.Duration // when the answer of the owner to an inventory or a report is overdue; 0: none is awaited
 
 	token          uint64
 	runs           map[workload.RunID]*run
@@ -239,6 +240,7 @@
 	// of the runs. The owner answers each report by a lease grant.
 	reportInterval = 500 * time.Millisecond
 	// ownerAnswerTimeout is the time for the owner's answer to an inventory or a report.
+	// It leaves time for two more inventories before the owner's lease expires.
 	ownerAnswerTimeout = 2 * time.Second
 )
 
@@ -258,6 +260,7 @@
 	if c.leasesExpiredInSilence() {
 		c.stepIncarnation(evSilent)
 	}
+	c.repeatInventory()
 	c.report()
 }
 
@@ -274,6 +277,7 @@
 		m.Runs = append(m.Runs, r.status())
 	}
 	c.sends = append(c.sends, Send{c.owner, m})
+	c.awaitOwner()
 }
 
 // flushChanges sends the collected changes of the runs to the owner in one
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -157,7 +157,8 @@
 	c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, nil
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.formerLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0, 0
 	c.changed = msg.RunsChanged{}
-	c.inventorySent, c.inventoryAccepted, c.callFailed = false, false, false
+	c.discardInventory()
+	c.callFailed = false
 	c.incarnation.returning, c.suspension = nil, suspension{}
 }
 
@@ -220,7 +221,7 @@
 	c.removeRuns()
 	c.host.State = workload.HostUnavailable
 	c.announce()
-	c.inventorySent, c.inventoryAccepted = false, false
+	c.discardInventory()
 	c.sendInventory()
 }
 
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -27,6 +27,7 @@
 		}
 	case *msg.LeaseGrant:
 		if c.owns(from, m.Epoch) && m.StartedAtMS == c.host.StartedAtMS {
+			c.ownerAnswerDue = 0
 			c.extendLease(m.ClockMS)
 			c.throttler.setCoefficients(m.Interference)
 		}
@@ -80,7 +81,31 @@
 	if c.owner != 0 {
 		c.addDecision(Decision{Kind: OwnerLeft, Entry: c.entries[c.owner], Detail: reason, LeaseLeft: c.leaseLeft(), Runs: len(c.runs)})
 	}
-	c.owner, c.inventorySent, c.inventoryAccepted = 0, false, false
+	c.owner = 0
+	c.discardInventory()
+}
+
+// discardInventory makes the next call of sendInventory send a new inventory.
+func (c *Core) discardInventory() {
+	c.inventorySent, c.inventoryAccepted, c.ownerAnswerDue = false, false, 0
+}
+
+// awaitOwner expects an answer of the owner, unless one is awaited already.
+func (c *Core) awaitOwner() {
+	if c.ownerAnswerDue == 0 {
+		c.ownerAnswerDue = c.now + ownerAnswerTimeout
+	}
+}
+
+// repeatInventory sends the inventory again if an answer of the owner is overdue. The
+// answer may be lost, or the owner ignores the reports because it has the state of
+// another incarnation.
+func (c *Core) repeatInventory() {
+	if c.ownerAnswerDue != 0 && c.now >= c.ownerAnswerDue {
+		c.flushChanges()
+		c.discardInventory()
+		c.sendInventory()
+	}
 }
 
 // owns reports whether a message comes from the present owner, and logs it if
@@ -118,7 +143,8 @@
 		return
 	}
 	c.EpochObserved(m.Epoch)
-	c.owner, c.inventorySent, c.inventoryAccepted = from, false, false
+	c.owner = from
+	c.discardInventory()
 	c.addDecision(Decision{Kind: OwnerAdopted, Entry: c.entries[from], LeaseLeft: c.leaseLeft(), Runs: len(c.runs)})
 	c.sendInventory()
 }
@@ -138,6 +164,7 @@
 		m.Runs = append(m.Runs, r.status())
 	}
 	c.sends = append(c.sends, Send{c.owner, m})
+	c.awaitOwner()
 }
 
 // applyInventoryAccepted sets the sizes of runs that a former process of the
@@ -154,7 +181,7 @@
 		}
 	}
 	if c.inventorySent && (m.Number == 0 || m.Number == c.inventories) {
-		c.inventoryAccepted = true
+		c.inventoryAccepted, c.ownerAnswerDue = true, 0
 		c.extendLease(m.ClockMS)
 	}
 }
