internal/hostagent: apply the lists of an incarnation that is not announced

Cause: an incarnation that has answered before it announces itself counts as unavailable, and the lists and the silence of an unavailable host were ignored. Without an announcement the owner learned of no end of its runs, nor did their leases end.

Change: the state of the incarnation decides, not that of the host: only a silent one's lists are ignored, and one that has not announced itself falls silent too.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -249,7 +249,8 @@
 
 // applyPoll applies the runs and ends of a poll response. If another incarnation of
 // the same id has answered, the present one has ended and the other is asked for.
-// Responses older than the newest one and those of an unavailable host are ignored.
+// Responses older than the newest one and those of a silent incarnation are ignored.
+// One that has not announced itself is unavailable, but its runs and ends count.
 // applyPoll reports whether the response was applied.
 func (c *Core) applyPoll(target runner.Target, response runner.PollResponse) bool {
 	if response.StartedAtMS != 0 && response.StartedAtMS != c.host.StartedAtMS {
@@ -263,8 +264,8 @@
 	if response.ClockMS > c.lastLeaseMS() {
 		c.stepIncarnation(evPollAnswered)
 	}
-	if c.host.State == workload.HostUnavailable {
-		return false // only an announcement makes the host available again
+	if c.silent() {
+		return false // the next announcement makes the host available again
 	}
 	c.applyLists(target, response)
 	if !c.polled {
@@ -295,7 +296,7 @@
 // show it. If it answers polls, the lists show which runs have ended, also after the
 // last grant of an owner has expired.
 func (c *Core) leasesExpiredInSilence() bool {
-	return c.present() && c.host.State != workload.HostUnavailable &&
+	return c.incarnation.state == incarnationPresent &&
 		c.clock.lowerBound(c.now) > c.lastLeaseMS() && c.pollOutdated()
 }
 
