internal/hostagent: poll the present incarnation after a rejected candidate

Cause: polls alternate between a candidate and the present incarnation only while the candidate's are not answered. A poll that was rejected (429, 503, a fencing token) was followed by the next one for the candidate, as long as a writer announced it, and the leases of the present incarnation expired.

Change: they alternate after each answer that decides nothing. Refused connections stay an exception, since two of them decide.

Measured: TestPresentIncarnationIsPolledWhileCandidatesAreRejected failed for three of four errors and passes.

--- a/internal/hostagent/candidate.go
+++ b/internal/hostagent/candidate.go
@@ -136,7 +136,7 @@
 // candidateAnswered applies the answer to a confirming poll.
 func (c *Core) candidateAnswered(poll Poll, response runner.PollResponse, err error) {
 	asked := *poll.Candidate
-	c.askPresentNext = errors.Is(err, runner.ErrOutcomeUnknown)
+	c.askPresentNext = err != nil && !errors.Is(err, runner.ErrNotListening)
 	k := c.candidate(asked.Host)
 	if k != nil {
 		asked = k.announcement // the newest
