internal/hostagent: queue one poll for all unanswered starts

Cause: each unanswered start queued a poll every 250 ms. Two calls are in flight, for 0.5 s each when the backend server does not answer, so the queue grew, and stops and starts waited behind it.

Change: a poll with a token settles all starts up to it, so none is added while one of a sufficient token is queued or in flight.

--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -142,9 +142,10 @@
 	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
 	formerLeaseMS      int64 // latest end of a lease of a former process of the agent, in the same clock
 	suspension         suspension
-	connectionRefusals int  // consecutive refused connections
-	callFailed         bool // a call was not answered since the last answered poll
-	askPresentNext     bool // the last poll asked for a candidate and was not answered
+	connectionRefusals int    // consecutive refused connections
+	callFailed         bool   // a call was not answered since the last answered poll
+	askPresentNext     bool   // the last poll asked for a candidate, and the answer did not decide about it
+	settlingPoll       uint64 // token of the newest poll for unanswered starts that is queued or in flight; 0: none
 	nextReport         time.Duration
 	throttler          throttler
 
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -158,7 +158,7 @@
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.formerLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0, 0
 	c.changed = msg.RunsChanged{}
 	c.discardInventory()
-	c.callFailed = false
+	c.callFailed, c.settlingPoll = false, 0
 	c.incarnation.returning, c.suspension = nil, suspension{}
 }
 
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -272,6 +272,9 @@
 		return
 	}
 	c.answered(a.ClockMS, a.Err)
+	if a.Call.Poll != nil && a.Call.Target.Token == c.settlingPoll {
+		c.settlingPoll = 0
+	}
 	switch {
 	case a.Call.Stop != nil:
 		if r, ok := c.runs[*a.Call.Stop]; ok {
--- a/internal/hostagent/run.go
+++ b/internal/hostagent/run.go
@@ -190,8 +190,15 @@
 }
 
 // poll polls the backend server at once. The answer shows whether the
-// unanswered start took effect. Ends are acknowledged by the long poll only, which is
-// the first to learn of another incarnation.
+// unanswered start took effect. One poll settles all starts up to its token, so none is
+// added while such a poll waits: a backend server that does not answer would fill the
+// queue with polls. Ends are acknowledged by the long poll only, which is the first to
+// learn of another incarnation.
 func (r *run) poll() {
-	r.core.addCall(Call{Poll: &runner.PollRequest{LeaseMS: r.core.leaseMS()}})
+	c := r.core
+	if c.settlingPoll >= r.settlingToken && c.settlingPoll != 0 {
+		return
+	}
+	c.settlingPoll = c.token
+	c.addCall(Call{Poll: &runner.PollRequest{LeaseMS: c.leaseMS()}})
 }
