internal/jobs: acknowledge ends again that an inventory lists

Cause: the acknowledgement of ends was sent once, when their batch was stored, and is lost with a link.

Change: an inventory that lists ends whose batch is stored is answered by their acknowledgement too.

Measured: TestEndsAreAcknowledgedAgainAfterAnInventory failed and passes; go test ./internal/jobs passes.

--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -59,6 +59,9 @@
 	}
 	h.applyEnds(m.Ended)
 	h.core.send(h, &msg.InventoryAccepted{Epoch: h.core.epoch, Number: m.Number, ClockMS: m.ClockMS, Sizes: sizes})
+	if len(m.Ended) > 0 && m.Ended[0].Number <= h.endsAcknowledged {
+		h.acknowledgeEnds() // the former acknowledgement was lost
+	}
 	h.lastGrantAt = h.core.now
 	if h.info.State != workload.HostUnavailable {
 		h.inventoryStartedAtMS = h.info.StartedAtMS
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -195,10 +195,15 @@
 		}
 		h.endsAcknowledged = e.lastNumber
 		h.checkUnstoredEnds()
-		c.send(h, &msg.EndsAcknowledged{Epoch: c.epoch, Instance: e.instance, StartedAtMS: e.startedAtMS, LastNumber: e.lastNumber})
+		h.acknowledgeEnds()
 	}
 }
 
+// acknowledgeEnds tells the agent which ends of the present incarnation are stored.
+func (h *host) acknowledgeEnds() {
+	h.core.send(h, &msg.EndsAcknowledged{Epoch: h.core.epoch, Instance: h.info.Instance, StartedAtMS: h.info.StartedAtMS, LastNumber: h.endsAcknowledged})
+}
+
 // checkUnstoredEnds records whether the next batch may acknowledge ends of the host.
 func (h *host) checkUnstoredEnds() {
 	if h.lastStorableEnd() > h.endsAcknowledged {
