internal/jobdaemon: keep a host linked while its agent has a link

Cause: the owner took a host for unlinked when the newest link of its agent ended, also if another was up.

Change: the newest link that is left takes its place, and the host is claimed on it.

--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -97,12 +97,7 @@
 	name := l.hello.Member.Name
 	logLinkDown(c.log, name, m.err)
 	if l.hello.Agent {
-		if a := c.agents[workload.HostName(name)]; a != nil && a.link == l {
-			a.link = nil
-			if c.jobs != nil {
-				c.jobs.Unlinked(workload.HostName(name))
-			}
-		}
+		c.agentLinkDown(l)
 		return
 	}
 	c.peerCommits.linkDown(name)
@@ -115,6 +110,35 @@
 	c.publishLinked()
 }
 
+// agentLinkDown records that a link of an agent has ended. An agent that is linked
+// does not dial, so the newest link that is left, if any, takes its place.
+func (c *controller) agentLinkDown(l *peerLink) {
+	name := workload.HostName(l.hello.Member.Name)
+	a := c.agents[name]
+	if a == nil || a.link != l {
+		return
+	}
+	a.link = c.newestAgentLink(name)
+	switch {
+	case c.jobs == nil:
+	case a.link != nil:
+		c.jobs.Linked(a.host)
+	default:
+		c.jobs.Unlinked(name)
+	}
+}
+
+// newestAgentLink returns the newest link of an agent, or nil.
+func (c *controller) newestAgentLink(name workload.HostName) *peerLink {
+	var newest *peerLink
+	for _, l := range c.links {
+		if l.hello.Agent && l.hello.Member.Name == string(name) && (newest == nil || l.id > newest.id) {
+			newest = l
+		}
+	}
+	return newest
+}
+
 // publishLinked publishes the addresses of the linked entries for the dialers.
 func (c *controller) publishLinked() {
 	linked := map[string]bool{}
