--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -53,7 +53,8 @@
 	if before.State == workload.HostUnavailable {
 		// It has not announced itself before. The inventory is sent again after the
 		// next poll.
-		c.polled, c.inventorySent, c.inventoryAccepted = false, false, false
+		c.polled = false
+		c.discardInventory()
 	}
 	c.setAnnounced(a)
 	if changesPlacement(before, c.host) {
@@ -100,15 +101,16 @@
 func (c *Core) CanCall() bool { return c.present() || len(c.candidates) > 0 }
 
 // leaseMS returns the end of the lease for a call, in milliseconds of the backend
-// server's clock, or 0 if the owner's lease has expired or the backend server is silent.
-// It records the end in sentLeaseMS.
+// server's clock, or 0 if it would have expired or the backend server is silent. It is
+// at most RunLease after the newest clock in an answer to a poll: a backend server that
+// does not say what runs there gets no later lease, whatever the owner grants, so the
+// end of its runs is known. It records the end in sentLeaseMS.
 func (c *Core) leaseMS() int64 {
 	if c.silent() {
 		return 0
 	}
-	now := c.clock.lowerBound(c.now)
-	end := min(c.leaseEndMS, now+c.cfg.RunLease.Milliseconds())
-	if end <= now {
+	end := min(c.leaseEndMS, c.polledMS+c.cfg.RunLease.Milliseconds())
+	if end <= c.clock.lowerBound(c.now) {
 		return 0
 	}
 	c.sentLeaseMS = max(c.sentLeaseMS, end)
@@ -121,6 +123,8 @@
 	Request     runner.PollRequest
 	StartedAtMS int64         // incarnation of the backend server
 	Pause       time.Duration // before the call
+	Timeout     time.Duration // of the call, without the pause
+	madeAt      time.Duration // time of the core
 	// Candidate is the incarnation that the poll asks for; nil: the present one.
 	Candidate *runner.Announcement
 }
@@ -131,12 +135,18 @@
 // have received, no ends are acknowledged: the numbers of its ends are others. A
 // backend server answers at once while it has unacknowledged ends, so the polls are spaced by
 // unacknowledgedPause until the owner has stored the ends, and while the agent
-// ignores the answers, which may contain ends.
+// ignores the answers, which may contain ends. After a poll that has failed the answer is
+// not delayed: the lease of the runs may be about to expire, and only the poll after the
+// answer extends it.
 func (c *Core) NextPoll() Poll {
 	if len(c.candidates) > 0 && !(c.present() && c.askPresentNext) {
 		return c.confirmingPoll()
 	}
 	poll := Poll{Target: c.target(), Request: runner.PollRequest{LeaseMS: c.leaseMS(), Wait: pollWait}, StartedAtMS: c.host.StartedAtMS}
+	if c.failedPolls > 0 {
+		poll.Request.Wait = 0
+	}
+	poll.Timeout, poll.madeAt = poll.Request.Wait+c.pollMargin(), c.now
 	if !c.callFailed {
 		poll.Request.Acknowledged = c.acknowledged
 	}
@@ -146,6 +156,24 @@
 	return poll
 }
 
+const (
+	// answerTime is the time for the answer to a poll beyond the time that the backend
+	// server may delay it.
+	answerTime = 600 * time.Millisecond
+	// slowAnswerTime is the same for a backend server that may be slow.
+	slowAnswerTime = 1500 * time.Millisecond
+)
+
+// pollMargin returns the time for the answer to the next poll of the present incarnation.
+// Every other poll after one that has failed waits for a slow backend server. The others
+// end soon, because further connections may be silent.
+func (c *Core) pollMargin() time.Duration {
+	if c.answersSlowly || c.failedPolls%2 == 1 {
+		return slowAnswerTime
+	}
+	return answerTime
+}
+
 // unacknowledgedPause bounds the delay until a new end is noticed while former
 // ends wait to be stored.
 const unacknowledgedPause = 50 * time.Millisecond
@@ -161,7 +189,9 @@
 		return
 	}
 	c.answered(response.ClockMS, err)
+	c.failedPolls++
 	if err == nil {
+		c.failedPolls, c.answersSlowly = 0, c.now-poll.madeAt-poll.Pause > poll.Request.Wait+answerTime
 		c.pollIgnored = !c.applyPoll(poll.Target, response)
 	}
 	c.checkCrash(err)
@@ -219,7 +249,8 @@
 
 // applyPoll applies the runs and ends of a poll response. If another incarnation of
 // the same id has answered, the present one has ended and the other is asked for.
-// Responses older than the newest one and those of an unavailable host are ignored.
+// Responses older than the newest one and those of a silent incarnation are ignored.
+// One that has not announced itself is unavailable, but its runs and ends count.
 // applyPoll reports whether the response was applied.
 func (c *Core) applyPoll(target runner.Target, response runner.PollResponse) bool {
 	if response.StartedAtMS != 0 && response.StartedAtMS != c.host.StartedAtMS {
@@ -230,11 +261,11 @@
 		return false
 	}
 	c.polledMS, c.callFailed = response.ClockMS, false
-	if response.ClockMS > c.sentLeaseMS {
+	if response.ClockMS > c.lastLeaseMS() {
 		c.stepIncarnation(evPollAnswered)
 	}
-	if c.host.State == workload.HostUnavailable {
-		return false // only an announcement makes the host available again
+	if c.silent() {
+		return false // the next announcement makes the host available again
 	}
 	c.applyLists(target, response)
 	if !c.polled {
@@ -246,19 +277,27 @@
 	return true
 }
 
-// maxPollAge is the age of the newest answer to a poll above which the backend server
-// counts as silent. A poll that is not answered fails earlier, and the next one may take
-// the rest.
+// maxPollAge is the age of the newest answer to a poll above which the agent does not
+// report the runs any more, and takes them for ended when their leases have expired. A
+// poll that is not answered fails earlier, and the next one may take the rest.
 const maxPollAge = 1500 * time.Millisecond
 
+// pollOutdated reports whether the newest answer to a poll is older than maxPollAge.
+func (c *Core) pollOutdated() bool {
+	return c.clock.lowerBound(c.now) > c.polledMS+maxPollAge.Milliseconds()
+}
+
+// lastLeaseMS returns the latest end of a lease that the backend server may have: of this
+// process of the agent or of a former one.
+func (c *Core) lastLeaseMS() int64 { return max(c.sentLeaseMS, c.formerLeaseMS) }
+
 // leasesExpiredInSilence reports whether the runs have ended because no call that the
 // backend server may have received extends their lease any more, and its lists do not
 // show it. If it answers polls, the lists show which runs have ended, also after the
 // last grant of an owner has expired.
 func (c *Core) leasesExpiredInSilence() bool {
-	clockMS := c.clock.lowerBound(c.now)
-	return c.present() && c.host.State != workload.HostUnavailable &&
-		c.sentLeaseMS > 0 && clockMS > c.sentLeaseMS && clockMS > c.polledMS+maxPollAge.Milliseconds()
+	return c.incarnation.state == incarnationPresent &&
+		c.clock.lowerBound(c.now) > c.lastLeaseMS() && c.pollOutdated()
 }
 
 // returnFromSilence makes the host available again with the newest announcement. The
@@ -266,7 +305,8 @@
 func (c *Core) returnFromSilence() {
 	a := *c.incarnation.returning
 	c.incarnation.returning = nil
-	c.polled, c.inventorySent, c.inventoryAccepted = false, false, false
+	c.polled = false
+	c.discardInventory()
 	c.setAnnounced(a)
 	c.announce()
 }
--- a/internal/hostagent/candidate.go
+++ b/internal/hostagent/candidate.go
@@ -130,13 +130,13 @@
 // nothing at the backend server but its token.
 func (c *Core) confirmingPoll() Poll {
 	a := c.candidates[0].announcement
-	return Poll{Target: runner.Target{Instance: a.Host.Instance, Token: c.token}, StartedAtMS: a.Host.StartedAtMS, Candidate: &a}
+	return Poll{Target: runner.Target{Instance: a.Host.Instance, Token: c.token}, StartedAtMS: a.Host.StartedAtMS, Candidate: &a, Timeout: slowAnswerTime}
 }
 
 // candidateAnswered applies the answer to a confirming poll.
 func (c *Core) candidateAnswered(poll Poll, response runner.PollResponse, err error) {
 	asked := *poll.Candidate
-	c.askPresentNext = errors.Is(err, runner.ErrOutcomeUnknown)
+	c.askPresentNext = err != nil && !errors.Is(err, runner.ErrNotListening)
 	k := c.candidate(asked.Host)
 	if k != nil {
 		asked = k.announcement // the newest
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -22,9 +22,10 @@
 	// OwnerLease is how long runs may continue after the owner last granted
 	// the lease.
 	OwnerLease time.Duration
-	// RunLease is the lease of the runs at the backend server. The agent
-	// extends it, so it bounds how long the runs outlive a crash of the agent,
-	// and how long a silent backend server keeps its tasks.
+	// RunLease is the lease of the runs at the backend server, from its newest
+	// answer to a poll on. The agent extends it, so it bounds how long the runs
+	// outlive a crash of the agent, and how long a silent backend server keeps
+	// its tasks.
 	RunLease time.Duration
 	// Token is the first fencing token. It is higher than the tokens of former
 	// processes of the agent; see FirstToken.
@@ -121,7 +122,8 @@
 	entries           map[LinkID]string // names of the linked entries, for the log
 	inventoryAccepted bool              // the owner has the newest inventory, so it may start runs
 	inventorySent     bool
-	inventories       uint64 // number of the newest inventory; a process begins above those of former processes
+	inventories       uint64        // number of the newest inventory; a process begins above those of former processes
+	ownerAnswerDue    time.Duration // when the answer of the owner to an inventory or a report is overdue; 0: none is awaited
 
 	token          uint64
 	runs           map[workload.RunID]*run
@@ -134,12 +136,16 @@
 	polled             bool  // this incarnation has answered a poll
 	polledMS           int64 // clock of the newest poll response
 	pollIgnored        bool  // the newest poll response was ignored
+	answersSlowly      bool  // the newest answer to a poll took longer than answerTime
+	failedPolls        int   // consecutive polls of the present incarnation that were not answered, or rejected
 	leaseEndMS         int64 // end of the owner's lease, in the backend server's clock
 	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
+	formerLeaseMS      int64 // latest end of a lease of a former process of the agent, in the same clock
 	suspension         suspension
-	connectionRefusals int  // consecutive refused connections
-	callFailed         bool // a call was not answered since the last answered poll
-	askPresentNext     bool // the last poll asked for a candidate and was not answered
+	connectionRefusals int    // consecutive refused connections
+	callFailed         bool   // a call was not answered since the last answered poll
+	askPresentNext     bool   // the last poll asked for a candidate, and the answer did not decide about it
+	settlingPoll       uint64 // token of the newest poll for unanswered starts that is queued or in flight; 0: none
 	nextReport         time.Duration
 	throttler          throttler
 
@@ -234,6 +240,9 @@
 	// reportInterval is the interval at which the agent reports the progress
 	// of the runs. The owner answers each report by a lease grant.
 	reportInterval = 500 * time.Millisecond
+	// ownerAnswerTimeout is the time for the owner's answer to an inventory or a report.
+	// It leaves time for two more inventories before the owner's lease expires.
+	ownerAnswerTimeout = 2 * time.Second
 )
 
 // NextTick returns the time at which Tick should be called next.
@@ -252,13 +261,15 @@
 	if c.leasesExpiredInSilence() {
 		c.stepIncarnation(evSilent)
 	}
+	c.repeatInventory()
 	c.report()
 }
 
 // report sends the status of the runs to the owner at most once per
-// reportInterval. The owner answers by a lease grant.
+// reportInterval. The owner answers by a lease grant. What the backend server has not
+// confirmed for maxPollAge is not reported.
 func (c *Core) report() {
-	if c.owner == 0 || !c.inventoryAccepted || c.now < c.nextReport || c.host.State == workload.HostUnavailable || !c.present() {
+	if c.owner == 0 || !c.inventoryAccepted || c.now < c.nextReport || c.host.State == workload.HostUnavailable || !c.present() || c.pollOutdated() {
 		return
 	}
 	c.nextReport = c.now + reportInterval
@@ -267,6 +278,7 @@
 		m.Runs = append(m.Runs, r.status())
 	}
 	c.sends = append(c.sends, Send{c.owner, m})
+	c.awaitOwner()
 }
 
 // flushChanges sends the collected changes of the runs to the owner in one
