hostagent: log changed processor shares once in 5 s

The agent sums the changes up and logs event 958 at most every 5 s: how many changes, of how many runs, the eight runs with the lowest shares and the highest ratio of latency to target. Event 936 keeps its meaning at the level debug. No other process reads it.

--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -36,7 +36,6 @@
 	AgentRunSent            = define(938, log.InfoLevel, "guard-run-sent", "the agent sends the start of a run to its backend server", "nothing; entry and epoch name the owner that ordered the run, lease-ms is the remaining time of its lease")
 	AgentOwnerLeft          = define(939, log.WarnLevel, "guard-owner-left", "the agent has no owner of the jobs any more", "see the detail: if the link has ended and no event 930 follows, the runs end when their lease expires (lease-ms)")
 	AgentSuspended          = define(929, log.WarnLevel, "guard-suspended", "the host of an agent was suspended; the agent shortens the owner's lease by that time and stops the runs when it has expired", "nothing")
-	AgentRunThrottled       = define(936, log.InfoLevel, "guard-run-paced", "the share of processor time allowed to a best-effort run was changed", "nothing")
 	NodeStarted             = define(940, log.InfoLevel, "node-started", "a process of the job scheduler started", "nothing")
 	NodeStopping            = define(941, log.InfoLevel, "node-stopping", "a process of the job scheduler is stopping", "nothing")
 	NodeReloaded            = define(942, log.InfoLevel, "node-reloaded", "the settings were reloaded; changed names the keys that are in use now", "restart the process to apply the keys of restart-for")
@@ -54,6 +53,11 @@
 	ConfigWatchChanged      = define(956, log.InfoLevel, "config-watch-changed", "this entry began or ended to watch the table service for the operators' configuration for itself and others", "nothing")
 	ConfigOversized         = define(957, log.WarnLevel, "config-oversized", "the operators' configuration is larger than the table service returns at once; it is used, and the time until it is in force everywhere is not bounded", "remove what is not used, or use names that several queues share")
 	// The level warn exempts the two events of a drain from the rate limit of the
+	// The share of each run changes many times a second on a busy host. The lines displaced
+	// those about the state of the agent, so only the sum of the changes is logged at the
+	// level info.
+	AgentRunThrottled  = define(936, log.DebugLevel, "guard-run-paced", "the share of processor time allowed to a best-effort run was changed", "nothing")
+	AgentRunsThrottled = define(958, log.InfoLevel, "guard-runs-paced", "the shares of processor time allowed to the best-effort runs of a host were changed", "nothing; since the last such event: changes counts them, runs the runs, pace has the runs with the lowest shares in percent, and worst is the highest ratio of latency to target of a serving task")
 	// log: a busy entry lost them.
 	DrainPhase = define(952, log.WarnLevel, "drain-phase", "a stopping entry began a phase of its drain", "if no drain-ended follows, the process was killed in this phase with this number of requests in flight, or more: check its grace period")
 	DrainEnded = define(953, log.WarnLevel, "drain-ended", "a stopping entry ended its drain", "cut counts requests whose connection was closed by the entry without a whole answer and must be 0; unanswered ones were still in flight at the end; gone ones were given up by their callers")
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -84,6 +84,14 @@
 	SenderEpoch uint64        // of a message that was refused
 	LeaseLeft   time.Duration // remaining time of the owner's lease; negative: expired
 	Runs        int           // number of runs on the host
+	Throttle    ThrottleChange
+}
+
+// ThrottleChange is a changed CPU limit of a best-effort run.
+type ThrottleChange struct {
+	Percent  int     // of full speed; 0 pauses the run
+	MaxRatio float64 // highest ratio of latency to target of a serving task on the host
+	Image    string
 }
 
 // DecisionKind is the kind of a Decision.
--- a/internal/hostagent/throttle.go
+++ b/internal/hostagent/throttle.go
@@ -1,7 +1,6 @@
 package hostagent
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -116,7 +115,7 @@
 		return
 	}
 	r.cpuLimitPercent = percent
-	c.addDecision(Decision{Kind: RunThrottled, Run: r.id, Detail: fmt.Sprintf("pace=%d worst=%.2f image=%s", percent, maxRatio, r.size.Image)})
+	c.addDecision(Decision{Kind: RunThrottled, Run: r.id, Throttle: ThrottleChange{Percent: percent, MaxRatio: maxRatio, Image: r.size.Image}})
 	c.addCall(Call{Throttle: &ThrottleCall{Run: r.id, Percent: percent}})
 }
 
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -59,6 +59,7 @@
 	// have known a higher epoch than the entries that this one reaches.
 	epochKnown bool
 	heldClaims map[linkID]*msg.OwnerClaim // until epochKnown
+	throttling throttleLog
 
 	published *published
 }
@@ -229,6 +230,8 @@
 func (a *agent) tick() {
 	a.advance()
 	a.core.Tick()
+	now := time.Since(a.startedAt)
+	a.logThrottling(now)
 }
 
 func (a *agent) apply(m any) {
--- a/internal/jobdaemon/decisions.go
+++ b/internal/jobdaemon/decisions.go
@@ -1,6 +1,8 @@
 package jobdaemon
 
 import (
+	"fmt"
+
 	"github.com/apex/log"
 
 	"github.com/bambooscale/bambooscale/internal/event"
@@ -62,6 +64,9 @@
 		fields["entry"], fields["lease-ms"] = d.Entry, d.LeaseLeft.Milliseconds()
 	case hostagent.OwnerRefused, hostagent.StartRefused:
 		fields["entry"], fields["sender-epoch"] = d.Entry, d.SenderEpoch
+	case hostagent.RunThrottled:
+		fields["detail"] = fmt.Sprintf("pace=%d worst=%.2f image=%s", d.Throttle.Percent, d.Throttle.MaxRatio, d.Throttle.Image)
+		a.throttling.add(d)
 	}
 	event.Log(a.log, agentEvents[d.Kind], fields)
 }
