jobdaemon: metrics show what the owner and agents wait for

Gauges now come first, then counters, then histograms. The owner has its epoch, the hosts and runs by state, the age of the oldest claim without an inventory, the longest time since a grant, the time that former owners and the recovery have left and the jobs that wait for it. An agent has its epoch, the linked entries, how far it and its owner have come, the state of the incarnation, the age of the newest answer to a poll, the lease and the runs. The owner counts its runs as they change state, so that a report does not examine every run; SilentHosts is part of Status now.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -229,7 +229,7 @@
 	if response.ClockMS < c.polledMS {
 		return false
 	}
-	c.polledMS, c.callFailed = response.ClockMS, false
+	c.polledMS, c.polledAt, c.callFailed = response.ClockMS, c.now, false
 	if response.ClockMS > c.sentLeaseMS {
 		c.stepIncarnation(evPollAnswered)
 	}
--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -139,11 +139,12 @@
 	acknowledged   uint64             // number of the last end that the owner has stored
 
 	clock              clock
-	polled             bool  // this incarnation has answered a poll
-	polledMS           int64 // clock of the newest poll response
-	pollIgnored        bool  // the newest poll response was ignored
-	leaseEndMS         int64 // end of the owner's lease, in the backend server's clock
-	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
+	polled             bool          // this incarnation has answered a poll
+	polledMS           int64         // clock of the newest poll response
+	polledAt           time.Duration // when it arrived
+	pollIgnored        bool          // the newest poll response was ignored
+	leaseEndMS         int64         // end of the owner's lease, in the backend server's clock
+	sentLeaseMS        int64         // latest end of a lease that a call carried, in the same clock
 	suspension         suspension
 	connectionRefusals int  // consecutive refused connections
 	callFailed         bool // a call was not answered since the last answered poll
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -135,7 +135,7 @@
 // owner what runs there.
 func (c *Core) applyFirstPoll(k confirmation) {
 	c.clock.set(k.response.ClockMS, c.now)
-	c.polledMS, c.polled = k.response.ClockMS, true
+	c.polledMS, c.polledAt, c.polled = k.response.ClockMS, c.now, true
 	c.applyLists(runner.Target{Instance: c.host.Instance, Token: k.token}, k.response)
 	c.sendInventory()
 }
@@ -151,7 +151,7 @@
 
 // resetIncarnation discards what belongs to the former incarnation.
 func (c *Core) resetIncarnation() {
-	c.polled, c.polledMS, c.pollIgnored = false, 0, false
+	c.polled, c.polledMS, c.polledAt, c.pollIgnored = false, 0, 0, false
 	c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, nil
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0
 	c.changed = msg.RunsChanged{}
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -60,6 +60,7 @@
 	epochKnown bool
 	heldClaims map[linkID]*msg.OwnerClaim // until epochKnown
 	throttling throttleLog
+	recordedAt time.Duration // when the metrics of the state were last set
 
 	published *published
 }
@@ -232,6 +233,7 @@
 	a.core.Tick()
 	now := time.Since(a.startedAt)
 	a.logThrottling(now)
+	a.recordStatus(now)
 }
 
 func (a *agent) apply(m any) {
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -22,8 +22,8 @@
 	maxBatch       = 128
 	pruneInterval  = 10 * time.Second
 	lagLogInterval = 10 * time.Second
-	// ownerRecordInterval is the interval at which the metrics of the ownership are set.
-	ownerRecordInterval = time.Second
+	// statusRecordInterval is the interval at which the metrics of the state are set.
+	statusRecordInterval = time.Second
 )
 
 // controller is the actor that owns the state of an entry: its links, its cache
--- a/internal/jobdaemon/metrics.go
+++ b/internal/jobdaemon/metrics.go
@@ -68,29 +68,6 @@
 	m.scope.Histogram(name, metrics.LatencyBuckets).RecordDuration(d)
 }
 
-// ownerStatus is what an entry records of its ownership from time to time.
-type ownerStatus struct {
-	permission  permissionState
-	confirmedAt time.Duration // newest time at which no other entry had replaced the owner
-	silentHosts int
-}
-
-// permissionValues are the values of the gauge of the permission. An entry that does
-// not own the jobs has 0.
-var permissionValues = map[permissionState]float64{permissionUndisputed: 1, permissionDisputed: 2, permissionLapsed: 3}
-
-// recordOwner records the status of the ownership at a time. The status of an entry
-// that does not own the jobs is zero.
-func (m *entryMetrics) recordOwner(s ownerStatus, now time.Duration) {
-	age := time.Duration(0)
-	if s.permission != "" {
-		age = now - s.confirmedAt
-	}
-	m.scope.Gauge("owner_permission").Update(permissionValues[s.permission])
-	m.scope.Gauge("owner_confirmation_age_seconds").Update(age.Seconds())
-	m.scope.Gauge("silent_hosts").Update(float64(s.silentHosts))
-}
-
 // agentMetrics counts the starts that an agent refuses.
 type agentMetrics struct{ scope tally.Scope }
 
--- a/internal/jobdaemon/metrics_test.go
+++ b/internal/jobdaemon/metrics_test.go
@@ -29,7 +29,7 @@
 		m.countDecision(jobs.Decision{Kind: jobs.JobEnded, Detail: "completed", Age: time.Second})
 		m.recordPass(time.Millisecond, jobs.PassStats{Views: 1, Waiting: 1})
 		m.countDecision(jobs.Decision{Kind: jobs.RunEnded, Detail: "lost", Cause: jobs.LostLeaseExpired})
-		m.recordOwner(ownerStatus{permission: permissionDisputed, confirmedAt: 3 * time.Second, silentHosts: 2}, 5*time.Second)
+		m.recordOwner(ownerStatus{permission: permissionDisputed, confirmedAt: 3 * time.Second, jobs: jobs.Status{Hosts: jobs.HostStates{Silent: 2}}}, 5*time.Second)
 		newAgentMetrics(r).countDecision(hostagent.Decision{Kind: hostagent.StartRefused, Detail: "owner has been replaced"})
 		m.recordLag(time.Millisecond)
 		m.recordConfig(fromPeer, time.Millisecond)
--- a/internal/jobdaemon/ownerlog.go
+++ b/internal/jobdaemon/ownerlog.go
@@ -44,14 +44,15 @@
 
 // recordOwner sets the metrics of the ownership if that is due.
 func (c *controller) recordOwner(now time.Duration) {
-	if now-c.ownerRecordedAt < ownerRecordInterval {
+	if now-c.ownerRecordedAt < statusRecordInterval {
 		return
 	}
 	c.ownerRecordedAt = now
 	var s ownerStatus
 	if c.jobs != nil {
+		s.epoch = c.jobs.Epoch()
 		s.permission, s.confirmedAt = c.permission(now)
-		s.silentHosts = c.jobs.SilentHosts()
+		s.jobs = c.jobs.Status()
 	}
 	c.metrics.recordOwner(s, now)
 }
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -77,6 +77,7 @@
 
 	hosts      map[workload.HostName]*host
 	jobs       map[workload.JobID]*job
+	runStates  RunStates
 	cancelled  map[workload.JobID]struct{} // jobs that were cancelled and are not known yet
 	early      map[workload.RunID]earlyRun // of jobs that are not known yet
 	heldEnds   map[*task][]heldEnd         // ends that are not acknowledged yet
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -60,6 +60,7 @@
 	timeoutAt time.Duration // when the state's timeout expires; 0: none
 	dueAt     time.Duration // when the host expires in Core.due; 0: never
 
+	stateSince           time.Duration // when the state was entered
 	lastGrantAt          time.Duration // when the lease of the runs was last granted
 	unlinkedAt           time.Duration // when its last link ended, or it was expected without a link
 	endCause             LossCause     // of runs that were there before the incarnation ended; "": none has ended since the last inventory
@@ -122,6 +123,9 @@
 func (h *host) step(e chart.Event) {
 	before := h.state
 	hostChart.Step(h, &h.state, e)
+	if h.state != before {
+		h.stateSince = h.core.now
+	}
 	if h.state != before || e == evClaimTimeout || e == evUp {
 		h.restartTimeout()
 		h.improve()
--- a/internal/jobs/loss.go
+++ b/internal/jobs/loss.go
@@ -37,14 +37,3 @@
 		Kind: LeasesExpired, Host: h.info.Name, Detail: detail, Age: c.now - h.lastGrantAt, Unlinked: c.now - h.unlinkedAt, Runs: len(h.runs),
 	})
 }
-
-// SilentHosts returns the number of unlinked hosts whose leases have not expired.
-func (c *Core) SilentHosts() int {
-	n := 0
-	for _, h := range c.hostsByName {
-		if h.state == hostSilent {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/jobs/loss_test.go
+++ b/internal/jobs/loss_test.go
@@ -72,14 +72,14 @@
 	h.process()
 	h.advance(time.Second)
 	h.core.Unlinked("a")
-	require.Equal(t, 1, h.core.SilentHosts())
+	require.Equal(t, 1, h.core.Status().Hosts.Silent)
 	expired := h.decisions(LeasesExpired, func() {
 		h.now += LeaseExpiry
 		h.core.Advance(h.now, 0)
 		h.core.Tick()
 	})
 	require.Equal(t, []Decision{{Kind: LeasesExpired, Host: "a", Detail: "granted", Age: time.Second + LeaseExpiry, Unlinked: LeaseExpiry, Runs: 2}}, expired)
-	require.Zero(t, h.core.SilentHosts())
+	require.Zero(t, h.core.Status().Hosts.Silent)
 
 	h.core.ExpectHost("b")
 	expired = h.decisions(LeasesExpired, func() {
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -60,6 +60,8 @@
 	state chart.State
 	timed bool // its state has a timeout
 
+	countedAs *int // in Core.runStates; nil: it is not charged to the host
+
 	orderedAt  time.Duration
 	startedAt  time.Duration
 	status     msg.RunStatus
@@ -81,6 +83,9 @@
 func (r *run) step(e chart.Event) {
 	before := r.state
 	runChart.Step(r, &r.state, e)
+	if r.countedAs != nil && r.state != before {
+		r.count()
+	}
 	d, _, ok := runChart.Timeout(r.state)
 	switch {
 	case ok && (r.state != before || e == evStopTimeout):
--- a/internal/jobs/usage.go
+++ b/internal/jobs/usage.go
@@ -11,6 +11,7 @@
 func (h *host) charge(t *task, id workload.RunID) *run {
 	r := &run{id: id, task: t, host: h, state: runChart.Initial(), orderedAt: h.core.now}
 	h.runs[id] = r
+	r.count()
 	t.runs = append(t.runs, r)
 	h.adjustUsage(t.step, 1)
 	h.schedule()
@@ -23,6 +24,7 @@
 		return
 	}
 	delete(h.runs, r.id)
+	r.uncount()
 	delete(h.core.throttled, r)
 	h.adjustUsage(r.task.step, -1)
 	h.schedule()
--- a/internal/metrics/series.go
+++ b/internal/metrics/series.go
@@ -1,8 +1,11 @@
 package metrics
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -83,15 +86,21 @@
 
 func (m *renderRequest) handle(r *seriesStore) { m.answer.Put(r.text()) }
 
-// text returns every series in the Prometheus text format, sorted.
+// kindOrder is the order of the kinds in the text. The buckets of histograms come last,
+// so that a reader who keeps only the first part of an answer has the state.
+var kindOrder = map[kind]int{gauge: 0, counter: 1, histogram: 2}
+
+// names returns the names of the families by kind, sorted within each.
+func (r *seriesStore) names() []string {
+	return slices.SortedFunc(maps.Keys(r.families), func(a, b string) int {
+		return cmp.Or(cmp.Compare(kindOrder[r.families[a].kind], kindOrder[r.families[b].kind]), cmp.Compare(a, b))
+	})
+}
+
+// text returns every series in the Prometheus text format, sorted by kind and name.
 func (r *seriesStore) text() []byte {
 	var b strings.Builder
-	names := make([]string, 0, len(r.families))
-	for name := range r.families {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range r.names() {
 		f := r.families[name]
 		base, isSum := strings.CutSuffix(name, sumSuffix)
 		if baseFamily, ok := r.families[base]; isSum && ok && baseFamily.kind == histogram {
