jobs: log hosts for which the owner waits for long

The owner logs event 917 once a second at most for each such host and once for each wait: after 3 s without an inventory, and after 6.42 s, the time after which an unlinked host's leases have expired, without a grant.

--- a/internal/jobdaemon/decisions.go
+++ b/internal/jobdaemon/decisions.go
@@ -15,7 +15,7 @@
 	jobs.JobAdmitted: event.JobAdmitted, jobs.JobEnded: event.JobEnded, jobs.RunOrdered: event.RunOrdered, jobs.RunEnded: event.RunEnded,
 	jobs.RunStopped: event.RunStopped, jobs.HostChanged: event.TaskHostChanged, jobs.TaskUnplaced: event.TaskUnplaced,
 	jobs.TaskSuspected: event.TaskSuspected, jobs.JobUnstorable: event.JobUnstorable,
-	jobs.LeasesExpired: event.TaskLeasesExpired,
+	jobs.LeasesExpired: event.TaskLeasesExpired, jobs.HostWaits: event.TaskHostWaits,
 }
 
 // logDecision counts and logs a decision of the owner.
@@ -37,8 +37,11 @@
 	if d.Cause != "" {
 		fields["cause"] = string(d.Cause)
 	}
-	if d.Kind == jobs.LeasesExpired {
+	switch d.Kind {
+	case jobs.LeasesExpired:
 		fields["unlinked-ms"], fields["runs"] = d.Unlinked.Milliseconds(), d.Runs
+	case jobs.HostWaits:
+		fields["runs"] = d.Runs
 	}
 	event.Log(c.log, ownerEvents[d.Kind], fields)
 }
--- a/internal/jobdaemon/ownerlog.go
+++ b/internal/jobdaemon/ownerlog.go
@@ -53,6 +53,7 @@
 		s.epoch = c.jobs.Epoch()
 		s.permission, s.confirmedAt = c.permission(now)
 		s.jobs = c.jobs.Status()
+		c.jobs.LogLongWaits()
 	}
 	c.metrics.recordOwner(s, now)
 }
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -66,6 +66,9 @@
 	// have expired. Age is the time since the last grant. Detail says whether this owner
 	// granted it, or it is the latest that former owners may have granted.
 	LeasesExpired
+	// HostWaits: the owner waits for long for an agent. Detail says for what, Age for how
+	// long, Runs is the number of runs on the host, and Reason its state.
+	HostWaits
 )
 
 // Core is the state of the owner of the jobs. It is not safe for concurrent use.
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -61,6 +61,7 @@
 	dueAt     time.Duration // when the host expires in Core.due; 0: never
 
 	stateSince           time.Duration // when the state was entered
+	longWait             waitKind      // that was logged last and goes on
 	lastGrantAt          time.Duration // when the lease of the runs was last granted
 	unlinkedAt           time.Duration // when its last link ended, or it was expected without a link
 	endCause             LossCause     // of runs that were there before the incarnation ended; "": none has ended since the last inventory
