--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -85,6 +85,14 @@
 	SenderEpoch uint64        // of a message that was refused
 	LeaseLeft   time.Duration // remaining time of the owner's lease; negative: expired
 	Runs        int           // number of runs on the host
+	Throttle    ThrottleChange
+}
+
+// ThrottleChange is a changed CPU limit of a best-effort run.
+type ThrottleChange struct {
+	Percent  int     // of full speed; 0 pauses the run
+	MaxRatio float64 // highest ratio of latency to target of a serving task on the host
+	Image    string
 }
 
 // DecisionKind is the kind of a Decision.
@@ -133,14 +141,15 @@
 	acknowledged   uint64             // number of the last end that the owner has stored
 
 	clock              clock
-	polled             bool  // this incarnation has answered a poll
-	polledMS           int64 // clock of the newest poll response
-	pollIgnored        bool  // the newest poll response was ignored
-	answersSlowly      bool  // the newest answer to a poll took longer than answerTime
-	failedPolls        int   // consecutive polls of the present incarnation that were not answered, or rejected
-	leaseEndMS         int64 // end of the owner's lease, in the backend server's clock
-	sentLeaseMS        int64 // latest end of a lease that a call carried, in the same clock
-	formerLeaseMS      int64 // latest end of a lease of a former process of the agent, in the same clock
+	polled             bool          // this incarnation has answered a poll
+	polledMS           int64         // clock of the newest poll response
+	polledAt           time.Duration // when it arrived
+	pollIgnored        bool          // the newest poll response was ignored
+	answersSlowly      bool          // the newest answer to a poll took longer than answerTime
+	failedPolls        int           // consecutive polls of the present incarnation that were not answered, or rejected
+	leaseEndMS         int64         // end of the owner's lease, in the backend server's clock
+	sentLeaseMS        int64         // latest end of a lease that a call carried, in the same clock
+	formerLeaseMS      int64         // latest end of a lease of a former process of the agent, in the same clock
 	suspension         suspension
 	connectionRefusals int    // consecutive refused connections
 	callFailed         bool   // a call was not answered since the last answered poll
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -136,7 +136,7 @@
 // may have extended the lease by an answer that is no newer.
 func (c *Core) applyFirstPoll(k confirmation) {
 	c.clock.set(k.response.ClockMS, c.now)
-	c.polledMS, c.polled = k.response.ClockMS, true
+	c.polledMS, c.polledAt, c.polled = k.response.ClockMS, c.now, true
 	c.formerLeaseMS = k.response.ClockMS + c.cfg.RunLease.Milliseconds()
 	c.applyLists(runner.Target{Instance: c.host.Instance, Token: k.token}, k.response)
 	c.sendInventory()
@@ -153,7 +153,7 @@
 
 // resetIncarnation discards what belongs to the former incarnation.
 func (c *Core) resetIncarnation() {
-	c.polled, c.polledMS, c.pollIgnored, c.answersSlowly, c.failedPolls = false, 0, false, false, 0
+	c.polled, c.polledMS, c.polledAt, c.pollIgnored, c.answersSlowly, c.failedPolls = false, 0, 0, false, false, 0
 	c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, nil
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.formerLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0, 0
 	c.changed = msg.RunsChanged{}
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -59,6 +59,8 @@
 	// have known a higher epoch than the entries that this one reaches.
 	epochKnown bool
 	heldClaims map[linkID]*msg.OwnerClaim // until epochKnown
+	throttling throttleLog
+	recordedAt time.Duration // when the metrics of the state were last set
 
 	published *published
 }
@@ -226,6 +228,9 @@
 func (a *agent) tick() {
 	a.advance()
 	a.core.Tick()
+	now := time.Since(a.startedAt)
+	a.logThrottling(now)
+	a.recordStatus(now)
 }
 
 func (a *agent) apply(m any) {
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -62,6 +62,8 @@
 	claimDueAt time.Duration // when an unanswered claim is sent again
 	dueAt      time.Duration // when the host expires in Core.due; 0: never
 
+	stateSince           time.Duration // when the state was entered
+	longWait             waitKind      // that was logged last and goes on
 	lastGrantAt          time.Duration // when the lease of the runs was last granted
 	unlinkedAt           time.Duration // when its last link ended, or it was expected without a link
 	endCause             LossCause     // of runs that were there before the incarnation ended; "": none has ended since the last inventory
@@ -132,6 +134,9 @@
 	} else {
 		h.core.ending.unanswered[h] = struct{}{}
 	}
+	if h.state != before {
+		h.stateSince = h.core.now
+	}
 	if h.state != before || e == evClaimTimeout || e == evUp {
 		h.restartTimeout()
 		h.improve()
