--- a/internal/jobdaemon/waitchain_test.go
+++ b/internal/jobdaemon/waitchain_test.go
@@ -10,6 +10,7 @@
 	"github.com/bambooscale/bambooscale/internal/actor"
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/model"
+	"github.com/bambooscale/bambooscale/internal/wire"
 )
 
 const (
@@ -110,3 +111,49 @@
 		})
 	}
 }
+
+// Guards against runs that end in an outage of the table service because a host was silent
+// for a short time meanwhile: the owner can't take back what a write in flight says.
+func TestRunOfAHostThatIsSilentDuringAnOutageGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800, 400, 190)
+		defer s.stop()
+		backends, _ := s.newRestartableBackends(2)
+		s.submitLongRunning(1)
+		require.Len(t, backends[0].running(), 1)
+		s.advance(10 * time.Second) // the owner writes nothing
+		entries := []string{"entry-0", "entry-1", "entry-2"}
+		for _, e := range s.entries {
+			e.store.cut.Set(new(true))
+		}
+		for _, e := range entries {
+			s.net.CutBoth("agent-0", e)
+		}
+		s.requireSingleRuns(backends, 3*time.Second)
+		for _, e := range entries {
+			s.net.HealBoth("agent-0", e)
+		}
+		s.requireSingleRuns(backends, 30*time.Second)
+		require.Len(t, backends[0].running(), 1)
+		require.Zero(t, backends[0].lastEnd, "the run goes on")
+	})
+}
+
+// Guards against an entry that is stopped while it reads the jobs and releases them without
+// what its predecessor has stored about silent hosts.
+func TestReleaseOfUnreadJobsKeepsTheTimesOfSilentHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOwnerSite(t, 800)
+		defer s.stop()
+		c := s.entries["entry-0"].controller
+		c.loading = true
+		c.writer.owner.EndingLeases = "agent-0:4000"
+		s.stopInOrder("entry-0")
+		row, err := s.store.Read(t.Context(), ownerKey)
+		require.NoError(t, err)
+		owner, err := wire.DecodeOwner(row.Value)
+		require.NoError(t, err)
+		require.Empty(t, owner.Name)
+		require.Equal(t, "agent-0:4000", owner.EndingLeases)
+	})
+}
