internal/jobdaemon: test that a successor knows of extended leases

The host comes back while writes of the owner take 300 ms, and the owner is killed as soon as it has accepted the inventory.

--- a/internal/jobdaemon/waitchain_test.go
+++ b/internal/jobdaemon/waitchain_test.go
@@ -78,30 +78,46 @@
 	}
 }
 
+// awaitAdoption lets the time pass until the owner has accepted an inventory of agent-0.
+func (s *ownerSite) awaitAdoption(owner string, backends []*memoryBackend) {
+	for {
+		s.requireSingleRuns(backends, 5*time.Millisecond)
+		for _, e := range s.entries[owner].logged(event.TaskHostChanged.ID) {
+			if e["host"] == "agent-0" && e["detail"] == "taken" {
+				return
+			}
+		}
+	}
+}
+
+// newReturnedHost starts the agent of a host again that has been away for so long that the
+// owner's row names it, and waits until the owner has accepted its inventory. Writes of the
+// owner take a while.
+func newReturnedHost(t *testing.T) (*ownerSite, []*memoryBackend, *actor.Group) {
+	s := newOwnerSite(t, 800, 400, 190)
+	backends, agents := s.newRestartableBackends(3)
+	s.submitLongRunning(1)
+	require.Len(t, backends[0].running(), 1)
+	agents[0].Cancel()
+	s.requireSingleRuns(backends, 3*time.Second)
+	s.entries["entry-0"].store.late.Set(new(300 * time.Millisecond))
+	s.entries["entry-0"].logged(0)
+	agent := s.startAgent(0, backends[0])
+	s.awaitAdoption("entry-0", backends)
+	return s, backends, agent
+}
+
 // Guards against a second run of a task whose host comes back while the owner's row says
 // that no owner extends leases there, also if the owner ends right after it has accepted
-// the inventory: its successor must not count the leases from before.
+// the inventory.
 func TestRunOfAHostThatComesBackIsAdopted(t *testing.T) {
 	for _, killed := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			s := newOwnerSite(t, 800, 400, 190)
+			s, backends, agent := newReturnedHost(t)
 			defer s.stop()
-			backends, agents := s.newRestartableBackends(3)
-			s.submitLongRunning(1)
-			require.Len(t, backends[0].running(), 1)
-			agents[0].Cancel()
-			s.requireSingleRuns(backends, 3*time.Second)
-			s.entries["entry-0"].logged(0)
-			agents[0] = s.startAgent(0, backends[0])
 			if killed {
-				for adopted := false; !adopted; {
-					s.requireSingleRuns(backends, 5*time.Millisecond)
-					for _, e := range s.entries["entry-0"].logged(event.TaskHostChanged.ID) {
-						adopted = adopted || e["host"] == "agent-0" && e["detail"] == "taken"
-					}
-				}
 				s.kill("entry-0")
-				agents[0].Cancel()
+				agent.Cancel()
 				s.requireSingleRuns(backends, time.Second)
 				s.startAgent(0, backends[0])
 			}
@@ -112,6 +128,20 @@
 	}
 }
 
+// Guards against a task that runs twice at a time because an owner extended the leases of a
+// host whose earlier end its row had, and ended before the row was rewritten.
+func TestSuccessorKnowsOfLeasesThatWereExtendedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, backends, _ := newReturnedHost(t)
+		defer s.stop()
+		s.kill("entry-0")
+		s.net.CutBoth("agent-0", "entry-1")
+		s.net.CutBoth("agent-0", "entry-2")
+		s.requireSingleRuns(backends, 20*time.Second)
+		require.Len(t, append(backends[1].running(), backends[2].running()...), 1)
+	})
+}
+
 // Guards against runs that end in an outage of the table service because a host was silent
 // for a short time meanwhile: the owner can't take back what a write in flight says.
 func TestRunOfAHostThatIsSilentDuringAnOutageGoesOn(t *testing.T) {
