--- a/internal/jobs/endinglease_test.go
+++ b/internal/jobs/endinglease_test.go
@@ -60,6 +60,7 @@
 		require.LessOrEqual(t, list[0].Remaining-max(0, LeaseExpiry-h.now), endingLeasesStep+200*time.Millisecond)
 	}
 	require.Zero(t, list[0].Remaining)
+	t.Logf("%d further writes", writes)
 	require.InDelta(t, LeaseExpiry/endingLeasesStep, writes, 2)
 	h.advance(hostRetention)
 	h.storeRow()
