--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -1,8 +1,6 @@
 package hostagent
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
@@ -38,24 +36,6 @@
 	}
 }
 
-// extendLease extends the owner's lease to OwnerLease after clockMS, a time of
-// the backend server's clock that this agent sent.
-func (c *Core) extendLease(clockMS int64) {
-	if c.grantedBeforeSuspension(clockMS) {
-		return
-	}
-	c.leaseEndMS = max(c.leaseEndMS, clockMS+c.cfg.OwnerLease.Milliseconds())
-}
-
-// leaseLeft returns the remaining time of the owner's lease: 0 if none was granted,
-// negative if it has expired.
-func (c *Core) leaseLeft() time.Duration {
-	if c.leaseEndMS == 0 {
-		return 0
-	}
-	return time.Duration(c.leaseEndMS-c.clock.lowerBound(c.now)) * time.Millisecond
-}
-
 // EpochObserved applies the epoch in an entry's hello or claim. A higher epoch
 // replaces the present owner.
 func (c *Core) EpochObserved(epoch uint64) {
