--- a/internal/jobs/claiming_test.go
+++ b/internal/jobs/claiming_test.go
@@ -57,6 +57,31 @@
 	require.Contains(t, h.started, runID("j", 0, 0, 2))
 }
 
+// Guards against a log that shows a host as unlinked since the start of the owner although
+// its agent is linked and sends no inventory.
+func TestLogOfExpiredLeasesSaysWhetherTheHostWasLinked(t *testing.T) {
+	for _, linked := range []bool{false, true} {
+		h := newHarness(t, 1)
+		h.link(readyHost("a", 4000))
+		h.advance(time.Second)
+		h.core.Unlinked("a")
+		h.advance(time.Second)
+		if linked {
+			h.relinkWithoutInventory("a")
+		}
+		h.now += LeaseExpiry
+		h.core.Advance(h.now, h.now.Milliseconds())
+		h.core.Tick()
+		decisions := h.core.Decisions()
+		require.Equal(t, LeasesExpired, decisions[0].Kind)
+		if linked {
+			require.Zero(t, decisions[0].Unlinked)
+		} else {
+			require.Equal(t, h.now-time.Second, decisions[0].Unlinked)
+		}
+	}
+}
+
 // Guards against a recovery that lasts on because an expected host answers no claim, and
 // against one that does not wait for the leases there.
 func TestRecoveryEndsWithTheLeasesOfAHostThatAnswersNoClaim(t *testing.T) {
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -42,7 +42,7 @@
 	Age    time.Duration // of the job, run, waiting task or lease grant that it is about
 	Cause  LossCause     // of a run that ended as lost
 
-	Unlinked time.Duration // how long the host has been unlinked
+	Unlinked time.Duration // how long the host has been unlinked; 0: it is linked
 	Runs     int           // number of runs on the host
 }
 
@@ -62,8 +62,8 @@
 	// servers changed. Detail has the state and the counts.
 	TaskSuspected
 	JobUnstorable // the store refuses the progress of the job
-	// LeasesExpired: the runs of an unlinked host were given up because their leases
-	// have expired. Age is the time since the last grant. Detail says whether this owner
+	// LeasesExpired: the runs of a host that is unlinked, or sends no inventory, were given
+	// up because their leases have expired. Age is the time since the last grant. Detail says whether this owner
 	// granted it, or it is the latest that former owners may have granted.
 	LeasesExpired
 )
--- a/internal/jobs/loss.go
+++ b/internal/jobs/loss.go
@@ -35,9 +35,11 @@
 	} else if h.adopted {
 		detail = "granted"
 	}
-	c.addDecision(Decision{
-		Kind: LeasesExpired, Host: h.info.Name, Detail: detail, Age: c.now - h.lastGrantAt, Unlinked: c.now - h.unlinkedAt, Runs: len(h.runs),
-	})
+	d := Decision{Kind: LeasesExpired, Host: h.info.Name, Detail: detail, Age: c.now - h.lastGrantAt, Runs: len(h.runs)}
+	if h.soughtAt <= h.unlinkedAt {
+		d.Unlinked = c.now - h.unlinkedAt
+	}
+	c.addDecision(d)
 }
 
 // SilentHosts returns the number of unlinked hosts whose leases have not expired.
