internal/jobs: do not restore a job whose rows are being deleted

Cause: a load of the jobs after a lost history may read the row of a dropped job before its deletion and its progress after that, so the job looked like one that has not begun. A new owner is not affected: its predecessor deletes no progress any more.

Change: the owner remembers dropped jobs until their rows are deleted and a read that was requested later has been answered.

Measured: TestJobWhoseRowsAreBeingDeletedIsNotRestored failed (the job started again) and passes (go test ./internal/jobs).

--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -107,14 +107,15 @@
 	batchJobs            int                // most jobs in a batch
 	partRemovals         []PartRow          // rows of attempts to be deleted, before those of their jobs
 	expiredParts         map[workload.JobID]int
-	pendingBatch         *Batch        // the batch that is being written, or nil
-	recoveryDeadline     time.Duration // when the recovery ends at the latest; 0: no recovery
-	formerOwners         FormerOwners  // of Recover
-	formerOwnersActUntil time.Duration // of FormerOwnersActUntil
-	leasesBarred         bool          // of PermitLeases
-	notReplacedUntil     time.Duration // of NotReplacedUntil
-	confirmAfter         time.Duration // newest end of leases that certainlyPassed was asked for
-	storedJobsReadAt     time.Duration // of StoredJobsRead
+	dropped              map[workload.JobID]time.Duration // dropped jobs that a load may still read, and when their rows were deleted
+	pendingBatch         *Batch                           // the batch that is being written, or nil
+	recoveryDeadline     time.Duration                    // when the recovery ends at the latest; 0: no recovery
+	formerOwners         FormerOwners                     // of Recover
+	formerOwnersActUntil time.Duration                    // of FormerOwnersActUntil
+	leasesBarred         bool                             // of PermitLeases
+	notReplacedUntil     time.Duration                    // of NotReplacedUntil
+	confirmAfter         time.Duration                    // newest end of leases that certainlyPassed was asked for
+	storedJobsReadAt     time.Duration                    // of StoredJobsRead
 	ending               endingLeases
 
 	unsent       map[*host]struct{} // hosts with queued requests for their agents
@@ -145,7 +146,7 @@
 func New(epoch uint64, now time.Duration) *Core {
 	return &Core{
 		epoch: epoch, now: now, notReplacedUntil: neverReplaced, storedJobsReadAt: storedJobsRead, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
-		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, heldEnds: map[*task][]heldEnd{}, expiredParts: map[workload.JobID]int{}, batchJobs: maxBatchRows, improved: list.New(), throttled: map[*run]struct{}{},
+		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, heldEnds: map[*task][]heldEnd{}, expiredParts: map[workload.JobID]int{}, dropped: map[workload.JobID]time.Duration{}, batchJobs: maxBatchRows, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, ending: newEndingLeases(), dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
 	}
--- a/internal/jobs/early.go
+++ b/internal/jobs/early.go
@@ -18,7 +18,10 @@
 const storedJobsRead time.Duration = math.MaxInt64
 
 // StoredJobsRead records that the owner knows all jobs that were stored at a time.
-func (c *Core) StoredJobsRead(at time.Duration) { c.storedJobsReadAt = at }
+func (c *Core) StoredJobsRead(at time.Duration) {
+	c.storedJobsReadAt = at
+	c.forgetDropped(at)
+}
 
 // earlyRun is a run, or the end of one, that a host reported before its job was
 // known: the former owner started it after this one had read the stored jobs.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -188,8 +188,13 @@
 func (c *Core) Submit(spec workload.Job) { c.submit(spec, nil, false) }
 
 // Restore is like Submit for a job that was stored before the owner began, with
-// its stored progress, which is nil if none was stored.
-func (c *Core) Restore(spec workload.Job, p *workload.Progress) { c.submit(spec, p, true) }
+// its stored progress, which is nil if none was stored. A job whose rows are being deleted
+// is not restored: its progress may have been deleted between the two reads.
+func (c *Core) Restore(spec workload.Job, p *workload.Progress) {
+	if _, dropped := c.dropped[spec.ID]; !dropped {
+		c.submit(spec, p, true)
+	}
+}
 
 func (c *Core) submit(spec workload.Job, p *workload.Progress, recovered bool) {
 	if _, known := c.jobs[spec.ID]; known || spec.Epoch > c.epoch {
--- a/internal/jobs/removal_test.go
+++ b/internal/jobs/removal_test.go
@@ -38,4 +38,7 @@
 	restore()
 	h.storeBatch()
 	restore()
+	h.advance(time.Second)
+	h.core.StoredJobsRead(h.now)
+	require.Empty(t, h.core.dropped, "no later load can read the row")
 }
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -127,48 +127,6 @@
 	return all
 }
 
-// addRemovals adds rows to be deleted to the batch. The progress row of a job is
-// deleted after its rows of attempts.
-func (c *Core) addRemovals(b *Batch) {
-	room := maxBatchRows
-	for i := range b.Writes {
-		room -= 1 + len(b.Writes[i].Parts)
-	}
-	n := min(len(c.partRemovals), room)
-	b.RemovedParts, c.partRemovals = c.partRemovals[:n:n], c.partRemovals[n:]
-	if len(c.partRemovals) > 0 {
-		return
-	}
-	n = min(len(c.removals), room-n)
-	b.Removed, c.removals = c.removals[:n:n], c.removals[n:]
-}
-
-// maxExpired bounds the jobs whose rows are deleted together. Each has two rows
-// beside its progress, and the store accepts 100 entries in a transaction.
-const maxExpired = 50
-
-// Expired returns dropped jobs whose rows of specification and cancellation have to
-// be deleted, each once. The caller calls RowsDeleted when that is done: without its
-// progress row, a job that is still stored would be taken for one that has not begun.
-func (c *Core) Expired() []workload.JobID {
-	n := min(len(c.expired), maxExpired)
-	ids := c.expired[:n:n]
-	c.expired = c.expired[n:]
-	return ids
-}
-
-// RowsDeleted queues the deletion of the progress rows of jobs whose other rows have
-// been deleted.
-func (c *Core) RowsDeleted(ids []workload.JobID) {
-	for _, id := range ids {
-		for part := range c.expiredParts[id] {
-			c.partRemovals = append(c.partRemovals, PartRow{id, part})
-		}
-		delete(c.expiredParts, id)
-	}
-	c.removals = append(c.removals, ids...)
-}
-
 // BatchCommitted records that the pending batch was stored.
 func (c *Core) BatchCommitted() {
 	b := c.pendingBatch
@@ -265,16 +223,6 @@
 	j.step(evFail)
 }
 
-// remove drops an ended job, whose rows are to be deleted.
-func (c *Core) remove(j *job) {
-	delete(c.jobs, j.spec.ID)
-	delete(c.dirty, j)
-	c.expired = append(c.expired, j.spec.ID)
-	if n := j.parts(); n > 0 {
-		c.expiredParts[j.spec.ID] = n
-	}
-}
-
 // progress returns the progress row of the job. Done has a bit for each task, in
 // the order of the steps. The attempts of a large job are in rows of their own.
 func (j *job) progress() workload.Progress {
