--- a/internal/jobs/loss.go
+++ b/internal/jobs/loss.go
@@ -35,7 +35,9 @@
 	} else if h.adopted {
 		detail = "granted"
 	}
-	c.addDecision(Decision{
-		Kind: LeasesExpired, Host: h.info.Name, Detail: detail, Age: c.now - h.lastGrantAt, Unlinked: c.now - h.unlinkedAt, Runs: len(h.runs),
-	})
+	d := Decision{Kind: LeasesExpired, Host: h.info.Name, Detail: detail, Age: c.now - h.lastGrantAt, Runs: len(h.runs)}
+	if h.soughtAt <= h.unlinkedAt {
+		d.Unlinked = c.now - h.unlinkedAt
+	}
+	c.addDecision(d)
 }
