internal/shape: require one CPU for synctest bubbles under the race detector

Two such runs on different CPUs use one context of the detector at the same time.

Ruled out: the number of goroutines and timers that outlive a bubble.

--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -22,7 +22,7 @@
 // layers lists the packages from low to high. A package may import only
 // packages of lower layers. An entry also covers the packages below its path.
 var layers = [][]string{
-	{"charts", "internal/finding", "internal/event", "internal/table", "internal/workload", "internal/duetime"},
+	{"charts", "internal/finding", "internal/singlecpu", "internal/event", "internal/table", "internal/workload", "internal/duetime"},
 	{"internal/chart", "internal/model", "internal/actor"},
 	{"internal/msg", "internal/labels"},
 	{"internal/policy/", "internal/wire"},
@@ -34,11 +34,11 @@
 	{"cmd/", "internal/shape", "internal/faultproxy", "internal/history", "internal/measure", "internal/capacity", "internal/explore", "test"},
 }
 
-// Check checks the charts and every Go file below fsys that is neither a test
-// nor generated. It returns the violations, and an error if a file cannot be
-// read. Hidden folders, testdata and tools are skipped.
+// Check checks the charts and every Go file below fsys that is not generated; of
+// tests it checks only checkBubbles. It returns the violations, and an error if a
+// file cannot be read. Hidden folders, testdata and tools are skipped.
 func Check(fsys fs.FS) (finding.List, error) {
-	c := &checker{fset: token.NewFileSet(), charts: map[string]bool{}}
+	c := &checker{fset: token.NewFileSet(), charts: map[string]bool{}, bubbles: map[string]bubbleImports{}}
 	err := fs.WalkDir(fsys, ".", func(name string, d fs.DirEntry, err error) error {
 		if err != nil {
 			return err
@@ -52,14 +52,16 @@
 		return c.checkFile(fsys, name)
 	})
 	c.checkCharts()
+	c.checkBubbles()
 	return c.findings, err
 }
 
 type checker struct {
 	fset        *token.FileSet
 	findings    finding.List
-	charts      map[string]bool // by name without extension: code interprets it
-	boundCharts []string        // values of the Chart fields in composite literals
+	charts      map[string]bool          // by name without extension: code interprets it
+	boundCharts []string                 // values of the Chart fields in composite literals
+	bubbles     map[string]bubbleImports // by package
 }
 
 func (c *checker) checkFile(fsys fs.FS, name string) error {
@@ -67,7 +69,10 @@
 		c.charts[strings.TrimSuffix(path.Base(name), ".scxml")] = false
 		return nil
 	}
-	if !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") || strings.HasSuffix(name, ".pb.go") {
+	if strings.HasSuffix(name, "_test.go") {
+		return c.addTestFile(fsys, name)
+	}
+	if !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, ".pb.go") {
 		return nil
 	}
 	raw, err := fs.ReadFile(fsys, name)
@@ -127,6 +132,8 @@
 		return "goroutines share state only through internal/actor"
 	case strings.HasPrefix(imp, "google.golang.org/protobuf") && !strings.HasPrefix(dir, "internal/wire"):
 		return "encoding belongs to internal/wire"
+	case imp == singleCPU:
+		return "only tests run on one CPU"
 	case strings.HasPrefix(dir, "internal/policy/") && (imp == "net" || strings.HasPrefix(imp, "net/") || imp == "os"):
 		return "decisions do no input or output"
 	}
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -26,6 +26,8 @@
 		"unknown layer":       {"internal/misc/a.go", "package misc\nimport _ \"" + Module + "internal/model\"\n", "has no layer"},
 		"sleep":               {"internal/entry/a.go", "package entry\nimport \"time\"\nfunc f() { time.Sleep(1) }\n", "wait on a timer"},
 		"platform term":       {"internal/entry/a.go", "package entry\n\n// f asks the minion.\nfunc f() {}\n", "users' platform"},
+		"bubble on all CPUs":  {"internal/entry/a_test.go", "package entry\nimport \"testing/synctest\"\nvar f = synctest.Test\n", "must import internal/singlecpu"},
+		"code on one CPU":     {"internal/entry/a.go", "package entry\nimport _ \"" + Module + "internal/singlecpu\"\n", "only tests run on one CPU"},
 		"unbound chart":       {"charts/x.scxml", "<scxml/>", "no code interprets"},
 	}
 	for name, c := range cases {
