internal/singlecpu: run synctest bubbles on one CPU under the race detector

Each package that uses testing/synctest now imports internal/singlecpu in a test file, which sets GOMAXPROCS to 1 in builds with the race detector only. All tests run with -race as before, in one process, and the fix holds for a plain 'go test -race' too.

--- /dev/null
+++ b/internal/control/singlecpu_test.go
@@ -0,0 +1,3 @@
+package control_test
+
+import _ "github.com/bambooscale/bambooscale/internal/singlecpu" // tests in synctest bubbles
--- /dev/null
+++ b/internal/jobdaemon/singlecpu_test.go
@@ -0,0 +1,3 @@
+package jobdaemon
+
+import _ "github.com/bambooscale/bambooscale/internal/singlecpu" // tests in synctest bubbles
--- /dev/null
+++ b/internal/operator/singlecpu_test.go
@@ -0,0 +1,3 @@
+package operator
+
+import _ "github.com/bambooscale/bambooscale/internal/singlecpu" // tests in synctest bubbles
