internal/jobs: test that waiting suspects delay no other task

placeSuspects examines every host for every suspect in each pass. With 100 suspects and 61 hosts that exceeds maxPassViews, so the pass ends before the isolated tasks and before all other tasks, and the next pass begins with the same suspects. It goes on for as long as the suspects have no host, here because the only host with their label has crashed. Neither are reservations dropped meanwhile. From 4,096 examinations on, it holds for any number of hosts: 100 suspects and 41 hosts, or 241 and 17.

--- /dev/null
+++ b/internal/jobs/startwait_test.go
@@ -0,0 +1,68 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// maxStartWait is the time within which a long-running task starts while a host has
+// room for it.
+const maxStartWait = 6 * time.Second
+
+// lastingSpec returns a job of one long-running task.
+func lastingSpec(id string, cpu int64) workload.Job {
+	step := newStep(1, cpu)
+	step.LongRunning = true
+	return newSpec(id, step)
+}
+
+// startAll reports the ordered runs of a job as started.
+func (h *harness) startAll(id workload.JobID) {
+	for run, name := range h.started {
+		if run.Task.Job == id {
+			h.core.RunsChanged(name, &msg.RunsChanged{
+				Epoch: h.core.epoch, Instance: workload.Instance("i-" + string(name)), StartedAtMS: 1, Started: []workload.RunID{run},
+			})
+		}
+	}
+	h.process()
+}
+
+// ordered reports whether a run of the job was ordered.
+func (h *harness) ordered(id workload.JobID) bool {
+	for run := range h.started {
+		if run.Task.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against suspects without a host that take all examinations of each planning
+// pass: no other task of the site started while they waited.
+func TestSuspectsWithoutAHostDelayNoOtherTask(t *testing.T) {
+	h := newHarness(t, 1)
+	special := readyHost("special", 100_000)
+	special.Labels = []string{"special"}
+	h.link(special)
+	for i := range 60 {
+		h.link(readyHost(fmt.Sprintf("host-%d", i), 4000))
+	}
+	crashing := newStep(100, 1000)
+	crashing.Label = "special"
+	h.core.Submit(newSpec("crashing", crashing))
+	h.process()
+	h.startAll("crashing")
+	h.crash("special")
+	h.storeBatch()
+	require.Len(t, h.core.suspects, 100)
+	h.core.Submit(lastingSpec("lasting", 1000))
+	h.advance(maxStartWait)
+	require.True(t, h.ordered("lasting"), "60 hosts are idle")
+}
