internal/jobs: test that a reservation which cannot be used ends

A reserved host counts as ready for the isolated task after maxReservation (1.5 s), also if the task does not fit beside the runs that go on. Then it does not start, and the reservation has no other end than the end of those runs. suitsApart subtracts only the runs of long-running tasks.

--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -66,3 +66,26 @@
 	h.advance(maxStartWait)
 	require.True(t, h.ordered("lasting"), "60 hosts are idle")
 }
+
+// Guards against a host that stays reserved for a task that does not fit beside a run
+// which lasts: its free room was kept from all other tasks until that run ended.
+func TestReservationForATaskThatDoesNotFitEnds(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("stays", 4000))
+	h.core.Submit(newSpec("busy", newStep(1, 2000)))
+	h.process()
+	h.startAll("busy")
+	h.core.Submit(newSpec("crashing", newStep(1, 3000)))
+	for _, name := range []string{"a", "b"} {
+		h.link(readyHost(name, 3000))
+		h.advance(100 * time.Millisecond)
+		h.startAll("crashing")
+		h.crash(h.hostOfRun("crashing"))
+		h.storeBatch()
+	}
+	h.advance(100 * time.Millisecond)
+	require.Len(t, h.core.reserved, 1)
+	h.core.Submit(lastingSpec("lasting", 1000))
+	h.advance(maxStartWait)
+	require.True(t, h.ordered("lasting"), "the host has room")
+}
