internal/jobs: test that isolated tasks in turn delay no other task

A host that was held is reserved again at once for the next isolated task (wasHeld in hostToReserve), so its free room is kept from all other tasks until the last isolated task has survived or ended. A further crash adds tasks.

--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -89,3 +89,36 @@
 	h.advance(maxStartWait)
 	require.True(t, h.ordered("lasting"), "the host has room")
 }
+
+// Guards against many isolated tasks that hold the only host of a service one after
+// another, while a long-running task for which it has room waits.
+func TestIsolatedTasksInTurnDelayNoLongRunningTask(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.Submit(newSpec("innocent", newStep(100, 1000)))
+	for _, name := range []string{"a", "b"} {
+		h.link(readyHost(name, 100_000))
+		h.advance(400 * time.Millisecond)
+		h.startAll("innocent")
+		h.crash(workload.HostName(name))
+		h.storeBatch()
+	}
+	h.link(readyHost("stays", 200_000))
+	h.core.Submit(lastingSpec("lasting", 1000))
+	for range int(maxStartWait / (100 * time.Millisecond)) {
+		h.advance(100 * time.Millisecond)
+		h.startAll("innocent")
+		h.reportProgress("stays")
+	}
+	t.Logf("%d runs beside the long-running task, %d tasks wait apart", len(h.core.hosts["stays"].runs), len(h.core.suspects))
+	require.True(t, h.ordered("lasting"), "the host has room")
+}
+
+// reportProgress reports all runs of a host as running.
+func (h *harness) reportProgress(name workload.HostName) {
+	m := &msg.RunsProgress{Epoch: h.core.epoch, Instance: workload.Instance("i-" + string(name)), StartedAtMS: 1}
+	for id := range h.core.hosts[name].runs {
+		m.Runs = append(m.Runs, msg.RunStatus{Run: id, CPULimitPercent: 100})
+	}
+	h.core.RunsProgress(name, m)
+	h.process()
+}
