internal/jobs: test that failing tasks delay no long-running task

Each failed run on a failing host renews its probation of 3 s (recordEnd), and when it ends the next failing task starts first. The bound is the number of failing runs times 3 s, and jobs that fail can follow one another without end.

--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -122,3 +122,30 @@
 	h.core.RunsProgress(name, m)
 	h.process()
 }
+
+// Guards against tasks that fail on a host at once and keep a sound long-running task
+// of lower priority from starting there: each failure put off the end of the time in
+// which the host gets no tasks, and at its end the next failing task started.
+func TestFailingTasksDelayNoLongRunningTask(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 4000))
+	for i := range 10 {
+		h.core.Submit(newSpec(fmt.Sprintf("failing-%d", i), newStep(1, 4000)))
+	}
+	lasting := lastingSpec("lasting", 1000)
+	lasting.Priority = 1
+	h.core.Submit(lasting)
+	h.process()
+	ended := map[workload.RunID]bool{}
+	for range int(maxStartWait / (100 * time.Millisecond)) {
+		for run := range h.started {
+			if run.Task.Job != "lasting" && !ended[run] {
+				ended[run] = true
+				h.reportEnd(run, workload.EndFailed, "")
+			}
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	t.Logf("%d tasks have failed", len(ended))
+	require.True(t, h.ordered("lasting"), "the host was idle but for tasks that failed at once")
+}
