internal/jobs: test that the rate of orders delays no long-running task

A pass that has used up the rate of orders ends, and the next one begins with the most urgent task again. A long-running task has a late deadline, because its estimate is long, so it waits while more urgent starts arrive at a higher rate than may be ordered.

--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,3 +150,31 @@
 	t.Logf("%d tasks have failed", len(ended))
 	require.True(t, h.ordered("lasting"), "the host was idle but for tasks that failed at once")
 }
+
+// Guards against more urgent tasks that take the whole rate of start requests without
+// end, while a long-running task waits and the hosts are nearly idle.
+func TestRateOfOrdersDelaysNoLongRunningTask(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.LimitOrders(625_000) // half of a connection of 10 Mbit/s
+	for i := range 10 {
+		h.link(readyHost(fmt.Sprintf("host-%d", i), 32_000))
+	}
+	lasting := lastingSpec("lasting", 1000)
+	lasting.Steps[0].Estimate = time.Hour
+	h.core.Submit(lasting)
+	ended := map[workload.RunID]bool{}
+	for i := range int(maxStartWait / (100 * time.Millisecond)) {
+		short := newSpec(fmt.Sprintf("short-%d", i), newStep(20, 100))
+		short.Specification = strings.Repeat("x", 4000)
+		h.core.Submit(short)
+		h.advance(100 * time.Millisecond)
+		for run := range h.started {
+			if run.Task.Job != "lasting" && !ended[run] {
+				ended[run] = true
+				h.reportEnd(run, workload.EndDone, "")
+			}
+		}
+	}
+	t.Logf("%d short tasks have run", len(ended))
+	require.True(t, h.ordered("lasting"), "the hosts have room")
+}
