internal/jobdaemon: test that a panic of a store call ends no wait

An actor that is started with actor.Go is not started again after a panic. Four of them hold back something until they have reported: the batch writer (writer.committing), the job loader (controller.loading, and the watch of the jobs, which it goes on with), and the epoch reader of an agent (epochKnown, heldClaims). The process goes on without them, so these waits have no end. The owner reader and the claimer are repeated by charts/ownership.scxml, the releaser is bounded by the drain, and a relayed call by peerCommitTimeout. The row remover (writer.removing) has the fault too; it only keeps rows of expired jobs from being deleted, and has no test.

--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -23,12 +23,16 @@
 // cuttableStore is a table service that a process may be cut off from.
 type cuttableStore struct {
 	Store
-	group *actor.Group // of writes that take effect late
-	cut   actor.Value[bool]
-	late  actor.Value[time.Duration] // before a write takes effect; nil: 0
+	group  *actor.Group // of writes that take effect late
+	cut    actor.Value[bool]
+	panics actor.Flag                 // calls panic
+	late   actor.Value[time.Duration] // before a write takes effect; nil: 0
 }
 
 func (s *cuttableStore) isCut(ctx context.Context) bool {
+	if s.panics.Get() {
+		panic("the call of the table service fails")
+	}
 	cut := s.cut.Get()
 	if cut == nil || !*cut {
 		return false
