--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -27,9 +27,13 @@
 	cut       actor.Value[bool]
 	late      actor.Value[time.Duration] // before a write takes effect; nil: 0
 	compacted actor.Flag                 // watches of the jobs fail, because the history is lost
+	panics    actor.Flag                 // calls panic
 }
 
 func (s *cuttableStore) isCut(ctx context.Context) bool {
+	if s.panics.Get() {
+		panic("the call of the table service fails")
+	}
 	cut := s.cut.Get()
 	if cut == nil || !*cut {
 		return false
