--- /dev/null
+++ b/internal/jobs/chainhost_test.go
@@ -0,0 +1,137 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// chainHost is a host of an ownerChain with its agent and its backend server.
+type chainHost struct {
+	info     workload.Host
+	epoch    uint64
+	owner    *chainOwner
+	accepted bool
+	number   uint64
+	leaseEnd time.Duration
+	runs     map[workload.RunID]bool
+	removed  bool
+}
+
+// chainLink delivers messages in order. Those in transit are lost when it ends.
+type chainLink struct {
+	ended           bool
+	toHost, toOwner time.Duration // when the last message arrives
+}
+
+// deliver calls do when a message arrives that is sent now and after the last one.
+func (l *chainLink) deliver(s *ownerChain, last *time.Duration, do func()) {
+	*last = max(*last, s.now+s.upTo(20*time.Millisecond))
+	s.after(*last-s.now, func() {
+		if !l.ended {
+			do()
+		}
+	})
+}
+
+// disconnect ends the link of an agent. The owner notices it after a delay.
+func (o *chainOwner) disconnect(h *chainHost, notice time.Duration) {
+	if o.cut[h] {
+		return
+	}
+	o.cut[h], o.links[h].ended = true, true
+	if h.owner == o {
+		h.owner, h.accepted = nil, false
+	}
+	o.chain.after(notice, func() {
+		if o.cut[h] {
+			o.input(func(c *Core) { c.Unlinked(h.info.Name) })
+		}
+	})
+}
+
+func (o *chainOwner) connect(h *chainHost) {
+	if !o.cut[h] || h.removed {
+		return
+	}
+	o.cut[h], o.links[h] = false, &chainLink{}
+	o.input(func(c *Core) {
+		c.Unlinked(h.info.Name)
+		if c.ending.named(h.info.Name) {
+			o.chain.omitted++
+		}
+		c.Linked(h.info)
+	})
+}
+
+// expire ends the runs of the host if its lease has expired.
+func (h *chainHost) expire(s *ownerChain) {
+	if s.now >= h.leaseEnd {
+		clear(h.runs)
+	}
+}
+
+// receive applies a message of an owner as an agent does.
+func (h *chainHost) receive(o *chainOwner, m msg.Control) {
+	s := o.chain
+	h.expire(s)
+	if claim, ok := m.(*msg.OwnerClaim); ok && !o.cut[h] && claim.Epoch >= h.epoch {
+		h.epoch, h.owner, h.accepted = claim.Epoch, o, false
+		h.number++
+		inventory := &msg.HostInventory{Epoch: h.epoch, Number: h.number, Host: h.info, ClockMS: s.now.Milliseconds(), Runs: h.statuses()}
+		l := o.links[h]
+		l.deliver(s, &l.toOwner, func() { o.input(func(c *Core) { c.Inventory(inventory) }) })
+		return
+	}
+	if h.owner != o || o.cut[h] {
+		return
+	}
+	switch m := m.(type) {
+	case *msg.InventoryAccepted:
+		if m.Number == h.number {
+			if !h.accepted {
+				h.accepted = true
+				s.after(0, func() { h.report(o, h.number) })
+			}
+			h.extend(m.ClockMS)
+		}
+	case *msg.LeaseGrant:
+		h.extend(m.ClockMS)
+	case *msg.StartRuns:
+		for _, start := range m.Starts {
+			if h.accepted && s.now < h.leaseEnd {
+				h.runs[start.Size.Run] = true
+			}
+		}
+	case *msg.StopRuns:
+		for _, id := range m.Runs {
+			delete(h.runs, id)
+		}
+	}
+}
+
+func (h *chainHost) extend(clockMS int64) {
+	h.leaseEnd = max(h.leaseEnd, time.Duration(clockMS)*time.Millisecond+LeaseDuration)
+}
+
+func (h *chainHost) statuses() []msg.RunStatus {
+	var list []msg.RunStatus
+	for id := range h.runs {
+		list = append(list, msg.RunStatus{Run: id})
+	}
+	return list
+}
+
+// report reports the runs to the owner every 500 ms while it is that of the inventory.
+func (h *chainHost) report(o *chainOwner, number uint64) {
+	s := o.chain
+	if h.owner != o || h.number != number || o.ended {
+		return
+	}
+	h.expire(s)
+	report := &msg.RunsProgress{Epoch: o.epoch, Instance: h.info.Instance, StartedAtMS: h.info.StartedAtMS, ClockMS: s.now.Milliseconds(), Runs: h.statuses()}
+	l := o.links[h]
+	l.deliver(s, &l.toOwner, func() { o.input(func(c *Core) { c.RunsProgress(h.info.Name, report) }) })
+	s.after(500*time.Millisecond, func() { h.report(o, number) })
+}
