--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -63,7 +63,8 @@
 	net     *link.Memory
 	store   watchedTable
 	entries map[string]*ownerSiteEntry
-	boots   uint64 // entries that were started
+	boots   uint64   // entries that were started
+	seeds   []string // of the entries that are started
 }
 
 type ownerSiteEntry struct {
@@ -119,7 +120,7 @@
 // newOwnerSite starts one entry for each share, with the names entry-0, entry-1
 // and so on, and waits until one of them owns the jobs.
 func newOwnerSite(t *testing.T, shares ...model.MilliCPU) *ownerSite {
-	s := &ownerSite{t: t, group: actor.NewGroup(t.Context(), nil), net: link.NewMemory(t.Context(), 1), entries: map[string]*ownerSiteEntry{}}
+	s := &ownerSite{t: t, group: actor.NewGroup(t.Context(), nil), net: link.NewMemory(t.Context(), 1), entries: map[string]*ownerSiteEntry{}, seeds: []string{"entry-0"}}
 	s.store = watchedTable{standin.NewTable(s.group, standin.StoreFaults{WritesPerSecond: -1, ReadsPerSecond: -1})}
 	s.net.SetDelay(link.Any, link.Any, time.Millisecond, 0)
 	for i, share := range shares {
@@ -137,13 +138,13 @@
 	s.group.Stop()
 }
 
-// start starts an entry. Its seed is entry-0.
+// start starts an entry.
 func (s *ownerSite) start(name string, share model.MilliCPU) {
 	s.boots++
 	e := &ownerSiteEntry{group: actor.NewGroup(s.t.Context(), nil), store: &cuttableStore{Store: s.store, group: s.group}, events: make(chan *log.Entry, 10_000)}
 	s.entries[name] = e
 	cfg := EntryConfig{
-		Name: name, Links: name, Seeds: []string{"entry-0"}, Boot: s.boots, ProcessorShare: share, Store: e.store,
+		Name: name, Links: name, Seeds: s.seeds, Boot: s.boots, ProcessorShare: share, Store: e.store,
 		Config: ConfigSource{Key: "op//config", Prefix: "op//"},
 		Log:    &log.Logger{Handler: e, Level: log.DebugLevel},
 	}
