internal/ownership: let an owner act for 4 s after a write, not for minutes

Cause: an owner that misses nobody acted for 5 minutes after its last write, and one with the majority for 10 s, so a successor that the row does not name waited for 5 minutes for silent hosts, and one that informed no majority 10 s.

Both times are 4 s now (MajorityPermissionTime), so that one case is left: a successor waits for 4 s whether it is named or not, because no owner acts for longer after a write that came before the claim. An owner that misses nobody rewrites its row once a second. The row says for how long its owners act (acts_for_ns): a successor of a former program's owner waits as before.

A quiet owner writes 60 times a minute.

--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -185,7 +185,8 @@
 func (c *controller) releaseUnread() {
 	owner := workload.Owner{
 		Epoch: c.writer.owner.Epoch, Sequence: c.writer.owner.Sequence + 1,
-		Unsettled: !c.owner.FormerOwnerEnded(), Fenced: c.owner.FormerOwnersFenced(), Entries: c.writer.owner.Entries,
+		Unsettled: !c.owner.FormerOwnerEnded(), Fenced: c.owner.FormerOwnersFenced(),
+		Entries: c.writer.owner.Entries, ActsFor: c.writer.owner.ActsFor,
 	}
 	c.endOwnership("the process stops")
 	value, err := wire.EncodeOwner(owner)
--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -336,10 +336,14 @@
 		s.advance(5 * time.Second)
 		require.NoError(t, s.store.SetFaults(t.Context(), standin.StoreFaults{Outage: true}))
 		s.setStepCost("entry-0", slowStep)
-		s.advance(10 * time.Second)
+		s.advance(ownership.MajorityPermissionTime - slowStep - time.Second) // its last write may be a second old
 		require.Equal(t, []string{"entry-0"}, s.owners())
 		require.True(t, s.entries["entry-0"].view.Get().handingOver)
 		require.True(t, s.entries["entry-0"].view.Get().plans)
+		s.advance(10 * time.Second)
+		require.Equal(t, []string{"entry-0"}, s.owners())
+		require.True(t, s.entries["entry-0"].view.Get().handingOver)
+		require.False(t, s.entries["entry-0"].view.Get().plans, "an entry that it does not know may have replaced it")
 
 		require.NoError(t, s.store.SetFaults(t.Context(), standin.StoreFaults{WritesPerSecond: -1, ReadsPerSecond: -1}))
 		s.advance(20 * time.Second) // the pauses of the repeated release, and late steps
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -11,6 +11,7 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/jobs"
 	"github.com/bambooscale/bambooscale/internal/msg"
+	"github.com/bambooscale/bambooscale/internal/ownership"
 	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/wire"
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -85,6 +86,9 @@
 	next := c.writer.owner
 	next.Sequence++
 	next.Unsettled, next.Fenced, next.Entries = c.unsettled(), c.fenced(), c.entriesToStore()
+	if !next.Unsettled {
+		next.ActsFor = ownership.MajorityPermissionTime
+	}
 	return next
 }
 
@@ -290,7 +294,7 @@
 
 func (c *controller) batchCommitted(m *batchStored, version table.Revision) {
 	w := &c.writer
-	w.committing, w.retryPause, w.version, w.owner.Sequence, w.owner.Entries = false, 0, version, m.owner.Sequence, m.owner.Entries
+	w.committing, w.retryPause, w.version, w.owner.Sequence, w.owner.Entries, w.owner.ActsFor = false, 0, version, m.owner.Sequence, m.owner.Entries, m.owner.ActsFor
 	c.owner.EntriesStored(m.owner.Entries)
 	c.jobs.BatchCommitted()
 	if m.owner.Name != "" {
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -15,8 +15,11 @@
 		Name: c.self, Boot: c.boot, Epoch: c.maxEpoch + 1,
 		Unsettled: !c.priorOwnersEnded(), Fenced: c.priorOwnersFenced(), Entries: c.row.Entries,
 	}
+	if c.row.ActsFor != 0 {
+		owner.ActsFor = max(c.row.ActsFor, MajorityPermissionTime)
+	}
 	if !owner.Unsettled {
-		owner.Entries = c.Entries()
+		owner.Entries, owner.ActsFor = c.Entries(), MajorityPermissionTime
 	}
 	c.claimEpoch, c.claimSentAt = owner.Epoch, c.now
 	return owner, c.rowVersion
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -31,17 +31,22 @@
 	// out.
 	PermissionTime = 2 * time.Second
 	// MajorityPermissionTime replaces PermissionTime for an owner that is linked with
-	// the majority of the entries, so that runs outlive an outage of the table service
-	// in which some entries are lost. A successor waits for as long until it knows that
-	// the former owner has stopped, or has no majority any more.
-	MajorityPermissionTime = 10 * time.Second
-	// UndisputedTime replaces PermissionTime for an owner that misses no entry. A successor
-	// that the former owner may not know waits for as long. It is the longest outage of
-	// the table service that no run notices while no entry is lost.
-	UndisputedTime = 5 * time.Minute
-	// confirmInterval is how old the last confirmation may become before the owner
-	// rewrites its row.
+	// the majority of the entries. A successor waits for as long until it knows that the
+	// former owner has stopped, or has no majority any more. With the leases of 6 s it
+	// lets runs outlive an outage of the table service of 7 s; the longest that is
+	// expected lasts 5.8 s.
+	MajorityPermissionTime = 4 * time.Second
+	// confirmInterval is how old the last confirmation may become before an owner that
+	// another entry may have replaced rewrites its row.
 	confirmInterval = 500 * time.Millisecond
+	// undisputedConfirmInterval is the same for an owner that misses no entry. It is the
+	// part of MajorityPermissionTime that may have passed when an outage begins.
+	undisputedConfirmInterval = time.Second
+	// formerProgramTime and formerProgramMajorityTime are how long an owner of a former
+	// program acts after its last write if it misses no entry, and if it is linked with
+	// the majority. Its row has no time.
+	formerProgramTime         = 5 * time.Minute
+	formerProgramMajorityTime = 10 * time.Second
 	// missingRetention is how long an entry counts as missing while the owner can write
 	// its row. One that does not come back was removed, and would end all runs in the
 	// next outage of the table service.
@@ -58,13 +63,12 @@
 		Chart:  "permission",
 		States: []string{"undisputed", "disputed", "lapsed"},
 		Events: []string{"missing", "complete", "confirmed", "late", "suspended"},
-		Delays: map[string]time.Duration{"undisputedTime": UndisputedTime, "permissionTime": PermissionTime}, // or MajorityPermissionTime
+		Delays: map[string]time.Duration{"majorityPermissionTime": MajorityPermissionTime, "permissionTime": PermissionTime}, // the latter only without a majority
 	}
 }
 
-// permission says whether the owner may act. It may while each known entry has shown
-// shortly before that it does not own the jobs, and otherwise for a time after each write
-// to its row, which fails once another entry has claimed the jobs.
+// permission says whether the owner may act. It may for a time after each write to its
+// row, which fails once another entry has claimed the jobs.
 type permission struct {
 	state       chart.State
 	linked      map[string]model.MilliCPU // of the Core; entries with a link, some of which may be missing
@@ -79,14 +83,9 @@
 	return permission{state: permissionChart.Initial(), linked: linked, echoes: e, confirmedAt: claimSentAt, missing: map[string]time.Duration{}}
 }
 
-// limit returns how long the owner may act after a write to its row. A successor that
-// finds no names in the row can't tell whether this owner knows it, and waits for
-// MajorityPermissionTime.
+// limit returns how long the owner may act after a write to its row.
 func (c *Core) limit() time.Duration {
-	switch {
-	case c.permission.complete() && len(c.entries.stored) > 0:
-		return UndisputedTime
-	case c.hasMajority():
+	if c.hasMajority() {
 		return MajorityPermissionTime
 	}
 	return PermissionTime
@@ -173,8 +172,8 @@
 	return c.permission.mayAct()
 }
 
-// Undisputed reports whether the owner acts without a write to its row, because each
-// known entry has shown shortly before that it does not own the jobs.
+// Undisputed reports whether the owner acts, and each known entry has shown shortly
+// before that it does not own the jobs.
 func (c *Core) Undisputed() bool { return c.Owns() && c.permission.state == permissionUndisputed }
 
 // NotReplacedUntil returns the newest time at which no other entry had replaced this
@@ -195,7 +194,7 @@
 	if !c.Owns() || age < confirmInterval {
 		return false
 	}
-	return age >= c.limit()/2 || c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
+	return age >= undisputedConfirmInterval || c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
 }
 
 // Confirmed records that the owner's row was rewritten by a transaction which was sent
@@ -262,14 +261,25 @@
 // may extend leases. It counts from the answer to the claim: the last write of a former
 // owner may have been sent after the claim, if the store committed the claim late.
 func (c *Core) FormerOwnersActUntil() time.Duration {
-	until := c.ownerSince + MajorityPermissionTime
+	until := c.ownerSince + c.formerOwnersActFor()
 	switch {
 	case c.formerStoppedAt != 0:
 		return c.formerStoppedAt
-	case !c.knownToOwners(c.former.Entries):
-		return c.ownerSince + UndisputedTime
 	case c.informedAt != 0:
 		return min(until, c.informedAt+PermissionTime)
 	}
 	return until
 }
+
+// formerOwnersActFor returns how long former owners act at most after their last writes.
+// One of a former program that misses no entry acts for longer, and misses those that its
+// row names.
+func (c *Core) formerOwnersActFor() time.Duration {
+	switch {
+	case c.former.ActsFor != 0:
+		return c.former.ActsFor
+	case c.knownToOwners(c.former.Entries):
+		return formerProgramMajorityTime
+	}
+	return formerProgramTime
+}
--- a/internal/wire/workload.go
+++ b/internal/wire/workload.go
@@ -58,7 +58,7 @@
 
 // EncodeOwner encodes the owner of the jobs for the store.
 func EncodeOwner(o workload.Owner) ([]byte, error) {
-	return proto.Marshal(&pb.OwnerRow{Name: o.Name, Boot: o.Boot, Epoch: o.Epoch, Sequence: o.Sequence, Unsettled: o.Unsettled, Fenced: o.Fenced, Entries: o.Entries})
+	return proto.Marshal(&pb.OwnerRow{Name: o.Name, Boot: o.Boot, Epoch: o.Epoch, Sequence: o.Sequence, Unsettled: o.Unsettled, Fenced: o.Fenced, Entries: o.Entries, ActsForNs: int64(o.ActsFor)})
 }
 
 // DecodeOwner is the inverse of EncodeOwner. Its error is ErrMalformed.
@@ -69,7 +69,7 @@
 	}
 	return workload.Owner{
 		Name: p.GetName(), Boot: p.GetBoot(), Epoch: p.GetEpoch(), Sequence: p.GetSequence(), Unsettled: p.GetUnsettled(), Fenced: p.GetFenced(),
-		Entries: p.GetEntries(),
+		Entries: p.GetEntries(), ActsFor: time.Duration(p.GetActsForNs()),
 	}, nil
 }
 
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -319,4 +319,8 @@
 	// owner, and every owner before it that may still be active, counts as missing while
 	// they are not linked. It is empty if a former program wrote the row.
 	Entries string
+	// ActsFor is the longest time for which this owner, and every owner before it that
+	// may still be active, acts after its last write to the row. It is 0 if one of them
+	// is of a former program.
+	ActsFor time.Duration
 }
