internal/ownership: play successors that the row does not name at random

An entry now joins on the other side of a division, the entries that the owner names end, are on either side or reach both, and the owner loses the store right after the claim.

--- a/internal/ownership/dividedsite_test.go
+++ b/internal/ownership/dividedsite_test.go
@@ -33,14 +33,18 @@
 	delays    map[[2]string]time.Duration // of messages from one entry to another
 	blocked   map[[2]string]bool          // messages wait
 	noStore   map[string]bool
-	lateStore bool   // writes may take effect late
-	newest    uint64 // highest epoch of an owner that waits for former owners no more
-	newestBy  string
-	boot      uint64
-	linkIDs   int
-	takeovers int
-	acted     time.Duration // for how long an owner acted
-	log       []string
+	lateStore bool // writes may take effect late
+	// noStoreAfterClaim is an owner that does not reach the store from when another entry
+	// has claimed the jobs, so that it does not learn of the claim there.
+	noStoreAfterClaim string
+	newest            uint64 // highest epoch of an owner that waits for former owners no more
+	newestBy          string
+	boot              uint64
+	linkIDs           int
+	takeovers         int
+	unnamed           int           // takeovers by an entry that the former owner's row does not name
+	acted             time.Duration // for how long an owner acted
+	log               []string
 }
 
 // dividedEvent is an arrival of a message or an effect of a call.
@@ -273,6 +277,7 @@
 			outcome = table.Committed
 			if owner.Name != s.row.Name || owner.Epoch != s.row.Epoch {
 				s.note("row: %+v", owner)
+				s.noStore[s.noStoreAfterClaim], s.noStoreAfterClaim = true, ""
 			}
 			s.row, s.version = owner, s.version+1
 		}
@@ -307,6 +312,9 @@
 		case Begin:
 			s.note("%s owns the jobs with epoch %d", e.name, e.core.Epoch())
 			s.takeovers++
+			if !e.core.knownToOwners(e.core.former.Entries) {
+				s.unnamed++
+			}
 			for _, id := range sortedIDs(e.links) {
 				epoch := e.core.Epoch()
 				e.send(e.links[id], func(far *dividedEntry, _ *dividedLink) { far.core.OwnerObserved(e.name, epoch, far.clock()) })
--- a/internal/ownership/divisions_test.go
+++ b/internal/ownership/divisions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,9 +82,11 @@
 func (s *dividedSite) fail(restarts, joins bool) {
 	pick := func() string { return s.names[s.random.IntN(len(s.names))] }
 	a, b := pick(), pick()
-	switch kind := s.random.IntN(18); {
+	switch kind := s.random.IntN(22); {
+	case kind >= 18 && joins:
+		s.replaceEntries()
 	case kind >= 16:
-		s.blocked, s.noStore = map[[2]string]bool{}, map[string]bool{}
+		s.blocked, s.noStore, s.noStoreAfterClaim = map[[2]string]bool{}, map[string]bool{}, ""
 		s.note("healed")
 	case kind >= 12:
 		s.divide()
@@ -136,11 +139,48 @@
 	}
 }
 
+// replaceEntries divides the owner from an entry that joins. Each other entry ends for
+// good, is on one of the two sides, or reaches both. The owner reaches the store until
+// another entry has claimed the jobs, or not any more.
+func (s *dividedSite) replaceEntries() {
+	i := slices.IndexFunc(s.names, func(name string) bool { return s.entries[name].runs() && s.entries[name].core.Owns() })
+	if i < 0 || len(s.names) > 8 {
+		return
+	}
+	owner, joined := s.names[i], fmt.Sprintf("n%d", len(s.names))
+	sides := [2][]string{{owner}, {joined}}
+	for _, other := range s.names {
+		switch kind := s.random.IntN(6); {
+		case other == owner:
+		case kind == 0:
+			s.entries[other].gone = true
+			s.note("%s ends for good", other)
+		case kind > 1:
+			sides[kind%2] = append(sides[kind%2], other)
+		}
+	}
+	for _, a := range sides[0] {
+		for _, b := range sides[1] {
+			s.block(a, b)
+		}
+	}
+	s.noStore[owner] = s.random.IntN(4) == 0
+	s.noStoreAfterClaim = owner
+	s.note("sides %v, %s without store: %v", sides, owner, s.noStore[owner])
+	s.start(joined, s.random.IntN(2) == 0)
+}
+
+// block lets messages between two entries wait.
+func (s *dividedSite) block(a, b string) {
+	s.blocked[[2]string{a, b}], s.blocked[[2]string{b, a}] = true, true
+}
+
 // Guards against two owners that act at the same time, in divisions that are directed and
 // not transitive and change with time, with messages that are late, writes that take
-// effect late, and processes that pause and are started again.
+// effect late, and processes that pause and are started again; and against a successor
+// that the row does not name and waits for too short a time.
 func TestFormerOwnersDoNotActOnceTheirSuccessorWaitsNoMore(t *testing.T) {
-	takeovers, acted, total := 0, time.Duration(0), time.Duration(0)
+	takeovers, unnamed, acted, total := 0, 0, time.Duration(0), time.Duration(0)
 	rapid.Check(t, func(t *rapid.T) {
 		entries := rapid.IntRange(2, 5).Draw(t, "entries")
 		s := newDividedSite(rapid.Uint64().Draw(t, "seed"), []string{"a", "b", "c", "d", "e"}[:entries])
@@ -154,9 +194,10 @@
 			s.run(t, s.upTo(2*time.Second))
 		}
 		s.run(t, 15*time.Second)
-		takeovers, acted, total = takeovers+s.takeovers, acted+s.acted, total+s.now
+		takeovers, unnamed, acted, total = takeovers+s.takeovers, unnamed+s.unnamed, acted+s.acted, total+s.now
 	})
-	t.Logf("%d changes of the owner; an owner acted for %.0f%% of the time", takeovers, 100*float64(acted)/float64(total))
+	t.Logf("%d changes of the owner, %d to an entry that the row does not name; an owner acted for %.0f%% of the time", takeovers, unnamed, 100*float64(acted)/float64(total))
+	require.Greater(t, 100*unnamed, takeovers, "too few successors that the row does not name")
 }
 
 // Guards against an owner that acts without a limit because it misses nobody, while an
