internal/ownership: half of the named entries end the wait for former owners

Cause: a successor waited for as long as an owner with the majority acts until it had informed the majority of the entries that the former row names. An owner acts for that long only with more than half of them, so half are enough, and the successor counts itself from the answer to its claim on. With two entries, one of which is lost, the wait is 2 s at once.

TestFormerOwnersActUntilTheyStop has a row of three names now, since one of two ends the wait; the test of the echoes has the same five names and required times as before.

--- a/internal/ownership/echo.go
+++ b/internal/ownership/echo.go
@@ -56,25 +56,25 @@
 		return false
 	}
 	c.informed[name] = struct{}{}
-	if !c.majorityInformed() {
+	if !c.halfInformed() {
 		return false
 	}
 	c.informedAt = now
 	return true
 }
 
-// majorityInformed reports whether this owner and the entries that know it are the
-// majority of the entries. Each heartbeat of theirs to a former owner shows that it was
-// replaced, so that owner has no majority of entries with fresh echoes from echoTime on.
-// The former owner counts the entries that its row names.
-func (c *Core) majorityInformed() bool {
+// halfInformed reports whether this owner and the entries that know it are half of the
+// entries that the row of the former owner names, or more. Each heartbeat of theirs to a
+// former owner shows that it was replaced, so that owner has fresh echoes of less than
+// the majority from echoTime on.
+func (c *Core) halfInformed() bool {
 	names, informed := parseEntries(c.former.Entries), 0
 	for _, name := range names {
 		if _, ok := c.informed[name]; ok || name == c.self {
 			informed++
 		}
 	}
-	return 2*informed > len(names)
+	return len(names) > 0 && 2*informed >= len(names)
 }
 
 // applyEchoes counts each linked entry as missing while its newest echo is old, or of a
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -100,7 +100,7 @@
 	echoes          echoes
 	entries         entries
 	// informed holds the entries that know this owner, and informedAt when they became
-	// the majority; 0: they have not.
+	// half of those that the former owner's row names; 0: they have not.
 	informed   map[string]struct{}
 	informedAt time.Duration
 
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -226,6 +226,9 @@
 	c.permission = newPermission(c.claimSentAt, c.linked, c.echoes)
 	c.formerStoppedAt = 0
 	c.informed, c.informedAt = map[string]struct{}{}, 0
+	if c.halfInformed() {
+		c.informedAt = c.ownerSince
+	}
 	if name := c.former.Name; name != "" && name != c.self {
 		c.EntryKnown(name, c.now)
 	}
--- a/internal/ownership/permission_test.go
+++ b/internal/ownership/permission_test.go
@@ -208,6 +208,7 @@
 		r, now := &ownerRow{}, time.Duration(0)
 		former, a := New("f", 7, 0, 0), New("a", 1, 0, 0)
 		former.EntryKnown("a", now)
+		former.EntryKnown("b", now)
 		r.advance(&now, 2*time.Second, former)
 		r.advance(&now, 3*time.Second, a)
 		require.True(t, a.Owns())
