--- a/internal/jobdaemon/waitchain_test.go
+++ b/internal/jobdaemon/waitchain_test.go
@@ -142,6 +142,9 @@
 	})
 }
 
+// survivedOutage is the longest outage of the table service that runs outlive.
+const survivedOutage = 7 * time.Second
+
 // Guards against runs that end in an outage of the table service because a host was silent
 // for a short time meanwhile: the owner can't take back what a write in flight says.
 func TestRunOfAHostThatIsSilentDuringAnOutageGoesOn(t *testing.T) {
@@ -163,6 +166,10 @@
 		for _, e := range entries {
 			s.net.HealBoth("agent-0", e)
 		}
+		s.requireSingleRuns(backends, survivedOutage-3*time.Second)
+		for _, e := range s.entries {
+			e.store.cut.Set(new(false))
+		}
 		s.requireSingleRuns(backends, 30*time.Second)
 		require.Len(t, backends[0].running(), 1)
 		require.Zero(t, backends[0].lastEnd, "the run goes on")
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -322,4 +322,8 @@
 	// EndingLeases names hosts on which no owner extends leases before a later row omits
 	// them, as FormatEndingLeases does.
 	EndingLeases string
+	// ActsFor is the longest time for which this owner, and every owner before it that
+	// may still be active, acts after its last write to the row. It is 0 if one of them
+	// is of a former program.
+	ActsFor time.Duration
 }
