--- a/charts/waiting_test.go
+++ b/charts/waiting_test.go
@@ -25,7 +25,7 @@
 	"crashsuspect/unstored":  "ends when the batch is stored, which the owner repeats; a refused job fails",
 	"crashsuspect/isolated":  "ends with the next crash or when a run survives; reservations are bounded by maxReservation",
 	"drain/serving":          "at rest until a signal arrives",
-	"heldrun/starting":       "each call is answered: sent ones within the call timeout, others as not sent after maxStartWait or when the queue is full",
+	"heldrun/starting":       "each call is answered: sent ones within the call timeout, others as not sent when the queue is full, or when they come first in it after maxStartWait",
 	"heldrun/running":        "ends with an end, a stop, a poll that no longer lists it, or the end of the incarnation or of its leases",
 	"incarnation/unknown":    "at rest until an announcement is confirmed",
 	"incarnation/present":    "at rest; Core.Tick ends its runs when the leases expire without an answer",
