internal/jobdaemon: run actors that others wait for again after a panic

Cause: an actor of actor.Go is not started again after a panic. The batch writer, the job loader, the row remover of the owner and the epoch reader of an agent hold something back until they have reported, so a panic of one call of the table service ended what waits for them: the owner stored nothing more, knew no new jobs, never began to plan, or the agent obeyed no owner, while the process went on.

actor.GoUntilDone runs such an actor again until it has succeeded, as OnFailure does for actors with a mailbox. A batch that is committed twice is recognized by its row, as after a lost answer; a second load applies its rows only. A scan that panics does not reply, so the load waits for it no longer than for its limit.

The row remover has no test.

--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -170,6 +170,14 @@
 	return a.Done()
 }
 
+// GoUntilDone is like Go for an actor that others wait for: after an error or a panic it
+// runs again, after a delay that grows with each failure, until run returns nil.
+func GoUntilDone(g *Group, name string, run func(ctx context.Context) error) {
+	Spawn(g, Spec[struct{}]{Name: name, Restart: OnFailure, Run: func(ctx context.Context, _ <-chan struct{}) error {
+		return run(ctx)
+	}})
+}
+
 func supervise[M any](g *Group, s Spec[M], in <-chan M) error {
 	delay := minRestartDelay
 	for {
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -143,7 +143,7 @@
 	a.address = actor.Spawn(g, actor.Spec[any]{Name: "guard", Mailbox: agentMailbox, Run: a.run, OnExit: cfg.Failed})
 	a.startLinks(a.linkGroup)
 	actor.Go(g, "entry finder", func(ctx context.Context) error { return a.findEntries(ctx, cfg) })
-	actor.Go(g, "epoch reader", func(ctx context.Context) error { return a.readEpoch(ctx, cfg) })
+	actor.GoUntilDone(g, "epoch reader", func(ctx context.Context) error { return a.readEpoch(ctx, cfg) })
 	return a
 }
 
--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -94,7 +94,7 @@
 	}
 	state := &storedState{progress: map[workload.JobID]*workload.Progress{}}
 	for _, r := range replies {
-		s, err := r.Get(ctx)
+		s, err := r.Get(limited) // a scan that panics does not reply
 		if err == nil {
 			err = s.err
 		}
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -146,7 +146,7 @@
 	c.sendToEntries(&msg.Heartbeat{})
 	c.sendHeartbeats(linkTiming.Heartbeat)
 	c.ownerGroup = c.group.Sub()
-	actor.Go(c.ownerGroup, "job loader", func(ctx context.Context) error { return c.load(ctx, epoch) })
+	actor.GoUntilDone(c.ownerGroup, "job loader", func(ctx context.Context) error { return c.load(ctx, epoch) })
 }
 
 func (c *controller) endOwnership(reason string) {
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -132,7 +132,7 @@
 // commitBatch commits a transaction of the writer after a pause.
 func (c *controller) commitBatch(owner workload.Owner, txn table.Txn, pause time.Duration) {
 	epoch := c.writer.owner.Epoch
-	actor.Go(c.group, "batch writer", func(ctx context.Context) error {
+	actor.GoUntilDone(c.group, "batch writer", func(ctx context.Context) error {
 		if pause > 0 && !actor.Sleep(ctx, pause) {
 			return nil
 		}
@@ -219,7 +219,7 @@
 		txn.Deletes = append(txn.Deletes, jobKey(id), cancelKey(id))
 	}
 	epoch := c.jobs.Epoch()
-	actor.Go(c.ownerGroup, "row remover", func(ctx context.Context) error {
+	actor.GoUntilDone(c.ownerGroup, "row remover", func(ctx context.Context) error {
 		for _, txn := range byPart {
 			for c.storeProxy.commit(ctx, *txn).outcome != table.Committed {
 				if !actor.Sleep(ctx, maxStoreRetryInterval) {
