internal/jobs: give overdue tasks a part of the rate of orders

Callers saw a long-running task stay queued without an end although the hosts had room. Start requests are limited to half of the owner's connection, and the most urgent tasks went first without a bound: more urgent ones that took the whole rate kept it from ordering any other.

A quarter of the rate is now for overdue tasks: long-running ones that have waited for 1 s and others that have waited for 3 s, those that became overdue first. They go first in the pass that follows a refill for which a pass had waited, so nothing changes while the rate suffices, and the most urgent tasks keep three quarters. What overdue tasks may take is counted like the rate itself, so large requests do not exceed the quarter. The order in which they become overdue bounds how often one is overtaken.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -65,10 +65,11 @@
 	firstTask  int // number of its first task among those of the job
 	unfinished int // number of tasks that are not done
 
-	ready     []*task       // tasks that may start, ordered by index
-	lastReady time.Duration // when a task became ready last
-	unlogged  int           // ready tasks whose TaskUnplaced was not logged
-	group     *group        // while it has ready tasks
+	ready      []*task       // tasks that may start, ordered by index
+	lastReady  time.Duration // when a task became ready last
+	waitsSince time.Duration // since when it has had ready tasks
+	unlogged   int           // ready tasks whose TaskUnplaced was not logged
+	group      *group        // while it has ready tasks
 }
 
 // task is one task of a step. It is ready to start when its step may start and
--- a/internal/jobs/placement.go
+++ b/internal/jobs/placement.go
@@ -15,6 +15,8 @@
 	slowBegun  bool // begin examined the hosts that were too slow
 	candidates [searchKinds][]candidate
 	limit      int // views of the pass at which the placement ends
+	// overdueOnly leaves the tasks that are not overdue to the order of urgency.
+	overdueOnly bool
 }
 
 // candidate is a host that can run the tasks of a step.
@@ -32,6 +34,10 @@
 	p.limit = maxPassViews
 	for i := 0; i < len(s.ready); {
 		t := s.ready[i]
+		if p.overdueOnly && !t.overdue() {
+			i++
+			continue
+		}
 		k := t.searchKind()
 		if !p.begun[k] {
 			if c.pass.Views >= maxPassViews {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -41,13 +41,17 @@
 // if no input since the last call may have changed the plan. If the pass has
 // reached maxPassViews, PlanPending is true afterwards and the next call
 // continues, the most urgent tasks first. A pass that has reached the bound of
-// LimitOrders continues after a Tick.
+// LimitOrders continues after a Tick, and tasks that have waited for long go first
+// within a part of the rate.
 func (c *Core) Plan() bool {
 	if !c.planNeeded {
 		return false
 	}
 	c.planNeeded = false
 	c.pass = PassStats{}
+	if c.orders.overdueDue() {
+		c.placeOverdue()
+	}
 	c.placeSuspects()
 	switch {
 	case !c.placeWaiting():
--- a/internal/jobs/waiting.go
+++ b/internal/jobs/waiting.go
@@ -132,6 +132,7 @@
 func (w *waiting) add(t *task) {
 	s := t.step
 	if len(s.ready) == 0 {
+		s.waitsSince = t.readySince
 		w.addStep(s)
 	}
 	i := sort.Search(len(s.ready), func(i int) bool { return s.ready[i].index >= t.index })
