internal/jobs: leave examinations of a pass to tasks beside suspects

Callers saw no task of the site start, on 60 idle hosts, while 100 suspects of a crash waited for a host of their label. Each pass examined every host for every suspect before any other task, reached the bound of its examinations there, and the next pass began with the same suspects.

A suspect is searched for again only after a host has improved, as the groups of other tasks are. A pass examines half of its bound for suspects at most, the next one goes on with the first suspect that was left out, and the other tasks have at least half of the bound in any case, also beside isolated tasks, whose searches are not bounded.

--- a/internal/jobs/isolation.go
+++ b/internal/jobs/isolation.go
@@ -64,26 +64,53 @@
 	if len(c.suspects) == 0 && len(c.reserved) == 0 {
 		return
 	}
-	var isolated []*task
-	for _, t := range slices.Clone(c.suspects) {
-		if c.recoveryDeadline != 0 && t.step.mayHaveStarted() {
-			continue
-		}
-		if t.suspicion == taskIsolated {
+	var isolated, others []*task
+	for _, t := range c.suspects {
+		switch {
+		case c.recoveryDeadline != 0 && t.step.mayHaveStarted():
+		case t.suspicion == taskIsolated:
 			isolated = append(isolated, t)
-			continue
+		default:
+			others = append(others, t)
 		}
-		if c.pass.Views >= maxPassViews {
-			c.planNeeded = true
+	}
+	c.placeOnHosts(others)
+	c.placeIsolated(isolated)
+}
+
+// placeOnHosts starts suspects that are not isolated. A pass that has examined
+// maxSuspectViews hosts for them leaves the rest to the next one, which begins there.
+func (c *Core) placeOnHosts(tasks []*task) {
+	if i := slices.Index(tasks, c.nextSuspect); i > 0 {
+		tasks = slices.Concat(tasks[i:], tasks[:i])
+	}
+	c.nextSuspect = nil
+	limit := c.pass.Views + maxSuspectViews
+	for _, t := range tasks {
+		if c.pass.Views >= limit {
+			c.nextSuspect, c.planNeeded = t, true
 			return
 		}
-		if h := c.hostForSuspect(t); h != nil {
+		if h := t.searchApart(c.hostForSuspect); h != nil {
 			h.startObserved(t)
 		} else {
 			t.logApart("no host for a suspect")
 		}
 	}
-	c.placeIsolated(isolated)
+}
+
+// searchApart returns the host that the search chooses for the task, or nil. It does
+// not search again before a host has improved.
+func (t *task) searchApart(search func(*task) *host) *host {
+	c := t.step.job.core
+	if t.searchedApart == c.improvements {
+		return nil
+	}
+	h := search(t)
+	if h == nil {
+		t.searchedApart = c.improvements
+	}
+	return h
 }
 
 // startObserved starts a task that may be the cause of crashes.
@@ -169,7 +196,7 @@
 		if len(c.reserved)+c.heldHosts() >= c.isolationLimit() {
 			return
 		}
-		h := c.hostToReserve(t)
+		h := t.searchApart(c.hostToReserve)
 		if h == nil {
 			continue
 		}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -87,7 +87,8 @@
 	ready          bool                       // it may start
 	suspicion      chart.State                // of charts/crashsuspect.scxml
 	crashes        crashes
-	readyApart     bool // it may start, apart from others
+	readyApart     bool   // it may start, apart from others
+	searchedApart  uint64 // number of the last improvement of a host when none could run it apart
 	readySince     time.Duration
 }
 
--- a/internal/jobs/placement.go
+++ b/internal/jobs/placement.go
@@ -31,7 +31,7 @@
 // wait.
 func (p *placement) run() bool {
 	s, c := p.step, p.step.job.core
-	p.limit = maxPassViews
+	p.limit = c.viewLimit
 	for i := 0; i < len(s.ready); {
 		t := s.ready[i]
 		if p.overdueOnly && !t.overdue() {
@@ -40,7 +40,7 @@
 		}
 		k := t.searchKind()
 		if !p.begun[k] {
-			if c.pass.Views >= maxPassViews {
+			if c.pass.Views >= c.viewLimit {
 				return false
 			}
 			before := c.pass.Views
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -36,6 +36,11 @@
 // are not divided, so a pass can exceed it by the number of hosts.
 const maxPassViews = 4096
 
+// maxSuspectViews bounds the hosts that a pass examines for suspects that are not
+// isolated. As many are left to the other tasks, also if the search for isolated tasks
+// exceeds the rest.
+const maxSuspectViews = maxPassViews / 2
+
 // Plan starts the tasks that a host can run, moves throttled runs, and queues
 // the start and stop requests for the agents. It does nothing and returns false
 // if no input since the last call may have changed the plan. If the pass has
@@ -48,11 +53,12 @@
 		return false
 	}
 	c.planNeeded = false
-	c.pass = PassStats{}
+	c.pass, c.viewLimit = PassStats{}, maxPassViews
 	if c.orders.overdueDue() {
 		c.placeOverdue()
 	}
 	c.placeSuspects()
+	c.viewLimit = max(maxPassViews, c.pass.Views+maxPassViews/2)
 	switch {
 	case !c.placeWaiting():
 		c.planNeeded = !c.orders.exhausted // otherwise the next tick lets the pass continue
