internal/jobs: end reservations of hosts that no task can use

Callers saw a long-running task stay queued beside free room: the host was reserved for an isolated task that did not fit beside a run of another task, and stayed reserved until that run ended, however long it lasted.

Ending it alone would let other tasks take the room each time, and the isolated one would never start: each unused reservation of a host therefore doubles the limit of the next one, until it outlasts the runs in the way.

--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -75,6 +75,7 @@
 	holds                int           // those of isolated tasks; nothing else starts beside them
 	heldUntil            time.Duration // when holds became lower last; 0: never
 	reservedSince        time.Duration // for an isolated task; 0: not reserved
+	reservations         reservations
 	runsByStep           map[*step]int
 	servingByImage       map[string]int
 	servingByGroup       map[servingGroup]int
--- a/internal/jobs/isolation.go
+++ b/internal/jobs/isolation.go
@@ -34,6 +34,7 @@
 		return true
 	})
 	tasks = c.startIsolated(tasks)
+	c.limitReservations()
 	c.reserveHosts(tasks)
 	if slices.ContainsFunc(c.reserved, (*host).drained) {
 		c.startIsolated(tasks)
@@ -67,7 +68,7 @@
 			h.startObserved(u)
 			return true
 		})
-		h.reservedSince = 0 // the runs hold the host
+		h.reservedSince, h.reservations = 0, reservations{} // the runs hold the host
 	}
 	return rest
 }
@@ -93,12 +94,6 @@
 	}
 }
 
-// endReservation lets other tasks start on the host.
-func (h *host) endReservation() {
-	h.reservedSince = 0
-	h.improve()
-}
-
 // drained reports whether a reserved host is ready for isolated tasks: the runs that
 // end by themselves have ended, or the reservation has lasted long enough for them.
 func (h *host) drained() bool {
@@ -167,7 +162,7 @@
 func (c *Core) hostToReserve(t *task) *host {
 	var best *host
 	for _, h := range c.hostsByName {
-		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 {
+		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 || c.now < h.reservations.nextAt {
 			continue
 		}
 		if !h.suitsApart(t) {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -95,7 +95,7 @@
 func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.acceptsStarts() && h.holds == 0 && h.reservedSince == 0, Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
+		Info: &h.info, Reachable: h.acceptsStarts() && h.holds == 0 && !h.reservedAgainst(s), Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
 		Suspect: h.suspect() || h.unproven > 0, Failing: h.failing(),
 	}
 	// Only some steps need the counts that cost a look-up.
--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -178,3 +178,40 @@
 	t.Logf("%d short tasks have run", len(ended))
 	require.True(t, h.ordered("lasting"), "the hosts have room")
 }
+
+// Guards against an isolated task that never starts because other tasks, whose runs
+// last longer than a reservation, take the room each time one ends unused.
+func TestIsolatedTaskStartsAmongLongRuns(t *testing.T) {
+	const runTime = 5 * time.Second
+	h := newHarness(t, 1)
+	backlog := newSpec("backlog", newStep(1000, 1800))
+	backlog.Priority = 1
+	h.core.Submit(backlog)
+	h.link(readyHost("stays", 4000))
+	h.startAll("backlog")
+	h.core.Submit(newSpec("crashing", newStep(1, 3000)))
+	for _, name := range []string{"a", "b"} {
+		h.link(readyHost(name, 3000))
+		h.advance(100 * time.Millisecond)
+		h.startAll("crashing")
+		h.crash(h.hostOfRun("crashing"))
+		h.storeBatch()
+	}
+	crashing := h.core.jobs["crashing"].steps[0].tasks[0]
+	require.Equal(t, taskIsolated, crashing.suspicion)
+	endsAt := map[workload.RunID]time.Duration{}
+	for h.now < time.Minute && len(crashing.runs) == 0 {
+		h.advance(100 * time.Millisecond)
+		for run := range h.started {
+			switch at, known := endsAt[run]; {
+			case run.Task.Job != "backlog":
+			case !known:
+				endsAt[run] = h.now + runTime + time.Duration(len(endsAt)%2)*runTime/2
+			case at == h.now:
+				h.reportEnd(run, workload.EndDone, "")
+			}
+		}
+	}
+	t.Logf("ordered after %v, %d other runs", h.now, len(endsAt))
+	require.NotEmpty(t, crashing.runs)
+}
--- a/internal/jobs/waiting.go
+++ b/internal/jobs/waiting.go
@@ -26,6 +26,7 @@
 	label      string
 	need       workload.Resources
 	urgent     bool   // of the first priority
+	lasting    bool   // long-running: may start on a host that is reserved for long
 	bestEffort bool   // accepts a low speed, or waits for a good one
 	image      string // of a best-effort task
 	step       *step  // of a task whose number on a host is limited
@@ -36,7 +37,7 @@
 // requirement returns the requirement of the tasks of the step.
 func (s *step) requirement() requirement {
 	j := &s.job.spec
-	r := requirement{service: j.Service, label: s.spec.Label, need: s.spec.Need, urgent: j.Priority <= 0, bestEffort: s.spec.BestEffort, recovered: s.job.recovered, ownEpoch: j.Epoch >= s.job.core.epoch}
+	r := requirement{service: j.Service, label: s.spec.Label, need: s.spec.Need, urgent: j.Priority <= 0, lasting: s.spec.LongRunning, bestEffort: s.spec.BestEffort, recovered: s.job.recovered, ownEpoch: j.Epoch >= s.job.core.epoch}
 	if s.spec.BestEffort {
 		r.image = s.spec.Image
 	}
