internal/jobs: search again when a pause of reservations ends

The end of the pause is now a timeout of the host that counts as an improvement.

TestIsolatedTaskStartsAfterThePauseOfReservations failed before (no run) and passes.

--- a/internal/jobs/hosttimeout.go
+++ b/internal/jobs/hosttimeout.go
@@ -45,6 +45,7 @@
 	}
 	h.endProbation()
 	h.endPause()
+	h.endReservationPause()
 	h.checkRow()
 	h.schedule()
 }
@@ -64,7 +65,7 @@
 func (h *host) schedule() {
 	h.checkListed()
 	due := time.Duration(0)
-	for _, at := range [...]time.Duration{h.timeoutAt, h.pausedUntil, h.health.probationEnd, h.listedUntil(), h.rowCheckAt()} {
+	for _, at := range [...]time.Duration{h.timeoutAt, h.pausedUntil, h.health.probationEnd, h.reservations.pausedUntil, h.listedUntil(), h.rowCheckAt()} {
 		if at != 0 && (due == 0 || at < due) {
 			due = at
 		}
--- a/internal/jobs/isolation.go
+++ b/internal/jobs/isolation.go
@@ -162,7 +162,7 @@
 func (c *Core) hostToReserve(t *task) *host {
 	var best *host
 	for _, h := range c.hostsByName {
-		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 || c.now < h.reservations.nextAt {
+		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 || h.reservations.pausedUntil != 0 {
 			continue
 		}
 		if !h.suitsApart(t) {
--- a/internal/jobs/reservation.go
+++ b/internal/jobs/reservation.go
@@ -13,7 +13,7 @@
 type reservations struct {
 	unused        int           // reservations in succession that no task could use
 	admitsLasting bool          // the present one no longer keeps long-running tasks away
-	nextAt        time.Duration // when the host may be reserved again
+	pausedUntil   time.Duration // when the host may be reserved again; 0: now
 }
 
 // limit returns how long a reservation may stay unused. It doubles each time, so that
@@ -34,6 +34,20 @@
 	h.improve()
 }
 
+// pauseReservations keeps the host from being reserved for a time.
+func (h *host) pauseReservations(d time.Duration) {
+	h.reservations.pausedUntil = h.core.now + d
+	h.schedule()
+}
+
+// endReservationPause lets the host be reserved again if the pause is over.
+func (h *host) endReservationPause() {
+	if h.reservations.pausedUntil != 0 && h.core.now >= h.reservations.pausedUntil {
+		h.reservations.pausedUntil = 0
+		h.improve()
+	}
+}
+
 // limitReservations ends the reservations that no task could use within their limit,
 // because the runs that are left on the host take the room. Until then long-running
 // tasks wait for maxReservation at most.
@@ -42,7 +56,7 @@
 		age, r := c.now-h.reservedSince, &h.reservations
 		if age >= r.limit() {
 			r.unused++
-			r.nextAt = c.now + reservationPause
+			h.pauseReservations(reservationPause)
 			h.endReservation()
 			return true
 		}
--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -215,3 +215,26 @@
 	t.Logf("ordered after %v, %d other runs", h.now, len(endsAt))
 	require.NotEmpty(t, crashing.runs)
 }
+
+// Guards against an isolated task that is not looked at again when the pause between
+// two reservations of a host ends, since nothing else has changed.
+func TestIsolatedTaskStartsAfterThePauseOfReservations(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("stays", 4000))
+	h.core.Submit(newSpec("busy", newStep(1, 2000)))
+	h.process()
+	h.startAll("busy")
+	h.core.Submit(newSpec("crashing", newStep(1, 3000)))
+	for _, name := range []string{"a", "b"} {
+		h.link(readyHost(name, 3000))
+		h.advance(100 * time.Millisecond)
+		h.startAll("crashing")
+		h.crash(h.hostOfRun("crashing"))
+		h.storeBatch()
+	}
+	h.advance(maxReservation + 500*time.Millisecond)
+	require.Empty(t, h.core.reserved)
+	h.reportEnd(runID("busy", 0, 0, 1), workload.EndDone, "")
+	h.advance(reservationPause)
+	require.NotEmpty(t, h.core.jobs["crashing"].steps[0].tasks[0].runs)
+}
