internal/jobs: give overdue tasks a turn between isolated tasks

Callers saw a long-running task stay queued for 76 s on the only host of its service, which had room: isolated tasks held the host four at a time, and it was reserved for the next ones as soon as the last ones had shown that they are not the cause of crashes.

A host that isolated tasks have just held is not reserved for 0.5 s if an overdue task fits there (a long-running one that has waited for 1 s, another one that has waited for 3 s). Without such a task the next isolated ones follow at once, as before.

TestIsolatedTasksInTurnDelayNoLongRunningTask failed before (not ordered within 6 s, 12 isolated tasks started); it passes (12 isolated tasks beside it), in a trial also with 1.2 s in place of 6 s. TestCrashesForOtherReasonsHarmNoTask: the longest wait is 1.68 s, as before the change.

--- a/internal/jobs/isolation.go
+++ b/internal/jobs/isolation.go
@@ -158,7 +158,9 @@
 }
 
 // hostToReserve returns the host with the fewest runs, those of long-running tasks
-// first, among those that could run the task if nothing else that ends ran there.
+// first, among those that could run the task if nothing else that ends ran there. A
+// host that isolated tasks have just held is reserved again, unless it is the turn of
+// overdue tasks.
 func (c *Core) hostToReserve(t *task) *host {
 	var best *host
 	for _, h := range c.hostsByName {
@@ -169,7 +171,11 @@
 			continue
 		}
 		if h.wasHeld() {
-			return h
+			if !h.fitsOverdue() {
+				return h
+			}
+			h.pauseReservations(overdueTurn)
+			continue
 		}
 		if best == nil || h.fewerRuns(best) {
 			best = h
--- a/internal/jobs/overdue.go
+++ b/internal/jobs/overdue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bambooscale/bambooscale/internal/policy/hostselect"
 )
 
 const (
@@ -60,6 +62,21 @@
 	return 1
 }
 
+// fitsOverdue reports whether the host has room for an overdue task.
+func (h *host) fitsOverdue() bool {
+	examined := map[*group]bool{}
+	for _, s := range h.core.overdueSteps() {
+		if examined[s.group] {
+			continue
+		}
+		examined[s.group] = true
+		if hostselect.Check(s.selectionTask(), h.view(s)) == hostselect.Fits {
+			return true
+		}
+	}
+	return false
+}
+
 // placeOverdue starts overdue tasks ahead of more urgent ones, within the part of the
 // rate of orders that is kept for them.
 func (c *Core) placeOverdue() {
--- a/internal/jobs/reservation.go
+++ b/internal/jobs/reservation.go
@@ -9,6 +9,10 @@
 // the host is not reserved again.
 const reservationPause = 2 * maxReservation
 
+// overdueTurn is the time in which overdue tasks may start on a host between isolated
+// tasks that hold it.
+const overdueTurn = 500 * time.Millisecond
+
 // reservations is what earlier reservations of a host, and the present one, have shown.
 type reservations struct {
 	unused        int           // reservations in succession that no task could use
