--- a/internal/jobs/isolation.go
+++ b/internal/jobs/isolation.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -24,91 +23,6 @@
 	minIsolatedCrashes = 2
 )
 
-// suspects holds the ready tasks that may be the cause of crashes, in the order in
-// which they became ready.
-type suspects []*task
-
-func compareSuspects(a, b *task) int {
-	if a.readySince != b.readySince {
-		return cmp.Compare(a.readySince, b.readySince)
-	}
-	return cmp.Compare(a.id().String(), b.id().String())
-}
-
-func (s *suspects) add(t *task) {
-	i, _ := slices.BinarySearchFunc(*s, t, compareSuspects)
-	*s = slices.Insert(*s, i, t)
-	t.readyApart = true
-}
-
-// remove makes a task no longer ready. It has no effect on a task that is not.
-func (s *suspects) remove(t *task) {
-	if !t.readyApart {
-		return
-	}
-	i, _ := slices.BinarySearchFunc(*s, t, compareSuspects)
-	*s = slices.Delete(*s, i, i+1)
-	t.readyApart = false
-}
-
-// unready makes a task no longer ready, whether it is a suspect or not.
-func (c *Core) unready(t *task) {
-	c.waiting.remove(t)
-	c.suspects.remove(t)
-}
-
-// placeSuspects starts ready tasks that may be the cause of crashes: a suspect on
-// the host that has least to lose, and an isolated task on a host that was reserved
-// for it.
-func (c *Core) placeSuspects() {
-	if len(c.suspects) == 0 && len(c.reserved) == 0 {
-		return
-	}
-	var isolated []*task
-	for _, t := range slices.Clone(c.suspects) {
-		if c.recoveryDeadline != 0 && t.step.mayHaveStarted() {
-			continue
-		}
-		if t.suspicion == taskIsolated {
-			isolated = append(isolated, t)
-			continue
-		}
-		if c.pass.Views >= maxPassViews {
-			c.planNeeded = true
-			return
-		}
-		if h := c.hostForSuspect(t); h != nil {
-			h.startObserved(t)
-		} else {
-			t.logApart("no host for a suspect")
-		}
-	}
-	c.placeIsolated(isolated)
-}
-
-// startObserved starts a task that may be the cause of crashes.
-func (h *host) startObserved(t *task) {
-	h.start(t)
-	t.runs[len(t.runs)-1].observe()
-}
-
-// hostForSuspect returns the host that has least to lose among those that can run
-// the task, or nil: the one with the fewest runs that may be causes themselves, so
-// that a crash tells them apart, and of these the one with the fewest runs.
-func (c *Core) hostForSuspect(t *task) *host {
-	selection := t.step.selectionTask()
-	var best *host
-	for _, h := range c.hostsByName {
-		if hostselect.Check(selection, h.view(t.step)) != hostselect.Fits {
-			continue
-		}
-		if best == nil || h.unproven < best.unproven || h.unproven == best.unproven && len(h.runs) < len(best.runs) {
-			best = h
-		}
-	}
-	return best
-}
-
 // placeIsolated starts isolated tasks on the hosts that are reserved for them, and
 // reserves hosts for the others.
 func (c *Core) placeIsolated(tasks []*task) {
@@ -120,6 +34,7 @@
 		return true
 	})
 	tasks = c.startIsolated(tasks)
+	c.limitReservations()
 	c.reserveHosts(tasks)
 	if slices.ContainsFunc(c.reserved, (*host).drained) {
 		c.startIsolated(tasks)
@@ -153,7 +68,7 @@
 			h.startObserved(u)
 			return true
 		})
-		h.reservedSince = 0 // the runs hold the host
+		h.reservedSince, h.reservations = 0, reservations{} // the runs hold the host
 	}
 	return rest
 }
@@ -169,7 +84,7 @@
 		if len(c.reserved)+c.heldHosts() >= c.isolationLimit() {
 			return
 		}
-		h := c.hostToReserve(t)
+		h := t.searchApart(c.hostToReserve)
 		if h == nil {
 			continue
 		}
@@ -179,12 +94,6 @@
 	}
 }
 
-// endReservation lets other tasks start on the host.
-func (h *host) endReservation() {
-	h.reservedSince = 0
-	h.improve()
-}
-
 // drained reports whether a reserved host is ready for isolated tasks: the runs that
 // end by themselves have ended, or the reservation has lasted long enough for them.
 func (h *host) drained() bool {
@@ -249,18 +158,24 @@
 }
 
 // hostToReserve returns the host with the fewest runs, those of long-running tasks
-// first, among those that could run the task if nothing else that ends ran there.
+// first, among those that could run the task if nothing else that ends ran there. A
+// host that isolated tasks have just held is reserved again, unless it is the turn of
+// overdue tasks.
 func (c *Core) hostToReserve(t *task) *host {
 	var best *host
 	for _, h := range c.hostsByName {
-		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 {
+		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 || h.reservations.pausedUntil != 0 {
 			continue
 		}
 		if !h.suitsApart(t) {
 			continue
 		}
 		if h.wasHeld() {
-			return h
+			if !h.fitsOverdue() {
+				return h
+			}
+			h.pauseReservations(overdueTurn)
+			continue
 		}
 		if best == nil || h.fewerRuns(best) {
 			best = h
@@ -280,12 +195,3 @@
 	}
 	return len(h.runs) < len(other.runs)
 }
-
-// logApart logs once why the task waits for a host on which it may run apart.
-func (t *task) logApart(reason string) {
-	if t.unplacedLogged {
-		return
-	}
-	t.unplacedLogged = true
-	t.step.job.core.addDecision(Decision{Kind: TaskUnplaced, Job: t.step.job.spec.ID, Run: t.lastRun(), Detail: reason})
-}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -65,10 +65,11 @@
 	firstTask  int // number of its first task among those of the job
 	unfinished int // number of tasks that are not done
 
-	ready     []*task       // tasks that may start, ordered by index
-	lastReady time.Duration // when a task became ready last
-	unlogged  int           // ready tasks whose TaskUnplaced was not logged
-	group     *group        // while it has ready tasks
+	ready      []*task       // tasks that may start, ordered by index
+	lastReady  time.Duration // when a task became ready last
+	waitsSince time.Duration // since when it has had ready tasks
+	unlogged   int           // ready tasks whose TaskUnplaced was not logged
+	group      *group        // while it has ready tasks
 }
 
 // task is one task of a step. It is ready to start when its step may start and
@@ -86,7 +87,8 @@
 	ready          bool                       // it may start
 	suspicion      chart.State                // of charts/crashsuspect.scxml
 	crashes        crashes
-	readyApart     bool // it may start, apart from others
+	readyApart     bool   // it may start, apart from others
+	searchedApart  uint64 // number of the last improvement of a host when none could run it apart
 	readySince     time.Duration
 }
 
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -36,19 +36,29 @@
 // are not divided, so a pass can exceed it by the number of hosts.
 const maxPassViews = 4096
 
+// maxSuspectViews bounds the hosts that a pass examines for suspects that are not
+// isolated. As many are left to the other tasks, also if the search for isolated tasks
+// exceeds the rest.
+const maxSuspectViews = maxPassViews / 2
+
 // Plan starts the tasks that a host can run, moves throttled runs, and queues
 // the start and stop requests for the agents. It does nothing and returns false
 // if no input since the last call may have changed the plan. If the pass has
 // reached maxPassViews, PlanPending is true afterwards and the next call
 // continues, the most urgent tasks first. A pass that has reached the bound of
-// LimitOrders continues after a Tick.
+// LimitOrders continues after a Tick, and tasks that have waited for long go first
+// within a part of the rate.
 func (c *Core) Plan() bool {
 	if !c.planNeeded {
 		return false
 	}
 	c.planNeeded = false
-	c.pass = PassStats{}
+	c.pass, c.viewLimit = PassStats{}, maxPassViews
+	if c.orders.overdueDue() {
+		c.placeOverdue()
+	}
 	c.placeSuspects()
+	c.viewLimit = max(maxPassViews, c.pass.Views+maxPassViews/2)
 	switch {
 	case !c.placeWaiting():
 		c.planNeeded = !c.orders.exhausted // otherwise the next tick lets the pass continue
@@ -85,7 +95,7 @@
 func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.acceptsStarts() && h.holds == 0 && h.reservedSince == 0, Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
+		Info: &h.info, Reachable: h.acceptsStarts() && h.holds == 0 && !h.reservedAgainst(s), Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
 		Suspect: h.suspect() || h.unproven > 0, Failing: h.failing(),
 	}
 	// Only some steps need the counts that cost a look-up.
--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -178,3 +178,63 @@
 	t.Logf("%d short tasks have run", len(ended))
 	require.True(t, h.ordered("lasting"), "the hosts have room")
 }
+
+// Guards against an isolated task that never starts because other tasks, whose runs
+// last longer than a reservation, take the room each time one ends unused.
+func TestIsolatedTaskStartsAmongLongRuns(t *testing.T) {
+	const runTime = 5 * time.Second
+	h := newHarness(t, 1)
+	backlog := newSpec("backlog", newStep(1000, 1800))
+	backlog.Priority = 1
+	h.core.Submit(backlog)
+	h.link(readyHost("stays", 4000))
+	h.startAll("backlog")
+	h.core.Submit(newSpec("crashing", newStep(1, 3000)))
+	for _, name := range []string{"a", "b"} {
+		h.link(readyHost(name, 3000))
+		h.advance(100 * time.Millisecond)
+		h.startAll("crashing")
+		h.crash(h.hostOfRun("crashing"))
+		h.storeBatch()
+	}
+	crashing := h.core.jobs["crashing"].steps[0].tasks[0]
+	require.Equal(t, taskIsolated, crashing.suspicion)
+	endsAt := map[workload.RunID]time.Duration{}
+	for h.now < time.Minute && len(crashing.runs) == 0 {
+		h.advance(100 * time.Millisecond)
+		for run := range h.started {
+			switch at, known := endsAt[run]; {
+			case run.Task.Job != "backlog":
+			case !known:
+				endsAt[run] = h.now + runTime + time.Duration(len(endsAt)%2)*runTime/2
+			case at == h.now:
+				h.reportEnd(run, workload.EndDone, "")
+			}
+		}
+	}
+	t.Logf("ordered after %v, %d other runs", h.now, len(endsAt))
+	require.NotEmpty(t, crashing.runs)
+}
+
+// Guards against an isolated task that is not looked at again when the pause between
+// two reservations of a host ends, since nothing else has changed.
+func TestIsolatedTaskStartsAfterThePauseOfReservations(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("stays", 4000))
+	h.core.Submit(newSpec("busy", newStep(1, 2000)))
+	h.process()
+	h.startAll("busy")
+	h.core.Submit(newSpec("crashing", newStep(1, 3000)))
+	for _, name := range []string{"a", "b"} {
+		h.link(readyHost(name, 3000))
+		h.advance(100 * time.Millisecond)
+		h.startAll("crashing")
+		h.crash(h.hostOfRun("crashing"))
+		h.storeBatch()
+	}
+	h.advance(maxReservation + 500*time.Millisecond)
+	require.Empty(t, h.core.reserved)
+	h.reportEnd(runID("busy", 0, 0, 1), workload.EndDone, "")
+	h.advance(reservationPause)
+	require.NotEmpty(t, h.core.jobs["crashing"].steps[0].tasks[0].runs)
+}
