--- a/internal/shape/waits_test.go
+++ b/internal/shape/waits_test.go
@@ -76,7 +76,7 @@
 	{"ownership.entries.sent", "a write of the owner's row is stored", "an outage of the table service"},
 	{"ownership.entries.leaving", "a write of the owner's row is stored, or a link", "an outage of the table service"},
 	{"jobdaemon.agent.polling", "the poll is answered or fails", "1 s (pollWait and pollMargin), and Poll.Pause"},
-	{"jobdaemon.agent.calls", "the calls before are answered; a start that has waited for maxStartWait is answered when it comes first", "0.5 s for each two calls before (callTimeout, maxCalls): TestStartBehindSlowStopsGoesToAnotherHostInTime"},
+	{"jobdaemon.agent.calls", "the calls before are answered; a start that has waited for maxStartWait is answered when it comes first", "0.5 s for each two calls before (callTimeout, maxCalls); a start is settled after 2 s"},
 	{"jobdaemon.agent.epochKnown", "the stored epoch is read, which is repeated", "an outage of the table service"},
 	{"jobdaemon.agent.heldClaims", "as agent.epochKnown, or the end of the link", "as agent.epochKnown"},
 	{"jobdaemon.controller.loading", "the stored jobs are read, which is repeated", "an outage of the table service"},
