internal/ownership: name the owner's entries once former owners act no more

Cause: the row kept the entries of the owner before until the recovery was complete, for as long as hosts were silent. Entries that joined meanwhile were not named, so the next successor could not inform enough of the named ones.

The names hold for owners that may act, and the owner knows when those before it act no more (FormerOwnersActUntil). NextRow now writes its own names from then on, and the longest time for which it acts itself; unsettled stays as it was. No further field is needed: the next successor waits for this owner only.

TestRowNamesTheEntriesOfTheOwnerBeforeWhileItMayAct: trials on a scratch copy that name the new entries at once, or from the claim on, let two owners act in it.

--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -11,7 +11,6 @@
 	"github.com/bambooscale/bambooscale/internal/event"
 	"github.com/bambooscale/bambooscale/internal/jobs"
 	"github.com/bambooscale/bambooscale/internal/msg"
-	"github.com/bambooscale/bambooscale/internal/ownership"
 	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/wire"
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -65,7 +64,7 @@
 		return
 	}
 	pending, urgent := c.jobs.Pending()
-	if c.owner.ConfirmationDue() || c.jobs.ConfirmationAwaited() || c.entriesToStore() != w.owner.Entries {
+	if c.owner.ConfirmationDue() || c.jobs.ConfirmationAwaited() || c.owner.NextRow(w.owner).Entries != w.owner.Entries {
 		pending, urgent = true, true
 	}
 	now := c.now()
@@ -83,24 +82,11 @@
 
 // nextOwnerRow returns the row of the owner with the next batch.
 func (c *controller) nextOwnerRow() workload.Owner {
-	next := c.writer.owner
-	next.Sequence++
-	next.Unsettled, next.Fenced, next.Entries = c.unsettled(), c.fenced(), c.entriesToStore()
-	if !next.Unsettled {
-		next.ActsFor = ownership.MajorityPermissionTime
-	}
+	next := c.owner.NextRow(c.writer.owner)
+	next.Unsettled, next.Fenced = c.unsettled(), c.fenced()
 	return next
 }
 
-// entriesToStore returns the entries that the owner's row names. While an owner before
-// this one may be active they are those that it has named.
-func (c *controller) entriesToStore() string {
-	if c.unsettled() {
-		return c.writer.owner.Entries
-	}
-	return c.owner.Entries()
-}
-
 // unsettled reports whether the next owner has to expect runs of owners before
 // this one, or that this one is active until it learns that the row is stored: an
 // owner that hands over is slow and does not end.
--- a/internal/ownership/dividedsite_test.go
+++ b/internal/ownership/dividedsite_test.go
@@ -42,6 +42,7 @@
 	boot              uint64
 	linkIDs           int
 	takeovers         int
+	divided           bool          // entries were replaced, and the division lasts: new owners may end soon
 	unnamed           int           // takeovers by an entry that the former owner's row does not name
 	acted             time.Duration // for how long an owner acted
 	log               []string
@@ -72,6 +73,7 @@
 	dialledAt   map[string]time.Duration
 	gone        bool
 	settled     bool // as an owner: no former owner acts
+	recovers    bool // as an owner: its recovery is complete when no former owner acts
 }
 
 // dividedLink is one side of a link.
@@ -312,6 +314,9 @@
 		case Begin:
 			s.note("%s owns the jobs with epoch %d", e.name, e.core.Epoch())
 			s.takeovers++
+			if s.divided && s.random.IntN(2) == 0 {
+				s.after(s.upTo(400*time.Millisecond), "", func() { s.end(e.name) })
+			}
 			if !e.core.knownToOwners(e.core.former.Entries) {
 				s.unnamed++
 			}
@@ -324,12 +329,9 @@
 		}
 	}
 	e.highest = max(e.highest, e.core.Epoch())
-	if e.core.Owns() && !e.committing && (e.core.ConfirmationDue() || e.settled && e.owner.Entries != e.core.Entries()) {
-		next := e.owner
-		next.Sequence++
-		if e.settled {
-			next.Unsettled, next.Entries, next.ActsFor = false, e.core.Entries(), MajorityPermissionTime
-		}
+	if e.core.Owns() && !e.committing && (e.core.ConfirmationDue() || e.core.NextRow(e.owner).Entries != e.owner.Entries) {
+		next := e.core.NextRow(e.owner)
+		next.Unsettled = next.Unsettled && !(e.settled && e.recovers)
 		e.core.EntriesSent(next.Entries)
 		e.committing = true
 		e.confirm(next)
@@ -337,6 +339,7 @@
 }
 
 func (e *dividedEntry) claim() {
+	s := e.site
 	owner, version := e.core.Claim()
 	e.commit(owner, version, func(outcome table.Outcome, row workload.Owner, v table.Revision) {
 		if outcome == table.Conflict && row == owner {
@@ -346,7 +349,7 @@
 			e.highest = max(e.highest, owner.Epoch)
 		}
 		if e.core.Claimed(owner, outcome, v, e.clock()) {
-			e.owner, e.version, e.committing, e.settled = owner, v, false, false
+			e.owner, e.version, e.committing, e.settled, e.recovers = owner, v, false, false, s.random.IntN(2) == 0
 		}
 	})
 }
--- a/internal/ownership/divisions_test.go
+++ b/internal/ownership/divisions_test.go
@@ -87,6 +87,7 @@
 		s.replaceEntries()
 	case kind >= 16:
 		s.blocked, s.noStore, s.noStoreAfterClaim = map[[2]string]bool{}, map[string]bool{}, ""
+		s.divided = false
 		s.note("healed")
 	case kind >= 12:
 		s.divide()
@@ -153,8 +154,7 @@
 		switch kind := s.random.IntN(6); {
 		case other == owner:
 		case kind == 0:
-			s.entries[other].gone = true
-			s.note("%s ends for good", other)
+			s.end(other)
 		case kind > 1:
 			sides[kind%2] = append(sides[kind%2], other)
 		}
@@ -165,11 +165,27 @@
 		}
 	}
 	s.noStore[owner] = s.random.IntN(4) == 0
-	s.noStoreAfterClaim = owner
+	s.noStoreAfterClaim, s.divided = owner, true
 	s.note("sides %v, %s without store: %v", sides, owner, s.noStore[owner])
 	s.start(joined, s.random.IntN(2) == 0)
 }
 
+// end ends a process for good. Entries that its messages reach notice it at once.
+func (s *dividedSite) end(name string) {
+	e := s.entries[name]
+	if e.gone {
+		return
+	}
+	e.gone = true
+	s.note("%s ends", name)
+	for _, id := range sortedIDs(e.links) {
+		far := s.entries[e.links[id].peer]
+		if !far.gone && far.links[id] != nil && !s.blocked[[2]string{name, far.name}] {
+			far.down(id)
+		}
+	}
+}
+
 // block lets messages between two entries wait.
 func (s *dividedSite) block(a, b string) {
 	s.blocked[[2]string{a, b}], s.blocked[[2]string{b, a}] = true, true
@@ -224,3 +240,34 @@
 	s.run(t, MajorityPermissionTime)
 	require.Equal(t, "n2", s.newestBy)
 }
+
+// Guards against a row that names the entries of a new owner while the owner before it may
+// act: that one has the majority of the entries that it named, and the next successor
+// informs half of the others.
+func TestRowNamesTheEntriesOfTheOwnerBeforeWhileItMayAct(t *testing.T) {
+	s := newDividedSite(1, []string{"a", "b", "c"})
+	s.run(t, 5*time.Second)
+	require.Equal(t, "a b c", s.row.Entries)
+	for _, joined := range []string{"n3", "n4", "n5"} {
+		for _, cutOff := range []string{"a", "b"} {
+			s.block(cutOff, joined)
+			s.block(cutOff, "c")
+		}
+		s.start(joined, false)
+	}
+	s.noStoreAfterClaim = "a"
+	for s.row.Name != "c" {
+		s.run(t, dividedStep)
+	}
+	s.run(t, 3*dividedStep)
+	require.Equal(t, "a b c", s.row.Entries)
+	s.end("c")
+	s.run(t, time.Second)
+	require.True(t, s.entries["a"].core.MayAct(s.entries["a"].clock()))
+	s.run(t, 2*time.Second)
+	require.Contains(t, s.row.Name, "n")
+	require.Equal(t, "a b c", s.row.Entries, "a may act")
+	s.run(t, MajorityPermissionTime)
+	require.Equal(t, s.row.Name, s.newestBy)
+	require.Contains(t, s.row.Entries, "n3 n4 n5")
+}
--- a/internal/ownership/entries.go
+++ b/internal/ownership/entries.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
 // unknownEntryDelay is how much longer an entry that the owner may not know waits before
@@ -38,6 +40,16 @@
 	return strings.Join(names, " ")
 }
 
+// NextRow returns the owner's row that follows a given one. While owners before this one
+// may act, the row has the entries and the time that hold for them too.
+func (c *Core) NextRow(row workload.Owner) workload.Owner {
+	row.Sequence++
+	if c.formerEnded || c.now > c.FormerOwnersActUntil() {
+		row.Entries, row.ActsFor = c.Entries(), MajorityPermissionTime
+	}
+	return row
+}
+
 // EntriesSent records that a write of the owner's row with these entries is sent.
 func (c *Core) EntriesSent(list string) {
 	names, e := parseEntries(list), &c.entries
