internal/jobs: count former owners' time to its end, not to each link

The leases of all hosts that had not answered then ended 6.42 s after that link, and so did the recovery.

The time stays where it was. Former owners grant nothing after it, and leaseEnd counts from there.

TestTasksOfARemovedHostDoNotWaitForEntriesThatAreLinkedAnew (whole processes: not started in 30 s) and TestLinksOfEntriesPutOffNoLossOfAHost failed before and pass.

--- a/internal/jobs/permission.go
+++ b/internal/jobs/permission.go
@@ -48,7 +48,7 @@
 	if c.formerOwners == FormerOwnersEnded {
 		return
 	}
-	c.formerOwnersActUntil = max(at, c.now)
+	c.formerOwnersActUntil = at
 	if c.recoveryDeadline != 0 {
 		c.recoveryDeadline = c.formerOwnersActUntil + maxRecovery
 	}
