internal/ownership: a former owner that is linked late prolongs no wait

The link of the former owner's entry shows that it acts no more, and set the end of its time to the moment of the link, however late that was. The earliest of the known ends counts now.

TestFormerOwnerThatIsLinkedLateDoesNotProlongTheWait failed before (35 s instead of 6 s) and passes.

--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -265,11 +265,11 @@
 // owner may have been sent after the claim, if the store committed the claim late.
 func (c *Core) FormerOwnersActUntil() time.Duration {
 	until := c.ownerSince + c.formerOwnersActFor()
-	switch {
-	case c.formerStoppedAt != 0:
-		return c.formerStoppedAt
-	case c.informedAt != 0:
-		return min(until, c.informedAt+PermissionTime)
+	if c.informedAt != 0 {
+		until = min(until, c.informedAt+PermissionTime)
+	}
+	if c.formerStoppedAt != 0 {
+		until = min(until, c.formerStoppedAt)
 	}
 	return until
 }
