internal/ownership: the former row is the one that the claim replaces

A read of the row that is answered while a claim is in flight replaced the row that the claim is conditional on. If it was older and named fewer entries, the new owner counted too few and waited 2 s for a former owner that may act for 4 s. The claim keeps its row.

TestReadThatArrivesDuringAClaimIsNotTheFormerRow failed before and passes.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -22,7 +22,7 @@
 	if !owner.Unsettled {
 		owner.Entries, owner.ActsFor = c.Entries(), MajorityPermissionTime
 	}
-	c.claimEpoch, c.claimSentAt = owner.Epoch, c.now
+	c.claimEpoch, c.claimSentAt, c.claimedRow = owner.Epoch, c.now, c.row
 	return owner, c.rowVersion
 }
 
@@ -58,7 +58,7 @@
 	switch {
 	case current:
 		c.formerEnded, c.fenced, c.lateness = !o.Unsettled, o.Fenced, lateness{steppedAt: now}
-		c.former, c.row, c.rowVersion, c.ownerSince = c.row, o, version, now
+		c.former, c.row, c.rowVersion, c.ownerSince = c.claimedRow, o, version, now
 		c.observeEpoch(o.Epoch)
 		c.step(evClaimed)
 		c.beginPermission()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -89,6 +89,7 @@
 	fenced      bool                      // see FormerOwnersFenced
 	takeovers   takeovers                 // recent changes of the owner
 	claimSentAt time.Duration             // when the last claim was sent
+	claimedRow  workload.Owner            // on which the last claim is conditional
 	// ownerSince is when the answer to the claim of this owner arrived, which is not
 	// before the claim was committed.
 	ownerSince time.Duration
