internal/jobs: ignore inventories that are older than the newest

An agent may have two links to the owner. An inventory that arrived on the older one after a newer inventory had been accepted lost the runs that had started since, and their tasks started again while the first runs went on.

The owner takes inventories, reports and changes of runs only from the link on which it has claimed the host, and ignores an inventory whose number is lower than the newest since then. The numbers count anew with each link, since a process of the agent may begin below the one before it if its time of day jumped back. The stand-in site of the fencing tests has such a link now.

--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -194,11 +194,11 @@
 
 // hostAnnounced records the state of a host from the present link of its agent.
 func (c *controller) hostAnnounced(l *peerLink, h workload.Host) {
-	a := c.agents[workload.HostName(l.hello.Member.Name)]
-	if a == nil || a.link != l {
+	name := workload.HostName(l.hello.Member.Name)
+	if !c.isPresentLink(name, l) {
 		return
 	}
-	a.host = h
+	c.agents[name].host = h
 	if c.jobs != nil {
 		c.jobs.Announced(h)
 	}
@@ -226,18 +226,31 @@
 	case *msg.JobCancelled:
 		c.jobs.Cancel(m.ID)
 	case *msg.HostInventory:
-		if c.loading {
+		switch {
+		case !c.isPresentLink(name, l):
+		case c.loading:
 			c.deferred = append(c.deferred, m)
-			return
+		default:
+			c.jobs.Inventory(m)
 		}
-		c.jobs.Inventory(m)
 	case *msg.RunsChanged:
-		c.jobs.RunsChanged(name, m)
+		if c.isPresentLink(name, l) {
+			c.jobs.RunsChanged(name, m)
+		}
 	case *msg.RunsProgress:
-		c.jobs.RunsProgress(name, m)
+		if c.isPresentLink(name, l) {
+			c.jobs.RunsProgress(name, m)
+		}
 	}
 }
 
+// isPresentLink reports whether the owner has claimed the host of an agent on a link. An
+// agent may have another one, whose messages may be older.
+func (c *controller) isPresentLink(name workload.HostName, l *peerLink) bool {
+	a := c.agents[name]
+	return a != nil && a.link == l
+}
+
 // fromTable is the source of members that were read from the table service.
 const fromTable linkID = 0
 
--- a/internal/jobdaemon/fencingsite_test.go
+++ b/internal/jobdaemon/fencingsite_test.go
@@ -199,6 +199,10 @@
 	if o.jobs == nil || o.loading {
 		return
 	}
+	if o.agents == nil {
+		o.agents = map[workload.HostName]*agentView{}
+	}
+	o.agents[h.name] = &agentView{link: &peerLink{hello: &msg.PeerHello{Member: msg.Member{Name: string(h.name)}}}}
 	o.jobs.Linked(h.agent.Host())
 	s.collect(o)
 }
@@ -249,7 +253,7 @@
 	m := o.toOwner[h][0]
 	o.toOwner[h] = o.toOwner[h][1:]
 	if o.jobs != nil && !o.loading {
-		o.applyToJobs(&peerLink{hello: &msg.PeerHello{Member: msg.Member{Name: string(h.name)}}}, m)
+		o.applyToJobs(o.agents[h.name].link, m)
 		s.collect(o)
 	}
 }
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -85,6 +85,7 @@
 	health               health
 	refusals             int           // starts refused since one was carried out
 	pausedUntil          time.Duration // end of the pause after repeated refusals; 0: none
+	inventoryNumber      uint64        // of the newest inventory since the host was linked
 	inventoryStartedAtMS int64         // available incarnation whose inventory was accepted; 0: none
 	stored               bool          // it is in the stored list of hosts
 	listDiffers          bool          // it should not be in the stored list but is, or the reverse
@@ -158,6 +159,7 @@
 func (c *Core) Linked(info workload.Host) {
 	h := c.host(info.Name)
 	h.update(info)
+	h.inventoryNumber = 0 // the agent may be another process
 	h.seekLease()
 	h.step(evUp)
 }
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -18,6 +18,10 @@
 		return
 	}
 	h := c.host(m.Host.Name)
+	if m.Number < h.inventoryNumber {
+		return // it lists no runs that have started since
+	}
+	h.inventoryNumber = m.Number
 	if h.seekLease() {
 		return
 	}
