internal/jobs: place overdue tasks first when a probation ends

Callers saw a sound long-running task stay queued for 54 s beside an idle host: more urgent tasks that fail at once began the probation of the host anew, and at its end the next of them took the host.

The pass after the end of a probation places overdue tasks first, in the order in which they became overdue, so a failing task that becomes ready again goes behind them. Tasks that are not overdue keep their order.

'go test -race -count=2 ./internal/jobs' passes.

--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -78,21 +78,22 @@
 	now    time.Duration
 	wallMS int64 // Unix milliseconds, for rows
 
-	hosts       map[workload.HostName]*host
-	jobs        map[workload.JobID]*job
-	runStates   RunStates
-	cancelled   map[workload.JobID]struct{} // jobs that were cancelled and are not known yet
-	early       map[workload.RunID]earlyRun // of jobs that are not known yet
-	heldEnds    map[*task][]heldEnd         // ends that are not acknowledged yet
-	due         duetime.Queue[timed]
-	waiting     waiting   // tasks that may start
-	suspects    suspects  // tasks that may start apart from others
-	nextSuspect *task     // with which the next pass begins, if the last one left it out
-	reserved    []*host   // for isolated tasks that wait
-	planNeeded  bool      // something changed that may let a task start
-	pass        PassStats // of the last planning pass
-	viewLimit   int       // views of the pass at which placements end
-	orders      orderRate
+	hosts        map[workload.HostName]*host
+	jobs         map[workload.JobID]*job
+	runStates    RunStates
+	cancelled    map[workload.JobID]struct{} // jobs that were cancelled and are not known yet
+	early        map[workload.RunID]earlyRun // of jobs that are not known yet
+	heldEnds     map[*task][]heldEnd         // ends that are not acknowledged yet
+	due          duetime.Queue[timed]
+	waiting      waiting   // tasks that may start
+	suspects     suspects  // tasks that may start apart from others
+	nextSuspect  *task     // with which the next pass begins, if the last one left it out
+	reserved     []*host   // for isolated tasks that wait
+	overdueFirst bool      // the next pass places overdue tasks first
+	planNeeded   bool      // something changed that may let a task start
+	pass         PassStats // of the last planning pass
+	viewLimit    int       // views of the pass at which placements end
+	orders       orderRate
 
 	hostsByName  []*host    // ordered by name, so that equal inputs give equal plans
 	improved     *list.List // of *host, the last improved first
--- a/internal/jobs/health.go
+++ b/internal/jobs/health.go
@@ -46,10 +46,12 @@
 	}
 }
 
-// endProbation ends the time in which a failing host gets no tasks if it is over.
+// endProbation ends the time in which a failing host gets no tasks if it is over. Overdue
+// tasks go first then: more urgent ones that fail at once would begin it anew.
 func (h *host) endProbation() {
 	if h.health.probationEnd != 0 && h.core.now >= h.health.probationEnd {
 		h.health.probationEnd = 0
+		h.core.overdueFirst = true
 		h.improve()
 	}
 }
--- a/internal/jobs/orderrate.go
+++ b/internal/jobs/orderrate.go
@@ -59,7 +59,10 @@
 
 // admits reports whether a start may be requested now.
 func (o *orderRate) admits() bool {
-	o.exhausted = o.bytesPerSecond > 0 && o.available <= 0
+	if o.bytesPerSecond == 0 {
+		return true
+	}
+	o.exhausted = o.available <= 0
 	return !o.exhausted && (!o.overdue || o.forOverdue > 0)
 }
 
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -54,7 +54,8 @@
 	}
 	c.planNeeded = false
 	c.pass, c.viewLimit = PassStats{}, maxPassViews
-	if c.orders.overdueDue() {
+	if c.orders.overdueDue() || c.overdueFirst {
+		c.overdueFirst = false
 		c.placeOverdue()
 	}
 	c.placeSuspects()
--- a/internal/jobs/reference_test.go
+++ b/internal/jobs/reference_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/bambooscale/bambooscale/internal/policy/contention"
 	"github.com/bambooscale/bambooscale/internal/policy/hostselect"
@@ -13,8 +14,20 @@
 // planByReference plans without any record of earlier passes: it examines every
 // host for every ready task, and counts the runs on each host.
 func planByReference(c *Core) {
+	if c.overdueFirst {
+		c.overdueFirst = false
+		placeByReference(c, overdueByReference(c))
+	}
 	placeSuspectsByReference(c)
-	for _, t := range readyByReference(c) {
+	placeByReference(c, readyByReference(c))
+	for _, h := range c.hostsByName {
+		h.flush()
+	}
+}
+
+// placeByReference starts the tasks of a list in its order.
+func placeByReference(c *Core, list []*task) {
+	for _, t := range list {
 		if t.suspicion != taskTrusted {
 			continue
 		}
@@ -35,9 +48,6 @@
 			c.hostsByName[i].start(t)
 		}
 	}
-	for _, h := range c.hostsByName {
-		h.flush()
-	}
 }
 
 // unprovenByReference returns the number of runs on the host that may show that
@@ -110,6 +120,22 @@
 	return list
 }
 
+// overdueByReference returns the tasks that may go before more urgent ones, those of
+// the step first that has become overdue first.
+func overdueByReference(c *Core) []*task {
+	waits := func(t *task) time.Duration {
+		if t.step.spec.LongRunning {
+			return time.Second
+		}
+		return 3 * time.Second
+	}
+	list := slices.DeleteFunc(readyByReference(c), func(t *task) bool { return c.now < t.readySince+waits(t) })
+	slices.SortStableFunc(list, func(a, b *task) int {
+		return int(a.step.waitsSince + waits(a) - b.step.waitsSince - waits(b))
+	})
+	return list
+}
+
 // waitsByReference reports whether the tasks of the job wait for the recovery.
 func waitsByReference(j *job) bool {
 	sameEpoch := j.spec.Epoch == j.core.epoch
