internal/jobs: test that runs failing in turn delay no other task

Each failed run puts off the end of the probation of its host, also if it started before the probation. A host with many runs that fail one after another gets no task until the last has failed.

--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -238,3 +238,23 @@
 	h.advance(reservationPause)
 	require.NotEmpty(t, h.core.jobs["crashing"].steps[0].tasks[0].runs)
 }
+
+// Guards against a probation that lasts as long as the runs of a host fail one after
+// another: each failed run put off its end, though no new run had started.
+func TestRunsFailingInTurnDelayNoLongRunningTask(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 32_000))
+	for i := range 10 {
+		h.core.Submit(newSpec(fmt.Sprintf("failing-%d", i), newStep(1, 1000)))
+	}
+	h.process()
+	for i := range 2 {
+		h.reportEnd(runID(fmt.Sprintf("failing-%d", i), 0, 0, 1), workload.EndFailed, "")
+	}
+	h.core.Submit(lastingSpec("lasting", 1000))
+	for i := 2; i < 8; i++ {
+		h.advance(maxStartWait / 6)
+		h.reportEnd(runID(fmt.Sprintf("failing-%d", i), 0, 0, 1), workload.EndFailed, "")
+	}
+	require.True(t, h.ordered("lasting"), "the host has room")
+}
