internal/jobs: do not extend a probation that is in force

Callers saw a long-running task stay queued beside free room while runs that had started before the probation of their host failed one after another. A probation now lasts 3 s from the failure that began it; a run that fails after its end begins the next one.

TestRunsFailingInTurnDelayNoLongRunningTask failed before (not ordered within 6 s) and passes. TestPlanPlacesAsAFullExaminationDoes passes with -rapid.checks=3000, and 'go test ./internal/jobs' passes.

--- a/internal/jobs/health.go
+++ b/internal/jobs/health.go
@@ -12,8 +12,8 @@
 	// failingThreshold is the number of jobs that must fail on a host, with no
 	// completed run in between, before it gets no more tasks.
 	failingThreshold = 2
-	// probation is the time after the last failure during which a failing host
-	// gets no tasks.
+	// probation is the time during which a failing host gets no tasks. Failures in
+	// that time are of runs that started before, and do not extend it.
 	probation = 3 * time.Second
 	// refusalPause is the time during which a host gets no tasks after its agent
 	// has refused starts repeatedly. The agent's next report or inventory shows
@@ -39,7 +39,7 @@
 			h.health.failedJobs = map[workload.JobID]bool{}
 		}
 		h.health.failedJobs[e.Run.Task.Job] = true
-		if len(h.health.failedJobs) >= failingThreshold {
+		if len(h.health.failedJobs) >= failingThreshold && !h.failing() {
 			h.health.probationEnd = h.core.now + probation
 		}
 		h.schedule()
