internal/jobs: test that the orders of suspects are paced

The tasks that were ordered shortly before a loss of power are suspects, possibly thousands. Their start requests are sent at once, whatever the rate of orders, which then has to make up for them before any other task is ordered.

--- a/internal/jobs/orderrate_test.go
+++ b/internal/jobs/orderrate_test.go
@@ -76,3 +76,40 @@
 	h.process()
 	require.Len(t, h.started, 40)
 }
+
+// Guards against start requests of many suspects that are sent without regard to the
+// rate: they occupy the owner's connection, and no other task starts until the rate
+// has made up for them.
+func TestOrdersOfSuspectsArePaced(t *testing.T) {
+	const rate, tasks, bytes = 125_000, 100, 4000
+	h := newHarness(t, 1)
+	h.link(readyHost("crashes", 100_000))
+	spec := newSpec("many", newStep(tasks, 1000))
+	spec.Specification = strings.Repeat("x", bytes)
+	h.core.Submit(spec)
+	h.process()
+	h.startAll("many")
+	h.crash("crashes")
+	h.storeBatch()
+	require.Len(t, h.core.suspects, tasks)
+	h.core.LimitOrders(rate)
+	before := h.orderBytes()
+	for i := range 10 {
+		h.link(readyHost(fmt.Sprintf("h%d", i), 100_000))
+	}
+	require.LessOrEqual(t, h.orderBytes()-before, rate/10+bytes+orderOverheadBytes)
+	urgent := newSpec("urgent", newStep(1, 1000))
+	urgent.Priority = -1
+	h.core.Submit(urgent)
+	h.advance(200 * time.Millisecond)
+	require.True(t, h.ordered("urgent"))
+	require.NotEmpty(t, h.core.suspects)
+	for len(h.core.suspects) > 0 && h.now < 20*time.Second {
+		before := h.orderBytes()
+		require.False(t, h.core.PlanPending(), "the owner's loop must not spin while it waits")
+		h.advance(100 * time.Millisecond)
+		require.LessOrEqual(t, h.orderBytes()-before, rate/10+bytes+orderOverheadBytes)
+	}
+	t.Logf("all suspects were ordered after %v", h.now)
+	require.Empty(t, h.core.suspects)
+}
