internal/jobs: count the orders of suspects against the rate

Callers saw other tasks wait, and after a loss of power the owner's connection was occupied by the start requests of all suspects at once: they were sent whatever the rate of orders, which then had to make up for them.

Suspects that are not isolated now wait for the rate, and take half of it at most, so other tasks are ordered beside thousands of them. The parts of the rate (overdue tasks a quarter, suspects a half) are classes of orders, each refilled by its share.

--- a/internal/jobs/apart.go
+++ b/internal/jobs/apart.go
@@ -68,17 +68,24 @@
 		tasks = slices.Concat(tasks[i:], tasks[:i])
 	}
 	c.nextSuspect = nil
+	c.orders.class = ordersOfSuspects
+	defer func() { c.orders.class = ordersByUrgency }()
 	limit := c.pass.Views + maxSuspectViews
 	for _, t := range tasks {
 		if c.pass.Views >= limit {
 			c.nextSuspect, c.planNeeded = t, true
 			return
 		}
-		if h := t.searchApart(c.hostForSuspect); h != nil {
-			h.startObserved(t)
-		} else {
+		h := t.searchApart(c.hostForSuspect)
+		if h == nil {
 			t.logApart("no host for a suspect")
+			continue
+		}
+		if !c.orders.admits() {
+			c.nextSuspect = t // after the next refill
+			return
 		}
+		h.startObserved(t)
 	}
 }
 
--- a/internal/jobs/overdue.go
+++ b/internal/jobs/overdue.go
@@ -80,8 +80,8 @@
 // placeOverdue starts overdue tasks ahead of more urgent ones, within the part of the
 // rate of orders that is kept for them.
 func (c *Core) placeOverdue() {
-	c.orders.overdue = true
-	defer func() { c.orders.overdue = false }()
+	c.orders.class = ordersOverdue
+	defer func() { c.orders.class = ordersByUrgency }()
 	for _, s := range c.overdueSteps() {
 		p := placement{step: s, group: s.group, overdueOnly: true}
 		if !p.run() {
