internal/jobs: let only tasks of a lost host wait at a new owner

A new owner let all restored tasks wait until each host of the stored list had answered or its leases had ended.

The owner's row now lists the runs of the hosts that it names, if the owner knows all of them. A successor charges them to the host as if it had ordered them, so exactly their tasks wait, until the leases end or the inventory of the host shows what became of them. Such a host does not delay the recovery. The batch that releases the jobs names silent hosts at once. Hosts that are unlinked at a takeover and not named delay the recovery as before. The bound of the list is 16 KB instead of 8 KB.

--- a/internal/jobdaemon/listedruns_test.go
+++ b/internal/jobdaemon/listedruns_test.go
@@ -1,6 +1,7 @@
 package jobdaemon
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,18 +21,25 @@
 		s.advance(20 * time.Millisecond)
 	}
 	s.start(owner, shares[owner])
+	s.advance(20 * time.Millisecond)
 }
 
-// failRuns ends the runs of the first backend server that has one as failed, and returns
-// their number.
-func failRuns(backends []*memoryBackend) int {
+// failRun ends the run of the first backend server that has one as failed, and returns its
+// task.
+func failRun(t *testing.T, backends []*memoryBackend) workload.TaskID {
 	for _, b := range backends {
-		if n := len(b.running()); n > 0 {
+		if tasks := b.running(); len(tasks) > 0 {
 			b.endRuns(workload.EndFailed)
-			return n
+			return tasks[0]
 		}
 	}
-	return 0
+	require.FailNow(t, "no task runs")
+	return workload.TaskID{}
+}
+
+// runs reports whether a backend server runs a task.
+func runs(task workload.TaskID, backends []*memoryBackend) bool {
+	return slices.ContainsFunc(backends, func(b *memoryBackend) bool { return slices.Contains(b.running(), task) })
 }
 
 // Guards against a task of a sound host that waits, each time the owner changes, for hosts
@@ -43,23 +51,15 @@
 		defer s.stop()
 		backends, agents := s.newRestartableBackends(6)
 		s.submitLongRunning(5)
-		running := func() (n int) {
-			for _, b := range backends[2:] {
-				n += len(b.running())
-			}
-			return n
-		}
 		agents[0].Cancel()
 		s.advance(1400 * time.Millisecond)
 		agents[1].Cancel()
 		s.advance(2500 * time.Millisecond) // the entries notice it
 		s.restartInTurn(shares)
-		before := running()
-		require.Positive(t, failRuns(backends[2:]))
-		s.advance(200 * time.Millisecond)
+		failed := failRun(t, backends[2:])
 		s.restartInTurn(shares)
 		loaded := time.Now()
-		for running() < before {
+		for !runs(failed, backends) {
 			s.requireSingleRuns(backends, 20*time.Millisecond)
 			require.Less(t, time.Since(loaded), 3*time.Second, "the task that failed on a sound host does not run again")
 		}
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -59,6 +59,7 @@
 		return
 	}
 	if w.releasing {
+		c.jobs.Release()
 		released := c.nextOwnerRow()
 		released.Name, released.Boot = "", 0
 		c.storeBatch(released)
--- a/internal/jobs/chainhost_test.go
+++ b/internal/jobs/chainhost_test.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bambooscale/bambooscale/internal/msg"
@@ -17,6 +19,8 @@
 	leaseEnd time.Duration
 	runs     map[workload.RunID]bool
 	removed  bool
+	ends     []msg.RunEnd // that are not acknowledged
+	lastEnd  uint64
 }
 
 // chainLink delivers messages in order. Those in transit are lost when it ends.
@@ -79,7 +83,10 @@
 	if claim, ok := m.(*msg.OwnerClaim); ok && !o.cut[h] && claim.Epoch >= h.epoch {
 		h.epoch, h.owner, h.accepted = claim.Epoch, o, false
 		h.number++
-		inventory := &msg.HostInventory{Epoch: h.epoch, Number: h.number, Host: h.info, ClockMS: s.now.Milliseconds(), Runs: h.statuses()}
+		inventory := &msg.HostInventory{Epoch: h.epoch, Number: h.number, Host: h.info, ClockMS: s.now.Milliseconds(), Runs: h.statuses(), Ended: slices.Clone(h.ends)}
+		for i := range inventory.Runs {
+			inventory.Runs[i].Unconfirmed = s.failing && s.random.IntN(4) == 0
+		}
 		l := o.links[h]
 		l.deliver(s, &l.toOwner, func() { o.input(func(c *Core) { c.Inventory(inventory) }) })
 		return
@@ -100,15 +107,54 @@
 		h.extend(m.ClockMS)
 	case *msg.StartRuns:
 		for _, start := range m.Starts {
-			if h.accepted && s.now < h.leaseEnd {
-				h.runs[start.Size.Run] = true
-			}
+			h.start(o, start.Size.Run)
 		}
 	case *msg.StopRuns:
 		for _, id := range m.Runs {
-			delete(h.runs, id)
+			h.end(id, workload.EndStopped)
 		}
+	case *msg.EndsAcknowledged:
+		h.ends = slices.DeleteFunc(h.ends, func(e msg.RunEnd) bool { return e.Number <= m.LastNumber })
+	}
+}
+
+// start carries out a start, refuses it, or does not know whether it was carried out.
+func (h *chainHost) start(o *chainOwner, id workload.RunID) {
+	s := o.chain
+	if !h.accepted || s.now >= h.leaseEnd {
+		return
+	}
+	outcome := 0
+	if s.failing {
+		outcome = s.random.IntN(8)
+	}
+	if outcome == 1 {
+		h.tell(o, &msg.RunsChanged{Refused: []workload.RunID{id}})
+		return
 	}
+	h.runs[id] = true
+	switch outcome {
+	case 2, 3:
+		h.tell(o, &msg.RunsChanged{Started: []workload.RunID{id}})
+	case 4:
+		h.tell(o, &msg.RunsChanged{Unconfirmed: []workload.RunID{id}})
+	}
+}
+
+// end ends a run, which the agent reports until the end is acknowledged.
+func (h *chainHost) end(id workload.RunID, reason workload.EndReason) {
+	if h.runs[id] {
+		delete(h.runs, id)
+		h.lastEnd++
+		h.ends = append(h.ends, msg.RunEnd{Number: h.lastEnd, Run: id, Reason: reason})
+	}
+}
+
+// tell sends the owner a report of changes.
+func (h *chainHost) tell(o *chainOwner, m *msg.RunsChanged) {
+	m.Epoch, m.Instance, m.StartedAtMS = o.epoch, h.info.Instance, h.info.StartedAtMS
+	l := o.links[h]
+	l.deliver(o.chain, &l.toOwner, func() { o.input(func(c *Core) { c.RunsChanged(h.info.Name, m) }) })
 }
 
 func (h *chainHost) extend(clockMS int64) {
@@ -120,6 +166,7 @@
 	for id := range h.runs {
 		list = append(list, msg.RunStatus{Run: id})
 	}
+	slices.SortFunc(list, func(a, b msg.RunStatus) int { return cmp.Compare(a.Run.String(), b.Run.String()) })
 	return list
 }
 
@@ -130,6 +177,14 @@
 		return
 	}
 	h.expire(s)
+	for _, r := range h.statuses() {
+		if s.failing && s.random.IntN(12) == 0 {
+			h.end(r.Run, workload.EndFailed)
+		}
+	}
+	if len(h.ends) > 0 {
+		h.tell(o, &msg.RunsChanged{Ended: slices.Clone(h.ends)})
+	}
 	report := &msg.RunsProgress{Epoch: o.epoch, Instance: h.info.Instance, StartedAtMS: h.info.StartedAtMS, ClockMS: s.now.Milliseconds(), Runs: h.statuses()}
 	l := o.links[h]
 	l.deliver(s, &l.toOwner, func() { o.input(func(c *Core) { c.RunsProgress(h.info.Name, report) }) })
--- a/internal/jobs/endinglease.go
+++ b/internal/jobs/endinglease.go
@@ -22,8 +22,9 @@
 	// name. If the table service does not answer, the owner does not know whether its row
 	// names them, and cannot take them back.
 	storeProvenTime = 2 * time.Second
-	// maxEndingLeasesBytes bounds the names in the row, which is part of each transaction.
-	maxEndingLeasesBytes = 8 << 10
+	// maxEndingLeasesBytes bounds the names and runs in the row, which is part of each
+	// transaction. It has room for some 400 runs: those of a few hosts that are lost together.
+	maxEndingLeasesBytes = 16 << 10
 )
 
 // endingLeases is what the owner's row says about hosts on which no owner extends leases
@@ -31,21 +32,24 @@
 // the time since its own beginning. So the owner may extend leases on a host only while
 // neither its row, nor a write whose outcome is not known, names the host.
 type endingLeases struct {
-	inherited  map[workload.HostName]time.Duration // ends of the leases, by the row that was claimed
-	stored     map[workload.HostName]time.Duration // remaining times in the row
-	sent       map[workload.HostName]struct{}      // names in writes whose outcome is not known
-	unanswered map[*host]struct{}                  // hosts that are not in the state ready
-	due        bool                                // the row should be rewritten
-	urgent     bool                                // a host waits for it
-	row        string                              // the list in the row
-	storedAt   time.Duration                       // when the row was stored
-	unproven   bool                                // the last batch omitted hosts because of storeProvenTime
-	tooLong    bool                                // the last batch omitted hosts because of maxEndingLeasesBytes
+	inherited  map[workload.HostName]inheritedLease // of the row that was claimed
+	listed     map[workload.JobID][]listedRun       // in the row that was claimed
+	stored     map[workload.HostName]time.Duration  // remaining times in the row
+	sent       map[workload.HostName]struct{}       // names in writes whose outcome is not known
+	unanswered map[*host]struct{}                   // hosts that are not in the state ready
+	due        bool                                 // the row should be rewritten
+	urgent     bool                                 // a host waits for it
+	row        string                               // the list in the row
+	storedAt   time.Duration                        // when the row was stored
+	unproven   bool                                 // the last batch omitted hosts because of storeProvenTime
+	maxBytes   int                                  // maxEndingLeasesBytes, less in tests
+	releasing  bool                                 // of Release
+	tooLong    bool                                 // the last batch omitted hosts because of maxEndingLeasesBytes
 }
 
 func newEndingLeases() endingLeases {
 	return endingLeases{
-		inherited: map[workload.HostName]time.Duration{}, stored: map[workload.HostName]time.Duration{},
+		maxBytes: maxEndingLeasesBytes, inherited: map[workload.HostName]inheritedLease{}, listed: map[workload.JobID][]listedRun{}, stored: map[workload.HostName]time.Duration{},
 		sent: map[workload.HostName]struct{}{}, unanswered: map[*host]struct{}{},
 	}
 }
@@ -62,8 +66,7 @@
 // owners cannot extend leases on these hosts: they would have to rewrite the row before.
 func (c *Core) InheritEndingLeases(row string) {
 	for _, l := range workload.ParseEndingLeases(row) {
-		c.ending.inherited[l.Host] = c.now + l.Remaining
-		c.ending.stored[l.Host] = l.Remaining
+		c.ending.inherit(l, c.now)
 	}
 	c.ending.row, c.ending.due = row, row != ""
 }
@@ -71,18 +74,25 @@
 // inheritedEnd returns when the leases of a host that has not answered this owner end by
 // the row that was claimed, if that row names it.
 func (h *host) inheritedEnd() (time.Duration, bool) {
-	if h.adopted {
-		return 0, false
-	}
-	end, ok := h.core.ending.inherited[h.info.Name]
-	return end, ok
+	l, ok := h.inheritedLease()
+	return l.end, ok
 }
 
+// Release says that the next batches release the jobs. The owner extends no leases after
+// that on hosts that are not ready, so its row names each of them.
+func (c *Core) Release() { c.ending.releasing = true }
+
 // leasesEnding reports whether the owner's row should name the host: it is in the stored
 // list, has not been granted a lease for some time, and does not wait for one.
 func (h *host) leasesEnding() bool {
 	c := h.core
-	if !h.stored || h.state == hostReady || h.state == hostClaiming && c.now-h.soughtAt < answerTime {
+	if !h.stored || h.state == hostReady {
+		return false
+	}
+	if c.ending.releasing {
+		return true
+	}
+	if h.state == hostClaiming && c.now-h.soughtAt < answerTime {
 		return false
 	}
 	_, inherited := h.inheritedEnd()
@@ -103,7 +113,7 @@
 func (c *Core) endingLeasesRow() string {
 	var list []workload.EndingLease
 	c.ending.unproven = false
-	proven := c.now-c.notReplacedUntil < storeProvenTime
+	proven := c.ending.releasing || c.now-c.notReplacedUntil < storeProvenTime
 	for h := range c.ending.unanswered {
 		c.visits++
 		if !h.leasesEnding() {
@@ -113,12 +123,12 @@
 			c.ending.unproven = true
 			continue
 		}
-		list = append(list, workload.EndingLease{Host: h.info.Name, Remaining: h.remainingLease()})
+		list = append(list, h.endingLease())
 	}
 	slices.SortFunc(list, func(a, b workload.EndingLease) int {
 		return cmp.Or(cmp.Compare(a.Remaining, b.Remaining), cmp.Compare(a.Host, b.Host))
 	})
-	row := workload.FormatEndingLeases(list, maxEndingLeasesBytes)
+	row := workload.FormatEndingLeases(list, c.ending.maxBytes)
 	c.ending.tooLong = len(workload.ParseEndingLeases(row)) < len(list)
 	return row
 }
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -103,8 +103,11 @@
 }
 
 // delaysRecovery reports whether runs of a former owner that are not known may go on at
-// the host.
+// the host. Those that the row lists are known.
 func (h *host) delaysRecovery() bool {
+	if l, ok := h.inheritedLease(); ok && l.Listed {
+		return false
+	}
 	return h.expected && !h.vacated && (h.state == hostSilent || h.state == hostClaiming)
 }
 
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -81,7 +81,8 @@
 // adoptRun charges a run of an inventory to the host. If the run belongs to no
 // known task, it stops the run and returns nil.
 func (h *host) adoptRun(s msg.RunStatus) *run {
-	if r, ok := h.runs[s.Run]; ok {
+	r, charged := h.runs[s.Run]
+	if charged && !r.inherited {
 		if !s.Unconfirmed {
 			r.step(evStarted)
 		}
@@ -93,8 +94,10 @@
 		h.queueStop(s.Run)
 		return nil
 	}
-	r := h.charge(t, s.Run)
-	r.status, r.statusAt = s, h.core.now
+	if !charged {
+		r = h.charge(t, s.Run)
+	}
+	r.status, r.statusAt, r.inherited = s, h.core.now, false
 	// A number of this epoch must not be used for another run.
 	if s.Run.Number&numberMask > t.starts && s.Run.Number>>epochShift == h.core.epoch-1 {
 		t.starts = s.Run.Number & numberMask
@@ -106,7 +109,7 @@
 	if !s.Unconfirmed {
 		r.step(evStarted)
 	}
-	if t.done || t.step.job.phase().Final() || (len(t.runs) > 1 && !t.step.spec.AllowConcurrentRuns) {
+	if t.done || t.step.job.phase().Final() || (t.confirmedRuns() > 1 && !t.step.spec.AllowConcurrentRuns) {
 		r.stop("not-wanted")
 	}
 	return r
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -223,6 +223,7 @@
 	default:
 		j.publish()
 		j.applyEarly()
+		j.chargeListedRuns()
 		j.release()
 	}
 }
--- /dev/null
+++ b/internal/jobs/listedruns.go
@@ -0,0 +1,119 @@
+package jobs
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bambooscale/bambooscale/internal/workload"
+)
+
+// formerReportTime is for how long a report of an agent may have been on its way that the
+// owner receives: one that arrives later than that after former owners act no more was sent
+// by an agent that obeyed this owner then.
+const formerReportTime = 2 * time.Second
+
+// inheritedLease is what the row that was claimed says of a host.
+type inheritedLease struct {
+	workload.EndingLease
+	end time.Duration // of the leases
+}
+
+// listedRun is a run that the row which was claimed lists.
+type listedRun struct {
+	host workload.HostName
+	run  workload.RunID
+}
+
+// inherit records what the row says of a host.
+func (e *endingLeases) inherit(l workload.EndingLease, now time.Duration) {
+	e.stored[l.Host] = l.Remaining
+	if l.Remaining == 0 {
+		l.Listed, l.Runs = true, nil
+	}
+	e.inherited[l.Host] = inheritedLease{l, now + l.Remaining}
+	for _, id := range l.Runs {
+		e.listed[id.Task.Job] = append(e.listed[id.Task.Job], listedRun{l.Host, id})
+	}
+}
+
+// inheritedLease returns what the row that was claimed says of the host, if it names the
+// host and the host has not answered this owner.
+func (h *host) inheritedLease() (inheritedLease, bool) {
+	if h.adopted {
+		return inheritedLease{}, false
+	}
+	l, ok := h.core.ending.inherited[h.info.Name]
+	return l, ok
+}
+
+// endingLease returns what the owner's row should say of the host. The runs of a host that
+// a former owner has named do not change until it answers.
+func (h *host) endingLease() workload.EndingLease {
+	l := workload.EndingLease{Host: h.info.Name, Remaining: h.remainingLease()}
+	inherited, ok := h.inheritedLease()
+	switch {
+	case l.Remaining == 0:
+	case ok:
+		l.Listed, l.Runs = inherited.Listed, inherited.Runs
+	case h.allRunsKnown():
+		l.Listed = true
+		for _, r := range h.sortedRuns() {
+			l.Runs = append(l.Runs, r.id)
+		}
+	}
+	return l
+}
+
+// allRunsKnown reports whether the runs that are charged to the host are all that may go on
+// there: it has answered, no former owner can have started one since, none belongs to a job
+// that is not known, and the ends that were applied are stored.
+func (h *host) allRunsKnown() bool {
+	c := h.core
+	if !h.adopted || h.endsAcknowledged < h.endsApplied {
+		return false
+	}
+	if c.formerOwners != FormerOwnersEnded && h.lastGrantAt < c.formerOwnersActUntil+formerReportTime {
+		return false
+	}
+	for _, e := range c.early {
+		if e.host == h {
+			return false
+		}
+	}
+	return true
+}
+
+// chargeListedRuns charges the runs that the row lists to their hosts.
+func (c *Core) chargeListedRuns() {
+	for _, id := range slices.Sorted(maps.Keys(c.ending.listed)) {
+		if j, known := c.jobs[id]; known {
+			j.chargeListedRuns()
+		}
+	}
+}
+
+// chargeListedRuns charges the runs of the job that the row lists to their hosts, so that
+// their tasks wait for these hosts. It has no effect before the hosts are expected.
+func (j *job) chargeListedRuns() {
+	c := j.core
+	for _, l := range c.ending.listed[j.spec.ID] {
+		h, t := c.hosts[l.host], j.task(l.run.Task)
+		if h == nil || !h.expected || h.adopted || h.vacated || t == nil || t.done || j.phase().Final() || h.runs[l.run] != nil {
+			continue
+		}
+		h.charge(t, l.run).inherited = true
+		c.unready(t)
+	}
+}
+
+// confirmedRuns returns the number of runs of the task whose hosts have answered.
+func (t *task) confirmedRuns() int {
+	n := 0
+	for _, r := range t.runs {
+		if !r.inherited {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/jobs/ownerchain_test.go
+++ b/internal/jobs/ownerchain_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -33,8 +34,12 @@
 	hosts   []*chainHost
 	owners  []*chainOwner
 	job     workload.Job
-	expired int // hosts that an owner gave up
-	omitted int // times that a host came back while the row named it
+	expired int  // hosts that an owner gave up
+	omitted int  // times that a host came back while the row named it
+	failing bool // runs fail, and starts are refused or not confirmed
+	rowSize int  // most bytes of the list in the owner's row; 0: as the owner has it
+	listed  int  // runs in rows that were claimed
+	beside  int  // starts while an owner waits for a host whose runs the row lists
 }
 
 type chainEvent struct {
@@ -66,16 +71,22 @@
 	links       map[*chainHost]*chainLink
 }
 
+// newOwnerChain starts an owner with tasks that fill all hosts but one.
 func newOwnerChain(t *testing.T, seed uint64, hosts int) *ownerChain {
+	return newOwnerChainOf(t, seed, hosts, newStep(hosts-1, 3000))
+}
+
+// newOwnerChainOf starts an owner with the tasks of a step, which lasts.
+func newOwnerChainOf(t *testing.T, seed uint64, hosts int, step workload.Step) *ownerChain {
 	s := &ownerChain{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), row: chainRow{released: true}}
-	s.job = newSpec("j", newStep(hosts-1, 3000))
-	s.job.MaxAttempts = 1000
+	s.job = newSpec("j", step)
+	s.job.MaxAttempts = 100_000
 	s.job.Steps[0].LongRunning = true
 	for i := range hosts {
 		s.hosts = append(s.hosts, &chainHost{info: readyHost(fmt.Sprintf("host-%d", i), 4000), runs: map[workload.RunID]bool{}})
 	}
 	s.claim()
-	for s.running() < hosts-1 {
+	for s.running() < step.Count {
 		s.run(chainTick)
 		require.Less(t, s.now, time.Minute, "seed %d", seed)
 	}
@@ -162,6 +173,12 @@
 func (s *ownerChain) claimed(o *chainOwner, endingLeases string) {
 	o.core = New(o.epoch, s.now)
 	o.core.InheritEndingLeases(endingLeases)
+	for _, l := range workload.ParseEndingLeases(endingLeases) {
+		s.listed += len(l.Runs)
+	}
+	if s.rowSize > 0 {
+		o.core.ending.maxBytes = s.rowSize
+	}
 	s.owners = append(s.owners, o)
 	answeredAt := s.now
 	s.after(chainLoadTime, func() {
@@ -216,6 +233,9 @@
 		o.core.Plan()
 	}
 	for _, m := range o.core.Messages() {
+		if _, start := m.Message.(*msg.StartRuns); start && o.waitsForListedRuns() {
+			s.beside++
+		}
 		h := s.hosts[slices.IndexFunc(s.hosts, func(h *chainHost) bool { return h.info.Name == m.Host })]
 		if !o.cut[h] {
 			l := o.links[h]
@@ -241,6 +261,9 @@
 func (o *chainOwner) write() {
 	s := o.chain
 	o.writing = true
+	if o.releasing {
+		o.core.Release()
+	}
 	batch := o.core.NextBatch()
 	row := chainRow{version: o.version + 1, epoch: o.epoch, released: o.releasing, unsettled: !o.formerEnded && !o.core.Settled(), endingLeases: batch.EndingLeases}
 	var attempt func()
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -196,6 +196,7 @@
 func (c *Core) Recover(former FormerOwners) {
 	c.formerOwners = former
 	c.recoveryDeadline = c.now + maxRecovery
+	c.chargeListedRuns()
 	c.endRecoveryIfComplete()
 }
 
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -70,6 +70,7 @@
 	stopReason string     // why it was stopped, for the log
 	lossCause  LossCause  // set during the event lost only
 
+	inherited      bool // a former owner's row lists it, and its host has not answered
 	mayHaveStarted bool // its agent reported it as started or as unconfirmed
 
 	unproven bool // it may show that its task crashes backend servers
--- a/internal/shape/waits_test.go
+++ b/internal/shape/waits_test.go
@@ -35,6 +35,7 @@
 	{"jobs.Core.pendingBatch", "BatchCommitted, BatchFailed or BatchRefused, as writer.committing", "as writer.committing"},
 	{"jobs.Core.recoveryDeadline", "each expected host has sent its inventory or certainly has no runs; else maxRecovery", "7.42 s after formerOwnersActUntil"},
 	{"jobs.Core.formerOwnersActUntil", "the time passes", "4 s (ownership.MajorityPermissionTime); 5 min after an owner of a former program"},
+	{"jobs.endingLeases.releasing", "the batch that releases the jobs is stored, or another owner is known, either of which ends the ownership", "an outage of the table service"},
 	{"jobs.endingLeases.urgent", "the next batch is stored, in which the owner's row omits the host", "an outage of the table service"},
 	{"jobs.host.claimDueAt", "the time passes, and the claim is sent again", "1 s (claimRetry)"},
 	{"jobs.Core.leasesBarred", "as charts/permission.scxml, lapsed", "until the owner's row is rewritten or claimed"},
