internal/jobs: do not let estimates delay long-running tasks

Jobs of a priority are placed by deadline, and the deadline of a job counted the estimate of its long-running tasks, times the target slowdown. They do not complete, so each later job with a shorter estimate came first.

The estimates of long-running steps do not count; their job is due after its target latency.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -122,7 +122,8 @@
 
 // completionTarget returns the time in which the job should be completed: the
 // estimates along its critical path, multiplied by the target slowdown, and the
-// target latency.
+// target latency. Long-running tasks do not complete and have to start in time, so
+// their estimates do not count.
 func (j *job) completionTarget() time.Duration {
 	pathTimes := make([]time.Duration, len(j.steps))
 	var longest time.Duration
@@ -130,7 +131,9 @@
 		for _, a := range s.spec.After {
 			pathTimes[i] = max(pathTimes[i], pathTimes[a])
 		}
-		pathTimes[i] += s.spec.Estimate
+		if !s.spec.LongRunning {
+			pathTimes[i] += s.spec.Estimate
+		}
 		longest = max(longest, pathTimes[i])
 	}
 	return time.Duration(max(1, j.spec.TargetSlowdown)*float64(longest)) + j.spec.TargetLatency
