internal/jobs: name hosts whose report is late at a release

A host that was lost less than 1.2 s before its owner stops in order was not known to be silent, so the row did not name it, and the next owner let all restored tasks wait for it from its own beginning.

The batch that releases the jobs names a ready host too whose last report is 0.7 s older than the newest one of any host; agents report every 500 ms. Comparing with the newest report and not with the time was chosen so that an owner whose loop is late, or which may not grant, does not name all hosts. A host that is named by mistake is used again after one urgent write of the next owner. Naming every host was ruled out: runs of all would depend on the store right after each planned restart.

--- a/internal/jobdaemon/listedruns_test.go
+++ b/internal/jobdaemon/listedruns_test.go
@@ -43,8 +43,15 @@
 }
 
 // Guards against a task of a sound host that waits, each time the owner changes, for hosts
-// that were removed one after another and on which it never ran.
+// that were removed one after another and on which it never ran. The loss of the last one
+// has been noticed or not when its owner stops in order.
 func TestTaskOfASoundHostDoesNotWaitForRemovedHosts(t *testing.T) {
+	for _, removedFor := range []time.Duration{2500 * time.Millisecond, time.Second} {
+		t.Run(removedFor.String(), func(t *testing.T) { testTaskOfASoundHost(t, removedFor) })
+	}
+}
+
+func testTaskOfASoundHost(t *testing.T, removedFor time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		shares := map[string]model.MilliCPU{"entry-0": 800, "entry-1": 400, "entry-2": 190}
 		s := newOwnerSite(t, 800, 400, 190)
@@ -53,8 +60,10 @@
 		s.submitLongRunning(5)
 		agents[0].Cancel()
 		s.advance(1400 * time.Millisecond)
-		agents[1].Cancel()
-		s.advance(2500 * time.Millisecond) // the entries notice it
+		for name := range s.entries {
+			s.net.CutBoth("agent-1", name)
+		}
+		s.advance(removedFor)
 		s.restartInTurn(shares)
 		failed := failRun(t, backends[2:])
 		s.restartInTurn(shares)
--- a/internal/jobs/endinglease.go
+++ b/internal/jobs/endinglease.go
@@ -78,10 +78,6 @@
 	return l.end, ok
 }
 
-// Release says that the next batches release the jobs. The owner extends no leases after
-// that on hosts that are not ready, so its row names each of them.
-func (c *Core) Release() { c.ending.releasing = true }
-
 // leasesEnding reports whether the owner's row should name the host: it is in the stored
 // list, has not been granted a lease for some time, and does not wait for one.
 func (h *host) leasesEnding() bool {
--- a/internal/jobs/listedruns.go
+++ b/internal/jobs/listedruns.go
@@ -13,6 +13,10 @@
 // by an agent that obeyed this owner then.
 const formerReportTime = 2 * time.Second
 
+// lateReport is by how much the last report of a host is older than that of another before
+// a release takes it for unlinked. Agents report every 500 ms.
+const lateReport = 700 * time.Millisecond
+
 // inheritedLease is what the row that was claimed says of a host.
 type inheritedLease struct {
 	workload.EndingLease
@@ -65,6 +69,25 @@
 	return l
 }
 
+// Release says that the next batches release the jobs. The owner extends no leases after
+// that on hosts that are not ready, so its row names each of them. So are hosts from now on
+// whose report is late, compared with the newest: their loss may not have been noticed yet.
+func (c *Core) Release() {
+	c.ending.releasing = true
+	var newest time.Duration
+	for _, h := range c.hostsByName {
+		if h.state == hostReady {
+			newest = max(newest, h.lastGrantAt)
+		}
+	}
+	for _, h := range c.hostsByName {
+		if h.state == hostReady && newest-h.lastGrantAt >= lateReport {
+			c.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "silent", Age: c.now - h.lastGrantAt})
+			h.step(evDown)
+		}
+	}
+}
+
 // allRunsKnown reports whether the runs that are charged to the host are all that may go on
 // there: it has answered, no former owner can have started one since, none belongs to a job
 // that is not known, and the ends that were applied are stored.
--- a/internal/jobs/listedruns_test.go
+++ b/internal/jobs/listedruns_test.go
@@ -250,3 +250,29 @@
 		}
 	}
 }
+
+// Guards against a host that was lost right before its owner stops in order: the next owner
+// would wait for it from its own beginning, with all restored tasks. A report that arrives
+// late extends no lease there.
+func TestReleaseNamesHostsWhoseReportIsLate(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.Recover(FormerOwnersEnded)
+	h.link(readyHost("a", 4000))
+	h.link(readyHost("b", 4000))
+	h.core.Submit(listedRunsSpec())
+	h.process()
+	h.storeBatch()
+	h.advance(time.Second)
+	grantedAt := h.now
+	h.noReports["a"] = true
+	h.advance(time.Second)
+	h.core.Release()
+	list := h.storeRow()
+	require.Len(t, list, 1)
+	require.Equal(t, workload.EndingLease{Host: "a", Remaining: LeaseExpiry - (h.now - grantedAt), Listed: true, Runs: []workload.RunID{h.startedOn("a")}}, list[0])
+	h.sent["a"] = nil
+	h.noReports["a"] = false
+	h.report()
+	h.process()
+	require.Empty(t, h.sent["a"])
+}
