internal/jobs: say that listed runs end the recovery of their host

The comments of Recover and endRecoveryIfComplete did not mention hosts whose runs the row lists. No code changes: go test -run 'Listed|LostHost' ./internal/jobs and ./internal/shape pass.

--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -111,7 +111,7 @@
 	return h.expected && !h.vacated && (h.state == hostSilent || h.state == hostClaiming)
 }
 
-// endRecoveryIfComplete lets all tasks start once every expected host has sent its inventory or certainly has no runs.
+// endRecoveryIfComplete lets all tasks start once no expected host delays the recovery.
 func (c *Core) endRecoveryIfComplete() {
 	if c.recoveryDeadline == 0 {
 		return
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -188,8 +188,9 @@
 const maxRecovery = LeaseExpiry + time.Second
 
 // Recover keeps the tasks of restored jobs from starting until every expected
-// host has sent its inventory or certainly has no runs, which is at most one
-// second after LeaseExpiry, counted from the time of FormerOwnersActUntil. If a former owner may still be active, this holds
+// host has sent its inventory, is inherited with a list of its runs, or certainly
+// has no runs, which is at most one second after LeaseExpiry, counted from the
+// time of FormerOwnersActUntil. The tasks of listed runs wait for their hosts. If a former owner may still be active, this holds
 // for all tasks, since it may have started tasks of jobs that were accepted
 // after the stored jobs were read. Jobs of this owner's epoch do not wait if the
 // former owners have ended or are fenced.
