--- a/charts/retry_test.go
+++ b/charts/retry_test.go
@@ -28,7 +28,7 @@
 	"ownership/standby late":        "at rest while another entry owns the jobs",
 	"permission/disputed confirmed": "nothing waits for its end: the owner acts in this state",
 	"run/stopping late":             "ends with the agent's report; without its link the leases expire",
-	"taskhost/claiming late":        "ends with the agent's inventory or its link; an agent that has never heard of its backend server sends none: review/8 in KNOWN-RED.txt",
+	"taskhost/claiming late":        "ends with the agent's inventory or its link; the runs are given up when their leases have ended, though the claim is repeated",
 	"taskhost/claiming up":          "as taskhost/claiming late; each is a new link of the agent",
 }
 
--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -16,7 +16,7 @@
 	TaskUnplaced            = define(913, log.InfoLevel, "task-waits", "no host can run a task at present", "the detail counts the hosts by reason")
 	TaskHostChanged         = define(914, log.InfoLevel, "task-host-changed", "the state of a host, as known to the owner of the jobs, changed", "nothing")
 	TaskSuspected           = define(915, log.WarnLevel, "task-suspected", "the owner of the jobs changed its view of whether a task crashes the backend servers that run it", "for rejected: correct the job, it has failed; crashes counts the crashes of which the task may be the cause, alone those of which only it can be")
-	TaskLeasesExpired       = define(916, log.WarnLevel, "task-leases-expired", "the owner of the jobs gave up the runs of a host that is not linked, because their leases have expired", "check the network between the entry and the host; age-ms is the time since the last grant, which this owner made (granted) or former owners may have made (assumed), unlinked-ms the time since the link ended")
+	TaskLeasesExpired       = define(916, log.WarnLevel, "task-leases-expired", "the owner of the jobs gave up the runs of a host, because their leases have expired", "check the network between the entry and the host; age-ms is the time since the last grant, which this owner made (granted) or former owners may have made (assumed, or inherited if the row of the former owner says when the leases end); unlinked-ms is the time since the link ended, 0 if the host is linked")
 	TaskHostWaits           = define(917, log.WarnLevel, "task-host-waits", "the owner of the jobs waits for long for the agent of a host", "for detail=inventory: the agent has not answered the claim, see bambooscale_agent_owner and bambooscale_agent_incarnation of the host; for detail=grant: no lease was granted to the runs for longer than it lasts; reason is the state of the host, age-ms the time since the claim or the last grant; each wait is logged once")
 	OwnershipStarted        = define(920, log.InfoLevel, "owner-began", "this entry became the owner of the jobs", "nothing; former-acts-ms is how long it expects the former owner to act, unless former-ended is true, linked the number of linked entries")
 	OwnershipEnded          = define(921, log.WarnLevel, "owner-ended", "this entry is no longer the owner of the jobs", "see the reason")
@@ -53,9 +53,8 @@
 	ConfigRequested         = define(955, log.InfoLevel, "config-requested", "this entry requested the operators' configuration from a peer, because its own read has not delivered it", "compare with event 954 if requests repeat")
 	ConfigWatchChanged      = define(956, log.InfoLevel, "config-watch-changed", "this entry began or ended to watch the table service for the operators' configuration for itself and others", "nothing")
 	ConfigOversized         = define(957, log.WarnLevel, "config-oversized", "the operators' configuration is larger than the table service returns at once; it is used, and the time until it is in force everywhere is not bounded", "remove what is not used, or use names that several queues share")
-	// The share of each run changes many times a second on a busy host. The lines displaced
-	// those about the state of the agent, so only the sum of the changes is logged at the
-	// level info.
+	// The share of each run changes many times a second on a busy host, so only the sum of
+	// the changes is logged at the level info.
 	AgentRunThrottled  = define(936, log.DebugLevel, "guard-run-paced", "the share of processor time allowed to a best-effort run was changed", "nothing")
 	AgentRunsThrottled = define(958, log.InfoLevel, "guard-runs-paced", "the shares of processor time allowed to the best-effort runs of a host were changed", "nothing; since the last such event: changes counts them, runs the runs, pace has the runs with the lowest shares in percent, and worst is the highest ratio of latency to target of a serving task")
 	// The level warn exempts the two events of a drain from the rate limit of the
