--- a/internal/jobs/startwait_test.go
+++ b/internal/jobs/startwait_test.go
@@ -258,3 +258,23 @@
 	}
 	require.True(t, h.ordered("lasting"), "the host has room")
 }
+
+// Guards against a long-running task that never finds room: its host is full of short
+// tasks that end one at a time, and each leaves room for another short one only.
+func TestShortTasksInTurnDelayNoLargerLongRunningTask(t *testing.T) {
+	h := newHarness(t, 1)
+	h.link(readyHost("a", 4000))
+	h.core.Submit(newSpec("short", newStep(100, 1000)))
+	h.process()
+	h.core.Submit(lastingSpec("lasting", 2000))
+	ended := 0
+	for i := range int(maxStartWait / (100 * time.Millisecond)) {
+		h.advance(100 * time.Millisecond)
+		if runs := h.core.hosts["a"].sortedRuns(); i%5 == 0 && len(runs) > 0 && runs[0].id.Task.Job == "short" {
+			ended++
+			h.reportEnd(runs[0].id, workload.EndDone, "")
+		}
+	}
+	t.Logf("%d short tasks have ended", ended)
+	require.True(t, h.ordered("lasting"), "the host could have kept the room of two of them")
+}
