internal/jobs: keep room for overdue long-running tasks

Callers see long-running tasks that do not start though hosts have enough room again and again: short tasks end one at a time, and what each leaves is taken by the next one.

While a long-running task is overdue (1 s) and no host can run it, the host that is expected to have room first starts no tasks that end, for 3 s at most, and then not for 3 s. With the hosts for isolated tasks these are a quarter of the hosts at most; a host that could not run the task even without the runs that end is not kept free. Hosts are searched every 200 ms, for 16 requirements at most, in turn, and not during a recovery. The reference planner states for which tasks a host is kept free by itself and shares the choice of the host.

TestShortTasksInTurnDelayNoLargerLongRunningTask failed before (not ordered in 6 s) and passes; the comparisons with the reference pass 3,000 checks.

--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -78,22 +78,25 @@
 	now    time.Duration
 	wallMS int64 // Unix milliseconds, for rows
 
-	hosts        map[workload.HostName]*host
-	jobs         map[workload.JobID]*job
-	runStates    RunStates
-	cancelled    map[workload.JobID]struct{} // jobs that were cancelled and are not known yet
-	early        map[workload.RunID]earlyRun // of jobs that are not known yet
-	heldEnds     map[*task][]heldEnd         // ends that are not acknowledged yet
-	due          duetime.Queue[timed]
-	waiting      waiting   // tasks that may start
-	suspects     suspects  // tasks that may start apart from others
-	nextSuspect  *task     // with which the next pass begins, if the last one left it out
-	reserved     []*host   // for isolated tasks that wait
-	overdueFirst bool      // the next pass places overdue tasks first
-	planNeeded   bool      // something changed that may let a task start
-	pass         PassStats // of the last planning pass
-	viewLimit    int       // views of the pass at which placements end
-	orders       orderRate
+	hosts          map[workload.HostName]*host
+	jobs           map[workload.JobID]*job
+	runStates      RunStates
+	cancelled      map[workload.JobID]struct{} // jobs that were cancelled and are not known yet
+	early          map[workload.RunID]earlyRun // of jobs that are not known yet
+	heldEnds       map[*task][]heldEnd         // ends that are not acknowledged yet
+	due            duetime.Queue[timed]
+	waiting        waiting       // tasks that may start
+	suspects       suspects      // tasks that may start apart from others
+	nextSuspect    *task         // with which the next pass begins, if the last one left it out
+	reserved       []*host       // for isolated tasks that wait
+	roomHosts      []*host       // kept free for overdue long-running tasks
+	roomSearchedAt time.Duration // when hosts to keep free were searched last
+	roomCursor     int           // of the first long-running task for which a host is searched next
+	overdueFirst   bool          // the next pass places overdue tasks first
+	planNeeded     bool          // something changed that may let a task start
+	pass           PassStats     // of the last planning pass
+	viewLimit      int           // views of the pass at which placements end
+	orders         orderRate
 
 	hostsByName  []*host    // ordered by name, so that equal inputs give equal plans
 	improved     *list.List // of *host, the last improved first
@@ -213,7 +216,7 @@
 	if len(c.throttled) > 0 && c.now-c.movesExaminedAt >= minMoveInterval {
 		c.movesDue, c.planNeeded = true, true
 	}
-	if len(c.reserved) > 0 {
+	if len(c.reserved) > 0 || c.waiting.lastingTasks > 0 || len(c.roomHosts) > 0 {
 		c.planNeeded = true
 	}
 	if c.waiting.speedMatters {
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -76,6 +76,7 @@
 	heldUntil            time.Duration // when holds became lower last; 0: never
 	reservedSince        time.Duration // for an isolated task; 0: not reserved
 	reservations         reservations
+	room                 roomReservation
 	runsByStep           map[*step]int
 	servingByImage       map[string]int
 	servingByGroup       map[servingGroup]int
--- a/internal/jobs/isolation.go
+++ b/internal/jobs/isolation.go
@@ -164,7 +164,7 @@
 func (c *Core) hostToReserve(t *task) *host {
 	var best *host
 	for _, h := range c.hostsByName {
-		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 || h.reservations.pausedUntil != 0 {
+		if h.unproven > 0 || h.reservedSince != 0 || h.holds > 0 || h.reservations.pausedUntil != 0 || h.room.task != nil {
 			continue
 		}
 		if !h.suitsApart(t) {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -54,6 +54,7 @@
 	}
 	c.planNeeded = false
 	c.pass, c.viewLimit = PassStats{}, maxPassViews
+	c.dropRoomReservations()
 	if c.orders.overdueDue() || c.overdueFirst {
 		c.overdueFirst = false
 		c.placeOverdue()
@@ -67,6 +68,7 @@
 		c.movesDue, c.movesExaminedAt = false, c.now
 		c.moveThrottled()
 	}
+	c.reserveRoom()
 	c.flushHosts()
 	c.pass.Waiting = c.waiting.tasks + len(c.suspects)
 	return true
@@ -96,7 +98,7 @@
 func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.acceptsStarts() && h.holds == 0 && !h.reservedAgainst(s), Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
+		Info: &h.info, Reachable: h.acceptsStarts() && h.holds == 0 && !h.reservedAgainst(s) && !h.keptFreeFor(s), Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
 		Suspect: h.suspect() || h.unproven > 0, Failing: h.failing(),
 	}
 	// Only some steps need the counts that cost a look-up.
--- a/internal/jobs/reference_test.go
+++ b/internal/jobs/reference_test.go
@@ -14,12 +14,14 @@
 // planByReference plans without any record of earlier passes: it examines every
 // host for every ready task, and counts the runs on each host.
 func planByReference(c *Core) {
+	c.dropRoomReservations()
 	if c.overdueFirst {
 		c.overdueFirst = false
 		placeByReference(c, overdueByReference(c))
 	}
 	placeSuspectsByReference(c)
 	placeByReference(c, readyByReference(c))
+	reserveRoomByReference(c)
 	for _, h := range c.hostsByName {
 		h.flush()
 	}
@@ -50,6 +52,28 @@
 	}
 }
 
+// reserveRoomByReference keeps a host free for each long-running task that has waited for a
+// second and that no host can run.
+func reserveRoomByReference(c *Core) {
+	if c.recoveryDeadline != 0 || c.now-c.roomSearchedAt < roomInterval {
+		return
+	}
+	for _, t := range readyByReference(c) {
+		if !t.step.spec.LongRunning || t.suspicion != taskTrusted {
+			continue
+		}
+		c.roomSearchedAt = c.now
+		if c.now < t.readySince+time.Second {
+			continue
+		}
+		kept := slices.ContainsFunc(c.hostsByName, func(h *host) bool { return h.room.task == t })
+		if h := c.hostToKeepFree(t); !kept && h != nil && len(c.roomHosts) < c.isolationLimit() {
+			h.room = roomReservation{task: t, since: c.now}
+			c.roomHosts = append(c.roomHosts, h)
+		}
+	}
+}
+
 // unprovenByReference returns the number of runs on the host that may show that
 // their task crashes backend servers.
 func unprovenByReference(h *host) int {
@@ -153,6 +177,9 @@
 		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.core.hostList.stored[h.info.Name],
 		Free: h.info.Capacity, Suspect: h.suspect() || unprovenByReference(h) > 0, Failing: h.failing(), Avoided: t.failedHosts[h.info.Name], BestEffortHeadroom: math.Inf(1),
 	}
+	if h.room.task != nil && !t.step.spec.LongRunning {
+		v.Reachable = false
+	}
 	for _, r := range h.runs {
 		spec := r.task.step.spec
 		v.Free = v.Free.Sub(spec.Charge())
--- a/internal/jobs/waiting.go
+++ b/internal/jobs/waiting.go
@@ -14,6 +14,8 @@
 	groups map[requirement]*group
 	order  []*group // ordered by their most urgent step
 	tasks  int
+	// lastingTasks is the number of those that are long-running.
+	lastingTasks int
 
 	bestEffortReadyAt time.Duration // when a best-effort task became ready last
 	speedMatters      bool          // a task may wait for a host of good speed, or did at the last tick
@@ -147,6 +149,9 @@
 		w.bestEffortReadyAt, w.speedMatters = t.readySince, true
 	}
 	w.tasks++
+	if s.spec.LongRunning {
+		w.lastingTasks++
+	}
 }
 
 // addStep adds a step to its group.
@@ -171,6 +176,9 @@
 	s := t.step
 	t.ready = false
 	w.tasks--
+	if s.spec.LongRunning {
+		w.lastingTasks--
+	}
 	if !t.unplacedLogged {
 		s.countLogged()
 	}
--- a/internal/shape/waits_test.go
+++ b/internal/shape/waits_test.go
@@ -46,6 +46,8 @@
 	{"jobs.host.stops", "the next planning pass; without a link the next inventory", "as the run, which ends with its lease"},
 	{"jobs.host.holds", "each run of an isolated task survives or ends; the next isolated task may take the host at once", "3 s (maxSurvivalTime); an overdue task that fits has a turn between two of them"},
 	{"jobs.host.reservedSince", "as Core.reserved", "as Core.reserved"},
+	{"jobs.roomReservation.task", "the long-running task starts or waits no more; else the reservation ends", "3 s (maxRoomReservation)"},
+	{"jobs.roomReservation.pausedUntil", "the time passes, and another host may be kept free meanwhile", "3 s (roomReservationPause)"},
 	{"jobs.reservations.pausedUntil", "the time passes, and isolated tasks are placed again", "3 s after a reservation that no task could use, 0.5 s between isolated tasks"},
 	{"jobs.host.pausedUntil", "refusalPause; each refused start begins it anew", "100 ms for each refused start"},
 	{"jobs.health.probationEnd", "a completed run, or probation; a failed run does not extend one that is in force", "3 s"},
