internal/jobs, hostagent: wait for the ends that a host has not listed

Cause: the new process sent an inventory of the first answer as if it were whole. applyLists knew that an answer with 500 ends may not be the last, but only for runs that the process itself remembered.

Change: until the agent has seen the last ends, its inventories say that more follow. The owner keeps such a host in the new state "listing": leases are extended, ends are applied, runs that are not listed stay charged, nothing starts there, and the recovery of a new owner waits for it.

--- a/internal/hostagent/core.go
+++ b/internal/hostagent/core.go
@@ -139,6 +139,10 @@
 	unacknowledged []msg.RunEnd       // ends that the owner has not acknowledged
 	lastEnd        uint64             // number of the last end received
 	acknowledged   uint64             // number of the last end that the owner has stored
+	// allListed is set when a poll response of the present incarnation has shown its last
+	// ends. Until then the incarnation may have ended runs of former processes of the agent
+	// that the agent does not know.
+	allListed bool
 
 	clock              clock
 	polled             bool          // this incarnation has answered a poll
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -154,7 +154,7 @@
 // resetIncarnation discards what belongs to the former incarnation.
 func (c *Core) resetIncarnation() {
 	c.polled, c.polledMS, c.polledAt, c.pollIgnored, c.answersSlowly, c.failedPolls = false, 0, 0, false, false, 0
-	c.lastEnd, c.acknowledged, c.unacknowledged = 0, 0, nil
+	c.lastEnd, c.acknowledged, c.unacknowledged, c.allListed = 0, 0, nil, false
 	c.clock, c.leaseEndMS, c.sentLeaseMS, c.formerLeaseMS, c.connectionRefusals = clock{receivedAt: c.now}, 0, 0, 0, 0
 	c.changed = msg.RunsChanged{}
 	c.discardInventory()
@@ -231,6 +231,7 @@
 }
 
 func (c *Core) removeRuns() {
+	c.allListed = false
 	for _, r := range c.sorted() {
 		r.step(evIncarnationEnded)
 	}
--- a/internal/hostagent/owner.go
+++ b/internal/hostagent/owner.go
@@ -139,7 +139,8 @@
 	c.inventorySent = true
 	c.inventories++
 	c.changed = msg.RunsChanged{}
-	m := &msg.HostInventory{Epoch: c.epoch, Number: c.inventories, Host: c.host, ClockMS: c.clock.lowerBound(c.now), Ended: append([]msg.RunEnd(nil), c.unacknowledged...)}
+	m := &msg.HostInventory{Epoch: c.epoch, Number: c.inventories, Host: c.host, ClockMS: c.clock.lowerBound(c.now), Ended: append([]msg.RunEnd(nil), c.unacknowledged...),
+		MoreEnds: c.incarnation.state == incarnationPresent && !c.allListed}
 	for _, r := range c.sorted() {
 		m.Runs = append(m.Runs, r.status())
 	}
--- a/internal/hostagent/poll.go
+++ b/internal/hostagent/poll.go
@@ -108,11 +108,13 @@
 	if c.silent() {
 		return false // the next announcement makes the host available again
 	}
+	listedBefore := c.allListed
 	c.applyLists(target, response)
-	if !c.polled {
-		c.polled = true
-		c.sendInventory()
+	if c.allListed && !listedBefore {
+		c.discardInventory() // it said that more ends follow
 	}
+	c.polled = true
+	c.sendInventory()
 	c.throttle()
 	c.report()
 	return true
@@ -127,6 +129,7 @@
 		c.applyStatus(s)
 	}
 	complete := len(response.Ended) < maxEndsPerPoll
+	c.allListed = c.allListed || complete
 	for _, r := range c.sorted() {
 		if complete && !running[r.id] && r.expectedIn(target, response) {
 			r.step(evUnlisted)
--- a/internal/jobdaemon/agentrestart_test.go
+++ b/internal/jobdaemon/agentrestart_test.go
@@ -20,6 +20,7 @@
 func (s *ownerSite) startAgent(i int, b *memoryBackend) *actor.Group {
 	name := fmt.Sprintf("agent-%d", i)
 	g := s.group.Sub()
+	b.agentGroup = g
 	var entries []string
 	for entry := range s.entries {
 		entries = append(entries, entry)
@@ -40,7 +41,7 @@
 	var backends []*memoryBackend
 	var agents []*actor.Group
 	for i := range 3 {
-		b := &memoryBackend{instance: workload.Instance(fmt.Sprintf("i-agent-%d", i)), startedAt: time.Now(), runs: map[workload.RunID]bool{}, events: make(eventRecorder, 10_000)}
+		b := newMemoryBackend(i)
 		agents = append(agents, s.startAgent(i, b))
 		backends = append(backends, b)
 	}
--- a/internal/jobdaemon/lostbackend_test.go
+++ b/internal/jobdaemon/lostbackend_test.go
@@ -24,7 +24,7 @@
 	var backends []*memoryBackend
 	var agents []*actor.Group
 	for i := range count {
-		b := &memoryBackend{instance: workload.Instance(fmt.Sprintf("i-agent-%d", i)), startedAt: time.Now(), runs: map[workload.RunID]bool{}, events: make(eventRecorder, 10_000)}
+		b := newMemoryBackend(i)
 		agents = append(agents, s.startAgent(i, b))
 		backends = append(backends, b)
 	}
--- a/internal/jobdaemon/memorybackend_test.go
+++ b/internal/jobdaemon/memorybackend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -24,11 +25,19 @@
 	ends       []msg.RunEnd
 	lastEnd    uint64
 	agent      *agent
+	agentGroup *actor.Group  // of the agent, if startAgent has started it
 	events     eventRecorder // log of the agent
 	panics     actor.Flag    // polls panic
 	trouble    actor.Value[backendTrouble]
 }
 
+// newMemoryBackend returns the backend server beside agent-i.
+func newMemoryBackend(i int) *memoryBackend {
+	return &memoryBackend{
+		instance: workload.Instance(fmt.Sprintf("i-agent-%d", i)), startedAt: time.Now(), runs: map[workload.RunID]bool{}, events: make(eventRecorder, 10_000),
+	}
+}
+
 // backendTrouble is called before each call is carried out. An error is the answer of the
 // call, which is not carried out.
 type backendTrouble func(ctx context.Context) error
@@ -114,7 +123,7 @@
 	response := runner.PollResponse{StartedAtMS: b.startedAt.UnixMilli()}
 	clock, err := b.call(t, p.LeaseMS, func() error {
 		b.ends = slices.DeleteFunc(b.ends, func(e msg.RunEnd) bool { return e.Number <= p.Acknowledged })
-		response.Ended = slices.Clone(b.ends)
+		response.Ended = slices.Clone(b.ends[:min(len(b.ends), endsPerAnswer)])
 		for id := range b.runs {
 			response.Runs = append(response.Runs, msg.RunStatus{Run: id, CPULimitPercent: 100})
 		}
--- a/internal/jobdaemon/rulebackend_test.go
+++ b/internal/jobdaemon/rulebackend_test.go
@@ -260,7 +260,7 @@
 			}
 		}
 		b.ends = slices.DeleteFunc(b.ends, func(e msg.RunEnd) bool { return e.Number <= p.Acknowledged })
-		response.Ended = slices.Clone(b.ends)
+		response.Ended = slices.Clone(b.ends[:min(len(b.ends), endsPerAnswer)])
 		for id := range b.running {
 			response.Runs = append(response.Runs, msg.RunStatus{Run: id, CPULimitPercent: 100})
 		}
--- a/internal/jobdaemon/statusmetrics.go
+++ b/internal/jobdaemon/statusmetrics.go
@@ -36,7 +36,7 @@
 	m.gauge("oldest_grant_seconds", s.jobs.OldestGrant.Seconds())
 	m.gauge("silent_hosts", float64(s.jobs.Hosts.Silent))
 	m.gauges("hosts", map[string]int{
-		"ready": s.jobs.Hosts.Ready, "claiming": s.jobs.Hosts.Claiming, "silent": s.jobs.Hosts.Silent, "away": s.jobs.Hosts.Away,
+		"ready": s.jobs.Hosts.Ready, "listing": s.jobs.Hosts.Listing, "claiming": s.jobs.Hosts.Claiming, "silent": s.jobs.Hosts.Silent, "away": s.jobs.Hosts.Away,
 	})
 	m.gauges("runs", map[string]int{"ordered": s.jobs.Runs.Ordered, "running": s.jobs.Runs.Running, "stopping": s.jobs.Runs.Stopping})
 }
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -198,10 +198,7 @@
 func (c *Core) Tick() {
 	c.expireDue()
 	c.contention.DropIdleGroups(c.now)
-	if c.recoveryDeadline != 0 && c.certainlyPassed(c.recoveryDeadline) {
-		c.recoveryDeadline = 0
-		c.planNeeded = true
-	}
+	c.endRecoveryInTime()
 	if c.orders.refill(c.now) {
 		c.planNeeded = true
 	}
--- a/internal/jobs/endinglease.go
+++ b/internal/jobs/endinglease.go
@@ -36,7 +36,7 @@
 	listed     map[workload.JobID][]listedRun       // in the row that was claimed
 	stored     map[workload.HostName]time.Duration  // remaining times in the row
 	sent       map[workload.HostName]struct{}       // names in writes whose outcome is not known
-	unanswered map[*host]struct{}                   // hosts that are not in the state ready
+	unanswered map[*host]struct{}                   // hosts that are not linked or have not answered the claim
 	due        bool                                 // the row should be rewritten
 	urgent     bool                                 // a host waits for it
 	row        string                               // the list in the row
@@ -82,7 +82,7 @@
 // list, has not been granted a lease for some time, and does not wait for one.
 func (h *host) leasesEnding() bool {
 	c := h.core
-	if !h.stored || h.state == hostReady {
+	if !h.stored || h.answered() {
 		return false
 	}
 	if c.ending.releasing {
@@ -133,7 +133,7 @@
 // While the row is about to be rewritten it is 0: then it is determined again.
 func (h *host) rowCheckAt() time.Duration {
 	c := h.core
-	if h.state == hostReady || c.ending.due || c.pendingBatch != nil {
+	if h.answered() || c.ending.due || c.pendingBatch != nil {
 		return 0
 	}
 	stored, named := c.ending.stored[h.info.Name]
--- a/internal/jobs/host.go
+++ b/internal/jobs/host.go
@@ -18,6 +18,7 @@
 	hostClaiming
 	hostReady
 	hostSilent
+	hostListing
 )
 
 // Events of charts/taskhost.scxml, in the order of HostBinding.
@@ -41,14 +42,17 @@
 func HostBinding() chart.Binding[host] {
 	return chart.Binding[host]{
 		Chart:  "taskhost",
-		States: []string{"away", "claiming", "ready", "silent"},
+		States: []string{"away", "claiming", "ready", "silent", "listing"},
 		Events: []string{"up", "down", "inventory", "lapse", "late", "expect"},
 		Actions: map[string]func(*host){
 			"sendClaim": (*host).sendClaim,
 			"adopt":     (*host).adopt,
 			"loseRuns":  (*host).loseRuns,
 		},
-		Guards: map[string]func(*host) bool{"leasesPassed": (*host).leasesPassed},
+		Guards: map[string]func(*host) bool{
+			"leasesPassed": (*host).leasesPassed,
+			"moreEnds":     func(h *host) bool { return h.inventory.MoreEnds },
+		},
 		Delays: map[string]time.Duration{"claimRetry": claimRetry, "leaseExpiry": LeaseExpiry},
 	}
 }
@@ -93,6 +97,7 @@
 	expected             bool          // runs of an earlier owner may go on there
 	soughtAt             time.Duration // when its agent was linked, or sent an inventory
 	adopted              bool          // it has answered this owner
+	endsMissing          bool          // its agent has not listed all ends yet, so runs that it does not list may have ended
 	vacated              bool          // it certainly has no runs: none was expected, or the leases have ended since it answered last
 	lastMoveAt           time.Duration // when a best-effort run was last moved to the host; 0: never
 	idleSince            time.Duration // when all runs on the host had certainly ended
@@ -132,7 +137,7 @@
 func (h *host) step(e chart.Event) {
 	before := h.state
 	hostChart.Step(h, &h.state, e)
-	if h.state == hostReady {
+	if h.answered() {
 		delete(h.core.ending.unanswered, h)
 	} else {
 		h.core.ending.unanswered[h] = struct{}{}
@@ -147,6 +152,10 @@
 	h.schedule()
 }
 
+// answered reports whether the agent is linked and has answered the claim, so that the
+// leases of the host are extended.
+func (h *host) answered() bool { return h.state == hostReady || h.state == hostListing }
+
 // improve records that tasks may fit on the host which did not fit before. A
 // change that can only exclude tasks, such as a charge, is not recorded.
 func (h *host) improve() {
@@ -245,7 +254,7 @@
 
 // loseRuns ends the runs of a host on which they have certainly ended.
 func (h *host) loseRuns() {
-	h.vacated = true
+	h.vacated, h.endsMissing = true, false
 	h.idleSince = h.core.now
 	h.logExpiredLeases()
 	h.dropEarlyRuns()
--- a/internal/jobs/hostlist.go
+++ b/internal/jobs/hostlist.go
@@ -28,7 +28,7 @@
 // mayLeaveList reports whether the host has no runs and gets none at present. Those of a
 // former owner are known once the host has answered.
 func (h *host) mayLeaveList() bool {
-	if len(h.runs) > 0 || h.state == hostSilent || !h.vacated && !h.adopted {
+	if len(h.runs) > 0 || h.state == hostSilent || h.endsMissing || !h.vacated && !h.adopted {
 		return false
 	}
 	return h.info.Instance == "" || h.info.State == workload.HostUnavailable || h.state == hostUnavailable
@@ -103,12 +103,28 @@
 }
 
 // delaysRecovery reports whether runs of a former owner that are not known may go on at
-// the host. Those that the row lists are known.
+// the host, or have ended there. Those that the row lists are known.
 func (h *host) delaysRecovery() bool {
 	if l, ok := h.inheritedLease(); ok && l.Listed {
 		return false
 	}
-	return h.expected && !h.vacated && (h.state == hostSilent || h.state == hostClaiming)
+	return h.expected && !h.vacated && (h.endsMissing || h.state == hostSilent || h.state == hostClaiming)
+}
+
+// endRecoveryInTime lets all tasks start when the leases of former owners have ended. A
+// host whose leases this owner extends before it has listed all ends delays the recovery
+// further: its agent lists them, or the leases end there too.
+func (c *Core) endRecoveryInTime() {
+	if c.recoveryDeadline == 0 || !c.certainlyPassed(c.recoveryDeadline) {
+		return
+	}
+	for _, h := range c.hostsByName {
+		if h.endsMissing && h.delaysRecovery() {
+			return
+		}
+	}
+	c.recoveryDeadline = 0
+	c.planNeeded = true
 }
 
 // endRecoveryIfComplete lets all tasks start once no expected host delays the recovery.
--- a/internal/jobs/hosttimeout.go
+++ b/internal/jobs/hosttimeout.go
@@ -14,7 +14,7 @@
 // its leases end. A claim is sent again before that time too.
 func (h *host) updateTimeout() {
 	switch {
-	case h.state == hostSilent || h.state == hostReady:
+	case h.state == hostSilent || h.answered():
 		h.timeoutAt = h.leaseEnd()
 	case h.state == hostClaiming && h.vacated:
 		h.timeoutAt = h.claimDueAt
@@ -30,13 +30,13 @@
 	h.dueAt = 0
 	switch {
 	case h.timeoutAt == 0 || h.core.now < h.timeoutAt:
-	case h.state == hostReady && h.core.now < h.leaseEnd():
+	case h.answered() && h.core.now < h.leaseEnd():
 		h.updateTimeout() // to the end of a later grant
 	case h.state == hostReady && len(h.runs) == 0:
 		h.timeoutAt = h.core.now + LeaseExpiry
-	case (h.state == hostSilent || h.state == hostReady) && h.core.certainlyPassed(h.leaseEnd()):
+	case (h.state == hostSilent || h.answered()) && h.core.certainlyPassed(h.leaseEnd()):
 		h.step(evLeaseExpired)
-	case h.state == hostReady:
+	case h.answered():
 		h.timeoutAt = h.core.now + linkedReplacementCheck
 	case h.state == hostClaiming && (h.core.now >= h.claimDueAt || h.leasesPassed()):
 		h.step(evClaimTimeout)
@@ -54,7 +54,7 @@
 // moved only when half of the time has passed, since agents report often.
 func (h *host) granted() {
 	h.lastGrantAt = h.core.now
-	if h.state == hostReady && h.timeoutAt-h.core.now < LeaseExpiry/2 {
+	if h.answered() && h.timeoutAt-h.core.now < LeaseExpiry/2 {
 		h.restartTimeout()
 		h.schedule()
 	}
--- a/internal/jobs/inventory.go
+++ b/internal/jobs/inventory.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if c.leasesBarred {
-		if h.state == hostReady {
+		if h.answered() {
 			h.step(evUp)
 		}
 		return
@@ -39,10 +39,11 @@
 }
 
 // adopt reconciles the runs that are charged to the host with the agent's
-// inventory.
+// inventory. While the agent has not listed all ends, a run that it does not list may
+// have ended, and stays charged.
 func (h *host) adopt() {
 	m := h.inventory
-	h.adopted, h.vacated = true, false
+	h.adopted, h.vacated, h.endsMissing = true, false, m.MoreEnds
 	h.dropEarlyRuns()
 	h.core.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "taken"})
 	listed := map[workload.RunID]bool{}
@@ -56,12 +57,9 @@
 	for _, e := range m.Ended {
 		listed[e.Run] = true
 	}
-	for _, r := range h.sortedRuns() {
-		if !listed[r.id] {
-			r.lose(h.unlistedCause())
-		}
+	if !m.MoreEnds {
+		h.loseUnlisted(listed)
 	}
-	h.endCause = ""
 	if len(m.Runs) == 0 {
 		h.idleSince = h.core.now
 	}
@@ -82,6 +80,16 @@
 	}
 }
 
+// loseUnlisted ends the runs that are not listed by the agent.
+func (h *host) loseUnlisted(listed map[workload.RunID]bool) {
+	for _, r := range h.sortedRuns() {
+		if !listed[r.id] {
+			r.lose(h.unlistedCause())
+		}
+	}
+	h.endCause = ""
+}
+
 // adoptRun charges a run of an inventory to the host. If the run belongs to no
 // known task, it stops the run and returns nil.
 func (h *host) adoptRun(s msg.RunStatus) *run {
--- a/internal/jobs/listedruns.go
+++ b/internal/jobs/listedruns.go
@@ -76,12 +76,12 @@
 	c.ending.releasing = true
 	var newest time.Duration
 	for _, h := range c.hostsByName {
-		if h.state == hostReady {
+		if h.answered() {
 			newest = max(newest, h.lastGrantAt)
 		}
 	}
 	for _, h := range c.hostsByName {
-		if h.state == hostReady && newest-h.lastGrantAt >= lateReport {
+		if h.answered() && newest-h.lastGrantAt >= lateReport {
 			c.addDecision(Decision{Kind: HostChanged, Host: h.info.Name, Detail: "silent", Age: c.now - h.lastGrantAt})
 			h.step(evDown)
 		}
@@ -89,11 +89,11 @@
 }
 
 // allRunsKnown reports whether the runs that are charged to the host are all that may go on
-// there: it has answered, no former owner can have started one since, none belongs to a job
+// there: it has answered with all ends, no former owner can have started one since, none belongs to a job
 // that is not known, and the ends that were applied are stored.
 func (h *host) allRunsKnown() bool {
 	c := h.core
-	if !h.adopted || h.endsAcknowledged < h.endsApplied {
+	if !h.adopted || h.endsMissing || h.endsAcknowledged < h.endsApplied {
 		return false
 	}
 	if c.formerOwners != FormerOwnersEnded && h.lastGrantAt < c.formerOwnersActUntil+formerReportTime {
--- a/internal/jobs/longwait.go
+++ b/internal/jobs/longwait.go
@@ -12,6 +12,7 @@
 const (
 	waitNone  waitKind = ""
 	waitClaim waitKind = "inventory" // the agent has not answered the claim
+	waitEnds  waitKind = "ends"      // the agent has not listed all ends
 	waitGrant waitKind = "grant"     // the lease of the runs was not granted for longer than it lasts
 )
 
@@ -32,8 +33,11 @@
 
 // longestWait returns the wait of the host that is long, and its time.
 func (h *host) longestWait() (waitKind, time.Duration) {
-	if age := h.core.now - h.stateSince; h.state == hostClaiming && age > longClaim {
+	switch age := h.core.now - h.stateSince; {
+	case h.state == hostClaiming && age > longClaim:
 		return waitClaim, age
+	case h.state == hostListing && age > longClaim:
+		return waitEnds, age
 	}
 	mayHaveRuns := len(h.runs) > 0 || h.state == hostSilent
 	if age := h.core.now - h.lastGrantAt; mayHaveRuns && age > LeaseExpiry {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -182,7 +182,7 @@
 
 // flush sends the queued requests to the agent.
 func (h *host) flush() {
-	if h.state != hostReady {
+	if !h.answered() {
 		h.stops = nil // sent again after the next inventory
 		return
 	}
--- a/internal/jobs/reports.go
+++ b/internal/jobs/reports.go
@@ -12,7 +12,7 @@
 // inventory of the host is missing.
 func (c *Core) RunsChanged(name workload.HostName, m *msg.RunsChanged) {
 	h, ok := c.hosts[name]
-	if !ok || m.Epoch != c.epoch || h.state != hostReady || m.Instance != h.info.Instance || m.StartedAtMS != h.info.StartedAtMS {
+	if !ok || m.Epoch != c.epoch || !h.answered() || m.Instance != h.info.Instance || m.StartedAtMS != h.info.StartedAtMS {
 		return
 	}
 	for _, id := range m.Started {
@@ -59,7 +59,7 @@
 // of the host is missing.
 func (c *Core) RunsProgress(name workload.HostName, m *msg.RunsProgress) {
 	h, ok := c.hosts[name]
-	if !ok || m.Epoch != c.epoch || h.state != hostReady || m.Instance != h.info.Instance || m.StartedAtMS != h.info.StartedAtMS {
+	if !ok || m.Epoch != c.epoch || !h.answered() || m.Instance != h.info.Instance || m.StartedAtMS != h.info.StartedAtMS {
 		return
 	}
 	if !c.leasesBarred {
--- a/internal/jobs/status.go
+++ b/internal/jobs/status.go
@@ -15,7 +15,7 @@
 }
 
 // HostStates is the number of hosts by state.
-type HostStates struct{ Ready, Claiming, Silent, Away int }
+type HostStates struct{ Ready, Listing, Claiming, Silent, Away int }
 
 // RunStates is the number of runs by state.
 type RunStates struct{ Ordered, Running, Stopping int }
@@ -44,6 +44,8 @@
 	switch h.state {
 	case hostReady:
 		s.Ready++
+	case hostListing:
+		s.Listing++
 	case hostClaiming:
 		s.Claiming++
 	case hostSilent:
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -76,7 +76,10 @@
 }
 
 // HostInventory answers OwnerClaim with the state of the agent's host and all
-// its runs.
+// its runs. The backend server lists a limited number of ends in an answer, and the next
+// ones after the first are acknowledged. While the agent has not seen the last ones
+// MoreEnds is set: a run that the inventory does not list may have ended, and a complete
+// inventory follows.
 type HostInventory struct {
 	Epoch   uint64
 	Number  uint64 // of the inventory, rising across processes of the agent; 0: the agent does not number them
@@ -84,6 +87,8 @@
 	ClockMS int64 // clock of the backend server when the message was sent
 	Runs    []RunStatus
 	Ended   []RunEnd
+
+	MoreEnds bool
 }
 
 // RunSize describes the resources of a run, for the agent that runs it.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -31,7 +31,7 @@
 	case *msg.HostInventory:
 		p.Kind = &pb.Control_HostInventory{HostInventory: &pb.HostInventory{
 			Epoch: m.Epoch, Number: m.Number, Host: hostToProto(m.Host), ClockMs: m.ClockMS,
-			Runs: mapSlice(m.Runs, runStatusToProto), Ends: mapSlice(m.Ended, runEndToProto),
+			Runs: mapSlice(m.Runs, runStatusToProto), Ends: mapSlice(m.Ended, runEndToProto), MoreEnds: m.MoreEnds,
 		}}
 	case *msg.InventoryAccepted:
 		p.Kind = &pb.Control_InventoryTaken{InventoryTaken: &pb.InventoryTaken{
@@ -246,6 +246,7 @@
 	ended, err := runEndsFromProto(p.GetEnds())
 	return &msg.HostInventory{
 		Epoch: p.GetEpoch(), Number: p.GetNumber(), Host: host, ClockMS: p.GetClockMs(), Runs: mapSlice(p.GetRuns(), runStatusFromProto), Ended: ended,
+		MoreEnds: p.GetMoreEnds(),
 	}, err
 }
 
