internal/wire: bound the row of interference coefficients by its bytes

One of two causes: the row of the coefficients was bounded by a count, 1,000 pairs of images, and with names of 115 letters the 480 pairs of 16 and 30 images had 118 KB. The table service takes 64 KB and refused each batch that contained the row.

The largest coefficients come first.

TestRowOfCoefficientsOfLongNamesIsBounded failed before (118,080 bytes, 49,152 allowed).

--- a/internal/jobdaemon/progressrows_test.go
+++ b/internal/jobdaemon/progressrows_test.go
@@ -1,11 +1,14 @@
 package jobdaemon
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/bambooscale/bambooscale/internal/jobs"
+	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/table"
 	"github.com/bambooscale/bambooscale/internal/wire"
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -60,3 +63,29 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(raw), tasks*estimate)
 }
+
+// storeRowBytes is the largest value of a row whose encoding in base64 has 64 KB.
+const storeRowBytes = 48 << 10
+
+// Guards against a batch that the table service refuses because the row of the
+// interference coefficients is bounded by their number: with names of 115 letters, those of
+// 16 and 30 images had 118 KB.
+func TestRowOfCoefficientsOfLongNamesIsBounded(t *testing.T) {
+	c := &controller{writer: writer{owner: workload.Owner{Name: "a", Epoch: 1}, version: 1}}
+	batch := &jobs.Batch{}
+	for s := range 16 {
+		for b := range 30 {
+			batch.Interference = append(batch.Interference, msg.Interference{
+				ServingImage: fmt.Sprintf("serving-%02d%s", s, strings.Repeat("s", 105)), BestEffortImage: fmt.Sprintf("batch-%02d%s", b, strings.Repeat("b", 107)), Coefficient: 1,
+			})
+		}
+	}
+	txn, err := c.batchTxn(c.writer.owner, batch)
+	require.NoError(t, err)
+	for _, put := range txn.Puts {
+		require.LessOrEqual(t, len(put.Value), storeRowBytes, put.Key)
+	}
+	state := &storedState{}
+	require.NoError(t, state.addRow(table.Row{Key: interferenceKey, Value: txn.Puts[len(txn.Puts)-1].Value}))
+	require.Len(t, state.interference, len(batch.Interference))
+}
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -160,7 +160,7 @@
 		txn.Deletes = append(txn.Deletes, progressKey(id))
 	}
 	if b.Interference != nil {
-		value, err := wire.EncodeInterference(b.Interference)
+		value, _, err := wire.EncodeInterference(b.Interference, jobs.MaxRowBytes)
 		if err != nil {
 			return txn, err
 		}
--- a/internal/jobs/attempts.go
+++ b/internal/jobs/attempts.go
@@ -7,12 +7,15 @@
 )
 
 const (
+	// MaxRowBytes bounds the value of a row, in bytes. It has 64 KB in base64, which is as
+	// much as the table service accepts.
+	MaxRowBytes = 48 << 10
 	// tasksPerPart is the number of tasks whose attempts are stored in one row. A job
 	// of no more tasks has them in its progress row, a larger one in rows of their own.
 	tasksPerPart = 256
 	// maxRowCheckpoints bounds the checkpoints in a row, in bytes. With the other
-	// figures of tasksPerPart tasks, 106 bytes each at most, a row stays below 48 KB,
-	// which is 64 KB in base64. A task whose checkpoint is not stored may lose its
+	// figures of tasksPerPart tasks, 106 bytes each at most, a row stays below
+	// MaxRowBytes. A task whose checkpoint is not stored may lose its
 	// progress when the owner changes.
 	maxRowCheckpoints = 20 << 10
 	// maxJobParts bounds the rows of attempts of one job in a batch, so that a large job
--- a/internal/jobs/attempts_test.go
+++ b/internal/jobs/attempts_test.go
@@ -11,7 +11,6 @@
 )
 
 const (
-	maxRowBytes   = 48 << 10 // 64 KB in base64
 	maxTxnEntries = 100
 	maxTxnBytes   = 768 << 10 // 1 MB in base64
 )
@@ -50,10 +49,10 @@
 				b := h.core.NextBatch()
 				entries, bytes := 3, 0 // the owner, hosts and interference
 				for _, w := range b.Writes {
-					require.LessOrEqual(t, progressSize(&w.Progress), maxRowBytes)
+					require.LessOrEqual(t, progressSize(&w.Progress), MaxRowBytes)
 					rows := [][]workload.TaskAttempts{w.Progress.Attempts}
 					for _, p := range w.Parts {
-						require.LessOrEqual(t, p.size(), maxRowBytes)
+						require.LessOrEqual(t, p.size(), MaxRowBytes)
 						rows = append(rows, p.Attempts)
 					}
 					for _, row := range rows {
--- a/internal/jobs/interference.go
+++ b/internal/jobs/interference.go
@@ -123,17 +123,13 @@
 	}
 }
 
-const (
-	// interferenceInterval is the minimum time between two batches that store
-	// the coefficients.
-	interferenceInterval = 3 * time.Second
-	// maxStoredCoefficients keeps the row below the store's limit of 64 KiB.
-	maxStoredCoefficients = 1000
-)
+// interferenceInterval is the minimum time between two batches that store the
+// coefficients.
+const interferenceInterval = 3 * time.Second
 
-// interferenceToStore returns the coefficients for the next batch, ordered by
-// images, or nil if
-// they were stored less than interferenceInterval ago.
+// interferenceToStore returns the coefficients for the next batch, or nil if they were
+// stored less than interferenceInterval ago. Those of the images that disturb most come
+// first, since the row may not have room for all.
 func (c *Core) interferenceToStore() []msg.Interference {
 	if c.now-c.interferenceStoredAt < interferenceInterval {
 		return nil
@@ -142,9 +138,9 @@
 	var list []msg.Interference
 	c.contention.Coefficients(c.appendCoefficient(&list))
 	slices.SortFunc(list, func(a, b msg.Interference) int {
-		return cmp.Or(cmp.Compare(a.ServingImage, b.ServingImage), cmp.Compare(a.BestEffortImage, b.BestEffortImage))
+		return cmp.Or(cmp.Compare(b.Coefficient, a.Coefficient), cmp.Compare(a.ServingImage, b.ServingImage), cmp.Compare(a.BestEffortImage, b.BestEffortImage))
 	})
-	return list[:min(len(list), maxStoredCoefficients)]
+	return list
 }
 
 // RestoreInterference restores the coefficients that an earlier owner stored.
--- a/internal/wire/workload.go
+++ b/internal/wire/workload.go
@@ -5,7 +5,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/wire/pb"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
@@ -73,22 +72,6 @@
 	}, nil
 }
 
-// EncodeInterference encodes the interference coefficients of an owner for the
-// store.
-func EncodeInterference(coefficients []msg.Interference) ([]byte, error) {
-	return proto.Marshal(&pb.HarmsRow{Harms: mapSlice(coefficients, interferenceToProto)})
-}
-
-// DecodeInterference is the inverse of EncodeInterference. Its error is
-// ErrMalformed.
-func DecodeInterference(raw []byte) ([]msg.Interference, error) {
-	var p pb.HarmsRow
-	if err := proto.Unmarshal(raw, &p); err != nil {
-		return nil, malformed("interference coefficients: %v", err)
-	}
-	return mapSlice(p.GetHarms(), interferenceFromProto), nil
-}
-
 func jobToProto(j *workload.Job) *pb.FleetJob {
 	return &pb.FleetJob{
 		Id: string(j.ID), Queue: string(j.Queue), Service: string(j.Service), Priority: int64(j.Priority), MaxAttempts: int64(j.MaxAttempts),
