internal/jobs: find out which content of a batch the store refuses

Cause: a refused batch with one job in it was taken for proof against the job, whatever else was in the batch. A job that had ended left the set of jobs to be stored, and its ends were acknowledged. Beside that, a refused batch without a job was sent again unchanged for ever, so that nothing else was stored any more.

After a refusal the batches have content of one kind each, in turn. A job fails only if it was alone in such a batch.

Evidence: on the code before, a batch with a completed job and coefficients was refused, and the next batch had no job; a refused batch without a job changed nothing.

--- a/charts/retry_test.go
+++ b/charts/retry_test.go
@@ -27,6 +27,7 @@
 	"ownership/reading late":        "ends when the table service answers; nothing can be claimed without it",
 	"ownership/standby late":        "at rest while another entry owns the jobs",
 	"permission/disputed confirmed": "nothing waits for its end: the owner acts in this state",
+	"refusal/separate refused":      "each kind of content that is refused is held for refusedRetry, so other batches follow; nothing waits for the end of the state",
 	"run/stopping late":             "ends with the agent's report; without its link the leases expire",
 	"taskhost/claiming late":        "ends with the agent's inventory or its link; the runs are given up when their leases have ended, though the claim is repeated",
 	"taskhost/claiming up":          "as taskhost/claiming late; each is a new link of the agent",
--- a/charts/waiting_test.go
+++ b/charts/waiting_test.go
@@ -34,6 +34,7 @@
 	"ownership/handing-over": "ends when the release is stored or refused, which the writer repeats",
 	"ownership/retired":      "the process is shutting down, which the drain bounds",
 	"permission/lapsed":      "ends when the owner's row is rewritten, which the writer repeats, or when another entry claims the jobs",
+	"refusal/combined":       "at rest: the table service has refused nothing lately",
 	"run/ordered":            "ends with the agent's answer, its inventory, or the expiry of the lease after the link was lost; a link whose queue is full ends",
 	"run/running":            "as run/ordered",
 	"taskhost/away":          "at rest until the agent is linked",
--- a/internal/jobdaemon/decisions.go
+++ b/internal/jobdaemon/decisions.go
@@ -15,7 +15,8 @@
 	jobs.JobAdmitted: event.JobAdmitted, jobs.JobEnded: event.JobEnded, jobs.RunOrdered: event.RunOrdered, jobs.RunEnded: event.RunEnded,
 	jobs.RunStopped: event.RunStopped, jobs.HostChanged: event.TaskHostChanged, jobs.TaskUnplaced: event.TaskUnplaced,
 	jobs.TaskSuspected: event.TaskSuspected, jobs.JobUnstorable: event.JobUnstorable,
-	jobs.LeasesExpired: event.TaskLeasesExpired, jobs.HostWaits: event.TaskHostWaits,
+	jobs.ContentRefused: event.ContentRefused,
+	jobs.LeasesExpired:  event.TaskLeasesExpired, jobs.HostWaits: event.TaskHostWaits,
 }
 
 // logDecision counts and logs a decision of the owner.
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -62,6 +62,9 @@
 	// servers changed. Detail has the state and the counts.
 	TaskSuspected
 	JobUnstorable // the store refuses the progress of the job
+	// ContentRefused: the store refuses a batch that has nothing but the content in Detail,
+	// and the owner's row. It is tried again.
+	ContentRefused
 	// LeasesExpired: the runs of a host that is unlinked, or sends no inventory, were given
 	// up because their leases have expired. Age is the time since the last grant. Detail says whether this owner
 	// granted it, or it is the latest that former owners may have granted.
@@ -115,7 +118,8 @@
 	expired              []workload.JobID   // dropped jobs whose rows are to be deleted
 	removals             []workload.JobID   // jobs whose progress rows are to be deleted
 	batchJobs            int                // most jobs in a batch
-	partRemovals         []PartRow          // rows of attempts to be deleted, before those of their jobs
+	refusal              refusal
+	partRemovals         []PartRow // rows of attempts to be deleted, before those of their jobs
 	expiredParts         map[workload.JobID]int
 	dropped              map[workload.JobID]time.Duration // dropped jobs that a load may still read, and when their rows were deleted
 	pendingBatch         *Batch                           // the batch that is being written, or nil
@@ -154,12 +158,14 @@
 
 // New returns the core of an owner that has just claimed the jobs with an epoch.
 func New(epoch uint64, now time.Duration) *Core {
-	return &Core{
+	c := &Core{
 		epoch: epoch, now: now, notReplacedUntil: neverReplaced, storedJobsReadAt: storedJobsRead, hosts: map[workload.HostName]*host{}, jobs: map[workload.JobID]*job{},
 		cancelled: map[workload.JobID]struct{}{}, early: map[workload.RunID]earlyRun{}, heldEnds: map[*task][]heldEnd{}, expiredParts: map[workload.JobID]int{}, dropped: map[workload.JobID]time.Duration{}, batchJobs: maxBatchRows, improved: list.New(), throttled: map[*run]struct{}{},
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, ending: newEndingLeases(), dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
 	}
+	c.refusal = refusal{core: c, state: refusalChart.Initial()}
+	return c
 }
 
 // Epoch returns the owner's epoch.
@@ -199,6 +205,7 @@
 	c.expireDue()
 	c.contention.DropIdleGroups(c.now)
 	c.endRecoveryInTime()
+	c.refusal.tick()
 	if c.orders.refill(c.now) {
 		c.planNeeded = true
 	}
--- a/internal/jobs/interference.go
+++ b/internal/jobs/interference.go
@@ -127,13 +127,14 @@
 // coefficients.
 const interferenceInterval = 3 * time.Second
 
-// interferenceToStore returns the coefficients for the next batch, or nil if they were
-// stored less than interferenceInterval ago. Those of the images that disturb most come
-// first, since the row may not have room for all.
+// interferenceDue reports whether the next batch may have the coefficients, if there are
+// any.
+func (c *Core) interferenceDue() bool { return c.now-c.interferenceStoredAt >= interferenceInterval }
+
+// interferenceToStore returns the coefficients for the next batch, or nil if there are
+// none. Those of the images that disturb most come first, since the row may not have room
+// for all.
 func (c *Core) interferenceToStore() []msg.Interference {
-	if c.now-c.interferenceStoredAt < interferenceInterval {
-		return nil
-	}
 	c.interferenceStoredAt = c.now
 	var list []msg.Interference
 	c.contention.Coefficients(c.appendCoefficient(&list))
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -45,6 +45,7 @@
 	EndingLeases string              // for the owner's row
 	ends         map[workload.HostName]appliedEnds
 	crashes      []*task // whose counts of crashes Writes contains
+	contents     contents
 }
 
 // appliedEnds is the number of the last applied end of an incarnation.
@@ -61,10 +62,10 @@
 	if c.pendingBatch != nil {
 		return false, false
 	}
-	if _, changed := c.hostsToStore(); changed || c.ending.urgent {
+	if _, changed := c.hostsToStore(); changed && !c.refusal.held(hostContent) || c.ending.urgent {
 		return true, true
 	}
-	pending = c.ending.due
+	pending = c.ending.due && !c.refusal.held(endingLeaseContent)
 	for j := range c.dirty {
 		c.visits++
 		pending = true
@@ -72,36 +73,62 @@
 			return true, true
 		}
 	}
-	return pending || len(c.unstoredEnds) > 0 || len(c.removals) > 0 || len(c.partRemovals) > 0, false
+	return pending || len(c.unstoredEnds) > 0 || c.removalsWait() && !c.refusal.held(removalContent), false
 }
 
+func (c *Core) removalsWait() bool { return len(c.removals) > 0 || len(c.partRemovals) > 0 }
+
 // NextBatch returns the next batch to write. The caller ends it with
-// BatchCommitted or BatchFailed before it calls NextBatch again.
+// BatchCommitted, BatchFailed or BatchRefused before it calls NextBatch again.
 func (c *Core) NextBatch() *Batch {
 	b := &Batch{ends: map[workload.HostName]appliedEnds{}}
-	jobs := make([]*job, 0, len(c.dirty))
-	for j := range c.dirty {
-		jobs = append(jobs, j)
+	hosts, hostsChanged := c.hostsToStore()
+	ending := c.endingLeasesRow()
+	chosen := c.refusal.choose(contents{
+		jobContent: len(c.dirty) > 0 || len(c.unstoredEnds) > 0, removalContent: c.removalsWait(), hostContent: hostsChanged,
+		endingLeaseContent: ending != "", interferenceContent: c.interferenceDue(),
+	})
+	if chosen[jobContent] {
+		c.addJobs(b)
 	}
-	sort.Slice(jobs, func(i, k int) bool { return jobs[i].spec.ID < jobs[k].spec.ID })
-	allWritten := c.addWrites(b, jobs)
-	c.addRemovals(b)
-	// An end may be acknowledged only when every job that it changed is stored.
-	if allWritten {
-		for h := range c.unstoredEnds {
-			b.ends[h.info.Name] = appliedEnds{h.info.Instance, h.info.StartedAtMS, h.lastStorableEnd()}
-		}
+	if chosen[removalContent] {
+		c.addRemovals(b)
 	}
-	if hosts, changed := c.hostsToStore(); changed {
+	if chosen[hostContent] {
 		b.Hosts = append([]workload.HostName{}, hosts...)
 	}
-	b.Interference = c.interferenceToStore()
-	b.EndingLeases = c.endingLeasesRow()
+	if chosen[interferenceContent] {
+		b.Interference = c.interferenceToStore()
+	}
+	if chosen[endingLeaseContent] {
+		b.EndingLeases = ending
+	}
 	c.endingLeasesSent(b.EndingLeases)
+	c.ending.due = b.EndingLeases != ending
+	b.contents = contents{
+		jobContent: len(b.Writes) > 0, removalContent: len(b.Removed)+len(b.RemovedParts) > 0, hostContent: b.Hosts != nil,
+		endingLeaseContent: b.EndingLeases != "", interferenceContent: b.Interference != nil,
+	}
 	c.pendingBatch = b
 	return b
 }
 
+// addJobs adds the rows of changed jobs and the ends that they cover. An end may be
+// acknowledged only when every job that it changed is stored.
+func (c *Core) addJobs(b *Batch) {
+	jobs := make([]*job, 0, len(c.dirty))
+	for j := range c.dirty {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(i, k int) bool { return jobs[i].spec.ID < jobs[k].spec.ID })
+	if !c.addWrites(b, jobs) {
+		return
+	}
+	for h := range c.unstoredEnds {
+		b.ends[h.info.Name] = appliedEnds{h.info.Instance, h.info.StartedAtMS, h.lastStorableEnd()}
+	}
+}
+
 // addWrites adds the rows of changed jobs to the batch as far as there is room. It
 // reports whether all are in it.
 func (c *Core) addWrites(b *Batch, jobs []*job) bool {
@@ -131,7 +158,9 @@
 func (c *Core) BatchCommitted() {
 	b := c.pendingBatch
 	c.pendingBatch = nil
-	c.batchJobs = min(maxBatchRows, 2*c.batchJobs)
+	if len(b.Writes) > 0 {
+		c.batchJobs = min(maxBatchRows, 2*c.batchJobs)
+	}
 	for _, w := range b.Writes {
 		j, ok := c.jobs[w.Job]
 		if !ok {
@@ -199,19 +228,17 @@
 }
 
 // BatchRefused records that the store refuses the pending batch as invalid, which a
-// repetition would not change. The next batches have fewer jobs, until the one that
-// cannot be stored is alone and fails. BatchRefused reports whether the next batch is
-// another one: it is not if there are no jobs in it.
+// repetition would not change. The next batches have less content, until what is refused is
+// alone: a job then fails, and other content is tried again after refusedRetry.
+// BatchRefused reports whether the next batch is another one: it is not if this one had no
+// content beside the owner's row.
 func (c *Core) BatchRefused() bool {
-	writes := c.pendingBatch.Writes
-	if len(writes) == 0 {
-		return false
-	}
+	b := c.pendingBatch
 	c.BatchFailed()
-	c.batchJobs = max(1, len(writes)/2)
-	if j, ok := c.jobs[writes[0].Job]; ok && len(writes) == 1 {
-		j.failUnstorable()
+	if b.contents.count() == 0 {
+		return false
 	}
+	c.refusal.refused(b)
 	return true
 }
 
--- a/internal/shape/waits_test.go
+++ b/internal/shape/waits_test.go
@@ -41,6 +41,7 @@
 	{"jobs.host.claimDueAt", "the time passes, and the claim is sent again", "1 s (claimRetry)"},
 	{"jobs.Core.leasesBarred", "as charts/permission.scxml, lapsed", "until the owner's row is rewritten or claimed"},
 	{"jobs.Core.confirmAfter", "the owner's row is rewritten", "an outage of the table service"},
+	{"jobs.refusal.heldUntil", "the time passes, and the content is tried again", "3 s (refusedRetry) for each refusal; while the table service refuses it, as the log says"},
 	{"jobs.Core.unsent", "the next planning pass", "one tick"},
 	{"jobs.orderRate.exhausted", "the next tick refills what is available", "the bytes of one start divided by the rate"},
 	{"jobs.host.starts", "the next planning pass", "one tick"},
