internal/jobdaemon: divide the list of hosts into rows

Cause: hosts/main/known was one row with a name for each host. With names of 23 letters, 2,100 hosts make 50,400 bytes, above the 48 KB (64 KB in base64) that the table service takes. It refuses the list, and no host that is not stored in it is used.

Change: the list goes on in further rows. Rows of a former, longer list are deleted. The bytes of the list count in the bound of a batch.

--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -25,6 +25,7 @@
 	cancelled    []workload.JobID
 	progress     map[workload.JobID]*workload.Progress
 	hosts        []workload.HostName
+	hostRows     int // rows of the list of hosts
 	interference []msg.Interference
 	revision     table.Revision // of the oldest scan; a watch from it misses no change
 }
@@ -132,10 +133,9 @@
 			return err
 		}
 		s.addProgress(row.Key, p)
-	case row.Key == hostsKey:
-		for _, name := range strings.Fields(string(row.Value)) {
-			s.hosts = append(s.hosts, workload.HostName(name))
-		}
+	case isHostRow(row.Key):
+		s.hosts = append(s.hosts, parseHostRow(row.Value)...)
+		s.hostRows++
 	case row.Key == interferenceKey:
 		interference, err := wire.DecodeInterference(row.Value)
 		if err != nil {
@@ -204,6 +204,7 @@
 // beginRecovery claims the linked hosts, waits for those that may have runs of former
 // owners, and applies the messages that were deferred during the load.
 func (c *controller) beginRecovery(state *storedState) {
+	c.writer.hostRows = state.hostRows
 	c.jobs.RestoreInterference(state.interference)
 	for _, a := range c.agents {
 		if a.link != nil {
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -38,6 +37,8 @@
 	retryPause   time.Duration // before the transaction is repeated
 	pendingSince time.Duration // when the first pending change was observed; 0: no change is pending
 	releasing    bool          // the next transaction releases the jobs
+	hostRows     int           // rows of the list of hosts that were stored when the jobs were read
+	hostRowsSent int           // rows of the last list that was sent
 	retireReply  actor.Reply[bool]
 }
 
@@ -167,11 +168,7 @@
 		txn.Puts = append(txn.Puts, table.Put{Key: interferenceKey, Value: value})
 	}
 	if b.Hosts != nil {
-		names := make([]string, len(b.Hosts))
-		for i, h := range b.Hosts {
-			names[i] = string(h)
-		}
-		txn.Puts = append(txn.Puts, table.Put{Key: hostsKey, Value: []byte(strings.Join(names, "\n") + "\n")})
+		c.writer.hostRowsSent = addHosts(&txn, b.Hosts, max(c.writer.hostRows, c.writer.hostRowsSent))
 	}
 	return txn, nil
 }
--- a/internal/jobs/attempts_test.go
+++ b/internal/jobs/attempts_test.go
@@ -1,12 +1,14 @@
 package jobs
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -187,3 +189,27 @@
 	pending, _ := h.core.Pending()
 	require.False(t, pending)
 }
+
+// Guards against a batch above the limit of a transaction because a long list of hosts is
+// in it.
+func TestBatchWithALongListOfHostsIsBounded(t *testing.T) {
+	for _, hosts := range []int{100, 15_000, 40_000} {
+		h := newHarness(t, 1)
+		for i := range hosts {
+			h.core.Linked(readyHost(fmt.Sprintf("side-cairo-maadi-%06d", i), 1000))
+			h.core.Inventory(&msg.HostInventory{Epoch: 1, Host: readyHost(fmt.Sprintf("side-cairo-maadi-%06d", i), 1000)})
+		}
+		h.core.Submit(newSpec("large", newStep(100*tasksPerPart, 1_000_000)))
+		h.core.jobs["large"].changeAttempts(strings.Repeat("x", 400))
+		b := h.core.NextBatch()
+		require.Len(t, b.Hosts, hosts)
+		bytes := b.hostBytes()
+		for _, w := range b.Writes {
+			bytes += w.size()
+		}
+		require.LessOrEqual(t, bytes, max(maxTxnBytes, b.hostBytes()), "%d hosts", hosts)
+		require.Equal(t, hosts < 40_000, len(b.Writes) > 0)
+		h.core.BatchCommitted()
+		require.NotEmpty(t, h.core.NextBatch().Writes, "the job follows")
+	}
+}
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -48,6 +48,15 @@
 	contents     contents
 }
 
+// hostBytes returns the bytes of the list of hosts.
+func (b *Batch) hostBytes() int {
+	n := 0
+	for _, name := range b.Hosts {
+		n += len(name) + 1
+	}
+	return n
+}
+
 // appliedEnds is the number of the last applied end of an incarnation.
 type appliedEnds struct {
 	instance    workload.Instance
@@ -88,15 +97,15 @@
 		jobContent: len(c.dirty) > 0 || len(c.unstoredEnds) > 0, removalContent: c.removalsWait(), hostContent: hostsChanged,
 		endingLeaseContent: ending != "", interferenceContent: c.interferenceDue(),
 	})
+	if chosen[hostContent] {
+		b.Hosts = append([]workload.HostName{}, hosts...)
+	}
 	if chosen[jobContent] {
 		c.addJobs(b)
 	}
 	if chosen[removalContent] {
 		c.addRemovals(b)
 	}
-	if chosen[hostContent] {
-		b.Hosts = append([]workload.HostName{}, hosts...)
-	}
 	if chosen[interferenceContent] {
 		b.Interference = c.interferenceToStore()
 	}
@@ -132,7 +141,10 @@
 // addWrites adds the rows of changed jobs to the batch as far as there is room. It
 // reports whether all are in it.
 func (c *Core) addWrites(b *Batch, jobs []*job) bool {
-	rows, bytes, all := maxBatchRows, maxBatchBytes, true
+	rows, bytes, all := maxBatchRows, maxBatchBytes-b.hostBytes(), true
+	if bytes <= 0 {
+		return len(jobs) == 0
+	}
 	for i, j := range jobs {
 		w := Write{Job: j.spec.ID, Progress: j.progress()}
 		if size := w.size(); i == c.batchJobs || rows == 0 || i > 0 && size > bytes {
