internal/jobs: acknowledge ends while rows of their job change

Cause: an end was acknowledged only by a batch after which nothing was left to store, and a batch has the 16 lowest changed rows of attempts of a job. Tasks with crashes that have to be stored waited for ever in the same way.

Change: what has changed when a round begins is stored first, and the ends that were applied before are acknowledged when the rows of the round are stored. A task with crashes waits for its own row only.

--- a/internal/jobs/attempts.go
+++ b/internal/jobs/attempts.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -73,21 +75,25 @@
 	if j.parts() == 0 {
 		return // they are in the progress row
 	}
-	number := (t.step.firstTask + t.index) / tasksPerPart
-	if j.dirtyParts == nil {
-		j.dirtyParts = map[int]struct{}{}
-	}
-	j.dirtyParts[number] = struct{}{}
+	j.addPart(&j.dirtyParts, t.part())
 }
 
+// part returns the number of the row with the attempts of the task in a large job.
+func (t *task) part() int { return (t.step.firstTask + t.index) / tasksPerPart }
+
 // nextParts returns rows of attempts to store, up to a number and an estimated size,
-// and removes them from the changed ones.
+// and removes them from the changed ones. Those of the round come first.
 func (j *job) nextParts(count, bytes int) []AttemptsPart {
-	numbers := make([]int, 0, len(j.dirtyParts))
-	for n := range j.dirtyParts {
-		numbers = append(numbers, n)
-	}
-	slices.Sort(numbers)
+	numbers := slices.SortedFunc(maps.Keys(j.dirtyParts), func(a, b int) int {
+		_, first := j.roundParts[a]
+		if _, other := j.roundParts[b]; first != other {
+			if first {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
 	var parts []AttemptsPart
 	for _, n := range numbers[:min(len(numbers), count, maxJobParts)] {
 		p := AttemptsPart{Number: n, Attempts: j.attempts(n*tasksPerPart, (n+1)*tasksPerPart)}
@@ -96,6 +102,7 @@
 		}
 		parts = append(parts, p)
 		delete(j.dirtyParts, n)
+		delete(j.roundParts, n)
 	}
 	return parts
 }
--- a/internal/jobs/core.go
+++ b/internal/jobs/core.go
@@ -113,7 +113,8 @@
 	interferenceStoredAt time.Duration // when the coefficients were last put into a batch
 
 	hostList             hostList
-	dirty                map[*job]struct{}  // jobs whose row has to be written
+	dirty                map[*job]struct{} // jobs whose row has to be written
+	round                storeRound
 	unstoredEnds         map[*host]struct{} // hosts with ends that may be acknowledged after a batch
 	expired              []workload.JobID   // dropped jobs whose rows are to be deleted
 	removals             []workload.JobID   // jobs whose progress rows are to be deleted
@@ -164,6 +165,7 @@
 		contention: contention.NewModel(), hostList: hostList{stored: map[workload.HostName]bool{}}, ending: newEndingLeases(), dirty: map[*job]struct{}{},
 		unstoredEnds: map[*host]struct{}{}, unsent: map[*host]struct{}{}, waiting: waiting{groups: map[requirement]*group{}},
 	}
+	c.round.jobs = map[*job]struct{}{}
 	c.refusal = refusal{core: c, state: refusalChart.Initial()}
 	return c
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -54,6 +54,7 @@
 	// unstoredCrashes are the tasks whose counts of crashes the next batch stores.
 	unstoredCrashes []*task
 	dirtyParts      map[int]struct{} // rows of attempts that the next batches write
+	roundParts      map[int]struct{} // those of them that belong to the round
 }
 
 // step is one step of a job.
--- a/internal/jobs/removal.go
+++ b/internal/jobs/removal.go
@@ -14,6 +14,7 @@
 func (c *Core) remove(j *job) {
 	delete(c.jobs, j.spec.ID)
 	delete(c.dirty, j)
+	delete(c.round.jobs, j)
 	c.dropped[j.spec.ID] = notDeleted
 	c.expired = append(c.expired, j.spec.ID)
 	if n := j.parts(); n > 0 {
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -1,8 +1,6 @@
 package jobs
 
 import (
-	"sort"
-
 	"github.com/bambooscale/bambooscale/internal/chart"
 	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/workload"
@@ -122,48 +120,34 @@
 	return b
 }
 
-// addJobs adds the rows of changed jobs and the ends that they cover. An end may be
-// acknowledged only when every job that it changed is stored.
+// addJobs adds rows of changed jobs. If the batch completes the round it covers the ends
+// of the round.
 func (c *Core) addJobs(b *Batch) {
-	jobs := make([]*job, 0, len(c.dirty))
-	for j := range c.dirty {
-		jobs = append(jobs, j)
-	}
-	sort.Slice(jobs, func(i, k int) bool { return jobs[i].spec.ID < jobs[k].spec.ID })
-	if !c.addWrites(b, jobs) {
-		return
-	}
-	for h := range c.unstoredEnds {
-		b.ends[h.info.Name] = appliedEnds{h.info.Instance, h.info.StartedAtMS, h.lastStorableEnd()}
+	c.beginRound()
+	c.addWrites(b, c.jobsToStore())
+	if len(c.round.jobs) == 0 {
+		b.ends = c.round.ends
 	}
 }
 
-// addWrites adds the rows of changed jobs to the batch as far as there is room. It
-// reports whether all are in it.
-func (c *Core) addWrites(b *Batch, jobs []*job) bool {
-	rows, bytes, all := maxBatchRows, maxBatchBytes-b.hostBytes(), true
+// addWrites adds the rows of changed jobs to the batch as far as there is room.
+func (c *Core) addWrites(b *Batch, jobs []*job) {
+	rows, bytes := maxBatchRows, maxBatchBytes-b.hostBytes()
 	if bytes <= 0 {
-		return len(jobs) == 0
+		return
 	}
 	for i, j := range jobs {
 		w := Write{Job: j.spec.ID, Progress: j.progress()}
 		if size := w.size(); i == c.batchJobs || rows == 0 || i > 0 && size > bytes {
-			return false
+			return
 		}
 		if !j.phase().Final() {
 			w.Parts = j.nextParts(rows-1, bytes-w.size())
 		}
 		rows, bytes = rows-1-len(w.Parts), bytes-w.size()
 		b.Writes = append(b.Writes, w)
-		if len(j.dirtyParts) > 0 && !j.phase().Final() {
-			all = false // the next batch continues with the job
-			continue
-		}
-		b.crashes = append(b.crashes, j.unstoredCrashes...)
-		j.unstoredCrashes = nil
-		delete(c.dirty, j)
+		j.written(b)
 	}
-	return all
 }
 
 // BatchCommitted records that the pending batch was stored.
@@ -226,10 +210,7 @@
 	c.endingLeasesFailed(b.EndingLeases)
 	for _, w := range b.Writes {
 		if j, ok := c.jobs[w.Job]; ok {
-			c.dirty[j] = struct{}{}
-			for _, p := range w.Parts {
-				j.dirtyParts[p.Number] = struct{}{}
-			}
+			j.rewrite(w.Parts)
 		}
 	}
 	for _, t := range b.crashes {
@@ -260,6 +241,7 @@
 	j.core.addDecision(Decision{Kind: JobUnstorable, Job: j.spec.ID, Detail: j.phase().String()})
 	if j.phase().Final() {
 		delete(j.core.dirty, j)
+		delete(j.core.round.jobs, j)
 		return
 	}
 	j.failure = "the table service refuses the progress of the job"
