internal/hostagent: use no checkpoint of more than 32 KB

Cause: a checkpoint was an item without a limit of inventories, reports and starts, which are messages of at most 4 MiB.

Change: a longer checkpoint counts as none, and the next run of the task resumes from an earlier one.

--- a/internal/hostagent/poll.go
+++ b/internal/hostagent/poll.go
@@ -148,6 +148,7 @@
 			continue
 		}
 		c.lastEnd = e.Number
+		e.Checkpoint = usableCheckpoint(e.Checkpoint)
 		c.unacknowledged = append(c.unacknowledged, e)
 		if r, ok := c.runs[e.Run]; ok {
 			r.end = e
@@ -166,6 +167,19 @@
 		r = c.addRun(msg.RunSize{Run: s.Run})
 		r.state, r.timeoutAt, r.cpuLimitPercent = runRunning, 0, unknownPercent
 	}
+	s.Checkpoint = usableCheckpoint(s.Checkpoint)
 	r.latest = s
 	r.step(evListed)
 }
+
+// maxCheckpointBytes bounds a checkpoint, which is part of reports and starts.
+const maxCheckpointBytes = 32 << 10
+
+// usableCheckpoint returns a checkpoint, or "" if it is too long: the next run of the task
+// resumes from an earlier one.
+func usableCheckpoint(checkpoint string) string {
+	if len(checkpoint) > maxCheckpointBytes {
+		return ""
+	}
+	return checkpoint
+}
