internal/peer: divide messages with long lists

Cause: the starts of a pass for a host were one message, 4.4 MB here. A message has at most 4 MiB; the error ended the link, and after the next link the same starts were sent in the same way.

Those of which no part may be applied (inventories, reports, answers to inventories) are joined by the receiver, if its hello says that it does so. A message that still is too large is logged with its kind and size (event 959) and does not end the link; the tasks of starts that were not sent are placed again.

--- a/internal/agent/entrylink.go
+++ b/internal/agent/entrylink.go
@@ -117,6 +117,11 @@
 	}
 }
 
+// Unsent implements peer.Handler.
+func (h *entryHandler) Unsent(u peer.Unsent) {
+	event.Log(h.links.Log, event.MessageTooLarge, u.Fields(string(h.hello.Entry)))
+}
+
 // Down implements peer.Handler.
 func (h *entryHandler) Down(error) {
 	h.conn.Close()
--- a/internal/entry/agentlink.go
+++ b/internal/entry/agentlink.go
@@ -132,6 +132,11 @@
 	_ = h.links.Dispatcher.Send(h.ctx, FromAgent{Worker: h.hello.Worker.ID, Generation: h.generation, Msg: m})
 }
 
+// Unsent implements peer.Handler.
+func (h *agentHandler) Unsent(u peer.Unsent) {
+	event.Log(h.links.Log, event.MessageTooLarge, u.Fields(string(h.hello.Worker.ID)))
+}
+
 // Down implements peer.Handler.
 func (h *agentHandler) Down(error) {
 	_ = h.links.Dispatcher.Send(h.ctx, AgentDown{Worker: h.hello.Worker.ID, Generation: h.generation})
--- a/internal/event/jobs.go
+++ b/internal/event/jobs.go
@@ -58,6 +58,7 @@
 	// the changes is logged at the level info.
 	AgentRunThrottled  = define(936, log.DebugLevel, "guard-run-paced", "the share of processor time allowed to a best-effort run was changed", "nothing")
 	AgentRunsThrottled = define(958, log.InfoLevel, "guard-runs-paced", "the shares of processor time allowed to the best-effort runs of a host were changed", "nothing; since the last such event: changes counts them, runs the runs, pace has the runs with the lowest shares in percent, and worst is the highest ratio of latency to target of a serving task")
+	MessageTooLarge    = define(959, log.ErrorLevel, "message-too-large", "a message to another process exceeds the limit of a link and was not sent; the link goes on", "report it: kind is the type of the message, and the error has its size; runs whose start could not be sent are ordered again")
 	// The level warn exempts the two events of a drain from the rate limit of the
 	// log: a busy entry lost them.
 	DrainPhase = define(952, log.WarnLevel, "drain-phase", "a stopping entry began a phase of its drain", "if no drain-ended follows, the process was killed in this phase with this number of requests in flight, or more: check its grace period")
--- a/internal/jobdaemon/agent.go
+++ b/internal/jobdaemon/agent.go
@@ -176,7 +176,7 @@
 	cfg := a.cfg
 	l := &links{group: g, base: linkID(a.life) << lifeShift, send: a.address.Send, follow: true, hello: func() *msg.PeerHello {
 		h := &msg.PeerHello{
-			Member: msg.Member{Name: string(cfg.Core.Name)}, Agent: true, Boot: cfg.Boot, DataCentre: cfg.Core.DataCentre, FollowsHeartbeat: true,
+			Member: msg.Member{Name: string(cfg.Core.Name)}, Agent: true, Boot: cfg.Boot, DataCentre: cfg.Core.DataCentre, FollowsHeartbeat: true, JoinsParts: true,
 		}
 		if epoch := a.published.epoch.Get(); epoch != nil {
 			h.Epoch = *epoch
@@ -240,6 +240,10 @@
 		a.linkUp(m)
 	case *linkMessage:
 		a.received(m)
+	case *linkUnsent:
+		if hello := a.hellos[m.id]; hello != nil {
+			event.Log(a.log, event.MessageTooLarge, m.unsent.Fields(hello.Member.Name))
+		}
 	case *linkDown:
 		a.linkDown(m)
 	case *membersRead:
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -192,6 +192,8 @@
 		if l := c.links[m.id]; l != nil {
 			c.received(l, m.message)
 		}
+	case *linkUnsent:
+		c.messageUnsent(m)
 	case *linkDown:
 		c.linkDown(m)
 	case *ownerRead:
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -110,6 +110,20 @@
 	c.publishLinked()
 }
 
+// messageUnsent logs a message that was too large for its link. The tasks of starts that
+// were not sent become ready again.
+func (c *controller) messageUnsent(m *linkUnsent) {
+	l := c.links[m.id]
+	if l == nil {
+		return
+	}
+	event.Log(c.log, event.MessageTooLarge, m.unsent.Fields(l.hello.Member.Name))
+	name := workload.HostName(l.hello.Member.Name)
+	if starts, ok := m.unsent.Message.(*msg.StartRuns); ok && c.jobs != nil && c.isPresentLink(name, l) {
+		c.jobs.StartsUnsent(name, starts)
+	}
+}
+
 // agentLinkDown records that a link of an agent has ended. An agent that is linked
 // does not dial, so the newest link that is left, if any, takes its place.
 func (c *controller) agentLinkDown(l *peerLink) {
--- a/internal/jobdaemon/heartbeat_test.go
+++ b/internal/jobdaemon/heartbeat_test.go
@@ -189,6 +189,7 @@
 
 func (*linkCounter) Up(msg.Control, peer.Out) error { return nil }
 func (a *linkCounter) Receive(msg.Control)          { a.received.Add(1) }
+func (*linkCounter) Unsent(peer.Unsent)             {}
 func (a *linkCounter) Down(err error)               { a.down <- err }
 
 // Guards against links that end during a restart with a new program: an agent of
--- a/internal/jobdaemon/links.go
+++ b/internal/jobdaemon/links.go
@@ -31,7 +31,7 @@
 // linkID identifies a link within a process.
 type linkID uint64
 
-// linkUp, linkMessage and linkDown report the events of a link to the actor that
+// linkUp, linkMessage, linkUnsent and linkDown report the events of a link to the actor that
 // owns the state of the process.
 type (
 	linkUp struct {
@@ -43,6 +43,10 @@
 		id      linkID
 		message msg.Control
 	}
+	linkUnsent struct {
+		id     linkID
+		unsent peer.Unsent
+	}
 	linkDown struct {
 		id  linkID
 		err error
@@ -69,6 +73,8 @@
 	_ = h.send(h.ctx, &linkMessage{h.id, m})
 }
 
+func (h *linkHandler) Unsent(u peer.Unsent) { _ = h.send(h.ctx, &linkUnsent{h.id, u}) }
+
 func (h *linkHandler) Down(err error) { _ = h.send(context.WithoutCancel(h.ctx), &linkDown{h.id, err}) }
 
 // links serves the links of a process and assigns their numbers.
--- a/internal/jobs/reports.go
+++ b/internal/jobs/reports.go
@@ -34,6 +34,20 @@
 	h.applyEnds(m.Ended)
 }
 
+// StartsUnsent records that starts could not be sent to an agent, which is as if it had
+// refused them.
+func (c *Core) StartsUnsent(name workload.HostName, m *msg.StartRuns) {
+	h, ok := c.hosts[name]
+	if !ok || m.Epoch != c.epoch {
+		return
+	}
+	for i := range m.Starts {
+		if r, ok := h.runs[m.Starts[i].Size.Run]; ok {
+			r.step(evRefused)
+		}
+	}
+}
+
 // applyEnds applies the ends that were not applied before.
 func (h *host) applyEnds(ends []msg.RunEnd) {
 	for _, e := range ends {
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -40,6 +40,9 @@
 	// EchoesHeartbeat says that the sender, an entry, returns the send times of
 	// heartbeats in its own.
 	EchoesHeartbeat bool
+	// JoinsParts says that the sender joins the parts of messages that it may not apply
+	// one by one.
+	JoinsParts bool
 }
 
 // Members lists the entries that the sender knows.
@@ -89,6 +92,7 @@
 	Ended   []RunEnd
 
 	MoreEnds bool
+	More     bool // of a part: the next one has further runs and ends
 }
 
 // RunSize describes the resources of a run, for the agent that runs it.
@@ -117,6 +121,7 @@
 	Number  uint64 // of the inventory; 0: the owner does not know the number
 	ClockMS int64
 	Sizes   []RunSize // of the runs in the inventory that the owner keeps
+	More    bool      // of a part: the next one has further sizes
 }
 
 // RunStart is the request to start one run.
@@ -162,6 +167,7 @@
 	StartedAtMS int64
 	ClockMS     int64 // clock of the backend server when the message was sent
 	Runs        []RunStatus
+	More        bool // of a part: the next one has further runs
 }
 
 // LeaseGrant extends the lease of all runs on a backend server: it lasts for the
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -49,12 +49,15 @@
 type Out = actor.Address[msg.Control]
 
 // Handler receives the events of a link. One goroutine calls its methods: Up
-// once, Receive for each message, and Down once if Up succeeded.
+// once, Receive for each message, Unsent, and Down once if Up succeeded.
 type Handler interface {
 	// Up is called with the peer's hello. An error ends the link.
 	Up(hello msg.Control, out Out) error
 	// Receive is called with each later message, heartbeats included.
 	Receive(m msg.Control)
+	// Unsent is called for a message that could not be sent because of its size. The
+	// link goes on.
+	Unsent(u Unsent)
 	// Down is called with the error that ended the link.
 	Down(err error)
 }
@@ -90,7 +93,8 @@
 	defer conn.Close()
 	overflow := make(chan struct{}, 1)
 	e := &echo{epochs: timing.Epochs}
-	w := &writer{conn: conn, interval: timing.Heartbeat, announced: make(chan time.Duration, 1), echo: e}
+	p := &parts{conn: conn, unsent: make(chan Unsent), ended: group.Context().Done()}
+	w := &writer{parts: p, interval: timing.Heartbeat, announced: make(chan time.Duration, 1), echo: e}
 	out := actor.Spawn(group, actor.Spec[msg.Control]{Name: "link writer", Mailbox: outboundMessages, Overflow: overflow,
 		Run: func(ctx context.Context, in <-chan msg.Control) error {
 			return w.write(ctx, hello, in)
@@ -101,7 +105,7 @@
 		readFailed.Put(read(ctx, conn, in))
 		return nil
 	})
-	s := &session{conn: conn, handler: h, out: out, overflow: overflow, announced: w.announced, timing: timing, echo: e}
+	s := &session{conn: conn, parts: p, handler: h, out: out, overflow: overflow, announced: w.announced, timing: timing, echo: e}
 	err := s.serve(ctx, in, readFailed, out.Done())
 	if ctx.Err() != nil {
 		shutdown(ctx, conn, out.Done(), timing.Shutdown)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -20,6 +20,7 @@
 
 func (r *recorder) Up(_ msg.Control, out Out) error { r.up <- out; return nil }
 func (r *recorder) Receive(msg.Control)             {}
+func (r *recorder) Unsent(Unsent)                   {}
 func (r *recorder) Down(err error)                  { r.down <- err }
 
 // withLink runs test with a link between an agent and an entry.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -40,6 +40,8 @@
 // session is the state of a link. It belongs to the goroutine of Run.
 type session struct {
 	conn     link.Conn
+	parts    *parts
+	joiner   joiner
 	handler  Handler
 	out      Out
 	overflow <-chan struct{} // signalled when a message for the peer was dropped
@@ -60,6 +62,9 @@
 // announceUp calls the handler with the peer's hello.
 func (s *session) announceUp() {
 	s.echo.hello(s.current)
+	if h, ok := s.current.(*msg.PeerHello); ok {
+		s.parts.joins.Set(h.JoinsParts)
+	}
 	if s.err = s.handler.Up(s.current, s.out); s.err == nil {
 		s.wasUp = true
 	}
@@ -71,7 +76,9 @@
 		s.heartbeat(h)
 		s.echo.heartbeat(h)
 	}
-	s.handler.Receive(s.current)
+	if m := s.joiner.join(s.current); m != nil {
+		s.handler.Receive(m)
+	}
 }
 
 // heartbeat records the interval that the peer announces. A link that follows its
@@ -139,6 +146,9 @@
 			s.err, event = link.ErrClosed, evFailed
 		case s.ownInterval = <-s.announced:
 			event = evInterval
+		case u := <-s.parts.unsent:
+			s.handler.Unsent(u)
+			continue
 		case <-s.overflow:
 			s.err, event = ErrOverflow, evFailed
 		case <-timer.C:
--- a/internal/peer/writer.go
+++ b/internal/peer/writer.go
@@ -4,13 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/bambooscale/bambooscale/internal/link"
 	"github.com/bambooscale/bambooscale/internal/msg"
 )
 
 // writer is the state of the actor that sends the messages of a link.
 type writer struct {
-	conn     link.Conn
+	parts    *parts
 	interval time.Duration // maximum interval between two messages that are sent
 	// announced receives each interval that is announced to the peer. It holds
 	// the newest.
@@ -23,7 +22,7 @@
 // the messages that are queued then. Other messages replace a heartbeat unless the peer
 // echoes it.
 func (w *writer) write(ctx context.Context, hello msg.Control, in <-chan msg.Control) error {
-	if err := w.conn.Send(hello); err != nil {
+	if err := w.parts.conn.Send(hello); err != nil {
 		return err
 	}
 	idle := time.NewTimer(w.interval)
@@ -36,13 +35,13 @@
 		case <-idle.C:
 			m = &msg.Heartbeat{Interval: w.own}
 		case <-ctx.Done():
-			return flush(w.conn, in)
+			return flush(w.parts, in)
 		}
 		h, heartbeat := m.(*msg.Heartbeat)
 		if heartbeat {
 			m = w.echo.stamp(*h)
 		}
-		if err := w.conn.Send(m); err != nil {
+		if err := w.parts.send(m); err != nil {
 			return err
 		}
 		if heartbeat || !w.echo.enabled.Get() {
@@ -66,9 +65,9 @@
 }
 
 // flush sends the queued messages.
-func flush(conn link.Conn, in <-chan msg.Control) error {
+func flush(p *parts, in <-chan msg.Control) error {
 	for len(in) > 0 {
-		if err := conn.Send(<-in); err != nil {
+		if err := p.send(<-in); err != nil {
 			return err
 		}
 	}
--- a/internal/shape/waits_test.go
+++ b/internal/shape/waits_test.go
@@ -116,6 +116,7 @@
 	"jobdaemon.encodedConfig.version":    "decoded at once",
 	"jobdaemon.controller.tickedAt":      "a time of the past",
 	"jobdaemon.ownerLog.formerActsUntil": "for the log",
+	"jobdaemon.linkUnsent.unsent":        "a message that is not sent any more",
 }
 
 // waitPackages are the packages whose fields TestWaitsAreListed examines.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -19,7 +19,7 @@
 		p.Kind = &pb.Control_PeerHello{PeerHello: &pb.PeerHello{
 			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
 			RequestsConfig: m.RequestsConfig, ProcessorShare: int64(m.ProcessorShare),
-			PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo, FollowsHeartbeat: m.FollowsHeartbeat, EchoesHeartbeat: m.EchoesHeartbeat,
+			PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo, FollowsHeartbeat: m.FollowsHeartbeat, EchoesHeartbeat: m.EchoesHeartbeat, JoinsParts: m.JoinsParts,
 			ConfigChunks: m.ConfigChunks, LinkRate: m.LinkRate,
 		}}
 	case *msg.Members:
@@ -31,11 +31,11 @@
 	case *msg.HostInventory:
 		p.Kind = &pb.Control_HostInventory{HostInventory: &pb.HostInventory{
 			Epoch: m.Epoch, Number: m.Number, Host: hostToProto(m.Host), ClockMs: m.ClockMS,
-			Runs: mapSlice(m.Runs, runStatusToProto), Ends: mapSlice(m.Ended, runEndToProto), MoreEnds: m.MoreEnds,
+			Runs: mapSlice(m.Runs, runStatusToProto), Ends: mapSlice(m.Ended, runEndToProto), MoreEnds: m.MoreEnds, More: m.More,
 		}}
 	case *msg.InventoryAccepted:
 		p.Kind = &pb.Control_InventoryTaken{InventoryTaken: &pb.InventoryTaken{
-			Epoch: m.Epoch, Number: m.Number, ClockMs: m.ClockMS, Sizes: mapSlice(m.Sizes, runSizeToProto),
+			Epoch: m.Epoch, Number: m.Number, ClockMs: m.ClockMS, Sizes: mapSlice(m.Sizes, runSizeToProto), More: m.More,
 		}}
 	case *msg.StartRuns:
 		p.Kind = &pb.Control_StartRuns{StartRuns: &pb.StartRuns{
@@ -50,7 +50,7 @@
 		}}
 	case *msg.RunsProgress:
 		p.Kind = &pb.Control_RunsProgress{RunsProgress: &pb.RunsProgress{
-			Epoch: m.Epoch, Instance: string(m.Instance), Born: m.StartedAtMS, ClockMs: m.ClockMS, Runs: mapSlice(m.Runs, runStatusToProto),
+			Epoch: m.Epoch, Instance: string(m.Instance), Born: m.StartedAtMS, ClockMs: m.ClockMS, Runs: mapSlice(m.Runs, runStatusToProto), More: m.More,
 		}}
 	case *msg.LeaseGrant:
 		p.Kind = &pb.Control_LeaseGrant{LeaseGrant: &pb.LeaseGrant{
@@ -94,8 +94,8 @@
 			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(), RequestsConfig: h.GetRequestsConfig(),
 			ProcessorShare: model.MilliCPU(h.GetProcessorShare()),
 			Phases:         msg.PhaseMark{Epoch: h.GetPhasesEpoch(), UpTo: h.GetPhasesUpTo()}, FollowsHeartbeat: h.GetFollowsHeartbeat(),
-			EchoesHeartbeat: h.GetEchoesHeartbeat(),
-			ConfigChunks:    h.GetConfigChunks(), LinkRate: h.GetLinkRate(),
+			EchoesHeartbeat: h.GetEchoesHeartbeat(), JoinsParts: h.GetJoinsParts(),
+			ConfigChunks: h.GetConfigChunks(), LinkRate: h.GetLinkRate(),
 		}, nil
 	case *pb.Control_Members:
 		return &msg.Members{Entries: mapSlice(k.Members.GetEntries(), memberFromProto)}, nil
@@ -109,7 +109,7 @@
 	case *pb.Control_InventoryTaken:
 		t := k.InventoryTaken
 		return &msg.InventoryAccepted{
-			Epoch: t.GetEpoch(), Number: t.GetNumber(), ClockMS: t.GetClockMs(), Sizes: mapSlice(t.GetSizes(), runSizeFromProto),
+			Epoch: t.GetEpoch(), Number: t.GetNumber(), ClockMS: t.GetClockMs(), Sizes: mapSlice(t.GetSizes(), runSizeFromProto), More: t.GetMore(),
 		}, nil
 	case *pb.Control_StartRuns:
 		s := k.StartRuns
@@ -124,7 +124,7 @@
 		r := k.RunsProgress
 		return &msg.RunsProgress{
 			Epoch: r.GetEpoch(), Instance: workload.Instance(r.GetInstance()), StartedAtMS: r.GetBorn(), ClockMS: r.GetClockMs(),
-			Runs: mapSlice(r.GetRuns(), runStatusFromProto),
+			Runs: mapSlice(r.GetRuns(), runStatusFromProto), More: r.GetMore(),
 		}, nil
 	case *pb.Control_LeaseGrant:
 		g := k.LeaseGrant
@@ -246,7 +246,7 @@
 	ended, err := runEndsFromProto(p.GetEnds())
 	return &msg.HostInventory{
 		Epoch: p.GetEpoch(), Number: p.GetNumber(), Host: host, ClockMS: p.GetClockMs(), Runs: mapSlice(p.GetRuns(), runStatusFromProto), Ended: ended,
-		MoreEnds: p.GetMoreEnds(),
+		MoreEnds: p.GetMoreEnds(), More: p.GetMore(),
 	}, err
 }
 
