internal/policy/hostselect: name what blocks a host

Event 913 called a host "unreachable" whether its agent was gone, had not sent its inventory, or the host was paused, reserved, kept free or not in the stored list. Each has a reason of its own now. No decision changes: TestPlanPlacesAsAFullExaminationDoes and the others of internal/jobs pass unchanged but for the name of the field.

--- a/internal/jobs/isolation.go
+++ b/internal/jobs/isolation.go
@@ -103,7 +103,7 @@
 // fitsApart reports whether the task can run on a host that is reserved or held.
 func (h *host) fitsApart(t *task) bool {
 	view := h.view(t.step)
-	view.Reachable = h.acceptsStarts()
+	view.Blocked = h.unready()
 	return hostselect.Check(t.step.selectionTask(), view) == hostselect.Fits
 }
 
@@ -111,7 +111,7 @@
 // nothing else that ends ran there.
 func (h *host) suitsApart(t *task) bool {
 	view := h.view(t.step)
-	view.Reachable = h.acceptsStarts()
+	view.Blocked = h.unready()
 	view.Free = h.info.Capacity
 	for _, r := range h.runs {
 		if r.task.step.spec.LongRunning {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -98,7 +98,7 @@
 func (h *host) view(s *step) hostselect.Host {
 	h.core.pass.Views++
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.acceptsStarts() && h.holds == 0 && !h.reservedAgainst(s) && !h.keptFreeFor(s), Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
+		Info: &h.info, Blocked: h.blocked(s), Free: h.info.Capacity.Sub(h.used), BestEffortCPU: h.bestEffortCPU, Serving: h.servingRuns,
 		Suspect: h.suspect() || h.unproven > 0, Failing: h.failing(),
 	}
 	// Only some steps need the counts that cost a look-up.
@@ -114,12 +114,40 @@
 	return v
 }
 
-// acceptsStarts reports whether the agent of the host is expected to accept starts:
-// the owner has the inventory of the present incarnation of its backend server,
-// the host is in the stored list, and it is not paused after refusals.
-func (h *host) acceptsStarts() bool {
-	known := h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS
-	return known && h.stored && h.pausedUntil == 0
+// unready returns why the agent of the host is not expected to accept starts, or Fits. It
+// is expected to if the owner has the complete inventory of the present incarnation of its
+// backend server, the host is in the stored list, and it is not paused after refusals.
+func (h *host) unready() hostselect.Reason {
+	switch {
+	case h.state == hostUnavailable || h.state == hostSilent:
+		return hostselect.Unreachable
+	case h.state == hostListing:
+		return hostselect.EndsMissing
+	case h.state != hostReady || h.inventoryStartedAtMS != h.info.StartedAtMS:
+		return hostselect.NoInventory
+	case !h.stored:
+		return hostselect.Unlisted
+	case h.pausedUntil != 0:
+		return hostselect.Paused
+	}
+	return hostselect.Fits
+}
+
+// acceptsStarts reports whether the agent of the host is expected to accept starts.
+func (h *host) acceptsStarts() bool { return h.unready() == hostselect.Fits }
+
+// blocked returns why the host takes no tasks of the step at present, whatever its
+// resources, or Fits.
+func (h *host) blocked(s *step) hostselect.Reason {
+	switch reason := h.unready(); {
+	case reason != hostselect.Fits:
+		return reason
+	case h.holds > 0 || h.reservedAgainst(s):
+		return hostselect.Reserved
+	case h.keptFreeFor(s):
+		return hostselect.KeptFree
+	}
+	return hostselect.Fits
 }
 
 // logUnplaced logs why no host can run the task, once each time it becomes
--- a/internal/jobs/reference_test.go
+++ b/internal/jobs/reference_test.go
@@ -174,11 +174,14 @@
 
 func viewByReference(h *host, t *task) hostselect.Host {
 	v := hostselect.Host{
-		Info: &h.info, Reachable: h.state == hostReady && h.inventoryStartedAtMS == h.info.StartedAtMS && h.core.hostList.stored[h.info.Name],
+		Info: &h.info,
 		Free: h.info.Capacity, Suspect: h.suspect() || unprovenByReference(h) > 0, Failing: h.failing(), Avoided: t.failedHosts[h.info.Name], BestEffortHeadroom: math.Inf(1),
 	}
-	if h.room.task != nil && !t.step.spec.LongRunning {
-		v.Reachable = false
+	switch {
+	case h.state != hostReady || h.inventoryStartedAtMS != h.info.StartedAtMS || !h.core.hostList.stored[h.info.Name]:
+		v.Blocked = hostselect.Unreachable
+	case h.room.task != nil && !t.step.spec.LongRunning:
+		v.Blocked = hostselect.KeptFree
 	}
 	for _, r := range h.runs {
 		spec := r.task.step.spec
--- a/internal/jobs/roomreservation.go
+++ b/internal/jobs/roomreservation.go
@@ -154,7 +154,7 @@
 	}
 	slices.SortStableFunc(endings, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
 	view := h.view(t.step)
-	view.Reachable = true
+	view.Blocked = hostselect.Fits
 	wait := time.Duration(0)
 	for _, e := range endings {
 		if hostselect.Check(t.step.selectionTask(), view) == hostselect.Fits {
--- a/internal/policy/hostselect/hostselect.go
+++ b/internal/policy/hostselect/hostselect.go
@@ -15,8 +15,14 @@
 
 // Reasons against a host. Fits means that the task can run there.
 const (
-	Fits Reason = iota
-	Unreachable
+	Fits        Reason = iota
+	Unreachable        // its agent is not linked, or its backend server is gone
+	NoInventory        // its agent has not said what runs there
+	EndsMissing        // its agent has not listed all ends
+	Unlisted           // it is not in the stored list of hosts
+	Paused             // its agent refused starts shortly before
+	Reserved           // for an isolated task, or one runs there
+	KeptFree           // for a long-running task that is overdue
 	Draining
 	OtherService
 	NoLabel
@@ -29,14 +35,14 @@
 
 func (r Reason) String() string {
 	return [...]string{
-		"fits", "unreachable", "draining", "other-service", "no-label", "too-many-of-step", "no-room", "failing", "failed-there", "crowded",
+		"fits", "unreachable", "no-inventory", "ends-missing", "not-listed", "paused", "reserved", "kept-free", "draining", "other-service", "no-label", "too-many-of-step", "no-room", "failing", "failed-there", "crowded",
 	}[r]
 }
 
 // Host describes a host to Choose, as seen by one task.
 type Host struct {
 	Info          *workload.Host
-	Reachable     bool
+	Blocked       Reason             // Fits, or why it takes no such task, from Unreachable to KeptFree
 	Free          workload.Resources // capacity less the charges of the runs
 	BestEffortCPU int64              // thousandths of a core that best-effort runs declare
 	Serving       int                // number of serving runs
@@ -97,7 +103,9 @@
 // Check returns why t cannot run on h, or Fits.
 func Check(t Task, h Host) Reason {
 	switch {
-	case !h.Reachable || h.Info.State == workload.HostUnavailable:
+	case h.Blocked != Fits:
+		return h.Blocked
+	case h.Info.State == workload.HostUnavailable:
 		return Unreachable
 	case h.Info.State != workload.HostReady:
 		return Draining
--- a/internal/policy/hostselect/hostselect_test.go
+++ b/internal/policy/hostselect/hostselect_test.go
@@ -15,7 +15,7 @@
 		Name: workload.HostName(name), Service: "desk", State: workload.HostReady, Labels: labels,
 		Capacity: workload.Resources{MilliCPU: cpu, MemoryMB: 1000},
 	}
-	return Host{Info: info, Reachable: true, Free: info.Capacity}
+	return Host{Info: info, Free: info.Capacity}
 }
 
 func newTask(cpu int64) Task {
@@ -27,7 +27,8 @@
 func TestCheckNamesTheReason(t *testing.T) {
 	cases := map[Reason]func(*Task, *Host){
 		Fits:          func(*Task, *Host) {},
-		Unreachable:   func(_ *Task, h *Host) { h.Reachable = false },
+		Unreachable:   func(_ *Task, h *Host) { h.Info.State = workload.HostUnavailable },
+		KeptFree:      func(_ *Task, h *Host) { h.Blocked = KeptFree },
 		Draining:      func(_ *Task, h *Host) { h.Info.State = workload.HostDraining },
 		OtherService:  func(task *Task, _ *Host) { task.Service = "other" },
 		NoLabel:       func(task *Task, _ *Host) { task.Step.Label = "fast" },
@@ -65,7 +66,7 @@
 		for range rapid.IntRange(0, 5).Draw(t, "hosts") {
 			h := readyHost("h", 4000)
 			h.Free.MilliCPU = rapid.Int64Range(-100, 4000).Draw(t, "free")
-			h.Reachable = rapid.Bool().Draw(t, "reachable")
+			h.Blocked = rapid.SampledFrom([]Reason{Fits, Unreachable, Reserved}).Draw(t, "blocked")
 			hosts = append(hosts, h)
 		}
 		i, excluded := Choose(task, hosts)
@@ -77,7 +78,7 @@
 			require.Equal(t, len(hosts), total, "each host has a reason")
 			return
 		}
-		require.True(t, hosts[i].Reachable)
+		require.Equal(t, Fits, hosts[i].Blocked)
 		require.True(t, task.Step.Charge().Fits(hosts[i].Free))
 	})
 }
