internal/jobs: hand on the runs when the jobs are released

Cause: a host that falls silent between its last report and the link of the next owner is in no row, so the next owner does not know which runs it has, and all restored tasks wait for it for up to 7.42 s, at each owner anew.

Change: the owner that releases the jobs tells the other entries the runs of the hosts that have answered it, when the release is stored. The owner of the next epoch charges them like those that the row lists, so exactly their tasks wait for a host that does not answer.

Evidence: TestTaskOfASoundHostDoesNotWaitForRemovedHosts with a host that is cut off 0.5 s before the release, and at it, failed before (no start in 3 s).

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -49,6 +49,7 @@
 	feeds           *phaseFeeds     // nil unless this entry owns the jobs and has read them
 	deferred        []any           // messages for the owner that arrived while loading
 	writer          writer
+	released        releasedRuns
 	clock           hostClock
 	ownerLog        ownerLog
 	peerCommits     peerCommits
@@ -117,6 +118,7 @@
 	}
 	c.sendBacklogs()
 	c.peerCommits.expire(now)
+	c.released.prune(now)
 	if now-c.prunedAt > pruneInterval {
 		c.prunedAt = now
 		c.phases.prune(now)
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -172,6 +172,8 @@
 		c.addMembers(m.Entries, l.id)
 	case *msg.HostAnnounced:
 		c.hostAnnounced(l, m.Host)
+	case *msg.RunsReleased:
+		c.runsReleased(m)
 	case *msg.OwnerClaim:
 		if c.owner.OwnerObserved(m.Owner, m.Epoch, c.now()) {
 			c.logOwner(l.hello.Member.Name)
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -146,7 +146,7 @@
 func (c *controller) hello(cfg EntryConfig) *msg.PeerHello {
 	h := &msg.PeerHello{
 		Member: c.self, Boot: cfg.Boot, DataCentre: cfg.DataCentre, RequestsConfig: true, ConfigChunks: true, ProcessorShare: cfg.ProcessorShare, LinkRate: cfg.LinkRate,
-		EchoesHeartbeat: true, JoinsParts: true,
+		EchoesHeartbeat: true, JoinsParts: true, InheritsRuns: true,
 	}
 	if epoch := c.published.epoch.Get(); epoch != nil {
 		h.Epoch = *epoch
--- a/internal/jobdaemon/listedruns_test.go
+++ b/internal/jobdaemon/listedruns_test.go
@@ -46,7 +46,7 @@
 // that were removed one after another and on which it never ran. The loss of the last one
 // has been noticed or not when its owner stops in order.
 func TestTaskOfASoundHostDoesNotWaitForRemovedHosts(t *testing.T) {
-	for _, removedFor := range []time.Duration{2500 * time.Millisecond, time.Second} {
+	for _, removedFor := range []time.Duration{2500 * time.Millisecond, time.Second, 500 * time.Millisecond, 0} {
 		t.Run(removedFor.String(), func(t *testing.T) { testTaskOfASoundHost(t, removedFor) })
 	}
 }
--- a/internal/jobdaemon/owner.go
+++ b/internal/jobdaemon/owner.go
@@ -138,6 +138,7 @@
 	c.logOwnershipStarted()
 	c.jobs = jobs.New(epoch, c.now())
 	c.jobs.InheritEndingLeases(c.writer.owner.EndingLeases)
+	c.inheritRuns()
 	c.jobs.StoredJobsRead(0)
 	c.jobs.LimitOrders(c.linkRate / 8 / ordersShare)
 	c.advanceJobs()
--- a/internal/jobdaemon/writer.go
+++ b/internal/jobdaemon/writer.go
@@ -289,6 +289,7 @@
 	}
 	c.sendFinalEffects()
 	c.sendToEntries(&msg.OwnerClaim{Epoch: m.epoch})
+	c.sendReleasedRuns(m.epoch, c.jobs.ReleasedRuns())
 	reason := "the process stops"
 	if c.owner.HandingOver() {
 		reason = "the loop is persistently late; an entry on a larger host takes over"
--- a/internal/jobs/chainhost_test.go
+++ b/internal/jobs/chainhost_test.go
@@ -76,6 +76,18 @@
 	}
 }
 
+// runsUpTo returns the runs that owners up to an epoch have started. A later owner may have
+// started others after the leases had ended of which an owner that it replaced learns late.
+func (h *chainHost) runsUpTo(epoch uint64) []workload.RunID {
+	var list []workload.RunID
+	for id := range h.runs {
+		if id.Number>>epochShift < epoch {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // receive applies a message of an owner as an agent does.
 func (h *chainHost) receive(o *chainOwner, m msg.Control) {
 	s := o.chain
--- a/internal/jobs/endinglease.go
+++ b/internal/jobs/endinglease.go
@@ -32,8 +32,8 @@
 // the time since its own beginning. So the owner may extend leases on a host only while
 // neither its row, nor a write whose outcome is not known, names the host.
 type endingLeases struct {
-	inherited  map[workload.HostName]inheritedLease // of the row that was claimed
-	listed     map[workload.JobID][]listedRun       // in the row that was claimed
+	inherited  map[workload.HostName]inheritedLease // of the row that was claimed, and of InheritRuns
+	listed     map[workload.JobID][]listedRun       // the runs in inherited
 	stored     map[workload.HostName]time.Duration  // remaining times in the row
 	sent       map[workload.HostName]struct{}       // names in writes whose outcome is not known
 	unanswered map[*host]struct{}                   // hosts that are not linked or have not answered the claim
@@ -91,8 +91,8 @@
 	if h.state == hostClaiming && c.now-h.soughtAt < answerTime {
 		return false
 	}
-	_, inherited := h.inheritedEnd()
-	return inherited || h.vacated || c.now-h.lastGrantAt >= endingLeasesAfter
+	l, inherited := h.inheritedLease()
+	return inherited && !l.released || h.vacated || c.now-h.lastGrantAt >= endingLeasesAfter
 }
 
 // remainingLease returns for how long leases of the host may last.
--- a/internal/jobs/listedruns.go
+++ b/internal/jobs/listedruns.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -17,13 +18,15 @@
 // a release takes it for unlinked. Agents report every 500 ms.
 const lateReport = 700 * time.Millisecond
 
-// inheritedLease is what the row that was claimed says of a host.
+// inheritedLease is what the row that was claimed, or the owner that released the jobs, says
+// of a host.
 type inheritedLease struct {
 	workload.EndingLease
-	end time.Duration // of the leases
+	end      time.Duration // of the leases
+	released bool          // the host was linked when the jobs were released; the row does not name it
 }
 
-// listedRun is a run that the row which was claimed lists.
+// listedRun is a run of an inheritedLease.
 type listedRun struct {
 	host workload.HostName
 	run  workload.RunID
@@ -35,7 +38,12 @@
 	if l.Remaining == 0 {
 		l.Listed, l.Runs = true, nil
 	}
-	e.inherited[l.Host] = inheritedLease{l, now + l.Remaining}
+	e.inherited[l.Host] = inheritedLease{EndingLease: l, end: now + l.Remaining}
+	e.list(l)
+}
+
+// list records the runs of a host that are listed.
+func (e *endingLeases) list(l workload.EndingLease) {
 	for _, id := range l.Runs {
 		e.listed[id.Task.Job] = append(e.listed[id.Task.Job], listedRun{l.Host, id})
 	}
@@ -88,6 +96,41 @@
 	}
 }
 
+// ReleasedRuns returns the runs of the hosts that have answered, if they are certainly all.
+// The caller calls it after the batch that releases the jobs is stored. The owner's row
+// lists those of the other hosts.
+func (c *Core) ReleasedRuns() []msg.HostRuns {
+	var list []msg.HostRuns
+	for _, h := range c.hostsByName {
+		if h.state != hostReady || !h.allRunsKnown() {
+			continue
+		}
+		runs := msg.HostRuns{Host: h.info.Name}
+		for _, r := range h.sortedRuns() {
+			runs.Runs = append(runs.Runs, r.id)
+		}
+		list = append(list, runs)
+	}
+	return list
+}
+
+// InheritRuns applies what ReleasedRuns of the owner right before this one has returned. As
+// with the runs that the row lists, exactly their tasks wait for a host that has not
+// answered. It may be called before Recover or during the recovery.
+func (c *Core) InheritRuns(list []msg.HostRuns) {
+	for _, runs := range list {
+		h, known := c.hosts[runs.Host]
+		if _, named := c.ending.inherited[runs.Host]; named || known && h.adopted {
+			continue
+		}
+		l := workload.EndingLease{Host: runs.Host, Remaining: LeaseExpiry, Listed: true, Runs: runs.Runs}
+		c.ending.inherited[l.Host] = inheritedLease{EndingLease: l, end: c.now + LeaseExpiry, released: true}
+		c.ending.list(l)
+	}
+	c.chargeListedRuns()
+	c.endRecoveryIfComplete()
+}
+
 // allRunsKnown reports whether the runs that are charged to the host are all that may go on
 // there: it has answered with all ends, no former owner can have started one since, none belongs to a job
 // that is not known, and the ends that were applied are stored.
--- a/internal/jobs/listedruns_test.go
+++ b/internal/jobs/listedruns_test.go
@@ -118,7 +118,7 @@
 // ended just before the host became silent, some lists do not fit into the row, and owners
 // are killed, stopped in order or replaced without their knowledge.
 func TestNoTaskOfAListedHostRunsTwiceInAChainOfOwners(t *testing.T) {
-	expired, listed, beside := 0, 0, 0
+	expired, listed, beside, inherited := 0, 0, 0, 0
 	for seed := range uint64(chainSeeds) {
 		s := newOwnerChainOf(t, seed, 5, newStep(10, 1200))
 		s.failing = true
@@ -143,8 +143,10 @@
 		expired += s.expired
 		listed += s.listed
 		beside += s.beside
+		inherited += s.inherited
 	}
-	t.Logf("%d hosts were given up, rows that were claimed had %d runs, %d orders while an owner waited for a listed host", expired, listed, beside)
+	t.Logf("%d hosts were given up, rows that were claimed had %d runs, %d orders while an owner waited for a listed host, %d hosts whose runs were told", expired, listed, beside, inherited)
+	require.Greater(t, inherited, chainSeeds)
 	require.Greater(t, expired, chainSeeds)
 	require.Greater(t, listed, chainSeeds)
 	require.Greater(t, beside, chainSeeds)
--- a/internal/jobs/ownerchain_test.go
+++ b/internal/jobs/ownerchain_test.go
@@ -24,22 +24,24 @@
 // ownerChain is a table service, hosts with their agents, and owners that follow one
 // another, of which former ones may be active.
 type ownerChain struct {
-	t       *testing.T
-	seed    uint64
-	random  *rand.Rand
-	now     time.Duration
-	events  []chainEvent // ordered by time
-	row     chainRow
-	list    []workload.HostName // the stored list of hosts
-	hosts   []*chainHost
-	owners  []*chainOwner
-	job     workload.Job
-	expired int  // hosts that an owner gave up
-	omitted int  // times that a host came back while the row named it
-	failing bool // runs fail, and starts are refused or not confirmed
-	rowSize int  // most bytes of the list in the owner's row; 0: as the owner has it
-	listed  int  // runs in rows that were claimed
-	beside  int  // starts while an owner waits for a host whose runs the row lists
+	t         *testing.T
+	seed      uint64
+	random    *rand.Rand
+	now       time.Duration
+	events    []chainEvent // ordered by time
+	row       chainRow
+	list      []workload.HostName // the stored list of hosts
+	hosts     []*chainHost
+	owners    []*chainOwner
+	job       workload.Job
+	expired   int                        // hosts that an owner gave up
+	omitted   int                        // times that a host came back while the row named it
+	failing   bool                       // runs fail, and starts are refused or not confirmed
+	released  map[uint64]*[]msg.HostRuns // runs that owners have told at their release, by epoch
+	inherited int                        // hosts whose runs an owner was told before it began
+	rowSize   int                        // most bytes of the list in the owner's row; 0: as the owner has it
+	listed    int                        // runs in rows that were claimed
+	beside    int                        // starts while an owner waits for a host whose runs the row lists
 }
 
 type chainEvent struct {
@@ -78,7 +80,7 @@
 
 // newOwnerChainOf starts an owner with the tasks of a step, which lasts.
 func newOwnerChainOf(t *testing.T, seed uint64, hosts int, step workload.Step) *ownerChain {
-	s := &ownerChain{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), row: chainRow{released: true}}
+	s := &ownerChain{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), row: chainRow{released: true}, released: map[uint64]*[]msg.HostRuns{}}
 	s.job = newSpec("j", step)
 	s.job.MaxAttempts = 100_000
 	s.job.Steps[0].LongRunning = true
@@ -173,6 +175,10 @@
 func (s *ownerChain) claimed(o *chainOwner, endingLeases string) {
 	o.core = New(o.epoch, s.now)
 	o.core.InheritEndingLeases(endingLeases)
+	if told := s.released[o.epoch-1]; told != nil {
+		o.core.InheritRuns(*told)
+		s.inherited += len(*told)
+	}
 	for _, l := range workload.ParseEndingLeases(endingLeases) {
 		s.listed += len(l.Runs)
 	}
@@ -206,6 +212,28 @@
 	})
 }
 
+// tellReleasedRuns tells the entries the runs of an owner that has released the jobs, some
+// of them late, or not at all.
+func (s *ownerChain) tellReleasedRuns(epoch uint64, runs []msg.HostRuns) {
+	if s.random.IntN(4) == 0 {
+		return
+	}
+	for _, part := range [][]msg.HostRuns{runs[:len(runs)/2], runs[len(runs)/2:]} {
+		s.after(s.upTo(600*time.Millisecond), func() {
+			if s.released[epoch] == nil {
+				s.released[epoch] = &[]msg.HostRuns{}
+			}
+			*s.released[epoch] = append(*s.released[epoch], part...)
+			for _, o := range s.owners {
+				if o.epoch == epoch+1 && !o.ended {
+					o.advance()
+					o.core.InheritRuns(part)
+				}
+			}
+		})
+	}
+}
+
 func (o *chainOwner) mayAct() bool { return o.chain.now-o.confirmedAt < chainPermission }
 
 func (o *chainOwner) advance() {
@@ -248,7 +276,7 @@
 			s.expired++
 			h := s.hosts[slices.IndexFunc(s.hosts, func(h *chainHost) bool { return h.info.Name == d.Host })]
 			h.expire(s)
-			require.Empty(s.t, h.runs, "seed %d, %v: epoch %d gives %s up, whose lease ends at %v", s.seed, s.now, o.epoch, d.Host, h.leaseEnd)
+			require.Empty(s.t, h.runsUpTo(o.epoch), "seed %d, %v: epoch %d gives %s up, whose lease ends at %v", s.seed, s.now, o.epoch, d.Host, h.leaseEnd)
 		}
 	}
 	pending, _ := o.core.Pending()
@@ -299,6 +327,10 @@
 		return
 	}
 	o.advance()
+	if mine && row.released {
+		o.core.BatchCommitted()
+		o.chain.tellReleasedRuns(o.epoch, o.core.ReleasedRuns())
+	}
 	if !mine || row.released {
 		o.end()
 		return
--- a/internal/msg/divide.go
+++ b/internal/msg/divide.go
@@ -230,3 +230,18 @@
 	joined.Sizes = append(m.Sizes, n.Sizes...)
 	return &joined, true
 }
+
+// Items implements Divisible.
+func (m *RunsReleased) Items() int { return len(m.Hosts) }
+
+// Size implements Divisible.
+func (m *RunsReleased) Size() int {
+	return sum(m.Hosts, func(h *HostRuns) int { return len(h.Host) + sum(h.Runs, runBytes) + itemBytes })
+}
+
+// Divide implements Divisible.
+func (m *RunsReleased) Divide() (first, second Control) {
+	a, b := *m, *m
+	a.Hosts, b.Hosts = halves(m.Hosts, m.Items()/2)
+	return &a, &b
+}
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -43,6 +43,8 @@
 	// JoinsParts says that the sender joins the parts of messages that it may not apply
 	// one by one.
 	JoinsParts bool
+	// InheritsRuns says that the sender, an entry, accepts RunsReleased.
+	InheritsRuns bool
 }
 
 // Members lists the entries that the sender knows.
@@ -59,6 +61,19 @@
 	Owner string
 }
 
+// HostRuns are all runs that may go on at a host.
+type HostRuns struct {
+	Host workload.HostName
+	Runs []workload.RunID
+}
+
+// RunsReleased tells the entries which runs the owner of an epoch knew when it released the
+// jobs. A host that is not named may have others.
+type RunsReleased struct {
+	Epoch uint64
+	Hosts []HostRuns
+}
+
 // RunStatus is the state of a run at an agent.
 type RunStatus struct {
 	Run             workload.RunID
@@ -269,6 +284,7 @@
 func (*HostAnnounced) isControl()      {}
 func (*OwnerClaim) isControl()         {}
 func (*HostInventory) isControl()      {}
+func (*RunsReleased) isControl()       {}
 func (*InventoryAccepted) isControl()  {}
 func (*StartRuns) isControl()          {}
 func (*StopRuns) isControl()           {}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -19,7 +19,7 @@
 		p.Kind = &pb.Control_PeerHello{PeerHello: &pb.PeerHello{
 			Member: memberToProto(m.Member), Agent: m.Agent, Boot: m.Boot, DataCentre: string(m.DataCentre), Epoch: m.Epoch,
 			RequestsConfig: m.RequestsConfig, ProcessorShare: int64(m.ProcessorShare),
-			PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo, FollowsHeartbeat: m.FollowsHeartbeat, EchoesHeartbeat: m.EchoesHeartbeat, JoinsParts: m.JoinsParts,
+			PhasesEpoch: m.Phases.Epoch, PhasesUpTo: m.Phases.UpTo, FollowsHeartbeat: m.FollowsHeartbeat, EchoesHeartbeat: m.EchoesHeartbeat, JoinsParts: m.JoinsParts, InheritsRuns: m.InheritsRuns,
 			ConfigChunks: m.ConfigChunks, LinkRate: m.LinkRate,
 		}}
 	case *msg.Members:
@@ -28,6 +28,8 @@
 		p.Kind = &pb.Control_HostAnnounced{HostAnnounced: hostToProto(m.Host)}
 	case *msg.OwnerClaim:
 		p.Kind = &pb.Control_OwnerClaim{OwnerClaim: &pb.OwnerClaim{Epoch: m.Epoch, Owner: m.Owner}}
+	case *msg.RunsReleased:
+		p.Kind = &pb.Control_RunsReleased{RunsReleased: &pb.RunsReleased{Epoch: m.Epoch, Hosts: mapSlice(m.Hosts, hostRunsToProto)}}
 	case *msg.HostInventory:
 		p.Kind = &pb.Control_HostInventory{HostInventory: &pb.HostInventory{
 			Epoch: m.Epoch, Number: m.Number, Host: hostToProto(m.Host), ClockMs: m.ClockMS,
@@ -94,7 +96,7 @@
 			DataCentre: workload.DataCentre(h.GetDataCentre()), Epoch: h.GetEpoch(), RequestsConfig: h.GetRequestsConfig(),
 			ProcessorShare: model.MilliCPU(h.GetProcessorShare()),
 			Phases:         msg.PhaseMark{Epoch: h.GetPhasesEpoch(), UpTo: h.GetPhasesUpTo()}, FollowsHeartbeat: h.GetFollowsHeartbeat(),
-			EchoesHeartbeat: h.GetEchoesHeartbeat(), JoinsParts: h.GetJoinsParts(),
+			EchoesHeartbeat: h.GetEchoesHeartbeat(), JoinsParts: h.GetJoinsParts(), InheritsRuns: h.GetInheritsRuns(),
 			ConfigChunks: h.GetConfigChunks(), LinkRate: h.GetLinkRate(),
 		}, nil
 	case *pb.Control_Members:
@@ -104,6 +106,8 @@
 		return &msg.HostAnnounced{Host: h}, err
 	case *pb.Control_OwnerClaim:
 		return &msg.OwnerClaim{Epoch: k.OwnerClaim.GetEpoch(), Owner: k.OwnerClaim.GetOwner()}, nil
+	case *pb.Control_RunsReleased:
+		return &msg.RunsReleased{Epoch: k.RunsReleased.GetEpoch(), Hosts: mapSlice(k.RunsReleased.GetHosts(), hostRunsFromProto)}, nil
 	case *pb.Control_HostInventory:
 		return hostInventoryFromProto(k.HostInventory)
 	case *pb.Control_InventoryTaken:
@@ -205,6 +209,14 @@
 	}}
 }
 
+func hostRunsToProto(h msg.HostRuns) *pb.HostRuns {
+	return &pb.HostRuns{Host: string(h.Host), Runs: mapSlice(h.Runs, runToProto)}
+}
+
+func hostRunsFromProto(p *pb.HostRuns) msg.HostRuns {
+	return msg.HostRuns{Host: workload.HostName(p.GetHost()), Runs: mapSlice(p.GetRuns(), runFromProto)}
+}
+
 func runStatusToProto(s msg.RunStatus) *pb.RunStatus {
 	return &pb.RunStatus{
 		Run: runToProto(s.Run), Checkpoint: s.Checkpoint, Percent: int64(s.ProgressPercent), Usage: s.Usage, Pace: int64(s.CPULimitPercent), InDoubt: s.Unconfirmed,
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -63,6 +63,7 @@
 	register[msg.UsageReport]("UsageReport")
 	register[msg.PeerHello]("PeerHello")
 	register[msg.Members]("Members")
+	register[msg.RunsReleased]("RunsReleased")
 	register[msg.HostAnnounced]("HostAnnounced")
 	register[msg.OwnerClaim]("OwnerClaim")
 	register[msg.HostInventory]("HostInventory")
