internal/taskagent: give up the attempts of a silent worker

Cause: an agent confirmed each lease of the controller from memory while its worker answered no list and no renewal.

Change: the worker's leases are renewed for 15 s after its last answer. When the leases that the last renewal may have extended have certainly ended, 47.3 s after the answer, the attempts count as lost. A start without an answer counts from when it was sent, since an idle worker is not called.

--- a/internal/policy/lease/lease.go
+++ b/internal/policy/lease/lease.go
@@ -36,6 +36,11 @@
 // worker before the worker's lease expires, and extends that lease at most once.
 var workerExpiry = ExpiryWait(WorkerTTL) - margin
 
+// WorkerEnd is how long after the last renewal of a worker's lease was sent its task has
+// certainly ended, if the renewal was not answered: it has an effect only if it reaches the
+// worker before its lease expires.
+var WorkerEnd = 2*workerExpiry + margin
+
 // AttemptEnd returns how long after a grant of length d the attempts that depend
 // on it have certainly ended.
 func AttemptEnd(d time.Duration) time.Duration { return ExpiryWait(d) + workerExpiry }
--- a/internal/taskagent/attempt.go
+++ b/internal/taskagent/attempt.go
@@ -57,9 +57,10 @@
 	spec               model.JobSpec // of an adopted attempt only the ID is known
 	resumeFrom         string        // checkpoint to start from; empty: none
 	adoptedAt          time.Duration
-	adopted            bool // found running; no renewal has been received since
-	stopRequested      bool // the task is stopped as soon as the start call returns
-	cpuLimitPercent    int  // of the newest throttle command; 100 removes the limit
+	startCalledAt      time.Duration // when the worker was asked to start it; 0: it was adopted
+	adopted            bool          // found running; no renewal has been received since
+	stopRequested      bool          // the task is stopped as soon as the start call returns
+	cpuLimitPercent    int           // of the newest throttle command; 100 removes the limit
 	report             report
 	stateChangedAt     time.Duration // when the attempt entered its state
 	renewInFlight      bool
@@ -91,6 +92,7 @@
 			"checkpoint", "checkpointed", "throttle", "renew", "stopped", "retry", "acknowledge"},
 		Guards: map[string]func(*attempt) bool{
 			"leased":        func(a *attempt) bool { return a.core.lease.Valid(a.core.now, a.spec.LongRunning) },
+			"renewable":     (*attempt).renewable,
 			"stopRequested": func(a *attempt) bool { return a.stopRequested },
 			"listed":        func(a *attempt) bool { return a.listed },
 		},
@@ -122,7 +124,7 @@
 }
 
 func (a *attempt) callStart() {
-	a.report.state = model.TaskRunning
+	a.report.state, a.startCalledAt = model.TaskRunning, a.core.now
 	a.core.emit(CallStart{
 		Request: StartRequest{
 			Attempt: a.id, Resources: a.spec.Resources, Program: a.spec.Program, Checkpoint: a.resumeFrom,
--- a/internal/taskagent/commands.go
+++ b/internal/taskagent/commands.go
@@ -161,6 +161,9 @@
 }
 
 func (c *Core) onCallResult(r CallResult) {
+	if r.Err == nil {
+		c.answered()
+	}
 	a := c.attempts[r.Attempt]
 	if a == nil {
 		return
@@ -206,6 +209,7 @@
 		c.emit(Log{event.TaskWorkerError, map[string]any{"call": "list", "error": e.Err.Error()}})
 		return
 	}
+	c.answered()
 	for _, a := range c.attempts {
 		a.listed = false
 	}
--- a/internal/taskagent/core.go
+++ b/internal/taskagent/core.go
@@ -43,6 +43,7 @@
 	nextRenewAt  time.Duration
 	nextUsageAt  time.Duration
 	listSentAt   time.Duration // when the most recent list call was made
+	answeredAt   time.Duration // when the worker answered last
 }
 
 // NewCore returns the core of the agent of a worker in a cell.
@@ -133,6 +134,7 @@
 
 func (c *Core) runTimers() {
 	c.expireLeases()
+	c.loseSilentAttempts()
 	for _, a := range c.sortedAttempts() {
 		if a.deadline > 0 && a.deadline <= c.now {
 			c.stepAttempt(a, evRetry)
