internal/jobdaemon: refuse jobs whose tasks cannot be held

Cause: entries accepted any number of jobs of up to 100,000 tasks. Nothing ran any more.

Change: the tasks of all jobs that have not ended, as the owner tells the entries with the phases, and of the submissions that are being stored may take a third of the host's memory at 700 bytes each. A job above that is refused at once with 503, Retry-After and the reason, and nothing of it is stored. A job that is stored already is not refused. The memory is the setting memory-mb, or what /proc/meminfo says.

Not bounded: entries that accept at the same moment, each up to the limit, and jobs that have ended, which are kept for 3 minutes.

--- a/cmd/bamboojobd/main.go
+++ b/cmd/bamboojobd/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -169,7 +170,7 @@
 	return jobdaemon.StartEntry(g, jobdaemon.EntryConfig{
 		Name: n.Name, DataCentre: workload.DataCentre(n.DataCentre), Links: n.LinkAddress(), Callers: n.Callers, Readiness: n.Readiness,
 		Metrics: net.JoinHostPort(n.IP, metricsPort), Seeds: n.SeedLinks(), Boot: newBootID(), GracePeriod: n.GracePeriod,
-		ProcessorShare: n.ProcessorShare, LinkRate: n.LinkRate, Store: platform.NewStore(n.Store, callTimeout).WithPageBytes(jobdaemon.ScanPageBytes(n.LinkRate)),
+		ProcessorShare: n.ProcessorShare, LinkRate: n.LinkRate, Memory: cmp.Or(n.Memory, jobdaemon.HostMemory()), Store: platform.NewStore(n.Store, callTimeout).WithPageBytes(jobdaemon.ScanPageBytes(n.LinkRate)),
 		Config:        jobdaemon.ConfigSource{Key: platform.ConfigKey, Prefix: platform.ConfigPrefix, Decode: platform.DecodeConfig},
 		CallerHandler: platform.CallerHandler, ReadinessHandler: platform.ReadinessHandler, Log: log.Log, Failed: failed,
 	})
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -50,6 +50,8 @@
 	deferred        []any           // messages for the owner that arrived while loading
 	writer          writer
 	released        releasedRuns
+	admissions      admissions
+	maxTasks        int // admissions.limit, for the callers' handlers
 	clock           hostClock
 	ownerLog        ownerLog
 	peerCommits     peerCommits
@@ -212,6 +214,10 @@
 		c.batchStored(m)
 	case *jobRowsDeleted:
 		c.jobRowsDeleted(m)
+	case *admissionRequest:
+		c.admissionRequest(m)
+	case *admissionEnded:
+		c.admissionEnded(m)
 	case *jobStored:
 		c.jobStored(m)
 	case *cancelStored:
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -41,8 +41,10 @@
 	// LinkRate is that of the host's network connection in bits per second; 0 if it
 	// is not known.
 	LinkRate int64
-	Store    Store
-	Config   ConfigSource
+	// Memory is that of the host in bytes; 0 if it is not known.
+	Memory int64
+	Store  Store
+	Config ConfigSource
 	// The handlers decode requests and encode answers.
 	CallerHandler    func(jobapi.Handler) http.Handler
 	ReadinessHandler func(jobapi.Handler) http.Handler
@@ -107,7 +109,7 @@
 func newController(g *actor.Group, cfg EntryConfig, m *entryMetrics, configInUse *actor.Value[workload.Config]) *controller {
 	c := &controller{
 		self: msg.Member{Name: cfg.Name, Address: cfg.Links}, log: cfg.Log, group: g, startedAt: time.Now(), metrics: m,
-		linkRate: cfg.LinkRate, links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
+		maxTasks: maxHeldTasks(cfg.Memory), admissions: admissions{limit: maxHeldTasks(cfg.Memory)}, linkRate: cfg.LinkRate, links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
 		phases: newPhaseCache(), owner: ownership.New(cfg.Name, cfg.Boot, cfg.ProcessorShare, 0), published: &published{},
 		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
 	}
--- a/internal/jobdaemon/fencing_test.go
+++ b/internal/jobdaemon/fencing_test.go
@@ -201,8 +201,8 @@
 				return nil
 			case m := <-in:
 				switch m := m.(type) {
-				case *phaseQuery:
-					m.reply.Put(phaseAnswer{})
+				case *admissionRequest:
+					m.reply.Put(admitted)
 				case *jobStored:
 					forwarded = append(forwarded, m.job)
 					m.applied.Put(true)
--- a/internal/jobdaemon/jobhandler.go
+++ b/internal/jobdaemon/jobhandler.go
@@ -117,9 +117,10 @@
 		}
 		return fmt.Errorf("%w: %w", jobapi.ErrInvalid, err)
 	}
-	if answer, err := h.queryPhase(ctx, j.ID); err == nil && answer.known {
-		return nil // submitted before
+	if may, err := h.admit(ctx, &j); !may {
+		return err // nil: it was submitted before
 	}
+	defer h.endAdmission(ctx, &j)
 	if epoch := h.controller.published.epoch.Get(); epoch != nil {
 		j.Epoch = *epoch
 	}
@@ -312,7 +313,7 @@
 // jobStored caches a job that a caller of this entry submitted, and passes it to
 // the owner.
 func (c *controller) jobStored(m *jobStored) {
-	c.phases.update(msg.JobPhase{ID: m.job.ID, Queue: m.job.Queue}, c.now())
+	c.phases.update(msg.JobPhase{ID: m.job.ID, Queue: m.job.Queue, Tasks: m.job.TaskCount()}, c.now())
 	c.sendToOwner(&msg.JobSubmitted{Job: m.job})
 	m.applied.Put(true)
 }
--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -61,6 +61,7 @@
 	entries map[string]*ownerSiteEntry
 	boots   uint64   // entries that were started
 	seeds   []string // of the entries that are started
+	memory  int64    // of the entries that are started; 0: not known
 }
 
 type ownerSiteEntry struct {
@@ -140,7 +141,7 @@
 	e := &ownerSiteEntry{group: actor.NewGroup(s.t.Context(), nil), store: &cuttableStore{Store: s.store, group: s.group}, events: make(chan *log.Entry, 10_000)}
 	s.entries[name] = e
 	cfg := EntryConfig{
-		Name: name, Links: name, Seeds: s.seeds, Boot: s.boots, ProcessorShare: share, Store: e.store,
+		Name: name, Links: name, Seeds: s.seeds, Boot: s.boots, ProcessorShare: share, Memory: s.memory, Store: e.store,
 		Config: ConfigSource{Key: "op//config", Prefix: "op//"},
 		Log:    &log.Logger{Handler: e, Level: log.DebugLevel},
 	}
--- a/internal/jobdaemon/phasecache.go
+++ b/internal/jobdaemon/phasecache.go
@@ -20,6 +20,7 @@
 type phaseCache struct {
 	jobs   map[workload.JobID]*cachedPhase
 	queued map[workload.QueueName]int // number of queued jobs
+	tasks  int                        // of the jobs that have not ended
 	read   map[workload.JobID]readPhase
 }
 
@@ -46,21 +47,25 @@
 		return false
 	}
 	if known {
-		c.addQueued(j.phase, -1)
+		c.count(j.phase, -1)
 	} else {
 		j = &cachedPhase{}
 		c.jobs[p.ID] = j
 	}
 	j.phase = p
-	c.addQueued(p, 1)
+	c.count(p, 1)
 	if p.Phase.Final() {
 		j.endedAt = now
 	}
 	return true
 }
 
-// addQueued adds n to the length of the queue if p is the phase of a queued job.
-func (c *phaseCache) addQueued(p msg.JobPhase, n int) {
+// count adds n jobs with the phase p to the length of their queue and to the tasks that are
+// held.
+func (c *phaseCache) count(p msg.JobPhase, n int) {
+	if !p.Phase.Final() {
+		c.tasks += n * p.Tasks
+	}
 	if p.Phase == workload.Queued {
 		c.queued[p.Queue] += n
 	}
--- a/internal/jobdaemon/phasefeed.go
+++ b/internal/jobdaemon/phasefeed.go
@@ -19,7 +19,7 @@
 	maxPhasesBytes = 4 << 10
 	// phaseOverheadBytes is the encoding of a phase beside the names of the job
 	// and of its queue, if these have less than 128 bytes each.
-	phaseOverheadBytes = 8
+	phaseOverheadBytes = 12
 )
 
 // phaseFeeds sends the phases of the jobs from the owner to the linked entries.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -150,7 +150,7 @@
 	if p.Final() && p != workload.Cancelled && j.storedPhase != p {
 		p = workload.Running
 	}
-	visible := msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p}
+	visible := msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p, Tasks: j.taskCount()}
 	if p == workload.Failed {
 		visible.Failure = j.failure
 	}
--- a/internal/msg/fleet.go
+++ b/internal/msg/fleet.go
@@ -217,6 +217,7 @@
 	Phase workload.Phase
 	// Failure says why the job has failed, if not by its failed runs.
 	Failure string
+	Tasks   int // of the job; 0: an owner of a former program does not tell
 }
 
 // PhaseMark says which changes of the jobs' phases an entry has applied: those
--- a/internal/settings/job.go
+++ b/internal/settings/job.go
@@ -33,6 +33,8 @@
 	// LinkRate of an entry is that of its host's network connection in bits per
 	// second. It is 0 if it is not known.
 	LinkRate int64
+	// Memory of an entry is that of its host in bytes. It is 0 if it is not known.
+	Memory   int64
 	Registry string        // agent: address for the backend server's announcements
 	Backend  string        // agent: address of the backend server
 	MaxLease time.Duration // agent: how long runs continue after the last grant of their owner
@@ -62,7 +64,7 @@
 // LoadJobDaemon reads and checks a settings file for a role, "entry" or
 // "agent". Unknown keys and lines that are no settings are ignored. Every key
 // that the role reads must be set, except seeds, grace-period-s, processor-share,
-// processor-cores and link-mbps. The error is a finding.List with every finding, unless the
+// processor-cores, link-mbps and memory-mb. The error is a finding.List with every finding, unless the
 // file cannot be read or the role is unknown.
 func LoadJobDaemon(file, role string) (*JobDaemon, error) {
 	text, err := os.ReadFile(file)
@@ -85,6 +87,7 @@
 		d.GracePeriod = r.seconds("entry", "grace-period-s", defaultGracePeriod)
 		d.ProcessorShare = r.processorShare()
 		d.LinkRate = int64(math.Round(r.limited("link-mbps", 0, maxLinkMbps) * bitsPerMegabit))
+		d.Memory = int64(r.limited("memory-mb", 0, maxMemoryMB) * bytesPerMegabyte)
 	case "agent":
 		d.Registry, d.Backend = r.text("agent", "registry"), r.text("agent", "backend")
 		d.MaxLease = r.duration("agent", "max-lease")
@@ -196,8 +199,10 @@
 }
 
 const (
-	maxCores        = 4096
-	milliCPUPerCore = 1000
-	maxLinkMbps     = 1_000_000
-	bitsPerMegabit  = 1_000_000
+	maxCores         = 4096
+	milliCPUPerCore  = 1000
+	maxLinkMbps      = 1_000_000
+	bitsPerMegabit   = 1_000_000
+	maxMemoryMB      = 100_000_000
+	bytesPerMegabyte = 1 << 20
 )
--- a/internal/settings/job_test.go
+++ b/internal/settings/job_test.go
@@ -50,7 +50,7 @@
 		require.NoError(t, err)
 		require.Equal(t, want, d.ProcessorShare, text)
 	}
-	for _, text := range []string{"processor-share = 40%", "processor-share = -1", "processor-share = NaN", "processor-cores = 1e300", "processor-cores = many", "link-mbps = fast", "link-mbps = -10"} {
+	for _, text := range []string{"processor-share = 40%", "processor-share = -1", "processor-share = NaN", "processor-cores = 1e300", "processor-cores = many", "link-mbps = fast", "link-mbps = -10", "memory-mb = much", "memory-mb = -1"} {
 		file := filepath.Join(t.TempDir(), "node.conf")
 		require.NoError(t, os.WriteFile(file, []byte(rest+text+"\n"), 0o600))
 		_, err := LoadJobDaemon(file, "entry")
@@ -105,3 +105,14 @@
 	atOnce, restart := before.Changes(&before)
 	require.Empty(t, append(atOnce, restart...))
 }
+
+// Guards against an entry that bounds what it accepts by another memory than its host's.
+func TestMemoryOfAnEntry(t *testing.T) {
+	for text, want := range map[string]int64{"": 0, "memory-mb = ": 0, "memory-mb = 284": 284 << 20, "memory-mb = 0.5": 1 << 19} {
+		file := filepath.Join(t.TempDir(), "node.conf")
+		require.NoError(t, os.WriteFile(file, []byte(rest+text+"\n"), 0o600))
+		d, err := LoadJobDaemon(file, "entry")
+		require.NoError(t, err)
+		require.Equal(t, want, d.Memory, text)
+	}
+}
--- a/internal/settings/jobreload.go
+++ b/internal/settings/jobreload.go
@@ -23,6 +23,7 @@
 		{"[entry] readiness", d.Readiness != next.Readiness},
 		{"[entry] processor-share", d.ProcessorShare != next.ProcessorShare},
 		{"[entry] link-mbps", d.LinkRate != next.LinkRate},
+		{"[entry] memory-mb", d.Memory != next.Memory},
 		{"[agent] registry", d.Registry != next.Registry},
 		{"[agent] backend", d.Backend != next.Backend},
 		{"[agent] max-lease", d.MaxLease != next.MaxLease},
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -291,7 +291,7 @@
 }
 
 func jobPhaseToProto(j msg.JobPhase) *pb.JobPhase {
-	return &pb.JobPhase{Id: string(j.ID), Queue: string(j.Queue), Phase: uint32(j.Phase), Failure: j.Failure}
+	return &pb.JobPhase{Id: string(j.ID), Queue: string(j.Queue), Phase: uint32(j.Phase), Failure: j.Failure, Tasks: int64(j.Tasks)}
 }
 
 func jobPhasesFromProto(p *pb.JobPhases) (msg.Control, error) {
@@ -301,7 +301,7 @@
 			return nil, malformed("job %q has the unknown phase %d", j.GetId(), j.GetPhase())
 		}
 		m.Jobs = append(m.Jobs, msg.JobPhase{
-			ID: workload.JobID(j.GetId()), Queue: workload.QueueName(j.GetQueue()), Phase: workload.Phase(j.GetPhase()), Failure: j.GetFailure(),
+			ID: workload.JobID(j.GetId()), Queue: workload.QueueName(j.GetQueue()), Phase: workload.Phase(j.GetPhase()), Failure: j.GetFailure(), Tasks: int(j.GetTasks()),
 		})
 	}
 	return m, nil
--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -35,6 +35,15 @@
 	return errors.Join(found...)
 }
 
+// TaskCount returns the number of tasks of the job.
+func (j *Job) TaskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // ValidateSteps checks the steps of a job, on whose order and numbers the owner of the
 // jobs relies. The error joins every violation.
 func (j *Job) ValidateSteps() error {
