internal/jobdaemon: count an accepted job once

Cause: a job that had been stored counted as held, and until the next message of its handler also as being stored. A submission between the two was refused though it fitted: TestSubmissionsThatAreBeingStoredCount failed in 2 of 40 runs, and once in a whole run of the package.

Change: the controller ends the admission in the same step in which it caches the job. 200 runs of the test pass.

--- a/internal/jobdaemon/admission.go
+++ b/internal/jobdaemon/admission.go
@@ -27,8 +27,23 @@
 // admissions are the submissions that this entry is storing. Any entry may become the owner
 // of the jobs and has to hold the tasks of all that were accepted.
 type admissions struct {
-	limit int // of tasks; 0: none
-	tasks int // of the submissions that are being stored
+	limit int                    // of tasks; 0: none
+	tasks map[workload.JobID]int // of the submissions that are being stored
+	sum   int                    // of tasks
+}
+
+// begin counts the tasks of a submission.
+func (a *admissions) begin(id workload.JobID, tasks int) {
+	if _, counted := a.tasks[id]; !counted {
+		a.tasks[id] = tasks
+		a.sum += tasks
+	}
+}
+
+// end stops counting the tasks of a submission, if they are counted.
+func (a *admissions) end(id workload.JobID) {
+	a.sum -= a.tasks[id]
+	delete(a.tasks, id)
 }
 
 // Messages of a jobHandler to the controller.
@@ -39,7 +54,7 @@
 		reply actor.Reply[admissionAnswer]
 	}
 	admissionAnswer uint8
-	admissionEnded  struct{ tasks int }
+	admissionEnded  struct{ id workload.JobID }
 )
 
 // Answers to an admissionRequest.
@@ -56,16 +71,14 @@
 	switch {
 	case known:
 		m.reply.Put(knownJob)
-	case a.limit > 0 && c.phases.tasks+a.tasks+m.tasks > a.limit:
+	case a.limit > 0 && c.phases.tasks+a.sum+m.tasks > a.limit:
 		m.reply.Put(tooManyTasks)
 	default:
-		a.tasks += m.tasks
+		a.begin(m.id, m.tasks)
 		m.reply.Put(admitted)
 	}
 }
 
-func (c *controller) admissionEnded(m *admissionEnded) { c.admissions.tasks -= m.tasks }
-
 // admit asks whether a submission may be stored. If it may, the caller calls end when it was
 // stored, or will not be. It may not if it is stored already, or with the error
 // ErrNotAccepted if its tasks cannot be held.
@@ -89,9 +102,9 @@
 	}
 }
 
-// endAdmission ends the admission of a submission. What was stored is in the cache of phases
-// by then.
-func (h *jobHandler) endAdmission(ctx context.Context, j *workload.Job) {
+// endAdmission ends the admission of a submission that was not stored, or of which that is
+// not known. One that was stored ends with jobStored, which counts the job as held.
+func (h *jobHandler) endAdmission(ctx context.Context, id workload.JobID) {
 	// An error means that the process ends. The end of the request must not lose the message.
-	_ = h.controller.address.Send(context.WithoutCancel(ctx), &admissionEnded{j.TaskCount()})
+	_ = h.controller.address.Send(context.WithoutCancel(ctx), &admissionEnded{id})
 }
--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -217,7 +217,7 @@
 	case *admissionRequest:
 		c.admissionRequest(m)
 	case *admissionEnded:
-		c.admissionEnded(m)
+		c.admissions.end(m.id)
 	case *jobStored:
 		c.jobStored(m)
 	case *cancelStored:
--- a/internal/jobdaemon/jobhandler.go
+++ b/internal/jobdaemon/jobhandler.go
@@ -120,7 +120,7 @@
 	if may, err := h.admit(ctx, &j); !may {
 		return err // nil: it was submitted before
 	}
-	defer h.endAdmission(ctx, &j)
+	defer h.endAdmission(ctx, j.ID)
 	if epoch := h.controller.published.epoch.Get(); epoch != nil {
 		j.Epoch = *epoch
 	}
@@ -313,6 +313,7 @@
 // jobStored caches a job that a caller of this entry submitted, and passes it to
 // the owner.
 func (c *controller) jobStored(m *jobStored) {
+	c.admissions.end(m.job.ID)
 	c.phases.update(msg.JobPhase{ID: m.job.ID, Queue: m.job.Queue, Tasks: m.job.TaskCount()}, c.now())
 	c.sendToOwner(&msg.JobSubmitted{Job: m.job})
 	m.applied.Put(true)
