--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -5,7 +5,6 @@
 
 	"github.com/bambooscale/bambooscale/charts"
 	"github.com/bambooscale/bambooscale/internal/chart"
-	"github.com/bambooscale/bambooscale/internal/msg"
 	"github.com/bambooscale/bambooscale/internal/workload"
 )
 
@@ -140,23 +139,6 @@
 	return time.Duration(max(1, j.spec.TargetSlowdown)*float64(longest)) + j.spec.TargetLatency
 }
 
-func (j *job) phase() workload.Phase { return workload.Phase(j.state) }
-
-// visiblePhase returns the phase that callers may see. A final phase is visible
-// only after it is stored. Cancelled is visible at once, because the cancellation
-// was stored before the core received it.
-func (j *job) visiblePhase() msg.JobPhase {
-	p := j.phase()
-	if p.Final() && p != workload.Cancelled && j.storedPhase != p {
-		p = workload.Running
-	}
-	visible := msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p, Tasks: j.taskCount()}
-	if p == workload.Failed {
-		visible.Failure = j.failure
-	}
-	return visible
-}
-
 func (j *job) step(e chart.Event) { jobChart.Step(j, &j.state, e) }
 
 // markDirty makes the next batch write the job's row.
--- a/internal/jobs/phases.go
+++ b/internal/jobs/phases.go
@@ -59,3 +59,20 @@
 	j.numberPhase()
 	j.core.phases = append(j.core.phases, j.visiblePhase())
 }
+
+// visiblePhase returns the phase that callers may see. A final phase is visible
+// only after it is stored. Cancelled is visible at once, because the cancellation
+// was stored before the core received it.
+func (j *job) visiblePhase() msg.JobPhase {
+	p := j.phase()
+	if p.Final() && p != workload.Cancelled && j.storedPhase != p {
+		p = workload.Running
+	}
+	visible := msg.JobPhase{ID: j.spec.ID, Queue: j.spec.Queue, Phase: p, Tasks: j.taskCount()}
+	if p == workload.Failed {
+		visible.Failure = j.failure
+	}
+	return visible
+}
+
+func (j *job) phase() workload.Phase { return workload.Phase(j.state) }
