internal/jobs: test done tasks in chains of owners and pages of ends

A random test of the exact rule for tasks that end as done: owners follow each other in order or not, tell each other their runs, late or never; agents are started again while tasks end and list their ends two at a time.

--- a/internal/jobs/chainhost_test.go
+++ b/internal/jobs/chainhost_test.go
@@ -21,6 +21,9 @@
 	removed  bool
 	ends     []msg.RunEnd // that are not acknowledged
 	lastEnd  uint64
+	listing  bool // its agent has not listed all ends; see chainpages_test.go
+	shown    map[workload.RunID]bool
+	ended    func(msg.RunEnd) // is told each end; nil: nobody
 }
 
 // chainLink delivers messages in order. Those in transit are lost when it ends.
@@ -73,6 +76,7 @@
 func (h *chainHost) expire(s *ownerChain) {
 	if s.now >= h.leaseEnd {
 		clear(h.runs)
+		s.leaseExpired(h)
 	}
 }
 
@@ -94,13 +98,8 @@
 	h.expire(s)
 	if claim, ok := m.(*msg.OwnerClaim); ok && !o.cut[h] && claim.Epoch >= h.epoch {
 		h.epoch, h.owner, h.accepted = claim.Epoch, o, false
-		h.number++
-		inventory := &msg.HostInventory{Epoch: h.epoch, Number: h.number, Host: h.info, ClockMS: s.now.Milliseconds(), Runs: h.statuses(), Ended: slices.Clone(h.ends)}
-		for i := range inventory.Runs {
-			inventory.Runs[i].Unconfirmed = s.failing && s.random.IntN(4) == 0
-		}
-		l := o.links[h]
-		l.deliver(s, &l.toOwner, func() { o.input(func(c *Core) { c.Inventory(inventory) }) })
+		h.forgetEnds(s)
+		h.sendInventory(o)
 		return
 	}
 	if h.owner != o || o.cut[h] {
@@ -126,8 +125,24 @@
 			h.end(id, workload.EndStopped)
 		}
 	case *msg.EndsAcknowledged:
+		s.endsAcknowledged(h, m.LastNumber)
 		h.ends = slices.DeleteFunc(h.ends, func(e msg.RunEnd) bool { return e.Number <= m.LastNumber })
+		h.listNextEnds(o)
+	}
+}
+
+// sendInventory sends an owner the runs and the ends that the agent knows.
+func (h *chainHost) sendInventory(o *chainOwner) {
+	s := o.chain
+	h.number++
+	inventory := &msg.HostInventory{
+		Epoch: h.epoch, Number: h.number, Host: h.info, ClockMS: s.now.Milliseconds(), Runs: h.statuses(), Ended: slices.Clone(h.knownEnds(s)), MoreEnds: h.listing,
+	}
+	for i := range inventory.Runs {
+		inventory.Runs[i].Unconfirmed = s.failing && s.random.IntN(4) == 0
 	}
+	l := o.links[h]
+	l.deliver(s, &l.toOwner, func() { o.input(func(c *Core) { c.Inventory(inventory) }) })
 }
 
 // start carries out a start, refuses it, or does not know whether it was carried out.
@@ -145,6 +160,7 @@
 		return
 	}
 	h.runs[id] = true
+	s.started(h, id)
 	switch outcome {
 	case 2, 3:
 		h.tell(o, &msg.RunsChanged{Started: []workload.RunID{id}})
@@ -158,7 +174,11 @@
 	if h.runs[id] {
 		delete(h.runs, id)
 		h.lastEnd++
-		h.ends = append(h.ends, msg.RunEnd{Number: h.lastEnd, Run: id, Reason: reason})
+		e := msg.RunEnd{Number: h.lastEnd, Run: id, Reason: reason}
+		h.ends = append(h.ends, e)
+		if h.ended != nil {
+			h.ended(e)
+		}
 	}
 }
 
@@ -178,6 +198,7 @@
 	for id := range h.runs {
 		list = append(list, msg.RunStatus{Run: id})
 	}
+	list = append(list, h.unlistedEnds()...)
 	slices.SortFunc(list, func(a, b msg.RunStatus) int { return cmp.Compare(a.Run.String(), b.Run.String()) })
 	return list
 }
@@ -191,11 +212,11 @@
 	h.expire(s)
 	for _, r := range h.statuses() {
 		if s.failing && s.random.IntN(12) == 0 {
-			h.end(r.Run, workload.EndFailed)
+			h.end(r.Run, s.endReason())
 		}
 	}
-	if len(h.ends) > 0 {
-		h.tell(o, &msg.RunsChanged{Ended: slices.Clone(h.ends)})
+	if ends := h.knownEnds(s); len(ends) > 0 {
+		h.tell(o, &msg.RunsChanged{Ended: slices.Clone(ends)})
 	}
 	report := &msg.RunsProgress{Epoch: o.epoch, Instance: h.info.Instance, StartedAtMS: h.info.StartedAtMS, ClockMS: s.now.Milliseconds(), Runs: h.statuses()}
 	l := o.links[h]
--- a/internal/jobs/ownerchain_test.go
+++ b/internal/jobs/ownerchain_test.go
@@ -38,6 +38,9 @@
 	omitted   int                        // times that a host came back while the row named it
 	failing   bool                       // runs fail, and starts are refused or not confirmed
 	released  map[uint64]*[]msg.HostRuns // runs that owners have told at their release, by epoch
+	pageSize  int                        // ends that a backend server lists at once; 0: all
+	done      *doneRecord                // of tasks that end as done; nil: they fail
+	progress  *workload.Progress         // of the job, as it is stored
 	inherited int                        // hosts whose runs an owner was told before it began
 	rowSize   int                        // most bytes of the list in the owner's row; 0: as the owner has it
 	listed    int                        // runs in rows that were claimed
@@ -80,15 +83,20 @@
 
 // newOwnerChainOf starts an owner with the tasks of a step, which lasts.
 func newOwnerChainOf(t *testing.T, seed uint64, hosts int, step workload.Step) *ownerChain {
+	step.LongRunning = true
+	return startOwnerChain(t, seed, hosts, step)
+}
+
+// startOwnerChain starts an owner with the tasks of a step.
+func startOwnerChain(t *testing.T, seed uint64, hosts int, step workload.Step) *ownerChain {
 	s := &ownerChain{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), row: chainRow{released: true}, released: map[uint64]*[]msg.HostRuns{}}
 	s.job = newSpec("j", step)
 	s.job.MaxAttempts = 100_000
-	s.job.Steps[0].LongRunning = true
 	for i := range hosts {
 		s.hosts = append(s.hosts, &chainHost{info: readyHost(fmt.Sprintf("host-%d", i), 4000), runs: map[workload.RunID]bool{}})
 	}
 	s.claim()
-	for s.running() < step.Count {
+	for s.running() < min(step.Count, 36) {
 		s.run(chainTick)
 		require.Less(t, s.now, time.Minute, "seed %d", seed)
 	}
@@ -193,7 +201,7 @@
 		}
 		o.advance()
 		o.loaded = true
-		o.core.Restore(s.job, nil)
+		o.core.Restore(s.job, s.progress)
 		for _, h := range s.hosts {
 			if !o.cut[h] {
 				o.core.Linked(h.info)
@@ -303,6 +311,7 @@
 				if batch.Hosts != nil {
 					s.list = batch.Hosts
 				}
+				s.storeProgress(batch)
 			}
 			mine := s.row == row
 			if s.random.IntN(20) == 0 {
