--- a/review/testdata/stage/main.go
+++ b/review/testdata/stage/main.go
@@ -21,15 +21,18 @@
 type scenario struct {
 	entries, hosts int
 	capacity       int64
+	proxied        bool // the connections of each entry can go silent
 	play           func(s *system, trouble bool) int
 }
 
 var scenarios = map[string]scenario{
-	"room":   {3, 11, 32000, playRoom},
-	"crash":  {3, 11, 32000, playCrash},
-	"silent": {3, 11, 32000, playSilent},
-	"twice":  {3, 11, 32000, playTwice},
-	"writer": {3, 11, 32000, playWriter},
+	"room":   {3, 11, 32000, false, playRoom},
+	"crash":  {3, 11, 32000, false, playCrash},
+	"silent": {3, 11, 32000, false, playSilent},
+	"twice":  {3, 11, 32000, false, playTwice},
+	"token":  {3, 11, 32000, false, playToken},
+	"cancel": {3, 11, 32000, true, playCancel},
+	"writer": {3, 11, 32000, false, playWriter},
 }
 
 func main() { os.Exit(run()) }
@@ -65,7 +68,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.show("scenario %s, disruption: %v", os.Args[1], trouble)
-	s, err := startSystem(root, dir, rec, sc.entries, sc.hosts, sc.capacity)
+	s, err := startSystem(root, dir, rec, sc.entries, sc.hosts, sc.capacity, sc.proxied)
 	if err != nil {
 		rec.show("could not start: %v", err)
 		return couldNot
--- a/review/testdata/stage/system.go
+++ b/review/testdata/stage/system.go
@@ -140,6 +140,7 @@
 	client  *http.Client
 
 	storeConns *silencer
+	machines   []*machineConns // of the entries, if their connections can go silent
 }
 
 // loopback returns a random loopback address that nobody uses at present.
@@ -194,8 +195,9 @@
 	lastingQueue = queue{"nony24.example", "/pule252/"} // priority 0
 )
 
-// startSystem starts the entries, the agents and their minions.
-func startSystem(root, dir string, rec *record, entries, hosts int, capacity int64) (*system, error) {
+// startSystem starts the entries, the agents and their minions. The connections of each
+// entry can go silent if they are proxied.
+func startSystem(root, dir string, rec *record, entries, hosts int, capacity int64, proxied bool) (*system, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &system{rec: rec, store: newStore(), dir: dir, cancel: cancel, client: &http.Client{Timeout: 3500 * time.Millisecond}}
 	s.events = &events{rec: rec}
@@ -214,14 +216,14 @@
 	for range entries {
 		ips = append(ips, loopback(frontendPort, readyPort, controlPort, linkPort))
 	}
-	var seeds []string
-	for _, ip := range ips {
-		seeds = append(seeds, ip+":"+controlPort)
+	w, err := s.wire(ips, storeListener.Addr().String(), proxied)
+	if err != nil {
+		return nil, err
 	}
-	common := func(name, ip string) map[string]string {
+	common := func(name, ip string, seeds []string, storeAddress string) map[string]string {
 		return map[string]string{
 			"node-name": name, "ip": ip, "zone": "z1", "internal-port-range.0": linkPort, "bounds.grace-period-s": "6", "limits.cpu-share": "0.4",
-			"limits.cores": "1", "limits.link-mbps": "1000.0", "bounds.max-hold-ms": "6000", "seed-nodes": strings.Join(seeds, ","), "platform.address": storeListener.Addr().String(),
+			"limits.cores": "1", "limits.link-mbps": "1000.0", "bounds.max-hold-ms": "6000", "seed-nodes": strings.Join(seeds, ","), "platform.address": storeAddress,
 		}
 	}
 	start := func(name, role string, facts map[string]string) (*process, error) {
@@ -235,7 +237,7 @@
 	}
 	for i, ip := range ips {
 		name := fmt.Sprintf("frontend-%d", i+1)
-		facts := common(name, ip)
+		facts := common(name, ip, w.seeds[i], w.stores[i])
 		facts["listen-addresses.frontend"], facts["listen-addresses.readiness"], facts["listen-addresses.control-plane"] = ip+":"+frontendPort, ip+":"+readyPort, ip+":"+controlPort
 		p, err := start(name, "entry", facts)
 		if err != nil {
@@ -250,7 +252,7 @@
 		if err := m.begin(); err != nil {
 			return nil, err
 		}
-		facts := common(name, ip)
+		facts := common(name, ip, w.agentSeeds, storeListener.Addr().String())
 		facts["listen-addresses.control-plane"], facts["app"] = ip+":"+controlPort, ip+":"+minionPort
 		p, err := start(name, "agent", facts)
 		if err != nil {
