--- a/review/testdata/stage/silent.go
+++ b/review/testdata/stage/silent.go
@@ -70,7 +70,7 @@
 }
 
 const (
-	clientsAtOnce = 8 // of each entry
+	clientsAtOnce = 10 // of each entry
 	configTime    = 2 * time.Second
 	changeAfter   = time.Second // from the silence to the new configuration
 	probeInterval = 100 * time.Millisecond
