storage: send no request on an idle connection that may be silent

Cause: HTTPClient keeps up to eight unused connections. When all open connections go silent, each later call takes another one of them and waits for its own timeout, so the watch of the jobs needed two timeouts and that of the configuration up to eight.

Change: a call whose time is up, and which heard nothing on its connection for 250 ms, makes suspect all connections that were not heard for 250 ms. A request on a suspect connection fails before its first byte; net/http then sends it on another one. So a silence costs each call that is under way one timeout, and later calls none.

Closing all unused connections after a timeout was weighed: simpler, but it closes sound ones at each call that a slow service does not answer in time.

Check: without the change TestSilentConnectionsCostOneTimeoutInAll, TestSilenceDuringSeveralCallsCostsEachOneTimeout and TestUnusedConnectionThatIsSilentIsNotUsed fail.

--- a/internal/storage/http.go
+++ b/internal/storage/http.go
@@ -32,7 +32,7 @@
 	URL     string        // for example http://10.0.0.1:7000
 	Timeout time.Duration // of one operation while nothing is received; 0: DefaultTimeout
 	// Dial opens a connection; nil: TCP.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial dialFunc
 }
 
 // HTTPClient sends requests to a platform service and classifies failures by
@@ -41,6 +41,7 @@
 	base    string
 	timeout time.Duration
 	client  *http.Client
+	conns   *idleConns
 }
 
 // NewHTTPClient returns a client; it does not connect yet.
@@ -51,11 +52,13 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	}
+	conns := &idleConns{}
 	return &HTTPClient{
 		base:    strings.TrimSuffix(c.URL, "/"),
 		timeout: c.Timeout,
+		conns:   conns,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: c.Dial, MaxIdleConnsPerHost: idlePerHost,
+			DialContext: conns.dial(c.Dial), MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout: idleTimeout, DisableCompression: true,
 		}},
 	}
@@ -84,41 +87,55 @@
 // ErrOutcomeUnknown, which also matches the error of a ctx that has ended. The
 // response extends the timeouts that WithProgressTimeout has set for ctx.
 func (c *HTTPClient) Do(ctx context.Context, r Request) (Response, error) {
-	callCtx, cancel := WithProgressTimeout(ctx, c.timeout, c.timeout)
-	defer cancel()
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(callCtx, trace), r.Method, c.base+r.Path, bytes.NewReader(r.Body))
+	req, err := http.NewRequest(r.Method, c.base+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return Response{}, errors.Wrapf(ErrRefused, "%v", err)
 	}
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
-	resp, err := c.client.Do(req)
+	callCtx, cancel := WithProgressTimeout(ctx, c.timeout, c.timeout)
+	defer cancel()
+	response, conn, err := c.send(callCtx, req)
+	if err == nil {
+		return response, nil
+	}
+	if errors.Is(err, ErrNoProgress) || errors.Is(err, context.DeadlineExceeded) {
+		c.conns.timedOut(conn)
+	}
+	return Response{}, transportError(ctx, conn != nil, err)
+}
+
+// send sends a request and reads the whole response. The connection is that on
+// which the request may have been sent; nil: it was not. The error after the end of ctx
+// is its cause.
+func (c *HTTPClient) send(ctx context.Context, req *http.Request) (Response, net.Conn, error) {
+	var conn net.Conn
+	// net/http may try several connections. It repeats a Put, Post or Delete only if
+	// nothing of it was sent, and a read has no effect.
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { conn = nil },
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+	}
+	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		// The error of a dial after GotConn is that of a repetition by net/http on
-		// a new connection. It repeats a Put, Post or Delete only if nothing of it
-		// was sent, and a read has no effect.
-		var opErr *net.OpError
-		sent := connected && !(errors.As(err, &opErr) && opErr.Op == "dial")
-		if callCtx.Err() != nil {
-			err = context.Cause(callCtx)
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
 		}
-		return Response{}, transportError(ctx, sent, err)
+		return Response{}, conn, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(&progressReader{ctx: callCtx, Reader: resp.Body}, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(&progressReader{ctx: ctx, Reader: resp.Body}, maxResponseBytes+1))
 	switch {
-	case err != nil && callCtx.Err() != nil:
-		err = context.Cause(callCtx)
+	case err != nil && ctx.Err() != nil:
+		err = context.Cause(ctx)
 	case err == nil && len(body) > maxResponseBytes:
 		err = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	}
 	if err != nil {
-		return Response{}, transportError(ctx, true, &incompleteError{len(body), resp.ContentLength, err})
+		return Response{}, conn, &incompleteError{len(body), resp.ContentLength, err}
 	}
-	return Response{resp.StatusCode, body}, nil
+	return Response{resp.StatusCode, body}, conn, nil
 }
 
 // incompleteError is the error of a response whose body was not received whole.
