jobdaemon: have the owner's watch end within the time of a cancel

Cause: the owner learns of a stored cancel from its watch of the jobs. If the connection goes silent when a watch was just sent, the next one is sent after watchWait (2 s), directTimeout (0.9 s) and watchPause (0.2 s): 3.1 s. Each of the three was chosen by itself, and nothing compared their sum with the promise.

Change: watchWait is 1 s, which makes 2.1 s. An idle owner asks the table service once in 1.2 s in place of once in 2.2 s.

--- a/internal/jobdaemon/load.go
+++ b/internal/jobdaemon/load.go
@@ -261,7 +261,7 @@
 }
 
 const (
-	watchWait  = 2 * time.Second
+	watchWait  = time.Second
 	watchPause = 200 * time.Millisecond // collects several rows for one answer
 )
 
--- a/internal/jobdaemon/partition_test.go
+++ b/internal/jobdaemon/partition_test.go
@@ -26,6 +26,8 @@
 	group     *actor.Group // of writes that take effect late
 	cut       actor.Value[bool]
 	late      actor.Value[time.Duration] // before a write takes effect; nil: 0
+	silentAt  actor.Value[time.Time]     // calls that were sent before have no answer; nil: all have
+	slow      actor.Value[time.Duration] // before a read is answered; nil: 0
 	compacted actor.Flag                 // watches of the jobs fail, because the history is lost
 	panics    actor.Flag                 // calls panic
 }
@@ -42,14 +44,35 @@
 	return true
 }
 
+// silence makes the open connections to the table service silent. Later calls are answered.
+func (s *cuttableStore) silence() { s.silentAt.Set(new(time.Now())) }
+
+// answered waits until a call that began at a time has its answer. It reports false if
+// there is none before ctx ends.
+func (s *cuttableStore) answered(ctx context.Context, began time.Time) bool {
+	if slow := s.slow.Get(); slow != nil && !actor.Sleep(ctx, *slow) {
+		return false
+	}
+	if at := s.silentAt.Get(); at != nil && !began.After(*at) {
+		<-ctx.Done()
+		return false
+	}
+	return true
+}
+
 func (s *cuttableStore) Commit(ctx context.Context, t table.Txn) (table.Revision, error) {
+	began := time.Now()
 	if s.isCut(ctx) {
 		return 0, storage.ErrOutcomeUnknown
 	}
 	if late := s.late.Get(); late != nil && *late > 0 {
 		return s.commitLate(ctx, *late, t)
 	}
-	return s.Store.Commit(ctx, t)
+	revision, err := s.Store.Commit(ctx, t)
+	if !s.answered(ctx, began) {
+		return 0, storage.ErrOutcomeUnknown
+	}
+	return revision, err
 }
 
 // commitLate commits a transaction after a delay, whether or not the caller still waits.
@@ -78,14 +101,24 @@
 	if s.isCut(ctx) {
 		return table.Row{}, storage.ErrUnavailable
 	}
-	return s.Store.Read(ctx, key)
+	began := time.Now()
+	row, err := s.Store.Read(ctx, key)
+	if !s.answered(ctx, began) {
+		return table.Row{}, storage.ErrUnavailable
+	}
+	return row, err
 }
 
 func (s *cuttableStore) Scan(ctx context.Context, prefix string, after table.Revision) ([]table.Row, table.Revision, error) {
 	if s.isCut(ctx) {
 		return nil, 0, storage.ErrUnavailable
 	}
-	return s.Store.Scan(ctx, prefix, after)
+	began := time.Now()
+	rows, revision, err := s.Store.Scan(ctx, prefix, after)
+	if !s.answered(ctx, began) {
+		return nil, 0, storage.ErrUnavailable
+	}
+	return rows, revision, err
 }
 
 func (s *cuttableStore) Watch(ctx context.Context, prefix string, after table.Revision, wait time.Duration) ([]table.Row, table.Revision, error) {
@@ -95,7 +128,12 @@
 	if prefix == "jobs/" && s.compacted.Get() {
 		return nil, 0, storage.ErrCompacted
 	}
-	return s.Store.Watch(ctx, prefix, after, wait)
+	began := time.Now()
+	rows, revision, err := s.Store.Watch(ctx, prefix, after, wait)
+	if !s.answered(ctx, began) {
+		return nil, 0, storage.ErrUnavailable
+	}
+	return rows, revision, err
 }
 
 // startBackends starts an agent with a backend server on each host.
--- a/internal/ownership/echo_test.go
+++ b/internal/ownership/echo_test.go
@@ -32,7 +32,7 @@
 		a.Echoed("b", now, now)
 		a.Echoed("c", now, now)
 		require.True(t, a.MayAct(now))
-		require.Equal(t, now-confirmedAt >= undisputedConfirmInterval, a.ConfirmationDue(), "an owner that all entries see writes no more than it must")
+		require.Equal(t, now-confirmedAt >= UndisputedConfirmInterval, a.ConfirmationDue(), "an owner that all entries see writes no more than it must")
 		if a.ConfirmationDue() {
 			a.Confirmed(now, now)
 			confirmedAt = now
--- a/internal/ownership/permission.go
+++ b/internal/ownership/permission.go
@@ -39,9 +39,9 @@
 	// confirmInterval is how old the last confirmation may become before an owner that
 	// another entry may have replaced rewrites its row.
 	confirmInterval = 500 * time.Millisecond
-	// undisputedConfirmInterval is the same for an owner that misses no entry. It is the
+	// UndisputedConfirmInterval is the same for an owner that misses no entry. It is the
 	// part of MajorityPermissionTime that may have passed when an outage begins.
-	undisputedConfirmInterval = time.Second
+	UndisputedConfirmInterval = time.Second
 	// formerProgramTime and formerProgramMajorityTime are how long an owner of a former
 	// program acts after its last write if it misses no entry, and if it is linked with
 	// the majority. Its row has no time.
@@ -194,7 +194,7 @@
 	if !c.Owns() || age < confirmInterval {
 		return false
 	}
-	return age >= undisputedConfirmInterval || c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
+	return age >= UndisputedConfirmInterval || c.permission.state != permissionUndisputed || c.echoes.oldest(c.now) >= echoWarning
 }
 
 // Confirmed records that the owner's row was rewritten by a transaction which was sent
--- a/internal/ownership/permission_test.go
+++ b/internal/ownership/permission_test.go
@@ -62,12 +62,12 @@
 func TestOwnerThatMissesNobodyWritesSeldomAndActsForALimitedTime(t *testing.T) {
 	a, now := newLinkedOwner(t)
 	a.Confirmed(now, now)
-	a.tickUntil(now, now+undisputedConfirmInterval-time.Millisecond)
+	a.tickUntil(now, now+UndisputedConfirmInterval-time.Millisecond)
 	require.False(t, a.ConfirmationDue())
-	a.tickUntil(now, now+undisputedConfirmInterval)
+	a.tickUntil(now, now+UndisputedConfirmInterval)
 	require.True(t, a.ConfirmationDue())
 	last := now + MajorityPermissionTime - time.Millisecond
-	a.tickUntil(now+undisputedConfirmInterval, last)
+	a.tickUntil(now+UndisputedConfirmInterval, last)
 	require.True(t, a.MayAct(last))
 	require.False(t, a.MayAct(last+time.Millisecond), "an entry that the owner has not heard of may have claimed the jobs")
 	later := last + time.Millisecond
