jobdaemon: send a cancel again on each further link to the owner

What callers saw: an owner that does not reach the table service learns of a cancel over the link only. If that link is lost, its tasks go on and further ones start until another entry takes over, whatever the entry that acknowledged the cancel knows.

Cause: sendToOwner put the cancel into the queue of a link once and forgot it. A link that has gone silent ends after 1.2 s with all that was sent on it; an entry that knew no owner and no link sent nothing at all; and a cancel that was sent to a former owner went no further.

Change: the entry keeps the cancels that it has stored until the owner shows the job as ended, at most 128 of them and for a minute. It sends them on each link to the owner on which they were not sent yet: when they are stored, when a link comes up, and when an owner claims the jobs. The owner ignores those that it knows. A submission is still sent once (submitToOwner): the owner's watch delivers it after 2.1 s at most, no promise has a shorter time, and a copy that arrives late must not bring back a job that has ended.

Check: without it TestCancelIsSentAgainOnEachLink (from one loss on), TestCancelReachesAnOwnerThatWasNotKnown and TestCancelIsSentAgainToTheNextOwner fail; without the confirmation the last one fails too.

--- a/internal/jobdaemon/controller.go
+++ b/internal/jobdaemon/controller.go
@@ -51,6 +51,7 @@
 	writer          writer
 	released        releasedRuns
 	admissions      admissions
+	cancels         unconfirmedCancels
 	maxTasks        int // admissions.limit, for the callers' handlers
 	clock           hostClock
 	ownerLog        ownerLog
@@ -124,6 +125,7 @@
 	if now-c.prunedAt > pruneInterval {
 		c.prunedAt = now
 		c.phases.prune(now)
+		c.cancels.prune(now)
 	}
 }
 
--- a/internal/jobdaemon/controller_links.go
+++ b/internal/jobdaemon/controller_links.go
@@ -43,6 +43,7 @@
 	c.publishLinked()
 	c.config.sync.PeerUp(name, m.hello.LinkRate)
 	c.announceConfig(l)
+	c.sendCancels()
 	if c.jobs != nil {
 		c.owner.EntryLinked(name, m.hello.Boot, m.hello.Epoch, c.now())
 		c.limitFormerOwners()
@@ -177,6 +178,7 @@
 	case *msg.OwnerClaim:
 		if c.owner.OwnerObserved(m.Owner, m.Epoch, c.now()) {
 			c.logOwner(l.hello.Member.Name)
+			c.sendCancels()
 		}
 	case *msg.ConfigAnnounced:
 		c.configAnnounced(l, m)
--- a/internal/jobdaemon/entry.go
+++ b/internal/jobdaemon/entry.go
@@ -110,7 +110,7 @@
 	c := &controller{
 		self: msg.Member{Name: cfg.Name, Address: cfg.Links}, log: cfg.Log, group: g, startedAt: time.Now(), metrics: m,
 		maxTasks: maxHeldTasks(cfg.Memory), admissions: admissions{limit: maxHeldTasks(cfg.Memory), tasks: map[workload.JobID]int{}}, linkRate: cfg.LinkRate, links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
-		phases: newPhaseCache(), owner: ownership.New(cfg.Name, cfg.Boot, cfg.ProcessorShare, 0), published: &published{},
+		phases: newPhaseCache(), cancels: unconfirmedCancels{}, owner: ownership.New(cfg.Name, cfg.Boot, cfg.ProcessorShare, 0), published: &published{},
 		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
 	}
 	c.published.epochs.StartedAt = c.startedAt
--- a/internal/jobdaemon/jobhandler.go
+++ b/internal/jobdaemon/jobhandler.go
@@ -315,30 +315,46 @@
 func (c *controller) jobStored(m *jobStored) {
 	c.admissions.end(m.job.ID)
 	c.phases.update(msg.JobPhase{ID: m.job.ID, Queue: m.job.Queue, Tasks: m.job.TaskCount()}, c.now())
-	c.sendToOwner(&msg.JobSubmitted{Job: m.job})
+	c.submitToOwner(&msg.JobSubmitted{Job: m.job})
 	m.applied.Put(true)
 }
 
 func (c *controller) cancelStored(m *cancelStored) {
 	c.phases.forgetRead(m.id)
-	c.sendToOwner(&msg.JobCancelled{ID: m.id})
+	if c.jobs != nil {
+		c.jobs.Cancel(m.id)
+	} else {
+		c.cancels.add(m.id, c.now())
+		c.sendCancels()
+	}
 	m.applied.Put(true)
 }
 
-// sendToOwner passes a stored change to the owner. If the owner is not known, each
-// linked entry receives it, and the one that owns the jobs applies it. An owner that is
-// not linked receives the change through its watch of the table service.
-func (c *controller) sendToOwner(m msg.Control) {
+// submitToOwner passes a stored job to the owner. An owner that it does not reach receives
+// the job through its watch of the table service.
+func (c *controller) submitToOwner(m *msg.JobSubmitted) {
 	if c.jobs != nil {
 		c.applyToJobs(&peerLink{hello: &msg.PeerHello{Member: c.self}}, m)
 		return
 	}
+	for _, l := range c.ownerLinks() {
+		c.send(l, m)
+	}
+}
+
+// ownerLinks returns a link to the owner of the jobs, if there is one. While the owner is
+// not known, it returns one to each linked entry: the one that owns the jobs applies what
+// is sent, and the others ignore it.
+func (c *controller) ownerLinks() []*peerLink {
+	if c.jobs != nil {
+		return nil
+	}
 	owner := c.owner.Owner()
 	if owner == "" {
-		c.sendToEntries(m)
-		return
+		return c.entryLinks()
 	}
 	if l := c.entryLink(owner); l != nil {
-		c.send(l, m)
+		return []*peerLink{l}
 	}
+	return nil
 }
--- a/internal/jobdaemon/phasefeed.go
+++ b/internal/jobdaemon/phasefeed.go
@@ -265,6 +265,7 @@
 	}
 	for _, p := range m.Jobs {
 		c.phases.update(p, c.now())
+		c.cancels.confirm(p)
 	}
 	if m.UpTo != 0 {
 		c.published.phases.Set(&msg.PhaseMark{Epoch: m.Epoch, UpTo: m.UpTo})
--- a/internal/jobdaemon/phasesite_test.go
+++ b/internal/jobdaemon/phasesite_test.go
@@ -133,7 +133,7 @@
 	e.c = &controller{
 		self: msg.Member{Name: e.name, Address: e.name}, log: l, group: e.group, startedAt: time.Now(), metrics: newEntryMetrics(s.metrics),
 		links: map[linkID]*peerLink{}, agents: map[workload.HostName]*agentView{}, members: map[string]msg.Member{},
-		phases: newPhaseCache(), owner: ownership.New(e.name, boot, 0, 0), published: &published{},
+		cancels: unconfirmedCancels{}, phases: newPhaseCache(), owner: ownership.New(e.name, boot, 0, 0), published: &published{},
 		peerCommits: peerCommits{pending: map[uint64]*pendingCommit{}},
 	}
 	if index > 0 {
