agent: close unused connections after a request held until its deadline

What callers saw: when the open connections of an agent to its backend server go silent together, up to 64 requests one after another are held until their deadlines, though new connections work.

The transport keeps as many unused connections as the backend server accepts, and takes the next one after a request that was not answered.

Change: a request that was sent and held until its deadline closes the unused connections. storage.idleConns, which lets a suspect connection fail a request before its first byte, does not fit here: the body of a request is streamed and can't be repeated. A slow backend server loses few sound connections, because its slots and so its connections are in use.

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -31,6 +31,7 @@
 	entry     model.EntryID
 	transport http.RoundTripper // to the backend server
 	head      *msg.RequestHead
+	arrivedAt time.Time // when the head was received
 	startedAt time.Time // when the decision to start was received
 }
 
@@ -50,7 +51,7 @@
 	if !ok {
 		return errors.Newf("stream begins with %T instead of a request head", frame)
 	}
-	x.head = head
+	x.head, x.arrivedAt = head, time.Now()
 	ctx, cancel := context.WithTimeout(ctx, head.Deadline+deadlineGrace)
 	defer cancel()
 	g := actor.NewGroup(ctx, nil)
@@ -99,11 +100,13 @@
 		x.sendEnded(ctx, exchangeEnded{connectFailed: true})
 		return x.stream.Send(&msg.Refused{Reason: msg.RefusedDown})
 	case err != nil:
+		x.distrustUnused()
 		return x.reportFailure(ctx, err)
 	}
 	defer resp.Body.Close()
 	if err := x.forwardResponse(resp); err != nil {
 		resp.Body.Close()
+		x.distrustUnused()
 		return x.reportFailure(ctx, err)
 	}
 	x.sendEnded(ctx, exchangeEnded{})
@@ -172,6 +175,17 @@
 	return x.transport.RoundTrip(req)
 }
 
+// distrustUnused closes the unused connections to the backend server if the request was
+// held until its deadline. Open connections may have gone silent together, and the next
+// request could not be repeated on another one. A backend server that is only slow has
+// few unused connections.
+func (x *exchange) distrustUnused() {
+	// The cancellation by the entry at the deadline may arrive a little earlier here.
+	if time.Since(x.arrivedAt) >= x.head.Deadline-deadlineGrace {
+		(&http.Client{Transport: x.transport}).CloseIdleConnections()
+	}
+}
+
 // forwardResponse copies the response to the stream.
 func (x *exchange) forwardResponse(resp *http.Response) error {
 	head := &msg.ResponseHead{Status: resp.StatusCode, Header: fields(resp.Header), ContentLength: resp.ContentLength}
