--- a/cmd/bambooscaled/run.go
+++ b/cmd/bambooscaled/run.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io/fs"
 	"net"
-	"net/http"
 	"net/url"
 	"os"
 	"os/signal"
@@ -187,7 +186,7 @@
 		c.Table = storage.NewHTTPTable(storageConfig(s.Daemon.Table))
 	}
 	if s.Agent.Worker != nil {
-		client := taskagent.NewHTTPWorkerClient(s.Agent.Worker.String(), http.DefaultClient)
+		client := taskagent.NewHTTPWorkerClient(s.Agent.Worker.String(), taskagent.WorkerHTTPClient())
 		if err := fillCapacity(cmd.Context(), client, &c.Worker); err != nil {
 			return nil, err
 		}
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -41,7 +41,7 @@
 	if err != nil || u.Host == "" {
 		return nil, fmt.Errorf("--server %q is not a URL", server)
 	}
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, Proxy: http.ProxyFromEnvironment}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, Proxy: http.ProxyFromEnvironment, MaxIdleConnsPerHost: 1}
 	return &client{base: u, token: token, http: &http.Client{Transport: transport, Timeout: requestTimeout}}, nil
 }
 
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 
 	"github.com/apex/log"
 
@@ -105,7 +104,7 @@
 		Worker: model.Worker{ID: devWorker, DataCentre: devDataCentre, Rack: "rack-1", Capacity: capacity},
 		Cell:   devCell, Entries: []string{entryAddress}, Announce: announceListener,
 		Dialer: link.NewDialer(g, link.Config{}), Log: c.Log,
-		WorkerClient: taskagent.NewHTTPWorkerClient("http://"+workerListener.Addr().String(), http.DefaultClient),
+		WorkerClient: taskagent.NewHTTPWorkerClient("http://"+workerListener.Addr().String(), taskagent.WorkerHTTPClient()),
 	})
 	return nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -104,7 +104,10 @@
 // New starts the API's actors in g. The API accepts requests once Serve is
 // called or its Handler is used by a server.
 func New(g *actor.Group, c Config) *API {
-	a := &API{Config: c, client: &http.Client{Timeout: 3 * time.Second}, token: &actor.Value[token]{}}
+	// One unused connection to an entry is kept: those that have gone silent together cost
+	// one timeout.
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	a := &API{Config: c, client: client, token: &actor.Value[token]{}}
 	a.SetToken(c.Token)
 	a.jobs = jobStore{table: c.Table, isFinal: c.IsFinal}
 	ix := &jobIndex{table: c.Table, cells: map[model.Cell]*cellJobs{}}
--- a/internal/taskagent/http.go
+++ b/internal/taskagent/http.go
@@ -26,6 +26,12 @@
 	client *http.Client
 }
 
+// WorkerHTTPClient returns an HTTP client for the calls to a worker. It keeps one unused
+// connection, so that connections which have gone silent together cost one timeout.
+func WorkerHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+}
+
 // NewHTTPWorkerClient returns a client of the worker at base, such as
 // http://127.0.0.1:9000.
 func NewHTTPWorkerClient(base string, client *http.Client) *HTTPWorkerClient {
