storage: keep the delay of connections in the test's service

Cause: staticcheck refused TestUnusedConnectionThatIsSilentIsNotUsed, which overwrote its client (SA4009).

Change: the simulated service has the delay. The test checks the same.

--- a/internal/storage/idleconn_test.go
+++ b/internal/storage/idleconn_test.go
@@ -18,12 +18,16 @@
 
 // testService is a service whose open connections may go silent together.
 type testService struct {
-	opens   actor.Gauge                                  // connections
-	silence actor.Value[time.Time]                       // connections that were opened before are silent
-	delay   actor.Value[func(path string) time.Duration] // of an answer; nil: 0
+	dialTime actor.Value[time.Duration]                   // until a connection is open; nil: 0
+	opens    actor.Gauge                                  // connections
+	silence  actor.Value[time.Time]                       // connections that were opened before are silent
+	delay    actor.Value[func(path string) time.Duration] // of an answer; nil: 0
 }
 
 func (s *testService) dial(context.Context, string, string) (net.Conn, error) {
+	if d := s.dialTime.Get(); d != nil {
+		time.Sleep(*d)
+	}
 	client, server := net.Pipe()
 	s.opens.Add(1)
 	go s.serve(server, time.Now())
@@ -142,24 +146,16 @@
 // served: it is silent like the others, though it was never used.
 func TestUnusedConnectionThatIsSilentIsNotUsed(t *testing.T) {
 	withService(t, func(t *testing.T, s *testService, c *HTTPClient) {
-		var dialTime actor.Value[time.Duration]
-		c = NewHTTPClient(HTTPConfig{URL: "http://table", Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
-			if d := dialTime.Get(); d != nil {
-				time.Sleep(*d)
-			}
-			return s.dial(ctx, network, address)
-		}})
-		defer c.Close()
 		s.answerAfter(50 * time.Millisecond)
 		go func() { _ = testCall(c, http.MethodGet, "/") }()
 		time.Sleep(10 * time.Millisecond)
 		// The second call is served from 50 to 100 ms on the connection of the first one.
-		dialTime.Set(new(60 * time.Millisecond))
+		s.dialTime.Set(new(60 * time.Millisecond))
 		require.NoError(t, testCall(c, http.MethodGet, "/"))
 		time.Sleep(time.Second)
 		require.Equal(t, 2, s.opened())
 		s.answerAfter(0)
-		dialTime.Set(nil)
+		s.dialTime.Set(nil)
 		s.silent()
 		require.Error(t, testCall(c, http.MethodPost, "/"))
 		require.NoError(t, testCall(c, http.MethodPost, "/"))
