hostselect: reserve nothing from a task that fits only an empty host

Cause: 6% of the processors of each host are reserved for tasks of priority 0, and the reservation was taken from an empty host too, however long the task had waited. What should prefer some tasks kept others from starting at all.

Change: the reservation does not apply to a task that would not fit beside it on the host without any other task.

Check: TestReservedShareKeepsNoTaskFromAnEmptyHost, one unit below, at and above the limit, failed before (9401 of 10000).

--- a/internal/policy/hostselect/hostselect.go
+++ b/internal/policy/hostselect/hostselect.go
@@ -100,6 +100,20 @@
 // not apply to them.
 const reservedShare = 0.06
 
+// roomFor returns what of h a task may use. Nothing is reserved from a task that would
+// not fit on h without any other task: the reservation prefers some tasks, and must not
+// keep others from starting at all.
+func roomFor(t Task, h Host) workload.Resources {
+	if t.Priority == 0 || t.Step.BestEffort {
+		return h.Free
+	}
+	reserved := workload.Resources{MilliCPU: int64(reservedShare * float64(h.Info.Capacity.MilliCPU))}
+	if !t.Step.Charge().Fits(h.Info.Capacity.Sub(reserved)) {
+		return h.Free
+	}
+	return h.Free.Sub(reserved)
+}
+
 // Check returns why t cannot run on h, or Fits.
 func Check(t Task, h Host) Reason {
 	switch {
@@ -120,11 +134,7 @@
 	case h.Avoided:
 		return Avoided
 	}
-	free := h.Free
-	if t.Priority > 0 && !t.Step.BestEffort {
-		free.MilliCPU -= int64(reservedShare * float64(h.Info.Capacity.MilliCPU))
-	}
-	if !t.Step.Charge().Fits(free) {
+	if !t.Step.Charge().Fits(roomFor(t, h)) {
 		return NoCapacity
 	}
 	if t.Step.BestEffort && t.MayWait && Speed(t, h) < minSpeed {
--- a/internal/policy/hostselect/hostselect_test.go
+++ b/internal/policy/hostselect/hostselect_test.go
@@ -44,6 +44,39 @@
 	}
 }
 
+// Guards against a task that starts on no host because a part of each is reserved for more
+// urgent tasks: it waited for ever beside idle hosts.
+func TestReservedShareKeepsNoTaskFromAnEmptyHost(t *testing.T) {
+	const capacity = 10_000
+	reserved := int64(reservedShare * float64(capacity))
+	for _, need := range []int64{capacity - reserved - 1, capacity - reserved, capacity - reserved + 1, capacity - 1, capacity} {
+		task, host := newTask(need), readyHost("a", capacity)
+		task.Priority = 2
+		require.Equal(t, Fits, Check(task, host), "%d of %d", need, capacity)
+		host.Free.MilliCPU = need - 1
+		require.Equal(t, NoCapacity, Check(task, host), "%d of %d in use", capacity-need+1, capacity)
+	}
+	over := newTask(capacity + 1)
+	over.Priority = 2
+	require.Equal(t, NoCapacity, Check(over, readyHost("a", capacity)))
+}
+
+// Guards against a share that is reserved for nobody: a task that fits beside it leaves it
+// to tasks of the first priority.
+func TestReservedShareIsLeftToUrgentTasks(t *testing.T) {
+	const capacity = 10_000
+	reserved := int64(reservedShare * float64(capacity))
+	host := readyHost("a", capacity)
+	host.Free.MilliCPU = 1000 + reserved
+	task := newTask(1001)
+	task.Priority = 2
+	require.Equal(t, NoCapacity, Check(task, host))
+	task.Step.Need.MilliCPU = 1000
+	require.Equal(t, Fits, Check(task, host))
+	task.Priority, task.Step.Need.MilliCPU = 0, 1000+reserved
+	require.Equal(t, Fits, Check(task, host))
+}
+
 // Guards against a best-effort task that is placed beside serving tasks although a
 // host without serving tasks fits.
 func TestBestEffortTasksAvoidServingTasks(t *testing.T) {
