hostagent: apply another service only if the backend server goes on with it

Cause: an announcement of the present incarnation was applied whole, whoever sent it, as long as its clock and numbers were plausible. The owner stops the runs of a host of another service.

Change: an announcement whose service is not that which the incarnation has announced is not applied, until no announcement with the present service has come for 2 s, which is longer than a backend server's interval.

A foreign announcement with the right service and the state draining can't be told apart: the answers of the backend server have no state.

--- a/internal/hostagent/backendserver.go
+++ b/internal/hostagent/backendserver.go
@@ -41,7 +41,7 @@
 
 // refresh applies an announcement of the present incarnation.
 func (c *Core) refresh(a runner.Announcement) {
-	if c.outdated(a) {
+	if c.outdated(a) || c.contradictsService(a.Host.Service) {
 		return
 	}
 	if c.silent() {
@@ -62,10 +62,31 @@
 	}
 }
 
+// serviceChangeTime is how long a backend server must have announced another service, and
+// never its present one, until that is applied. It is longer than the interval of its
+// announcements, so a few announcements of another sender change nothing.
+const serviceChangeTime = 2 * time.Second
+
+// contradictsService reports whether an announcement of the present incarnation with a
+// service is not to be applied, because the incarnation has announced another one. Its
+// runs would be stopped by it.
+func (c *Core) contradictsService(s workload.Service) bool {
+	i := &c.incarnation
+	switch {
+	case c.host.Service == "" || s == c.host.Service:
+		i.otherService = ""
+		return false
+	case s != i.otherService:
+		i.otherService, i.otherServiceAt = s, c.now
+	}
+	return c.now-i.otherServiceAt < serviceChangeTime
+}
+
 // setAnnounced sets the state of the host to an announcement.
 func (c *Core) setAnnounced(a runner.Announcement) {
 	c.announcement, c.announcedMS = a.Sequence, a.ClockMS
 	c.host = a.Host
+	c.incarnation.otherService = ""
 	c.host.Name, c.host.DataCentre = c.cfg.Name, c.cfg.DataCentre
 }
 
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -65,6 +65,10 @@
 	confirmed confirmation         // during the event confirmed only
 	returning *runner.Announcement // the newest while silent; nil: none
 
+	// otherService is announced since otherServiceAt in place of that of the host; "": none.
+	otherService   workload.Service
+	otherServiceAt time.Duration
+
 	// Set when its process has ended.
 	endReason      string
 	crashed        bool
