--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,6 +72,7 @@
 	listener   link.Listener
 	view       actor.Value[ownerView]
 	events     chan *log.Entry
+	config     actor.Value[workload.Config]
 	stepCost   actor.Value[time.Duration] // of a step of the loop while the entry plans the jobs; nil: 0
 }
 
@@ -81,7 +83,16 @@
 	managesTestJob                                                 bool // the entry owns the jobs, and testJob is one of them
 }
 
-const testJob workload.JobID = "job-0"
+const (
+	testJob       workload.JobID = "job-0"
+	testConfigKey                = "op//config"
+)
+
+// decodeTestConfig decodes a configuration that consists of its version.
+func decodeTestConfig(raw []byte) (*workload.Config, error) {
+	version, err := strconv.ParseUint(string(raw), 10, 64)
+	return &workload.Config{Version: version}, err
+}
 
 // publishView copies the state of the controller for the test.
 func (e *ownerSiteEntry) publishView() {
@@ -142,10 +153,10 @@
 	s.entries[name] = e
 	cfg := EntryConfig{
 		Name: name, Links: name, Seeds: s.seeds, Boot: s.boots, ProcessorShare: share, Memory: s.memory, Store: e.store,
-		Config: ConfigSource{Key: "op//config", Prefix: "op//"},
+		Config: ConfigSource{Key: testConfigKey, Prefix: "op//", Decode: decodeTestConfig},
 		Log:    &log.Logger{Handler: e, Level: log.DebugLevel},
 	}
-	e.controller = newController(e.group, cfg, newEntryMetrics(metrics.Start(e.group)), &actor.Value[workload.Config]{})
+	e.controller = newController(e.group, cfg, newEntryMetrics(metrics.Start(e.group)), &e.config)
 	listener, err := s.net.Listen(name)
 	require.NoError(s.t, err)
 	e.listener = listener
