--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -100,13 +100,13 @@
 		x.sendEnded(ctx, exchangeEnded{connectFailed: true})
 		return x.stream.Send(&msg.Refused{Reason: msg.RefusedDown})
 	case err != nil:
-		x.distrustUnused()
+		x.closeUnusedConnections()
 		return x.reportFailure(ctx, err)
 	}
 	defer resp.Body.Close()
 	if err := x.forwardResponse(resp); err != nil {
 		resp.Body.Close()
-		x.distrustUnused()
+		x.closeUnusedConnections()
 		return x.reportFailure(ctx, err)
 	}
 	x.sendEnded(ctx, exchangeEnded{})
@@ -175,11 +175,11 @@
 	return x.transport.RoundTrip(req)
 }
 
-// distrustUnused closes the unused connections to the backend server if the request was
+// closeUnusedConnections closes the unused connections to the backend server if the request was
 // held until its deadline. Open connections may have gone silent together, and the next
 // request could not be repeated on another one. A backend server that is only slow has
 // few unused connections.
-func (x *exchange) distrustUnused() {
+func (x *exchange) closeUnusedConnections() {
 	// The cancellation by the entry at the deadline may arrive a little earlier here.
 	if time.Since(x.arrivedAt) >= x.head.Deadline-deadlineGrace {
 		(&http.Client{Transport: x.transport}).CloseIdleConnections()
--- a/internal/shape/clients_test.go
+++ b/internal/shape/clients_test.go
@@ -24,7 +24,7 @@
 // httpClients has the cost for each place that creates an HTTP client or transport.
 var httpClients = map[string]silenceCost{
 	"internal/storage/http.go":      {text: "one timeout for each call that is under way: idleConns"},
-	"internal/agent/entrylink.go":   {text: "the requests that are under way: distrustUnused"},
+	"internal/agent/entrylink.go":   {text: "the requests that are under way: closeUnusedConnections"},
 	"internal/agent/exchange.go":    {text: "nothing: it closes the unused connections of the transport of entrylink.go"},
 	"internal/operator/operator.go": {text: "one timeout to each entry", one: true},
 	"internal/command/client.go":    {text: "one timeout", one: true},
