--- a/internal/jobdaemon/ownersite_test.go
+++ b/internal/jobdaemon/ownersite_test.go
@@ -83,10 +83,9 @@
 	managesTestJob                                                 bool // the entry owns the jobs, and testJob is one of them
 }
 
-const (
-	testJob       workload.JobID = "job-0"
-	testConfigKey                = "op//config"
-)
+const testJob workload.JobID = "job-0"
+
+const testConfigKey = "op//config"
 
 // decodeTestConfig decodes a configuration that consists of its version.
 func decodeTestConfig(raw []byte) (*workload.Config, error) {
